--- /dev/null
+++ b/src/apps/shuntbankd.cpp
@@ -0,0 +1,51 @@
+/// @file
+/// The node program.
+
+#include <csignal>
+#include <iostream>
+
+#include <asio/signal_set.hpp>
+
+#include "common/log.hpp"
+#include "node/node.hpp"
+
+namespace shuntbank {
+namespace {
+
+int run_node(const NodeSettings& settings) {
+  asio::io_context loop(1);
+  Node node(loop, settings);
+  asio::signal_set signals(loop, SIGTERM, SIGINT);
+  std::function<void()> wait = [&] {
+    signals.async_wait([&](const std::error_code& error, int) {
+      if (error) return;
+      node.leave([&loop] { loop.stop(); });
+      wait();
+    });
+  };
+  wait();
+  loop.run();
+  return static_cast<int>(ExitCode::kSuccess);
+}
+
+int main_checked(const std::vector<std::string>& arguments) {
+  NodeSettings settings;
+  OptionSet options = node_options(settings);
+  const OptionsOutcome outcome = options.read(arguments, std::cout, std::cerr,
+                                              [&] { return check_node_settings(settings); });
+  if (!outcome.run) return static_cast<int>(outcome.code);
+  return run_node(settings);
+}
+
+}  // namespace
+}  // namespace shuntbank
+
+int main(int argc, char** argv) {
+  try {
+    return shuntbank::main_checked({argv + 1, argv + argc});
+  } catch (const std::exception& error) {
+    shuntbank::log_event(shuntbank::LogArea::kProcess, shuntbank::LogLevel::kError, "fatal",
+                         {{"error", error.what()}});
+    return static_cast<int>(shuntbank::ExitCode::kFailure);
+  }
+}
--- /dev/null
+++ b/src/bench/commands.cpp
@@ -0,0 +1,57 @@
+#include "bench/commands.hpp"
+
+#include <functional>
+#include <map>
+#include <ostream>
+
+#include "bench/load_command.hpp"
+
+namespace shuntbank {
+namespace {
+
+using CommandFunction =
+    std::function<ExitCode(const std::vector<std::string>&, std::ostream&, std::ostream&)>;
+
+struct Command {
+  std::string help;
+  CommandFunction run;
+};
+
+const std::map<std::string, Command>& commands() {
+  static const std::map<std::string, Command> table{
+      {"load", {"Open-loop load on a running site, with every answer checked.", run_load_command}},
+  };
+  return table;
+}
+
+void print_usage(std::ostream& output) {
+  output << "usage: shuntbank-bench COMMAND [options]\n\ncommands (each has --help):\n";
+  for (const auto& [name, command] : commands()) {
+    output << "  " << name << "\n      " << command.help << "\n";
+  }
+}
+
+}  // namespace
+
+ExitCode run_bench(std::vector<std::string> arguments, std::ostream& output,
+                   std::ostream& errors) {
+  const std::string name = arguments.empty() ? "" : arguments.front();
+  if (name == "--help") {
+    print_usage(output);
+    return ExitCode::kSuccess;
+  }
+  if (name == "--version") {
+    output << "shuntbank " SHUNTBANK_VERSION "\n";
+    return ExitCode::kSuccess;
+  }
+  const auto command = commands().find(name);
+  if (command == commands().end()) {
+    errors << "'" << name << "' is not a known command\n";
+    print_usage(errors);
+    return ExitCode::kUsage;
+  }
+  arguments.erase(arguments.begin());
+  return command->second.run(arguments, output, errors);
+}
+
+}  // namespace shuntbank
--- /dev/null
+++ b/src/common/findings.hpp
@@ -0,0 +1,35 @@
+/// @file
+/// Findings: problems in input, collected with their place and reported together.
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace shuntbank {
+
+/// One problem in input.
+struct Finding {
+  std::string place;    ///< Where: file, line, option or JSON pointer.
+  std::string message;  ///< What is wrong and what would be right.
+};
+
+/// An ordered collection of findings. Empty means that the input is accepted.
+class Findings {
+ public:
+  /// Records one problem at `place`.
+  void add(std::string place, std::string message);
+
+  /// Takes over all findings of `other`, each place prefixed by `prefix`.
+  void absorb(const Findings& other, const std::string& prefix);
+
+  bool empty() const { return items_.empty(); }
+  const std::vector<Finding>& items() const { return items_; }
+
+  /// @return one line a finding: `place: message`.
+  std::string to_text() const;
+
+ private:
+  std::vector<Finding> items_;
+};
+
+}  // namespace shuntbank
--- /dev/null
+++ b/src/config/field_reader.hpp
@@ -0,0 +1,70 @@
+/// @file
+/// Reads the fields of one JSON object with checks. Every problem becomes a finding with its place;
+/// reading goes on, so that all problems are reported together.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "common/findings.hpp"
+#include "common/time.hpp"
+#include "config/selector.hpp"
+
+namespace shuntbank {
+
+/// Reader of one JSON object. Call `finish` last: it reports the fields that nobody asked for.
+class FieldReader {
+ public:
+  /// @param place prefix of each finding's place, such as a file and a JSON pointer.
+  FieldReader(const nlohmann::json& object, std::string place, Findings& findings);
+
+  /// @return the text; a finding and empty text when it is absent (and required) or not text.
+  std::string text(const std::string& key, bool required);
+
+  /// @return the number within [low, high], or `fallback` when absent or (with a finding) wrong.
+  double number(const std::string& key, double fallback, double low, double high);
+
+  /// @return the whole number within [0, high], or `fallback` when absent or (with a finding) wrong.
+  std::uint64_t whole(const std::string& key, std::uint64_t fallback, std::uint64_t high);
+
+  /// @return the whole number within [low, high], or `fallback`.
+  std::int64_t integer(const std::string& key, std::int64_t fallback, std::int64_t low,
+                       std::int64_t high);
+
+  /// @return the duration within [low, high], or `fallback` when absent or (with a finding) wrong.
+  Duration duration(const std::string& key, Duration fallback, Duration low, Duration high);
+
+  std::vector<std::string> text_list(const std::string& key);
+  Labels labels(const std::string& key);
+  Selector selector(const std::string& key);
+
+  /// @return the array's items, empty when absent; a finding when it is not an array.
+  std::vector<nlohmann::json> items(const std::string& key);
+
+  /// @return the nested object, or an empty one when absent; a finding when it is not an object.
+  const nlohmann::json& object(const std::string& key);
+
+  /// Records a finding at a field.
+  void complain(const std::string& key, const std::string& message);
+
+  /// @return the place of a field.
+  std::string place_of(const std::string& key) const { return place_ + "/" + key; }
+
+  /// Records a finding for each field that was not read.
+  void finish();
+
+ private:
+  const nlohmann::json* find(const std::string& key);
+
+  const nlohmann::json& object_;
+  std::string place_;
+  Findings& findings_;
+  std::set<std::string> known_;
+};
+
+}  // namespace shuntbank
--- /dev/null
+++ b/src/config/snapshot.hpp
@@ -0,0 +1,86 @@
+/// @file
+/// An immutable, checked configuration, indexed for serving.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <tl/expected.hpp>
+
+#include "common/findings.hpp"
+#include "common/identifiers.hpp"
+#include "config/document.hpp"
+#include "config/objects.hpp"
+
+namespace shuntbank {
+
+/// Where a model name leads to.
+struct ModelRoute {
+  ServiceName service;
+  ModelSpec model;
+  std::string adapter;  ///< Empty for the base model.
+};
+
+/// A checked configuration at one revision. Shared between requests; never changed.
+class Snapshot {
+ public:
+  /// Checks the document as a whole.
+  /// @return the snapshot, or every finding with its place.
+  static tl::expected<std::shared_ptr<const Snapshot>, Findings> build(
+      const ConfigDocument& document);
+
+  Revision revision() const { return revision_; }
+  const std::map<EngineId, Engine>& engines() const { return engines_; }
+  const std::map<ServiceName, Service>& services() const { return services_; }
+  const std::map<TenantName, Tenant>& tenants() const { return tenants_; }
+  const std::vector<Policy>& policies() const { return policies_; }
+
+  /// @return the service, or null.
+  const Service* find_service(const ServiceName& name) const;
+
+  /// @return the engine, or null.
+  const Engine* find_engine(const EngineId& name) const;
+
+  /// @return the engines that the service selects; empty when the service is unknown.
+  const std::vector<EngineId>& engines_of(const ServiceName& service) const;
+
+  /// @return where a model or `model:adapter` name leads to, or null.
+  const ModelRoute* find_model(const std::string& name) const;
+
+  /// Finds the owner of a presented key. Hashes are compared in constant time.
+  /// @param unix_seconds the wall clock, for keys that expire.
+  /// @return the tenant, or null.
+  const Tenant* authenticate(const std::string& key, std::int64_t unix_seconds) const;
+
+  /// @return the policy of highest priority that selects both, or the default policy.
+  const Policy& policy_for(const Tenant& tenant, const ServiceName& service) const;
+
+ private:
+  Snapshot() = default;
+  void add(const ObjectKey& key, const StoredObject& object, Findings& findings);
+  void index(Findings& findings);
+  void index_models(const Service& service, Findings& findings);
+  void index_keys(Findings& findings);
+
+  struct KeyOwner {
+    TenantName tenant;
+    TenantKey key;
+  };
+
+  Revision revision_ = 0;
+  std::map<EngineId, Engine> engines_;
+  std::map<ServiceName, Service> services_;
+  std::map<TenantName, Tenant> tenants_;
+  std::vector<Policy> policies_;
+  std::map<ServiceName, std::vector<EngineId>> engines_of_;
+  std::map<std::string, ModelRoute> models_;
+  std::unordered_multimap<std::string, KeyOwner> keys_;  ///< By the first digits of the hash.
+};
+
+using SnapshotPointer = std::shared_ptr<const Snapshot>;
+
+}  // namespace shuntbank
--- /dev/null
+++ b/src/core/admission/tenant_limiter.hpp
@@ -0,0 +1,55 @@
+/// @file
+/// A tenant's limits as one node enforces them: token buckets for rates and a count of requests in
+/// flight. Each node enforces a share of the limit; the shares of all nodes add up to the limit.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+
+#include "common/identifiers.hpp"
+#include "common/time.hpp"
+#include "config/objects.hpp"
+
+namespace shuntbank {
+
+/// Which limit refused a request.
+enum class LimitKind { kRequestRate, kTokenRate, kConcurrency };
+
+/// A refusal and when a later try makes sense.
+struct LimitRefusal {
+  LimitKind kind = LimitKind::kRequestRate;
+  Duration retry_after{0};
+};
+
+/// Limits of all tenants on this node.
+class TenantLimiter {
+ public:
+  /// Sets the share of every limit that this node enforces, such as one in the count of nodes.
+  void set_share(double share) { share_ = share; }
+
+  /// Counts a request in when no limit is in its way.
+  /// @param estimated_tokens tokens that the request is expected to use.
+  /// @return nothing when admitted, else the refusal.
+  std::optional<LimitRefusal> admit(MonotonicTime now, const TenantName& tenant,
+                                    const TenantLimits& limits, double estimated_tokens);
+
+  /// Counts an admitted request out and corrects its estimate.
+  void finish(const TenantName& tenant, double estimated_tokens, double actual_tokens);
+
+ private:
+  struct Account {
+    double requests = 0;
+    double tokens = 0;
+    std::uint32_t in_flight = 0;
+    MonotonicTime filled_at{};
+    bool started = false;
+  };
+
+  void refill(MonotonicTime now, Account& account, const TenantLimits& limits) const;
+
+  double share_ = 1.0;
+  std::unordered_map<TenantName, Account> accounts_;
+};
+
+}  // namespace shuntbank
--- /dev/null
+++ b/src/core/lease/order.cpp
@@ -0,0 +1,24 @@
+#include "core/lease/order.hpp"
+
+namespace shuntbank {
+
+OrderVerdict OrderGate::claim(Fence fence) {
+  if (fence < held_.fence) return OrderVerdict::kStale;
+  if (fence == held_.fence) return OrderVerdict::kRepeated;
+  held_ = {fence, 0};
+  return OrderVerdict::kAccepted;
+}
+
+OrderVerdict OrderGate::offer(const EngineOrder& order) {
+  // An order whose fence was never claimed here is refused: its sender has not read the state that
+  // it wants to change.
+  if (order.stamp.fence != held_.fence || order.stamp < held_) return OrderVerdict::kStale;
+  if (order.stamp == held_) {
+    return order.desired == desired_ ? OrderVerdict::kRepeated : OrderVerdict::kStale;
+  }
+  held_ = order.stamp;
+  desired_ = order.desired;
+  return OrderVerdict::kAccepted;
+}
+
+}  // namespace shuntbank
--- /dev/null
+++ b/src/core/membership/membership.cpp
@@ -0,0 +1,218 @@
+#include "core/membership/membership.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <utility>
+
+#include "common/hash.hpp"
+
+namespace shuntbank {
+namespace {
+
+constexpr std::array<const char*, 4> kStateNames{"alive", "suspect", "leaving", "dead"};
+
+/// Sends of a fact for each doubling of the cluster; three reach every member with near certainty.
+constexpr int kSendsPerDoubling = 3;
+
+/// One hinted address is tried for each this many heartbeats, to heal a split cluster.
+constexpr std::uint64_t kHintEvery = 8;
+
+bool newer(const MemberFact& candidate, const MemberFact& known) {
+  if (candidate.incarnation != known.incarnation) {
+    return candidate.incarnation > known.incarnation;
+  }
+  return candidate.state > known.state;
+}
+
+}  // namespace
+
+const char* to_text(MemberState state) { return kStateNames.at(static_cast<std::size_t>(state)); }
+
+std::optional<MemberState> parse_member_state(const std::string& text) {
+  for (std::size_t i = 0; i < kStateNames.size(); ++i) {
+    if (text == kStateNames.at(i)) return static_cast<MemberState>(i);
+  }
+  return std::nullopt;
+}
+
+Membership::Membership(MemberFact self, const MembershipSettings& settings, std::uint64_t seed)
+    : self_(std::move(self)), settings_(settings), random_(seed) {}
+
+std::vector<HeartbeatTarget> Membership::tick(MonotonicTime now) {
+  check_answers(now);
+  std::vector<HeartbeatTarget> targets;
+  if (now < next_heartbeat_) return targets;
+  next_heartbeat_ = now + settings_.heartbeat_every;
+  add_member_target(now, targets);
+  if (targets.empty() || random_() % kHintEvery == 0) add_hint_target(targets);
+  return targets;
+}
+
+void Membership::check_answers(MonotonicTime now) {
+  for (auto entry = members_.begin(); entry != members_.end();) {
+    Entry& member = entry->second;
+    const bool silent =
+        member.awaiting_since && now >= *member.awaiting_since + settings_.answer_within;
+    if (silent) {
+      member.awaiting_since.reset();
+      if (member.fact.state == MemberState::kAlive) set_state(now, member, MemberState::kSuspect);
+    }
+    const Duration in_state = now - member.state_since;
+    const bool overdue =
+        member.fact.state == MemberState::kSuspect && in_state >= settings_.suspect_for;
+    if (overdue) set_state(now, member, MemberState::kDead);
+    const bool forgettable =
+        member.fact.state == MemberState::kDead && in_state >= settings_.forget_after;
+    entry = forgettable ? members_.erase(entry) : std::next(entry);
+  }
+}
+
+void Membership::add_member_target(MonotonicTime now, std::vector<HeartbeatTarget>& targets) {
+  // Each round visits every member once in random order, which bounds the time to notice a failure.
+  while (true) {
+    if (round_.empty()) {
+      for (const auto& [node, entry] : members_) {
+        if (entry.fact.state != MemberState::kDead) round_.push_back(node);
+      }
+      std::shuffle(round_.begin(), round_.end(), random_);
+      if (round_.empty()) return;
+    }
+    const NodeId node = round_.back();
+    round_.pop_back();
+    const auto found = members_.find(node);
+    if (found == members_.end() || found->second.fact.state == MemberState::kDead) continue;
+    if (!found->second.awaiting_since) found->second.awaiting_since = now;
+    targets.push_back({node, found->second.fact.address});
+    return;
+  }
+}
+
+void Membership::add_hint_target(std::vector<HeartbeatTarget>& targets) {
+  if (hints_.empty()) return;
+  const std::string& address = hints_[random_() % hints_.size()];
+  if (address != self_.address) targets.push_back({NodeId(), address});
+}
+
+std::vector<MemberFact> Membership::facts_to_send() {
+  std::vector<MemberFact> facts{self_};
+  std::vector<Entry*> waiting;
+  for (auto& [node, entry] : members_) {
+    if (entry.sends_left > 0) waiting.push_back(&entry);
+  }
+  std::sort(waiting.begin(), waiting.end(),
+            [](const Entry* a, const Entry* b) { return a->sends_left > b->sends_left; });
+  for (Entry* entry : waiting) {
+    if (facts.size() > settings_.facts_per_message) break;
+    --entry->sends_left;
+    facts.push_back(entry->fact);
+  }
+  return facts;
+}
+
+void Membership::on_facts(MonotonicTime now, const std::vector<MemberFact>& facts) {
+  for (const MemberFact& fact : facts) {
+    if (fact.node == self_.node) {
+      refute(fact);
+    } else {
+      learn(now, fact);
+    }
+  }
+}
+
+void Membership::learn(MonotonicTime now, const MemberFact& fact) {
+  const auto found = members_.find(fact.node);
+  if (found == members_.end()) {
+    if (fact.state == MemberState::kDead) return;
+    members_.emplace(fact.node, Entry{fact, sends_for_spread(), std::nullopt, now});
+    ++changes_;
+    return;
+  }
+  if (!newer(fact, found->second.fact)) return;
+  found->second = Entry{fact, sends_for_spread(), std::nullopt, now};
+  ++changes_;
+}
+
+void Membership::refute(const MemberFact& fact) {
+  const bool wrong = fact.incarnation >= self_.incarnation &&
+                     (fact.state == MemberState::kSuspect || fact.state == MemberState::kDead ||
+                      (fact.state == MemberState::kLeaving && self_.state == MemberState::kAlive));
+  if (!wrong) return;
+  self_.incarnation = fact.incarnation + 1;
+  ++changes_;
+}
+
+void Membership::set_state(MonotonicTime now, Entry& entry, MemberState state) {
+  entry.fact.state = state;
+  entry.sends_left = sends_for_spread();
+  entry.state_since = now;
+  ++changes_;
+}
+
+void Membership::on_heard_from(const NodeId& node) {
+  const auto found = members_.find(node);
+  if (found != members_.end()) found->second.awaiting_since.reset();
+}
+
+void Membership::hint(const std::vector<std::string>& addresses) { hints_ = addresses; }
+
+void Membership::leave() {
+  self_.state = MemberState::kLeaving;
+  ++changes_;
+}
+
+std::vector<MemberFact> Membership::usable() const {
+  std::vector<MemberFact> members;
+  if (self_.state == MemberState::kAlive) members.push_back(self_);
+  for (const auto& [node, entry] : members_) {
+    const MemberState state = entry.fact.state;
+    if (state == MemberState::kAlive || state == MemberState::kSuspect) {
+      members.push_back(entry.fact);
+    }
+  }
+  return members;
+}
+
+const MemberFact* Membership::find(const NodeId& node) const {
+  if (node == self_.node) return &self_;
+  const auto found = members_.find(node);
+  return found == members_.end() ? nullptr : &found->second.fact;
+}
+
+std::vector<MemberFact> Membership::all() const {
+  std::vector<MemberFact> members{self_};
+  for (const auto& [node, entry] : members_) members.push_back(entry.fact);
+  return members;
+}
+
+std::uint64_t Membership::digest() const {
+  std::uint64_t digest = 0;
+  for (const MemberFact& fact : all()) {
+    if (fact.state == MemberState::kDead) continue;
+    digest ^= hash64(fact.node.value() + "/" + to_text(fact.state), fact.incarnation);
+  }
+  return digest;
+}
+
+int Membership::sends_for_spread() const {
+  const auto size = static_cast<double>(members_.size() + 2);
+  return kSendsPerDoubling * static_cast<int>(std::ceil(std::log2(size)));
+}
+
+std::uint64_t rendezvous_score(const std::string& duty, const NodeId& node) {
+  return hash64(node.value(), hash64(duty));
+}
+
+std::vector<MemberFact> rank_for_duty(const std::string& duty, std::vector<MemberFact> members,
+                                      std::size_t count) {
+  const std::size_t kept = std::min(count, members.size());
+  const std::uint64_t seed = hash64(duty);
+  std::partial_sort(members.begin(), members.begin() + static_cast<std::ptrdiff_t>(kept),
+                    members.end(), [seed](const MemberFact& a, const MemberFact& b) {
+                      return hash64(a.node.value(), seed) > hash64(b.node.value(), seed);
+                    });
+  members.resize(kept);
+  return members;
+}
+
+}  // namespace shuntbank
--- /dev/null
+++ b/src/core/membership/membership.hpp
@@ -0,0 +1,131 @@
+/// @file
+/// Who is in the cluster: heartbeats to random members, each with a few facts that spread like a
+/// rumour, and incarnation numbers so that a member can refute what is said of it. The platform's
+/// machine list is only a hint of whom to try.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "common/identifiers.hpp"
+#include "common/time.hpp"
+
+namespace shuntbank {
+
+/// Later states override earlier ones of the same incarnation.
+enum class MemberState { kAlive, kSuspect, kLeaving, kDead };
+
+/// @return the name of `state` in logs, messages and status.
+const char* to_text(MemberState state);
+
+/// @return the state of that name, if there is one.
+std::optional<MemberState> parse_member_state(const std::string& text);
+
+/// What is known of one member.
+struct MemberFact {
+  NodeId node;
+  std::uint64_t incarnation = 0;  ///< Grows with each start and each refutation of the member.
+  MemberState state = MemberState::kAlive;
+  std::string address;  ///< `IP:PORT` of its cluster interface.
+  ZoneName zone;
+  RegionName region;
+
+  bool operator==(const MemberFact&) const = default;
+};
+
+/// Tunables of the membership.
+struct MembershipSettings {
+  Duration heartbeat_every = std::chrono::milliseconds(500);
+  Duration answer_within = std::chrono::milliseconds(400);  ///< Else the member is suspect.
+  Duration suspect_for = std::chrono::seconds(3);  ///< Time to refute before a suspect is dead.
+  Duration forget_after = std::chrono::minutes(5);  ///< Dead members are forgotten after this.
+  std::size_t facts_per_message = 6;
+};
+
+/// One heartbeat to send.
+struct HeartbeatTarget {
+  NodeId node;  ///< Empty when only the address is known.
+  std::string address;
+};
+
+/// One node's view of the cluster.
+class Membership {
+ public:
+  /// @param seed of the choice of heartbeat targets.
+  Membership(MemberFact self, const MembershipSettings& settings, std::uint64_t seed);
+
+  /// Advances time. Call it a few times in each heartbeat interval.
+  /// @return whom to send a heartbeat now.
+  std::vector<HeartbeatTarget> tick(MonotonicTime now);
+
+  /// @return the facts to carry on the next message, own fact first; counts them as sent.
+  std::vector<MemberFact> facts_to_send();
+
+  /// Takes over facts that are newer than what is known.
+  void on_facts(MonotonicTime now, const std::vector<MemberFact>& facts);
+
+  /// A member answered or sent something itself.
+  void on_heard_from(const NodeId& node);
+
+  /// Addresses to try while nothing better is known, such as the platform's machine list.
+  void hint(const std::vector<std::string>& addresses);
+
+  /// Says that this node is leaving: it takes no new work and holds no duties.
+  void leave();
+
+  /// @return all members that may be given work or duties, self included unless it is leaving.
+  std::vector<MemberFact> usable() const;
+
+  /// @return what is known of a member, or null.
+  const MemberFact* find(const NodeId& node) const;
+
+  /// @return every member that is known, dead ones included.
+  std::vector<MemberFact> all() const;
+
+  /// @return a digest that is equal where the same facts are known.
+  std::uint64_t digest() const;
+
+  const MemberFact& self() const { return self_; }
+
+  /// @return a count that grows whenever any fact changes.
+  std::uint64_t changes() const { return changes_; }
+
+ private:
+  struct Entry {
+    MemberFact fact;
+    int sends_left = 0;
+    std::optional<MonotonicTime> awaiting_since;
+    MonotonicTime state_since{};
+  };
+
+  void learn(MonotonicTime now, const MemberFact& fact);
+  void refute(const MemberFact& fact);
+  void set_state(MonotonicTime now, Entry& entry, MemberState state);
+  void check_answers(MonotonicTime now);
+  void add_member_target(MonotonicTime now, std::vector<HeartbeatTarget>& targets);
+  void add_hint_target(std::vector<HeartbeatTarget>& targets);
+  int sends_for_spread() const;
+
+  MemberFact self_;
+  MembershipSettings settings_;
+  std::mt19937_64 random_;
+  std::map<NodeId, Entry> members_;
+  std::vector<NodeId> round_;  ///< Members still to be tried in this round, in random order.
+  std::vector<std::string> hints_;
+  MonotonicTime next_heartbeat_{};
+  int self_sends_left_ = 0;
+  std::uint64_t changes_ = 0;
+};
+
+/// @return a place of `node` for `duty` by rendezvous hashing; the highest holds the duty.
+std::uint64_t rendezvous_score(const std::string& duty, const NodeId& node);
+
+/// @return the members ordered by rendezvous score for `duty`, best first, at most `count`.
+std::vector<MemberFact> rank_for_duty(const std::string& duty, std::vector<MemberFact> members,
+                                      std::size_t count);
+
+}  // namespace shuntbank
--- /dev/null
+++ b/src/engine/event_stream.cpp
@@ -0,0 +1,61 @@
+#include "engine/event_stream.hpp"
+
+#include <charconv>
+
+namespace shuntbank {
+namespace {
+
+constexpr std::string_view kSeparator = "\n\n";
+
+/// @return the value behind `name` when `line` is that field.
+bool read_field(std::string_view line, std::string_view name, std::string_view& value) {
+  if (line.substr(0, name.size()) != name) return false;
+  line.remove_prefix(name.size());
+  if (!line.empty() && line.front() == ' ') line.remove_prefix(1);
+  value = line;
+  return true;
+}
+
+ServerSentEvent read_event(std::string_view text) {
+  ServerSentEvent event;
+  while (!text.empty()) {
+    const std::size_t end = std::min(text.find('\n'), text.size());
+    const std::string_view line = text.substr(0, end);
+    text.remove_prefix(std::min(end + 1, text.size()));
+    if (!read_field(line, "id:", event.id)) read_field(line, "data:", event.data);
+  }
+  return event;
+}
+
+}  // namespace
+
+bool EventStreamSplitter::feed(std::string_view piece,
+                               const std::function<void(const ServerSentEvent&)>& handler) {
+  // Whole events are read in place; only a tail without its end is copied.
+  std::string joined;
+  if (!partial_.empty()) {
+    joined = std::move(partial_);
+    partial_.clear();
+    joined += piece;
+    piece = joined;
+  }
+  for (std::size_t end = piece.find(kSeparator); end != std::string_view::npos;
+       end = piece.find(kSeparator)) {
+    handler(read_event(piece.substr(0, end)));
+    piece.remove_prefix(end + kSeparator.size());
+  }
+  partial_ = std::string(piece);
+  return partial_.size() <= kMaxEventSize;
+}
+
+std::optional<ChunkPlace> parse_chunk_place(std::string_view id) {
+  const std::size_t colon = id.rfind(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  std::uint32_t index = 0;
+  const char* end = id.data() + id.size();
+  const auto [rest, error] = std::from_chars(id.data() + colon + 1, end, index);
+  if (error != std::errc{} || rest != end) return std::nullopt;
+  return ChunkPlace{AttemptId(std::string(id.substr(0, colon))), index};
+}
+
+}  // namespace shuntbank
--- /dev/null
+++ b/src/engine/event_stream.hpp
@@ -0,0 +1,46 @@
+/// @file
+/// Splits a body of server-sent events into events, whatever pieces it arrives in.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "common/identifiers.hpp"
+
+namespace shuntbank {
+
+/// One event. The views are valid during the call that delivers it.
+struct ServerSentEvent {
+  std::string_view id;
+  std::string_view data;  ///< Without the field name; one line, as engines send it.
+};
+
+/// The end marker of a stream in the OpenAI interface.
+constexpr std::string_view kDoneMarker = "[DONE]";
+
+/// Collects pieces and hands on whole events.
+class EventStreamSplitter {
+ public:
+  /// @return false when an event grows beyond `kMaxEventSize`: the stream is not usable.
+  bool feed(std::string_view piece, const std::function<void(const ServerSentEvent&)>& handler);
+
+  /// Largest event, in bytes.
+  static constexpr std::size_t kMaxEventSize = 1UL << 20U;
+
+ private:
+  std::string partial_;
+};
+
+/// Place of a chunk: which attempt it belongs to and the index of its token.
+struct ChunkPlace {
+  AttemptId attempt;
+  std::uint32_t index = 0;
+};
+
+/// Reads the id field of an engine's event, `ATTEMPT:INDEX`.
+std::optional<ChunkPlace> parse_chunk_place(std::string_view id);
+
+}  // namespace shuntbank
--- /dev/null
+++ b/src/net/frame_channel.cpp
@@ -0,0 +1,170 @@
+#include "net/frame_channel.hpp"
+
+#include <array>
+#include <utility>
+#include <vector>
+
+#include <asio/connect.hpp>
+#include <asio/read.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+
+namespace shuntbank {
+namespace {
+
+constexpr std::size_t kHeaderSize = 4;
+constexpr Duration kServerTimeout = std::chrono::seconds(30);
+
+std::array<unsigned char, kHeaderSize> encode_length(std::size_t length) {
+  return {static_cast<unsigned char>(length >> 24U), static_cast<unsigned char>(length >> 16U),
+          static_cast<unsigned char>(length >> 8U), static_cast<unsigned char>(length)};
+}
+
+std::size_t decode_length(const std::array<unsigned char, kHeaderSize>& header) {
+  std::size_t length = 0;
+  for (const unsigned char byte : header) length = length << 8U | byte;
+  return length;
+}
+
+/// One connection, on either side. Keeps itself alive while an operation is outstanding.
+class FrameConnection : public std::enable_shared_from_this<FrameConnection> {
+ public:
+  using ReadHandler = std::function<void(tl::expected<std::string, std::string>)>;
+
+  FrameConnection(asio::ip::tcp::socket socket, std::size_t max_frame)
+      : socket_(std::move(socket)), timer_(socket_.get_executor()), max_frame_(max_frame) {}
+
+  asio::ip::tcp::socket& socket() { return socket_; }
+
+  void limit_time(Duration timeout) {
+    timer_.expires_after(timeout);
+    timer_.async_wait([self = shared_from_this()](const std::error_code& error) {
+      if (!error) self->close();
+    });
+  }
+
+  void close() {
+    std::error_code ignored;
+    socket_.close(ignored);
+    timer_.cancel();
+  }
+
+  void read(ReadHandler handler) {
+    asio::async_read(socket_, asio::buffer(header_),
+                     [self = shared_from_this(), handler = std::move(handler)](
+                         const std::error_code& error, std::size_t) mutable {
+                       if (error) return handler(tl::make_unexpected(error.message()));
+                       self->read_body(std::move(handler));
+                     });
+  }
+
+  void write(std::string frame, std::function<void(const std::error_code&)> handler) {
+    outgoing_ = std::move(frame);
+    outgoing_header_ = encode_length(outgoing_.size());
+    const std::array<asio::const_buffer, 2> buffers{asio::buffer(outgoing_header_),
+                                                    asio::buffer(outgoing_)};
+    asio::async_write(socket_, buffers,
+                      [self = shared_from_this(), handler = std::move(handler)](
+                          const std::error_code& error, std::size_t) { handler(error); });
+  }
+
+ private:
+  void read_body(ReadHandler handler) {
+    const std::size_t length = decode_length(header_);
+    if (length > max_frame_) return handler(tl::make_unexpected(std::string("frame too large")));
+    incoming_.resize(length);
+    asio::async_read(socket_, asio::buffer(incoming_),
+                     [self = shared_from_this(), handler = std::move(handler)](
+                         const std::error_code& error, std::size_t) {
+                       if (error) return handler(tl::make_unexpected(error.message()));
+                       handler(std::move(self->incoming_));
+                     });
+  }
+
+  asio::ip::tcp::socket socket_;
+  asio::steady_timer timer_;
+  std::size_t max_frame_;
+  std::array<unsigned char, kHeaderSize> header_{};
+  std::array<unsigned char, kHeaderSize> outgoing_header_{};
+  std::string incoming_;
+  std::string outgoing_;
+};
+
+}  // namespace
+
+class FrameServer::Impl : public std::enable_shared_from_this<FrameServer::Impl> {
+ public:
+  Impl(asio::io_context& loop, const asio::ip::tcp::endpoint& listen, std::size_t max_frame,
+       Handler handler)
+      : acceptor_(loop, listen), max_frame_(max_frame), handler_(std::move(handler)) {}
+
+  void accept() {
+    acceptor_.async_accept(
+        [self = shared_from_this()](const std::error_code& error, asio::ip::tcp::socket socket) {
+          if (self->closed_) return;
+          if (!error) self->serve(std::move(socket));
+          self->accept();
+        });
+  }
+
+  void close() {
+    closed_ = true;
+    std::error_code ignored;
+    acceptor_.close(ignored);
+  }
+
+  asio::ip::tcp::endpoint local_endpoint() const { return acceptor_.local_endpoint(); }
+
+ private:
+  void serve(asio::ip::tcp::socket socket) {
+    auto connection = std::make_shared<FrameConnection>(std::move(socket), max_frame_);
+    connection->limit_time(kServerTimeout);
+    connection->read([self = shared_from_this(), connection](auto frame) {
+      if (!frame || self->closed_) return connection->close();
+      self->handler_(std::move(*frame), [connection](std::string reply) {
+        if (reply.empty()) return connection->close();
+        connection->write(std::move(reply), [connection](const std::error_code&) {
+          connection->close();
+        });
+      });
+    });
+  }
+
+  asio::ip::tcp::acceptor acceptor_;
+  std::size_t max_frame_;
+  Handler handler_;
+  bool closed_ = false;
+};
+
+FrameServer::FrameServer(asio::io_context& loop, const asio::ip::tcp::endpoint& listen,
+                         std::size_t max_frame, Handler handler)
+    : impl_(std::make_shared<Impl>(loop, listen, max_frame, std::move(handler))) {
+  impl_->accept();
+}
+
+FrameServer::~FrameServer() { impl_->close(); }
+
+asio::ip::tcp::endpoint FrameServer::local_endpoint() const { return impl_->local_endpoint(); }
+
+void call_frame(asio::io_context& loop, const asio::ip::tcp::endpoint& peer, std::string frame,
+                std::size_t max_frame, Duration timeout,
+                std::function<void(tl::expected<std::string, std::string>)> handler) {
+  auto connection =
+      std::make_shared<FrameConnection>(asio::ip::tcp::socket(loop), max_frame);
+  connection->limit_time(timeout);
+  auto finish = [connection, handler = std::move(handler)](
+                    tl::expected<std::string, std::string> result) {
+    connection->close();
+    handler(std::move(result));
+  };
+  connection->socket().async_connect(
+      peer, [connection, frame = std::move(frame), finish](const std::error_code& error) mutable {
+        if (error) return finish(tl::make_unexpected(error.message()));
+        connection->write(std::move(frame), [connection, finish](const std::error_code& failure) {
+          if (failure) return finish(tl::make_unexpected(failure.message()));
+          connection->read(finish);
+        });
+      });
+}
+
+}  // namespace shuntbank
--- /dev/null
+++ b/src/net/http_client.hpp
@@ -0,0 +1,87 @@
+/// @file
+/// HTTP requests to back ends and the platform: libcurl's multi interface on an Asio loop.
+/// One client serves any number of transfers without a thread for each.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include <asio/io_context.hpp>
+#include <tl/expected.hpp>
+
+#include "common/time.hpp"
+#include "net/http_message.hpp"
+
+namespace shuntbank {
+
+/// A request to send.
+struct OutgoingRequest {
+  std::string method = "GET";
+  std::string url;
+  HttpHeaders headers;
+  std::string body;
+  Duration connect_timeout = std::chrono::seconds(2);
+  Duration total_timeout = Duration::zero();  ///< Zero means no bound.
+  Duration idle_timeout = Duration::zero();   ///< Longest silence after the dispatch; zero: no bound.
+  /// Never send on a reused connection. libcurl sends a request again by itself when a reused
+  /// connection turns out to be dead; a request that may run only once must not risk that.
+  bool fresh_connection = false;
+};
+
+/// How far a failed transfer came.
+enum class TransferFailure {
+  kNothingSent,  ///< No byte of the request can have reached the peer.
+  kUncertain,    ///< Bytes may have reached the peer.
+};
+
+/// Why a transfer ended without a whole reply.
+struct TransferError {
+  TransferFailure failure = TransferFailure::kUncertain;
+  std::string message;
+};
+
+/// What a transfer tells its owner. All are called on the loop; none after `cancel`.
+struct TransferHandlers {
+  /// The status line and all header fields have arrived.
+  std::function<void(int status, const HttpHeaders& headers)> on_headers;
+  /// A piece of the body. @return false to pause; the same piece comes again after `resume`.
+  std::function<bool(std::string_view piece)> on_data;
+  /// The transfer ended; the last call.
+  std::function<void(tl::expected<void, TransferError> result)> on_done;
+};
+
+using TransferId = std::uint64_t;
+
+/// Sends requests. Not thread safe: use it on the loop's thread only.
+class HttpClient {
+ public:
+  explicit HttpClient(asio::io_context& loop);
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  /// Starts a transfer. Failures are told through `handlers.on_done`, never before this returns.
+  TransferId start(OutgoingRequest request, TransferHandlers handlers);
+
+  /// Ends a transfer and closes its connection; no handler is called afterwards.
+  void cancel(TransferId id);
+
+  /// Goes on with a paused transfer.
+  void resume(TransferId id);
+
+  /// Sends a request and collects a whole reply of at most `kMaxWholeReply` bytes.
+  using FetchHandler = std::function<void(tl::expected<HttpReply, TransferError>)>;
+  TransferId fetch(OutgoingRequest request, FetchHandler handler);
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+/// Largest reply that `HttpClient::fetch` collects, in bytes.
+constexpr std::size_t kMaxWholeReply = 64UL << 20U;
+
+}  // namespace shuntbank
--- /dev/null
+++ b/src/net/http_message.cpp
@@ -0,0 +1,41 @@
+#include "net/http_message.hpp"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace shuntbank {
+
+bool equal_ignoring_case(std::string_view left, std::string_view right) {
+  const auto same = [](unsigned char a, unsigned char b) {
+    return std::tolower(a) == std::tolower(b);
+  };
+  return std::equal(left.begin(), left.end(), right.begin(), right.end(), same);
+}
+
+void HttpHeaders::add(std::string name, std::string value) {
+  fields_.push_back({std::move(name), std::move(value)});
+}
+
+std::string_view HttpHeaders::get(std::string_view name) const {
+  for (const HttpHeader& field : fields_) {
+    if (equal_ignoring_case(field.name, name)) return field.value;
+  }
+  return {};
+}
+
+std::string HttpRequest::query_value(std::string_view name) const {
+  std::string_view rest = query;
+  while (!rest.empty()) {
+    const std::size_t end = std::min(rest.find('&'), rest.size());
+    const std::string_view pair = rest.substr(0, end);
+    rest.remove_prefix(std::min(end + 1, rest.size()));
+    const std::size_t equals = pair.find('=');
+    if (equals != std::string_view::npos && pair.substr(0, equals) == name) {
+      return std::string(pair.substr(equals + 1));
+    }
+  }
+  return {};
+}
+
+}  // namespace shuntbank
--- /dev/null
+++ b/src/net/http_server.cpp
@@ -0,0 +1,262 @@
+#include "net/http_server.hpp"
+
+#include <restinio/all.hpp>
+
+#include <list>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+
+namespace shuntbank {
+namespace {
+
+using ConnectionId = restinio::connection_id_t;
+using StreamBuilder = restinio::response_builder_t<restinio::chunked_output_t>;
+
+/// RESTinio's own bound on one request's handling. Deadlines are kept by the handlers instead.
+constexpr std::chrono::hours kNoHandlingBound{24};
+
+/// Two, so that the connection is still read, and its end seen, while a request is handled.
+constexpr std::size_t kMaxPipelinedRequests = 2;
+
+class ResponderImpl;
+
+/// Tells responders when their connection has closed. RESTinio calls it for each connection.
+class ConnectionWatch {
+ public:
+  void add(ConnectionId id, const std::shared_ptr<ResponderImpl>& responder) {
+    open_[id].push_back(responder);
+  }
+  void remove(ConnectionId id, const ResponderImpl* responder);
+  void state_changed(const restinio::connection_state::notice_t& notice) noexcept;
+
+ private:
+  std::unordered_map<ConnectionId, std::list<std::weak_ptr<ResponderImpl>>> open_;
+};
+
+struct ServerTraits : restinio::default_single_thread_traits_t {
+  using connection_state_listener_t = ConnectionWatch;
+  static constexpr bool use_connection_count_limiter = true;
+};
+
+class ResponderImpl : public HttpResponder, public std::enable_shared_from_this<ResponderImpl> {
+ public:
+  ResponderImpl(restinio::request_handle_t request, std::shared_ptr<ConnectionWatch> watch)
+      : request_(std::move(request)), watch_(std::move(watch)) {}
+
+  ~ResponderImpl() override {
+    if (!ended_ && !stream_) respond({500, {}, ""});
+    if (!ended_ && stream_) finish();
+  }
+  ResponderImpl(const ResponderImpl&) = delete;
+  ResponderImpl& operator=(const ResponderImpl&) = delete;
+
+  void respond(HttpReply reply) override {
+    if (!end()) return;
+    auto response = request_->create_response(status_line(reply.status));
+    for (const HttpHeader& field : reply.headers.fields()) {
+      response.append_header(field.name, field.value);
+    }
+    response.set_body(std::move(reply.body));
+    response.done();
+  }
+
+  void begin_stream(int status, const HttpHeaders& headers) override {
+    stream_.emplace(
+        request_->create_response<restinio::chunked_output_t>(status_line(status)));
+    for (const HttpHeader& field : headers.fields()) stream_->append_header(field.name, field.value);
+    stream_->flush();
+  }
+
+  void write(std::string_view piece) override {
+    if (ended_) return;
+    waiting_ += piece;
+    if (in_kernel_ == 0) flush();
+  }
+
+  std::size_t pending_bytes() const override { return in_kernel_ + waiting_.size(); }
+
+  void on_drained(std::function<void()> handler) override { drained_ = std::move(handler); }
+
+  void finish() override {
+    if (!end()) return;
+    if (!waiting_.empty()) stream_->append_chunk(std::exchange(waiting_, {}));
+    stream_->done();
+  }
+
+  void on_closed(std::function<void()> handler) override { closed_ = std::move(handler); }
+
+  /// The connection closed under an unfinished reply.
+  void connection_closed() {
+    if (std::exchange(ended_, true)) return;
+    drained_ = nullptr;
+    const auto handler = std::exchange(closed_, nullptr);
+    if (handler) handler();
+  }
+
+ private:
+  static restinio::http_status_line_t status_line(int status) {
+    return {restinio::http_status_code_t{static_cast<std::uint16_t>(status)}, reason(status)};
+  }
+
+  static std::string reason(int status) {
+    switch (status) {
+      case 200: return "OK";
+      case 400: return "Bad Request";
+      case 401: return "Unauthorized";
+      case 404: return "Not Found";
+      case 409: return "Conflict";
+      case 429: return "Too Many Requests";
+      case 500: return "Internal Server Error";
+      case 503: return "Service Unavailable";
+      default: return "Status";
+    }
+  }
+
+  /// @return whether the reply was still open; it no longer is.
+  bool end() {
+    if (std::exchange(ended_, true)) return false;
+    watch_->remove(request_->connection_id(), this);
+    closed_ = nullptr;
+    drained_ = nullptr;
+    return true;
+  }
+
+  void flush() {
+    in_kernel_ = waiting_.size();
+    stream_->append_chunk(std::exchange(waiting_, {}));
+    stream_->flush([weak = weak_from_this()](const std::error_code& error) {
+      const auto self = weak.lock();
+      if (self) self->written(!error);
+    });
+  }
+
+  void written(bool taken) {
+    in_kernel_ = 0;
+    if (ended_ || !taken) return;
+    if (!waiting_.empty()) {
+      flush();
+      return;
+    }
+    const auto handler = drained_;
+    if (handler) handler();
+  }
+
+  restinio::request_handle_t request_;
+  std::shared_ptr<ConnectionWatch> watch_;
+  std::optional<StreamBuilder> stream_;
+  std::string waiting_;        ///< Written here while the kernel still holds the piece before.
+  std::size_t in_kernel_ = 0;  ///< Bytes of the piece that is being handed over.
+  std::function<void()> drained_;
+  std::function<void()> closed_;
+  bool ended_ = false;
+};
+
+void ConnectionWatch::remove(ConnectionId id, const ResponderImpl* responder) {
+  const auto found = open_.find(id);
+  if (found == open_.end()) return;
+  found->second.remove_if([responder](const std::weak_ptr<ResponderImpl>& entry) {
+    const auto other = entry.lock();
+    return !other || other.get() == responder;
+  });
+  if (found->second.empty()) open_.erase(found);
+}
+
+void ConnectionWatch::state_changed(const restinio::connection_state::notice_t& notice) noexcept {
+  if (!restinio::holds_alternative<restinio::connection_state::closed_t>(notice.cause())) return;
+  const auto found = open_.find(notice.connection_id());
+  if (found == open_.end()) return;
+  const auto responders = std::move(found->second);
+  open_.erase(found);
+  for (const auto& entry : responders) {
+    if (const auto responder = entry.lock()) responder->connection_closed();
+  }
+}
+
+HttpRequest to_request(const restinio::request_t& received) {
+  HttpRequest request;
+  const auto& header = received.header();
+  request.method = std::string(header.method().c_str());
+  request.path = std::string(header.path().data(), header.path().size());
+  request.query = std::string(header.query().data(), header.query().size());
+  header.for_each_field([&request](const auto& field) {
+    request.headers.add(field.name(), field.value());
+  });
+  request.body = received.body();
+  return request;
+}
+
+}  // namespace
+
+class HttpServer::Impl {
+ public:
+  Impl(asio::io_context& loop, const HttpServerSettings& settings, HttpHandler handler)
+      : watch_(std::make_shared<ConnectionWatch>()),
+        server_(restinio::external_io_context(loop), [&](auto& restinio_settings) {
+          configure(restinio_settings, settings, std::move(handler));
+        }) {
+    server_.open_sync();
+  }
+
+  ~Impl() { close(); }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  void close() {
+    if (std::exchange(closed_, true)) return;
+    server_.close_sync();
+  }
+
+  asio::ip::tcp::endpoint local_endpoint() const { return local_endpoint_; }
+
+ private:
+  template <typename RestinioSettings>
+  void configure(RestinioSettings& target, const HttpServerSettings& settings,
+                 HttpHandler handler) {
+    target.address(settings.listen.address())
+        .port(settings.listen.port())
+        .protocol(settings.listen.protocol())
+        .buffer_size(8UL << 10U)
+        .read_next_http_message_timelimit(settings.idle_timeout)
+        .write_http_response_timelimit(settings.write_timeout)
+        .handle_request_timeout(kNoHandlingBound)
+        .max_pipelined_requests(kMaxPipelinedRequests)
+        .max_parallel_connections(settings.max_connections)
+        .connection_state_listener(watch_)
+        .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
+                                      .max_url_size(settings.max_header_value)
+                                      .max_field_name_size(settings.max_header_value)
+                                      .max_field_value_size(settings.max_header_value)
+                                      .max_field_count(settings.max_header_count)
+                                      .max_body_size(settings.max_body))
+        .socket_options_setter([](auto& options) {
+          options.set_option(asio::ip::tcp::no_delay(true));
+        })
+        .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor& acceptor) {
+          local_endpoint_ = acceptor.local_endpoint();
+        })
+        .request_handler([this, handler = std::move(handler)](restinio::request_handle_t received) {
+          auto responder = std::make_shared<ResponderImpl>(received, watch_);
+          watch_->add(received->connection_id(), responder);
+          handler(to_request(*received), responder);
+          return restinio::request_accepted();
+        });
+  }
+
+  std::shared_ptr<ConnectionWatch> watch_;
+  asio::ip::tcp::endpoint local_endpoint_;
+  restinio::http_server_t<ServerTraits> server_;
+  bool closed_ = false;
+};
+
+HttpServer::HttpServer(asio::io_context& loop, const HttpServerSettings& settings,
+                       HttpHandler handler)
+    : impl_(std::make_unique<Impl>(loop, settings, std::move(handler))) {}
+
+HttpServer::~HttpServer() = default;
+
+asio::ip::tcp::endpoint HttpServer::local_endpoint() const { return impl_->local_endpoint(); }
+
+void HttpServer::close() { impl_->close(); }
+
+}  // namespace shuntbank
--- /dev/null
+++ b/src/node/caller_api.cpp
@@ -0,0 +1,196 @@
+#include "node/caller_api.hpp"
+
+#include <chrono>
+#include <utility>
+
+#include "common/hash.hpp"
+#include "engine/engine_api.hpp"
+#include "engine/prompt.hpp"
+
+namespace shuntbank {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kBearer = "Bearer ";
+constexpr std::string_view kServicesPath = "/services/";
+constexpr Duration kNotReadyRetry = std::chrono::seconds(2);
+constexpr std::size_t kRequestIdBytes = 12;
+
+CallerError invalid(const std::string& message) {
+  return {ErrorCode::kInvalidRequest, message, RequestOutcome::kNotRun, std::nullopt};
+}
+
+std::int64_t unix_seconds() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::seconds>(now).count();
+}
+
+/// Parses JSON of bounded depth. @return the value, or what is wrong. Text must be valid UTF-8.
+tl::expected<json, std::string> parse_bounded(const std::string& text, std::uint64_t max_depth) {
+  bool too_deep = false;
+  const auto bounded = [&too_deep, max_depth](int depth, json::parse_event_t, json&) {
+    too_deep = too_deep || static_cast<std::uint64_t>(depth) > max_depth;
+    return !too_deep;
+  };
+  try {
+    json value = json::parse(text, bounded, true);
+    if (too_deep) return tl::make_unexpected(std::string("the JSON is nested too deeply"));
+    return value;
+  } catch (const json::exception&) {
+    // The library's message quotes the input, which may be prompt text; it is not passed on.
+    return tl::make_unexpected(std::string("the body is not valid JSON in UTF-8"));
+  }
+}
+
+/// @return whether the caller marked the request as not repeatable, or what is wrong with the mark.
+tl::expected<bool, std::string> is_repeatable(const HttpRequest& request) {
+  const std::string_view mark = request.headers.get("X-Shuntbank-Repeatable");
+  if (!mark.empty() && mark != "true" && mark != "false") {
+    return tl::make_unexpected(std::string("X-Shuntbank-Repeatable must be true or false"));
+  }
+  const bool has_key = !request.headers.get("Idempotency-Key").empty();
+  return mark != "false" && !has_key;
+}
+
+}  // namespace
+
+CallerApi::CallerApi(const NodeSettings& settings, const ConfigService& config,
+                     RequestQueue& queue, Metrics& metrics)
+    : settings_(settings), config_(config), queue_(queue), metrics_(metrics) {}
+
+void CallerApi::handle(HttpRequest request, const Responder& responder) {
+  const RequestId id(random_hex(kRequestIdBytes));
+  const SnapshotPointer snapshot = config_.replica().snapshot();
+  if (!snapshot) {
+    return refuse(id, {ErrorCode::kNotReady, "the node has no configuration yet",
+                       RequestOutcome::kNotRun, kNotReadyRetry}, responder);
+  }
+  const Tenant* tenant = authenticate(request, *snapshot);
+  if (tenant == nullptr) {
+    return refuse(id, {ErrorCode::kUnauthorized, "the key is missing, unknown or expired",
+                       RequestOutcome::kNotRun, std::nullopt}, responder);
+  }
+  const bool is_post = request.method == "POST";
+  if (request.path == engine_api::kChatPath && is_post) {
+    return complete(std::move(request), id, *tenant, CompletionKind::kChat, responder);
+  }
+  if (request.path == engine_api::kCompletionPath && is_post) {
+    return complete(std::move(request), id, *tenant, CompletionKind::kText, responder);
+  }
+  if (request.path == "/v1/models" && request.method == "GET") {
+    return list_models(*snapshot, id, responder);
+  }
+  if (request.path.rfind(kServicesPath, 0) == 0) {
+    return call_plain(std::move(request), id, *tenant, responder);
+  }
+  refuse(id, {ErrorCode::kUnknownPath, "there is nothing at this path for this method",
+              RequestOutcome::kNotRun, std::nullopt}, responder);
+}
+
+const Tenant* CallerApi::authenticate(const HttpRequest& request, const Snapshot& snapshot) const {
+  const std::string_view authorization = request.headers.get("Authorization");
+  if (authorization.substr(0, kBearer.size()) != kBearer) return nullptr;
+  return snapshot.authenticate(std::string(authorization.substr(kBearer.size())), unix_seconds());
+}
+
+void CallerApi::list_models(const Snapshot& snapshot, const RequestId& id,
+                            const Responder& responder) const {
+  json models = json::array();
+  const auto add = [&models](const std::string& name) {
+    models.push_back({{"id", name}, {"object", "model"}, {"created", 0}, {"owned_by", "shuntbank"}});
+  };
+  for (const auto& [name, service] : snapshot.services()) {
+    for (const ModelSpec& model : service.models) {
+      add(model.name);
+      for (const std::string& adapter : model.adapters) add(model.name + ":" + adapter);
+    }
+  }
+  const json body{{"object", "list"}, {"data", std::move(models)}};
+  responder->respond({200,
+                      {{"Content-Type", "application/json"},
+                       {engine_api::kRequestIdHeader, id.value()}},
+                      body.dump()});
+}
+
+void CallerApi::complete(HttpRequest request, RequestId id, const Tenant& tenant,
+                         CompletionKind kind, const Responder& responder) {
+  if (request.body.size() > settings_.max_body) {
+    return refuse(id, {ErrorCode::kTooLarge, "the body is too large", RequestOutcome::kNotRun,
+                       std::nullopt}, responder);
+  }
+  auto body = parse_bounded(request.body, settings_.max_json_depth);
+  if (!body) return refuse(id, invalid(body.error()), responder);
+  Findings findings;
+  const PromptFacts facts = read_prompt(kind, *body, findings);
+  if (!findings.empty()) return refuse(id, invalid(findings.to_text()), responder);
+  const SnapshotPointer snapshot = config_.replica().snapshot();
+  const ModelRoute* route = snapshot->find_model(facts.model);
+  if (route == nullptr) {
+    return refuse(id, {ErrorCode::kUnknownModel, "no service offers this model",
+                       RequestOutcome::kNotRun, std::nullopt}, responder);
+  }
+  SessionRequest session;
+  session.id = std::move(id);
+  session.service = route->service;
+  session.stream = facts.stream;
+  session.wants_usage = facts.wants_usage;
+  session.path = request.path;
+  session.content_type = "application/json";
+  session.body = std::move(*body);
+  session.prompt_tokens = facts.prompt_tokens;
+  session.max_output_tokens = facts.max_output_tokens;
+  session.prefix = prefix_blocks(facts.text);
+  submit(std::move(session), request, tenant, responder);
+}
+
+void CallerApi::call_plain(HttpRequest request, RequestId id, const Tenant& tenant,
+                           const Responder& responder) {
+  if (request.body.size() > settings_.max_body) {
+    return refuse(id, {ErrorCode::kTooLarge, "the body is too large", RequestOutcome::kNotRun,
+                       std::nullopt}, responder);
+  }
+  const std::string rest = request.path.substr(kServicesPath.size());
+  const std::size_t slash = std::min(rest.find('/'), rest.size());
+  const ServiceName name(rest.substr(0, slash));
+  const Service* service = config_.replica().snapshot()->find_service(name);
+  if (service == nullptr || service->kind != ServiceKind::kPlain) {
+    return refuse(id, {ErrorCode::kUnknownPath, "there is no plain service of this name",
+                       RequestOutcome::kNotRun, std::nullopt}, responder);
+  }
+  SessionRequest session;
+  session.id = std::move(id);
+  session.service = name;
+  session.plain = true;
+  session.method = request.method;
+  session.path = slash < rest.size() ? rest.substr(slash) : "/";
+  if (!request.query.empty()) session.path += "?" + request.query;
+  session.content_type = std::string(request.headers.get("Content-Type"));
+  session.raw_body = std::move(request.body);
+  submit(std::move(session), request, tenant, responder);
+}
+
+void CallerApi::submit(SessionRequest session, const HttpRequest& request, const Tenant& tenant,
+                       const Responder& responder) {
+  const auto repeatable = is_repeatable(request);
+  if (!repeatable) return refuse(session.id, invalid(repeatable.error()), responder);
+  session.repeatable = *repeatable;
+  session.tenant = tenant.name;
+  session.snapshot = config_.replica().snapshot();
+  session.arrived = monotonic_now();
+  session.deadline = session.arrived + settings_.request_deadline;
+  const Policy& policy = session.snapshot->policy_for(tenant, session.service);
+  session.priority = policy.priority;
+  const double weight = tenant.weight;
+  queue_.submit(std::move(session), policy, weight, responder);
+}
+
+void CallerApi::refuse(const RequestId& id, const CallerError& error,
+                       const Responder& responder) const {
+  metrics_.count_request("none", "refused");
+  HttpReply reply = to_reply(error);
+  reply.headers.add(engine_api::kRequestIdHeader, id.value());
+  responder->respond(std::move(reply));
+}
+
+}  // namespace shuntbank
--- /dev/null
+++ b/src/node/cluster_service.cpp
@@ -0,0 +1,171 @@
+#include "node/cluster_service.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "common/log.hpp"
+#include "net/address.hpp"
+
+namespace shuntbank {
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(100);
+constexpr Duration kCallTimeout = std::chrono::seconds(3);
+constexpr std::size_t kEngineFactsPerMessage = 4;
+constexpr std::size_t kAnnounceFanout = 4;
+
+/// Facts are pulled whole at most so often; between pulls they come piece by piece.
+constexpr Duration kFactsPullEvery = std::chrono::seconds(10);
+
+/// Heartbeats sent at once when this node leaves, so that it is known within a round trip.
+constexpr std::size_t kLeaveFanout = 8;
+
+asio::ip::udp::endpoint to_udp(const asio::ip::tcp::endpoint& endpoint) {
+  return {endpoint.address(), endpoint.port()};
+}
+
+MemberFact with_address(MemberFact self, const asio::ip::tcp::endpoint& endpoint) {
+  self.address = format_endpoint(endpoint);
+  return self;
+}
+
+}  // namespace
+
+ClusterService::ClusterService(asio::io_context& loop, const asio::ip::tcp::endpoint& listen,
+                               MemberFact self, std::uint64_t seed, Hooks hooks)
+    : loop_(loop),
+      hooks_(std::move(hooks)),
+      frames_(loop, listen, kMaxFrame,
+              [this](const std::string& frame, const std::function<void(std::string)>& reply) {
+                on_frame(frame, reply);
+              }),
+      datagrams_(loop, to_udp(frames_.local_endpoint()),
+                 [this](std::string_view text, const asio::ip::udp::endpoint& sender) {
+                   on_datagram(text, sender);
+                 }),
+      membership_(with_address(std::move(self), frames_.local_endpoint()), MembershipSettings{},
+                  seed),
+      random_(seed),
+      ticker_(loop, kTick, [this] { tick(); }) {}
+
+void ClusterService::tick() {
+  for (const HeartbeatTarget& target : membership_.tick(monotonic_now())) {
+    const auto endpoint = parse_endpoint(target.address);
+    if (endpoint) send_heartbeat(to_udp(*endpoint), false);
+  }
+}
+
+void ClusterService::send_heartbeat(const asio::ip::udp::endpoint& target, bool is_answer) {
+  Heartbeat heartbeat;
+  heartbeat.from = membership_.self().node;
+  heartbeat.is_answer = is_answer;
+  heartbeat.revision = hooks_.revision();
+  heartbeat.members = membership_.facts_to_send();
+  heartbeat.engines = engine_facts_.facts_to_send(kEngineFactsPerMessage);
+  heartbeat.engines_digest = engine_facts_.digest();
+  datagrams_.send(target, encode(heartbeat));
+}
+
+void ClusterService::on_datagram(std::string_view text, const asio::ip::udp::endpoint& sender) {
+  const auto message = decode(text);
+  if (!message) {
+    log_event(LogArea::kCluster, LogLevel::kWarning, "bad_datagram", {{"error", message.error()}});
+    return;
+  }
+  if (const auto* heartbeat = std::get_if<Heartbeat>(&*message)) on_heartbeat(*heartbeat, sender);
+  if (const auto* demand = std::get_if<DemandReport>(&*message)) hooks_.on_demand(*demand);
+  if (const auto* notice = std::get_if<RevisionNotice>(&*message)) {
+    const MemberFact* peer = membership_.find(notice->from);
+    if (peer != nullptr) hooks_.on_peer_revision(*peer, notice->revision);
+  }
+}
+
+void ClusterService::on_heartbeat(const Heartbeat& heartbeat,
+                                  const asio::ip::udp::endpoint& sender) {
+  const std::uint64_t changes_before = membership_.changes();
+  membership_.on_facts(monotonic_now(), heartbeat.members);
+  membership_.on_heard_from(heartbeat.from);
+  learn_engines(heartbeat.engines);
+  if (membership_.changes() != changes_before) {
+    log_event(LogArea::kCluster, LogLevel::kDebug, "members_changed",
+              {{"usable", membership_.usable().size()}});
+  }
+  const MemberFact* peer = membership_.find(heartbeat.from);
+  if (peer != nullptr) hooks_.on_peer_revision(*peer, heartbeat.revision);
+  pull_facts_if_behind(heartbeat);
+  if (!heartbeat.is_answer) send_heartbeat(sender, true);
+}
+
+void ClusterService::learn_engines(const std::vector<EngineFact>& facts) {
+  const auto learned = engine_facts_.learn(facts, membership_.usable().size());
+  if (!learned.empty()) hooks_.on_engine_facts(learned);
+}
+
+void ClusterService::pull_facts_if_behind(const Heartbeat& heartbeat) {
+  const MonotonicTime now = monotonic_now();
+  const bool behind = heartbeat.engines_digest != engine_facts_.digest();
+  const MemberFact* peer = membership_.find(heartbeat.from);
+  if (!behind || pulling_facts_ || now < next_facts_pull_ || peer == nullptr) return;
+  pulling_facts_ = true;
+  next_facts_pull_ = now + kFactsPullEvery;
+  call(peer->address, FactsPull{}, [this](const auto& answer) {
+    pulling_facts_ = false;
+    if (!answer) return;
+    const auto* facts = std::get_if<FactsReply>(&*answer);
+    if (facts == nullptr) return;
+    membership_.on_facts(monotonic_now(), facts->members);
+    learn_engines(facts->engines);
+  });
+}
+
+void ClusterService::on_frame(const std::string& frame,
+                              const std::function<void(std::string)>& reply) {
+  const auto message = decode(frame);
+  if (!message) return reply({});
+  if (const auto* pull = std::get_if<ConfigPull>(&*message)) {
+    return reply(encode(hooks_.on_config_pull(*pull)));
+  }
+  if (std::holds_alternative<FactsPull>(*message)) {
+    return reply(encode(FactsReply{membership_.all(), engine_facts_.all()}));
+  }
+  reply({});
+}
+
+void ClusterService::leave() {
+  membership_.leave();
+  std::vector<MemberFact> peers = membership_.usable();
+  std::shuffle(peers.begin(), peers.end(), random_);
+  if (peers.size() > kLeaveFanout) peers.resize(kLeaveFanout);
+  for (const MemberFact& peer : peers) {
+    const auto endpoint = parse_endpoint(peer.address);
+    if (endpoint) send_heartbeat(to_udp(*endpoint), false);
+  }
+}
+
+void ClusterService::publish(const std::vector<EngineFact>& facts) { learn_engines(facts); }
+
+void ClusterService::announce_revision(Revision revision) {
+  std::vector<MemberFact> peers = membership_.usable();
+  std::erase_if(peers, [this](const MemberFact& peer) { return peer.node == self().node; });
+  std::shuffle(peers.begin(), peers.end(), random_);
+  if (peers.size() > kAnnounceFanout) peers.resize(kAnnounceFanout);
+  for (const MemberFact& peer : peers) send(peer, RevisionNotice{self().node, revision});
+}
+
+void ClusterService::send(const MemberFact& member, const Message& message) {
+  const auto endpoint = parse_endpoint(member.address);
+  if (endpoint) datagrams_.send(to_udp(*endpoint), encode(message));
+}
+
+void ClusterService::call(const std::string& address, const Message& message,
+                          AnswerHandler handler) {
+  const auto endpoint = parse_endpoint(address);
+  if (!endpoint) return handler(tl::make_unexpected(endpoint.error()));
+  call_frame(loop_, *endpoint, encode(message), kMaxFrame, kCallTimeout,
+             [handler = std::move(handler)](const tl::expected<std::string, std::string>& frame) {
+               if (!frame) return handler(tl::make_unexpected(frame.error()));
+               handler(decode(*frame));
+             });
+}
+
+}  // namespace shuntbank
--- /dev/null
+++ b/src/node/cluster_service.hpp
@@ -0,0 +1,89 @@
+/// @file
+/// This node's part in the cluster: heartbeats, facts of members and engines, and messages to peers.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <asio/io_context.hpp>
+
+#include "core/membership/membership.hpp"
+#include "core/routing/engine_facts.hpp"
+#include "net/datagram_channel.hpp"
+#include "net/frame_channel.hpp"
+#include "node/periodic.hpp"
+#include "protocol/messages.hpp"
+
+namespace shuntbank {
+
+/// Drives the membership and carries messages between nodes.
+class ClusterService {
+ public:
+  /// What other parts of the node contribute and learn.
+  struct Hooks {
+    std::function<Revision()> revision;  ///< Held configuration.
+    std::function<void(const MemberFact& peer, Revision revision)> on_peer_revision;
+    std::function<void(const std::vector<EngineFact>&)> on_engine_facts;
+    std::function<void(const DemandReport&)> on_demand;
+    std::function<Message(const ConfigPull&)> on_config_pull;
+  };
+
+  /// @param self without its address, which is known once the socket is bound.
+  ClusterService(asio::io_context& loop, const asio::ip::tcp::endpoint& listen, MemberFact self,
+                 std::uint64_t seed, Hooks hooks);
+
+  /// @return members that may be given work or duties.
+  std::vector<MemberFact> usable() const { return membership_.usable(); }
+  std::vector<MemberFact> members() const { return membership_.all(); }
+  const MemberFact& self() const { return membership_.self(); }
+
+  /// Addresses from the platform's machine list.
+  void hint(const std::vector<std::string>& addresses) { membership_.hint(addresses); }
+
+  /// Tells everybody that this node is leaving.
+  void leave();
+
+  /// Spreads what a controller on this node knows of engines.
+  void publish(const std::vector<EngineFact>& facts);
+
+  /// @return the newest facts of all engines.
+  std::vector<EngineFact> engine_facts() const { return engine_facts_.all(); }
+
+  /// Tells a few random members of a new revision at once.
+  void announce_revision(Revision revision);
+
+  /// Sends a datagram to a member.
+  void send(const MemberFact& member, const Message& message);
+
+  /// Sends a framed message and hands back the answer.
+  using AnswerHandler = std::function<void(tl::expected<Message, std::string>)>;
+  void call(const std::string& address, const Message& message, AnswerHandler handler);
+
+  std::uint64_t bytes_sent() const { return datagrams_.bytes_sent(); }
+  std::uint64_t bytes_received() const { return datagrams_.bytes_received(); }
+  asio::ip::tcp::endpoint local_endpoint() const { return frames_.local_endpoint(); }
+
+ private:
+  void tick();
+  void send_heartbeat(const asio::ip::udp::endpoint& target, bool is_answer);
+  void on_datagram(std::string_view text, const asio::ip::udp::endpoint& sender);
+  void on_heartbeat(const Heartbeat& heartbeat, const asio::ip::udp::endpoint& sender);
+  void on_frame(const std::string& frame, const std::function<void(std::string)>& reply);
+  void learn_engines(const std::vector<EngineFact>& facts);
+  void pull_facts_if_behind(const Heartbeat& heartbeat);
+
+  asio::io_context& loop_;
+  Hooks hooks_;
+  FrameServer frames_;
+  DatagramChannel datagrams_;
+  Membership membership_;
+  EngineFacts engine_facts_;
+  std::mt19937_64 random_;
+  MonotonicTime next_facts_pull_{};
+  bool pulling_facts_ = false;
+  Periodic ticker_;
+};
+
+}  // namespace shuntbank
--- /dev/null
+++ b/src/node/config_service.cpp
@@ -0,0 +1,209 @@
+#include "node/config_service.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <asio/steady_timer.hpp>
+
+#include "common/hash.hpp"
+#include "common/log.hpp"
+
+namespace shuntbank {
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(200);
+
+/// Nodes of a region that read the platform; the others learn from them.
+constexpr std::size_t kReadersPerRegion = 2;
+
+/// An operator waits this long for the fate of a write that got no answer.
+constexpr Duration kSettleWithin = std::chrono::seconds(8);
+constexpr Duration kSettleAgainAfter = std::chrono::milliseconds(300);
+
+constexpr Duration kFirstBackoff = std::chrono::milliseconds(300);
+constexpr std::uint32_t kMaxBackoffDoublings = 5;
+
+}  // namespace
+
+/// An operator's change on its way.
+struct ConfigService::Change {
+  std::vector<ObjectEdit> edits;
+  ChangeHandler handler;
+  std::string write_id = random_hex(8);
+  std::optional<ConfigDocument> written;  ///< Set once a write was sent.
+  MonotonicTime settle_until{};
+};
+
+ConfigService::ConfigService(asio::io_context& loop, ObjectClient& platform, RegionName region,
+                             std::uint64_t seed, AdoptedHandler on_adopted)
+    : loop_(loop),
+      platform_(platform),
+      region_(std::move(region)),
+      on_adopted_(std::move(on_adopted)),
+      random_(seed) {}
+
+void ConfigService::start() {
+  ticker_ = std::make_unique<Periodic>(loop_, kTick, [this] { tick(); });
+  tick();
+}
+
+bool ConfigService::is_reader() const {
+  std::vector<MemberFact> peers = cluster_->usable();
+  std::erase_if(peers, [this](const MemberFact& peer) { return peer.region != region_; });
+  const auto readers =
+      rank_for_duty("config-reader/" + region_.value(), std::move(peers), kReadersPerRegion);
+  return std::any_of(readers.begin(), readers.end(), [this](const MemberFact& reader) {
+    return reader.node == cluster_->self().node;
+  });
+}
+
+void ConfigService::tick() {
+  if (reading_ || monotonic_now() < next_read_) return;
+  // A starting node reads once by itself: a revision learnt only from a peer could be old.
+  if (!ready()) return read_platform();
+  if (is_reader()) watch_platform();
+}
+
+void ConfigService::read_platform() {
+  reading_ = true;
+  platform_.read(kConfigKey, [this](const auto& result) { on_platform_value(result); });
+}
+
+void ConfigService::watch_platform() {
+  reading_ = true;
+  platform_.watch(kConfigKey, platform_version_,
+                  [this](const auto& result) { on_platform_value(result); });
+}
+
+void ConfigService::on_platform_value(
+    const tl::expected<std::optional<VersionedValue>, PlatformError>& result) {
+  reading_ = false;
+  platform_answers_ = result.has_value();
+  if (!result) {
+    // Doubled and jittered, so that a store that comes back is not run over.
+    const auto backoff = kFirstBackoff * (1 << std::min(failures_, kMaxBackoffDoublings));
+    next_read_ = monotonic_now() + backoff / 2 + Duration(random_() % backoff.count());
+    ++failures_;
+    return;
+  }
+  failures_ = 0;
+  if (!result->has_value()) {
+    // Nothing was ever declared: an empty configuration is the confirmed one.
+    if (!ready()) after_offer(replica_.offer(ConfigDocument{}));
+    next_read_ = monotonic_now() + kFirstBackoff;
+    return;
+  }
+  platform_version_ = (*result)->version;
+  adopt_document((*result)->value);
+}
+
+void ConfigService::adopt_document(const nlohmann::json& value) {
+  const auto document = document_from_json(value);
+  if (!document) {
+    log_event(LogArea::kConfig, LogLevel::kError, "stored_document_unreadable",
+              {{"findings", document.error().to_text()}});
+    return;
+  }
+  after_offer(replica_.offer(*document));
+}
+
+void ConfigService::after_offer(OfferResult result) {
+  if (result == OfferResult::kInvalid) {
+    log_event(LogArea::kConfig, LogLevel::kError, "revision_invalid",
+              {{"findings", replica_.findings().to_text()}});
+  }
+  if (result != OfferResult::kAdopted) return;
+  log_event(LogArea::kConfig, LogLevel::kInfo, "revision_adopted",
+            {{"revision", replica_.revision()}});
+  on_adopted_(replica_.snapshot());
+  cluster_->announce_revision(replica_.revision());
+}
+
+void ConfigService::on_peer_revision(const MemberFact& peer, Revision revision) {
+  // While the platform does not answer, a starting node takes a peer's word: revisions only grow.
+  const bool may_pull = ready() || failures_ > 0;
+  if (may_pull && revision > replica_.revision()) pull_from(peer.address);
+}
+
+void ConfigService::pull_from(const std::string& address) {
+  if (pulling_) return;
+  pulling_ = true;
+  cluster_->call(address, ConfigPull{replica_.revision()}, [this](const auto& answer) {
+    pulling_ = false;
+    if (!answer) return;
+    const auto* changes = std::get_if<ConfigChanges>(&*answer);
+    if (changes != nullptr) after_offer(replica_.offer_changes(changes->base, changes->document));
+  });
+}
+
+Message ConfigService::on_pull(const ConfigPull& pull) const {
+  return ConfigChanges{pull.have, replica_.document().changes_since(pull.have)};
+}
+
+void ConfigService::change(std::vector<ObjectEdit> edits, ChangeHandler handler) {
+  auto change = std::make_shared<Change>();
+  change->edits = std::move(edits);
+  change->handler = std::move(handler);
+  read_for(change);
+}
+
+void ConfigService::read_for(const std::shared_ptr<Change>& change) {
+  platform_.read(kConfigKey, [this, change](const auto& stored) {
+    if (!stored) {
+      return change->handler(
+          tl::make_unexpected(ChangeFailure{ChangeFailure::Kind::kUnavailable, {}}));
+    }
+    write_for(change, *stored);
+  });
+}
+
+void ConfigService::write_for(const std::shared_ptr<Change>& change,
+                              const std::optional<VersionedValue>& stored) {
+  ConfigDocument current;
+  if (stored) {
+    const auto document = document_from_json(stored->value);
+    if (!document) {
+      EditRefusal refusal{{}, document.error()};
+      return change->handler(tl::make_unexpected(ChangeFailure{ChangeFailure::Kind::kRefused, refusal}));
+    }
+    current = *document;
+  }
+  const auto next = apply_edits(current, change->edits, change->write_id);
+  if (!next) {
+    return change->handler(
+        tl::make_unexpected(ChangeFailure{ChangeFailure::Kind::kRefused, next.error()}));
+  }
+  change->written = *next;
+  change->settle_until = monotonic_now() + kSettleWithin;
+  const std::uint64_t version = stored ? stored->version : 0;
+  platform_.write(kConfigKey, version, to_json(*next), [this, change](const auto& result) {
+    if (!result) return settle(change);
+    if (result->applied) return accept(change, *change->written);
+    read_for(change);  // Somebody else was faster: judge the edits against what is stored now.
+  });
+}
+
+void ConfigService::settle(const std::shared_ptr<Change>& change) {
+  platform_.read(kConfigKey, [this, change](const auto& stored) {
+    if (stored && stored->has_value()) {
+      const auto document = document_from_json((*stored)->value);
+      if (document && document->contains_write(change->write_id)) return accept(change, *document);
+    }
+    // Not there (yet): the write may still be on its way, so it must not be sent again blindly, and
+    // it cannot be called refused either.
+    if (monotonic_now() >= change->settle_until) {
+      return change->handler(tl::make_unexpected(ChangeFailure{ChangeFailure::Kind::kUnknown, {}}));
+    }
+    auto timer = std::make_shared<asio::steady_timer>(loop_, kSettleAgainAfter);
+    timer->async_wait([this, change, timer](const std::error_code& error) {
+      if (!error) settle(change);
+    });
+  });
+}
+
+void ConfigService::accept(const std::shared_ptr<Change>& change, const ConfigDocument& document) {
+  after_offer(replica_.offer(document));
+  change->handler(document.revision);
+}
+
+}  // namespace shuntbank
--- /dev/null
+++ b/src/node/config_service.hpp
@@ -0,0 +1,100 @@
+/// @file
+/// This node's configuration: read from the platform by a few readers, pulled from peers by the
+/// rest, changed by operators through any node.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <asio/io_context.hpp>
+
+#include "core/configuration/config_replica.hpp"
+#include "node/cluster_service.hpp"
+#include "node/periodic.hpp"
+#include "platform/object_client.hpp"
+
+namespace shuntbank {
+
+/// Why a change was not accepted.
+struct ChangeFailure {
+  enum class Kind {
+    kRefused,      ///< Conflicts or findings: nothing was changed.
+    kUnavailable,  ///< The platform did not answer a read: nothing was changed.
+    kUnknown,      ///< A write was not answered and could not be settled in time.
+  };
+  Kind kind = Kind::kUnavailable;
+  EditRefusal refusal;
+};
+
+/// Keeps the configuration current.
+class ConfigService {
+ public:
+  using AdoptedHandler = std::function<void(const SnapshotPointer&)>;
+
+  /// @param on_adopted called after each new revision is in force.
+  ConfigService(asio::io_context& loop, ObjectClient& platform, RegionName region,
+                std::uint64_t seed, AdoptedHandler on_adopted);
+
+  /// Names the cluster service, which is built after this one.
+  void attach(ClusterService& cluster) { cluster_ = &cluster; }
+
+  /// Starts reading.
+  void start();
+
+  const ConfigReplica& replica() const { return replica_; }
+
+  /// @return whether a revision was confirmed since the start.
+  bool ready() const { return replica_.snapshot() != nullptr; }
+
+  /// @return whether the last call to the platform was answered.
+  bool platform_answers() const { return platform_answers_; }
+
+  /// Applies an operator's edits: all or none.
+  /// @param handler called with the new revision once the platform holds it, or the failure.
+  using ChangeHandler = std::function<void(tl::expected<Revision, ChangeFailure>)>;
+  void change(std::vector<ObjectEdit> edits, ChangeHandler handler);
+
+  /// A peer holds this revision.
+  void on_peer_revision(const MemberFact& peer, Revision revision);
+
+  /// A peer asks for changes.
+  Message on_pull(const ConfigPull& pull) const;
+
+ private:
+  struct Change;
+
+  void tick();
+  bool is_reader() const;
+  void read_platform();
+  void watch_platform();
+  void on_platform_value(const tl::expected<std::optional<VersionedValue>, PlatformError>& result);
+  void adopt_document(const nlohmann::json& value);
+  void pull_from(const std::string& address);
+  void after_offer(OfferResult result);
+  void read_for(const std::shared_ptr<Change>& change);
+  void write_for(const std::shared_ptr<Change>& change, const std::optional<VersionedValue>& stored);
+  void settle(const std::shared_ptr<Change>& change);
+  void accept(const std::shared_ptr<Change>& change, const ConfigDocument& document);
+
+  asio::io_context& loop_;
+  ObjectClient& platform_;
+  RegionName region_;
+  ClusterService* cluster_ = nullptr;
+  AdoptedHandler on_adopted_;
+  ConfigReplica replica_;
+  std::mt19937_64 random_;
+  std::uint64_t platform_version_ = 0;
+  bool platform_answers_ = false;
+  bool reading_ = false;
+  bool pulling_ = false;
+  MonotonicTime next_read_{};
+  std::uint32_t failures_ = 0;
+  std::unique_ptr<Periodic> ticker_;
+};
+
+/// Key of the configuration document in the platform's store.
+constexpr const char* kConfigKey = "config";
+
+}  // namespace shuntbank
--- /dev/null
+++ b/src/node/control_service.cpp
@@ -0,0 +1,286 @@
+#include "node/control_service.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "common/hash.hpp"
+#include "common/log.hpp"
+#include "common/units.hpp"
+
+namespace shuntbank {
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(100);
+constexpr Duration kPlanEvery = std::chrono::seconds(1);
+
+/// Nodes that stand by for each lease, the preferred holder included.
+constexpr std::size_t kLeaseCandidates = 2;
+
+/// Demand reports older than this are forgotten with their node.
+constexpr std::size_t kWriteIdBytes = 8;
+
+const Policy kDefaultPolicy;
+
+nlohmann::json to_json(const LeaseRecord& record) {
+  return {{"holder", record.holder.value()},
+          {"epoch", record.epoch},
+          {"write_id", record.write_id},
+          {"length", format_duration(record.length)}};
+}
+
+/// An unreadable record counts as one of unknown holder whose epoch is kept where it can be read.
+LeaseRecord lease_from_json(const nlohmann::json& json) {
+  LeaseRecord record;
+  if (!json.is_object()) return record;
+  record.holder = NodeId(json.value("holder", ""));
+  record.epoch = json.value("epoch", Fence{0});
+  record.write_id = json.value("write_id", "");
+  record.length = parse_duration(json.value("length", "")).value_or(std::chrono::seconds(30));
+  return record;
+}
+
+bool allows_split(const Service& service) {
+  const auto allows = [&service](EngineRole role) {
+    return std::find(service.allowed_roles.begin(), service.allowed_roles.end(), role) !=
+           service.allowed_roles.end();
+  };
+  return allows(EngineRole::kPrefill) && allows(EngineRole::kDecode);
+}
+
+}  // namespace
+
+ControlService::ControlService(asio::io_context& loop, ObjectClient& platform,
+                               EngineClient& engines, ClusterService& cluster, RegionName region,
+                               Duration lease_length)
+    : platform_(platform),
+      engines_(engines),
+      cluster_(cluster),
+      region_(std::move(region)),
+      lease_settings_{lease_length, lease_length / 4, lease_length / 5},
+      ticker_(loop, kTick, [this] { tick(); }) {}
+
+void ControlService::configure(const SnapshotPointer& snapshot) {
+  snapshot_ = snapshot;
+  std::erase_if(duties_, [&snapshot](const auto& entry) {
+    return snapshot->find_service(entry.first) == nullptr;
+  });
+  for (const auto& [name, service] : snapshot->services()) {
+    if (service.kind != ServiceKind::kModel) continue;
+    Duty& duty = duties_.try_emplace(name, cluster_.self().node, lease_settings_).first->second;
+    if (duty.controller) {
+      duty.controller->configure(snapshot->engines_of(name), service.models,
+                                 policy_for(name).drain_bound);
+    }
+  }
+}
+
+const Policy& ControlService::policy_for(const ServiceName& service) const {
+  const Labels labels{{"service", service.value()}};
+  for (const Policy& policy : snapshot_->policies()) {
+    if (policy.service_selector.matches(labels)) return policy;
+  }
+  return kDefaultPolicy;
+}
+
+std::string ControlService::lease_key(const ServiceName& service) const {
+  return "lease/" + region_.value() + "/" + service.value();
+}
+
+std::vector<MemberFact> ControlService::ranked(const ServiceName& service,
+                                               std::size_t count) const {
+  std::vector<MemberFact> members = cluster_.usable();
+  std::erase_if(members, [this](const MemberFact& member) { return member.region != region_; });
+  return rank_for_duty(lease_key(service), std::move(members), count);
+}
+
+int ControlService::rank_of_self(const ServiceName& service) const {
+  const auto candidates = ranked(service, kLeaseCandidates);
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    if (candidates[i].node == cluster_.self().node) return static_cast<int>(i);
+  }
+  return -1;
+}
+
+std::optional<MemberFact> ControlService::controller_of(const ServiceName& service) const {
+  const auto candidates = ranked(service, 1);
+  if (candidates.empty()) return std::nullopt;
+  return candidates.front();
+}
+
+void ControlService::tick() {
+  if (!snapshot_ || resigned_) return;
+  for (auto& [service, duty] : duties_) {
+    run_lease(service, duty);
+    run_controller(service, duty);
+  }
+}
+
+void ControlService::run_lease(const ServiceName& service, Duty& duty) {
+  const MonotonicTime now = monotonic_now();
+  const int rank = rank_of_self(service);
+  const bool holding = duty.lease.authority(now).has_value();
+  // A standby looks less often, so that the preferred holder goes first and the store is spared.
+  if (rank > 0 && !holding) {
+    if (now < duty.next_standby_poll) return;
+    duty.next_standby_poll = now + lease_settings_.length / 2;
+  }
+  switch (duty.lease.poll(now, rank >= 0, random_hex(kWriteIdBytes))) {
+    case LeaseAction::kNothing: return;
+    case LeaseAction::kRead: return read_lease(service);
+    case LeaseAction::kWrite: return write_lease(service, duty.lease.pending_write());
+  }
+}
+
+void ControlService::read_lease(const ServiceName& service) {
+  platform_.read(lease_key(service), [this, service](const auto& result) {
+    const auto found = duties_.find(service);
+    if (found == duties_.end()) return;
+    LeaseHolder& lease = found->second.lease;
+    if (!result) return lease.on_read_failed(monotonic_now());
+    VersionedLease seen;
+    if (result->has_value()) seen = {(*result)->version, lease_from_json((*result)->value)};
+    lease.on_read(monotonic_now(), seen);
+  });
+}
+
+void ControlService::write_lease(const ServiceName& service, const VersionedLease& lease) {
+  platform_.write(lease_key(service), lease.version, to_json(lease.record),
+                  [this, service](const auto& result) {
+                    const auto found = duties_.find(service);
+                    if (found == duties_.end()) return;
+                    LeaseHolder& holder = found->second.lease;
+                    if (!result) return holder.on_write_unanswered(monotonic_now());
+                    holder.on_written(monotonic_now(), result->applied, result->version);
+                  });
+}
+
+void ControlService::set_up_controller(const ServiceName& service, Duty& duty, Fence fence) {
+  if (duty.controller) duty.role_changes_before += duty.controller->role_changes();
+  duty.controller = std::make_unique<EngineController>(fence, ControllerSettings{});
+  duty.planner.reset();
+  configure(snapshot_);
+  log_event(LogArea::kControl, LogLevel::kInfo, "lease_taken",
+            {{"service", service.value()}, {"fence", fence}});
+}
+
+void ControlService::run_controller(const ServiceName& service, Duty& duty) {
+  const auto fence = duty.lease.authority(monotonic_now());
+  if (!fence) {
+    if (duty.controller) {
+      duty.role_changes_before += duty.controller->role_changes();
+      log_event(LogArea::kControl, LogLevel::kWarning, "lease_lost",
+                {{"service", service.value()}, {"fence", duty.controller->fence()}});
+    }
+    duty.controller.reset();
+    return;
+  }
+  if (!duty.controller || duty.controller->fence() != *fence) {
+    set_up_controller(service, duty, *fence);
+  }
+  if (duty.controller->superseded()) return duty.lease.resign();
+  plan_roles(service, duty);
+  for (const ControlCommand& command : duty.controller->poll(monotonic_now())) {
+    execute(service, command);
+  }
+  cluster_.publish(duty.controller->facts());
+}
+
+void ControlService::execute(const ServiceName& service, const ControlCommand& command) {
+  const EngineId engine = std::visit([](const auto& value) { return value.engine; }, command);
+  const Engine* declared = snapshot_->find_engine(engine);
+  const Duty& duty = duties_.at(service);
+  // Asked again right before the command leaves: time may have passed since the tick began.
+  const auto fence = duty.lease.authority(monotonic_now());
+  if (declared == nullptr || !fence) return;
+  const auto handler = [this, service, fence = *fence, engine](const auto& answer) {
+    on_engine_answer(service, fence, engine, answer);
+  };
+  if (const auto* claim = std::get_if<ClaimEngine>(&command)) {
+    return engines_.claim(declared->address, claim->fence, handler);
+  }
+  if (const auto* order = std::get_if<SendOrder>(&command)) {
+    log_event(LogArea::kControl, LogLevel::kInfo, "order",
+              {{"service", service.value()},
+               {"engine", engine.value()},
+               {"fence", order->order.stamp.fence},
+               {"sequence", order->order.stamp.sequence},
+               {"role", to_text(order->order.desired.role)},
+               {"accepting", order->order.desired.accepting}});
+    return engines_.send_order(declared->address, order->order, handler);
+  }
+  engines_.read_state(declared->address, handler);
+}
+
+void ControlService::on_engine_answer(const ServiceName& service, Fence fence,
+                                      const EngineId& engine,
+                                      const tl::expected<EngineState, EngineCallError>& answer) {
+  const auto found = duties_.find(service);
+  if (found == duties_.end() || !found->second.controller) return;
+  EngineController& controller = *found->second.controller;
+  if (controller.fence() != fence) return;
+  if (answer) return controller.on_state(monotonic_now(), engine, *answer);
+  if (answer.error() == EngineCallError::kStale) return controller.on_stale(engine);
+  controller.on_no_answer(monotonic_now(), engine);
+}
+
+void ControlService::on_demand(const DemandReport& report) {
+  const auto found = duties_.find(report.service);
+  if (found != duties_.end()) found->second.demand[report.from] = report;
+}
+
+void ControlService::plan_roles(const ServiceName& service, Duty& duty) {
+  const MonotonicTime now = monotonic_now();
+  const Service* declared = snapshot_->find_service(service);
+  if (now < duty.next_plan || !allows_split(*declared)) return;
+  duty.next_plan = now + kPlanEvery;
+  if (!duty.planner) {
+    PlannerSettings settings;
+    settings.role_change_cost = policy_for(service).role_change_cost;
+    duty.planner = std::make_unique<RolePlanner>(settings);
+  }
+  DemandSample demand;
+  for (const auto& [node, report] : duty.demand) {
+    demand.prefill_tokens_per_second += report.prefill_tokens_per_second;
+    demand.decode_tokens_per_second += report.decode_tokens_per_second;
+  }
+  duty.planner->observe(now, demand);
+  const auto choice = assign_roles(*duty.planner, duty.controller->lines());
+  duty.plan = choice.reason;
+  for (const auto& [engine, role] : choice.roles) {
+    log_event(LogArea::kControl, LogLevel::kInfo, "role_wanted",
+              {{"service", service.value()},
+               {"engine", engine.value()},
+               {"role", to_text(role)},
+               {"reason", choice.reason}});
+    duty.controller->want_role(engine, role);
+  }
+}
+
+void ControlService::resign() {
+  resigned_ = true;
+  for (auto& [service, duty] : duties_) {
+    duty.lease.resign();
+    duty.controller.reset();
+  }
+}
+
+std::vector<ControlService::DutyLine> ControlService::lines() const {
+  std::vector<DutyLine> lines;
+  for (const auto& [service, duty] : duties_) {
+    DutyLine line;
+    line.service = service;
+    line.holder = duty.lease.last_seen().record.holder;
+    line.fence = duty.lease.authority(monotonic_now());
+    line.plan = duty.plan;
+    line.role_changes = duty.role_changes_before;
+    if (duty.controller) {
+      line.role_changes += duty.controller->role_changes();
+      line.put_off = duty.controller->put_off();
+      line.engines = duty.controller->lines();
+    }
+    lines.push_back(std::move(line));
+  }
+  return lines;
+}
+
+}  // namespace shuntbank
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,252 @@
+#include "node/node.hpp"
+
+#include <chrono>
+#include <random>
+#include <utility>
+
+#include "common/hash.hpp"
+#include "common/log.hpp"
+#include "core/routing/router.hpp"
+#include "engine/engine_client.hpp"
+#include "net/address.hpp"
+#include "node/caller_api.hpp"
+#include "node/cluster_service.hpp"
+#include "node/config_service.hpp"
+#include "node/control_service.hpp"
+#include "node/operator_api.hpp"
+#include "platform/object_client.hpp"
+
+namespace shuntbank {
+namespace {
+
+constexpr Duration kDemandEvery = std::chrono::seconds(2);
+constexpr Duration kMachinesEvery = std::chrono::seconds(3);
+constexpr Duration kLeaveTick = std::chrono::milliseconds(50);
+constexpr double kRetryReserve = 20;
+
+/// Room above the largest body that is served, so that a body somewhat too large gets a reply.
+constexpr std::size_t kBodySlackFactor = 4;
+
+std::uint64_t unix_milliseconds() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
+std::uint64_t choose_seed(std::uint64_t wanted) {
+  return wanted != 0 ? wanted : std::random_device{}();
+}
+
+MemberFact self_fact(const NodeSettings& settings) {
+  MemberFact self;
+  self.node = NodeId(settings.name);
+  // Wall time makes a restarted node newer than what is remembered of it.
+  self.incarnation = unix_milliseconds();
+  self.zone = ZoneName(settings.zone);
+  self.region = RegionName(settings.region);
+  return self;
+}
+
+HttpServerSettings caller_server(const NodeSettings& settings) {
+  HttpServerSettings server;
+  server.listen = *parse_endpoint(settings.callers_listen);
+  server.max_connections = settings.max_connections;
+  server.max_body = settings.max_body * kBodySlackFactor;
+  server.idle_timeout = settings.caller_idle;
+  server.write_timeout = settings.slow_reader;
+  return server;
+}
+
+HttpServerSettings operator_server(const NodeSettings& settings) {
+  HttpServerSettings server;
+  server.listen = *parse_endpoint(settings.operators_listen);
+  server.max_body = kMaxFrame;
+  return server;
+}
+
+}  // namespace
+
+Findings check_node_settings(const NodeSettings& settings) {
+  Findings findings;
+  const auto check = [&findings](const char* option, const std::string& text) {
+    const auto endpoint = parse_endpoint(text);
+    if (!endpoint) findings.add(option, endpoint.error());
+  };
+  check("--platform", settings.platform);
+  check("--callers-listen", settings.callers_listen);
+  check("--operators-listen", settings.operators_listen);
+  check("--cluster-listen", settings.cluster_listen);
+  return findings;
+}
+
+class Node::Impl {
+ public:
+  Impl(asio::io_context& loop, const NodeSettings& settings)
+      : loop_(loop),
+        settings_(settings),
+        seed_(choose_seed(settings.seed)),
+        http_(loop),
+        platform_(http_, settings.platform),
+        engine_client_(http_),
+        router_(RoutingSettings{}, seed_),
+        retries_(settings.retry_share, kRetryReserve),
+        config_(loop, platform_, RegionName(settings.region), seed_,
+                [this](const SnapshotPointer& snapshot) { on_config(snapshot); }),
+        cluster_(loop, *parse_endpoint(settings.cluster_listen), self_fact(settings), seed_,
+                 cluster_hooks()),
+        control_(loop, platform_, engine_client_, cluster_, RegionName(settings.region),
+                 settings.lease_length),
+        context_{loop, settings_, http_, engines_, router_, retries_, metrics_},
+        queue_(loop, context_),
+        caller_api_(settings_, config_, queue_, metrics_),
+        operator_api_(config_, cluster_, control_, metrics_, [this] { return reasons(); },
+                      [this] { leave(on_left_); }),
+        callers_(loop, caller_server(settings),
+                 [this](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
+                   caller_api_.handle(std::move(request), responder);
+                 }),
+        operators_(loop, operator_server(settings),
+                   [this](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
+                     operator_api_.handle(std::move(request), responder);
+                   }),
+        demand_timer_(loop, kDemandEvery, [this] { report_demand(); }),
+        machines_timer_(loop, kMachinesEvery, [this] { read_machines(); }) {
+    config_.attach(cluster_);
+    config_.start();
+    read_machines();
+    log_listening("callers", callers_.local_endpoint());
+    log_listening("operators", operators_.local_endpoint());
+    log_listening("cluster", cluster_.local_endpoint());
+  }
+
+  void leave(std::function<void()> on_left) {
+    if (std::exchange(leaving_, true)) return on_left();
+    on_left_ = std::move(on_left);
+    log_event(LogArea::kProcess, LogLevel::kInfo, "leaving", {{"open", queue_.open_requests()}});
+    cluster_.leave();
+    control_.resign();
+    grace_ends_ = monotonic_now() + settings_.leave_grace;
+    leave_timer_ = std::make_unique<Periodic>(loop_, kLeaveTick, [this] { continue_leaving(); });
+  }
+
+  void set_on_left(std::function<void()> on_left) { on_left_ = std::move(on_left); }
+
+ private:
+  static void log_listening(const char* interface, const asio::ip::tcp::endpoint& endpoint) {
+    log_event(LogArea::kProcess, LogLevel::kInfo, "listening",
+              {{"interface", interface}, {"address", format_endpoint(endpoint)}});
+  }
+
+  ClusterService::Hooks cluster_hooks() {
+    ClusterService::Hooks hooks;
+    hooks.revision = [this] { return config_.replica().revision(); };
+    hooks.on_peer_revision = [this](const MemberFact& peer, Revision revision) {
+      config_.on_peer_revision(peer, revision);
+    };
+    hooks.on_engine_facts = [this](const std::vector<EngineFact>& facts) {
+      for (const EngineFact& fact : facts) engines_.apply(fact);
+    };
+    hooks.on_demand = [this](const DemandReport& report) { control_.on_demand(report); };
+    hooks.on_config_pull = [this](const ConfigPull& pull) { return config_.on_pull(pull); };
+    return hooks;
+  }
+
+  void on_config(const SnapshotPointer& snapshot) {
+    std::vector<EngineId> names;
+    for (const auto& [name, engine] : snapshot->engines()) {
+      engines_.upsert(name, engine.zone);
+      names.push_back(name);
+    }
+    engines_.retain(names);
+    for (const EngineFact& fact : cluster_.engine_facts()) engines_.apply(fact);
+    control_.configure(snapshot);
+  }
+
+  void report_demand() {
+    const auto usable = cluster_.usable();
+    const auto in_region = std::count_if(usable.begin(), usable.end(), [this](const auto& member) {
+      return member.region.value() == settings_.region;
+    });
+    queue_.set_nodes(static_cast<std::size_t>(in_region));
+    const auto demand = queue_.take_demand();
+    const SnapshotPointer& snapshot = config_.replica().snapshot();
+    if (!snapshot) return;
+    for (const auto& [name, service] : snapshot->services()) {
+      const auto controller = control_.controller_of(name);
+      if (service.kind != ServiceKind::kModel || !controller) continue;
+      const auto found = demand.find(name);
+      const RequestQueue::Demand tokens = found == demand.end() ? RequestQueue::Demand{} : found->second;
+      const double seconds = to_seconds(kDemandEvery);
+      const DemandReport report{NodeId(settings_.name), name, tokens.prefill_tokens / seconds,
+                                tokens.decode_tokens / seconds};
+      if (controller->node == cluster_.self().node) {
+        control_.on_demand(report);
+      } else {
+        cluster_.send(*controller, report);
+      }
+    }
+  }
+
+  void read_machines() {
+    platform_.list_machines([this](const auto& machines) {
+      if (!machines) return;
+      std::vector<std::string> hints;
+      for (const Machine& machine : *machines) {
+        if (machine.kind == "node") hints.push_back(machine.address);
+        if (machine.kind == "engine") engines_.set_leaving(EngineId(machine.name), machine.leaving);
+      }
+      cluster_.hint(hints);
+    });
+  }
+
+  std::string reasons() const {
+    std::string reasons;
+    if (!config_.ready()) reasons += "no configuration was confirmed yet\n";
+    if (leaving_) reasons += "the node is leaving\n";
+    return reasons;
+  }
+
+  void continue_leaving() {
+    if (monotonic_now() < grace_ends_) return;
+    callers_.close();
+    if (queue_.open_requests() > 0) return;
+    leave_timer_.reset();
+    log_event(LogArea::kProcess, LogLevel::kInfo, "left");
+    on_left_();
+  }
+
+  asio::io_context& loop_;
+  const NodeSettings& settings_;
+  std::uint64_t seed_;
+  HttpClient http_;
+  ObjectClient platform_;
+  EngineClient engine_client_;
+  EngineTable engines_;
+  Router router_;
+  RetryBudget retries_;
+  Metrics metrics_;
+  ConfigService config_;
+  ClusterService cluster_;
+  ControlService control_;
+  ServingContext context_;
+  RequestQueue queue_;
+  CallerApi caller_api_;
+  OperatorApi operator_api_;
+  HttpServer callers_;
+  HttpServer operators_;
+  Periodic demand_timer_;
+  Periodic machines_timer_;
+  bool leaving_ = false;
+  MonotonicTime grace_ends_{};
+  std::function<void()> on_left_ = [] {};
+  std::unique_ptr<Periodic> leave_timer_;
+};
+
+Node::Node(asio::io_context& loop, const NodeSettings& settings)
+    : impl_(std::make_unique<Impl>(loop, settings)) {}
+
+Node::~Node() = default;
+
+void Node::leave(std::function<void()> on_left) { impl_->leave(std::move(on_left)); }
+
+}  // namespace shuntbank
--- /dev/null
+++ b/src/node/operator_api.cpp
@@ -0,0 +1,159 @@
+#include "node/operator_api.hpp"
+
+#include <utility>
+
+namespace shuntbank {
+namespace {
+
+using nlohmann::json;
+
+HttpReply json_reply(int status, const json& body) {
+  return {status, {{"Content-Type", "application/json"}}, body.dump()};
+}
+
+json to_json(const Findings& findings) {
+  json list = json::array();
+  for (const Finding& finding : findings.items()) {
+    list.push_back({{"place", finding.place}, {"message", finding.message}});
+  }
+  return list;
+}
+
+json to_json(const std::vector<EditConflict>& conflicts) {
+  json list = json::array();
+  for (const EditConflict& conflict : conflicts) {
+    list.push_back({{"object", conflict.key.to_text()},
+                    {"base_version", conflict.base_version},
+                    {"current_version", conflict.current_version}});
+  }
+  return list;
+}
+
+HttpReply to_reply(const ChangeFailure& failure) {
+  switch (failure.kind) {
+    case ChangeFailure::Kind::kUnavailable:
+      return json_reply(503, {{"error", "platform_unavailable"}, {"changed", "no"}});
+    case ChangeFailure::Kind::kUnknown:
+      return json_reply(503, {{"error", "platform_unavailable"}, {"changed", "unknown"}});
+    case ChangeFailure::Kind::kRefused: break;
+  }
+  if (!failure.refusal.conflicts.empty()) {
+    return json_reply(409, {{"error", "conflict"},
+                            {"changed", "no"},
+                            {"conflicts", to_json(failure.refusal.conflicts)}});
+  }
+  return json_reply(422, {{"error", "invalid"},
+                          {"changed", "no"},
+                          {"findings", to_json(failure.refusal.findings)}});
+}
+
+json to_json(const EngineController::Line& line) {
+  json item{{"engine", line.engine.value()},
+            {"phase", to_text(line.phase)},
+            {"wanted_role", to_text(line.wanted)},
+            {"answers", line.answers}};
+  if (!line.state) return item;
+  item["role"] = to_text(line.state->role);
+  item["fence"] = line.state->stamp.fence;
+  item["sequence"] = line.state->stamp.sequence;
+  item["active"] = line.state->active;
+  item["changing"] = line.state->changing;
+  return item;
+}
+
+}  // namespace
+
+OperatorApi::OperatorApi(ConfigService& config, const ClusterService& cluster,
+                         const ControlService& control, Metrics& metrics,
+                         std::function<std::string()> reasons, std::function<void()> on_leave)
+    : config_(config),
+      cluster_(cluster),
+      control_(control),
+      metrics_(metrics),
+      reasons_(std::move(reasons)),
+      on_leave_(std::move(on_leave)) {}
+
+void OperatorApi::handle(HttpRequest request, const Responder& responder) {
+  if (request.path == "/healthz") return responder->respond({200, {}, "ok\n"});
+  if (request.path == "/readyz") return responder->respond(readiness());
+  if (request.path == "/metrics") {
+    metrics_.set_revision(static_cast<double>(config_.replica().revision()));
+    metrics_.set_members(static_cast<double>(cluster_.usable().size()));
+    metrics_.set_control_bytes(static_cast<double>(cluster_.bytes_sent()),
+                               static_cast<double>(cluster_.bytes_received()));
+    for (const auto& line : control_.lines()) {
+      metrics_.set_role_changes(line.service.value(), static_cast<double>(line.role_changes));
+    }
+    return responder->respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.to_text()});
+  }
+  if (request.path == "/v1/status") return responder->respond(json_reply(200, status()));
+  if (request.path == "/v1/config" && request.method == "GET") {
+    return responder->respond(json_reply(200, to_json(config_.replica().document())));
+  }
+  if (request.path == "/v1/config/changes" && request.method == "POST") {
+    return change_config(request, responder);
+  }
+  if (request.path == "/v1/drain" && request.method == "POST") {
+    on_leave_();
+    return responder->respond(json_reply(200, {{"leaving", true}}));
+  }
+  responder->respond(json_reply(404, {{"error", "unknown_path"}}));
+}
+
+void OperatorApi::change_config(const HttpRequest& request, const Responder& responder) {
+  const json body = json::parse(request.body, nullptr, false);
+  auto edits = edits_from_json(body);
+  if (!edits) {
+    return responder->respond(json_reply(
+        422, {{"error", "invalid"}, {"changed", "no"}, {"findings", to_json(edits.error())}}));
+  }
+  config_.change(std::move(*edits), [responder](const auto& result) {
+    if (!result) return responder->respond(to_reply(result.error()));
+    responder->respond(json_reply(200, {{"revision", *result}}));
+  });
+}
+
+HttpReply OperatorApi::readiness() const {
+  const std::string reasons = reasons_();
+  if (reasons.empty()) return {200, {}, "ready\n"};
+  return {503, {}, reasons};
+}
+
+json OperatorApi::status() const {
+  json members = json::array();
+  for (const MemberFact& member : cluster_.members()) {
+    members.push_back({{"node", member.node.value()},
+                       {"zone", member.zone.value()},
+                       {"state", to_text(member.state)},
+                       {"incarnation", member.incarnation}});
+  }
+  json duties = json::array();
+  for (const auto& line : control_.lines()) {
+    json item{{"service", line.service.value()},
+              {"holder", line.holder.value()},
+              {"plan", line.plan},
+              {"role_changes", line.role_changes},
+              {"put_off", line.put_off},
+              {"engines", json::array()}};
+    if (line.fence) item["fence"] = *line.fence;
+    for (const auto& engine : line.engines) item["engines"].push_back(to_json(engine));
+    duties.push_back(std::move(item));
+  }
+  json engines = json::array();
+  for (const EngineFact& fact : cluster_.engine_facts()) {
+    engines.push_back({{"engine", fact.engine.value()},
+                       {"role", to_text(fact.role)},
+                       {"state", to_text(fact.availability)},
+                       {"fence", fact.stamp.fence}});
+  }
+  return {{"node", cluster_.self().node.value()},
+          {"zone", cluster_.self().zone.value()},
+          {"region", cluster_.self().region.value()},
+          {"revision", config_.replica().revision()},
+          {"platform_answers", config_.platform_answers()},
+          {"members", std::move(members)},
+          {"duties", std::move(duties)},
+          {"engines", std::move(engines)}};
+}
+
+}  // namespace shuntbank
--- /dev/null
+++ b/src/node/operator_api.hpp
@@ -0,0 +1,43 @@
+/// @file
+/// The operators' interface of a node: configuration, status, health and metrics, on an address
+/// apart from callers. docs/API.md describes it.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "net/http_server.hpp"
+#include "node/cluster_service.hpp"
+#include "node/config_service.hpp"
+#include "node/control_service.hpp"
+#include "node/metrics.hpp"
+
+namespace shuntbank {
+
+/// Serves operators.
+class OperatorApi {
+ public:
+  /// @param reasons names why the node is not ready; empty text when it is.
+  OperatorApi(ConfigService& config, const ClusterService& cluster, const ControlService& control,
+              Metrics& metrics, std::function<std::string()> reasons,
+              std::function<void()> on_leave);
+
+  void handle(HttpRequest request, const std::shared_ptr<HttpResponder>& responder);
+
+ private:
+  using Responder = std::shared_ptr<HttpResponder>;
+
+  void change_config(const HttpRequest& request, const Responder& responder);
+  nlohmann::json status() const;
+  HttpReply readiness() const;
+
+  ConfigService& config_;
+  const ClusterService& cluster_;
+  const ControlService& control_;
+  Metrics& metrics_;
+  std::function<std::string()> reasons_;
+  std::function<void()> on_leave_;
+};
+
+}  // namespace shuntbank
--- /dev/null
+++ b/src/node/request_queue.cpp
@@ -0,0 +1,169 @@
+#include "node/request_queue.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace shuntbank {
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(50);
+constexpr Duration kOverloadRetry = std::chrono::seconds(2);
+constexpr double kHoldSmoothing = 0.05;
+
+const char* describe(LimitKind kind) {
+  switch (kind) {
+    case LimitKind::kRequestRate: return "the tenant's requests a minute are used up";
+    case LimitKind::kTokenRate: return "the tenant's tokens a minute are used up";
+    case LimitKind::kConcurrency: return "the tenant has its most requests in flight";
+  }
+  return "a limit of the tenant is used up";
+}
+
+double estimate_tokens(const SessionRequest& request) {
+  return static_cast<double>(request.prompt_tokens) + request.max_output_tokens;
+}
+
+}  // namespace
+
+RequestQueue::RequestQueue(asio::io_context& loop, ServingContext& context)
+    : context_(context), ticker_(loop, kTick, [this] { expire(); }) {}
+
+void RequestQueue::set_nodes(std::size_t nodes) {
+  nodes_ = std::max<std::size_t>(1, nodes);
+  limiter_.set_share(1.0 / static_cast<double>(nodes_));
+}
+
+RequestQueue::Lane& RequestQueue::lane_of(const ServiceName& service) {
+  return lanes_.try_emplace(service, context_.settings.max_queue).first->second;
+}
+
+std::size_t RequestQueue::capacity(const SessionRequest& request) const {
+  const MonotonicTime now = monotonic_now();
+  std::size_t eligible = 0;
+  for (const EngineId& engine : request.snapshot->engines_of(request.service)) {
+    const EngineEntry* entry = context_.engines.find(engine);
+    if (entry != nullptr && context_.engines.is_eligible(now, *entry)) ++eligible;
+  }
+  const double window = static_cast<double>(context_.settings.engine_window * eligible);
+  return static_cast<std::size_t>(std::ceil(window / static_cast<double>(nodes_)));
+}
+
+std::optional<CallerError> RequestQueue::refusal(const Lane& lane, const SessionRequest& request,
+                                                 const Policy& policy) const {
+  const std::size_t room = std::max<std::size_t>(1, capacity(request));
+  const double wait = static_cast<double>(lane.queue.size()) * lane.hold_seconds /
+                      static_cast<double>(room);
+  const bool too_late = from_seconds(wait) > context_.settings.queue_deadline;
+  if (too_late || lane.queue.size() >= context_.settings.max_queue) {
+    return CallerError{ErrorCode::kOverloaded, "too many requests wait for an engine",
+                       RequestOutcome::kNotRun, std::max(kOverloadRetry, from_seconds(wait))};
+  }
+  const std::uint32_t most = policy.limits.queue_length;
+  if (most > 0 && lane.queue.size_of(request.tenant) >= most) {
+    return CallerError{ErrorCode::kTenantLimit, "too many of the tenant's requests wait",
+                       RequestOutcome::kNotRun, kOverloadRetry};
+  }
+  return std::nullopt;
+}
+
+void RequestQueue::submit(SessionRequest request, const Policy& policy, double weight,
+                          std::shared_ptr<HttpResponder> responder) {
+  const MonotonicTime now = monotonic_now();
+  Lane& lane = lane_of(request.service);
+  const ServiceName service = request.service;
+  QueueItem item;
+  item.id = ++last_id_;
+  item.tenant = request.tenant;
+  item.weight = weight;
+  item.priority = policy.priority;
+  item.cost = estimate_tokens(request);
+  item.deadline = now + context_.settings.queue_deadline;
+  std::optional<CallerError> error = refusal(lane, request, policy);
+  bool admitted = false;
+  if (!error) {
+    const auto limit = limiter_.admit(now, request.tenant, policy.limits, item.cost);
+    admitted = !limit;
+    if (limit) {
+      error = CallerError{ErrorCode::kTenantLimit, describe(limit->kind), RequestOutcome::kNotRun,
+                          limit->retry_after};
+    }
+  }
+  Demand& demand = demand_[service];
+  if (!request.plain) {
+    demand.prefill_tokens += static_cast<double>(request.prompt_tokens);
+    demand.decode_tokens += request.max_output_tokens;
+  }
+  ++open_;
+  auto session = std::make_shared<RequestSession>(
+      context_, std::move(request), std::move(responder),
+      [this, service, item, admitted, now](const SessionResult& result) {
+        on_end(service, item, admitted, result, now);
+      });
+  if (error) return session->refuse(*error);
+  enqueue(lane, session, item);
+}
+
+void RequestQueue::enqueue(Lane& lane, const std::shared_ptr<RequestSession>& session,
+                           const QueueItem& item) {
+  lane.waiting.emplace(item.id, session);
+  lane.queue.push(item);
+  session->watch_while_waiting([this, &lane, id = item.id] {
+    lane.queue.remove(id);
+    lane.waiting.erase(id);
+  });
+  pump(lane);
+}
+
+void RequestQueue::pump(Lane& lane) {
+  while (lane.queue.size() > 0) {
+    const auto& any = *lane.waiting.begin()->second;
+    if (lane.in_flight >= capacity(any.request())) return;
+    const auto item = lane.queue.pop();
+    const auto entry = lane.waiting.find(item->id);
+    const std::shared_ptr<RequestSession> session = entry->second;
+    lane.waiting.erase(entry);
+    ++lane.in_flight;
+    session->start();
+  }
+}
+
+void RequestQueue::expire() {
+  const MonotonicTime now = monotonic_now();
+  std::size_t waiting = 0;
+  std::size_t in_flight = 0;
+  for (auto& [service, lane] : lanes_) {
+    for (const QueueItem& item : lane.queue.take_expired(now)) {
+      const auto entry = lane.waiting.find(item.id);
+      const std::shared_ptr<RequestSession> session = entry->second;
+      lane.waiting.erase(entry);
+      session->refuse({ErrorCode::kOverloaded, "no engine had room in time",
+                       RequestOutcome::kNotRun, kOverloadRetry});
+    }
+    pump(lane);
+    waiting += lane.queue.size();
+    in_flight += lane.in_flight;
+  }
+  context_.metrics.set_queue_length(static_cast<double>(waiting));
+  context_.metrics.set_in_flight(static_cast<double>(in_flight));
+}
+
+void RequestQueue::on_end(const ServiceName& service, const QueueItem& item, bool admitted,
+                          const SessionResult& result, MonotonicTime began) {
+  --open_;
+  if (!admitted) return;
+  Lane& lane = lane_of(service);
+  limiter_.finish(item.tenant, item.cost, result.tokens);
+  lane.queue.settle(item.tenant, item.weight, item.cost, result.tokens);
+  if (!result.started) return;
+  --lane.in_flight;
+  const double held = to_seconds(monotonic_now() - began);
+  lane.hold_seconds += kHoldSmoothing * (held - lane.hold_seconds);
+  pump(lane);
+}
+
+std::map<ServiceName, RequestQueue::Demand> RequestQueue::take_demand() {
+  return std::exchange(demand_, {});
+}
+
+}  // namespace shuntbank
--- /dev/null
+++ b/src/node/request_session.cpp
@@ -0,0 +1,371 @@
+#include "node/request_session.hpp"
+
+#include <utility>
+
+#include "common/log.hpp"
+#include "engine/engine_api.hpp"
+
+namespace shuntbank {
+namespace {
+
+/// A caller's unread bytes beyond this pause the engine's stream.
+constexpr std::size_t kHighWater = 64UL << 10U;
+
+/// Largest reply of a request that is not streamed, in bytes.
+constexpr std::size_t kMaxWholeAnswer = 8UL << 20U;
+
+constexpr Duration kRetryAfterFailure = std::chrono::seconds(1);
+
+bool is_success(int status) { return status >= 200 && status < 300; }
+
+}  // namespace
+
+RequestSession::RequestSession(ServingContext& context, SessionRequest request,
+                               std::shared_ptr<HttpResponder> responder, EndHandler on_end)
+    : context_(context),
+      request_(std::move(request)),
+      responder_(std::move(responder)),
+      on_end_(std::move(on_end)),
+      progress_(request_.id, request_.repeatable,
+                static_cast<std::uint32_t>(context.settings.max_attempts)),
+      timer_(context.loop) {}
+
+void RequestSession::watch_while_waiting(std::function<void()> on_gone) {
+  responder_->on_closed([weak = weak_from_this(), on_gone = std::move(on_gone)] {
+    const auto self = weak.lock();
+    if (!self) return;
+    on_gone();
+    self->end("caller_gone");
+  });
+}
+
+void RequestSession::start() {
+  started_ = true;
+  context_.retries.on_request();
+  responder_->on_closed([weak = weak_from_this()] {
+    if (const auto self = weak.lock()) self->caller_gone();
+  });
+  timer_.expires_after(request_.deadline - monotonic_now());
+  timer_.async_wait([self = shared_from_this()](const std::error_code& error) {
+    if (!error) self->on_deadline();
+  });
+  dispatch();
+}
+
+void RequestSession::refuse(const CallerError& error) {
+  respond_error(error);
+  end("refused");
+}
+
+std::optional<EngineId> RequestSession::choose(EngineRole role, bool any_role) {
+  RouteQuery query;
+  query.engines = &request_.snapshot->engines_of(request_.service);
+  query.avoid = &progress_.tried();
+  query.prefix = role == EngineRole::kDecode ? nullptr : &request_.prefix;
+  query.wanted_role = role;
+  query.any_role = any_role;
+  query.prompt_tokens = role == EngineRole::kDecode ? 0 : request_.prompt_tokens;
+  query.zone = ZoneName(context_.settings.zone);
+  return context_.router.choose(monotonic_now(), context_.engines, query);
+}
+
+bool RequestSession::choose_engines() {
+  prefill_engine_.reset();
+  auto whole = choose(EngineRole::kMixed, request_.plain);
+  if (whole) {
+    answer_engine_ = *whole;
+    return true;
+  }
+  const auto prefill = choose(EngineRole::kPrefill, false);
+  const auto decode = choose(EngineRole::kDecode, false);
+  if (!prefill || !decode) return false;
+  prefill_engine_ = prefill;
+  answer_engine_ = *decode;
+  return true;
+}
+
+void RequestSession::dispatch() {
+  if (!choose_engines()) return give_up(progress_.outcome_if_abandoned());
+  progress_.begin_attempt(answer_engine_);
+  if (prefill_engine_) return send(*prefill_engine_, Step::kPrefill);
+  send(answer_engine_, Step::kAnswer);
+}
+
+OutgoingRequest RequestSession::outgoing(const EngineId& engine, Step step) const {
+  OutgoingRequest outgoing;
+  const Engine* declared = request_.snapshot->find_engine(engine);
+  const std::string path = step == Step::kPrefill ? engine_api::kPrefillPath : request_.path;
+  outgoing.method = request_.method;
+  outgoing.url = "http://" + declared->address + path;
+  outgoing.headers.add(engine_api::kRequestIdHeader, request_.id.value());
+  outgoing.headers.add(engine_api::kAttemptIdHeader, progress_.current_attempt().value());
+  outgoing.headers.add(engine_api::kPriorityHeader, std::to_string(request_.priority));
+  if (!request_.content_type.empty()) outgoing.headers.add("Content-Type", request_.content_type);
+  outgoing.body = request_.plain ? request_.raw_body : body_for(step);
+  outgoing.idle_timeout = context_.settings.engine_silence;
+  outgoing.fresh_connection = !request_.repeatable;
+  return outgoing;
+}
+
+std::string RequestSession::body_for(Step step) const {
+  nlohmann::json body = request_.body;
+  if (request_.stream) body["stream_options"] = {{"include_usage", true}};
+  if (step == Step::kPrefill) body["stream"] = false;
+  if (step == Step::kAnswer && prefill_engine_) {
+    const Engine* source = request_.snapshot->find_engine(*prefill_engine_);
+    body["kv_import"] = {{"engine", source->address}, {"handle", kv_handle_}};
+  }
+  if (progress_.delivered() > 0) body["resume_from"] = progress_.delivered();
+  return body.dump();
+}
+
+void RequestSession::send(const EngineId& engine, Step step) {
+  step_ = step;
+  engine_ = engine;
+  status_ = 0;
+  collected_.clear();
+  overflow_ = false;
+  broken_ = false;
+  done_marker_ = false;
+  splitter_ = EventStreamSplitter();
+  EngineEntry* entry = context_.engines.find(engine);
+  if (entry != nullptr) {
+    ++entry->in_flight;
+    const bool prefills = step == Step::kPrefill || !prefill_engine_;
+    if (prefills) entry->in_flight_prefill += request_.prompt_tokens;
+    if (prefills) entry->cached_prefixes.insert(request_.prefix);
+  }
+  const auto self = shared_from_this();
+  TransferHandlers handlers;
+  handlers.on_headers = [self](int status, const HttpHeaders& headers) {
+    self->on_headers(status, headers);
+  };
+  handlers.on_data = [self](std::string_view piece) { return self->on_data(piece); };
+  handlers.on_done = [self](const auto& result) { self->on_done(result); };
+  transfer_ = context_.http.start(outgoing(engine, step), std::move(handlers));
+}
+
+void RequestSession::on_headers(int status, const HttpHeaders& headers) {
+  status_ = status;
+  headers_ = headers;
+  const auto load = engine_api::load_from_header(std::string(headers.get(engine_api::kLoadHeader)));
+  if (load) context_.engines.on_report(monotonic_now(), *engine_, *load);
+}
+
+bool RequestSession::on_data(std::string_view piece) {
+  const bool relayed = request_.stream && step_ == Step::kAnswer && status_ == 200;
+  if (!relayed) {
+    overflow_ = overflow_ || collected_.size() + piece.size() > kMaxWholeAnswer;
+    if (!overflow_) collected_ += piece;
+    return true;
+  }
+  if (responder_->pending_bytes() > kHighWater) {
+    responder_->on_drained([weak = weak_from_this()] {
+      const auto self = weak.lock();
+      if (self && self->transfer_) self->context_.http.resume(*self->transfer_);
+    });
+    return false;
+  }
+  const bool usable =
+      splitter_.feed(piece, [this](const ServerSentEvent& event) { on_event(event); });
+  broken_ = broken_ || !usable;
+  return true;
+}
+
+void RequestSession::on_event(const ServerSentEvent& event) {
+  if (broken_ || done_marker_) return;
+  if (event.data == kDoneMarker) {
+    done_marker_ = true;
+    return;
+  }
+  const auto place = parse_chunk_place(event.id);
+  if (place) return deliver(event, *place);
+  // The usage event has no place; it is passed on only to a caller who asked for it.
+  if (request_.wants_usage && stream_begun_) {
+    responder_->write("data: " + std::string(event.data) + "\n\n");
+  }
+}
+
+void RequestSession::deliver(const ServerSentEvent& event, const ChunkPlace& place) {
+  switch (progress_.accept_chunk(place.attempt, place.index)) {
+    case ChunkVerdict::kDrop:
+      context_.metrics.count_dropped_chunk();
+      return;
+    case ChunkVerdict::kGap:
+      broken_ = true;
+      return;
+    case ChunkVerdict::kDeliver: break;
+  }
+  if (!std::exchange(first_token_seen_, true)) {
+    const double seconds = to_seconds(monotonic_now() - request_.arrived);
+    context_.metrics.observe_first_token(request_.service.value(), seconds);
+    EngineEntry* entry = context_.engines.find(*engine_);
+    if (entry != nullptr && !prefill_engine_) {
+      entry->in_flight_prefill -= std::min(entry->in_flight_prefill, request_.prompt_tokens);
+    }
+  }
+  begin_stream();
+  context_.metrics.count_chunks(1);
+  std::string text;
+  text.reserve(event.data.size() + 8);
+  text.append("data: ").append(event.data).append("\n\n");
+  responder_->write(text);
+}
+
+void RequestSession::begin_stream() {
+  if (std::exchange(stream_begun_, true)) return;
+  responder_->begin_stream(200, {{"Content-Type", "text/event-stream"},
+                                 {"Cache-Control", "no-cache"},
+                                 {engine_api::kRequestIdHeader, request_.id.value()}});
+}
+
+void RequestSession::on_done(const tl::expected<void, TransferError>& result) {
+  if (ended_) return;
+  transfer_.reset();
+  release_engine();
+  if (!result) {
+    const bool nothing = result.error().failure == TransferFailure::kNothingSent;
+    return attempt_failed(nothing ? AttemptFailure::kNothingSent : AttemptFailure::kUncertain);
+  }
+  const bool says_not_run = headers_.get(engine_api::kOutcomeHeader) == engine_api::kNotRun;
+  if (!is_success(status_) && says_not_run && status_ != 400) {
+    return attempt_failed(AttemptFailure::kRefused);
+  }
+  if (status_ == 400 && says_not_run) {
+    respond_error({ErrorCode::kInvalidRequest, "the engine refused the request",
+                   RequestOutcome::kNotRun, std::nullopt});
+    return end("refused");
+  }
+  if (!request_.plain && !is_success(status_)) return attempt_failed(AttemptFailure::kUncertain);
+  if (step_ == Step::kPrefill) return on_prefill_done();
+  if (request_.stream) return on_stream_end();
+  on_whole_answer();
+}
+
+void RequestSession::on_prefill_done() {
+  const auto reply = nlohmann::json::parse(collected_, nullptr, false);
+  if (!reply.is_object() || !reply.contains("kv_handle")) {
+    return attempt_failed(AttemptFailure::kUncertain);
+  }
+  context_.engines.on_success(*prefill_engine_);
+  kv_handle_ = reply["kv_handle"].get<std::string>();
+  send(answer_engine_, Step::kAnswer);
+}
+
+void RequestSession::on_stream_end() {
+  if (broken_ || !done_marker_) return attempt_failed(AttemptFailure::kUncertain);
+  begin_stream();
+  responder_->write("data: [DONE]\n\n");
+  responder_->finish();
+  context_.engines.on_success(*engine_);
+  context_.metrics.count_attempt(request_.service.value(), "ok");
+  end("ok");
+}
+
+void RequestSession::on_whole_answer() {
+  const bool own = headers_.get(engine_api::kAttemptIdHeader) == progress_.current_attempt().value();
+  // An answer that names another attempt is not this request's, whatever else it says.
+  if (!own || overflow_) return attempt_failed(AttemptFailure::kUncertain);
+  HttpReply reply;
+  reply.status = status_;
+  reply.headers.add("Content-Type", std::string(headers_.get("Content-Type")));
+  reply.headers.add(engine_api::kRequestIdHeader, request_.id.value());
+  reply.body = std::move(collected_);
+  responder_->respond(std::move(reply));
+  context_.engines.on_success(*engine_);
+  context_.metrics.count_attempt(request_.service.value(), "ok");
+  if (!std::exchange(first_token_seen_, true)) {
+    const double seconds = to_seconds(monotonic_now() - request_.arrived);
+    context_.metrics.observe_first_token(request_.service.value(), seconds);
+  }
+  end("ok");
+}
+
+void RequestSession::attempt_failed(AttemptFailure failure) {
+  const bool refused = failure == AttemptFailure::kRefused;
+  context_.metrics.count_attempt(request_.service.value(), refused ? "refused" : "failed");
+  context_.engines.on_failure(monotonic_now(), *engine_);
+  const bool may_retry = context_.retries.try_withdraw();
+  const FailureDecision decision = progress_.attempt_failed(failure, may_retry);
+  log_event(LogArea::kCallers, LogLevel::kInfo, "attempt_failed",
+            {{"request", request_.id.value()},
+             {"engine", engine_->value()},
+             {"refused", refused},
+             {"retry", std::holds_alternative<TryElsewhere>(decision)}});
+  if (std::holds_alternative<TryElsewhere>(decision)) return dispatch();
+  give_up(std::get<GiveUp>(decision).outcome);
+}
+
+void RequestSession::give_up(RequestOutcome outcome) {
+  const bool not_run = outcome == RequestOutcome::kNotRun;
+  respond_error({not_run ? ErrorCode::kNoEngine : ErrorCode::kEngineFailed,
+                 not_run ? "no engine could take the request" : "the engine failed", outcome,
+                 kRetryAfterFailure});
+  end(to_text(outcome));
+}
+
+void RequestSession::respond_error(const CallerError& error) {
+  if (stream_begun_) {
+    responder_->write("data: " + to_event_data(error) + "\n\n");
+    return responder_->finish();
+  }
+  HttpReply reply = to_reply(error);
+  reply.headers.add(engine_api::kRequestIdHeader, request_.id.value());
+  responder_->respond(std::move(reply));
+}
+
+void RequestSession::release_engine() {
+  EngineEntry* entry = engine_ ? context_.engines.find(*engine_) : nullptr;
+  if (entry == nullptr) return;
+  if (entry->in_flight > 0) --entry->in_flight;
+  const bool prefills = step_ == Step::kPrefill || !prefill_engine_;
+  if (prefills && !first_token_seen_) {
+    entry->in_flight_prefill -= std::min(entry->in_flight_prefill, request_.prompt_tokens);
+  }
+}
+
+void RequestSession::on_deadline() {
+  if (ended_) return;
+  const RequestOutcome outcome = progress_.outcome_if_abandoned();
+  abandon_transfer();
+  respond_error({ErrorCode::kDeadline, "the request took longer than is allowed", outcome,
+                 std::nullopt});
+  end(to_text(outcome));
+}
+
+void RequestSession::caller_gone() {
+  if (ended_) return;
+  abandon_transfer();
+  end("caller_gone");
+}
+
+void RequestSession::abandon_transfer() {
+  if (!transfer_) return;
+  // Closing the connection tells the engine; the explicit cancel reaches it also through a queue.
+  context_.http.cancel(*transfer_);
+  transfer_.reset();
+  release_engine();
+  if (request_.plain) return;
+  OutgoingRequest cancel;
+  cancel.method = "POST";
+  cancel.url = "http://" + request_.snapshot->find_engine(*engine_)->address + engine_api::kCancelPath;
+  cancel.body = nlohmann::json{{"attempt", progress_.current_attempt().value()}}.dump();
+  cancel.total_timeout = std::chrono::seconds(2);
+  context_.http.fetch(std::move(cancel), [](const auto&) {});
+}
+
+double RequestSession::tokens_used() const {
+  if (!started_ || progress_.attempts() == 0) return 0;
+  const std::uint32_t output = request_.stream ? progress_.delivered() : request_.max_output_tokens;
+  return static_cast<double>(request_.prompt_tokens) + output;
+}
+
+void RequestSession::end(const std::string& result) {
+  if (std::exchange(ended_, true)) return;
+  timer_.cancel();
+  context_.metrics.count_request(request_.service.value(), result);
+  const auto handler = std::exchange(on_end_, nullptr);
+  if (handler) handler({result, started_, tokens_used()});
+}
+
+}  // namespace shuntbank
--- /dev/null
+++ b/src/platform/object_client.hpp
@@ -0,0 +1,78 @@
+/// @file
+/// The platform's object API as this system uses it: versioned objects with compare-and-set, watches
+/// and the list of machines. docs/design/0002-published-interfaces.md describes it.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+#include <tl/expected.hpp>
+
+#include "common/time.hpp"
+#include "net/http_client.hpp"
+
+namespace shuntbank {
+
+/// An object and its version. Versions only grow.
+struct VersionedValue {
+  std::uint64_t version = 0;
+  nlohmann::json value;
+};
+
+/// Result of a compare-and-set that was answered.
+struct WriteResult {
+  bool applied = false;
+  std::uint64_t version = 0;  ///< Of the object now.
+};
+
+/// Why the platform gave no result.
+enum class PlatformError {
+  kUnavailable,  ///< Down, slow or cut off. A write may have taken effect.
+  kTooManyReaders,
+};
+
+/// One entry of the machine list. The list lags behind the truth.
+struct Machine {
+  std::string name;
+  std::string kind;     ///< `node` or `engine`.
+  std::string address;  ///< Of the cluster interface for nodes, of the engine's API for engines.
+  bool leaving = false;
+};
+
+/// Calls to the platform.
+class ObjectClient {
+ public:
+  ObjectClient(HttpClient& http, std::string address);
+
+  /// Reads one object; nothing when it does not exist.
+  using ReadHandler =
+      std::function<void(tl::expected<std::optional<VersionedValue>, PlatformError>)>;
+  void read(const std::string& key, ReadHandler handler);
+
+  /// Waits until the object's version is beyond `from`, or for `kWatchTime`; then as `read`.
+  void watch(const std::string& key, std::uint64_t from, ReadHandler handler);
+
+  /// Replaces the object if its version is `expected_version`; zero: if it does not exist.
+  using WriteHandler = std::function<void(tl::expected<WriteResult, PlatformError>)>;
+  void write(const std::string& key, std::uint64_t expected_version, const nlohmann::json& value,
+             WriteHandler handler);
+
+  /// Reads the machine list.
+  using MachinesHandler = std::function<void(tl::expected<std::vector<Machine>, PlatformError>)>;
+  void list_machines(MachinesHandler handler);
+
+  /// How long a watch waits before it answers that nothing has changed.
+  static constexpr Duration kWatchTime = std::chrono::seconds(20);
+
+ private:
+  void read_url(const std::string& url, Duration timeout, ReadHandler handler);
+
+  HttpClient& http_;
+  std::string base_;
+};
+
+}  // namespace shuntbank
--- /dev/null
+++ b/src/standin/engine_emulator.hpp
@@ -0,0 +1,173 @@
+/// @file
+/// A model engine without I/O: continuous batching with a cost model, a bounded prefix cache,
+/// fenced orders and an execution log. The stand-in process serves it over HTTP; the simulation runs
+/// hundreds of them.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "common/identifiers.hpp"
+#include "common/time.hpp"
+#include "core/lease/order.hpp"
+#include "core/roles/engine_controller.hpp"
+#include "core/routing/engine_table.hpp"
+#include "core/routing/prefix_cache.hpp"
+
+namespace shuntbank {
+
+/// The cost model. A step of the batch takes
+/// `step_base + step_per_sequence * sequences + prefill tokens in it / prefill_tokens_per_second`.
+struct EngineCosts {
+  Duration step_base = std::chrono::milliseconds(18);
+  Duration step_per_sequence = std::chrono::microseconds(400);
+  double prefill_tokens_per_second = 8000;
+  std::uint64_t mixed_chunk_tokens = 512;     ///< Most prefill tokens in a step beside decoding.
+  std::uint64_t prefill_chunk_tokens = 4096;  ///< Most prefill tokens in a step of the prefill role.
+  std::size_t max_batch = 48;                 ///< Sequences that decode at once.
+  std::size_t max_waiting = 512;              ///< Requests beyond this are refused.
+  std::size_t cache_blocks = 2048;            ///< Prefix blocks that are kept.
+  double import_tokens_per_second = 400'000;  ///< KV import from another engine.
+  Duration role_change_time = std::chrono::seconds(4);
+  Duration model_load_time = std::chrono::seconds(2);
+};
+
+/// Which part of a request a job runs.
+enum class JobPart {
+  kWhole,
+  kPrefillOnly,  ///< Prefill, then hold the KV cache for export.
+  kDecodeOnly,   ///< Import the KV cache, then decode.
+};
+
+/// One attempt of one request.
+struct EngineJob {
+  RequestId request;
+  AttemptId attempt;
+  JobPart part = JobPart::kWhole;
+  std::string model;  ///< With `:adapter` where one is asked for; empty for a plain service.
+  std::uint64_t prompt_tokens = 1;
+  std::vector<std::uint64_t> blocks;  ///< Prefix blocks of the prompt.
+  std::uint32_t output_tokens = 1;
+  std::uint32_t resume_from = 0;  ///< Tokens that the caller has already.
+  std::int32_t priority = 0;
+};
+
+/// Whether a job was taken.
+enum class SubmitResult { kAccepted, kNotAccepting, kChanging, kUnknownModel, kFull };
+
+/// @return the name of `result` in the engine's error replies.
+const char* to_text(SubmitResult result);
+
+/// Something that happened to a job.
+struct EngineEvent {
+  enum class Kind { kToken, kPrefilled, kFinished, kCut };
+  Kind kind = Kind::kToken;
+  AttemptId attempt;
+  std::uint32_t index = 0;  ///< Of the token.
+};
+
+/// One line of the execution log: ground truth for tests.
+struct Execution {
+  enum class End { kRunning, kFinished, kCancelled, kCut };
+  RequestId request;
+  AttemptId attempt;
+  MonotonicTime started{};
+  MonotonicTime ended{};
+  End end = End::kRunning;
+};
+
+/// @return the name of `end` in the execution log.
+const char* to_text(Execution::End end);
+
+/// One line of the order history.
+struct OrderHistoryEntry {
+  EngineOrder order;
+  OrderVerdict verdict = OrderVerdict::kAccepted;
+};
+
+/// A change of the prefix cache. Numbered; a reader that misses a number has a gap.
+struct CacheEvent {
+  std::uint64_t number = 0;
+  bool inserted = true;
+  std::vector<std::uint64_t> blocks;
+};
+
+/// One engine.
+class EngineEmulator {
+ public:
+  EngineEmulator(const EngineCosts& costs, std::vector<ModelSpec> preloaded);
+
+  SubmitResult submit(MonotonicTime now, const EngineJob& job);
+
+  /// Ends a job. @return whether it was there.
+  bool cancel(MonotonicTime now, const AttemptId& attempt);
+
+  OrderVerdict claim(Fence fence);
+  OrderVerdict order(MonotonicTime now, const EngineOrder& order);
+
+  EngineState state() const;
+  LoadReport load() const;
+
+  /// Advances time. @return what happened, in order.
+  std::vector<EngineEvent> advance(MonotonicTime now);
+
+  /// @return when something happens next, if nothing else comes in.
+  std::optional<MonotonicTime> next_time() const;
+
+  /// The process crashed and started again: jobs, cache, fence and a change under way are gone.
+  /// The execution log and order history stay, since they are the observer's and not the engine's.
+  void restart(MonotonicTime now);
+
+  const std::vector<Execution>& executions() const { return executions_; }
+  const std::vector<OrderHistoryEntry>& order_history() const { return order_history_; }
+  const std::deque<CacheEvent>& cache_events() const { return cache_events_; }
+
+  /// @return jobs that a change of role or models cut. A correct controller causes none.
+  std::uint64_t cut_by_change() const { return cut_by_change_; }
+
+  /// @return changes of role that were completed.
+  std::uint64_t role_changes() const { return role_changes_; }
+
+ private:
+  struct Running {
+    EngineJob job;
+    std::size_t execution = 0;       ///< Index in the log.
+    double prefill_left = 0;         ///< Tokens.
+    std::uint32_t next_index = 0;
+    MonotonicTime importing_until{};
+  };
+
+  bool holds_model(const std::string& name) const;
+  void begin_step(MonotonicTime now);
+  void end_step(std::vector<EngineEvent>& events);
+  void finish_prefill(Running& running, std::vector<EngineEvent>& events);
+  void end_job(const AttemptId& attempt, MonotonicTime now, Execution::End end);
+  void cut_all(MonotonicTime now, std::vector<EngineEvent>& events);
+  void start_change(MonotonicTime now, const DesiredState& desired);
+  void note_cached(const std::vector<std::uint64_t>& blocks);
+  double chunk_tokens() const;
+
+  EngineCosts costs_;
+  std::vector<ModelSpec> preloaded_;
+  OrderGate gate_;
+  DesiredState in_force_;
+  std::optional<MonotonicTime> change_ends_;
+  std::vector<EngineEvent> pending_events_;
+  std::deque<Running> waiting_;    ///< Prefill to do or KV cache to import.
+  std::vector<Running> decoding_;  ///< In the batch.
+  std::optional<MonotonicTime> step_ends_;
+  double step_prefill_ = 0;
+  PrefixCache cache_;
+  std::deque<CacheEvent> cache_events_;
+  std::uint64_t last_cache_event_ = 0;
+  std::vector<Execution> executions_;
+  std::vector<OrderHistoryEntry> order_history_;
+  std::uint64_t cut_by_change_ = 0;
+  std::uint64_t role_changes_ = 0;
+};
+
+}  // namespace shuntbank
--- /dev/null
+++ b/src/standin/engine_standin.hpp
@@ -0,0 +1,90 @@
+/// @file
+/// The engine stand-in process: the emulator, or a plain service, behind the published interface.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+#include "net/http_client.hpp"
+#include "net/http_server.hpp"
+#include "standin/engine_emulator.hpp"
+
+namespace shuntbank {
+
+/// Settings of one engine stand-in.
+struct EngineStandinSettings {
+  HttpServerSettings server;
+  bool plain = false;
+  std::vector<ModelSpec> preloaded;
+  EngineCosts costs;
+  double time_scale = 1.0;  ///< Emulated seconds in a second.
+  Duration load_lag = std::chrono::milliseconds(200);    ///< Age of load reports.
+  Duration cache_event_lag = std::chrono::milliseconds(500);
+  double cache_event_loss = 0.02;  ///< Share of cache events that are never published.
+  Duration plain_service_time = std::chrono::milliseconds(3);
+  std::uint64_t seed = 1;
+};
+
+/// Faults that tests switch on at run time by `POST /faults`.
+struct EngineFaults {
+  bool refuse_requests = false;     ///< Refuse every request, saying that it did not run.
+  bool drop_after_accept = false;   ///< Run the request, then close without an answer.
+  bool wrong_attempt_id = false;    ///< Mark chunks with another attempt's id.
+  bool crash_in_next_change = false;  ///< Forget everything halfway through the next change.
+  Duration reply_delay{0};
+};
+
+/// One engine process.
+class EngineStandin {
+ public:
+  EngineStandin(asio::io_context& loop, const EngineStandinSettings& settings);
+  ~EngineStandin();
+  EngineStandin(const EngineStandin&) = delete;
+  EngineStandin& operator=(const EngineStandin&) = delete;
+
+  asio::ip::tcp::endpoint local_endpoint() const { return server_->local_endpoint(); }
+
+ private:
+  struct Answer;
+  using Responder = std::shared_ptr<HttpResponder>;
+
+  void handle(HttpRequest request, const Responder& responder);
+  void handle_control(const HttpRequest& request, const Responder& responder);
+  void handle_completion(const HttpRequest& request, const Responder& responder);
+  void handle_plain(const HttpRequest& request, const Responder& responder);
+  void handle_faults(const HttpRequest& request, const Responder& responder);
+  void submit(const std::shared_ptr<Answer>& answer, const EngineJob& job);
+  void refuse(const Responder& responder, const std::string& code);
+  void reply_state(const Responder& responder, int status);
+  void deliver(const EngineEvent& event);
+  void send_token(Answer& answer, std::uint32_t index);
+  void finish(Answer& answer);
+  void run_emulator();
+  void schedule();
+  void sample_load();
+  std::string load_header() const;
+  nlohmann::json executions_json() const;
+  nlohmann::json cache_events_json(std::uint64_t after) const;
+  MonotonicTime emulated_now() const;
+
+  asio::io_context& loop_;
+  EngineStandinSettings settings_;
+  EngineFaults faults_;
+  MonotonicTime started_;
+  EngineEmulator emulator_;
+  std::vector<Execution> plain_executions_;
+  std::map<AttemptId, std::shared_ptr<Answer>> answers_;
+  asio::steady_timer timer_;
+  asio::steady_timer load_timer_;
+  LoadReport lagging_load_;
+  HttpClient http_;
+  std::unique_ptr<HttpServer> server_;
+};
+
+}  // namespace shuntbank
--- /dev/null
+++ b/src/standin/platform_standin.hpp
@@ -0,0 +1,87 @@
+/// @file
+/// The platform stand-in: versioned objects with compare-and-set and watches, a lagging machine
+/// list and a weight store with a rate limit. Faults are switched on at run time.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+#include "common/time.hpp"
+#include "net/http_server.hpp"
+
+namespace shuntbank {
+
+/// Settings of the platform stand-in.
+struct PlatformStandinSettings {
+  HttpServerSettings server;
+  std::uint64_t max_watches = 16;  ///< Further readers are refused with 429.
+  Duration machine_list_lag = std::chrono::seconds(2);
+  double weight_reads_per_second = 5;
+};
+
+/// Faults that tests switch on by `POST /faults`.
+struct PlatformFaults {
+  bool down = false;                 ///< Answers 503 to everything but `/faults` and `/stats`.
+  Duration delay{0};                 ///< Before each answer.
+  std::uint64_t lose_write_answers = 0;  ///< So many writes take effect and get no answer.
+  bool stale_machines = false;       ///< The machine list stops moving.
+};
+
+/// One platform process.
+class PlatformStandin {
+ public:
+  PlatformStandin(asio::io_context& loop, const PlatformStandinSettings& settings);
+  ~PlatformStandin();
+  PlatformStandin(const PlatformStandin&) = delete;
+  PlatformStandin& operator=(const PlatformStandin&) = delete;
+
+  asio::ip::tcp::endpoint local_endpoint() const { return server_->local_endpoint(); }
+
+ private:
+  using Responder = std::shared_ptr<HttpResponder>;
+  struct Object {
+    std::uint64_t version = 0;
+    nlohmann::json value;
+  };
+  struct Watch {
+    std::string key;
+    std::uint64_t from = 0;
+    Responder responder;
+    std::shared_ptr<asio::steady_timer> timer;
+  };
+
+  void handle(HttpRequest request, const Responder& responder);
+  void dispatch(const HttpRequest& request, const Responder& responder);
+  void handle_object(const HttpRequest& request, const Responder& responder);
+  void write_object(const HttpRequest& request, const Responder& responder);
+  void handle_watch(const HttpRequest& request, const Responder& responder);
+  void handle_machines(const HttpRequest& request, const Responder& responder);
+  void handle_weights(const Responder& responder);
+  void handle_faults(const HttpRequest& request, const Responder& responder);
+  void answer_watches(const std::string& key);
+  void cut_watches();
+  void reply_object(const std::string& key, const Responder& responder);
+
+  asio::io_context& loop_;
+  PlatformStandinSettings settings_;
+  PlatformFaults faults_;
+  std::map<std::string, Object> objects_;
+  std::uint64_t last_version_ = 0;
+  std::list<Watch> watches_;
+  nlohmann::json machines_ = nlohmann::json::object();          ///< The truth.
+  nlohmann::json published_machines_ = nlohmann::json::object();  ///< What readers see.
+  double weight_tokens_ = 0;
+  MonotonicTime weight_filled_at_;
+  std::map<std::string, std::uint64_t> counts_;  ///< Requests by method and path.
+  std::unique_ptr<HttpServer> server_;
+};
+
+}  // namespace shuntbank
