--- a/src/apps/shuntbank_standin.cpp
+++ b/src/apps/shuntbank_standin.cpp
@@ -1,11 +1,10 @@
 /// @file
 /// The stand-in program: one platform or one engine a process.
 
+#include <asio/signal_set.hpp>
 #include <csignal>
 #include <iostream>
 
-#include <asio/signal_set.hpp>
-
 #include "common/log.hpp"
 #include "config/option_set.hpp"
 #include "net/address.hpp"
--- a/src/apps/shuntbankd.cpp
+++ b/src/apps/shuntbankd.cpp
@@ -1,11 +1,10 @@
 /// @file
 /// The node program.
 
+#include <asio/signal_set.hpp>
 #include <csignal>
 #include <iostream>
 
-#include <asio/signal_set.hpp>
-
 #include "common/log.hpp"
 #include "node/node.hpp"
 
@@ -31,8 +30,8 @@
 int main_checked(const std::vector<std::string>& arguments) {
   NodeSettings settings;
   OptionSet options = node_options(settings);
-  const OptionsOutcome outcome = options.read(arguments, std::cout, std::cerr,
-                                              [&] { return check_node_settings(settings); });
+  const OptionsOutcome outcome =
+      options.read(arguments, std::cout, std::cerr, [&] { return check_node_settings(settings); });
   if (!outcome.run) return static_cast<int>(outcome.code);
   return run_node(settings);
 }
--- a/src/bench/commands.cpp
+++ b/src/bench/commands.cpp
@@ -33,8 +33,7 @@
 
 }  // namespace
 
-ExitCode run_bench(std::vector<std::string> arguments, std::ostream& output,
-                   std::ostream& errors) {
+ExitCode run_bench(std::vector<std::string> arguments, std::ostream& output, std::ostream& errors) {
   const std::string name = arguments.empty() ? "" : arguments.front();
   if (name == "--help") {
     print_usage(output);
--- a/src/bench/load_command.cpp
+++ b/src/bench/load_command.cpp
@@ -47,7 +47,8 @@
   table.add({"whole answers", std::to_string(card.whole)});
   table.add({"crossed answers", std::to_string(card.crossed)});
   table.add({"cut answers", std::to_string(card.cut)});
-  for (const auto& [error, count] : card.errors) table.add({"error " + error, std::to_string(count)});
+  for (const auto& [error, count] : card.errors)
+    table.add({"error " + error, std::to_string(count)});
   table.add({"goodput", rate(card.goodput())});
   for (const double q : {0.5, 0.95, 0.99}) {
     const std::string name = "p" + std::to_string(static_cast<int>(q * 100));
@@ -67,11 +68,13 @@
   bool strict = false;
   OptionSet options("shuntbank-bench load [options]");
   options.add_texts("target", settings.targets, "IP:PORT of a callers' interface.");
-  options.add_texts("operators", operators, "IP:PORT of an operators' interface, for role changes.");
+  options.add_texts("operators", operators,
+                    "IP:PORT of an operators' interface, for role changes.");
   options.add_text("key", settings.key, "Tenant key.");
   options.require("key");
   options.add_text("model", settings.model, "Model to ask.");
-  options.add_text("service-path", settings.service_path, "Path of a plain service to call instead.");
+  options.add_text("service-path", settings.service_path,
+                   "Path of a plain service to call instead.");
   options.add("phase", "LENGTH:RATE:PROMPT:OUTPUT, tokens. May be repeated.", "",
               [&settings](const std::string& text) -> tl::expected<void, std::string> {
                 const auto phase = parse_phase(text);
--- a/src/bench/load_generator.cpp
+++ b/src/bench/load_generator.cpp
@@ -2,14 +2,13 @@
 
 #include <algorithm>
 #include <array>
+#include <asio/steady_timer.hpp>
 #include <charconv>
 #include <cmath>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
 
-#include <asio/steady_timer.hpp>
-#include <nlohmann/json.hpp>
-
 #include "common/hash.hpp"
 #include "common/units.hpp"
 #include "engine/event_stream.hpp"
@@ -160,8 +159,9 @@
     const json reply = json::parse(call.raw, nullptr, false);
     if (call.status != 200) {
       const bool known = reply.is_object() && reply.contains("error") && reply["error"].is_object();
-      call.error = known ? reply["error"].value("code", "") + "/" + reply["error"].value("outcome", "")
-                         : "status " + std::to_string(call.status);
+      call.error =
+          known ? reply["error"].value("code", "") + "/" + reply["error"].value("outcome", "")
+                : "status " + std::to_string(call.status);
       return;
     }
     call.last_token = monotonic_now();
@@ -209,8 +209,8 @@
       between = (call.last_token - *call.first_token) / (call.output_tokens - 1);
       card_.between_tokens_seconds.push_back(to_seconds(between));
     }
-    const bool good = first <= settings_.first_token_target &&
-                      between <= settings_.between_tokens_target;
+    const bool good =
+        first <= settings_.first_token_target && between <= settings_.between_tokens_target;
     if (good) ++card_.within_targets;
   }
 
@@ -243,7 +243,9 @@
   return values[static_cast<std::size_t>(index)];
 }
 
-LoadReportCard run_load(const LoadSettings& settings) { return LoadRun(settings).run(); }
+LoadReportCard run_load(const LoadSettings& settings) {
+  return LoadRun(settings).run();
+}
 
 tl::expected<LoadPhase, std::string> parse_phase(const std::string& text) {
   std::array<std::string, 4> parts;
--- a/src/bench/load_generator.hpp
+++ b/src/bench/load_generator.hpp
@@ -1,8 +1,10 @@
 /// @file
-/// Open-loop load on a running site: arrivals do not wait for answers. Every answer is compared with
-/// what the stand-in engines must answer, so that a cut, mixed-up or doubled answer is counted.
+/// Open-loop load on a running site: arrivals do not wait for answers. Every answer is compared
+/// with what the stand-in engines must answer, so that a cut, mixed-up or doubled answer is
+/// counted.
 #pragma once
 
+#include <asio/io_context.hpp>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -11,8 +13,6 @@
 #include <string>
 #include <vector>
 
-#include <asio/io_context.hpp>
-
 #include "common/time.hpp"
 #include "net/http_client.hpp"
 
@@ -30,7 +30,7 @@
 struct LoadSettings {
   std::vector<std::string> targets;  ///< `IP:PORT` of callers' interfaces, used in turn.
   std::string key;
-  std::string model;                 ///< Empty: call `service_path` instead.
+  std::string model;  ///< Empty: call `service_path` instead.
   std::string service_path;
   std::vector<LoadPhase> phases;
   bool stream = true;
--- a/src/common/log.cpp
+++ b/src/common/log.cpp
@@ -14,10 +14,9 @@
 constexpr std::array<std::string_view, 7> kAreaNames{"callers",  "cluster", "config", "control",
                                                      "platform", "standin", "process"};
 
-std::array<LogLevel, kAreaNames.size()> area_levels{LogLevel::kInfo, LogLevel::kInfo,
-                                                    LogLevel::kInfo, LogLevel::kInfo,
-                                                    LogLevel::kInfo, LogLevel::kInfo,
-                                                    LogLevel::kInfo};
+std::array<LogLevel, kAreaNames.size()> area_levels{
+    LogLevel::kInfo, LogLevel::kInfo, LogLevel::kInfo, LogLevel::kInfo,
+    LogLevel::kInfo, LogLevel::kInfo, LogLevel::kInfo};
 
 spdlog::logger& output() {
   static const std::shared_ptr<spdlog::logger> logger = [] {
@@ -55,7 +54,10 @@
   return {};
 }
 
-bool is_plain(unsigned char c) { return std::isalnum(c) != 0 || std::string_view("_-.:/@+%,").find(static_cast<char>(c)) != std::string_view::npos; }
+bool is_plain(unsigned char c) {
+  return std::isalnum(c) != 0 ||
+         std::string_view("_-.:/@+%,").find(static_cast<char>(c)) != std::string_view::npos;
+}
 
 }  // namespace
 
--- a/src/common/log.hpp
+++ b/src/common/log.hpp
@@ -5,9 +5,8 @@
 #include <initializer_list>
 #include <string>
 #include <string_view>
-#include <type_traits>
-
 #include <tl/expected.hpp>
+#include <type_traits>
 
 namespace shuntbank {
 
--- a/src/common/time.hpp
+++ b/src/common/time.hpp
@@ -15,7 +15,9 @@
 }
 
 /// @return `duration` in seconds.
-inline double to_seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+inline double to_seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
 
 /// @return `seconds` as a duration, rounded down to a microsecond.
 inline Duration from_seconds(double seconds) {
--- a/src/common/units.hpp
+++ b/src/common/units.hpp
@@ -5,7 +5,6 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
-
 #include <tl/expected.hpp>
 
 #include "common/time.hpp"
--- a/src/config/document.hpp
+++ b/src/config/document.hpp
@@ -5,12 +5,11 @@
 
 #include <compare>
 #include <map>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
-#include <vector>
-
-#include <nlohmann/json.hpp>
 #include <tl/expected.hpp>
+#include <vector>
 
 #include "common/findings.hpp"
 #include "common/identifiers.hpp"
--- a/src/config/field_reader.cpp
+++ b/src/config/field_reader.cpp
@@ -101,8 +101,8 @@
       field->get<std::int64_t>() <= high) {
     return field->get<std::int64_t>();
   }
-  complain(key, "must be a whole number from " + std::to_string(low) + " to " +
-                    std::to_string(high));
+  complain(key,
+           "must be a whole number from " + std::to_string(low) + " to " + std::to_string(high));
   return fallback;
 }
 
@@ -174,7 +174,7 @@
   selector.match_labels = reader.labels("match_labels");
   std::size_t index = 0;
   for (const nlohmann::json& item : reader.items("match_expressions")) {
-    const std::string place = reader.place_of("match_expressions/" + std::to_string(index++));
+    const std::string place = reader.place_of("match_expressions") + "/" + std::to_string(index++);
     selector.match_expressions.push_back(read_expression(item, place, findings_));
   }
   reader.finish();
--- a/src/config/field_reader.hpp
+++ b/src/config/field_reader.hpp
@@ -4,13 +4,12 @@
 #pragma once
 
 #include <cstdint>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
-#include <nlohmann/json.hpp>
-
 #include "common/findings.hpp"
 #include "common/time.hpp"
 #include "config/selector.hpp"
@@ -29,7 +28,8 @@
   /// @return the number within [low, high], or `fallback` when absent or (with a finding) wrong.
   double number(const std::string& key, double fallback, double low, double high);
 
-  /// @return the whole number within [0, high], or `fallback` when absent or (with a finding) wrong.
+  /// @return the whole number within [0, high], or `fallback` when absent or (with a finding)
+  /// wrong.
   std::uint64_t whole(const std::string& key, std::uint64_t fallback, std::uint64_t high);
 
   /// @return the whole number within [low, high], or `fallback`.
--- a/src/config/object_codec.cpp
+++ b/src/config/object_codec.cpp
@@ -112,8 +112,7 @@
   return tenant;
 }
 
-TenantLimits read_limits(const nlohmann::json& item, const std::string& place,
-                         Findings& findings) {
+TenantLimits read_limits(const nlohmann::json& item, const std::string& place, Findings& findings) {
   constexpr std::uint64_t kMaxCount = std::numeric_limits<std::uint32_t>::max();
   constexpr std::uint64_t kMaxTokens = std::numeric_limits<std::int64_t>::max();
   FieldReader reader(item, place, findings);
@@ -158,9 +157,12 @@
 
 const char* to_text(EngineRole role) {
   switch (role) {
-    case EngineRole::kMixed: return "mixed";
-    case EngineRole::kPrefill: return "prefill";
-    case EngineRole::kDecode: return "decode";
+    case EngineRole::kMixed:
+      return "mixed";
+    case EngineRole::kPrefill:
+      return "prefill";
+    case EngineRole::kDecode:
+      return "decode";
   }
   return "mixed";
 }
@@ -174,10 +176,14 @@
 
 const char* to_text(ObjectKind kind) {
   switch (kind) {
-    case ObjectKind::kEngine: return "Engine";
-    case ObjectKind::kService: return "Service";
-    case ObjectKind::kTenant: return "Tenant";
-    case ObjectKind::kPolicy: return "Policy";
+    case ObjectKind::kEngine:
+      return "Engine";
+    case ObjectKind::kService:
+      return "Service";
+    case ObjectKind::kTenant:
+      return "Tenant";
+    case ObjectKind::kPolicy:
+      return "Policy";
   }
   return "Engine";
 }
@@ -195,10 +201,18 @@
   FieldReader reader(spec, place, findings);
   DeclaredObject object;
   switch (kind) {
-    case ObjectKind::kEngine: object = read_engine(name, reader); break;
-    case ObjectKind::kService: object = read_service(name, reader, findings); break;
-    case ObjectKind::kTenant: object = read_tenant(name, reader, findings); break;
-    case ObjectKind::kPolicy: object = read_policy(name, reader, findings); break;
+    case ObjectKind::kEngine:
+      object = read_engine(name, reader);
+      break;
+    case ObjectKind::kService:
+      object = read_service(name, reader, findings);
+      break;
+    case ObjectKind::kTenant:
+      object = read_tenant(name, reader, findings);
+      break;
+    case ObjectKind::kPolicy:
+      object = read_policy(name, reader, findings);
+      break;
   }
   reader.finish();
   return object;
--- a/src/config/object_codec.hpp
+++ b/src/config/object_codec.hpp
@@ -2,9 +2,8 @@
 /// Declared objects from JSON, with every problem reported at its place.
 #pragma once
 
-#include <string>
-
 #include <nlohmann/json.hpp>
+#include <string>
 
 #include "common/findings.hpp"
 #include "config/objects.hpp"
--- a/src/config/objects.hpp
+++ b/src/config/objects.hpp
@@ -53,8 +53,8 @@
 
 /// A stored tenant key: only its hash. Two may be valid at once while a key is rotated.
 struct TenantKey {
-  std::string sha256;                       ///< 64 hexadecimal digits.
-  std::optional<std::int64_t> expires_at;   ///< Seconds since the Unix epoch; none: no end.
+  std::string sha256;                      ///< 64 hexadecimal digits.
+  std::optional<std::int64_t> expires_at;  ///< Seconds since the Unix epoch; none: no end.
 };
 
 /// A caller organisation.
@@ -88,7 +88,8 @@
   std::int32_t priority = 0;  ///< Higher is served first; also decides between two policies.
   LatencyTargets targets;
   double role_change_cost = 1.0;  ///< Goodput-seconds that one role change has to earn back.
-  Duration drain_bound = std::chrono::seconds(30);  ///< Longest wait for a drain before it is put off.
+  Duration drain_bound =
+      std::chrono::seconds(30);  ///< Longest wait for a drain before it is put off.
 };
 
 enum class ObjectKind { kEngine, kService, kTenant, kPolicy };
--- a/src/config/option_set.cpp
+++ b/src/config/option_set.cpp
@@ -52,9 +52,10 @@
   add_flag("version", version_, "Print the version and exit.");
   add_flag("check-settings", check_settings_, "Check all options and settings and exit.");
   add_text("settings", settings_path_, "File of settings, one OPTION = VALUE a line.");
-  add("log-level", "Log level, and levels of areas: LEVEL[,AREA=LEVEL...]; levels debug, info, "
-                   "warning, error, off; areas callers, cluster, config, control, platform, "
-                   "standin, process.",
+  add("log-level",
+      "Log level, and levels of areas: LEVEL[,AREA=LEVEL...]; levels debug, info, "
+      "warning, error, off; areas callers, cluster, config, control, platform, "
+      "standin, process.",
       "info", [](const std::string& text) { return set_log_levels(text); });
 }
 
@@ -96,14 +97,14 @@
   });
 }
 
-void OptionSet::add_duration(const std::string& name, Duration& target, Duration low,
-                             Duration high, const std::string& help) {
+void OptionSet::add_duration(const std::string& name, Duration& target, Duration low, Duration high,
+                             const std::string& help) {
   add(name, help, format_duration(target),
       [&target, low, high](const std::string& text) -> tl::expected<void, std::string> {
         const auto parsed = parse_duration(text);
         if (parsed && (*parsed < low || *parsed > high)) {
-          return tl::make_unexpected("'" + text + "' is not from " + format_duration(low) +
-                                     " to " + format_duration(high));
+          return tl::make_unexpected("'" + text + "' is not from " + format_duration(low) + " to " +
+                                     format_duration(high));
         }
         return store(target, parsed);
       });
@@ -131,7 +132,9 @@
   options_.back().is_flag = true;
 }
 
-void OptionSet::require(const std::string& name) { find(name)->required = true; }
+void OptionSet::require(const std::string& name) {
+  find(name)->required = true;
+}
 
 void OptionSet::accept_words(std::vector<std::string>& target, const std::string& help) {
   words_ = &target;
--- a/src/config/option_set.hpp
+++ b/src/config/option_set.hpp
@@ -7,9 +7,8 @@
 #include <iosfwd>
 #include <string>
 #include <string_view>
-#include <vector>
-
 #include <tl/expected.hpp>
+#include <vector>
 
 #include "common/findings.hpp"
 #include "common/time.hpp"
@@ -27,7 +26,7 @@
 
 /// What a program does after its options were read.
 struct OptionsOutcome {
-  bool run = false;                       ///< False: exit with `code` at once.
+  bool run = false;  ///< False: exit with `code` at once.
   ExitCode code = ExitCode::kSuccess;
 };
 
@@ -45,7 +44,8 @@
            Setter setter);
 
   void add_text(const std::string& name, std::string& target, const std::string& help);
-  void add_texts(const std::string& name, std::vector<std::string>& target, const std::string& help);
+  void add_texts(const std::string& name, std::vector<std::string>& target,
+                 const std::string& help);
   void add_whole(const std::string& name, std::uint64_t& target, std::uint64_t low,
                  std::uint64_t high, const std::string& help);
   void add_number(const std::string& name, double& target, double low, double high,
--- a/src/config/selector.cpp
+++ b/src/config/selector.cpp
@@ -13,10 +13,14 @@
            expression.values.end();
   };
   switch (expression.op) {
-    case SelectorOperator::kIn: return exists && listed();
-    case SelectorOperator::kNotIn: return !exists || !listed();
-    case SelectorOperator::kExists: return exists;
-    case SelectorOperator::kDoesNotExist: return !exists;
+    case SelectorOperator::kIn:
+      return exists && listed();
+    case SelectorOperator::kNotIn:
+      return !exists || !listed();
+    case SelectorOperator::kExists:
+      return exists;
+    case SelectorOperator::kDoesNotExist:
+      return !exists;
   }
   return false;
 }
@@ -28,8 +32,9 @@
     const auto label = labels.find(key);
     if (label == labels.end() || label->second != value) return false;
   }
-  return std::all_of(match_expressions.begin(), match_expressions.end(),
-                     [&](const SelectorExpression& expression) { return meets(expression, labels); });
+  return std::all_of(
+      match_expressions.begin(), match_expressions.end(),
+      [&](const SelectorExpression& expression) { return meets(expression, labels); });
 }
 
 }  // namespace shuntbank
--- a/src/config/snapshot.cpp
+++ b/src/config/snapshot.cpp
@@ -41,7 +41,9 @@
     case ObjectKind::kTenant:
       tenants_.emplace(TenantName(key.name), std::get<Tenant>(std::move(object)));
       break;
-    case ObjectKind::kPolicy: policies_.push_back(std::get<Policy>(std::move(object))); break;
+    case ObjectKind::kPolicy:
+      policies_.push_back(std::get<Policy>(std::move(object)));
+      break;
   }
 }
 
@@ -70,9 +72,8 @@
     index_models(service, findings);
   }
   index_keys(findings);
-  std::stable_sort(policies_.begin(), policies_.end(), [](const Policy& a, const Policy& b) {
-    return a.priority > b.priority;
-  });
+  std::stable_sort(policies_.begin(), policies_.end(),
+                   [](const Policy& a, const Policy& b) { return a.priority > b.priority; });
 }
 
 void Snapshot::index_models(const Service& service, Findings& findings) {
@@ -96,9 +97,8 @@
     for (const TenantKey& key : tenant.keys) {
       const std::string bucket = key.sha256.substr(0, kBucketDigits);
       const auto [first, last] = keys_.equal_range(bucket);
-      const bool taken = std::any_of(first, last, [&key](const auto& entry) {
-        return entry.second.key.sha256 == key.sha256;
-      });
+      const bool taken = std::any_of(
+          first, last, [&key](const auto& entry) { return entry.second.key.sha256 == key.sha256; });
       if (taken) findings.add("Tenant/" + name.value() + "/keys", "holds a key that is in use");
       keys_.emplace(bucket, KeyOwner{name, key});
     }
--- a/src/config/snapshot.hpp
+++ b/src/config/snapshot.hpp
@@ -6,11 +6,10 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <tl/expected.hpp>
 #include <unordered_map>
 #include <vector>
 
-#include <tl/expected.hpp>
-
 #include "common/findings.hpp"
 #include "common/identifiers.hpp"
 #include "config/document.hpp"
--- a/src/core/admission/tenant_limiter.cpp
+++ b/src/core/admission/tenant_limiter.cpp
@@ -18,7 +18,9 @@
 }
 
 /// A bucket holds at least one request, however small the share of the limit.
-double bucket_size(double rate, double least) { return std::max(rate * kBurstSeconds, least); }
+double bucket_size(double rate, double least) {
+  return std::max(rate * kBurstSeconds, least);
+}
 
 Duration time_until(double missing, double rate) {
   return rate <= 0 ? std::chrono::minutes(1) : from_seconds(missing / rate);
@@ -58,8 +60,8 @@
     const double rate = rate_per_second(static_cast<double>(limits.tokens_per_minute), share_);
     return LimitRefusal{LimitKind::kTokenRate, time_until(1.0 - account.tokens, rate)};
   }
-  account.requests -= 1.0;
-  account.tokens -= estimated_tokens;
+  if (limits.requests_per_minute > 0) account.requests -= 1.0;
+  if (limits.tokens_per_minute > 0) account.tokens -= estimated_tokens;
   ++account.in_flight;
   return std::nullopt;
 }
--- a/src/core/configuration/config_replica.hpp
+++ b/src/core/configuration/config_replica.hpp
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <memory>
-
 #include <tl/expected.hpp>
 
 #include "common/findings.hpp"
--- a/src/core/lease/lease_holder.cpp
+++ b/src/core/lease/lease_holder.cpp
@@ -89,7 +89,9 @@
   next_poll_ = now + settings_.renew_every;
 }
 
-void LeaseHolder::resign() { epoch_.reset(); }
+void LeaseHolder::resign() {
+  epoch_.reset();
+}
 
 std::optional<Fence> LeaseHolder::authority(MonotonicTime now) const {
   if (!epoch_ || now >= act_until_) return std::nullopt;
--- a/src/core/membership/membership.cpp
+++ b/src/core/membership/membership.cpp
@@ -27,7 +27,9 @@
 
 }  // namespace
 
-const char* to_text(MemberState state) { return kStateNames.at(static_cast<std::size_t>(state)); }
+const char* to_text(MemberState state) {
+  return kStateNames.at(static_cast<std::size_t>(state));
+}
 
 std::optional<MemberState> parse_member_state(const std::string& text) {
   for (std::size_t i = 0; i < kStateNames.size(); ++i) {
@@ -154,7 +156,9 @@
   if (found != members_.end()) found->second.awaiting_since.reset();
 }
 
-void Membership::hint(const std::vector<std::string>& addresses) { hints_ = addresses; }
+void Membership::hint(const std::vector<std::string>& addresses) {
+  hints_ = addresses;
+}
 
 void Membership::leave() {
   self_.state = MemberState::kLeaving;
--- a/src/core/membership/membership.hpp
+++ b/src/core/membership/membership.hpp
@@ -41,7 +41,7 @@
 struct MembershipSettings {
   Duration heartbeat_every = std::chrono::milliseconds(500);
   Duration answer_within = std::chrono::milliseconds(400);  ///< Else the member is suspect.
-  Duration suspect_for = std::chrono::seconds(3);  ///< Time to refute before a suspect is dead.
+  Duration suspect_for = std::chrono::seconds(3);   ///< Time to refute before a suspect is dead.
   Duration forget_after = std::chrono::minutes(5);  ///< Dead members are forgotten after this.
   std::size_t facts_per_message = 6;
 };
@@ -117,7 +117,6 @@
   std::vector<NodeId> round_;  ///< Members still to be tried in this round, in random order.
   std::vector<std::string> hints_;
   MonotonicTime next_heartbeat_{};
-  int self_sends_left_ = 0;
   std::uint64_t changes_ = 0;
 };
 
--- a/src/core/requests/retry_budget.hpp
+++ b/src/core/requests/retry_budget.hpp
@@ -10,7 +10,8 @@
 class RetryBudget {
  public:
   /// @param share retries for each request, such as 0.1.
-  /// @param reserve retries that are allowed without any request before, and the most that is saved.
+  /// @param reserve retries that are allowed without any request before, and the most that is
+  /// saved.
   RetryBudget(double share, double reserve) : share_(share), reserve_(reserve), saved_(reserve) {}
 
   /// Counts a first dispatch.
--- a/src/core/roles/engine_controller.cpp
+++ b/src/core/roles/engine_controller.cpp
@@ -13,10 +13,13 @@
 Availability availability_of(ControlPhase phase, bool answers) {
   if (!answers) return Availability::kDown;
   switch (phase) {
-    case ControlPhase::kDraining: return Availability::kDraining;
-    case ControlPhase::kChanging: return Availability::kChanging;
+    case ControlPhase::kDraining:
+      return Availability::kDraining;
+    case ControlPhase::kChanging:
+      return Availability::kChanging;
     case ControlPhase::kUnclaimed:
-    case ControlPhase::kSteady: break;
+    case ControlPhase::kSteady:
+      break;
   }
   return Availability::kServing;
 }
@@ -31,10 +34,14 @@
 
 const char* to_text(ControlPhase phase) {
   switch (phase) {
-    case ControlPhase::kUnclaimed: return "unclaimed";
-    case ControlPhase::kSteady: return "steady";
-    case ControlPhase::kDraining: return "draining";
-    case ControlPhase::kChanging: return "changing";
+    case ControlPhase::kUnclaimed:
+      return "unclaimed";
+    case ControlPhase::kSteady:
+      return "steady";
+    case ControlPhase::kDraining:
+      return "draining";
+    case ControlPhase::kChanging:
+      return "changing";
   }
   return "unclaimed";
 }
@@ -177,15 +184,19 @@
   if (confirmed && control.phase == ControlPhase::kChanging &&
       in_force(state, control.unconfirmed->desired)) {
     control.phase = ControlPhase::kSteady;
-    if (control.fact && control.fact->role != state.role) ++role_changes_;
   }
   if (!control.unconfirmed && control.phase == ControlPhase::kChanging && !state.changing) {
     control.phase = ControlPhase::kSteady;
   }
   if (confirmed && !state.changing) control.unconfirmed.reset();
+  if (!state.changing) {
+    if (control.settled_role && *control.settled_role != state.role) ++role_changes_;
+    control.settled_role = state.role;
+  }
   const bool moving = control.phase != ControlPhase::kSteady || control.unconfirmed;
   const bool must_act = !moving && !in_force(state, target(control));
-  control.next_at = now + (moving || must_act ? settings_.read_while_changing : settings_.read_every);
+  control.next_at =
+      now + (moving || must_act ? settings_.read_while_changing : settings_.read_every);
   update_fact(engine, control);
 }
 
@@ -234,7 +245,7 @@
 std::vector<EngineController::Line> EngineController::lines() const {
   std::vector<Line> lines;
   for (const auto& [engine, control] : engines_) {
-    const EngineRole role = control.state ? control.state->role
+    const EngineRole role = control.state  ? control.state->role
                             : control.fact ? control.fact->role
                                            : EngineRole::kMixed;
     lines.push_back({engine, control.phase, control.state,
--- a/src/core/roles/engine_controller.hpp
+++ b/src/core/roles/engine_controller.hpp
@@ -21,8 +21,8 @@
 
 /// What an engine says of itself when its state is read.
 struct EngineState {
-  OrderStamp stamp;      ///< Newest claim or order that it holds.
-  DesiredState desired;  ///< As of that order.
+  OrderStamp stamp;                      ///< Newest claim or order that it holds.
+  DesiredState desired;                  ///< As of that order.
   EngineRole role = EngineRole::kMixed;  ///< In force now.
   bool changing = false;                 ///< A change of role or models is under way.
   std::vector<ModelSpec> models;         ///< Loaded now.
@@ -50,11 +50,11 @@
 
 /// Tunables of the control of engines.
 struct ControllerSettings {
-  Duration read_every = std::chrono::seconds(2);           ///< Of an engine at rest.
+  Duration read_every = std::chrono::seconds(2);  ///< Of an engine at rest.
   Duration read_while_changing = std::chrono::milliseconds(250);
-  Duration retry_after = std::chrono::seconds(1);          ///< After a command without an answer.
-  Duration put_off_for = std::chrono::seconds(20);         ///< After a drain that took too long.
-  std::uint32_t down_after = 3;                            ///< Commands without an answer in a row.
+  Duration retry_after = std::chrono::seconds(1);   ///< After a command without an answer.
+  Duration put_off_for = std::chrono::seconds(20);  ///< After a drain that took too long.
+  std::uint32_t down_after = 3;                     ///< Commands without an answer in a row.
 };
 
 /// Where one engine stands.
@@ -120,6 +120,7 @@
   struct Control {
     ControlPhase phase = ControlPhase::kUnclaimed;
     std::optional<EngineState> state;
+    std::optional<EngineRole> settled_role;  ///< In force when the engine was last at rest.
     EngineRole wanted_role = EngineRole::kMixed;
     bool role_is_wanted = false;  ///< The planner has spoken; else the engine keeps its role.
     Sequence sequence = 0;
--- a/src/core/roles/role_assignment.cpp
+++ b/src/core/roles/role_assignment.cpp
@@ -22,18 +22,16 @@
 void move(std::vector<EngineController::Line> lines, EngineRole from, EngineRole to,
           std::uint32_t count, RoleAssignment& assignment) {
   std::erase_if(lines, [from](const auto& line) { return line.wanted != from; });
-  std::stable_sort(lines.begin(), lines.end(), [](const auto& a, const auto& b) {
-    return active_of(a) < active_of(b);
-  });
+  std::stable_sort(lines.begin(), lines.end(),
+                   [](const auto& a, const auto& b) { return active_of(a) < active_of(b); });
   for (std::size_t i = 0; i < std::min<std::size_t>(count, lines.size()); ++i) {
     assignment.roles.push_back({lines[i].engine, to});
   }
 }
 
 std::uint32_t count_wanted(const std::vector<EngineController::Line>& lines, EngineRole role) {
-  return static_cast<std::uint32_t>(
-      std::count_if(lines.begin(), lines.end(),
-                    [role](const auto& line) { return line.wanted == role; }));
+  return static_cast<std::uint32_t>(std::count_if(
+      lines.begin(), lines.end(), [role](const auto& line) { return line.wanted == role; }));
 }
 
 }  // namespace
--- a/src/core/roles/role_planner.cpp
+++ b/src/core/roles/role_planner.cpp
@@ -36,13 +36,15 @@
       smooth(level_.prefill_tokens_per_second, sample.prefill_tokens_per_second, weight);
   level_.decode_tokens_per_second =
       smooth(level_.decode_tokens_per_second, sample.decode_tokens_per_second, weight);
-  const auto slope = [elapsed](double now_level, double then) { return (now_level - then) / elapsed; };
-  trend_.prefill_tokens_per_second = smooth(
-      trend_.prefill_tokens_per_second,
-      slope(level_.prefill_tokens_per_second, before.prefill_tokens_per_second), weight);
-  trend_.decode_tokens_per_second = smooth(
-      trend_.decode_tokens_per_second,
-      slope(level_.decode_tokens_per_second, before.decode_tokens_per_second), weight);
+  const auto slope = [elapsed](double now_level, double then) {
+    return (now_level - then) / elapsed;
+  };
+  trend_.prefill_tokens_per_second =
+      smooth(trend_.prefill_tokens_per_second,
+             slope(level_.prefill_tokens_per_second, before.prefill_tokens_per_second), weight);
+  trend_.decode_tokens_per_second =
+      smooth(trend_.decode_tokens_per_second,
+             slope(level_.decode_tokens_per_second, before.decode_tokens_per_second), weight);
 }
 
 DemandSample RolePlanner::forecast() const {
@@ -59,8 +61,8 @@
   const auto share = [](double capacity, double wanted) {
     return wanted <= 0 ? 1.0 : std::min(1.0, kUsableShare * capacity / wanted);
   };
-  const double prefill_share = share(prefill * settings_.prefill_tokens_per_second,
-                                     demand.prefill_tokens_per_second);
+  const double prefill_share =
+      share(prefill * settings_.prefill_tokens_per_second, demand.prefill_tokens_per_second);
   const double decode_share =
       share(decode * settings_.decode_tokens_per_second, demand.decode_tokens_per_second);
   return std::min(prefill_share, decode_share);
@@ -78,12 +80,14 @@
     const std::uint32_t changes =
         prefill > prefill_now ? prefill - prefill_now : prefill_now - prefill;
     if (changes == 0) continue;
-    // Gains and costs are in engine-seconds of goodput: a share times the whole fleet times seconds.
+    // Gains and costs are in engine-seconds of goodput: a share times the whole fleet times
+    // seconds.
     const double gain = (served_share(prefill, decode, demand) - served_now) * engines * horizon;
     const double cost = changes * (to_seconds(settings_.change_time) + settings_.role_change_cost);
     if (gain - cost <= best_net) continue;
     best_net = gain - cost;
-    best = {prefill, decode, gain, cost, prefill > prefill_now ? "prefill is short" : "decode is short"};
+    best = {prefill, decode, gain, cost,
+            prefill > prefill_now ? "prefill is short" : "decode is short"};
   }
   return best;
 }
--- a/src/core/roles/role_planner.hpp
+++ b/src/core/roles/role_planner.hpp
@@ -17,8 +17,8 @@
 
 /// Speeds of one engine and the price of a change.
 struct PlannerSettings {
-  double prefill_tokens_per_second = 8000;  ///< Of an engine in the prefill role.
-  double decode_tokens_per_second = 1600;   ///< Of an engine in the decode role.
+  double prefill_tokens_per_second = 8000;         ///< Of an engine in the prefill role.
+  double decode_tokens_per_second = 1600;          ///< Of an engine in the decode role.
   Duration change_time = std::chrono::seconds(4);  ///< An engine is away for so long.
   Duration trend_time = std::chrono::seconds(5);   ///< Smoothing of demand.
   Duration horizon = std::chrono::seconds(20);     ///< A change has to pay within this time.
@@ -51,7 +51,8 @@
   DemandSample forecast() const;
 
   /// @return the share of the demand that a split can serve, from zero to one.
-  double served_share(std::uint32_t prefill, std::uint32_t decode, const DemandSample& demand) const;
+  double served_share(std::uint32_t prefill, std::uint32_t decode,
+                      const DemandSample& demand) const;
 
  private:
   PlannerSettings settings_;
--- a/src/core/routing/prefix_cache.hpp
+++ b/src/core/routing/prefix_cache.hpp
@@ -1,6 +1,6 @@
 /// @file
-/// What is believed to be in an engine's prefix cache: a bounded set of block hashes, least recently
-/// used out first. A wrong belief costs time only, never correctness.
+/// What is believed to be in an engine's prefix cache: a bounded set of block hashes, least
+/// recently used out first. A wrong belief costs time only, never correctness.
 #pragma once
 
 #include <cstdint>
--- a/src/core/routing/router.cpp
+++ b/src/core/routing/router.cpp
@@ -30,14 +30,17 @@
   if (candidates.empty()) candidates = eligible(now, table, query, false);
   if (candidates.empty()) return std::nullopt;
   switch (settings_.strategy) {
-    case RoutingStrategy::kRoundRobin: return *candidates[next_++ % candidates.size()].id;
-    case RoutingStrategy::kLeastInFlight: return *least_in_flight(candidates).id;
+    case RoutingStrategy::kRoundRobin:
+      return *candidates[next_++ % candidates.size()].id;
+    case RoutingStrategy::kLeastInFlight:
+      return *least_in_flight(candidates).id;
     case RoutingStrategy::kBestOfTwo: {
       const Candidate& first = candidates[random_() % candidates.size()];
       const Candidate& second = candidates[random_() % candidates.size()];
       return *least_in_flight({first, second}).id;
     }
-    case RoutingStrategy::kPrefixAffinity: break;
+    case RoutingStrategy::kPrefixAffinity:
+      break;
   }
   candidates = shortlist(std::move(candidates), query);
   const auto best = std::min_element(
@@ -94,9 +97,10 @@
   const double age = to_seconds(now - entry.reported_at);
   const double fade = std::exp2(-age / to_seconds(settings_.report_half_life));
   const double running = entry.in_flight + fade * entry.others_running;
-  const double queued_prefill =
-      static_cast<double>(entry.in_flight_prefill) + fade * static_cast<double>(entry.others_prefill);
-  const std::size_t hit = query.prefix == nullptr ? 0 : entry.cached_prefixes.longest_match(*query.prefix);
+  const double queued_prefill = static_cast<double>(entry.in_flight_prefill) +
+                                fade * static_cast<double>(entry.others_prefill);
+  const std::size_t hit =
+      query.prefix == nullptr ? 0 : entry.cached_prefixes.longest_match(*query.prefix);
   const double cached = std::min(static_cast<double>(hit) * kTokensPerBlock,
                                  static_cast<double>(query.prompt_tokens));
   const double own_prefill = static_cast<double>(query.prompt_tokens) - cached;
--- a/src/core/routing/router.hpp
+++ b/src/core/routing/router.hpp
@@ -28,14 +28,14 @@
   double wait_per_running_request = 0.004;  ///< Seconds that one more running request adds.
   double other_zone_penalty = 0.002;        ///< Seconds.
   Duration report_half_life = std::chrono::seconds(2);  ///< An old report fades at this rate.
-  std::size_t affinity_candidates = 3;  ///< Engines that a prefix is steered to.
-  std::size_t random_candidates = 2;    ///< Engines that are looked at besides.
+  std::size_t affinity_candidates = 3;                  ///< Engines that a prefix is steered to.
+  std::size_t random_candidates = 2;                    ///< Engines that are looked at besides.
 };
 
 /// A request as the router sees it.
 struct RouteQuery {
   const std::vector<EngineId>* engines = nullptr;  ///< Engines of the service.
-  const std::vector<EngineId>* avoid = nullptr;    ///< Tried already; used only if none else is left.
+  const std::vector<EngineId>* avoid = nullptr;  ///< Tried already; used only if none else is left.
   const std::vector<std::uint64_t>* prefix = nullptr;  ///< Block hashes of the prompt; may be null.
   EngineRole wanted_role = EngineRole::kMixed;
   bool any_role = true;  ///< Plain services: roles mean nothing.
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -127,8 +127,8 @@
   }
   if (answer.status == 409) return ExitCode::kConflict;
   if (answer.status == 422) return ExitCode::kInvalid;
-  context.errors << "not accepted: " << body.value("error", "") << "; changed: "
-                 << body.value("changed", "unknown") << "\n";
+  context.errors << "not accepted: " << body.value("error", "")
+                 << "; changed: " << body.value("changed", "unknown") << "\n";
   return ExitCode::kFailure;
 }
 
@@ -183,8 +183,8 @@
   }
   Table table({"KIND", "NAME", "VERSION"});
   for (const auto& [key, object] : document->objects) {
-    const bool selected = context.options.words.empty() ||
-                          context.options.words.front() == to_text(key.kind);
+    const bool selected =
+        context.options.words.empty() || context.options.words.front() == to_text(key.kind);
     if (object.removed || !selected) continue;
     table.add({to_text(key.kind), key.name, std::to_string(object.version)});
   }
@@ -241,16 +241,15 @@
          << (status.value("platform_answers", false) ? "answers" : "does not answer") << "\n\n";
   Table members({"NODE", "ZONE", "STATE", "REVISION"});
   for (const json& member : status["members"]) {
-    const json revision = member.value("revision", json(nullptr));
-    members.add({member["node"], member["zone"], member["state"],
-                 revision.is_null() ? "-" : revision.dump()});
+    members.add({member["node"], member["zone"], member["state"], member["revision"].dump()});
   }
   members.print(output);
   output << "\n";
   Table duties({"SERVICE", "HOLDER", "FENCE", "ROLE CHANGES", "PLAN"});
   for (const json& duty : status["duties"]) {
-    duties.add({duty["service"], duty["holder"], duty.contains("fence") ? duty["fence"].dump() : "-",
-                duty["role_changes"].dump(), duty["plan"]});
+    duties.add({duty["service"], duty["holder"],
+                duty.contains("fence") ? duty["fence"].dump() : "-", duty["role_changes"].dump(),
+                duty["plan"]});
   }
   duties.print(output);
   output << "\n";
@@ -334,7 +333,8 @@
   };
   std::map<std::string, Command> commands;
   commands["apply"] = {"Show the difference and make the declared objects the configuration.",
-                       files_and_node, [](const Context& context) { return run_apply(context, true); }};
+                       files_and_node,
+                       [](const Context& context) { return run_apply(context, true); }};
   commands["diff"] = {"Show what apply would change.", files_and_node,
                       [](const Context& context) { return run_apply(context, false); }};
   commands["validate"] = {"Check declared objects offline.", add_files, run_validate};
@@ -343,16 +343,14 @@
                        define_words(set, options, "[KIND]: only objects of that kind");
                      },
                      run_get};
-  commands["describe"] = {"Print one object.",
-                          [](OptionSet& set, CtlOptions& options) {
-                            define_words(set, options, "KIND/NAME");
-                          },
-                          run_describe};
-  commands["delete"] = {"Remove objects, all or none.",
-                        [](OptionSet& set, CtlOptions& options) {
-                          define_words(set, options, "KIND/NAME ...");
-                        },
-                        run_delete};
+  commands["describe"] = {
+      "Print one object.",
+      [](OptionSet& set, CtlOptions& options) { define_words(set, options, "KIND/NAME"); },
+      run_describe};
+  commands["delete"] = {
+      "Remove objects, all or none.",
+      [](OptionSet& set, CtlOptions& options) { define_words(set, options, "KIND/NAME ..."); },
+      run_delete};
   commands["status"] = {"Show nodes, duties and engines.", add_node, run_status};
   commands["drain"] = {"Make the node leave without cutting a request.", add_node, run_drain};
   commands["tenant-key"] = {
@@ -370,7 +368,8 @@
 
 void print_usage(const std::map<std::string, Command>& commands, std::ostream& output) {
   output << "usage: shuntbankctl COMMAND [options]\n\ncommands (each has --help):\n";
-  for (const auto& [name, command] : commands) output << "  " << name << "\n      " << command.help << "\n";
+  for (const auto& [name, command] : commands)
+    output << "  " << name << "\n      " << command.help << "\n";
   output << "\nexit codes: 0 done, 1 failed, 2 wrong options, 3 edit conflict, 4 invalid objects\n";
 }
 
--- a/src/engine/engine_api.cpp
+++ b/src/engine/engine_api.cpp
@@ -8,7 +8,8 @@
 nlohmann::json models_to_json(const std::vector<ModelSpec>& models) {
   nlohmann::json list = nlohmann::json::array();
   for (const ModelSpec& model : models) {
-    list.push_back({{"name", model.name}, {"version", model.version}, {"adapters", model.adapters}});
+    list.push_back(
+        {{"name", model.name}, {"version", model.version}, {"adapters", model.adapters}});
   }
   return list;
 }
@@ -66,8 +67,9 @@
 }
 
 tl::expected<EngineOrder, std::string> order_from_json(const nlohmann::json& json) {
-  return checked<EngineOrder>(
-      [&] { return EngineOrder{read_stamp(json), read_desired(json.at("desired"))}; });
+  return checked<EngineOrder>([&] {
+    return EngineOrder{read_stamp(json), read_desired(json.at("desired"))};
+  });
 }
 
 nlohmann::json to_json(const EngineState& state) {
--- a/src/engine/engine_api.hpp
+++ b/src/engine/engine_api.hpp
@@ -3,9 +3,8 @@
 /// docs/design/0002-published-interfaces.md describes it.
 #pragma once
 
-#include <string>
-
 #include <nlohmann/json.hpp>
+#include <string>
 #include <tl/expected.hpp>
 
 #include "core/lease/order.hpp"
--- a/src/engine/engine_client.cpp
+++ b/src/engine/engine_client.cpp
@@ -51,9 +51,8 @@
 
 void EngineClient::call(OutgoingRequest request, StateHandler handler) {
   request.total_timeout = kCallTimeout;
-  http_.fetch(std::move(request), [handler = std::move(handler)](const auto& reply) {
-    handler(read_reply(reply));
-  });
+  http_.fetch(std::move(request),
+              [handler = std::move(handler)](const auto& reply) { handler(read_reply(reply)); });
 }
 
 }  // namespace shuntbank
--- a/src/engine/engine_client.hpp
+++ b/src/engine/engine_client.hpp
@@ -4,7 +4,6 @@
 
 #include <functional>
 #include <string>
-
 #include <tl/expected.hpp>
 
 #include "core/roles/engine_controller.hpp"
--- a/src/engine/prompt.hpp
+++ b/src/engine/prompt.hpp
@@ -3,9 +3,8 @@
 #pragma once
 
 #include <cstdint>
-#include <string>
-
 #include <nlohmann/json.hpp>
+#include <string>
 
 #include "common/findings.hpp"
 
@@ -16,7 +15,7 @@
 /// Facts of a checked request body.
 struct PromptFacts {
   std::string model;
-  std::string text;  ///< The whole prompt. Never logged.
+  std::string text;                 ///< The whole prompt. Never logged.
   std::uint64_t prompt_tokens = 1;  ///< Estimated.
   std::uint32_t max_output_tokens = 16;
   bool stream = false;
--- a/src/net/address.hpp
+++ b/src/net/address.hpp
@@ -2,11 +2,10 @@
 /// Network addresses by IP number, as settings and declared objects give them.
 #pragma once
 
+#include <asio/ip/tcp.hpp>
 #include <cstdint>
 #include <string>
 #include <string_view>
-
-#include <asio/ip/tcp.hpp>
 #include <tl/expected.hpp>
 
 namespace shuntbank {
--- a/src/net/datagram_channel.cpp
+++ b/src/net/datagram_channel.cpp
@@ -1,8 +1,7 @@
 #include "net/datagram_channel.hpp"
 
-#include <utility>
-
 #include <asio/buffer.hpp>
+#include <utility>
 
 namespace shuntbank {
 
--- a/src/net/datagram_channel.hpp
+++ b/src/net/datagram_channel.hpp
@@ -3,20 +3,18 @@
 #pragma once
 
 #include <array>
+#include <asio/io_context.hpp>
+#include <asio/ip/udp.hpp>
 #include <functional>
 #include <string>
 #include <string_view>
 
-#include <asio/io_context.hpp>
-#include <asio/ip/udp.hpp>
-
 namespace shuntbank {
 
 /// Sends and receives datagrams on one socket.
 class DatagramChannel {
  public:
-  using Handler =
-      std::function<void(std::string_view text, const asio::ip::udp::endpoint& sender)>;
+  using Handler = std::function<void(std::string_view text, const asio::ip::udp::endpoint& sender)>;
 
   /// Binds at once. @throw std::system_error when the address cannot be had.
   DatagramChannel(asio::io_context& loop, const asio::ip::udp::endpoint& listen, Handler handler);
--- a/src/net/frame_channel.cpp
+++ b/src/net/frame_channel.cpp
@@ -1,13 +1,12 @@
 #include "net/frame_channel.hpp"
 
 #include <array>
-#include <utility>
-#include <vector>
-
 #include <asio/connect.hpp>
 #include <asio/read.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
+#include <utility>
+#include <vector>
 
 namespace shuntbank {
 namespace {
@@ -121,11 +120,9 @@
     connection->limit_time(kServerTimeout);
     connection->read([self = shared_from_this(), connection](auto frame) {
       if (!frame || self->closed_) return connection->close();
-      self->handler_(std::move(*frame), [connection](std::string reply) {
+      self->handler_(std::move(*frame), [connection](const std::string& reply) {
         if (reply.empty()) return connection->close();
-        connection->write(std::move(reply), [connection](const std::error_code&) {
-          connection->close();
-        });
+        connection->write(reply, [connection](const std::error_code&) { connection->close(); });
       });
     });
   }
@@ -142,18 +139,21 @@
   impl_->accept();
 }
 
-FrameServer::~FrameServer() { impl_->close(); }
+FrameServer::~FrameServer() {
+  impl_->close();
+}
 
-asio::ip::tcp::endpoint FrameServer::local_endpoint() const { return impl_->local_endpoint(); }
+asio::ip::tcp::endpoint FrameServer::local_endpoint() const {
+  return impl_->local_endpoint();
+}
 
 void call_frame(asio::io_context& loop, const asio::ip::tcp::endpoint& peer, std::string frame,
                 std::size_t max_frame, Duration timeout,
                 std::function<void(tl::expected<std::string, std::string>)> handler) {
-  auto connection =
-      std::make_shared<FrameConnection>(asio::ip::tcp::socket(loop), max_frame);
+  auto connection = std::make_shared<FrameConnection>(asio::ip::tcp::socket(loop), max_frame);
   connection->limit_time(timeout);
-  auto finish = [connection, handler = std::move(handler)](
-                    tl::expected<std::string, std::string> result) {
+  auto finish = [connection,
+                 handler = std::move(handler)](tl::expected<std::string, std::string> result) {
     connection->close();
     handler(std::move(result));
   };
--- a/src/net/frame_channel.hpp
+++ b/src/net/frame_channel.hpp
@@ -3,12 +3,11 @@
 /// Each call opens a connection, sends one frame and reads one frame.
 #pragma once
 
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
 #include <functional>
 #include <memory>
 #include <string>
-
-#include <asio/io_context.hpp>
-#include <asio/ip/tcp.hpp>
 #include <tl/expected.hpp>
 
 #include "common/time.hpp"
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -3,12 +3,11 @@
 #include <curl/curl.h>
 #include <unistd.h>
 
-#include <unordered_map>
-#include <utility>
-
 #include <asio/posix/stream_descriptor.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
+#include <unordered_map>
+#include <utility>
 
 namespace shuntbank {
 namespace {
@@ -90,7 +89,8 @@
     const std::shared_ptr<Transfer> transfer = found->second;
     transfer->cancelled = true;
     transfers_.erase(found);
-    // libcurl forbids removal from inside its callbacks, so it happens on the next turn of the loop.
+    // libcurl forbids removal from inside its callbacks, so it happens on the next turn of the
+    // loop.
     asio::post(loop_, [self = shared_from_this(), transfer] {
       if (self->closed_) return;
       curl_multi_remove_handle(self->multi_, transfer->easy);
@@ -140,7 +140,8 @@
   }
 
   static long milliseconds(Duration duration) {
-    return static_cast<long>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+    return static_cast<long>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
   }
 
   static void set_method(Transfer& transfer) {
@@ -195,7 +196,8 @@
   static void tell_headers(Transfer& transfer) {
     if (transfer.headers_told || transfer.cancelled) return;
     transfer.headers_told = true;
-    if (transfer.handlers.on_headers) transfer.handlers.on_headers(transfer.status, transfer.headers);
+    if (transfer.handlers.on_headers)
+      transfer.handlers.on_headers(transfer.status, transfer.headers);
   }
 
   static std::size_t on_body(char* bytes, std::size_t size, std::size_t count, void* data) {
@@ -298,7 +300,8 @@
     }
     const TransferFailure failure =
         transfer.connected ? TransferFailure::kUncertain : TransferFailure::kNothingSent;
-    transfer.handlers.on_done(tl::make_unexpected(TransferError{failure, curl_easy_strerror(code)}));
+    transfer.handlers.on_done(
+        tl::make_unexpected(TransferError{failure, curl_easy_strerror(code)}));
   }
 
   asio::io_context& loop_;
@@ -315,15 +318,21 @@
 
 HttpClient::HttpClient(asio::io_context& loop) : impl_(std::make_shared<Impl>(loop)) {}
 
-HttpClient::~HttpClient() { impl_->close(); }
+HttpClient::~HttpClient() {
+  impl_->close();
+}
 
 TransferId HttpClient::start(OutgoingRequest request, TransferHandlers handlers) {
   return impl_->start(std::move(request), std::move(handlers));
 }
 
-void HttpClient::cancel(TransferId id) { impl_->cancel(id); }
+void HttpClient::cancel(TransferId id) {
+  impl_->cancel(id);
+}
 
-void HttpClient::resume(TransferId id) { impl_->resume(id); }
+void HttpClient::resume(TransferId id) {
+  impl_->resume(id);
+}
 
 TransferId HttpClient::fetch(OutgoingRequest request, FetchHandler handler) {
   auto reply = std::make_shared<HttpReply>();
@@ -338,8 +347,8 @@
     if (!*overflow) reply->body += piece;
     return true;
   };
-  handlers.on_done = [reply, overflow, handler = std::move(handler)](
-                         tl::expected<void, TransferError> result) {
+  handlers.on_done = [reply, overflow,
+                      handler = std::move(handler)](tl::expected<void, TransferError> result) {
     if (!result) return handler(tl::make_unexpected(result.error()));
     if (*overflow) {
       return handler(tl::make_unexpected(
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -3,13 +3,12 @@
 /// One client serves any number of transfers without a thread for each.
 #pragma once
 
+#include <asio/io_context.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
-
-#include <asio/io_context.hpp>
 #include <tl/expected.hpp>
 
 #include "common/time.hpp"
@@ -25,7 +24,8 @@
   std::string body;
   Duration connect_timeout = std::chrono::seconds(2);
   Duration total_timeout = Duration::zero();  ///< Zero means no bound.
-  Duration idle_timeout = Duration::zero();   ///< Longest silence after the dispatch; zero: no bound.
+  Duration idle_timeout =
+      Duration::zero();  ///< Longest silence after the dispatch; zero: no bound.
   /// Never send on a reused connection. libcurl sends a request again by itself when a reused
   /// connection turns out to be dead; a request that may run only once must not risk that.
   bool fresh_connection = false;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,9 +1,8 @@
 #include "net/http_server.hpp"
 
-#include <restinio/all.hpp>
-
 #include <list>
 #include <optional>
+#include <restinio/all.hpp>
 #include <unordered_map>
 #include <utility>
 
@@ -36,7 +35,7 @@
 
 struct ServerTraits : restinio::default_single_thread_traits_t {
   using connection_state_listener_t = ConnectionWatch;
-  static constexpr bool use_connection_count_limiter = true;
+  static constexpr bool use_connection_count_limiter = true;  // NOLINT: RESTinio's name
 };
 
 class ResponderImpl : public HttpResponder, public std::enable_shared_from_this<ResponderImpl> {
@@ -62,9 +61,9 @@
   }
 
   void begin_stream(int status, const HttpHeaders& headers) override {
-    stream_.emplace(
-        request_->create_response<restinio::chunked_output_t>(status_line(status)));
-    for (const HttpHeader& field : headers.fields()) stream_->append_header(field.name, field.value);
+    stream_.emplace(request_->create_response<restinio::chunked_output_t>(status_line(status)));
+    for (const HttpHeader& field : headers.fields())
+      stream_->append_header(field.name, field.value);
     stream_->flush();
   }
 
@@ -101,15 +100,24 @@
 
   static std::string reason(int status) {
     switch (status) {
-      case 200: return "OK";
-      case 400: return "Bad Request";
-      case 401: return "Unauthorized";
-      case 404: return "Not Found";
-      case 409: return "Conflict";
-      case 429: return "Too Many Requests";
-      case 500: return "Internal Server Error";
-      case 503: return "Service Unavailable";
-      default: return "Status";
+      case 200:
+        return "OK";
+      case 400:
+        return "Bad Request";
+      case 401:
+        return "Unauthorized";
+      case 404:
+        return "Not Found";
+      case 409:
+        return "Conflict";
+      case 429:
+        return "Too Many Requests";
+      case 500:
+        return "Internal Server Error";
+      case 503:
+        return "Service Unavailable";
+      default:
+        return "Status";
     }
   }
 
@@ -179,9 +187,8 @@
   request.method = std::string(header.method().c_str());
   request.path = std::string(header.path().data(), header.path().size());
   request.query = std::string(header.query().data(), header.query().size());
-  header.for_each_field([&request](const auto& field) {
-    request.headers.add(field.name(), field.value());
-  });
+  header.for_each_field(
+      [&request](const auto& field) { request.headers.add(field.name(), field.value()); });
   request.body = received.body();
   return request;
 }
@@ -229,18 +236,18 @@
                                       .max_field_value_size(settings.max_header_value)
                                       .max_field_count(settings.max_header_count)
                                       .max_body_size(settings.max_body))
-        .socket_options_setter([](auto& options) {
-          options.set_option(asio::ip::tcp::no_delay(true));
-        })
+        .socket_options_setter(
+            [](auto& options) { options.set_option(asio::ip::tcp::no_delay(true)); })
         .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor& acceptor) {
           local_endpoint_ = acceptor.local_endpoint();
         })
-        .request_handler([this, handler = std::move(handler)](restinio::request_handle_t received) {
-          auto responder = std::make_shared<ResponderImpl>(received, watch_);
-          watch_->add(received->connection_id(), responder);
-          handler(to_request(*received), responder);
-          return restinio::request_accepted();
-        });
+        .request_handler(
+            [this, handler = std::move(handler)](const restinio::request_handle_t& received) {
+              auto responder = std::make_shared<ResponderImpl>(received, watch_);
+              watch_->add(received->connection_id(), responder);
+              handler(to_request(*received), responder);
+              return restinio::request_accepted();
+            });
   }
 
   std::shared_ptr<ConnectionWatch> watch_;
@@ -255,8 +262,12 @@
 
 HttpServer::~HttpServer() = default;
 
-asio::ip::tcp::endpoint HttpServer::local_endpoint() const { return impl_->local_endpoint(); }
+asio::ip::tcp::endpoint HttpServer::local_endpoint() const {
+  return impl_->local_endpoint();
+}
 
-void HttpServer::close() { impl_->close(); }
+void HttpServer::close() {
+  impl_->close();
+}
 
 }  // namespace shuntbank
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -2,15 +2,14 @@
 /// HTTP towards callers and operators: RESTinio on an Asio loop behind a narrow interface.
 #pragma once
 
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
 
-#include <asio/io_context.hpp>
-#include <asio/ip/tcp.hpp>
-
 #include "common/time.hpp"
 #include "net/http_message.hpp"
 
@@ -23,8 +22,9 @@
   std::size_t max_body = 8UL << 20U;           ///< Bytes; a larger body closes the connection.
   std::size_t max_header_value = 16UL << 10U;  ///< Bytes; a larger field closes the connection.
   std::size_t max_header_count = 100;          ///< Fields; more close the connection.
-  Duration idle_timeout = std::chrono::seconds(60);   ///< Longest wait for a whole request.
-  Duration write_timeout = std::chrono::seconds(30);  ///< Longest wait for a reader who takes nothing.
+  Duration idle_timeout = std::chrono::seconds(60);  ///< Longest wait for a whole request.
+  Duration write_timeout =
+      std::chrono::seconds(30);  ///< Longest wait for a reader who takes nothing.
 };
 
 /// Answers one request. Owned by whoever answers; dropping it unanswered sends status 500.
--- a/src/node/caller_api.cpp
+++ b/src/node/caller_api.cpp
@@ -55,28 +55,32 @@
 
 }  // namespace
 
-CallerApi::CallerApi(const NodeSettings& settings, const ConfigService& config,
-                     RequestQueue& queue, Metrics& metrics)
+CallerApi::CallerApi(const NodeSettings& settings, const ConfigService& config, RequestQueue& queue,
+                     Metrics& metrics)
     : settings_(settings), config_(config), queue_(queue), metrics_(metrics) {}
 
 void CallerApi::handle(HttpRequest request, const Responder& responder) {
   const RequestId id(random_hex(kRequestIdBytes));
   const SnapshotPointer snapshot = config_.replica().snapshot();
   if (!snapshot) {
-    return refuse(id, {ErrorCode::kNotReady, "the node has no configuration yet",
-                       RequestOutcome::kNotRun, kNotReadyRetry}, responder);
+    return refuse(id,
+                  {ErrorCode::kNotReady, "the node has no configuration yet",
+                   RequestOutcome::kNotRun, kNotReadyRetry},
+                  responder);
   }
   const Tenant* tenant = authenticate(request, *snapshot);
   if (tenant == nullptr) {
-    return refuse(id, {ErrorCode::kUnauthorized, "the key is missing, unknown or expired",
-                       RequestOutcome::kNotRun, std::nullopt}, responder);
+    return refuse(id,
+                  {ErrorCode::kUnauthorized, "the key is missing, unknown or expired",
+                   RequestOutcome::kNotRun, std::nullopt},
+                  responder);
   }
   const bool is_post = request.method == "POST";
   if (request.path == engine_api::kChatPath && is_post) {
-    return complete(std::move(request), id, *tenant, CompletionKind::kChat, responder);
+    return complete(request, id, *tenant, CompletionKind::kChat, responder);
   }
   if (request.path == engine_api::kCompletionPath && is_post) {
-    return complete(std::move(request), id, *tenant, CompletionKind::kText, responder);
+    return complete(request, id, *tenant, CompletionKind::kText, responder);
   }
   if (request.path == "/v1/models" && request.method == "GET") {
     return list_models(*snapshot, id, responder);
@@ -84,8 +88,10 @@
   if (request.path.rfind(kServicesPath, 0) == 0) {
     return call_plain(std::move(request), id, *tenant, responder);
   }
-  refuse(id, {ErrorCode::kUnknownPath, "there is nothing at this path for this method",
-              RequestOutcome::kNotRun, std::nullopt}, responder);
+  refuse(id,
+         {ErrorCode::kUnknownPath, "there is nothing at this path for this method",
+          RequestOutcome::kNotRun, std::nullopt},
+         responder);
 }
 
 const Tenant* CallerApi::authenticate(const HttpRequest& request, const Snapshot& snapshot) const {
@@ -98,7 +104,8 @@
                             const Responder& responder) const {
   json models = json::array();
   const auto add = [&models](const std::string& name) {
-    models.push_back({{"id", name}, {"object", "model"}, {"created", 0}, {"owned_by", "shuntbank"}});
+    models.push_back(
+        {{"id", name}, {"object", "model"}, {"created", 0}, {"owned_by", "shuntbank"}});
   };
   for (const auto& [name, service] : snapshot.services()) {
     for (const ModelSpec& model : service.models) {
@@ -107,17 +114,18 @@
     }
   }
   const json body{{"object", "list"}, {"data", std::move(models)}};
-  responder->respond({200,
-                      {{"Content-Type", "application/json"},
-                       {engine_api::kRequestIdHeader, id.value()}},
-                      body.dump()});
+  responder->respond(
+      {200,
+       {{"Content-Type", "application/json"}, {engine_api::kRequestIdHeader, id.value()}},
+       body.dump()});
 }
 
-void CallerApi::complete(HttpRequest request, RequestId id, const Tenant& tenant,
+void CallerApi::complete(const HttpRequest& request, RequestId id, const Tenant& tenant,
                          CompletionKind kind, const Responder& responder) {
   if (request.body.size() > settings_.max_body) {
-    return refuse(id, {ErrorCode::kTooLarge, "the body is too large", RequestOutcome::kNotRun,
-                       std::nullopt}, responder);
+    return refuse(
+        id, {ErrorCode::kTooLarge, "the body is too large", RequestOutcome::kNotRun, std::nullopt},
+        responder);
   }
   auto body = parse_bounded(request.body, settings_.max_json_depth);
   if (!body) return refuse(id, invalid(body.error()), responder);
@@ -127,8 +135,10 @@
   const SnapshotPointer snapshot = config_.replica().snapshot();
   const ModelRoute* route = snapshot->find_model(facts.model);
   if (route == nullptr) {
-    return refuse(id, {ErrorCode::kUnknownModel, "no service offers this model",
-                       RequestOutcome::kNotRun, std::nullopt}, responder);
+    return refuse(id,
+                  {ErrorCode::kUnknownModel, "no service offers this model",
+                   RequestOutcome::kNotRun, std::nullopt},
+                  responder);
   }
   SessionRequest session;
   session.id = std::move(id);
@@ -147,16 +157,19 @@
 void CallerApi::call_plain(HttpRequest request, RequestId id, const Tenant& tenant,
                            const Responder& responder) {
   if (request.body.size() > settings_.max_body) {
-    return refuse(id, {ErrorCode::kTooLarge, "the body is too large", RequestOutcome::kNotRun,
-                       std::nullopt}, responder);
+    return refuse(
+        id, {ErrorCode::kTooLarge, "the body is too large", RequestOutcome::kNotRun, std::nullopt},
+        responder);
   }
   const std::string rest = request.path.substr(kServicesPath.size());
   const std::size_t slash = std::min(rest.find('/'), rest.size());
   const ServiceName name(rest.substr(0, slash));
   const Service* service = config_.replica().snapshot()->find_service(name);
   if (service == nullptr || service->kind != ServiceKind::kPlain) {
-    return refuse(id, {ErrorCode::kUnknownPath, "there is no plain service of this name",
-                       RequestOutcome::kNotRun, std::nullopt}, responder);
+    return refuse(id,
+                  {ErrorCode::kUnknownPath, "there is no plain service of this name",
+                   RequestOutcome::kNotRun, std::nullopt},
+                  responder);
   }
   SessionRequest session;
   session.id = std::move(id);
--- a/src/node/caller_api.hpp
+++ b/src/node/caller_api.hpp
@@ -28,7 +28,7 @@
 
   const Tenant* authenticate(const HttpRequest& request, const Snapshot& snapshot) const;
   void list_models(const Snapshot& snapshot, const RequestId& id, const Responder& responder) const;
-  void complete(HttpRequest request, RequestId id, const Tenant& tenant, CompletionKind kind,
+  void complete(const HttpRequest& request, RequestId id, const Tenant& tenant, CompletionKind kind,
                 const Responder& responder);
   void call_plain(HttpRequest request, RequestId id, const Tenant& tenant,
                   const Responder& responder);
--- a/src/node/cluster_service.cpp
+++ b/src/node/cluster_service.cpp
@@ -91,11 +91,20 @@
               {{"usable", membership_.usable().size()}});
   }
   const MemberFact* peer = membership_.find(heartbeat.from);
-  if (peer != nullptr) hooks_.on_peer_revision(*peer, heartbeat.revision);
+  if (peer != nullptr) {
+    revisions_[peer->node] = heartbeat.revision;
+    hooks_.on_peer_revision(*peer, heartbeat.revision);
+  }
   pull_facts_if_behind(heartbeat);
   if (!heartbeat.is_answer) send_heartbeat(sender, true);
 }
 
+Revision ClusterService::revision_of(const NodeId& node) const {
+  if (node == self().node) return hooks_.revision();
+  const auto found = revisions_.find(node);
+  return found == revisions_.end() ? 0 : found->second;
+}
+
 void ClusterService::learn_engines(const std::vector<EngineFact>& facts) {
   const auto learned = engine_facts_.learn(facts, membership_.usable().size());
   if (!learned.empty()) hooks_.on_engine_facts(learned);
@@ -142,7 +151,9 @@
   }
 }
 
-void ClusterService::publish(const std::vector<EngineFact>& facts) { learn_engines(facts); }
+void ClusterService::publish(const std::vector<EngineFact>& facts) {
+  learn_engines(facts);
+}
 
 void ClusterService::announce_revision(Revision revision) {
   std::vector<MemberFact> peers = membership_.usable();
--- a/src/node/cluster_service.hpp
+++ b/src/node/cluster_service.hpp
@@ -1,14 +1,14 @@
 /// @file
-/// This node's part in the cluster: heartbeats, facts of members and engines, and messages to peers.
+/// This node's part in the cluster: heartbeats, facts of members and engines, and messages to
+/// peers.
 #pragma once
 
+#include <asio/io_context.hpp>
 #include <functional>
 #include <memory>
 #include <string>
 #include <vector>
 
-#include <asio/io_context.hpp>
-
 #include "core/membership/membership.hpp"
 #include "core/routing/engine_facts.hpp"
 #include "net/datagram_channel.hpp"
@@ -39,6 +39,9 @@
   std::vector<MemberFact> members() const { return membership_.all(); }
   const MemberFact& self() const { return membership_.self(); }
 
+  /// @return the configuration revision that a member was last heard to hold; zero: not heard yet.
+  Revision revision_of(const NodeId& node) const;
+
   /// Addresses from the platform's machine list.
   void hint(const std::vector<std::string>& addresses) { membership_.hint(addresses); }
 
@@ -80,6 +83,7 @@
   DatagramChannel datagrams_;
   Membership membership_;
   EngineFacts engine_facts_;
+  std::map<NodeId, Revision> revisions_;
   std::mt19937_64 random_;
   MonotonicTime next_facts_pull_{};
   bool pulling_facts_ = false;
--- a/src/node/config_service.cpp
+++ b/src/node/config_service.cpp
@@ -1,9 +1,8 @@
 #include "node/config_service.hpp"
 
 #include <algorithm>
-#include <utility>
-
 #include <asio/steady_timer.hpp>
+#include <utility>
 
 #include "common/hash.hpp"
 #include "common/log.hpp"
@@ -164,7 +163,8 @@
     const auto document = document_from_json(stored->value);
     if (!document) {
       EditRefusal refusal{{}, document.error()};
-      return change->handler(tl::make_unexpected(ChangeFailure{ChangeFailure::Kind::kRefused, refusal}));
+      return change->handler(
+          tl::make_unexpected(ChangeFailure{ChangeFailure::Kind::kRefused, refusal}));
     }
     current = *document;
   }
--- a/src/node/config_service.hpp
+++ b/src/node/config_service.hpp
@@ -3,13 +3,12 @@
 /// rest, changed by operators through any node.
 #pragma once
 
+#include <asio/io_context.hpp>
 #include <functional>
 #include <memory>
 #include <string>
 #include <vector>
 
-#include <asio/io_context.hpp>
-
 #include "core/configuration/config_replica.hpp"
 #include "node/cluster_service.hpp"
 #include "node/periodic.hpp"
@@ -74,7 +73,8 @@
   void pull_from(const std::string& address);
   void after_offer(OfferResult result);
   void read_for(const std::shared_ptr<Change>& change);
-  void write_for(const std::shared_ptr<Change>& change, const std::optional<VersionedValue>& stored);
+  void write_for(const std::shared_ptr<Change>& change,
+                 const std::optional<VersionedValue>& stored);
   void settle(const std::shared_ptr<Change>& change);
   void accept(const std::shared_ptr<Change>& change, const ConfigDocument& document);
 
--- a/src/node/control_service.cpp
+++ b/src/node/control_service.cpp
@@ -125,9 +125,12 @@
     duty.next_standby_poll = now + lease_settings_.length / 2;
   }
   switch (duty.lease.poll(now, rank >= 0, random_hex(kWriteIdBytes))) {
-    case LeaseAction::kNothing: return;
-    case LeaseAction::kRead: return read_lease(service);
-    case LeaseAction::kWrite: return write_lease(service, duty.lease.pending_write());
+    case LeaseAction::kNothing:
+      return;
+    case LeaseAction::kRead:
+      return read_lease(service);
+    case LeaseAction::kWrite:
+      return write_lease(service, duty.lease.pending_write());
   }
 }
 
--- a/src/node/control_service.hpp
+++ b/src/node/control_service.hpp
@@ -2,14 +2,13 @@
 /// Control duty of this node: leases of services, orders to their engines, plans of their roles.
 #pragma once
 
+#include <asio/io_context.hpp>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
-#include <asio/io_context.hpp>
-
 #include "core/lease/lease_holder.hpp"
 #include "core/roles/engine_controller.hpp"
 #include "core/roles/role_assignment.hpp"
--- a/src/node/error_reply.hpp
+++ b/src/node/error_reply.hpp
@@ -18,13 +18,13 @@
   kUnknownPath,
   kUnknownModel,
   kTooLarge,
-  kTenantLimit,      ///< The tenant used up a limit of its own.
-  kOverloaded,       ///< The fleet is too busy for this request now.
-  kNoEngine,         ///< No engine could be given the request.
-  kEngineFailed,     ///< The engine failed after it may have begun.
-  kDeadline,         ///< The request took longer than is allowed.
-  kAlreadyClaimed,   ///< A request with this idempotency key was accepted before.
-  kNotReady,         ///< The node has no configuration yet, or is leaving.
+  kTenantLimit,     ///< The tenant used up a limit of its own.
+  kOverloaded,      ///< The fleet is too busy for this request now.
+  kNoEngine,        ///< No engine could be given the request.
+  kEngineFailed,    ///< The engine failed after it may have begun.
+  kDeadline,        ///< The request took longer than is allowed.
+  kAlreadyClaimed,  ///< A request with this idempotency key was accepted before.
+  kNotReady,        ///< The node has no configuration yet, or is leaving.
 };
 
 /// One error.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -99,16 +99,18 @@
         context_{loop, settings_, http_, engines_, router_, retries_, metrics_},
         queue_(loop, context_),
         caller_api_(settings_, config_, queue_, metrics_),
-        operator_api_(config_, cluster_, control_, metrics_, [this] { return reasons(); },
-                      [this] { leave(on_left_); }),
+        operator_api_(
+            config_, cluster_, control_, metrics_, [this] { return reasons(); },
+            [this] { leave(on_left_); }),
         callers_(loop, caller_server(settings),
                  [this](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
                    caller_api_.handle(std::move(request), responder);
                  }),
-        operators_(loop, operator_server(settings),
-                   [this](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
-                     operator_api_.handle(std::move(request), responder);
-                   }),
+        operators_(
+            loop, operator_server(settings),
+            [this](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
+              operator_api_.handle(request, responder);
+            }),
         demand_timer_(loop, kDemandEvery, [this] { report_demand(); }),
         machines_timer_(loop, kMachinesEvery, [this] { read_machines(); }) {
     config_.attach(cluster_);
@@ -175,7 +177,8 @@
       const auto controller = control_.controller_of(name);
       if (service.kind != ServiceKind::kModel || !controller) continue;
       const auto found = demand.find(name);
-      const RequestQueue::Demand tokens = found == demand.end() ? RequestQueue::Demand{} : found->second;
+      const RequestQueue::Demand tokens =
+          found == demand.end() ? RequestQueue::Demand{} : found->second;
       const double seconds = to_seconds(kDemandEvery);
       const DemandReport report{NodeId(settings_.name), name, tokens.prefill_tokens / seconds,
                                 tokens.decode_tokens / seconds};
@@ -247,6 +250,8 @@
 
 Node::~Node() = default;
 
-void Node::leave(std::function<void()> on_left) { impl_->leave(std::move(on_left)); }
+void Node::leave(std::function<void()> on_left) {
+  impl_->leave(std::move(on_left));
+}
 
 }  // namespace shuntbank
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -2,11 +2,10 @@
 /// A whole node: wires the services together and runs them on one loop.
 #pragma once
 
+#include <asio/io_context.hpp>
 #include <functional>
 #include <memory>
 
-#include <asio/io_context.hpp>
-
 #include "node/settings.hpp"
 
 namespace shuntbank {
--- a/src/node/operator_api.cpp
+++ b/src/node/operator_api.cpp
@@ -35,16 +35,17 @@
       return json_reply(503, {{"error", "platform_unavailable"}, {"changed", "no"}});
     case ChangeFailure::Kind::kUnknown:
       return json_reply(503, {{"error", "platform_unavailable"}, {"changed", "unknown"}});
-    case ChangeFailure::Kind::kRefused: break;
+    case ChangeFailure::Kind::kRefused:
+      break;
   }
   if (!failure.refusal.conflicts.empty()) {
     return json_reply(409, {{"error", "conflict"},
                             {"changed", "no"},
                             {"conflicts", to_json(failure.refusal.conflicts)}});
   }
-  return json_reply(422, {{"error", "invalid"},
-                          {"changed", "no"},
-                          {"findings", to_json(failure.refusal.findings)}});
+  return json_reply(
+      422,
+      {{"error", "invalid"}, {"changed", "no"}, {"findings", to_json(failure.refusal.findings)}});
 }
 
 json to_json(const EngineController::Line& line) {
@@ -73,7 +74,7 @@
       reasons_(std::move(reasons)),
       on_leave_(std::move(on_leave)) {}
 
-void OperatorApi::handle(HttpRequest request, const Responder& responder) {
+void OperatorApi::handle(const HttpRequest& request, const Responder& responder) {
   if (request.path == "/healthz") return responder->respond({200, {}, "ok\n"});
   if (request.path == "/readyz") return responder->respond(readiness());
   if (request.path == "/metrics") {
@@ -84,7 +85,8 @@
     for (const auto& line : control_.lines()) {
       metrics_.set_role_changes(line.service.value(), static_cast<double>(line.role_changes));
     }
-    return responder->respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.to_text()});
+    return responder->respond(
+        {200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.to_text()});
   }
   if (request.path == "/v1/status") return responder->respond(json_reply(200, status()));
   if (request.path == "/v1/config" && request.method == "GET") {
@@ -125,7 +127,8 @@
     members.push_back({{"node", member.node.value()},
                        {"zone", member.zone.value()},
                        {"state", to_text(member.state)},
-                       {"incarnation", member.incarnation}});
+                       {"incarnation", member.incarnation},
+                       {"revision", cluster_.revision_of(member.node)}});
   }
   json duties = json::array();
   for (const auto& line : control_.lines()) {
--- a/src/node/operator_api.hpp
+++ b/src/node/operator_api.hpp
@@ -23,7 +23,7 @@
               Metrics& metrics, std::function<std::string()> reasons,
               std::function<void()> on_leave);
 
-  void handle(HttpRequest request, const std::shared_ptr<HttpResponder>& responder);
+  void handle(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder);
 
  private:
   using Responder = std::shared_ptr<HttpResponder>;
--- a/src/node/periodic.hpp
+++ b/src/node/periodic.hpp
@@ -2,13 +2,12 @@
 /// A timer that calls again and again until it is destroyed.
 #pragma once
 
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <utility>
 
-#include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
-
 #include "common/time.hpp"
 
 namespace shuntbank {
--- a/src/node/request_queue.cpp
+++ b/src/node/request_queue.cpp
@@ -13,9 +13,12 @@
 
 const char* describe(LimitKind kind) {
   switch (kind) {
-    case LimitKind::kRequestRate: return "the tenant's requests a minute are used up";
-    case LimitKind::kTokenRate: return "the tenant's tokens a minute are used up";
-    case LimitKind::kConcurrency: return "the tenant has its most requests in flight";
+    case LimitKind::kRequestRate:
+      return "the tenant's requests a minute are used up";
+    case LimitKind::kTokenRate:
+      return "the tenant's tokens a minute are used up";
+    case LimitKind::kConcurrency:
+      return "the tenant has its most requests in flight";
   }
   return "a limit of the tenant is used up";
 }
@@ -52,8 +55,8 @@
 std::optional<CallerError> RequestQueue::refusal(const Lane& lane, const SessionRequest& request,
                                                  const Policy& policy) const {
   const std::size_t room = std::max<std::size_t>(1, capacity(request));
-  const double wait = static_cast<double>(lane.queue.size()) * lane.hold_seconds /
-                      static_cast<double>(room);
+  const double wait =
+      static_cast<double>(lane.queue.size()) * lane.hold_seconds / static_cast<double>(room);
   const bool too_late = from_seconds(wait) > context_.settings.queue_deadline;
   if (too_late || lane.queue.size() >= context_.settings.max_queue) {
     return CallerError{ErrorCode::kOverloaded, "too many requests wait for an engine",
@@ -108,7 +111,7 @@
                            const QueueItem& item) {
   lane.waiting.emplace(item.id, session);
   lane.queue.push(item);
-  session->watch_while_waiting([this, &lane, id = item.id] {
+  session->watch_while_waiting([&lane, id = item.id] {
     lane.queue.remove(id);
     lane.waiting.erase(id);
   });
--- a/src/node/request_queue.hpp
+++ b/src/node/request_queue.hpp
@@ -3,12 +3,11 @@
 /// the requests in flight that follows the engines which can take them.
 #pragma once
 
+#include <asio/io_context.hpp>
 #include <map>
 #include <memory>
 #include <unordered_map>
 
-#include <asio/io_context.hpp>
-
 #include "core/admission/fair_queue.hpp"
 #include "core/admission/tenant_limiter.hpp"
 #include "node/periodic.hpp"
--- a/src/node/request_session.cpp
+++ b/src/node/request_session.cpp
@@ -16,7 +16,9 @@
 
 constexpr Duration kRetryAfterFailure = std::chrono::seconds(1);
 
-bool is_success(int status) { return status >= 200 && status < 300; }
+bool is_success(int status) {
+  return status >= 200 && status < 300;
+}
 
 }  // namespace
 
@@ -194,7 +196,8 @@
     case ChunkVerdict::kGap:
       broken_ = true;
       return;
-    case ChunkVerdict::kDeliver: break;
+    case ChunkVerdict::kDeliver:
+      break;
   }
   if (!std::exchange(first_token_seen_, true)) {
     const double seconds = to_seconds(monotonic_now() - request_.arrived);
@@ -263,7 +266,8 @@
 }
 
 void RequestSession::on_whole_answer() {
-  const bool own = headers_.get(engine_api::kAttemptIdHeader) == progress_.current_attempt().value();
+  const bool own =
+      headers_.get(engine_api::kAttemptIdHeader) == progress_.current_attempt().value();
   // An answer that names another attempt is not this request's, whatever else it says.
   if (!own || overflow_) return attempt_failed(AttemptFailure::kUncertain);
   HttpReply reply;
@@ -328,8 +332,8 @@
   if (ended_) return;
   const RequestOutcome outcome = progress_.outcome_if_abandoned();
   abandon_transfer();
-  respond_error({ErrorCode::kDeadline, "the request took longer than is allowed", outcome,
-                 std::nullopt});
+  respond_error(
+      {ErrorCode::kDeadline, "the request took longer than is allowed", outcome, std::nullopt});
   end(to_text(outcome));
 }
 
@@ -348,7 +352,8 @@
   if (request_.plain) return;
   OutgoingRequest cancel;
   cancel.method = "POST";
-  cancel.url = "http://" + request_.snapshot->find_engine(*engine_)->address + engine_api::kCancelPath;
+  cancel.url =
+      "http://" + request_.snapshot->find_engine(*engine_)->address + engine_api::kCancelPath;
   cancel.body = nlohmann::json{{"attempt", progress_.current_attempt().value()}}.dump();
   cancel.total_timeout = std::chrono::seconds(2);
   context_.http.fetch(std::move(cancel), [](const auto&) {});
--- a/src/node/request_session.hpp
+++ b/src/node/request_session.hpp
@@ -3,16 +3,15 @@
 /// retry elsewhere, and tell the caller the outcome.
 #pragma once
 
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <vector>
 
-#include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
-#include <nlohmann/json.hpp>
-
 #include "config/snapshot.hpp"
 #include "core/requests/request_progress.hpp"
 #include "core/requests/retry_budget.hpp"
@@ -49,10 +48,10 @@
   bool stream = false;
   bool wants_usage = false;
   std::string method = "POST";
-  std::string path;        ///< At the engine.
+  std::string path;  ///< At the engine.
   std::string content_type;
-  nlohmann::json body;     ///< Of a model request.
-  std::string raw_body;    ///< Of a plain request.
+  nlohmann::json body;   ///< Of a model request.
+  std::string raw_body;  ///< Of a plain request.
   std::uint64_t prompt_tokens = 1;
   std::uint32_t max_output_tokens = 1;
   std::vector<std::uint64_t> prefix;
@@ -63,7 +62,7 @@
 
 /// How a session ended.
 struct SessionResult {
-  std::string result;  ///< As in `Metrics::count_request`.
+  std::string result;    ///< As in `Metrics::count_request`.
   bool started = false;  ///< It was dispatched, or tried to be.
   double tokens = 0;     ///< Prompt and output tokens that it used; estimated without a stream.
 };
@@ -132,7 +131,7 @@
   HttpHeaders headers_;
   std::string collected_;  ///< Body of a reply that is not relayed piece by piece.
   bool overflow_ = false;
-  bool broken_ = false;    ///< A chunk was lost or an event was too large.
+  bool broken_ = false;  ///< A chunk was lost or an event was too large.
   bool done_marker_ = false;
   bool stream_begun_ = false;
   bool first_token_seen_ = false;
--- a/src/node/settings.hpp
+++ b/src/node/settings.hpp
@@ -16,11 +16,11 @@
   std::string name;
   std::string zone;
   std::string region;
-  std::string platform;                        ///< `IP:PORT` of the object API.
+  std::string platform;  ///< `IP:PORT` of the object API.
   std::string callers_listen = "127.0.0.1:0";
   std::string operators_listen = "127.0.0.1:0";
   std::string cluster_listen = "127.0.0.1:0";
-  std::uint64_t max_body = 4UL << 20U;         ///< Bytes of a caller's request body.
+  std::uint64_t max_body = 4UL << 20U;  ///< Bytes of a caller's request body.
   std::uint64_t max_connections = 4096;
   std::uint64_t max_json_depth = 64;
   Duration request_deadline = std::chrono::minutes(5);
@@ -30,11 +30,11 @@
   Duration slow_reader = std::chrono::seconds(30);
   std::uint64_t max_attempts = 3;
   double retry_share = 0.1;
-  std::uint64_t engine_window = 64;            ///< Requests in flight to an engine, all nodes together.
+  std::uint64_t engine_window = 64;  ///< Requests in flight to an engine, all nodes together.
   std::uint64_t max_queue = 2048;
   Duration leave_grace = std::chrono::seconds(3);
   Duration lease_length = std::chrono::seconds(10);
-  std::uint64_t seed = 0;                      ///< Zero: from the system's generator.
+  std::uint64_t seed = 0;  ///< Zero: from the system's generator.
 };
 
 /// Defines the options of `shuntbankd` over `settings`.
--- a/src/platform/object_client.hpp
+++ b/src/platform/object_client.hpp
@@ -1,16 +1,15 @@
 /// @file
-/// The platform's object API as this system uses it: versioned objects with compare-and-set, watches
-/// and the list of machines. docs/design/0002-published-interfaces.md describes it.
+/// The platform's object API as this system uses it: versioned objects with compare-and-set,
+/// watches and the list of machines. docs/design/0002-published-interfaces.md describes it.
 #pragma once
 
 #include <cstdint>
 #include <functional>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
-#include <vector>
-
-#include <nlohmann/json.hpp>
 #include <tl/expected.hpp>
+#include <vector>
 
 #include "common/time.hpp"
 #include "net/http_client.hpp"
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -11,9 +11,9 @@
 constexpr int kMaxDepth = 32;
 
 json to_json(const MemberFact& fact) {
-  return {{"node", fact.node.value()},       {"inc", fact.incarnation},
-          {"state", to_text(fact.state)},    {"addr", fact.address},
-          {"zone", fact.zone.value()},       {"region", fact.region.value()}};
+  return {{"node", fact.node.value()},    {"inc", fact.incarnation},
+          {"state", to_text(fact.state)}, {"addr", fact.address},
+          {"zone", fact.zone.value()},    {"region", fact.region.value()}};
 }
 
 MemberFact member_from_json(const json& item) {
@@ -28,12 +28,9 @@
 }
 
 json to_json(const EngineFact& fact) {
-  return {{"engine", fact.engine.value()},
-          {"fence", fact.stamp.fence},
-          {"seq", fact.stamp.sequence},
-          {"change", fact.change},
-          {"role", to_text(fact.role)},
-          {"state", to_text(fact.availability)}};
+  return {{"engine", fact.engine.value()}, {"fence", fact.stamp.fence},
+          {"seq", fact.stamp.sequence},    {"change", fact.change},
+          {"role", to_text(fact.role)},    {"state", to_text(fact.availability)}};
 }
 
 EngineFact engine_from_json(const json& item) {
@@ -85,7 +82,9 @@
           {"decode", message.decode_tokens_per_second}};
 }
 
-json body_of(const ConfigPull& message) { return {{"type", "config_pull"}, {"have", message.have}}; }
+json body_of(const ConfigPull& message) {
+  return {{"type", "config_pull"}, {"have", message.have}};
+}
 
 json body_of(const ConfigChanges& message) {
   return {{"type", "config_changes"},
@@ -93,7 +92,9 @@
           {"document", shuntbank::to_json(message.document)}};
 }
 
-json body_of(const FactsPull&) { return {{"type", "facts_pull"}}; }
+json body_of(const FactsPull&) {
+  return {{"type", "facts_pull"}};
+}
 
 json body_of(const FactsReply& message) {
   return {{"type", "facts"},
--- a/src/protocol/messages.hpp
+++ b/src/protocol/messages.hpp
@@ -5,11 +5,10 @@
 
 #include <cstdint>
 #include <string>
+#include <tl/expected.hpp>
 #include <variant>
 #include <vector>
 
-#include <tl/expected.hpp>
-
 #include "common/identifiers.hpp"
 #include "config/document.hpp"
 #include "core/membership/membership.hpp"
--- a/src/standin/engine_emulator.cpp
+++ b/src/standin/engine_emulator.cpp
@@ -21,21 +21,30 @@
 
 const char* to_text(SubmitResult result) {
   switch (result) {
-    case SubmitResult::kAccepted: return "accepted";
-    case SubmitResult::kNotAccepting: return "not_accepting";
-    case SubmitResult::kChanging: return "changing";
-    case SubmitResult::kUnknownModel: return "unknown_model";
-    case SubmitResult::kFull: return "full";
+    case SubmitResult::kAccepted:
+      return "accepted";
+    case SubmitResult::kNotAccepting:
+      return "not_accepting";
+    case SubmitResult::kChanging:
+      return "changing";
+    case SubmitResult::kUnknownModel:
+      return "unknown_model";
+    case SubmitResult::kFull:
+      return "full";
   }
   return "accepted";
 }
 
 const char* to_text(Execution::End end) {
   switch (end) {
-    case Execution::End::kRunning: return "running";
-    case Execution::End::kFinished: return "finished";
-    case Execution::End::kCancelled: return "cancelled";
-    case Execution::End::kCut: return "cut";
+    case Execution::End::kRunning:
+      return "running";
+    case Execution::End::kFinished:
+      return "finished";
+    case Execution::End::kCancelled:
+      return "cancelled";
+    case Execution::End::kCut:
+      return "cut";
   }
   return "running";
 }
@@ -98,7 +107,9 @@
   std::erase_if(decoding_, is_it);
 }
 
-OrderVerdict EngineEmulator::claim(Fence fence) { return gate_.claim(fence); }
+OrderVerdict EngineEmulator::claim(Fence fence) {
+  return gate_.claim(fence);
+}
 
 OrderVerdict EngineEmulator::order(MonotonicTime now, const EngineOrder& order) {
   const OrderVerdict verdict = gate_.offer(order);
@@ -200,10 +211,10 @@
   double queued = 0;
   for (const Running& running : waiting_) queued += running.prefill_left;
   step_prefill_ = std::min(queued, chunk_tokens());
-  const auto decode_cost =
-      costs_.step_per_sequence * static_cast<std::int64_t>(decoding_.size());
+  const auto decode_cost = costs_.step_per_sequence * static_cast<std::int64_t>(decoding_.size());
   const Duration prefill_cost = from_seconds(step_prefill_ / costs_.prefill_tokens_per_second);
-  const Duration base = decoding_.empty() && step_prefill_ > 0 ? Duration::zero() : costs_.step_base;
+  const Duration base =
+      decoding_.empty() && step_prefill_ > 0 ? Duration::zero() : costs_.step_base;
   step_ends_ = now + std::max<Duration>(base + decode_cost + prefill_cost, Duration(100));
 }
 
@@ -221,7 +232,8 @@
       prefilled.push_back(running.job.attempt);
     }
   }
-  for (const AttemptId& attempt : prefilled) end_job(attempt, *step_ends_, Execution::End::kFinished);
+  for (const AttemptId& attempt : prefilled)
+    end_job(attempt, *step_ends_, Execution::End::kFinished);
   std::vector<AttemptId> finished;
   for (Running& running : decoding_) {
     const EngineJob& job = running.job;
--- a/src/standin/engine_emulator.hpp
+++ b/src/standin/engine_emulator.hpp
@@ -1,7 +1,7 @@
 /// @file
 /// A model engine without I/O: continuous batching with a cost model, a bounded prefix cache,
-/// fenced orders and an execution log. The stand-in process serves it over HTTP; the simulation runs
-/// hundreds of them.
+/// fenced orders and an execution log. The stand-in process serves it over HTTP; the simulation
+/// runs hundreds of them.
 #pragma once
 
 #include <cstdint>
@@ -26,11 +26,12 @@
   Duration step_base = std::chrono::milliseconds(18);
   Duration step_per_sequence = std::chrono::microseconds(400);
   double prefill_tokens_per_second = 8000;
-  std::uint64_t mixed_chunk_tokens = 512;     ///< Most prefill tokens in a step beside decoding.
-  std::uint64_t prefill_chunk_tokens = 4096;  ///< Most prefill tokens in a step of the prefill role.
-  std::size_t max_batch = 48;                 ///< Sequences that decode at once.
-  std::size_t max_waiting = 512;              ///< Requests beyond this are refused.
-  std::size_t cache_blocks = 2048;            ///< Prefix blocks that are kept.
+  std::uint64_t mixed_chunk_tokens = 512;  ///< Most prefill tokens in a step beside decoding.
+  std::uint64_t prefill_chunk_tokens =
+      4096;                         ///< Most prefill tokens in a step of the prefill role.
+  std::size_t max_batch = 48;       ///< Sequences that decode at once.
+  std::size_t max_waiting = 512;    ///< Requests beyond this are refused.
+  std::size_t cache_blocks = 2048;  ///< Prefix blocks that are kept.
   double import_tokens_per_second = 400'000;  ///< KV import from another engine.
   Duration role_change_time = std::chrono::seconds(4);
   Duration model_load_time = std::chrono::seconds(2);
@@ -135,8 +136,8 @@
  private:
   struct Running {
     EngineJob job;
-    std::size_t execution = 0;       ///< Index in the log.
-    double prefill_left = 0;         ///< Tokens.
+    std::size_t execution = 0;  ///< Index in the log.
+    double prefill_left = 0;    ///< Tokens.
     std::uint32_t next_index = 0;
     MonotonicTime importing_until{};
   };
--- a/src/standin/engine_standin.cpp
+++ b/src/standin/engine_standin.cpp
@@ -1,8 +1,7 @@
 #include "standin/engine_standin.hpp"
 
-#include <nlohmann/json.hpp>
-
 #include <charconv>
+#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "common/hash.hpp"
@@ -51,8 +50,8 @@
       load_timer_(loop),
       http_(loop),
       server_(std::make_unique<HttpServer>(
-          loop, settings.server, [this](HttpRequest request, const Responder& responder) {
-            handle(std::move(request), responder);
+          loop, settings.server, [this](const HttpRequest& request, const Responder& responder) {
+            handle(request, responder);
           })) {
   sample_load();
 }
@@ -76,9 +75,11 @@
   });
 }
 
-std::string EngineStandin::load_header() const { return engine_api::to_header(lagging_load_); }
+std::string EngineStandin::load_header() const {
+  return engine_api::to_header(lagging_load_);
+}
 
-void EngineStandin::handle(HttpRequest request, const Responder& responder) {
+void EngineStandin::handle(const HttpRequest& request, const Responder& responder) {
   if (request.path == "/faults") return handle_faults(request, responder);
   if (request.path.rfind("/control/", 0) == 0) return handle_control(request, responder);
   if (faults_.refuse_requests) return refuse(responder, "fault");
@@ -158,9 +159,10 @@
 void EngineStandin::handle_completion(const HttpRequest& request, const Responder& responder) {
   const json body = json::parse(request.body, nullptr, false);
   auto answer = std::make_shared<Answer>();
-  answer->kind = request.path == engine_api::kCompletionPath || (body.is_object() && body.contains("prompt"))
-                     ? CompletionKind::kText
-                     : CompletionKind::kChat;
+  answer->kind =
+      request.path == engine_api::kCompletionPath || (body.is_object() && body.contains("prompt"))
+          ? CompletionKind::kText
+          : CompletionKind::kChat;
   Findings findings;
   answer->facts = read_prompt(answer->kind, body, findings);
   if (!findings.empty()) {
@@ -184,8 +186,8 @@
   job.blocks = prefix_blocks(answer->facts.text);
   job.output_tokens = answer->facts.max_output_tokens;
   job.resume_from = body.value("resume_from", 0U);
-  job.priority = static_cast<std::int32_t>(
-      std::strtol(std::string(request.headers.get(engine_api::kPriorityHeader)).c_str(), nullptr, 10));
+  job.priority = static_cast<std::int32_t>(std::strtol(
+      std::string(request.headers.get(engine_api::kPriorityHeader)).c_str(), nullptr, 10));
   submit(answer, job);
 }
 
@@ -229,7 +231,8 @@
   if (found == answers_.end()) return;
   const std::shared_ptr<Answer> answer = found->second;
   switch (event.kind) {
-    case EngineEvent::Kind::kToken: return send_token(*answer, event.index);
+    case EngineEvent::Kind::kToken:
+      return send_token(*answer, event.index);
     case EngineEvent::Kind::kPrefilled:
       answers_.erase(event.attempt);
       return answer->responder->respond(
@@ -272,17 +275,16 @@
     return;
   }
   if (!std::exchange(answer.stream_begun, true)) {
-    answer.responder->begin_stream(
-        200, {{"Content-Type", "text/event-stream"},
-              {engine_api::kAttemptIdHeader, answer.attempt.value()},
-              {engine_api::kLoadHeader, load_header()}});
+    answer.responder->begin_stream(200, {{"Content-Type", "text/event-stream"},
+                                         {engine_api::kAttemptIdHeader, answer.attempt.value()},
+                                         {engine_api::kLoadHeader, load_header()}});
   }
   const bool last = index + 1 == answer.facts.max_output_tokens;
   json chunk = chunk_json(answer.kind, answer.request, answer.facts.model);
   chunk["choices"] = {text_choice(answer.kind, text, last ? json("length") : json(nullptr))};
   const std::string attempt = faults_.wrong_attempt_id ? "other.1" : answer.attempt.value();
-  answer.responder->write("id: " + attempt + ":" + std::to_string(index) + "\ndata: " +
-                          chunk.dump() + "\n\n");
+  answer.responder->write("id: " + attempt + ":" + std::to_string(index) +
+                          "\ndata: " + chunk.dump() + "\n\n");
 }
 
 void EngineStandin::finish(Answer& answer) {
@@ -355,10 +357,12 @@
 json EngineStandin::cache_events_json(std::uint64_t after) const {
   json list = json::array();
   for (const CacheEvent& event : emulator_.cache_events()) {
-    const double draw = static_cast<double>(hash64(std::to_string(event.number), settings_.seed) % 1000);
+    const double draw =
+        static_cast<double>(hash64(std::to_string(event.number), settings_.seed) % 1000);
     const bool lost = draw < settings_.cache_event_loss * 1000;
     if (event.number <= after || lost) continue;
-    list.push_back({{"number", event.number}, {"inserted", event.inserted}, {"blocks", event.blocks}});
+    list.push_back(
+        {{"number", event.number}, {"inserted", event.inserted}, {"blocks", event.blocks}});
   }
   return {{"events", std::move(list)}};
 }
--- a/src/standin/engine_standin.hpp
+++ b/src/standin/engine_standin.hpp
@@ -2,15 +2,14 @@
 /// The engine stand-in process: the emulator, or a plain service, behind the published interface.
 #pragma once
 
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
 #include <map>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <random>
 #include <string>
 
-#include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
-#include <nlohmann/json.hpp>
-
 #include "net/http_client.hpp"
 #include "net/http_server.hpp"
 #include "standin/engine_emulator.hpp"
@@ -23,8 +22,8 @@
   bool plain = false;
   std::vector<ModelSpec> preloaded;
   EngineCosts costs;
-  double time_scale = 1.0;  ///< Emulated seconds in a second.
-  Duration load_lag = std::chrono::milliseconds(200);    ///< Age of load reports.
+  double time_scale = 1.0;                             ///< Emulated seconds in a second.
+  Duration load_lag = std::chrono::milliseconds(200);  ///< Age of load reports.
   Duration cache_event_lag = std::chrono::milliseconds(500);
   double cache_event_loss = 0.02;  ///< Share of cache events that are never published.
   Duration plain_service_time = std::chrono::milliseconds(3);
@@ -33,9 +32,9 @@
 
 /// Faults that tests switch on at run time by `POST /faults`.
 struct EngineFaults {
-  bool refuse_requests = false;     ///< Refuse every request, saying that it did not run.
-  bool drop_after_accept = false;   ///< Run the request, then close without an answer.
-  bool wrong_attempt_id = false;    ///< Mark chunks with another attempt's id.
+  bool refuse_requests = false;       ///< Refuse every request, saying that it did not run.
+  bool drop_after_accept = false;     ///< Run the request, then close without an answer.
+  bool wrong_attempt_id = false;      ///< Mark chunks with another attempt's id.
   bool crash_in_next_change = false;  ///< Forget everything halfway through the next change.
   Duration reply_delay{0};
 };
@@ -54,7 +53,7 @@
   struct Answer;
   using Responder = std::shared_ptr<HttpResponder>;
 
-  void handle(HttpRequest request, const Responder& responder);
+  void handle(const HttpRequest& request, const Responder& responder);
   void handle_control(const HttpRequest& request, const Responder& responder);
   void handle_completion(const HttpRequest& request, const Responder& responder);
   void handle_plain(const HttpRequest& request, const Responder& responder);
--- a/src/standin/platform_standin.cpp
+++ b/src/standin/platform_standin.cpp
@@ -28,10 +28,10 @@
     : loop_(loop),
       settings_(settings),
       weight_filled_at_(monotonic_now()),
-      server_(std::make_unique<HttpServer>(
-          loop, settings.server, [this](HttpRequest request, const Responder& responder) {
-            handle(std::move(request), responder);
-          })) {}
+      server_(std::make_unique<HttpServer>(loop, settings.server,
+                                           [this](HttpRequest request, const Responder& responder) {
+                                             handle(std::move(request), responder);
+                                           })) {}
 
 PlatformStandin::~PlatformStandin() = default;
 
@@ -147,7 +147,8 @@
     return responder->respond(json_reply(200, {{"machines", std::move(list)}}));
   }
   json machine = json::parse(request.body, nullptr, false);
-  if (!machine.is_object()) return responder->respond(json_reply(400, {{"error", "not a machine"}}));
+  if (!machine.is_object())
+    return responder->respond(json_reply(400, {{"error", "not a machine"}}));
   const std::string name = request.query_value("name");
   machine["name"] = name;
   machines_[name] = machine;
@@ -180,7 +181,8 @@
   faults_.stale_machines = body.value("stale_machines", faults_.stale_machines);
   if (faults_.down || body.value("cut_watches", false)) cut_watches();
   log_event(LogArea::kStandin, LogLevel::kInfo, "faults",
-            {{"down", faults_.down}, {"delay_ms", delay_ms},
+            {{"down", faults_.down},
+             {"delay_ms", delay_ms},
              {"lose_write_answers", faults_.lose_write_answers}});
   responder->respond(json_reply(200, json::object()));
 }
--- a/src/standin/platform_standin.hpp
+++ b/src/standin/platform_standin.hpp
@@ -3,16 +3,15 @@
 /// list and a weight store with a rate limit. Faults are switched on at run time.
 #pragma once
 
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
 #include <cstdint>
 #include <deque>
 #include <list>
 #include <map>
 #include <memory>
-#include <string>
-
-#include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
+#include <string>
 
 #include "common/time.hpp"
 #include "net/http_server.hpp"
@@ -29,10 +28,10 @@
 
 /// Faults that tests switch on by `POST /faults`.
 struct PlatformFaults {
-  bool down = false;                 ///< Answers 503 to everything but `/faults` and `/stats`.
-  Duration delay{0};                 ///< Before each answer.
+  bool down = false;                     ///< Answers 503 to everything but `/faults` and `/stats`.
+  Duration delay{0};                     ///< Before each answer.
   std::uint64_t lose_write_answers = 0;  ///< So many writes take effect and get no answer.
-  bool stale_machines = false;       ///< The machine list stops moving.
+  bool stale_machines = false;           ///< The machine list stops moving.
 };
 
 /// One platform process.
@@ -76,7 +75,7 @@
   std::map<std::string, Object> objects_;
   std::uint64_t last_version_ = 0;
   std::list<Watch> watches_;
-  nlohmann::json machines_ = nlohmann::json::object();          ///< The truth.
+  nlohmann::json machines_ = nlohmann::json::object();            ///< The truth.
   nlohmann::json published_machines_ = nlohmann::json::object();  ///< What readers see.
   double weight_tokens_ = 0;
   MonotonicTime weight_filled_at_;
--- /dev/null
+++ b/tests/core/configuration/config_replica_test.cpp
@@ -0,0 +1,45 @@
+#include "core/configuration/config_replica.hpp"
+
+#include "support/property.hpp"
+
+using namespace shuntbank;
+using nlohmann::json;
+
+Test(config_replica, revisions_only_grow_whatever_arrives) {
+  SHUNTBANK_PROPERTY("offers in any order, whole or as changes", [] {
+    std::vector<ConfigDocument> history{ConfigDocument{}};
+    const int revisions = *rc::gen::inRange(2, 8);
+    for (int i = 1; i <= revisions; ++i) {
+      std::vector<ObjectEdit> edits(1);
+      edits[0].key = {ObjectKind::kTenant, "t" + std::to_string(i)};
+      edits[0].spec = json::object();
+      history.push_back(*apply_edits(history.back(), edits, std::to_string(i)));
+    }
+    ConfigReplica replica;
+    const int steps = *rc::gen::inRange(1, 20);
+    for (int i = 0; i < steps; ++i) {
+      const Revision before = replica.revision();
+      const auto& document = history[*rc::gen::inRange<std::size_t>(0, history.size())];
+      if (*rc::gen::arbitrary<bool>()) {
+        replica.offer(document);
+      } else {
+        const Revision base = *rc::gen::inRange<Revision>(0, document.revision + 1);
+        replica.offer_changes(base, document.changes_since(base));
+      }
+      RC_ASSERT(replica.revision() >= before);
+      // Whatever is held is exactly one of the accepted documents, never a mixture.
+      RC_ASSERT(replica.document() == history[replica.revision()]);
+    }
+  });
+}
+
+Test(config_replica, keeps_what_it_holds_when_an_offer_is_invalid) {
+  ConfigReplica replica;
+  replica.offer(ConfigDocument{});
+  ConfigDocument bad;
+  bad.revision = 5;
+  bad.objects[{ObjectKind::kTenant, "t"}] = {5, false, json{{"weight", "heavy"}}};
+  cr_assert_eq(replica.offer(bad), OfferResult::kInvalid);
+  cr_assert_eq(replica.revision(), 0);
+  cr_assert(!replica.findings().empty());
+}
--- /dev/null
+++ b/tests/core/membership/membership_test.cpp
@@ -0,0 +1,99 @@
+#include "core/membership/membership.hpp"
+
+#include <set>
+
+#include "support/property.hpp"
+
+using namespace shuntbank;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Nodes whose heartbeats arrive at once, unless a link is cut.
+struct Cluster {
+  std::vector<Membership> nodes;
+  std::set<std::size_t> dead;
+  MonotonicTime now{};
+
+  explicit Cluster(std::size_t count) {
+    for (std::size_t i = 0; i < count; ++i) {
+      MemberFact self{NodeId("n" + std::to_string(i)),
+                      1,
+                      MemberState::kAlive,
+                      std::to_string(i),
+                      ZoneName("z"),
+                      RegionName("r")};
+      nodes.emplace_back(self, MembershipSettings{}, i + 1);
+      nodes.back().hint({"0"});
+    }
+  }
+
+  void run(Duration length) {
+    for (const MonotonicTime end = now + length; now < end; now += 100ms) {
+      for (std::size_t i = 0; i < nodes.size(); ++i) {
+        if (dead.contains(i)) continue;
+        for (const auto& target : nodes[i].tick(now)) exchange(i, std::stoul(target.address));
+      }
+    }
+  }
+
+  void exchange(std::size_t from, std::size_t to) {
+    if (dead.contains(to)) return;
+    nodes[to].on_facts(now, nodes[from].facts_to_send());
+    nodes[to].on_heard_from(nodes[from].self().node);
+    nodes[from].on_facts(now, nodes[to].facts_to_send());
+    nodes[from].on_heard_from(nodes[to].self().node);
+  }
+};
+
+}  // namespace
+
+Test(membership, all_find_each_other_through_one_address) {
+  Cluster cluster(20);
+  cluster.run(30s);
+  for (const Membership& node : cluster.nodes) cr_assert_eq(node.usable().size(), 20);
+}
+
+Test(membership, a_dead_member_is_noticed_by_all) {
+  Cluster cluster(20);
+  cluster.run(30s);
+  cluster.dead.insert(7);
+  cluster.run(30s);
+  for (std::size_t i = 0; i < 20; ++i) {
+    if (i != 7) cr_assert_eq(cluster.nodes[i].usable().size(), 19);
+  }
+}
+
+Test(membership, a_leaving_member_gets_no_work_within_seconds) {
+  Cluster cluster(20);
+  cluster.run(30s);
+  cluster.nodes[3].leave();
+  cluster.run(5s);
+  for (std::size_t i = 0; i < 20; ++i) cr_assert_eq(cluster.nodes[i].usable().size(), 19);
+}
+
+Test(membership, a_live_member_refutes_a_false_word) {
+  Cluster cluster(5);
+  cluster.run(10s);
+  MemberFact wrong = cluster.nodes[2].self();
+  wrong.state = MemberState::kDead;
+  cluster.nodes[0].on_facts(cluster.now, {wrong});
+  cluster.run(20s);
+  for (const Membership& node : cluster.nodes) cr_assert_eq(node.usable().size(), 5);
+}
+
+Test(membership, duties_move_only_from_members_that_left) {
+  SHUNTBANK_PROPERTY("removing a member moves only its duties", [] {
+    std::vector<MemberFact> members;
+    const int count = *rc::gen::inRange(2, 20);
+    for (int i = 0; i < count; ++i) {
+      members.push_back({NodeId("n" + std::to_string(i)), 1, {}, {}, {}, {}});
+    }
+    const std::string duty = *rc::gen::arbitrary<std::string>();
+    const NodeId holder = rank_for_duty(duty, members, 1).front().node;
+    const std::size_t removed = *rc::gen::inRange<std::size_t>(0, members.size());
+    const NodeId gone = members[removed].node;
+    members.erase(members.begin() + static_cast<std::ptrdiff_t>(removed));
+    if (gone != holder) RC_ASSERT(rank_for_duty(duty, members, 1).front().node == holder);
+  });
+}
--- /dev/null
+++ b/tests/protocol/messages_test.cpp
@@ -0,0 +1,58 @@
+#include "protocol/messages.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include "support/property.hpp"
+
+using namespace shuntbank;
+
+namespace {
+
+Heartbeat full_heartbeat() {
+  Heartbeat heartbeat;
+  heartbeat.from = NodeId("node-ba-palermo-117");
+  heartbeat.revision = 1'234'567;
+  heartbeat.engines_digest = UINT64_MAX;
+  for (int i = 0; i < 7; ++i) {
+    heartbeat.members.push_back({NodeId("node-ba-palermo-117"), 1'790'000'000'000,
+                                 MemberState::kLeaving, "10.100.100.100:18082",
+                                 ZoneName("ba-barracas"), RegionName("ba-central")});
+  }
+  return heartbeat;
+}
+
+}  // namespace
+
+Test(messages, survive_the_wire) {
+  const auto back = decode(encode(full_heartbeat()));
+  cr_assert(back.has_value(), "%s", back.error().c_str());
+  cr_assert(std::get<Heartbeat>(*back).members == full_heartbeat().members);
+  cr_assert_eq(std::get<ConfigPull>(*decode(encode(ConfigPull{7}))).have, 7);
+}
+
+Test(messages, the_fullest_heartbeat_fits_a_datagram) {
+  Heartbeat heartbeat = full_heartbeat();
+  cr_assert_leq(encode(heartbeat).size(), kMaxDatagram, "%zu", encode(heartbeat).size());
+}
+
+Test(messages, unknown_fields_are_ignored_and_other_versions_refused) {
+  auto json = nlohmann::json::parse(encode(ConfigPull{7}));
+  json["later_field"] = {1, 2, 3};
+  cr_assert(decode(json.dump()).has_value());
+  json["v"] = kProtocolVersion + 1;
+  cr_assert(!decode(json.dump()).has_value());
+}
+
+Test(messages, no_text_makes_the_decoder_fail_badly) {
+  const std::string good = encode(full_heartbeat());
+  SHUNTBANK_PROPERTY("mutated messages decode or are refused", [&good] {
+    std::string text = good;
+    const int edits = *rc::gen::inRange(1, 10);
+    for (int i = 0; i < edits; ++i) {
+      text[*rc::gen::inRange<std::size_t>(0, text.size())] = *rc::gen::arbitrary<char>();
+    }
+    text.resize(*rc::gen::inRange<std::size_t>(0, text.size() + 1));
+    decode(text);
+  });
+  cr_assert(!decode(std::string(100'000, '[')).has_value());
+}
--- /dev/null
+++ b/tests/support/property.hpp
@@ -0,0 +1,9 @@
+/// @file
+/// RapidCheck properties inside Criterion tests.
+#pragma once
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+/// Fails the test when the property does not hold; RapidCheck prints the smallest case it found.
+#define SHUNTBANK_PROPERTY(description, ...) cr_assert(rc::check(description, __VA_ARGS__))
