Prove the promises with real processes under failure

Process tests start whole sites on 127.0.0.1 with kernel-chosen ports and kill, freeze, cut and race them. Found by them, each red first: - A stream whose every chunk was dropped as another attempt's ended as a good, empty answer. Cause: the end marker was believed without a place. Now it names its attempt and the count of tokens. - A node that was told to stop ended with a segmentation fault after it had left. Cause: a timer destroyed itself inside its own call. - A node told to leave by an operator never exited, since only the signal handler knew how.

--- a/src/apps/shuntbankd.cpp
+++ b/src/apps/shuntbankd.cpp
@@ -13,12 +13,12 @@
 
 int run_node(const NodeSettings& settings) {
   asio::io_context loop(1);
-  Node node(loop, settings);
+  Node node(loop, settings, [&loop] { loop.stop(); });
   asio::signal_set signals(loop, SIGTERM, SIGINT);
   std::function<void()> wait = [&] {
     signals.async_wait([&](const std::error_code& error, int) {
       if (error) return;
-      node.leave([&loop] { loop.stop(); });
+      node.leave();
       wait();
     });
   };
--- a/src/config/document.cpp
+++ b/src/config/document.cpp
@@ -90,6 +90,15 @@
   return next;
 }
 
+ObjectEdit set_object(ObjectKind kind, const std::string& name, Revision base_version,
+                      nlohmann::json spec) {
+  ObjectEdit edit;
+  edit.key = {kind, name};
+  edit.base_version = base_version;
+  edit.spec = std::move(spec);
+  return edit;
+}
+
 nlohmann::json to_json(const ConfigDocument& document) {
   nlohmann::json objects = nlohmann::json::array();
   for (const auto& [key, object] : document.objects) {
--- a/src/config/document.hpp
+++ b/src/config/document.hpp
@@ -65,6 +65,10 @@
   std::optional<nlohmann::json> spec;
 };
 
+/// @return an edit that gives an object a new spec.
+ObjectEdit set_object(ObjectKind kind, const std::string& name, Revision base_version,
+                      nlohmann::json spec);
+
 /// Two operators changed the same object.
 struct EditConflict {
   ObjectKey key;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -81,9 +81,10 @@
 
 class Node::Impl {
  public:
-  Impl(asio::io_context& loop, const NodeSettings& settings)
+  Impl(asio::io_context& loop, const NodeSettings& settings, std::function<void()> on_left)
       : loop_(loop),
         settings_(settings),
+        on_left_(std::move(on_left)),
         seed_(choose_seed(settings.seed)),
         http_(loop),
         platform_(http_, settings.platform),
@@ -101,7 +102,7 @@
         caller_api_(settings_, config_, queue_, metrics_),
         operator_api_(
             config_, cluster_, control_, metrics_, [this] { return reasons(); },
-            [this] { leave(on_left_); }),
+            [this] { leave(); }),
         callers_(loop, caller_server(settings),
                  [this](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
                    caller_api_.handle(std::move(request), responder);
@@ -121,9 +122,8 @@
     log_listening("cluster", cluster_.local_endpoint());
   }
 
-  void leave(std::function<void()> on_left) {
-    if (std::exchange(leaving_, true)) return on_left();
-    on_left_ = std::move(on_left);
+  void leave() {
+    if (std::exchange(leaving_, true)) return on_left_();
     log_event(LogArea::kProcess, LogLevel::kInfo, "leaving", {{"open", queue_.open_requests()}});
     cluster_.leave();
     control_.resign();
@@ -131,8 +131,6 @@
     leave_timer_ = std::make_unique<Periodic>(loop_, kLeaveTick, [this] { continue_leaving(); });
   }
 
-  void set_on_left(std::function<void()> on_left) { on_left_ = std::move(on_left); }
-
  private:
   static void log_listening(const char* interface, const asio::ip::tcp::endpoint& endpoint) {
     log_event(LogArea::kProcess, LogLevel::kInfo, "listening",
@@ -212,14 +210,14 @@
   void continue_leaving() {
     if (monotonic_now() < grace_ends_) return;
     callers_.close();
-    if (queue_.open_requests() > 0) return;
-    leave_timer_.reset();
+    if (queue_.open_requests() > 0 || std::exchange(left_, true)) return;
     log_event(LogArea::kProcess, LogLevel::kInfo, "left");
     on_left_();
   }
 
   asio::io_context& loop_;
   const NodeSettings& settings_;
+  std::function<void()> on_left_;
   std::uint64_t seed_;
   HttpClient http_;
   ObjectClient platform_;
@@ -240,18 +238,19 @@
   Periodic demand_timer_;
   Periodic machines_timer_;
   bool leaving_ = false;
+  bool left_ = false;
   MonotonicTime grace_ends_{};
-  std::function<void()> on_left_ = [] {};
+
   std::unique_ptr<Periodic> leave_timer_;
 };
 
-Node::Node(asio::io_context& loop, const NodeSettings& settings)
-    : impl_(std::make_unique<Impl>(loop, settings)) {}
+Node::Node(asio::io_context& loop, const NodeSettings& settings, std::function<void()> on_left)
+    : impl_(std::make_unique<Impl>(loop, settings, std::move(on_left))) {}
 
 Node::~Node() = default;
 
-void Node::leave(std::function<void()> on_left) {
-  impl_->leave(std::move(on_left));
+void Node::leave() {
+  impl_->leave();
 }
 
 }  // namespace shuntbank
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -15,14 +15,15 @@
  public:
   /// Listens at once. @throw std::system_error when an address cannot be had.
   /// @pre `settings` were accepted by `check_node_settings`, and outlive the node.
-  Node(asio::io_context& loop, const NodeSettings& settings);
+  /// @param on_left called once the node has left, by a signal or an operator's word.
+  Node(asio::io_context& loop, const NodeSettings& settings, std::function<void()> on_left);
   ~Node();
   Node(const Node&) = delete;
   Node& operator=(const Node&) = delete;
 
   /// Leaves in order: tells others, gives duties away, ends what it has, then calls `on_left`.
-  /// A second call ends the node at once.
-  void leave(std::function<void()> on_left);
+  /// A second call does not wait any longer.
+  void leave();
 
  private:
   class Impl;
--- a/src/node/request_session.cpp
+++ b/src/node/request_session.cpp
@@ -176,11 +176,14 @@
 
 void RequestSession::on_event(const ServerSentEvent& event) {
   if (broken_ || done_marker_) return;
+  const auto place = parse_chunk_place(event.id);
   if (event.data == kDoneMarker) {
-    done_marker_ = true;
+    // The end counts only from the current attempt, and only when every token was delivered.
+    const bool own = place && place->attempt == progress_.current_attempt();
+    done_marker_ = own && place->index == progress_.delivered();
+    broken_ = !done_marker_;
     return;
   }
-  const auto place = parse_chunk_place(event.id);
   if (place) return deliver(event, *place);
   // The usage event has no place; it is passed on only to a caller who asked for it.
   if (request_.wants_usage && stream_begun_) {
--- a/src/standin/engine_standin.cpp
+++ b/src/standin/engine_standin.cpp
@@ -297,7 +297,8 @@
     chunk["choices"] = json::array();
     chunk["usage"] = usage;
     if (answer.facts.wants_usage) answer.responder->write("data: " + chunk.dump() + "\n\n");
-    answer.responder->write("data: [DONE]\n\n");
+    answer.responder->write("id: " + answer.attempt.value() + ":" + std::to_string(output) +
+                            "\ndata: [DONE]\n\n");
     return answer.responder->finish();
   }
   json whole = chunk_json(answer.kind, answer.request, answer.facts.model);
--- /dev/null
+++ b/tests/process/failure_test.cpp
@@ -0,0 +1,237 @@
+// The promises of the brief under failure, through real processes.
+
+#include <criterion/criterion.h>
+
+#include <csignal>
+#include <thread>
+
+#include "process/support/site.hpp"
+#include "standin/answer.hpp"
+
+using namespace shuntbank;
+using namespace shuntbank::testing;
+using nlohmann::json;
+using namespace std::chrono_literals;
+
+namespace {
+
+const HttpHeaders kOnce{{"X-Shuntbank-Repeatable", "false"}};
+
+std::string id_of(const Reply& reply) {
+  return std::string(reply.headers.get("X-Request-Id"));
+}
+
+/// Runs load in the background while `action` does something to the site.
+LoadReportCard load_during(const LoadSettings& settings, const std::function<void()>& action) {
+  LoadReportCard card;
+  std::thread loader([&] { card = run_load(settings); });
+  action();
+  loader.join();
+  return card;
+}
+
+std::uint64_t error_count(const LoadReportCard& card) {
+  std::uint64_t count = 0;
+  for (const auto& [error, number] : card.errors) count += number;
+  return count;
+}
+
+}  // namespace
+
+Test(failure, a_request_marked_not_repeatable_runs_once_and_is_called_unknown) {
+  Site site;
+  for (std::size_t i = 0; i < 3; ++i)
+    site.set_faults(site.engine(i), {{"drop_after_accept", true}});
+  const Reply once = site.ask(0, Site::completion("settle", 5), kOnce);
+  cr_assert_eq(once.status, 502, "%d %s", once.status, once.body.c_str());
+  cr_assert_eq(once.json["error"]["outcome"], "unknown");
+  cr_assert_eq(site.count_runs(id_of(once)), 1);
+  // A repeatable one is tried elsewhere.
+  const Reply repeated = site.ask(0, Site::completion("lore", 5));
+  cr_assert_gt(site.count_runs(id_of(repeated)), 1);
+}
+
+Test(failure, not_run_is_said_only_when_nothing_ran) {
+  Site site;
+  for (std::size_t i = 0; i < 3; ++i) site.set_faults(site.engine(i), {{"refuse_requests", true}});
+  const Reply refused = site.ask(0, Site::completion("x", 5), kOnce);
+  cr_assert_eq(refused.json["error"]["outcome"], "not_run", "%s", refused.body.c_str());
+  cr_assert_eq(site.count_runs(id_of(refused)), 0);
+  for (auto& engine : site.engines) engine->kill();
+  const Reply unreachable = site.ask(0, Site::completion("x", 5), kOnce);
+  cr_assert_eq(unreachable.json["error"]["outcome"], "not_run", "%s", unreachable.body.c_str());
+}
+
+Test(failure, an_answer_marked_for_another_attempt_reaches_nobody) {
+  SiteShape shape;
+  shape.engines = 1;
+  Site site(shape);
+  site.set_faults(site.engine(0), {{"wrong_attempt_id", true}});
+  const Reply reply = site.ask(0, Site::completion("x", 5, true));
+  cr_assert_neq(reply.status, 200, "%s", reply.body.c_str());
+  cr_assert_eq(reply.body.find("\"text\""), std::string::npos);
+}
+
+Test(failure, a_killed_engine_costs_no_answer) {
+  Site site;
+  const LoadReportCard card = load_during(site.load(30, 4s, 40), [&] {
+    cr_assert(eventually([&] { return site.executions(1)["executions"].size() > 10; }));
+    site.engines[1]->kill();
+  });
+  cr_assert_eq(card.crossed, 0);
+  cr_assert_eq(card.cut, 0);
+  cr_assert_eq(card.whole, card.sent, "%lu of %lu", card.whole, card.sent);
+}
+
+Test(failure, a_killed_node_costs_only_what_was_in_flight_there) {
+  Site site;
+  LoadSettings others = site.load(30, 4s, 20);
+  others.targets.pop_back();
+  const LoadReportCard card = load_during(others, [&] { site.nodes[2]->kill(); });
+  cr_assert_eq(card.whole, card.sent);
+  cr_assert(eventually([&] { return site.all_see_members(2); }));
+  cr_assert(eventually([&] { return site.lease_holder() >= 0; }));
+  cr_assert(site.orders_are_consistent());
+}
+
+Test(failure, a_rolling_restart_of_all_nodes_cuts_nothing) {
+  Site site;
+  for (std::size_t i = 0; i < 3; ++i) {
+    // Callers stop using a node once it says that it is not ready; requests in flight go on.
+    LoadSettings settings = site.load(25, 3s, 150);
+    const LoadReportCard before = load_during(settings, [&] {
+      cr_assert(eventually([&] { return site.executions(0)["executions"].size() > 3; }));
+    });
+    cr_assert_eq(before.whole, before.sent);
+    settings.targets.erase(settings.targets.begin() + static_cast<std::ptrdiff_t>(i));
+    LoadSettings last = site.load(40, 600ms, 300);
+    last.targets = {site.callers(i)};
+    LoadReportCard on_leaver;
+    std::thread leaver_load([&] { on_leaver = run_load(last); });
+    const LoadReportCard card = load_during(settings, [&] {
+      site.nodes[i]->send_signal(SIGTERM);
+      cr_assert_eq(site.nodes[i]->wait(), 0);
+      site.start_node(i);
+    });
+    leaver_load.join();
+    cr_assert_eq(on_leaver.whole, on_leaver.sent, "at the leaver: %lu of %lu", on_leaver.whole,
+                 on_leaver.sent);
+    cr_assert_eq(card.whole, card.sent, "%lu of %lu", card.whole, card.sent);
+    cr_assert(eventually([&] { return site.all_see_members(3); }));
+  }
+}
+
+Test(failure, an_operator_makes_a_node_leave) {
+  Site site;
+  cr_assert_eq(send("POST", "http://" + site.operators(1) + "/v1/drain").status, 200);
+  cr_assert_eq(send("GET", "http://" + site.operators(1) + "/readyz").status, 503);
+  cr_assert_eq(site.nodes[1]->wait(), 0);
+  cr_assert(eventually([&] { return site.all_see_members(2); }));
+}
+
+Test(failure, a_frozen_holder_gives_no_order_after_it_wakes) {
+  SiteShape shape;
+  shape.allowed_roles = {"mixed", "prefill", "decode"};
+  Site site(shape);
+  cr_assert(eventually([&] { return site.lease_holder() >= 0; }));
+  const auto holder = static_cast<std::size_t>(site.lease_holder());
+  const auto fence_of = [&](std::size_t engine) {
+    return send("GET", "http://" + site.engine(engine) + "/control/state").json["fence"].get<int>();
+  };
+  const int before = fence_of(0);
+  site.nodes[holder]->send_signal(SIGSTOP);
+  cr_assert(eventually([&] { return fence_of(0) > before && fence_of(2) > before; }));
+  site.nodes[holder]->send_signal(SIGCONT);
+  cr_assert(eventually([&] { return site.all_see_members(3); }));
+  cr_assert(eventually([&] { return site.lease_holder() >= 0; }));
+  cr_assert(site.orders_are_consistent());
+}
+
+Test(failure, role_changes_under_load_cut_nothing_also_when_an_engine_crashes_in_one) {
+  SiteShape shape;
+  shape.engines = 4;
+  shape.allowed_roles = {"mixed", "prefill", "decode"};
+  Site site(shape);
+  site.set_faults(site.engine(1), {{"crash_in_next_change", true}});
+  const LoadReportCard card = load_during(site.load(30, 6s, 60), [] {});
+  cr_assert_eq(card.whole, card.sent, "%lu of %lu, %lu errors", card.whole, card.sent,
+               error_count(card));
+  int changes = 0;
+  for (std::size_t i = 0; i < 4; ++i) {
+    const json log = site.executions(i);
+    cr_assert_eq(log["cut_by_change"], 0);
+    changes += log["role_changes"].get<int>();
+  }
+  cr_assert_geq(changes, 3);
+  cr_assert(site.orders_are_consistent());
+}
+
+Test(failure, serving_goes_on_while_the_store_is_down) {
+  Site site;
+  site.set_faults(site.platform_address(), {{"down", true}});
+  cr_assert(eventually([&] { return site.lease_holder() < 0; }));
+  cr_assert_eq(site.ask(1, Site::completion("x", 5)).status, 200);
+  const Reply change = site.set_weight(0, "new", 0, 2);
+  cr_assert_eq(change.status, 503);
+  cr_assert_eq(change.json["changed"], "no");
+  // A node that starts meanwhile takes the configuration from its peers.
+  site.nodes[2]->kill();
+  site.set_faults(site.platform_address(), {{"down", false}});
+  cr_assert(eventually([&] { return site.lease_holder() >= 0; }));
+  cr_assert(site.orders_are_consistent());
+}
+
+Test(failure, a_machine_on_the_leaving_list_gets_no_new_work) {
+  Site site;
+  send("PUT", "http://" + site.platform_address() + "/machines?name=e0",
+       json{{"kind", "engine"}, {"address", site.engine(0)}, {"state", "leaving"}}.dump());
+  std::size_t last = SIZE_MAX;
+  int still = 0;
+  cr_assert(eventually([&] {
+    for (int i = 0; i < 6; ++i) site.ask(static_cast<std::size_t>(i) % 3, Site::completion("x", 1));
+    const std::size_t now = site.executions(0)["executions"].size();
+    still = now == last ? still + 1 : 0;
+    last = now;
+    return still >= 5;
+  }));
+}
+
+Test(failure, an_accepted_change_survives_its_node_and_a_lost_answer) {
+  Site site;
+  site.set_faults(site.platform_address(), {{"lose_write_answers", 1}});
+  const Reply lost = site.set_weight(0, "lost", 0, 2);
+  cr_assert_eq(lost.status, 200, "%s", lost.body.c_str());
+  const Reply accepted = site.set_weight(0, "kept", 0, 3);
+  cr_assert_eq(accepted.status, 200);
+  site.nodes[0]->kill();
+  const auto revision = accepted.json["revision"].get<int>();
+  for (std::size_t i = 1; i < 3; ++i) {
+    cr_assert(eventually([&] { return site.status(i)["revision"].get<int>() >= revision; }));
+  }
+}
+
+Test(failure, racing_operators_lose_no_accepted_change_and_see_conflicts) {
+  Site site;
+  std::vector<std::thread> operators;
+  std::atomic<int> accepted{0};
+  std::atomic<int> conflicts{0};
+  for (int i = 0; i < 10; ++i) {
+    operators.emplace_back([&, i] {
+      const Reply own =
+          site.set_weight(static_cast<std::size_t>(i) % 3, "own" + std::to_string(i), 0, 1);
+      if (own.status == 200) ++accepted;
+      const Reply same = site.set_weight(static_cast<std::size_t>(i) % 3, "same", 0, i + 1);
+      if (same.status == 409) ++conflicts;
+      if (same.status == 200) ++accepted;
+    });
+  }
+  for (std::thread& one : operators) one.join();
+  cr_assert_eq(accepted, 11);
+  cr_assert_eq(conflicts, 9);
+  const json document =
+      send("GET", "http://" + site.platform_address() + "/objects?key=config").json;
+  int tenants = 0;
+  for (const json& object : document["value"]["objects"])
+    tenants += object["kind"] == "Tenant" ? 1 : 0;
+  cr_assert_eq(tenants, 13);
+}
