Hold idempotency keys at a majority of replicas before a request that may run once

Cause: a second try of a settled trade through another node ran again; nothing connected the nodes. Weighed: a write to the platform's store for each request (stops with the store), an engine that remembers (forgets in a crash), replicas chosen by hashing over the members (two nodes with different views of the members can choose disjoint majorities). Chosen: a group of three replicas in three zones, whose composition is stored; a new composition serves only after a majority of the old one is sealed and its claims are merged.

Process test: the key is found again after the node that took it was killed, restarted, and after a further kill. Red first: a node that had never asked before could not find the group while the coordinator was dead; nodes now keep the composition and ask those who stand behind it.

--- a/src/bench/commands.cpp
+++ b/src/bench/commands.cpp
@@ -5,6 +5,7 @@
 #include <ostream>
 
 #include "bench/load_command.hpp"
+#include "bench/overhead_command.hpp"
 
 namespace shuntbank {
 namespace {
@@ -20,6 +21,8 @@
 const std::map<std::string, Command>& commands() {
   static const std::map<std::string, Command> table{
       {"load", {"Open-loop load on a running site, with every answer checked.", run_load_command}},
+      {"overhead",
+       {"What a node adds to a request, against the engine alone.", run_overhead_command}},
   };
   return table;
 }
--- /dev/null
+++ b/src/core/requests/claim_group.cpp
@@ -0,0 +1,116 @@
+#include "core/requests/claim_group.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace shuntbank {
+namespace {
+
+bool is_majority(std::size_t count, std::size_t of) {
+  return count >= of / 2 + 1;
+}
+
+const MemberFact* find(const std::vector<MemberFact>& members, const NodeId& node) {
+  const auto found = std::find_if(members.begin(), members.end(),
+                                  [&node](const MemberFact& fact) { return fact.node == node; });
+  return found == members.end() ? nullptr : &*found;
+}
+
+/// Adds usable nodes until the group is full, those in zones without a replica first.
+void fill(std::vector<MemberFact>& group, const std::vector<MemberFact>& usable) {
+  std::vector<MemberFact> ranked = rank_for_duty("claims", usable, usable.size());
+  while (group.size() < kClaimReplicas) {
+    const auto in_new_zone = [&group](const MemberFact& candidate) {
+      return std::none_of(group.begin(), group.end(), [&candidate](const MemberFact& member) {
+        return member.zone == candidate.zone;
+      });
+    };
+    const auto unused = [&group](const MemberFact& candidate) {
+      return find(group, candidate.node) == nullptr;
+    };
+    auto pick = std::find_if(ranked.begin(), ranked.end(), [&](const MemberFact& candidate) {
+      return unused(candidate) && in_new_zone(candidate);
+    });
+    if (pick == ranked.end()) pick = std::find_if(ranked.begin(), ranked.end(), unused);
+    if (pick == ranked.end()) return;
+    group.push_back(*pick);
+  }
+}
+
+}  // namespace
+
+std::optional<ClaimGroupRecord> next_claim_group(const ClaimGroupRecord& record,
+                                                 const std::vector<MemberFact>& usable,
+                                                 const std::set<NodeId>& vouching) {
+  std::vector<MemberFact> group;
+  std::vector<ClaimMember> missing;
+  for (const ClaimMember& member : record.members) {
+    const MemberFact* fact = find(usable, member.node);
+    if (fact != nullptr) group.push_back(*fact);
+    if (fact == nullptr) missing.push_back(member);
+  }
+  fill(group, usable);
+  ClaimGroupRecord next;
+  for (const MemberFact& fact : group) next.members.push_back({fact.node, fact.address});
+  // A missing member stays when nobody can replace it: a group never shrinks, since a smaller group
+  // would survive fewer failures than the one that it takes over from.
+  for (const ClaimMember& member : missing) {
+    if (next.members.size() < record.members.size()) next.members.push_back(member);
+  }
+  if (next.members.empty()) return std::nullopt;
+  const auto same_nodes = [&] {
+    if (next.members.size() != record.members.size()) return false;
+    return std::all_of(next.members.begin(), next.members.end(), [&record](const auto& member) {
+      return std::find(record.members.begin(), record.members.end(), member) !=
+             record.members.end();
+    });
+  };
+  const bool all_vouch =
+      std::all_of(group.begin(), group.end(),
+                  [&vouching](const MemberFact& fact) { return vouching.contains(fact.node); });
+  if (same_nodes() && all_vouch) return std::nullopt;
+  next.view = record.view + 1;
+  next.previous_view = record.view;
+  next.previous_members = record.members;
+  return next;
+}
+
+ClaimTakeover::ClaimTakeover(ClaimGroupRecord record) : record_(std::move(record)) {}
+
+std::vector<ClaimMember> ClaimTakeover::to_seal() const {
+  std::vector<ClaimMember> members;
+  for (const ClaimMember& member : record_.previous_members) {
+    if (!sealed_.contains(member.node)) members.push_back(member);
+  }
+  return members;
+}
+
+void ClaimTakeover::on_sealed(const NodeId& node, const SealResult& result) {
+  // A takeover before this one got as far as here: what it merged is complete.
+  const bool served_new = result.vouched_view == record_.view;
+  complete_ = complete_ || served_new;
+  // Otherwise only a replica that served the view before knows what it granted there.
+  if (!served_new && result.vouched_view != record_.previous_view) return;
+  if (!sealed_.insert(node).second) return;
+  entries_.insert(entries_.end(), result.entries.begin(), result.entries.end());
+}
+
+bool ClaimTakeover::sealed() const {
+  return complete_ || record_.previous_members.empty() ||
+         is_majority(sealed_.size(), record_.previous_members.size());
+}
+
+std::vector<ClaimMember> ClaimTakeover::to_install() const {
+  std::vector<ClaimMember> members;
+  if (!sealed()) return members;
+  for (const ClaimMember& member : record_.members) {
+    if (!installed_.contains(member.node)) members.push_back(member);
+  }
+  return members;
+}
+
+bool ClaimTakeover::installed() const {
+  return is_majority(installed_.size(), record_.members.size());
+}
+
+}  // namespace shuntbank
--- /dev/null
+++ b/src/core/requests/claim_replica.cpp
@@ -0,0 +1,84 @@
+#include "core/requests/claim_replica.hpp"
+
+#include <algorithm>
+
+#include "common/hash.hpp"
+
+namespace shuntbank {
+namespace {
+
+/// Old claims are swept out at most so often.
+constexpr Duration kExpireEvery = std::chrono::seconds(10);
+
+constexpr std::size_t kKeyDigits = 32;
+
+}  // namespace
+
+ClaimKey claim_key(const TenantName& tenant, const std::string& idempotency_key) {
+  // The length in front keeps two pairs of names apart whose joined texts are equal.
+  const std::string joined =
+      std::to_string(tenant.value().size()) + ":" + tenant.value() + idempotency_key;
+  return ClaimKey(sha256_hex(joined).substr(0, kKeyDigits));
+}
+
+ClaimReplica::ClaimReplica(Duration retention, std::size_t max_claims)
+    : retention_(retention), max_claims_(max_claims) {}
+
+ClaimVerdict ClaimReplica::claim(MonotonicTime now, ClaimView view, const ClaimKey& key,
+                                 const RequestId& claimant) {
+  if (view == 0 || view != active_view()) return ClaimVerdict::kUnavailable;
+  expire(now);
+  const auto found = claims_.find(key);
+  if (found != claims_.end() && now < found->second.granted_at + retention_) {
+    return found->second.claimant == claimant ? ClaimVerdict::kGranted : ClaimVerdict::kHeld;
+  }
+  if (found == claims_.end() && claims_.size() >= max_claims_) return ClaimVerdict::kUnavailable;
+  claims_[key] = {claimant, now};
+  return ClaimVerdict::kGranted;
+}
+
+void ClaimReplica::release(const ClaimKey& key, const RequestId& claimant) {
+  const auto found = claims_.find(key);
+  if (found != claims_.end() && found->second.claimant == claimant) claims_.erase(found);
+}
+
+SealResult ClaimReplica::seal(MonotonicTime now, ClaimView view) {
+  sealed_ = std::max(sealed_, view);
+  SealResult result;
+  result.vouched_view = vouched_;
+  for (const auto& [key, claim] : claims_) {
+    result.entries.push_back({key, claim.claimant, now - claim.granted_at});
+  }
+  return result;
+}
+
+bool ClaimReplica::install(MonotonicTime now, ClaimView view,
+                           const std::vector<ClaimEntry>& entries) {
+  // A late install of an older view must not bring back what a newer view has sealed.
+  if (view < sealed_ || view < vouched_) return false;
+  for (const ClaimEntry& entry : entries) {
+    claims_.try_emplace(entry.key, Claim{entry.claimant, now - entry.age});
+  }
+  vouched_ = view;
+  sealed_ = view;
+  return true;
+}
+
+void ClaimReplica::expire(MonotonicTime now) {
+  if (now < next_expiry_) return;
+  next_expiry_ = now + kExpireEvery;
+  std::erase_if(claims_,
+                [&](const auto& entry) { return now >= entry.second.granted_at + retention_; });
+}
+
+ClaimVote::Decision ClaimVote::add(ClaimVerdict verdict) {
+  const std::size_t majority = members_ / 2 + 1;
+  if (verdict == ClaimVerdict::kHeld) return Decision::kHeld;
+  if (verdict == ClaimVerdict::kGranted) ++granted_;
+  if (verdict == ClaimVerdict::kUnavailable) ++unavailable_;
+  if (granted_ >= majority) return Decision::kGranted;
+  if (unavailable_ > members_ - majority) return Decision::kUnavailable;
+  return Decision::kPending;
+}
+
+}  // namespace shuntbank
--- a/src/node/caller_api.cpp
+++ b/src/node/caller_api.cpp
@@ -189,6 +189,8 @@
   if (!repeatable) return refuse(session.id, invalid(repeatable.error()), responder);
   session.repeatable = *repeatable;
   session.tenant = tenant.name;
+  const std::string_view key = request.headers.get("Idempotency-Key");
+  if (!key.empty()) session.claim = claim_key(tenant.name, std::string(key));
   session.snapshot = config_.replica().snapshot();
   session.arrived = monotonic_now();
   session.deadline = session.arrived + settings_.request_deadline;
--- /dev/null
+++ b/src/node/claim_service.cpp
@@ -0,0 +1,274 @@
+#include "node/claim_service.hpp"
+
+#include <asio/post.hpp>
+#include <utility>
+
+#include "common/log.hpp"
+
+namespace shuntbank {
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(500);
+constexpr Duration kRetention = std::chrono::minutes(10);
+constexpr std::size_t kMaxClaims = 200'000;
+
+/// The coordinator and those who stand behind it.
+constexpr std::size_t kCandidates = 3;
+
+/// A node that does not coordinate looks for a new composition so often, besides when it needs one.
+constexpr Duration kPullEvery = std::chrono::seconds(30);
+
+/// A change of the group must be wanted for so many ticks, so that it does not follow every blip.
+constexpr int kTicksBeforeChange = 3;
+
+std::string record_key(const RegionName& region) {
+  return "claims/" + region.value();
+}
+
+}  // namespace
+
+/// One claim on its way.
+struct ClaimService::Attempt {
+  ClaimKey key;
+  RequestId claimant;
+  ClaimHandler handler;  ///< Empty once it was called.
+  ClaimVote vote{0};
+  bool refreshed = false;
+
+  void finish(ClaimVerdict verdict) {
+    const auto call = std::exchange(handler, nullptr);
+    if (call) call(verdict);
+  }
+};
+
+ClaimService::ClaimService(asio::io_context& loop, ObjectClient& platform, ClusterService& cluster,
+                           RegionName region)
+    : loop_(loop),
+      platform_(platform),
+      cluster_(cluster),
+      region_(std::move(region)),
+      replica_(kRetention, kMaxClaims),
+      ticker_(loop, kTick, [this] { tick(); }) {}
+
+std::vector<MemberFact> ClaimService::candidates() const {
+  std::vector<MemberFact> members = cluster_.usable();
+  std::erase_if(members, [this](const MemberFact& member) { return member.region != region_; });
+  return rank_for_duty(record_key(region_), std::move(members), kCandidates);
+}
+
+bool ClaimService::is_coordinator() const {
+  const auto ranked = candidates();
+  return !ranked.empty() && ranked.front().node == cluster_.self().node && !resigned_;
+}
+
+void ClaimService::ask(const ClaimMember& member, const Message& message,
+                       std::function<void(const std::optional<Message>&)> handler) {
+  if (member.node == cluster_.self().node) {
+    asio::post(loop_, [this, message, handler = std::move(handler)] { handler(answer(message)); });
+    return;
+  }
+  cluster_.call(member.address, message, [handler = std::move(handler)](const auto& reply) {
+    handler(reply ? std::optional<Message>(*reply) : std::nullopt);
+  });
+}
+
+void ClaimService::claim(const ClaimKey& key, const RequestId& claimant, ClaimHandler handler) {
+  auto attempt = std::make_shared<Attempt>();
+  attempt->key = key;
+  attempt->claimant = claimant;
+  attempt->handler = std::move(handler);
+  if (record_.stable) return ask_replicas(attempt);
+  refresh_then(attempt);
+}
+
+void ClaimService::ask_replicas(const std::shared_ptr<Attempt>& attempt) {
+  attempt->vote = ClaimVote(record_.members.size());
+  const ClaimRequest request{record_.view, attempt->key, attempt->claimant};
+  for (const ClaimMember& member : record_.members) {
+    ask(member, request, [this, attempt](const std::optional<Message>& reply) {
+      const auto* answered = reply ? std::get_if<ClaimAnswer>(&*reply) : nullptr;
+      on_vote(attempt, answered == nullptr ? ClaimVerdict::kUnavailable : answered->verdict);
+    });
+  }
+}
+
+void ClaimService::on_vote(const std::shared_ptr<Attempt>& attempt, ClaimVerdict verdict) {
+  if (!attempt->handler) return;
+  switch (attempt->vote.add(verdict)) {
+    case ClaimVote::Decision::kPending:
+      return;
+    case ClaimVote::Decision::kGranted:
+      return attempt->finish(ClaimVerdict::kGranted);
+    case ClaimVote::Decision::kHeld:
+      release(attempt->key, attempt->claimant);
+      return attempt->finish(ClaimVerdict::kHeld);
+    case ClaimVote::Decision::kUnavailable:
+      break;
+  }
+  // The group may have moved on: learn its present composition once, then give up.
+  if (!std::exchange(attempt->refreshed, true)) return refresh_then(attempt);
+  release(attempt->key, attempt->claimant);
+  attempt->finish(ClaimVerdict::kUnavailable);
+}
+
+void ClaimService::refresh_then(const std::shared_ptr<Attempt>& attempt) {
+  attempt->refreshed = true;
+  pull_record(candidates(), [this, attempt] {
+    if (!record_.stable) return attempt->finish(ClaimVerdict::kUnavailable);
+    ask_replicas(attempt);
+  });
+}
+
+void ClaimService::pull_record(std::vector<MemberFact> from, std::function<void()> then) {
+  if (from.empty()) return then();
+  const ClaimMember member{from.front().node, from.front().address};
+  from.erase(from.begin());
+  // The coordinator is asked first; those who stand behind it have what it said before.
+  ask(member, ClaimGroupPull{},
+      [this, from = std::move(from), then = std::move(then)](const std::optional<Message>& reply) {
+        const auto* group = reply ? std::get_if<ClaimGroupReply>(&*reply) : nullptr;
+        if (group == nullptr || !group->record.stable) return pull_record(from, then);
+        if (group->record.view >= record_.view) record_ = group->record;
+        then();
+      });
+}
+
+void ClaimService::keep_record_fresh() {
+  record_read_ = false;
+  const MonotonicTime now = monotonic_now();
+  if (pulling_ || (record_.stable && now < next_pull_)) return;
+  pulling_ = true;
+  next_pull_ = now + kPullEvery;
+  pull_record(candidates(), [this] { pulling_ = false; });
+}
+
+void ClaimService::release(const ClaimKey& key, const RequestId& claimant) {
+  for (const ClaimMember& member : record_.members) {
+    if (member.node == cluster_.self().node) {
+      replica_.release(key, claimant);
+    } else {
+      cluster_.send(member.address, ClaimRelease{key, claimant});
+    }
+  }
+}
+
+std::optional<Message> ClaimService::answer(const Message& message) {
+  const MonotonicTime now = monotonic_now();
+  if (const auto* request = std::get_if<ClaimRequest>(&message)) {
+    return ClaimAnswer{replica_.claim(now, request->view, request->key, request->claimant)};
+  }
+  if (const auto* given_back = std::get_if<ClaimRelease>(&message)) {
+    replica_.release(given_back->key, given_back->claimant);
+    return std::nullopt;
+  }
+  if (const auto* seal = std::get_if<ClaimSeal>(&message)) {
+    return ClaimSealed{replica_.seal(now, seal->view)};
+  }
+  if (const auto* install = std::get_if<ClaimInstall>(&message)) {
+    replica_.install(now, install->view, install->entries);
+    return ClaimStatus{replica_.active_view()};
+  }
+  if (std::holds_alternative<ClaimProbe>(message)) return ClaimStatus{replica_.active_view()};
+  if (std::holds_alternative<ClaimGroupPull>(message)) return ClaimGroupReply{record_};
+  return std::nullopt;
+}
+
+void ClaimService::tick() {
+  if (!is_coordinator()) return keep_record_fresh();
+  if (store_busy_) return;
+  // A coordinator starts from what is stored, since another may have changed it before.
+  if (!record_read_) return read_record();
+  if (!record_.stable && record_.view > 0) return run_takeover();
+  probe_members();
+}
+
+void ClaimService::read_record() {
+  store_busy_ = true;
+  platform_.read(record_key(region_), [this](const auto& result) {
+    store_busy_ = false;
+    if (!result) return;
+    record_read_ = true;
+    takeover_.reset();
+    if (!result->has_value()) return;
+    try {
+      record_ = claim_group_from_json((*result)->value);
+      record_version_ = (*result)->version;
+    } catch (const std::exception& error) {
+      record_read_ = false;
+      log_event(LogArea::kControl, LogLevel::kError, "claim_group_unreadable",
+                {{"error", error.what()}});
+    }
+  });
+}
+
+void ClaimService::write_record(const ClaimGroupRecord& next) {
+  store_busy_ = true;
+  platform_.write(
+      record_key(region_), record_version_, to_json(next), [this, next](const auto& result) {
+        store_busy_ = false;
+        // Not answered, or somebody else was faster: go on from what is stored.
+        record_read_ = result && result->applied;
+        if (!record_read_) return;
+        record_ = next;
+        record_version_ = result->version;
+        log_event(LogArea::kControl, LogLevel::kInfo, "claim_group",
+                  {{"view", next.view}, {"members", next.members.size()}, {"stable", next.stable}});
+      });
+}
+
+void ClaimService::probe_members() {
+  if (probes_open_ > 0) return;
+  vouching_.clear();
+  if (record_.members.empty()) return consider_change();
+  probes_open_ = record_.members.size();
+  for (const ClaimMember& member : record_.members) {
+    ask(member, ClaimProbe{}, [this, member](const std::optional<Message>& reply) {
+      const auto* status = reply ? std::get_if<ClaimStatus>(&*reply) : nullptr;
+      if (status != nullptr && status->active_view == record_.view) vouching_.insert(member.node);
+      if (--probes_open_ == 0) consider_change();
+    });
+  }
+}
+
+void ClaimService::consider_change() {
+  if (store_busy_ || !is_coordinator() || !record_read_) return;
+  std::vector<MemberFact> usable = cluster_.usable();
+  std::erase_if(usable, [this](const MemberFact& member) { return member.region != region_; });
+  const auto next = next_claim_group(record_, usable, vouching_);
+  change_wanted_ticks_ = next ? change_wanted_ticks_ + 1 : 0;
+  if (change_wanted_ticks_ < kTicksBeforeChange) return;
+  change_wanted_ticks_ = 0;
+  write_record(*next);
+}
+
+void ClaimService::run_takeover() {
+  if (!takeover_ || !(takeover_->record() == record_)) takeover_.emplace(record_);
+  const ClaimView view = record_.view;
+  const auto current = [this, view] {
+    return takeover_ && takeover_->record().view == view && !record_.stable;
+  };
+  if (takeover_->installed()) {
+    ClaimGroupRecord stable = record_;
+    stable.stable = true;
+    return write_record(stable);
+  }
+  if (!takeover_->sealed()) {
+    for (const ClaimMember& member : takeover_->to_seal()) {
+      ask(member, ClaimSeal{view}, [this, member, current](const std::optional<Message>& reply) {
+        const auto* sealed = reply ? std::get_if<ClaimSealed>(&*reply) : nullptr;
+        if (sealed != nullptr && current()) takeover_->on_sealed(member.node, sealed->result);
+      });
+    }
+    return;
+  }
+  for (const ClaimMember& member : takeover_->to_install()) {
+    ask(member, ClaimInstall{view, takeover_->entries()},
+        [this, member, view, current](const std::optional<Message>& reply) {
+          const auto* status = reply ? std::get_if<ClaimStatus>(&*reply) : nullptr;
+          const bool serves = status != nullptr && status->active_view == view;
+          if (serves && current()) takeover_->on_installed(member.node);
+        });
+  }
+}
+
+}  // namespace shuntbank
--- /dev/null
+++ b/src/node/claim_service.hpp
@@ -0,0 +1,82 @@
+/// @file
+/// Claims of this node: asks the group's replicas before a request that may run only once, serves
+/// as a replica, and coordinates the group when that duty falls to this node.
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "core/requests/claim_group.hpp"
+#include "core/requests/claim_replica.hpp"
+#include "node/cluster_service.hpp"
+#include "node/periodic.hpp"
+#include "platform/object_client.hpp"
+
+namespace shuntbank {
+
+/// All of a node's part in claims.
+class ClaimService {
+ public:
+  ClaimService(asio::io_context& loop, ObjectClient& platform, ClusterService& cluster,
+               RegionName region);
+
+  /// Claims a key for a request.
+  /// @param handler gets `kGranted` once a majority holds it; `kHeld` when another request has it;
+  /// `kUnavailable` when no majority answered in time, so that nothing may be dispatched.
+  using ClaimHandler = std::function<void(ClaimVerdict)>;
+  void claim(const ClaimKey& key, const RequestId& claimant, ClaimHandler handler);
+
+  /// Gives a claim back: its request surely did not run.
+  void release(const ClaimKey& key, const RequestId& claimant);
+
+  /// Answers a message about claims; nothing when it is none.
+  std::optional<Message> answer(const Message& message);
+
+  /// Stops coordinating: this node is leaving. It goes on as a replica to its end.
+  void resign() { resigned_ = true; }
+
+  const ClaimGroupRecord& record() const { return record_; }
+  ClaimView active_view() const { return replica_.active_view(); }
+  std::size_t held_claims() const { return replica_.size(); }
+
+ private:
+  struct Attempt;
+
+  std::vector<MemberFact> candidates() const;
+  bool is_coordinator() const;
+  void ask_replicas(const std::shared_ptr<Attempt>& attempt);
+  void on_vote(const std::shared_ptr<Attempt>& attempt, ClaimVerdict verdict);
+  void refresh_then(const std::shared_ptr<Attempt>& attempt);
+  void pull_record(std::vector<MemberFact> from, std::function<void()> then);
+  void keep_record_fresh();
+  void ask(const ClaimMember& member, const Message& message,
+           std::function<void(const std::optional<Message>&)> handler);
+  void tick();
+  void read_record();
+  void write_record(const ClaimGroupRecord& next);
+  void probe_members();
+  void consider_change();
+  void run_takeover();
+
+  asio::io_context& loop_;
+  ObjectClient& platform_;
+  ClusterService& cluster_;
+  RegionName region_;
+  ClaimReplica replica_;
+  ClaimGroupRecord record_;
+  std::uint64_t record_version_ = 0;
+  bool record_read_ = false;
+  bool store_busy_ = false;
+  std::set<NodeId> vouching_;
+  std::size_t probes_open_ = 0;
+  int change_wanted_ticks_ = 0;
+  std::optional<ClaimTakeover> takeover_;
+  bool resigned_ = false;
+  bool pulling_ = false;
+  MonotonicTime next_pull_{};
+  Periodic ticker_;
+};
+
+}  // namespace shuntbank
--- a/src/node/cluster_service.cpp
+++ b/src/node/cluster_service.cpp
@@ -74,6 +74,7 @@
   }
   if (const auto* heartbeat = std::get_if<Heartbeat>(&*message)) on_heartbeat(*heartbeat, sender);
   if (const auto* demand = std::get_if<DemandReport>(&*message)) hooks_.on_demand(*demand);
+  if (std::holds_alternative<ClaimRelease>(*message)) hooks_.on_claim_message(*message);
   if (const auto* notice = std::get_if<RevisionNotice>(&*message)) {
     const MemberFact* peer = membership_.find(notice->from);
     if (peer != nullptr) hooks_.on_peer_revision(*peer, notice->revision);
@@ -137,7 +138,8 @@
   if (std::holds_alternative<FactsPull>(*message)) {
     return reply(encode(FactsReply{membership_.all(), engine_facts_.all()}));
   }
-  reply({});
+  const auto answer = hooks_.on_claim_message(*message);
+  reply(answer ? encode(*answer) : std::string());
 }
 
 void ClusterService::leave() {
@@ -160,11 +162,11 @@
   std::erase_if(peers, [this](const MemberFact& peer) { return peer.node == self().node; });
   std::shuffle(peers.begin(), peers.end(), random_);
   if (peers.size() > kAnnounceFanout) peers.resize(kAnnounceFanout);
-  for (const MemberFact& peer : peers) send(peer, RevisionNotice{self().node, revision});
+  for (const MemberFact& peer : peers) send(peer.address, RevisionNotice{self().node, revision});
 }
 
-void ClusterService::send(const MemberFact& member, const Message& message) {
-  const auto endpoint = parse_endpoint(member.address);
+void ClusterService::send(const std::string& address, const Message& message) {
+  const auto endpoint = parse_endpoint(address);
   if (endpoint) datagrams_.send(to_udp(*endpoint), encode(message));
 }
 
--- a/src/node/cluster_service.hpp
+++ b/src/node/cluster_service.hpp
@@ -28,6 +28,8 @@
     std::function<void(const std::vector<EngineFact>&)> on_engine_facts;
     std::function<void(const DemandReport&)> on_demand;
     std::function<Message(const ConfigPull&)> on_config_pull;
+    /// Answers a message about claims; nothing when it is none.
+    std::function<std::optional<Message>(const Message&)> on_claim_message;
   };
 
   /// @param self without its address, which is known once the socket is bound.
@@ -57,8 +59,8 @@
   /// Tells a few random members of a new revision at once.
   void announce_revision(Revision revision);
 
-  /// Sends a datagram to a member.
-  void send(const MemberFact& member, const Message& message);
+  /// Sends a datagram to a member's address.
+  void send(const std::string& address, const Message& message);
 
   /// Sends a framed message and hands back the answer.
   using AnswerHandler = std::function<void(tl::expected<Message, std::string>)>;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -97,11 +97,12 @@
                  cluster_hooks()),
         control_(loop, platform_, engine_client_, cluster_, RegionName(settings.region),
                  settings.lease_length),
-        context_{loop, settings_, http_, engines_, router_, retries_, metrics_},
+        claims_(loop, platform_, cluster_, RegionName(settings.region)),
+        context_{loop, settings_, http_, engines_, router_, retries_, metrics_, claims_},
         queue_(loop, context_),
         caller_api_(settings_, config_, queue_, metrics_),
         operator_api_(
-            config_, cluster_, control_, metrics_, [this] { return reasons(); },
+            config_, cluster_, control_, claims_, metrics_, [this] { return reasons(); },
             [this] { leave(); }),
         callers_(loop, caller_server(settings),
                  [this](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
@@ -127,6 +128,7 @@
     log_event(LogArea::kProcess, LogLevel::kInfo, "leaving", {{"open", queue_.open_requests()}});
     cluster_.leave();
     control_.resign();
+    claims_.resign();
     grace_ends_ = monotonic_now() + settings_.leave_grace;
     leave_timer_ = std::make_unique<Periodic>(loop_, kLeaveTick, [this] { continue_leaving(); });
   }
@@ -148,6 +150,7 @@
     };
     hooks.on_demand = [this](const DemandReport& report) { control_.on_demand(report); };
     hooks.on_config_pull = [this](const ConfigPull& pull) { return config_.on_pull(pull); };
+    hooks.on_claim_message = [this](const Message& message) { return claims_.answer(message); };
     return hooks;
   }
 
@@ -183,7 +186,7 @@
       if (controller->node == cluster_.self().node) {
         control_.on_demand(report);
       } else {
-        cluster_.send(*controller, report);
+        cluster_.send(controller->address, report);
       }
     }
   }
@@ -229,6 +232,7 @@
   ConfigService config_;
   ClusterService cluster_;
   ControlService control_;
+  ClaimService claims_;
   ServingContext context_;
   RequestQueue queue_;
   CallerApi caller_api_;
--- a/src/node/operator_api.cpp
+++ b/src/node/operator_api.cpp
@@ -65,11 +65,13 @@
 }  // namespace
 
 OperatorApi::OperatorApi(ConfigService& config, const ClusterService& cluster,
-                         const ControlService& control, Metrics& metrics,
-                         std::function<std::string()> reasons, std::function<void()> on_leave)
+                         const ControlService& control, const ClaimService& claims,
+                         Metrics& metrics, std::function<std::string()> reasons,
+                         std::function<void()> on_leave)
     : config_(config),
       cluster_(cluster),
       control_(control),
+      claims_(claims),
       metrics_(metrics),
       reasons_(std::move(reasons)),
       on_leave_(std::move(on_leave)) {}
@@ -121,6 +123,17 @@
   return {503, {}, reasons};
 }
 
+json OperatorApi::claims_json() const {
+  const ClaimGroupRecord& record = claims_.record();
+  json members = json::array();
+  for (const ClaimMember& member : record.members) members.push_back(member.node.value());
+  return {{"view", record.view},
+          {"stable", record.stable},
+          {"members", std::move(members)},
+          {"active_view_here", claims_.active_view()},
+          {"held_here", claims_.held_claims()}};
+}
+
 json OperatorApi::status() const {
   json members = json::array();
   for (const MemberFact& member : cluster_.members()) {
@@ -156,6 +169,7 @@
           {"platform_answers", config_.platform_answers()},
           {"members", std::move(members)},
           {"duties", std::move(duties)},
+          {"claims", claims_json()},
           {"engines", std::move(engines)}};
 }
 
--- a/src/node/operator_api.hpp
+++ b/src/node/operator_api.hpp
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "net/http_server.hpp"
+#include "node/claim_service.hpp"
 #include "node/cluster_service.hpp"
 #include "node/config_service.hpp"
 #include "node/control_service.hpp"
@@ -20,7 +21,7 @@
  public:
   /// @param reasons names why the node is not ready; empty text when it is.
   OperatorApi(ConfigService& config, const ClusterService& cluster, const ControlService& control,
-              Metrics& metrics, std::function<std::string()> reasons,
+              const ClaimService& claims, Metrics& metrics, std::function<std::string()> reasons,
               std::function<void()> on_leave);
 
   void handle(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder);
@@ -30,11 +31,13 @@
 
   void change_config(const HttpRequest& request, const Responder& responder);
   nlohmann::json status() const;
+  nlohmann::json claims_json() const;
   HttpReply readiness() const;
 
   ConfigService& config_;
   const ClusterService& cluster_;
   const ControlService& control_;
+  const ClaimService& claims_;
   Metrics& metrics_;
   std::function<std::string()> reasons_;
   std::function<void()> on_leave_;
--- a/src/node/request_session.cpp
+++ b/src/node/request_session.cpp
@@ -51,9 +51,38 @@
   timer_.async_wait([self = shared_from_this()](const std::error_code& error) {
     if (!error) self->on_deadline();
   });
+  if (request_.claim) return claim_then_dispatch();
   dispatch();
 }
 
+void RequestSession::claim_then_dispatch() {
+  context_.claims.claim(*request_.claim, request_.id,
+                        [self = shared_from_this()](ClaimVerdict verdict) {
+                          if (self->ended_) {
+                            // Nothing was dispatched, so the key is free again.
+                            self->context_.claims.release(*self->request_.claim, self->request_.id);
+                            return;
+                          }
+                          self->on_claim(verdict);
+                        });
+}
+
+void RequestSession::on_claim(ClaimVerdict verdict) {
+  switch (verdict) {
+    case ClaimVerdict::kGranted:
+      return dispatch();
+    case ClaimVerdict::kHeld:
+      respond_error({ErrorCode::kAlreadyClaimed,
+                     "a request with this idempotency key was accepted before",
+                     RequestOutcome::kUnknown, std::nullopt});
+      return end("refused");
+    case ClaimVerdict::kUnavailable:
+      respond_error({ErrorCode::kOverloaded, "the idempotency key cannot be checked now",
+                     RequestOutcome::kNotRun, kRetryAfterFailure});
+      return end("refused");
+  }
+}
+
 void RequestSession::refuse(const CallerError& error) {
   respond_error(error);
   end("refused");
@@ -308,6 +337,7 @@
   respond_error({not_run ? ErrorCode::kNoEngine : ErrorCode::kEngineFailed,
                  not_run ? "no engine could take the request" : "the engine failed", outcome,
                  kRetryAfterFailure});
+  if (not_run && request_.claim) context_.claims.release(*request_.claim, request_.id);
   end(to_text(outcome));
 }
 
--- a/src/node/request_session.hpp
+++ b/src/node/request_session.hpp
@@ -20,6 +20,7 @@
 #include "engine/event_stream.hpp"
 #include "net/http_client.hpp"
 #include "net/http_server.hpp"
+#include "node/claim_service.hpp"
 #include "node/error_reply.hpp"
 #include "node/metrics.hpp"
 #include "node/settings.hpp"
@@ -35,6 +36,7 @@
   Router& router;
   RetryBudget& retries;
   Metrics& metrics;
+  ClaimService& claims;
 };
 
 /// One admitted request.
@@ -45,6 +47,7 @@
   ServiceName service;
   bool plain = false;
   bool repeatable = true;
+  std::optional<ClaimKey> claim;  ///< Held by replicas before the first dispatch.
   bool stream = false;
   bool wants_usage = false;
   std::string method = "POST";
@@ -89,6 +92,8 @@
  private:
   enum class Step { kPrefill, kAnswer };
 
+  void claim_then_dispatch();
+  void on_claim(ClaimVerdict verdict);
   void dispatch();
   bool choose_engines();
   std::optional<EngineId> choose(EngineRole role, bool any_role);
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -46,6 +46,12 @@
   return fact;
 }
 
+json to_json(const ClaimEntry& entry) {
+  return {{"key", entry.key.value()},
+          {"claimant", entry.claimant.value()},
+          {"age_us", entry.age.count()}};
+}
+
 template <typename Item>
 json list_to_json(const std::vector<Item>& items) {
   json list = json::array();
@@ -102,6 +108,94 @@
           {"engines", list_to_json(message.engines)}};
 }
 
+ClaimEntry claim_entry_from_json(const json& item) {
+  return {ClaimKey(item.at("key").get<std::string>()),
+          RequestId(item.at("claimant").get<std::string>()),
+          Duration(item.at("age_us").get<std::int64_t>())};
+}
+
+const char* verdict_name(ClaimVerdict verdict) {
+  switch (verdict) {
+    case ClaimVerdict::kGranted:
+      return "granted";
+    case ClaimVerdict::kHeld:
+      return "held";
+    case ClaimVerdict::kUnavailable:
+      break;
+  }
+  return "unavailable";
+}
+
+ClaimVerdict verdict_from_json(const json& name) {
+  if (name == "granted") return ClaimVerdict::kGranted;
+  if (name == "held") return ClaimVerdict::kHeld;
+  return ClaimVerdict::kUnavailable;
+}
+
+json members_to_json(const std::vector<ClaimMember>& members) {
+  json list = json::array();
+  for (const ClaimMember& member : members) {
+    list.push_back({{"node", member.node.value()}, {"addr", member.address}});
+  }
+  return list;
+}
+
+std::vector<ClaimMember> members_from_json(const json& list) {
+  return list_from_json<ClaimMember>(list, [](const json& item) {
+    return ClaimMember{NodeId(item.at("node").get<std::string>()),
+                       item.at("addr").get<std::string>()};
+  });
+}
+
+json body_of(const ClaimRequest& message) {
+  return {{"type", "claim"},
+          {"view", message.view},
+          {"key", message.key.value()},
+          {"claimant", message.claimant.value()}};
+}
+
+json body_of(const ClaimAnswer& message) {
+  return {{"type", "claim_answer"}, {"verdict", verdict_name(message.verdict)}};
+}
+
+json body_of(const ClaimRelease& message) {
+  return {{"type", "claim_release"},
+          {"key", message.key.value()},
+          {"claimant", message.claimant.value()}};
+}
+
+json body_of(const ClaimSeal& message) {
+  return {{"type", "claim_seal"}, {"view", message.view}};
+}
+
+json body_of(const ClaimSealed& message) {
+  return {{"type", "claim_sealed"},
+          {"vouched", message.result.vouched_view},
+          {"entries", list_to_json(message.result.entries)}};
+}
+
+json body_of(const ClaimInstall& message) {
+  return {{"type", "claim_install"},
+          {"view", message.view},
+          {"entries", list_to_json(message.entries)}};
+}
+
+json body_of(const ClaimStatus& message) {
+  return {{"type", "claim_status"}, {"active", message.active_view}};
+}
+
+json body_of(const ClaimProbe&) {
+  return {{"type", "claim_probe"}};
+}
+
+json body_of(const ClaimGroupPull&) {
+  return {{"type", "claim_group_pull"}};
+}
+
+json body_of(const ClaimGroupReply& message) {
+  return {{"type", "claim_group"}, {"record", shuntbank::to_json(message.record)}};
+}
+
 Message read_heartbeat(const json& body) {
   Heartbeat message;
   message.from = NodeId(body.at("from").get<std::string>());
@@ -119,8 +213,36 @@
   return ConfigChanges{body.at("base").get<Revision>(), std::move(*document)};
 }
 
+std::optional<Message> read_claim_message(const std::string& type, const json& body) {
+  if (type == "claim") {
+    return ClaimRequest{body.at("view").get<ClaimView>(),
+                        ClaimKey(body.at("key").get<std::string>()),
+                        RequestId(body.at("claimant").get<std::string>())};
+  }
+  if (type == "claim_answer") return ClaimAnswer{verdict_from_json(body.at("verdict"))};
+  if (type == "claim_release") {
+    return ClaimRelease{ClaimKey(body.at("key").get<std::string>()),
+                        RequestId(body.at("claimant").get<std::string>())};
+  }
+  if (type == "claim_seal") return ClaimSeal{body.at("view").get<ClaimView>()};
+  if (type == "claim_sealed") {
+    return ClaimSealed{{body.at("vouched").get<ClaimView>(),
+                        list_from_json<ClaimEntry>(body.at("entries"), claim_entry_from_json)}};
+  }
+  if (type == "claim_install") {
+    return ClaimInstall{body.at("view").get<ClaimView>(),
+                        list_from_json<ClaimEntry>(body.at("entries"), claim_entry_from_json)};
+  }
+  if (type == "claim_status") return ClaimStatus{body.at("active").get<ClaimView>()};
+  if (type == "claim_probe") return ClaimProbe{};
+  if (type == "claim_group_pull") return ClaimGroupPull{};
+  if (type == "claim_group") return ClaimGroupReply{claim_group_from_json(body.at("record"))};
+  return std::nullopt;
+}
+
 Message read_body(const json& body) {
   const auto type = body.at("type").get<std::string>();
+  if (auto claim = read_claim_message(type, body)) return std::move(*claim);
   if (type == "heartbeat") return read_heartbeat(body);
   if (type == "revision") {
     return RevisionNotice{NodeId(body.at("from").get<std::string>()),
@@ -143,6 +265,20 @@
 
 }  // namespace
 
+json to_json(const ClaimGroupRecord& record) {
+  return {{"view", record.view},
+          {"members", members_to_json(record.members)},
+          {"stable", record.stable},
+          {"previous_view", record.previous_view},
+          {"previous_members", members_to_json(record.previous_members)}};
+}
+
+ClaimGroupRecord claim_group_from_json(const json& item) {
+  return {item.at("view").get<ClaimView>(), members_from_json(item.at("members")),
+          item.at("stable").get<bool>(), item.at("previous_view").get<ClaimView>(),
+          members_from_json(item.at("previous_members"))};
+}
+
 std::string encode(const Message& message) {
   json body = std::visit([](const auto& value) { return body_of(value); }, message);
   body["v"] = kProtocolVersion;
--- a/src/protocol/messages.hpp
+++ b/src/protocol/messages.hpp
@@ -12,6 +12,7 @@
 #include "common/identifiers.hpp"
 #include "config/document.hpp"
 #include "core/membership/membership.hpp"
+#include "core/requests/claim_group.hpp"
 #include "core/routing/engine_table.hpp"
 
 namespace shuntbank {
@@ -69,8 +70,65 @@
   std::vector<EngineFact> engines;
 };
 
-using Message = std::variant<Heartbeat, RevisionNotice, DemandReport, ConfigPull, ConfigChanges,
-                             FactsPull, FactsReply>;
+/// Claims a key at one replica. By framed connection.
+struct ClaimRequest {
+  ClaimView view = 0;
+  ClaimKey key;
+  RequestId claimant;
+};
+
+/// Answer to `ClaimRequest`.
+struct ClaimAnswer {
+  ClaimVerdict verdict = ClaimVerdict::kUnavailable;
+};
+
+/// Gives a claim back. By datagram: a lost one only keeps a key held.
+struct ClaimRelease {
+  ClaimKey key;
+  RequestId claimant;
+};
+
+/// Seals the views below `view` at one replica. By framed connection.
+struct ClaimSeal {
+  ClaimView view = 0;
+};
+
+/// Answer to `ClaimSeal`.
+struct ClaimSealed {
+  SealResult result;
+};
+
+/// Begins a view at one replica. By framed connection.
+struct ClaimInstall {
+  ClaimView view = 0;
+  std::vector<ClaimEntry> entries;
+};
+
+/// Answer to `ClaimInstall` and `ClaimProbe`.
+struct ClaimStatus {
+  ClaimView active_view = 0;
+};
+
+/// Asks a replica which view it serves. By framed connection.
+struct ClaimProbe {};
+
+/// Asks the coordinator for the group's composition. By framed connection.
+struct ClaimGroupPull {};
+
+/// Answer to `ClaimGroupPull`.
+struct ClaimGroupReply {
+  ClaimGroupRecord record;
+};
+
+using Message =
+    std::variant<Heartbeat, RevisionNotice, DemandReport, ConfigPull, ConfigChanges, FactsPull,
+                 FactsReply, ClaimRequest, ClaimAnswer, ClaimRelease, ClaimSeal, ClaimSealed,
+                 ClaimInstall, ClaimStatus, ClaimProbe, ClaimGroupPull, ClaimGroupReply>;
+
+nlohmann::json to_json(const ClaimGroupRecord& record);
+
+/// @throw nlohmann::json::exception when a field is absent or of another type.
+ClaimGroupRecord claim_group_from_json(const nlohmann::json& json);
 
 /// @return the message as JSON text.
 std::string encode(const Message& message);
--- a/tests/process/failure_test.cpp
+++ b/tests/process/failure_test.cpp
@@ -235,3 +235,30 @@
     tenants += object["kind"] == "Tenant" ? 1 : 0;
   cr_assert_eq(tenants, 13);
 }
+
+Test(failure, one_idempotency_key_runs_once_whichever_node_is_asked_and_whoever_dies) {
+  Site site;
+  const HttpHeaders key{{"Idempotency-Key", "trade-17"}};
+  cr_assert(eventually([&] { return site.claims_are_ready(); }));
+  const Reply first = site.ask(0, Site::completion("settle", 5), key);
+  cr_assert_eq(first.status, 200, "%s", first.body.c_str());
+  const Reply second = site.ask(1, Site::completion("settle", 5), key);
+  cr_assert_eq(second.status, 409, "%s", second.body.c_str());
+  cr_assert_eq(second.json["error"]["outcome"], "unknown");
+  // Another tenant's key of the same text is another key.
+  const Reply other = site.ask(1, Site::completion("settle", 5),
+                               {{"Idempotency-Key", "trade-17"},
+                                {"Authorization", std::string("Bearer ") + kOtherTenantKey}});
+  cr_assert_eq(other.status, 200, "%s", other.body.c_str());
+  site.nodes[0]->kill();
+  const Reply after_kill = site.ask(2, Site::completion("settle", 5), key);
+  cr_assert_eq(after_kill.status, 409, "%d %s", after_kill.status, after_kill.body.c_str());
+  site.start_node(0);
+  // The restarted node has forgotten everything; the others teach it before it may grant again.
+  cr_assert(eventually([&] { return site.claims_are_ready(); }));
+  site.nodes[1]->kill();
+  for (int i = 0; i < 20; ++i) {
+    const Reply again = site.ask(0, Site::completion("settle", 5), key);
+    cr_assert_eq(again.status, 409, "%s", again.body.c_str());
+  }
+}
--- a/tests/process/support/site.cpp
+++ b/tests/process/support/site.cpp
@@ -193,6 +193,19 @@
   return true;
 }
 
+bool Site::claims_are_ready() {
+  json group;
+  for (std::size_t i = 0; i < nodes.size(); ++i) {
+    const json seen = status(i)["claims"];
+    if (group.is_null() || seen["view"] > group["view"]) group = seen;
+  }
+  if (group["members"].size() != 3 || group["stable"] != true) return false;
+  for (std::size_t i = 0; i < nodes.size(); ++i) {
+    if (status(i)["claims"]["active_view_here"] != group["view"]) return false;
+  }
+  return true;
+}
+
 LoadSettings Site::load(double rate, Duration length, std::uint32_t output_tokens) {
   LoadSettings settings;
   for (std::size_t i = 0; i < nodes.size(); ++i) settings.targets.push_back(callers(i));
--- a/tests/process/support/site.hpp
+++ b/tests/process/support/site.hpp
@@ -67,6 +67,9 @@
   /// @return the node that holds the lease of the model service, or -1.
   int lease_holder();
 
+  /// @return whether the claim group has three members that serve its view.
+  bool claims_are_ready();
+
   /// Starts a node and tells the platform of it.
   void start_node(std::size_t index);
 
