--- a/src/apps/shuntbank_standin.cpp
+++ b/src/apps/shuntbank_standin.cpp
@@ -8,6 +8,7 @@
 #include "common/log.hpp"
 #include "config/option_set.hpp"
 #include "net/address.hpp"
+#include "net/asio_runtime.hpp"
 #include "standin/engine_standin.hpp"
 #include "standin/platform_standin.hpp"
 
@@ -16,9 +17,15 @@
 
 constexpr std::size_t kMaxStandinBody = 64UL << 20U;
 
-void run_until_signal(asio::io_context& loop, const asio::ip::tcp::endpoint& endpoint) {
+/// Serves `standin` on its address until a signal comes.
+template <typename Standin>
+void serve(asio::io_context& loop, const HttpServerSettings& settings, Standin& standin) {
+  const HttpServer server(
+      loop, settings, [&standin](HttpRequest request, const std::shared_ptr<HttpResponder>& to) {
+        standin.handle(std::move(request), to);
+      });
   log_event(LogArea::kProcess, LogLevel::kInfo, "listening",
-            {{"interface", "api"}, {"address", format_endpoint(endpoint)}});
+            {{"interface", "api"}, {"address", format_endpoint(server.local_endpoint())}});
   asio::signal_set signals(loop, SIGTERM, SIGINT);
   signals.async_wait([&loop](const std::error_code&, int) { loop.stop(); });
   loop.run();
@@ -57,24 +64,27 @@
 }
 
 int run_platform(const std::vector<std::string>& arguments) {
+  HttpServerSettings server;
   PlatformStandinSettings settings;
   OptionSet options("shuntbank-standin platform [options]");
-  add_listen(options, settings.server);
+  add_listen(options, server);
   options.add_whole("max-watches", settings.max_watches, 1, 10000, "Most watches at once.");
   options.add_duration("machine-list-lag", settings.machine_list_lag, Duration(0),
                        std::chrono::minutes(10), "Lag of the machine list.");
   const OptionsOutcome outcome = options.read(arguments, std::cout, std::cerr);
   if (!outcome.run) return static_cast<int>(outcome.code);
   asio::io_context loop(1);
-  const PlatformStandin platform(loop, settings);
-  run_until_signal(loop, platform.local_endpoint());
+  AsioRuntime runtime(loop);
+  PlatformStandin platform(runtime, settings);
+  serve(loop, server, platform);
   return static_cast<int>(ExitCode::kSuccess);
 }
 
 int run_engine(const std::vector<std::string>& arguments) {
+  HttpServerSettings server;
   EngineStandinSettings settings;
   OptionSet options("shuntbank-standin engine [options]");
-  add_listen(options, settings.server);
+  add_listen(options, server);
   options.add_flag("plain", settings.plain, "Be a plain service instead of a model engine.");
   options.add("model", "Model held at the start, NAME@VERSION[:ADAPTER,...]. May be repeated.", "",
               [&settings](const std::string& text) -> tl::expected<void, std::string> {
@@ -93,6 +103,8 @@
                        std::chrono::minutes(1), "Emulated time that a sequence adds to a step.");
   options.add_number("prefill-rate", settings.costs.prefill_tokens_per_second, 1, 1e12,
                      "Prompt tokens prefilled in an emulated second.");
+  std::uint64_t max_waiting = settings.costs.max_waiting;
+  options.add_whole("max-waiting", max_waiting, 1, 1'000'000, "Requests beyond this are refused.");
   std::uint64_t max_batch = settings.costs.max_batch;
   options.add_whole("max-batch", max_batch, 1, 100000, "Sequences that decode at once.");
   options.add_duration("role-change-time", settings.costs.role_change_time, Duration(0),
@@ -101,9 +113,11 @@
   const OptionsOutcome outcome = options.read(arguments, std::cout, std::cerr);
   if (!outcome.run) return static_cast<int>(outcome.code);
   settings.costs.max_batch = max_batch;
+  settings.costs.max_waiting = max_waiting;
   asio::io_context loop(1);
-  const EngineStandin engine(loop, settings);
-  run_until_signal(loop, engine.local_endpoint());
+  AsioRuntime runtime(loop);
+  EngineStandin engine(runtime, settings);
+  serve(loop, server, engine);
   return static_cast<int>(ExitCode::kSuccess);
 }
 
--- a/src/apps/shuntbankd.cpp
+++ b/src/apps/shuntbankd.cpp
@@ -6,14 +6,14 @@
 #include <iostream>
 
 #include "common/log.hpp"
-#include "node/node.hpp"
+#include "node/node_server.hpp"
 
 namespace shuntbank {
 namespace {
 
 int run_node(const NodeSettings& settings) {
   asio::io_context loop(1);
-  Node node(loop, settings, [&loop] { loop.stop(); });
+  NodeServer node(loop, settings, [&loop] { loop.stop(); });
   asio::signal_set signals(loop, SIGTERM, SIGINT);
   std::function<void()> wait = [&] {
     signals.async_wait([&](const std::error_code& error, int) {
--- a/src/bench/load_generator.cpp
+++ b/src/bench/load_generator.cpp
@@ -216,7 +216,7 @@
 
   const LoadSettings& settings_;
   asio::io_context loop_;
-  HttpClient http_;
+  CurlHttpClient http_;
   asio::steady_timer timer_;
   std::mt19937_64 random_;
   LoadReportCard card_;
--- a/src/bench/overhead_command.cpp
+++ b/src/bench/overhead_command.cpp
@@ -182,7 +182,7 @@
 
   const OverheadSettings& settings_;
   asio::io_context loop_;
-  HttpClient http_;
+  CurlHttpClient http_;
   asio::steady_timer timer_;
   std::size_t streams_begun_ = 0;
   std::size_t streams_ended_ = 0;
--- a/src/net/blocking_client.cpp
+++ b/src/net/blocking_client.cpp
@@ -6,7 +6,7 @@
 
 tl::expected<HttpReply, TransferError> fetch_blocking(OutgoingRequest request) {
   asio::io_context loop(1);
-  HttpClient client(loop);
+  CurlHttpClient client(loop);
   tl::expected<HttpReply, TransferError> result =
       tl::make_unexpected(TransferError{TransferFailure::kUncertain, "no reply"});
   client.fetch(std::move(request), [&result, &loop](auto reply) {
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -48,7 +48,7 @@
 
 }  // namespace
 
-class HttpClient::Impl : public std::enable_shared_from_this<HttpClient::Impl> {
+class CurlHttpClient::Impl : public std::enable_shared_from_this<CurlHttpClient::Impl> {
  public:
   explicit Impl(asio::io_context& loop) : loop_(loop), timer_(loop) {
     static const CurlGlobal global;
@@ -313,24 +313,24 @@
   std::unordered_map<TransferId, std::shared_ptr<Transfer>> transfers_;
   std::unordered_map<curl_socket_t, std::shared_ptr<WatchedSocket>> sockets_;
 
-  friend class HttpClient;
+  friend class CurlHttpClient;
 };
 
-HttpClient::HttpClient(asio::io_context& loop) : impl_(std::make_shared<Impl>(loop)) {}
+CurlHttpClient::CurlHttpClient(asio::io_context& loop) : impl_(std::make_shared<Impl>(loop)) {}
 
-HttpClient::~HttpClient() {
+CurlHttpClient::~CurlHttpClient() {
   impl_->close();
 }
 
-TransferId HttpClient::start(OutgoingRequest request, TransferHandlers handlers) {
+TransferId CurlHttpClient::start(OutgoingRequest request, TransferHandlers handlers) {
   return impl_->start(std::move(request), std::move(handlers));
 }
 
-void HttpClient::cancel(TransferId id) {
+void CurlHttpClient::cancel(TransferId id) {
   impl_->cancel(id);
 }
 
-void HttpClient::resume(TransferId id) {
+void CurlHttpClient::resume(TransferId id) {
   impl_->resume(id);
 }
 
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -58,23 +58,36 @@
 /// Sends requests. Not thread safe: use it on the loop's thread only.
 class HttpClient {
  public:
-  explicit HttpClient(asio::io_context& loop);
-  ~HttpClient();
+  HttpClient() = default;
+  virtual ~HttpClient() = default;
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
   /// Starts a transfer. Failures are told through `handlers.on_done`, never before this returns.
-  TransferId start(OutgoingRequest request, TransferHandlers handlers);
+  virtual TransferId start(OutgoingRequest request, TransferHandlers handlers) = 0;
 
   /// Ends a transfer and closes its connection; no handler is called afterwards.
-  void cancel(TransferId id);
+  virtual void cancel(TransferId id) = 0;
 
   /// Goes on with a paused transfer.
-  void resume(TransferId id);
+  virtual void resume(TransferId id) = 0;
 
   /// Sends a request and collects a whole reply of at most `kMaxWholeReply` bytes.
   using FetchHandler = std::function<void(tl::expected<HttpReply, TransferError>)>;
   TransferId fetch(OutgoingRequest request, FetchHandler handler);
+};
+
+/// The client of real processes.
+class CurlHttpClient : public HttpClient {
+ public:
+  explicit CurlHttpClient(asio::io_context& loop);
+  ~CurlHttpClient() override;
+  CurlHttpClient(const CurlHttpClient&) = delete;
+  CurlHttpClient& operator=(const CurlHttpClient&) = delete;
+
+  TransferId start(OutgoingRequest request, TransferHandlers handlers) override;
+  void cancel(TransferId id) override;
+  void resume(TransferId id) override;
 
  private:
   class Impl;
--- a/src/node/caller_api.cpp
+++ b/src/node/caller_api.cpp
@@ -1,9 +1,7 @@
 #include "node/caller_api.hpp"
 
-#include <chrono>
 #include <utility>
 
-#include "common/hash.hpp"
 #include "engine/engine_api.hpp"
 #include "engine/prompt.hpp"
 
@@ -21,11 +19,6 @@
   return {ErrorCode::kInvalidRequest, message, RequestOutcome::kNotRun, std::nullopt};
 }
 
-std::int64_t unix_seconds() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::seconds>(now).count();
-}
-
 /// Parses JSON of bounded depth. @return the value, or what is wrong. Text must be valid UTF-8.
 tl::expected<json, std::string> parse_bounded(const std::string& text, std::uint64_t max_depth) {
   bool too_deep = false;
@@ -55,12 +48,12 @@
 
 }  // namespace
 
-CallerApi::CallerApi(const NodeSettings& settings, const ConfigService& config, RequestQueue& queue,
-                     Metrics& metrics)
-    : settings_(settings), config_(config), queue_(queue), metrics_(metrics) {}
+CallerApi::CallerApi(Runtime& runtime, const NodeSettings& settings, const ConfigService& config,
+                     RequestQueue& queue, Metrics& metrics)
+    : runtime_(runtime), settings_(settings), config_(config), queue_(queue), metrics_(metrics) {}
 
 void CallerApi::handle(HttpRequest request, const Responder& responder) {
-  const RequestId id(random_hex(kRequestIdBytes));
+  const RequestId id(runtime_.random_hex(kRequestIdBytes));
   const SnapshotPointer snapshot = config_.replica().snapshot();
   if (!snapshot) {
     return refuse(id,
@@ -97,7 +90,8 @@
 const Tenant* CallerApi::authenticate(const HttpRequest& request, const Snapshot& snapshot) const {
   const std::string_view authorization = request.headers.get("Authorization");
   if (authorization.substr(0, kBearer.size()) != kBearer) return nullptr;
-  return snapshot.authenticate(std::string(authorization.substr(kBearer.size())), unix_seconds());
+  return snapshot.authenticate(std::string(authorization.substr(kBearer.size())),
+                               static_cast<std::int64_t>(runtime_.unix_milliseconds() / 1000));
 }
 
 void CallerApi::list_models(const Snapshot& snapshot, const RequestId& id,
@@ -192,7 +186,7 @@
   const std::string_view key = request.headers.get("Idempotency-Key");
   if (!key.empty()) session.claim = claim_key(tenant.name, std::string(key));
   session.snapshot = config_.replica().snapshot();
-  session.arrived = monotonic_now();
+  session.arrived = runtime_.now();
   session.deadline = session.arrived + settings_.request_deadline;
   const Policy& policy = session.snapshot->policy_for(tenant, session.service);
   session.priority = policy.priority;
--- a/src/node/caller_api.hpp
+++ b/src/node/caller_api.hpp
@@ -17,8 +17,8 @@
 /// Serves callers.
 class CallerApi {
  public:
-  CallerApi(const NodeSettings& settings, const ConfigService& config, RequestQueue& queue,
-            Metrics& metrics);
+  CallerApi(Runtime& runtime, const NodeSettings& settings, const ConfigService& config,
+            RequestQueue& queue, Metrics& metrics);
 
   /// Handles one request of a caller.
   void handle(HttpRequest request, const std::shared_ptr<HttpResponder>& responder);
@@ -36,6 +36,7 @@
               const Responder& responder);
   void refuse(const RequestId& id, const CallerError& error, const Responder& responder) const;
 
+  Runtime& runtime_;
   const NodeSettings& settings_;
   const ConfigService& config_;
   RequestQueue& queue_;
--- a/src/node/claim_service.cpp
+++ b/src/node/claim_service.cpp
@@ -1,6 +1,5 @@
 #include "node/claim_service.hpp"
 
-#include <asio/post.hpp>
 #include <utility>
 
 #include "common/log.hpp"
@@ -41,14 +40,14 @@
   }
 };
 
-ClaimService::ClaimService(asio::io_context& loop, ObjectClient& platform, ClusterService& cluster,
+ClaimService::ClaimService(Runtime& runtime, ObjectClient& platform, ClusterService& cluster,
                            RegionName region)
-    : loop_(loop),
+    : runtime_(runtime),
       platform_(platform),
       cluster_(cluster),
       region_(std::move(region)),
       replica_(kRetention, kMaxClaims),
-      ticker_(loop, kTick, [this] { tick(); }) {}
+      ticker_(runtime, kTick, [this] { tick(); }) {}
 
 std::vector<MemberFact> ClaimService::candidates() const {
   std::vector<MemberFact> members = cluster_.usable();
@@ -64,7 +63,7 @@
 void ClaimService::ask(const ClaimMember& member, const Message& message,
                        std::function<void(const std::optional<Message>&)> handler) {
   if (member.node == cluster_.self().node) {
-    asio::post(loop_, [this, message, handler = std::move(handler)] { handler(answer(message)); });
+    runtime_.post([this, message, handler = std::move(handler)] { handler(answer(message)); });
     return;
   }
   cluster_.call(member.address, message, [handler = std::move(handler)](const auto& reply) {
@@ -135,7 +134,7 @@
 
 void ClaimService::keep_record_fresh() {
   record_read_ = false;
-  const MonotonicTime now = monotonic_now();
+  const MonotonicTime now = runtime_.now();
   if (pulling_ || (record_.stable && now < next_pull_)) return;
   pulling_ = true;
   next_pull_ = now + kPullEvery;
@@ -153,7 +152,7 @@
 }
 
 std::optional<Message> ClaimService::answer(const Message& message) {
-  const MonotonicTime now = monotonic_now();
+  const MonotonicTime now = runtime_.now();
   if (const auto* request = std::get_if<ClaimRequest>(&message)) {
     return ClaimAnswer{replica_.claim(now, request->view, request->key, request->claimant)};
   }
--- a/src/node/claim_service.hpp
+++ b/src/node/claim_service.hpp
@@ -3,15 +3,14 @@
 /// as a replica, and coordinates the group when that duty falls to this node.
 #pragma once
 
-#include <asio/io_context.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
 
+#include "common/periodic.hpp"
 #include "core/requests/claim_group.hpp"
 #include "core/requests/claim_replica.hpp"
 #include "node/cluster_service.hpp"
-#include "node/periodic.hpp"
 #include "platform/object_client.hpp"
 
 namespace shuntbank {
@@ -19,7 +18,7 @@
 /// All of a node's part in claims.
 class ClaimService {
  public:
-  ClaimService(asio::io_context& loop, ObjectClient& platform, ClusterService& cluster,
+  ClaimService(Runtime& runtime, ObjectClient& platform, ClusterService& cluster,
                RegionName region);
 
   /// Claims a key for a request.
@@ -60,7 +59,7 @@
   void consider_change();
   void run_takeover();
 
-  asio::io_context& loop_;
+  Runtime& runtime_;
   ObjectClient& platform_;
   ClusterService& cluster_;
   RegionName region_;
--- a/src/node/cluster_service.cpp
+++ b/src/node/cluster_service.cpp
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "common/log.hpp"
-#include "net/address.hpp"
 
 namespace shuntbank {
 namespace {
@@ -20,42 +19,36 @@
 /// Heartbeats sent at once when this node leaves, so that it is known within a round trip.
 constexpr std::size_t kLeaveFanout = 8;
 
-asio::ip::udp::endpoint to_udp(const asio::ip::tcp::endpoint& endpoint) {
-  return {endpoint.address(), endpoint.port()};
-}
-
-MemberFact with_address(MemberFact self, const asio::ip::tcp::endpoint& endpoint) {
-  self.address = format_endpoint(endpoint);
+MemberFact with_address(MemberFact self, const std::string& address) {
+  self.address = address;
   return self;
 }
 
 }  // namespace
 
-ClusterService::ClusterService(asio::io_context& loop, const asio::ip::tcp::endpoint& listen,
-                               MemberFact self, std::uint64_t seed, Hooks hooks)
-    : loop_(loop),
+ClusterService::ClusterService(Runtime& runtime, PeerTransport& transport, MemberFact self,
+                               std::uint64_t seed, Hooks hooks)
+    : runtime_(runtime),
       hooks_(std::move(hooks)),
-      frames_(loop, listen, kMaxFrame,
-              [this](const std::string& frame, const std::function<void(std::string)>& reply) {
-                on_frame(frame, reply);
-              }),
-      datagrams_(loop, to_udp(frames_.local_endpoint()),
-                 [this](std::string_view text, const asio::ip::udp::endpoint& sender) {
-                   on_datagram(text, sender);
-                 }),
-      membership_(with_address(std::move(self), frames_.local_endpoint()), MembershipSettings{},
+      transport_(transport),
+      membership_(with_address(std::move(self), transport.local_address()), MembershipSettings{},
                   seed),
       random_(seed),
-      ticker_(loop, kTick, [this] { tick(); }) {}
+      ticker_(runtime, kTick, [this] { tick(); }) {
+  transport_.set_handlers(
+      [this](std::string_view text, const std::string& sender) { on_datagram(text, sender); },
+      [this](const std::string& frame, const std::function<void(std::string)>& reply) {
+        on_frame(frame, reply);
+      });
+}
 
 void ClusterService::tick() {
-  for (const HeartbeatTarget& target : membership_.tick(monotonic_now())) {
-    const auto endpoint = parse_endpoint(target.address);
-    if (endpoint) send_heartbeat(to_udp(*endpoint), false);
+  for (const HeartbeatTarget& target : membership_.tick(runtime_.now())) {
+    send_heartbeat(target.address, false);
   }
 }
 
-void ClusterService::send_heartbeat(const asio::ip::udp::endpoint& target, bool is_answer) {
+void ClusterService::send_heartbeat(const std::string& address, bool is_answer) {
   Heartbeat heartbeat;
   heartbeat.from = membership_.self().node;
   heartbeat.is_answer = is_answer;
@@ -63,10 +56,10 @@
   heartbeat.members = membership_.facts_to_send();
   heartbeat.engines = engine_facts_.facts_to_send(kEngineFactsPerMessage);
   heartbeat.engines_digest = engine_facts_.digest();
-  datagrams_.send(target, encode(heartbeat));
+  transport_.send(address, encode(heartbeat));
 }
 
-void ClusterService::on_datagram(std::string_view text, const asio::ip::udp::endpoint& sender) {
+void ClusterService::on_datagram(std::string_view text, const std::string& sender) {
   const auto message = decode(text);
   if (!message) {
     log_event(LogArea::kCluster, LogLevel::kWarning, "bad_datagram", {{"error", message.error()}});
@@ -81,10 +74,9 @@
   }
 }
 
-void ClusterService::on_heartbeat(const Heartbeat& heartbeat,
-                                  const asio::ip::udp::endpoint& sender) {
+void ClusterService::on_heartbeat(const Heartbeat& heartbeat, const std::string& sender) {
   const std::uint64_t changes_before = membership_.changes();
-  membership_.on_facts(monotonic_now(), heartbeat.members);
+  membership_.on_facts(runtime_.now(), heartbeat.members);
   membership_.on_heard_from(heartbeat.from);
   learn_engines(heartbeat.engines);
   if (membership_.changes() != changes_before) {
@@ -112,7 +104,7 @@
 }
 
 void ClusterService::pull_facts_if_behind(const Heartbeat& heartbeat) {
-  const MonotonicTime now = monotonic_now();
+  const MonotonicTime now = runtime_.now();
   const bool behind = heartbeat.engines_digest != engine_facts_.digest();
   const MemberFact* peer = membership_.find(heartbeat.from);
   if (!behind || pulling_facts_ || now < next_facts_pull_ || peer == nullptr) return;
@@ -123,7 +115,7 @@
     if (!answer) return;
     const auto* facts = std::get_if<FactsReply>(&*answer);
     if (facts == nullptr) return;
-    membership_.on_facts(monotonic_now(), facts->members);
+    membership_.on_facts(runtime_.now(), facts->members);
     learn_engines(facts->engines);
   });
 }
@@ -148,8 +140,7 @@
   std::shuffle(peers.begin(), peers.end(), random_);
   if (peers.size() > kLeaveFanout) peers.resize(kLeaveFanout);
   for (const MemberFact& peer : peers) {
-    const auto endpoint = parse_endpoint(peer.address);
-    if (endpoint) send_heartbeat(to_udp(*endpoint), false);
+    send_heartbeat(peer.address, false);
   }
 }
 
@@ -166,19 +157,17 @@
 }
 
 void ClusterService::send(const std::string& address, const Message& message) {
-  const auto endpoint = parse_endpoint(address);
-  if (endpoint) datagrams_.send(to_udp(*endpoint), encode(message));
+  transport_.send(address, encode(message));
 }
 
 void ClusterService::call(const std::string& address, const Message& message,
                           AnswerHandler handler) {
-  const auto endpoint = parse_endpoint(address);
-  if (!endpoint) return handler(tl::make_unexpected(endpoint.error()));
-  call_frame(loop_, *endpoint, encode(message), kMaxFrame, kCallTimeout,
-             [handler = std::move(handler)](const tl::expected<std::string, std::string>& frame) {
-               if (!frame) return handler(tl::make_unexpected(frame.error()));
-               handler(decode(*frame));
-             });
+  transport_.call(
+      address, encode(message), kCallTimeout,
+      [handler = std::move(handler)](const tl::expected<std::string, std::string>& text) {
+        if (!text) return handler(tl::make_unexpected(text.error()));
+        handler(decode(*text));
+      });
 }
 
 }  // namespace shuntbank
--- a/src/node/cluster_service.hpp
+++ b/src/node/cluster_service.hpp
@@ -3,17 +3,15 @@
 /// peers.
 #pragma once
 
-#include <asio/io_context.hpp>
 #include <functional>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include "common/periodic.hpp"
 #include "core/membership/membership.hpp"
 #include "core/routing/engine_facts.hpp"
-#include "net/datagram_channel.hpp"
-#include "net/frame_channel.hpp"
-#include "node/periodic.hpp"
+#include "net/peer_transport.hpp"
 #include "protocol/messages.hpp"
 
 namespace shuntbank {
@@ -32,9 +30,9 @@
     std::function<std::optional<Message>(const Message&)> on_claim_message;
   };
 
-  /// @param self without its address, which is known once the socket is bound.
-  ClusterService(asio::io_context& loop, const asio::ip::tcp::endpoint& listen, MemberFact self,
-                 std::uint64_t seed, Hooks hooks);
+  /// @param self without its address, which the transport knows.
+  ClusterService(Runtime& runtime, PeerTransport& transport, MemberFact self, std::uint64_t seed,
+                 Hooks hooks);
 
   /// @return members that may be given work or duties.
   std::vector<MemberFact> usable() const { return membership_.usable(); }
@@ -66,23 +64,22 @@
   using AnswerHandler = std::function<void(tl::expected<Message, std::string>)>;
   void call(const std::string& address, const Message& message, AnswerHandler handler);
 
-  std::uint64_t bytes_sent() const { return datagrams_.bytes_sent(); }
-  std::uint64_t bytes_received() const { return datagrams_.bytes_received(); }
-  asio::ip::tcp::endpoint local_endpoint() const { return frames_.local_endpoint(); }
+  std::uint64_t bytes_sent() const { return transport_.bytes_sent(); }
+  std::uint64_t bytes_received() const { return transport_.bytes_received(); }
+  std::string local_address() const { return transport_.local_address(); }
 
  private:
   void tick();
-  void send_heartbeat(const asio::ip::udp::endpoint& target, bool is_answer);
-  void on_datagram(std::string_view text, const asio::ip::udp::endpoint& sender);
-  void on_heartbeat(const Heartbeat& heartbeat, const asio::ip::udp::endpoint& sender);
+  void send_heartbeat(const std::string& address, bool is_answer);
+  void on_datagram(std::string_view text, const std::string& sender);
+  void on_heartbeat(const Heartbeat& heartbeat, const std::string& sender);
   void on_frame(const std::string& frame, const std::function<void(std::string)>& reply);
   void learn_engines(const std::vector<EngineFact>& facts);
   void pull_facts_if_behind(const Heartbeat& heartbeat);
 
-  asio::io_context& loop_;
+  Runtime& runtime_;
   Hooks hooks_;
-  FrameServer frames_;
-  DatagramChannel datagrams_;
+  PeerTransport& transport_;
   Membership membership_;
   EngineFacts engine_facts_;
   std::map<NodeId, Revision> revisions_;
--- a/src/node/config_service.cpp
+++ b/src/node/config_service.cpp
@@ -1,10 +1,8 @@
 #include "node/config_service.hpp"
 
 #include <algorithm>
-#include <asio/steady_timer.hpp>
 #include <utility>
 
-#include "common/hash.hpp"
 #include "common/log.hpp"
 
 namespace shuntbank {
@@ -19,6 +17,8 @@
 constexpr Duration kSettleWithin = std::chrono::seconds(8);
 constexpr Duration kSettleAgainAfter = std::chrono::milliseconds(300);
 
+constexpr std::size_t kWriteIdBytes = 8;
+
 constexpr Duration kFirstBackoff = std::chrono::milliseconds(300);
 constexpr std::uint32_t kMaxBackoffDoublings = 5;
 
@@ -28,21 +28,21 @@
 struct ConfigService::Change {
   std::vector<ObjectEdit> edits;
   ChangeHandler handler;
-  std::string write_id = random_hex(8);
+  std::string write_id;
   std::optional<ConfigDocument> written;  ///< Set once a write was sent.
   MonotonicTime settle_until{};
 };
 
-ConfigService::ConfigService(asio::io_context& loop, ObjectClient& platform, RegionName region,
+ConfigService::ConfigService(Runtime& runtime, ObjectClient& platform, RegionName region,
                              std::uint64_t seed, AdoptedHandler on_adopted)
-    : loop_(loop),
+    : runtime_(runtime),
       platform_(platform),
       region_(std::move(region)),
       on_adopted_(std::move(on_adopted)),
       random_(seed) {}
 
 void ConfigService::start() {
-  ticker_ = std::make_unique<Periodic>(loop_, kTick, [this] { tick(); });
+  ticker_ = std::make_unique<Periodic>(runtime_, kTick, [this] { tick(); });
   tick();
 }
 
@@ -57,7 +57,7 @@
 }
 
 void ConfigService::tick() {
-  if (reading_ || monotonic_now() < next_read_) return;
+  if (reading_ || runtime_.now() < next_read_) return;
   // A starting node reads once by itself: a revision learnt only from a peer could be old.
   if (!ready()) return read_platform();
   if (is_reader()) watch_platform();
@@ -81,7 +81,7 @@
   if (!result) {
     // Doubled and jittered, so that a store that comes back is not run over.
     const auto backoff = kFirstBackoff * (1 << std::min(failures_, kMaxBackoffDoublings));
-    next_read_ = monotonic_now() + backoff / 2 + Duration(random_() % backoff.count());
+    next_read_ = runtime_.now() + backoff / 2 + Duration(random_() % backoff.count());
     ++failures_;
     return;
   }
@@ -89,7 +89,7 @@
   if (!result->has_value()) {
     // Nothing was ever declared: an empty configuration is the confirmed one.
     if (!ready()) after_offer(replica_.offer(ConfigDocument{}));
-    next_read_ = monotonic_now() + kFirstBackoff;
+    next_read_ = runtime_.now() + kFirstBackoff;
     return;
   }
   platform_version_ = (*result)->version;
@@ -141,6 +141,7 @@
 
 void ConfigService::change(std::vector<ObjectEdit> edits, ChangeHandler handler) {
   auto change = std::make_shared<Change>();
+  change->write_id = runtime_.random_hex(kWriteIdBytes);
   change->edits = std::move(edits);
   change->handler = std::move(handler);
   read_for(change);
@@ -174,7 +175,7 @@
         tl::make_unexpected(ChangeFailure{ChangeFailure::Kind::kRefused, next.error()}));
   }
   change->written = *next;
-  change->settle_until = monotonic_now() + kSettleWithin;
+  change->settle_until = runtime_.now() + kSettleWithin;
   const std::uint64_t version = stored ? stored->version : 0;
   platform_.write(kConfigKey, version, to_json(*next), [this, change](const auto& result) {
     if (!result) return settle(change);
@@ -191,13 +192,10 @@
     }
     // Not there (yet): the write may still be on its way, so it must not be sent again blindly, and
     // it cannot be called refused either.
-    if (monotonic_now() >= change->settle_until) {
+    if (runtime_.now() >= change->settle_until) {
       return change->handler(tl::make_unexpected(ChangeFailure{ChangeFailure::Kind::kUnknown, {}}));
     }
-    auto timer = std::make_shared<asio::steady_timer>(loop_, kSettleAgainAfter);
-    timer->async_wait([this, change, timer](const std::error_code& error) {
-      if (!error) settle(change);
-    });
+    call_after(runtime_, kSettleAgainAfter, [this, change] { settle(change); });
   });
 }
 
--- a/src/node/config_service.hpp
+++ b/src/node/config_service.hpp
@@ -3,15 +3,14 @@
 /// rest, changed by operators through any node.
 #pragma once
 
-#include <asio/io_context.hpp>
 #include <functional>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include "common/periodic.hpp"
 #include "core/configuration/config_replica.hpp"
 #include "node/cluster_service.hpp"
-#include "node/periodic.hpp"
 #include "platform/object_client.hpp"
 
 namespace shuntbank {
@@ -33,8 +32,8 @@
   using AdoptedHandler = std::function<void(const SnapshotPointer&)>;
 
   /// @param on_adopted called after each new revision is in force.
-  ConfigService(asio::io_context& loop, ObjectClient& platform, RegionName region,
-                std::uint64_t seed, AdoptedHandler on_adopted);
+  ConfigService(Runtime& runtime, ObjectClient& platform, RegionName region, std::uint64_t seed,
+                AdoptedHandler on_adopted);
 
   /// Names the cluster service, which is built after this one.
   void attach(ClusterService& cluster) { cluster_ = &cluster; }
@@ -78,7 +77,7 @@
   void settle(const std::shared_ptr<Change>& change);
   void accept(const std::shared_ptr<Change>& change, const ConfigDocument& document);
 
-  asio::io_context& loop_;
+  Runtime& runtime_;
   ObjectClient& platform_;
   RegionName region_;
   ClusterService* cluster_ = nullptr;
--- a/src/node/control_service.cpp
+++ b/src/node/control_service.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "common/hash.hpp"
 #include "common/log.hpp"
 #include "common/units.hpp"
 
@@ -16,7 +15,6 @@
 /// Nodes that stand by for each lease, the preferred holder included.
 constexpr std::size_t kLeaseCandidates = 2;
 
-/// Demand reports older than this are forgotten with their node.
 constexpr std::size_t kWriteIdBytes = 8;
 
 const Policy kDefaultPolicy;
@@ -49,15 +47,15 @@
 
 }  // namespace
 
-ControlService::ControlService(asio::io_context& loop, ObjectClient& platform,
-                               EngineClient& engines, ClusterService& cluster, RegionName region,
-                               Duration lease_length)
-    : platform_(platform),
+ControlService::ControlService(Runtime& runtime, ObjectClient& platform, EngineClient& engines,
+                               ClusterService& cluster, RegionName region, Duration lease_length)
+    : runtime_(runtime),
+      platform_(platform),
       engines_(engines),
       cluster_(cluster),
       region_(std::move(region)),
       lease_settings_{lease_length, lease_length / 4, lease_length / 5},
-      ticker_(loop, kTick, [this] { tick(); }) {}
+      ticker_(runtime, kTick, [this] { tick(); }) {}
 
 void ControlService::configure(const SnapshotPointer& snapshot) {
   snapshot_ = snapshot;
@@ -116,7 +114,7 @@
 }
 
 void ControlService::run_lease(const ServiceName& service, Duty& duty) {
-  const MonotonicTime now = monotonic_now();
+  const MonotonicTime now = runtime_.now();
   const int rank = rank_of_self(service);
   const bool holding = duty.lease.authority(now).has_value();
   // A standby looks less often, so that the preferred holder goes first and the store is spared.
@@ -124,7 +122,7 @@
     if (now < duty.next_standby_poll) return;
     duty.next_standby_poll = now + lease_settings_.length / 2;
   }
-  switch (duty.lease.poll(now, rank >= 0, random_hex(kWriteIdBytes))) {
+  switch (duty.lease.poll(now, rank >= 0, runtime_.random_hex(kWriteIdBytes))) {
     case LeaseAction::kNothing:
       return;
     case LeaseAction::kRead:
@@ -139,10 +137,10 @@
     const auto found = duties_.find(service);
     if (found == duties_.end()) return;
     LeaseHolder& lease = found->second.lease;
-    if (!result) return lease.on_read_failed(monotonic_now());
+    if (!result) return lease.on_read_failed(runtime_.now());
     VersionedLease seen;
     if (result->has_value()) seen = {(*result)->version, lease_from_json((*result)->value)};
-    lease.on_read(monotonic_now(), seen);
+    lease.on_read(runtime_.now(), seen);
   });
 }
 
@@ -152,8 +150,8 @@
                     const auto found = duties_.find(service);
                     if (found == duties_.end()) return;
                     LeaseHolder& holder = found->second.lease;
-                    if (!result) return holder.on_write_unanswered(monotonic_now());
-                    holder.on_written(monotonic_now(), result->applied, result->version);
+                    if (!result) return holder.on_write_unanswered(runtime_.now());
+                    holder.on_written(runtime_.now(), result->applied, result->version);
                   });
 }
 
@@ -167,7 +165,7 @@
 }
 
 void ControlService::run_controller(const ServiceName& service, Duty& duty) {
-  const auto fence = duty.lease.authority(monotonic_now());
+  const auto fence = duty.lease.authority(runtime_.now());
   if (!fence) {
     if (duty.controller) {
       duty.role_changes_before += duty.controller->role_changes();
@@ -182,7 +180,7 @@
   }
   if (duty.controller->superseded()) return duty.lease.resign();
   plan_roles(service, duty);
-  for (const ControlCommand& command : duty.controller->poll(monotonic_now())) {
+  for (const ControlCommand& command : duty.controller->poll(runtime_.now())) {
     execute(service, command);
   }
   cluster_.publish(duty.controller->facts());
@@ -193,7 +191,7 @@
   const Engine* declared = snapshot_->find_engine(engine);
   const Duty& duty = duties_.at(service);
   // Asked again right before the command leaves: time may have passed since the tick began.
-  const auto fence = duty.lease.authority(monotonic_now());
+  const auto fence = duty.lease.authority(runtime_.now());
   if (declared == nullptr || !fence) return;
   const auto handler = [this, service, fence = *fence, engine](const auto& answer) {
     on_engine_answer(service, fence, engine, answer);
@@ -221,9 +219,9 @@
   if (found == duties_.end() || !found->second.controller) return;
   EngineController& controller = *found->second.controller;
   if (controller.fence() != fence) return;
-  if (answer) return controller.on_state(monotonic_now(), engine, *answer);
+  if (answer) return controller.on_state(runtime_.now(), engine, *answer);
   if (answer.error() == EngineCallError::kStale) return controller.on_stale(engine);
-  controller.on_no_answer(monotonic_now(), engine);
+  controller.on_no_answer(runtime_.now(), engine);
 }
 
 void ControlService::on_demand(const DemandReport& report) {
@@ -232,7 +230,7 @@
 }
 
 void ControlService::plan_roles(const ServiceName& service, Duty& duty) {
-  const MonotonicTime now = monotonic_now();
+  const MonotonicTime now = runtime_.now();
   const Service* declared = snapshot_->find_service(service);
   if (now < duty.next_plan || !allows_split(*declared)) return;
   duty.next_plan = now + kPlanEvery;
@@ -273,7 +271,7 @@
     DutyLine line;
     line.service = service;
     line.holder = duty.lease.last_seen().record.holder;
-    line.fence = duty.lease.authority(monotonic_now());
+    line.fence = duty.lease.authority(runtime_.now());
     line.plan = duty.plan;
     line.role_changes = duty.role_changes_before;
     if (duty.controller) {
--- a/src/node/control_service.hpp
+++ b/src/node/control_service.hpp
@@ -2,13 +2,13 @@
 /// Control duty of this node: leases of services, orders to their engines, plans of their roles.
 #pragma once
 
-#include <asio/io_context.hpp>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "common/periodic.hpp"
 #include "core/lease/lease_holder.hpp"
 #include "core/roles/engine_controller.hpp"
 #include "core/roles/role_assignment.hpp"
@@ -16,7 +16,6 @@
 #include "engine/engine_client.hpp"
 #include "node/cluster_service.hpp"
 #include "node/config_service.hpp"
-#include "node/periodic.hpp"
 #include "platform/object_client.hpp"
 
 namespace shuntbank {
@@ -24,7 +23,7 @@
 /// Runs the duties that fall to this node.
 class ControlService {
  public:
-  ControlService(asio::io_context& loop, ObjectClient& platform, EngineClient& engines,
+  ControlService(Runtime& runtime, ObjectClient& platform, EngineClient& engines,
                  ClusterService& cluster, RegionName region, Duration lease_length);
 
   /// A new configuration is in force.
@@ -79,6 +78,7 @@
   std::string lease_key(const ServiceName& service) const;
   const Policy& policy_for(const ServiceName& service) const;
 
+  Runtime& runtime_;
   ObjectClient& platform_;
   EngineClient& engines_;
   ClusterService& cluster_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -1,6 +1,5 @@
 #include "node/node.hpp"
 
-#include <chrono>
 #include <random>
 #include <utility>
 
@@ -8,7 +7,6 @@
 #include "common/log.hpp"
 #include "core/routing/router.hpp"
 #include "engine/engine_client.hpp"
-#include "net/address.hpp"
 #include "node/caller_api.hpp"
 #include "node/cluster_service.hpp"
 #include "node/config_service.hpp"
@@ -24,121 +22,74 @@
 constexpr Duration kLeaveTick = std::chrono::milliseconds(50);
 constexpr double kRetryReserve = 20;
 
-/// Room above the largest body that is served, so that a body somewhat too large gets a reply.
-constexpr std::size_t kBodySlackFactor = 4;
-
-std::uint64_t unix_milliseconds() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
-}
-
 std::uint64_t choose_seed(std::uint64_t wanted) {
   return wanted != 0 ? wanted : std::random_device{}();
 }
 
-MemberFact self_fact(const NodeSettings& settings) {
+MemberFact self_fact(const Runtime& runtime, const NodeSettings& settings) {
   MemberFact self;
   self.node = NodeId(settings.name);
   // Wall time makes a restarted node newer than what is remembered of it.
-  self.incarnation = unix_milliseconds();
+  self.incarnation = runtime.unix_milliseconds();
   self.zone = ZoneName(settings.zone);
   self.region = RegionName(settings.region);
   return self;
 }
 
-HttpServerSettings caller_server(const NodeSettings& settings) {
-  HttpServerSettings server;
-  server.listen = *parse_endpoint(settings.callers_listen);
-  server.max_connections = settings.max_connections;
-  server.max_body = settings.max_body * kBodySlackFactor;
-  server.idle_timeout = settings.caller_idle;
-  server.write_timeout = settings.slow_reader;
-  return server;
-}
-
-HttpServerSettings operator_server(const NodeSettings& settings) {
-  HttpServerSettings server;
-  server.listen = *parse_endpoint(settings.operators_listen);
-  server.max_body = kMaxFrame;
-  return server;
-}
-
 }  // namespace
 
-Findings check_node_settings(const NodeSettings& settings) {
-  Findings findings;
-  const auto check = [&findings](const char* option, const std::string& text) {
-    const auto endpoint = parse_endpoint(text);
-    if (!endpoint) findings.add(option, endpoint.error());
-  };
-  check("--platform", settings.platform);
-  check("--callers-listen", settings.callers_listen);
-  check("--operators-listen", settings.operators_listen);
-  check("--cluster-listen", settings.cluster_listen);
-  return findings;
-}
-
 class Node::Impl {
  public:
-  Impl(asio::io_context& loop, const NodeSettings& settings, std::function<void()> on_left)
-      : loop_(loop),
+  Impl(const NodeIo& io, const NodeSettings& settings, std::function<void()> on_left)
+      : runtime_(io.runtime),
         settings_(settings),
         on_left_(std::move(on_left)),
         seed_(choose_seed(settings.seed)),
-        http_(loop),
-        platform_(http_, settings.platform),
-        engine_client_(http_),
+        platform_(io.http, settings.platform),
+        engine_client_(io.http),
         router_(RoutingSettings{}, seed_),
         retries_(settings.retry_share, kRetryReserve),
-        config_(loop, platform_, RegionName(settings.region), seed_,
+        config_(io.runtime, platform_, RegionName(settings.region), seed_,
                 [this](const SnapshotPointer& snapshot) { on_config(snapshot); }),
-        cluster_(loop, *parse_endpoint(settings.cluster_listen), self_fact(settings), seed_,
-                 cluster_hooks()),
-        control_(loop, platform_, engine_client_, cluster_, RegionName(settings.region),
+        cluster_(io.runtime, io.peers, self_fact(io.runtime, settings), seed_, cluster_hooks()),
+        control_(io.runtime, platform_, engine_client_, cluster_, RegionName(settings.region),
                  settings.lease_length),
-        claims_(loop, platform_, cluster_, RegionName(settings.region)),
-        context_{loop, settings_, http_, engines_, router_, retries_, metrics_, claims_},
-        queue_(loop, context_),
-        caller_api_(settings_, config_, queue_, metrics_),
+        claims_(io.runtime, platform_, cluster_, RegionName(settings.region)),
+        context_{io.runtime, settings_, io.http, engines_, router_, retries_, metrics_, claims_},
+        queue_(context_),
+        caller_api_(io.runtime, settings_, config_, queue_, metrics_),
         operator_api_(
             config_, cluster_, control_, claims_, metrics_, [this] { return reasons(); },
             [this] { leave(); }),
-        callers_(loop, caller_server(settings),
-                 [this](HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
-                   caller_api_.handle(std::move(request), responder);
-                 }),
-        operators_(
-            loop, operator_server(settings),
-            [this](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
-              operator_api_.handle(request, responder);
-            }),
-        demand_timer_(loop, kDemandEvery, [this] { report_demand(); }),
-        machines_timer_(loop, kMachinesEvery, [this] { read_machines(); }) {
+        demand_timer_(io.runtime, kDemandEvery, [this] { report_demand(); }),
+        machines_timer_(io.runtime, kMachinesEvery, [this] { read_machines(); }) {
     config_.attach(cluster_);
     config_.start();
     read_machines();
-    log_listening("callers", callers_.local_endpoint());
-    log_listening("operators", operators_.local_endpoint());
-    log_listening("cluster", cluster_.local_endpoint());
   }
 
+  void handle_caller(HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
+    caller_api_.handle(std::move(request), responder);
+  }
+
+  void handle_operator(const HttpRequest& request,
+                       const std::shared_ptr<HttpResponder>& responder) {
+    operator_api_.handle(request, responder);
+  }
+
+  void on_close_callers(std::function<void()> handler) { close_callers_ = std::move(handler); }
+
   void leave() {
     if (std::exchange(leaving_, true)) return on_left_();
     log_event(LogArea::kProcess, LogLevel::kInfo, "leaving", {{"open", queue_.open_requests()}});
     cluster_.leave();
     control_.resign();
     claims_.resign();
-    grace_ends_ = monotonic_now() + settings_.leave_grace;
-    leave_timer_ = std::make_unique<Periodic>(loop_, kLeaveTick, [this] { continue_leaving(); });
+    grace_ends_ = runtime_.now() + settings_.leave_grace;
+    leave_timer_ = std::make_unique<Periodic>(runtime_, kLeaveTick, [this] { continue_leaving(); });
   }
 
  private:
-  static void log_listening(const char* interface, const asio::ip::tcp::endpoint& endpoint) {
-    log_event(LogArea::kProcess, LogLevel::kInfo, "listening",
-              {{"interface", interface}, {"address", format_endpoint(endpoint)}});
-  }
-
   ClusterService::Hooks cluster_hooks() {
     ClusterService::Hooks hooks;
     hooks.revision = [this] { return config_.replica().revision(); };
@@ -211,18 +162,17 @@
   }
 
   void continue_leaving() {
-    if (monotonic_now() < grace_ends_) return;
-    callers_.close();
+    if (runtime_.now() < grace_ends_) return;
+    if (const auto close = std::exchange(close_callers_, nullptr)) close();
     if (queue_.open_requests() > 0 || std::exchange(left_, true)) return;
     log_event(LogArea::kProcess, LogLevel::kInfo, "left");
     on_left_();
   }
 
-  asio::io_context& loop_;
+  Runtime& runtime_;
   const NodeSettings& settings_;
   std::function<void()> on_left_;
   std::uint64_t seed_;
-  HttpClient http_;
   ObjectClient platform_;
   EngineClient engine_client_;
   EngineTable engines_;
@@ -237,22 +187,34 @@
   RequestQueue queue_;
   CallerApi caller_api_;
   OperatorApi operator_api_;
-  HttpServer callers_;
-  HttpServer operators_;
   Periodic demand_timer_;
   Periodic machines_timer_;
   bool leaving_ = false;
   bool left_ = false;
+  std::function<void()> close_callers_;
   MonotonicTime grace_ends_{};
 
   std::unique_ptr<Periodic> leave_timer_;
 };
 
-Node::Node(asio::io_context& loop, const NodeSettings& settings, std::function<void()> on_left)
-    : impl_(std::make_unique<Impl>(loop, settings, std::move(on_left))) {}
+Node::Node(const NodeIo& io, const NodeSettings& settings, std::function<void()> on_left)
+    : impl_(std::make_unique<Impl>(io, settings, std::move(on_left))) {}
 
 Node::~Node() = default;
 
+void Node::handle_caller(HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
+  impl_->handle_caller(std::move(request), responder);
+}
+
+void Node::handle_operator(const HttpRequest& request,
+                           const std::shared_ptr<HttpResponder>& responder) {
+  impl_->handle_operator(request, responder);
+}
+
+void Node::on_close_callers(std::function<void()> handler) {
+  impl_->on_close_callers(std::move(handler));
+}
+
 void Node::leave() {
   impl_->leave();
 }
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -1,26 +1,46 @@
 /// @file
-/// A whole node: wires the services together and runs them on one loop.
+/// A whole node: wires the services together. It knows no sockets; `node_server.hpp` gives it some,
+/// and the simulation gives it others.
 #pragma once
 
-#include <asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <string>
 
+#include "common/runtime.hpp"
+#include "net/http_client.hpp"
+#include "net/http_server.hpp"
+#include "net/peer_transport.hpp"
 #include "node/settings.hpp"
 
 namespace shuntbank {
 
-/// One node. All of it runs on the thread of its loop.
+/// What a node does its input and output with. All of it outlives the node.
+struct NodeIo {
+  Runtime& runtime;
+  HttpClient& http;
+  PeerTransport& peers;
+};
+
+/// One node. All of it runs on one thread.
 class Node {
  public:
-  /// Listens at once. @throw std::system_error when an address cannot be had.
-  /// @pre `settings` were accepted by `check_node_settings`, and outlive the node.
+  /// @param settings outlive the node.
   /// @param on_left called once the node has left, by a signal or an operator's word.
-  Node(asio::io_context& loop, const NodeSettings& settings, std::function<void()> on_left);
+  Node(const NodeIo& io, const NodeSettings& settings, std::function<void()> on_left);
   ~Node();
   Node(const Node&) = delete;
   Node& operator=(const Node&) = delete;
 
+  /// Handles a request of a caller.
+  void handle_caller(HttpRequest request, const std::shared_ptr<HttpResponder>& responder);
+
+  /// Handles a request of an operator.
+  void handle_operator(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder);
+
+  /// Sets what closes the callers' interface to new connections, late in leaving.
+  void on_close_callers(std::function<void()> handler);
+
   /// Leaves in order: tells others, gives duties away, ends what it has, then calls `on_left`.
   /// A second call does not wait any longer.
   void leave();
@@ -30,7 +50,4 @@
   std::unique_ptr<Impl> impl_;
 };
 
-/// Checks what the options alone cannot: that addresses are addresses.
-Findings check_node_settings(const NodeSettings& settings);
-
 }  // namespace shuntbank
--- a/src/node/request_queue.cpp
+++ b/src/node/request_queue.cpp
@@ -29,8 +29,8 @@
 
 }  // namespace
 
-RequestQueue::RequestQueue(asio::io_context& loop, ServingContext& context)
-    : context_(context), ticker_(loop, kTick, [this] { expire(); }) {}
+RequestQueue::RequestQueue(ServingContext& context)
+    : context_(context), ticker_(context.runtime, kTick, [this] { expire(); }) {}
 
 void RequestQueue::set_nodes(std::size_t nodes) {
   nodes_ = std::max<std::size_t>(1, nodes);
@@ -42,7 +42,7 @@
 }
 
 std::size_t RequestQueue::capacity(const SessionRequest& request) const {
-  const MonotonicTime now = monotonic_now();
+  const MonotonicTime now = context_.runtime.now();
   std::size_t eligible = 0;
   for (const EngineId& engine : request.snapshot->engines_of(request.service)) {
     const EngineEntry* entry = context_.engines.find(engine);
@@ -72,7 +72,7 @@
 
 void RequestQueue::submit(SessionRequest request, const Policy& policy, double weight,
                           std::shared_ptr<HttpResponder> responder) {
-  const MonotonicTime now = monotonic_now();
+  const MonotonicTime now = context_.runtime.now();
   Lane& lane = lane_of(request.service);
   const ServiceName service = request.service;
   QueueItem item;
@@ -132,7 +132,7 @@
 }
 
 void RequestQueue::expire() {
-  const MonotonicTime now = monotonic_now();
+  const MonotonicTime now = context_.runtime.now();
   std::size_t waiting = 0;
   std::size_t in_flight = 0;
   for (auto& [service, lane] : lanes_) {
@@ -160,7 +160,7 @@
   lane.queue.settle(item.tenant, item.weight, item.cost, result.tokens);
   if (!result.started) return;
   --lane.in_flight;
-  const double held = to_seconds(monotonic_now() - began);
+  const double held = to_seconds(context_.runtime.now() - began);
   lane.hold_seconds += kHoldSmoothing * (held - lane.hold_seconds);
   pump(lane);
 }
--- a/src/node/request_queue.hpp
+++ b/src/node/request_queue.hpp
@@ -3,14 +3,13 @@
 /// the requests in flight that follows the engines which can take them.
 #pragma once
 
-#include <asio/io_context.hpp>
 #include <map>
 #include <memory>
 #include <unordered_map>
 
+#include "common/periodic.hpp"
 #include "core/admission/fair_queue.hpp"
 #include "core/admission/tenant_limiter.hpp"
-#include "node/periodic.hpp"
 #include "node/request_session.hpp"
 
 namespace shuntbank {
@@ -18,7 +17,7 @@
 /// Holds sessions until an engine has room for them.
 class RequestQueue {
  public:
-  RequestQueue(asio::io_context& loop, ServingContext& context);
+  explicit RequestQueue(ServingContext& context);
 
   /// Sets how many nodes share the engines and the limits.
   void set_nodes(std::size_t nodes);
--- a/src/node/request_session.cpp
+++ b/src/node/request_session.cpp
@@ -29,8 +29,7 @@
       responder_(std::move(responder)),
       on_end_(std::move(on_end)),
       progress_(request_.id, request_.repeatable,
-                static_cast<std::uint32_t>(context.settings.max_attempts)),
-      timer_(context.loop) {}
+                static_cast<std::uint32_t>(context.settings.max_attempts)) {}
 
 void RequestSession::watch_while_waiting(std::function<void()> on_gone) {
   responder_->on_closed([weak = weak_from_this(), on_gone = std::move(on_gone)] {
@@ -47,10 +46,10 @@
   responder_->on_closed([weak = weak_from_this()] {
     if (const auto self = weak.lock()) self->caller_gone();
   });
-  timer_.expires_after(request_.deadline - monotonic_now());
-  timer_.async_wait([self = shared_from_this()](const std::error_code& error) {
-    if (!error) self->on_deadline();
-  });
+  timer_ =
+      context_.runtime.after(request_.deadline - context_.runtime.now(), [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) self->on_deadline();
+      });
   if (request_.claim) return claim_then_dispatch();
   dispatch();
 }
@@ -97,7 +96,7 @@
   query.any_role = any_role;
   query.prompt_tokens = role == EngineRole::kDecode ? 0 : request_.prompt_tokens;
   query.zone = ZoneName(context_.settings.zone);
-  return context_.router.choose(monotonic_now(), context_.engines, query);
+  return context_.router.choose(context_.runtime.now(), context_.engines, query);
 }
 
 bool RequestSession::choose_engines() {
@@ -180,7 +179,7 @@
   status_ = status;
   headers_ = headers;
   const auto load = engine_api::load_from_header(std::string(headers.get(engine_api::kLoadHeader)));
-  if (load) context_.engines.on_report(monotonic_now(), *engine_, *load);
+  if (load) context_.engines.on_report(context_.runtime.now(), *engine_, *load);
 }
 
 bool RequestSession::on_data(std::string_view piece) {
@@ -232,7 +231,7 @@
       break;
   }
   if (!std::exchange(first_token_seen_, true)) {
-    const double seconds = to_seconds(monotonic_now() - request_.arrived);
+    const double seconds = to_seconds(context_.runtime.now() - request_.arrived);
     context_.metrics.observe_first_token(request_.service.value(), seconds);
     EngineEntry* entry = context_.engines.find(*engine_);
     if (entry != nullptr && !prefill_engine_) {
@@ -311,7 +310,7 @@
   context_.engines.on_success(*engine_);
   context_.metrics.count_attempt(request_.service.value(), "ok");
   if (!std::exchange(first_token_seen_, true)) {
-    const double seconds = to_seconds(monotonic_now() - request_.arrived);
+    const double seconds = to_seconds(context_.runtime.now() - request_.arrived);
     context_.metrics.observe_first_token(request_.service.value(), seconds);
   }
   end("ok");
@@ -320,7 +319,7 @@
 void RequestSession::attempt_failed(AttemptFailure failure) {
   const bool refused = failure == AttemptFailure::kRefused;
   context_.metrics.count_attempt(request_.service.value(), refused ? "refused" : "failed");
-  context_.engines.on_failure(monotonic_now(), *engine_);
+  context_.engines.on_failure(context_.runtime.now(), *engine_);
   const bool may_retry = context_.retries.try_withdraw();
   const FailureDecision decision = progress_.attempt_failed(failure, may_retry);
   log_event(LogArea::kCallers, LogLevel::kInfo, "attempt_failed",
@@ -400,7 +399,7 @@
 
 void RequestSession::end(const std::string& result) {
   if (std::exchange(ended_, true)) return;
-  timer_.cancel();
+  timer_.reset();
   context_.metrics.count_request(request_.service.value(), result);
   const auto handler = std::exchange(on_end_, nullptr);
   if (handler) handler({result, started_, tokens_used()});
--- a/src/node/request_session.hpp
+++ b/src/node/request_session.hpp
@@ -3,8 +3,6 @@
 /// retry elsewhere, and tell the caller the outcome.
 #pragma once
 
-#include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -12,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "common/runtime.hpp"
 #include "config/snapshot.hpp"
 #include "core/requests/request_progress.hpp"
 #include "core/requests/retry_budget.hpp"
@@ -29,7 +28,7 @@
 
 /// What all sessions of a node share.
 struct ServingContext {
-  asio::io_context& loop;
+  Runtime& runtime;
   const NodeSettings& settings;
   HttpClient& http;
   EngineTable& engines;
@@ -124,7 +123,7 @@
   std::shared_ptr<HttpResponder> responder_;
   EndHandler on_end_;
   RequestProgress progress_;
-  asio::steady_timer timer_;
+  std::unique_ptr<Timer> timer_;
   std::optional<EngineId> prefill_engine_;
   EngineId answer_engine_;
   std::optional<EngineId> engine_;  ///< That the transfer under way goes to.
--- a/src/standin/engine_standin.cpp
+++ b/src/standin/engine_standin.cpp
@@ -41,38 +41,27 @@
   bool stream_begun = false;
 };
 
-EngineStandin::EngineStandin(asio::io_context& loop, const EngineStandinSettings& settings)
-    : loop_(loop),
+EngineStandin::EngineStandin(Runtime& runtime, const EngineStandinSettings& settings)
+    : runtime_(runtime),
       settings_(settings),
-      started_(monotonic_now()),
-      emulator_(settings.costs, settings.preloaded),
-      timer_(loop),
-      load_timer_(loop),
-      http_(loop),
-      server_(std::make_unique<HttpServer>(
-          loop, settings.server, [this](const HttpRequest& request, const Responder& responder) {
-            handle(request, responder);
-          })) {
+      started_(runtime.now()),
+      emulator_(settings.costs, settings.preloaded) {
   sample_load();
 }
 
 EngineStandin::~EngineStandin() = default;
 
 MonotonicTime EngineStandin::emulated_now() const {
-  const double real = to_seconds(monotonic_now() - started_);
+  const double real = to_seconds(runtime_.now() - started_);
   return started_ + from_seconds(real * settings_.time_scale);
 }
 
 void EngineStandin::sample_load() {
   const LoadReport sample = emulator_.load();
-  auto timer = std::make_shared<asio::steady_timer>(loop_, settings_.load_lag);
-  timer->async_wait([this, sample, timer](const std::error_code& error) {
-    if (!error) lagging_load_ = sample;
-  });
-  load_timer_.expires_after(kLoadSampleEvery);
-  load_timer_.async_wait([this](const std::error_code& error) {
-    if (!error) sample_load();
+  call_after(runtime_, settings_.load_lag, [this, sample, alive = std::weak_ptr<bool>(alive_)] {
+    if (!alive.expired()) lagging_load_ = sample;
   });
+  load_timer_ = runtime_.after(kLoadSampleEvery, [this] { sample_load(); });
 }
 
 std::string EngineStandin::load_header() const {
@@ -215,15 +204,13 @@
 }
 
 void EngineStandin::schedule() {
-  timer_.cancel();
+  timer_.reset();
   const auto next = emulator_.next_time();
   if (!next) return;
   const double seconds = to_seconds(*next - emulated_now()) / settings_.time_scale;
-  timer_.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(
-      std::chrono::duration<double>(std::max(0.0, seconds))));
-  timer_.async_wait([this](const std::error_code& error) {
-    if (!error) run_emulator();
-  });
+  // Rounded up, so that the step is surely over when the call comes.
+  const Duration delay = from_seconds(std::max(0.0, seconds)) + Duration(1);
+  timer_ = runtime_.after(delay, [this] { run_emulator(); });
 }
 
 void EngineStandin::deliver(const EngineEvent& event) {
@@ -326,10 +313,8 @@
   HttpReply reply = json_reply(200, {{"path", request.path}, {"sha256", echoed}});
   reply.headers.add(engine_api::kAttemptIdHeader, attempt.value());
   reply.headers.add(engine_api::kLoadHeader, load_header());
-  auto timer = std::make_shared<asio::steady_timer>(loop_, settings_.plain_service_time);
-  timer->async_wait([responder, reply, timer](const std::error_code& error) mutable {
-    if (!error) responder->respond(std::move(reply));
-  });
+  call_after(runtime_, settings_.plain_service_time,
+             [responder, reply]() mutable { responder->respond(std::move(reply)); });
 }
 
 json EngineStandin::executions_json() const {
--- a/src/standin/engine_standin.hpp
+++ b/src/standin/engine_standin.hpp
@@ -2,15 +2,13 @@
 /// The engine stand-in process: the emulator, or a plain service, behind the published interface.
 #pragma once
 
-#include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <random>
 #include <string>
 
-#include "net/http_client.hpp"
+#include "common/runtime.hpp"
 #include "net/http_server.hpp"
 #include "standin/engine_emulator.hpp"
 
@@ -18,7 +16,6 @@
 
 /// Settings of one engine stand-in.
 struct EngineStandinSettings {
-  HttpServerSettings server;
   bool plain = false;
   std::vector<ModelSpec> preloaded;
   EngineCosts costs;
@@ -42,18 +39,24 @@
 /// One engine process.
 class EngineStandin {
  public:
-  EngineStandin(asio::io_context& loop, const EngineStandinSettings& settings);
+  EngineStandin(Runtime& runtime, const EngineStandinSettings& settings);
   ~EngineStandin();
   EngineStandin(const EngineStandin&) = delete;
   EngineStandin& operator=(const EngineStandin&) = delete;
 
-  asio::ip::tcp::endpoint local_endpoint() const { return server_->local_endpoint(); }
+  /// Handles one request of the published interface, or of the tests' interface for faults.
+  void handle(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder);
+
+  /// @return the engine inside, for those who look on.
+  const EngineEmulator& emulator() const { return emulator_; }
+
+  /// @return when the plain service ran what.
+  const std::vector<Execution>& plain_executions() const { return plain_executions_; }
 
  private:
   struct Answer;
   using Responder = std::shared_ptr<HttpResponder>;
 
-  void handle(const HttpRequest& request, const Responder& responder);
   void handle_control(const HttpRequest& request, const Responder& responder);
   void handle_completion(const HttpRequest& request, const Responder& responder);
   void handle_plain(const HttpRequest& request, const Responder& responder);
@@ -72,18 +75,17 @@
   nlohmann::json cache_events_json(std::uint64_t after) const;
   MonotonicTime emulated_now() const;
 
-  asio::io_context& loop_;
+  Runtime& runtime_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   EngineStandinSettings settings_;
   EngineFaults faults_;
   MonotonicTime started_;
   EngineEmulator emulator_;
   std::vector<Execution> plain_executions_;
   std::map<AttemptId, std::shared_ptr<Answer>> answers_;
-  asio::steady_timer timer_;
-  asio::steady_timer load_timer_;
+  std::unique_ptr<Timer> timer_;
+  std::unique_ptr<Timer> load_timer_;
   LoadReport lagging_load_;
-  HttpClient http_;
-  std::unique_ptr<HttpServer> server_;
 };
 
 }  // namespace shuntbank
--- a/src/standin/platform_standin.cpp
+++ b/src/standin/platform_standin.cpp
@@ -24,14 +24,8 @@
 
 }  // namespace
 
-PlatformStandin::PlatformStandin(asio::io_context& loop, const PlatformStandinSettings& settings)
-    : loop_(loop),
-      settings_(settings),
-      weight_filled_at_(monotonic_now()),
-      server_(std::make_unique<HttpServer>(loop, settings.server,
-                                           [this](HttpRequest request, const Responder& responder) {
-                                             handle(std::move(request), responder);
-                                           })) {}
+PlatformStandin::PlatformStandin(Runtime& runtime, const PlatformStandinSettings& settings)
+    : runtime_(runtime), settings_(settings), weight_filled_at_(runtime.now()) {}
 
 PlatformStandin::~PlatformStandin() = default;
 
@@ -41,10 +35,8 @@
   ++counts_[request.method + " " + request.path];
   if (faults_.down) return responder->respond(json_reply(503, {{"error", "down"}}));
   if (faults_.delay == Duration::zero()) return dispatch(request, responder);
-  auto timer = std::make_shared<asio::steady_timer>(loop_, faults_.delay);
-  timer->async_wait([this, timer, request = std::move(request), responder](const auto& error) {
-    if (!error) dispatch(request, responder);
-  });
+  call_after(runtime_, faults_.delay,
+             [this, request = std::move(request), responder] { dispatch(request, responder); });
 }
 
 void PlatformStandin::dispatch(const HttpRequest& request, const Responder& responder) {
@@ -90,8 +82,7 @@
   if (faults_.lose_write_answers > 0) {
     --faults_.lose_write_answers;
     // The answer never comes within the writer's patience.
-    auto timer = std::make_shared<asio::steady_timer>(loop_, std::chrono::seconds(60));
-    timer->async_wait([timer, responder](const auto&) {});
+    call_after(runtime_, std::chrono::seconds(60), [responder] {});
     return;
   }
   responder->respond(json_reply(200, {{"version", last_version_}}));
@@ -105,19 +96,16 @@
   if (watches_.size() >= settings_.max_watches) {
     return responder->respond(json_reply(429, {{"error", "too many readers"}}));
   }
-  auto timer = std::make_shared<asio::steady_timer>(loop_, ObjectClient::kWatchTime);
-  watches_.push_back({key, from, responder, timer});
+  watches_.push_back({key, from, responder, nullptr});
   const auto watch = std::prev(watches_.end());
-  timer->async_wait([this, watch, key](const std::error_code& error) {
-    if (error) return;
+  watch->timer = runtime_.after(ObjectClient::kWatchTime, [this, watch, key] {
+    // The timer goes with the watch, so it is kept to the end of its own call.
+    const auto timer = std::move(watch->timer);
     const Responder waiting = watch->responder;
     watches_.erase(watch);
     reply_object(key, waiting);
   });
-  responder->on_closed([this, watch] {
-    watch->timer->cancel();
-    watches_.erase(watch);
-  });
+  responder->on_closed([this, watch] { watches_.erase(watch); });
 }
 
 void PlatformStandin::answer_watches(const std::string& key) {
@@ -126,7 +114,6 @@
       ++watch;
       continue;
     }
-    watch->timer->cancel();
     const Responder waiting = watch->responder;
     watch = watches_.erase(watch);
     reply_object(key, waiting);
@@ -135,7 +122,6 @@
 
 void PlatformStandin::cut_watches() {
   for (const Watch& watch : std::exchange(watches_, {})) {
-    watch.timer->cancel();
     watch.responder->respond(json_reply(503, {{"error", "watch cut"}}));
   }
 }
@@ -154,15 +140,14 @@
   machines_[name] = machine;
   const bool known = published_machines_.contains(name);
   if (!known) published_machines_[name] = machine;
-  auto timer = std::make_shared<asio::steady_timer>(loop_, settings_.machine_list_lag);
-  timer->async_wait([this, timer, name](const std::error_code& error) {
-    if (!error && !faults_.stale_machines) published_machines_[name] = machines_[name];
+  call_after(runtime_, settings_.machine_list_lag, [this, name] {
+    if (!faults_.stale_machines) published_machines_[name] = machines_[name];
   });
   responder->respond(json_reply(200, json::object()));
 }
 
 void PlatformStandin::handle_weights(const Responder& responder) {
-  const MonotonicTime now = monotonic_now();
+  const MonotonicTime now = runtime_.now();
   const double rate = settings_.weight_reads_per_second;
   weight_tokens_ = std::min(rate, weight_tokens_ + to_seconds(now - weight_filled_at_) * rate);
   weight_filled_at_ = now;
--- a/src/standin/platform_standin.hpp
+++ b/src/standin/platform_standin.hpp
@@ -3,8 +3,6 @@
 /// list and a weight store with a rate limit. Faults are switched on at run time.
 #pragma once
 
-#include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 #include <cstdint>
 #include <deque>
 #include <list>
@@ -13,14 +11,13 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
-#include "common/time.hpp"
+#include "common/runtime.hpp"
 #include "net/http_server.hpp"
 
 namespace shuntbank {
 
 /// Settings of the platform stand-in.
 struct PlatformStandinSettings {
-  HttpServerSettings server;
   std::uint64_t max_watches = 16;  ///< Further readers are refused with 429.
   Duration machine_list_lag = std::chrono::seconds(2);
   double weight_reads_per_second = 5;
@@ -37,12 +34,13 @@
 /// One platform process.
 class PlatformStandin {
  public:
-  PlatformStandin(asio::io_context& loop, const PlatformStandinSettings& settings);
+  PlatformStandin(Runtime& runtime, const PlatformStandinSettings& settings);
   ~PlatformStandin();
   PlatformStandin(const PlatformStandin&) = delete;
   PlatformStandin& operator=(const PlatformStandin&) = delete;
 
-  asio::ip::tcp::endpoint local_endpoint() const { return server_->local_endpoint(); }
+  /// Handles one request of the published interface, or of the tests' interface for faults.
+  void handle(HttpRequest request, const std::shared_ptr<HttpResponder>& responder);
 
  private:
   using Responder = std::shared_ptr<HttpResponder>;
@@ -54,10 +52,9 @@
     std::string key;
     std::uint64_t from = 0;
     Responder responder;
-    std::shared_ptr<asio::steady_timer> timer;
+    std::unique_ptr<Timer> timer;
   };
 
-  void handle(HttpRequest request, const Responder& responder);
   void dispatch(const HttpRequest& request, const Responder& responder);
   void handle_object(const HttpRequest& request, const Responder& responder);
   void write_object(const HttpRequest& request, const Responder& responder);
@@ -69,7 +66,7 @@
   void cut_watches();
   void reply_object(const std::string& key, const Responder& responder);
 
-  asio::io_context& loop_;
+  Runtime& runtime_;
   PlatformStandinSettings settings_;
   PlatformFaults faults_;
   std::map<std::string, Object> objects_;
@@ -80,7 +77,6 @@
   double weight_tokens_ = 0;
   MonotonicTime weight_filled_at_;
   std::map<std::string, std::uint64_t> counts_;  ///< Requests by method and path.
-  std::unique_ptr<HttpServer> server_;
 };
 
 }  // namespace shuntbank
