Simulate whole sites: real node code in a seeded world, promises checked after each step

World (clock, processes that die and freeze, network with delays, losses, cuts), Fleet (nodes, stand-ins, callers, operators), Schedule (60 seeded steps of load and faults, then a rest), and shuntbank-bench simulate.

--- a/src/bench/commands.cpp
+++ b/src/bench/commands.cpp
@@ -6,6 +6,7 @@
 
 #include "bench/load_command.hpp"
 #include "bench/overhead_command.hpp"
+#include "bench/simulate_command.hpp"
 
 namespace shuntbank {
 namespace {
@@ -23,6 +24,7 @@
       {"load", {"Open-loop load on a running site, with every answer checked.", run_load_command}},
       {"overhead",
        {"What a node adds to a request, against the engine alone.", run_overhead_command}},
+      {"simulate", {"Seeded schedules of faults with the promises checked.", run_simulate_command}},
   };
   return table;
 }
--- /dev/null
+++ b/src/bench/simulate_command.cpp
@@ -0,0 +1,105 @@
+#include "bench/simulate_command.hpp"
+
+#include <charconv>
+#include <map>
+#include <mutex>
+#include <ostream>
+#include <thread>
+
+#include "common/log.hpp"
+#include "simulation/schedule.hpp"
+
+namespace shuntbank {
+namespace {
+
+struct SeedRange {
+  std::uint64_t first = 1;
+  std::uint64_t last = 100;
+};
+
+tl::expected<SeedRange, std::string> parse_seeds(const std::string& text) {
+  SeedRange range;
+  const char* end = text.data() + text.size();
+  const auto [rest, error] = std::from_chars(text.data(), end, range.first);
+  range.last = range.first;
+  if (error == std::errc{} && rest == end) return range;
+  const bool dots = error == std::errc{} && std::string_view(rest, 2) == "..";
+  if (dots) {
+    const auto [tail, last_error] = std::from_chars(rest + 2, end, range.last);
+    if (last_error == std::errc{} && tail == end && range.last >= range.first) return range;
+  }
+  return tl::make_unexpected("'" + text + "' is neither A nor A..B");
+}
+
+/// Runs all seeds on a few threads; each schedule is a world of its own.
+class SeedRunner {
+ public:
+  SeedRunner(const SeedRange& range, std::uint64_t threads)
+      : next_(range.first), last_(range.last) {
+    for (std::uint64_t i = 0; i < threads; ++i) threads_.emplace_back([this] { work(); });
+    for (std::thread& thread : threads_) thread.join();
+  }
+
+  std::map<std::uint64_t, simulation::ScheduleResult> broken;
+  std::uint64_t schedules = 0;
+  std::uint64_t requests = 0;
+  std::uint64_t whole = 0;
+
+ private:
+  void work() {
+    while (true) {
+      std::unique_lock lock(mutex_);
+      if (next_ > last_) return;
+      const std::uint64_t seed = next_++;
+      lock.unlock();
+      simulation::ScheduleResult result = simulation::run_schedule(seed);
+      lock.lock();
+      ++schedules;
+      requests += result.requests;
+      whole += result.whole;
+      if (!result.broken.empty()) broken.emplace(seed, std::move(result));
+    }
+  }
+
+  std::uint64_t next_;
+  std::uint64_t last_;
+  std::mutex mutex_;
+  std::vector<std::thread> threads_;
+};
+
+}  // namespace
+
+ExitCode run_simulate_command(const std::vector<std::string>& arguments, std::ostream& output,
+                              std::ostream& errors) {
+  SeedRange range;
+  std::uint64_t threads = 1;
+  bool events = false;
+  OptionSet options("shuntbank-bench simulate [options]");
+  options.add("seeds", "One seed, or A..B.", "1..100",
+              [&range](const std::string& text) -> tl::expected<void, std::string> {
+                const auto parsed = parse_seeds(text);
+                if (!parsed) return tl::make_unexpected(parsed.error());
+                range = *parsed;
+                return {};
+              });
+  options.add_whole("threads", threads, 1, 256, "Schedules at once.");
+  options.add_flag("events", events, "Print the events of the first broken schedule.");
+  const OptionsOutcome outcome = options.read(arguments, output, errors);
+  if (!outcome.run) return outcome.code;
+  static_cast<void>(set_log_levels("off"));
+  const SeedRunner run(range, threads);
+  std::map<std::string, std::uint64_t> kinds;
+  for (const auto& [seed, result] : run.broken) {
+    output << "seed " << seed << ": " << result.broken << "\n";
+    ++kinds[result.broken.substr(0, result.broken.find(':'))];
+  }
+  if (events && !run.broken.empty()) {
+    for (const std::string& event : run.broken.begin()->second.events) output << event << "\n";
+  }
+  output << run.schedules << " schedules, " << run.requests << " requests, " << run.whole
+         << " answered whole, " << run.broken.size() << " schedules broke a promise\n";
+  for (const auto& [kind, count] : kinds) output << "  " << count << " x " << kind << "\n";
+  return run.broken.empty() ? ExitCode::kSuccess : ExitCode::kFailure;
+}
+
+}  // namespace shuntbank
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -77,6 +77,8 @@
     operator_api_.handle(request, responder);
   }
 
+  Revision revision() const { return config_.replica().revision(); }
+
   void on_close_callers(std::function<void()> handler) { close_callers_ = std::move(handler); }
 
   void leave() {
@@ -215,6 +217,10 @@
   impl_->on_close_callers(std::move(handler));
 }
 
+Revision Node::revision() const {
+  return impl_->revision();
+}
+
 void Node::leave() {
   impl_->leave();
 }
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 
+#include "common/identifiers.hpp"
 #include "common/runtime.hpp"
 #include "net/http_client.hpp"
 #include "net/http_server.hpp"
@@ -38,6 +39,9 @@
   /// Handles a request of an operator.
   void handle_operator(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder);
 
+  /// @return the revision of the configuration that is in force here.
+  Revision revision() const;
+
   /// Sets what closes the callers' interface to new connections, late in leaving.
   void on_close_callers(std::function<void()> handler);
 
--- /dev/null
+++ b/src/simulation/fleet.cpp
@@ -0,0 +1,457 @@
+#include "simulation/fleet.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "common/hash.hpp"
+#include "config/document.hpp"
+#include "engine/event_stream.hpp"
+#include "standin/answer.hpp"
+
+namespace shuntbank::simulation {
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kPlatformAddress = "10.0.0.1:1";
+constexpr const char* kCallerAddress = "10.0.0.2:1";
+constexpr const char* kKey = "sb-simulated";
+
+/// New work may reach a leaving engine for this long: the list's lag and a node's interval.
+constexpr Duration kLeavingBound = std::chrono::seconds(8);
+
+std::string numbered(const char* name, int index) {
+  return name + std::to_string(index);
+}
+
+}  // namespace
+
+/// A node and its surroundings.
+struct Fleet::SimNode {
+  NodeSettings settings;
+  ProcessPointer process;
+  std::unique_ptr<SimulatedHttpClient> http;
+  std::unique_ptr<SimulatedTransport> transport;
+  std::unique_ptr<Node> node;
+  Revision last_revision = 0;
+  bool left = false;
+};
+
+/// An engine and what is known of it from outside.
+struct Fleet::SimEngine {
+  ProcessPointer process;
+  std::unique_ptr<EngineStandin> standin;
+  std::optional<MonotonicTime> leaving_since;
+};
+
+Fleet::Fleet(const FleetSettings& wanted) : world(wanted.seed, wanted.network), settings(wanted) {
+  start_platform();
+  for (int i = 0; i < settings.engines; ++i) start_engine(i);
+  caller_process_ = world.start(kCallerAddress);
+  caller_http_ = std::make_unique<SimulatedHttpClient>(caller_process_);
+  nodes_.resize(static_cast<std::size_t>(settings.nodes));
+  for (int i = 0; i < settings.nodes; ++i) start_node(i);
+}
+
+Fleet::~Fleet() {
+  world.stop();
+}
+
+void Fleet::start_platform() {
+  platform_process_ = world.start(kPlatformAddress);
+  PlatformStandinSettings platform;
+  platform.max_watches = 64;
+  platform_ = std::make_unique<PlatformStandin>(*platform_process_, platform);
+  platform_process_->http_handler = [this](HttpRequest request, const auto& responder) {
+    platform_->handle(std::move(request), responder);
+  };
+}
+
+std::string Fleet::node_address(int index) const {
+  return "10.1." + std::to_string(index / 250) + "." + std::to_string(index % 250) + ":1";
+}
+
+std::string Fleet::engine_address(int index) const {
+  return "10.2." + std::to_string(index / 250) + "." + std::to_string(index % 250) + ":1";
+}
+
+void Fleet::start_engine(int index) {
+  auto engine = std::make_unique<SimEngine>();
+  engine->process = world.start(engine_address(index));
+  EngineStandinSettings standin;
+  standin.preloaded = {{numbered("m", index % settings.models), "1", {}}};
+  standin.costs.role_change_time = std::chrono::seconds(2);
+  engine->standin = std::make_unique<EngineStandin>(*engine->process, standin);
+  engine->process->http_handler = [target = engine->standin.get()](HttpRequest request,
+                                                                   const auto& responder) {
+    target->handle(request, responder);
+  };
+  engines_.push_back(std::move(engine));
+}
+
+void Fleet::start_node(int index) {
+  auto node = std::make_unique<SimNode>();
+  node->settings.name = numbered("n", index);
+  node->settings.zone = numbered("z", index % settings.zones);
+  node->settings.region = numbered("r", index % settings.zones % settings.regions);
+  node->settings.platform = kPlatformAddress;
+  node->settings.seed = settings.seed * 1000 + static_cast<std::uint64_t>(index) + 1;
+  node->settings.lease_length = std::chrono::seconds(4);
+  node->settings.leave_grace = std::chrono::seconds(2);
+  node->settings.engine_silence = std::chrono::seconds(10);
+  node->settings.request_deadline = std::chrono::seconds(40);
+  node->process = world.start(node_address(index));
+  node->http = std::make_unique<SimulatedHttpClient>(node->process);
+  node->transport = std::make_unique<SimulatedTransport>(node->process);
+  SimNode* raw = node.get();
+  node->node = std::make_unique<Node>(NodeIo{*node->process, *node->http, *node->transport},
+                                      node->settings, [raw] {
+                                        raw->left = true;
+                                        raw->process->kill();
+                                      });
+  node->process->http_handler = [raw](HttpRequest request, const auto& responder) {
+    // Operators and callers share the simulated address; their paths do not overlap.
+    const bool for_operator = request.path.rfind("/v1/config", 0) == 0 ||
+                              request.path == "/v1/status" || request.path == "/metrics";
+    if (for_operator) return raw->node->handle_operator(request, responder);
+    raw->node->handle_caller(std::move(request), responder);
+  };
+  auto& place = nodes_.at(static_cast<std::size_t>(index));
+  if (place) graveyard_.push_back(std::move(place));
+  place = std::move(node);
+  fetch(kPlatformAddress, "PUT", "/machines?name=" + numbered("n", index),
+        {{"kind", "node"}, {"address", node_address(index)}, {"state", "live"}});
+}
+
+HttpReply Fleet::fetch(const std::string& address, const std::string& method,
+                       const std::string& path, const json& body) {
+  OutgoingRequest request;
+  request.method = method;
+  request.url = "http://" + address + path;
+  if (!body.is_null()) request.body = body.dump();
+  request.total_timeout = std::chrono::seconds(20);
+  auto result = std::make_shared<std::optional<HttpReply>>();
+  caller_http_->fetch(std::move(request),
+                      [result](const auto& reply) { *result = reply ? *reply : HttpReply{}; });
+  const MonotonicTime deadline = world.now() + std::chrono::seconds(30);
+  while (!result->has_value() && world.step(deadline)) {
+  }
+  return result->value_or(HttpReply{});
+}
+
+json Fleet::declared_edits() const {
+  std::vector<ObjectEdit> edits;
+  for (int i = 0; i < settings.engines; ++i) {
+    const json labels{{"service", numbered("s", i % settings.models)}};
+    edits.push_back(set_object(ObjectKind::kEngine, numbered("e", i), 0,
+                               {{"address", engine_address(i)},
+                                {"zone", numbered("z", i % settings.zones)},
+                                {"labels", labels}}));
+  }
+  for (int i = 0; i < settings.models; ++i) {
+    const json models = json::array({{{"name", numbered("m", i)}, {"version", "1"}}});
+    json roles = json::array({"mixed"});
+    if (settings.split_roles) roles = {"mixed", "prefill", "decode"};
+    edits.push_back(
+        set_object(ObjectKind::kService, numbered("s", i), 0,
+                   {{"kind", "model"},
+                    {"engine_selector", {{"match_labels", {{"service", numbered("s", i)}}}}},
+                    {"models", models},
+                    {"allowed_roles", roles}}));
+  }
+  for (int i = 0; i < settings.tenants; ++i) {
+    const std::string key = i == 0 ? kKey : numbered(kKey, i);
+    edits.push_back(set_object(ObjectKind::kTenant, numbered("t", i), 0,
+                               {{"keys", json::array({{{"sha256", sha256_hex(key)}}})}}));
+  }
+  edits.push_back(set_object(ObjectKind::kPolicy, "p", 0, {{"drain_bound", "5s"}}));
+  return to_json(edits);
+}
+
+void Fleet::configure() {
+  run_for(std::chrono::seconds(2));
+  for (int attempt = 0; attempt < 5; ++attempt) {
+    const HttpReply reply = fetch(node_address(0), "POST", "/v1/config/changes", declared_edits());
+    if (reply.status == 200) break;
+    run_for(std::chrono::seconds(1));
+  }
+  run_for(std::chrono::seconds(8));
+}
+
+json Fleet::status(int index) {
+  const HttpReply reply = fetch(node_address(index), "GET", "/v1/status", nullptr);
+  return json::parse(reply.body, nullptr, false);
+}
+
+bool Fleet::node_alive(int index) const {
+  return nodes_.at(static_cast<std::size_t>(index))->process->alive();
+}
+
+bool Fleet::node_running(int index) const {
+  const SimNode& node = *nodes_.at(static_cast<std::size_t>(index));
+  return node.process->alive() && !node.process->frozen();
+}
+
+void Fleet::ask(int node, std::uint32_t tokens, const std::string& logical) {
+  auto request = std::make_shared<CallerRequest>();
+  request->mark = numbered("try-", ++asked_);
+  request->logical = logical.empty() ? request->mark : logical;
+  request->once = !logical.empty();
+  request->node = node;
+  request->sent = world.now();
+  request->node_disturbed = !node_running(node);
+  requests.push_back(request);
+  OutgoingRequest outgoing;
+  outgoing.method = "POST";
+  outgoing.url = "http://" + node_address(node) + "/v1/completions";
+  outgoing.headers.add("Authorization", std::string("Bearer ") + kKey);
+  if (request->once) outgoing.headers.add("Idempotency-Key", request->logical);
+  outgoing.total_timeout = std::chrono::seconds(60);
+  outgoing.body = json{
+      {"model", numbered("m", asked_ % settings.models)},
+      {"prompt", request->mark},
+      {"user", request->logical + "/" + request->mark},
+      {"max_tokens", tokens},
+      {"stream",
+       true}}.dump();
+  auto splitter = std::make_shared<EventStreamSplitter>();
+  auto raw = std::make_shared<std::string>();
+  TransferHandlers handlers;
+  handlers.on_headers = [request](int status, const HttpHeaders&) { request->status = status; };
+  handlers.on_data = [request, splitter, raw](std::string_view piece) {
+    if (request->status != 200) {
+      *raw += piece;
+      return true;
+    }
+    splitter->feed(piece, [request](const ServerSentEvent& event) {
+      if (event.data == kDoneMarker) {
+        request->whole = true;
+        return;
+      }
+      const json chunk = json::parse(event.data, nullptr, false);
+      if (chunk.contains("error")) {
+        request->outcome = chunk["error"].value("outcome", "");
+        return;
+      }
+      request->text += chunk["choices"][0].value("text", "");
+    });
+    return true;
+  };
+  handlers.on_done = [request, raw, tokens](const auto& result) {
+    request->ended = true;
+    request->transport_failed = !result;
+    const json error = json::parse(*raw, nullptr, false);
+    if (error.is_object() && error.contains("error")) {
+      request->outcome = error["error"].value("outcome", "");
+    }
+    request->whole = request->whole && request->text == whole_answer(request->mark, tokens);
+  };
+  caller_http_->start(std::move(outgoing), std::move(handlers));
+}
+
+void Fleet::edit(int node, const std::string& tenant) {
+  OutgoingRequest request;
+  request.method = "POST";
+  request.url = "http://" + node_address(node) + "/v1/config/changes";
+  request.body =
+      to_json(std::vector<ObjectEdit>{set_object(ObjectKind::kTenant, tenant, 0,
+                                                 {{"weight", static_cast<double>(++edits_)}})})
+          .dump();
+  request.total_timeout = std::chrono::seconds(20);
+  caller_http_->fetch(std::move(request), [this, tenant](const auto& reply) {
+    if (!reply || reply->status != 200) return;
+    accepted_edits_[tenant] = json::parse(reply->body).value("revision", Revision{0});
+  });
+}
+
+void Fleet::disturb(int node) {
+  for (const auto& request : requests) {
+    if (request->node == node && !request->ended) request->node_disturbed = true;
+  }
+}
+
+void Fleet::kill_node(int index) {
+  disturb(index);
+  nodes_.at(static_cast<std::size_t>(index))->process->kill();
+}
+
+void Fleet::freeze_node(int index) {
+  disturb(index);
+  nodes_.at(static_cast<std::size_t>(index))->process->freeze();
+}
+
+void Fleet::thaw_node(int index) {
+  auto& process = *nodes_.at(static_cast<std::size_t>(index))->process;
+  if (process.frozen()) process.thaw();
+}
+
+void Fleet::leave_node(int index) {
+  SimNode& node = *nodes_.at(static_cast<std::size_t>(index));
+  node.process->run([&node] { node.node->leave(); });
+}
+
+void Fleet::isolate_from_platform(int node) {
+  world.cut(node_address(node), kPlatformAddress);
+}
+void Fleet::cut_nodes(int a, int b) {
+  world.cut(node_address(a), node_address(b));
+}
+
+void Fleet::cut_engine(int node, int engine) {
+  world.cut(node_address(node), engine_address(engine));
+}
+
+void Fleet::crash_engine(int index) {
+  set_engine_faults(index, {{"crash", true}});
+}
+
+void Fleet::set_engine_faults(int index, const json& faults) {
+  OutgoingRequest request;
+  request.method = "POST";
+  request.url = "http://" + engine_address(index) + "/faults";
+  request.body = faults.dump();
+  caller_http_->fetch(std::move(request), [](const auto&) {});
+}
+
+void Fleet::set_platform_faults(const json& faults) {
+  OutgoingRequest request;
+  request.method = "POST";
+  request.url = std::string("http://") + kPlatformAddress + "/faults";
+  request.body = faults.dump();
+  caller_http_->fetch(std::move(request), [](const auto&) {});
+}
+
+void Fleet::mark_engine_leaving(int index) {
+  OutgoingRequest request;
+  request.method = "PUT";
+  request.url =
+      std::string("http://") + kPlatformAddress + "/machines?name=" + numbered("e", index);
+  request.body =
+      json{{"kind", "engine"}, {"address", engine_address(index)}, {"state", "leaving"}}.dump();
+  engines_.at(static_cast<std::size_t>(index))->leaving_since = world.now();
+  caller_http_->fetch(std::move(request), [](const auto&) {});
+}
+
+void Fleet::heal_all() {
+  world.heal_all();
+  set_platform_faults({{"down", false}, {"delay_ms", 0}, {"lose_write_answers", 0}});
+  for (int i = 0; i < settings.engines; ++i) {
+    set_engine_faults(i, {{"refuse_requests", false}, {"drop_after_accept", false}});
+  }
+  for (int i = 0; i < settings.nodes; ++i) {
+    thaw_node(i);
+    if (!nodes_[static_cast<std::size_t>(i)]->process->alive()) start_node(i);
+  }
+}
+
+std::string Fleet::check_orders(const SimEngine& engine) const {
+  OrderStamp last;
+  for (const OrderHistoryEntry& entry : engine.standin->emulator().order_history()) {
+    if (entry.verdict != OrderVerdict::kAccepted) continue;
+    if (entry.order.stamp <= last) return "an engine took an order older than one it held";
+    last = entry.order.stamp;
+  }
+  if (engine.standin->emulator().cut_by_change() > 0) return "a role change cut a request";
+  if (!engine.leaving_since) return {};
+  for (const Execution& execution : engine.standin->emulator().executions()) {
+    if (execution.started > *engine.leaving_since + kLeavingBound) {
+      return "a leaving engine got new work";
+    }
+  }
+  return {};
+}
+
+std::string Fleet::check_request(const CallerRequest& request) {
+  const std::string right = whole_answer(request.mark, 400);
+  if (right.compare(0, request.text.size(), request.text) != 0) return "a wrong answer";
+  if (!request.ended) return {};
+  const bool told = request.whole || !request.outcome.empty();
+  if (!told && !request.node_disturbed) return "a request was cut without a word: " + request.mark;
+  return {};
+}
+
+std::string Fleet::check_runs() {
+  std::map<std::string, int> runs_of_try;
+  std::map<std::string, int> runs_of_logical;
+  for (const auto& engine : engines_) {
+    for (const Execution& execution : engine->standin->emulator().executions()) {
+      const std::size_t slash = execution.mark.find('/');
+      // A prefill and its decode are two parts of one run and share an attempt.
+      const std::string logical = execution.mark.substr(0, slash);
+      const std::string attempt = execution.attempt.value();
+      runs_of_try[execution.mark.substr(slash + 1)] += 1;
+      auto& seen = runs_of_logical[logical + "\n" + attempt];
+      seen += 1;
+    }
+  }
+  std::map<std::string, std::set<std::string>> attempts;
+  for (const auto& [key, count] : runs_of_logical) {
+    const std::size_t split = key.find('\n');
+    attempts[key.substr(0, split)].insert(key.substr(split + 1));
+  }
+  for (const auto& request : requests) {
+    if (request->once && attempts[request->logical].size() > 1) {
+      return "a request that may run once ran twice: " + request->logical;
+    }
+    if (request->ended && request->outcome == "not_run" && runs_of_try[request->mark] > 0) {
+      return "a request ran that was called not run: " + request->mark;
+    }
+  }
+  return {};
+}
+
+std::string Fleet::check_revisions() {
+  for (int i = 0; i < settings.nodes; ++i) {
+    SimNode& node = *nodes_[static_cast<std::size_t>(i)];
+    if (!node.process->alive()) continue;
+    const Revision revision = node.node->revision();
+    if (revision < node.last_revision) return "a node went back to an older revision";
+    node.last_revision = revision;
+  }
+  return {};
+}
+
+std::string Fleet::check() {
+  for (const auto& engine : engines_) {
+    if (std::string broken = check_orders(*engine); !broken.empty()) return broken;
+  }
+  for (const auto& request : requests) {
+    if (std::string broken = check_request(*request); !broken.empty()) return broken;
+  }
+  if (std::string broken = check_runs(); !broken.empty()) return broken;
+  return check_revisions();
+}
+
+std::string Fleet::check_settled() {
+  if (std::string broken = check(); !broken.empty()) return broken;
+  for (const auto& request : requests) {
+    if (!request->ended) return "a request never ended: " + request->mark;
+  }
+  Revision newest = 0;
+  for (const auto& [tenant, revision] : accepted_edits_) newest = std::max(newest, revision);
+  int holders = 0;
+  for (int i = 0; i < settings.nodes; ++i) {
+    SimNode& node = *nodes_[static_cast<std::size_t>(i)];
+    if (node.node->revision() < newest)
+      return "an accepted change is not in force on " + node.settings.name;
+    const json document =
+        json::parse(fetch(node_address(i), "GET", "/v1/config", nullptr).body, nullptr, false);
+    if (!document.is_object()) return "a node does not answer operators: " + node.settings.name;
+    for (const auto& [tenant, revision] : accepted_edits_) {
+      const bool there =
+          std::any_of(document["objects"].begin(), document["objects"].end(),
+                      [&tenant = tenant](const json& object) {
+                        return object["name"] == tenant && !object.contains("removed");
+                      });
+      if (!there) return "an accepted change was lost: " + tenant;
+    }
+    const json lines = status(i)["duties"];
+    for (const json& duty : lines) holders += duty.contains("fence") ? 1 : 0;
+  }
+  if (holders != settings.models * settings.regions) {
+    return "holders of leases after a rest: " + std::to_string(holders);
+  }
+  return {};
+}
+
+}  // namespace shuntbank::simulation
--- /dev/null
+++ b/src/simulation/world.hpp
@@ -0,0 +1,181 @@
+/// @file
+/// A simulated world: one clock, processes that can be killed and frozen, and a network between
+/// them with delays, losses and cuts. Everything follows from a seed.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "common/runtime.hpp"
+#include "net/http_client.hpp"
+#include "net/http_server.hpp"
+#include "net/peer_transport.hpp"
+
+namespace shuntbank::simulation {
+
+/// Behaviour of the network.
+struct NetworkSettings {
+  Duration least_delay = std::chrono::microseconds(200);
+  Duration most_delay = std::chrono::milliseconds(2);
+  double datagram_loss = 0.01;
+  double datagram_doubling = 0.01;
+};
+
+class World;
+
+/// One process: its runtime, and whether it runs. A killed process never runs again; a restart is
+/// a new one at the same address.
+class Process : public Runtime {
+ public:
+  Process(World& world, std::string address) : world_(world), address_(std::move(address)) {}
+
+  MonotonicTime now() const override;
+  std::uint64_t unix_milliseconds() const override;
+  std::unique_ptr<Timer> after(Duration delay, std::function<void()> function) override;
+  void post(std::function<void()> function) override;
+  std::string random_hex(std::size_t bytes) override;
+
+  /// Runs `function` in this process, or later when it is frozen, or never when it is dead.
+  void run(std::function<void()> function);
+
+  void kill();
+  void freeze() { frozen_ = true; }
+  void thaw();
+
+  bool alive() const { return alive_; }
+  bool frozen() const { return frozen_; }
+  const std::string& address() const { return address_; }
+  World& world() { return world_; }
+
+  /// Sets what is called when the process dies, so that its connections break.
+  void on_death(std::function<void()> handler) { death_handlers_.push_back(std::move(handler)); }
+
+  /// Answers HTTP requests to this process.
+  std::function<void(HttpRequest, std::shared_ptr<HttpResponder>)> http_handler;
+
+  /// Gets messages of other nodes.
+  PeerTransport::DatagramHandler datagram_handler;
+  PeerTransport::CallHandler call_handler;
+
+  std::uint64_t datagram_bytes_sent = 0;
+  std::uint64_t datagram_bytes_received = 0;
+  std::uint64_t call_bytes_sent = 0;
+  std::uint64_t call_bytes_received = 0;
+  std::uint64_t messages_sent = 0;
+
+ private:
+  World& world_;
+  std::string address_;
+  bool alive_ = true;
+  bool frozen_ = false;
+  std::deque<std::function<void()>> deferred_;
+  std::vector<std::function<void()>> death_handlers_;
+};
+
+using ProcessPointer = std::shared_ptr<Process>;
+
+/// The clock, the processes and the network.
+class World {
+ public:
+  World(std::uint64_t seed, const NetworkSettings& network);
+
+  /// Starts a process at an address, in place of any before.
+  ProcessPointer start(const std::string& address);
+
+  /// @return the process at that address, or null.
+  ProcessPointer find(const std::string& address) const;
+
+  /// Calls `function` at a time of the world, in no process.
+  void at(MonotonicTime time, std::function<void()> function);
+
+  /// Runs all that happens until `end`.
+  void run_until(MonotonicTime end);
+
+  /// Kills all processes and drops what is pending, before their owners go.
+  void stop();
+
+  /// Runs the next event. @return false when nothing is left before `end`.
+  bool step(MonotonicTime end);
+
+  /// Cuts or heals both directions between two addresses.
+  void cut(const std::string& a, const std::string& b);
+  void heal(const std::string& a, const std::string& b);
+  void heal_all() { cuts_.clear(); }
+  bool is_cut(const std::string& a, const std::string& b) const;
+
+  MonotonicTime now() const { return now_; }
+  Duration delay();
+  bool chance(double probability);
+  std::mt19937_64& random() { return random_; }
+  const NetworkSettings& network() const { return network_; }
+  std::uint64_t events() const { return sequence_; }
+
+ private:
+  struct Event {
+    MonotonicTime time;
+    std::uint64_t sequence;
+    std::function<void()> function;
+    bool operator>(const Event& other) const {
+      return std::tie(time, sequence) > std::tie(other.time, other.sequence);
+    }
+  };
+
+  static std::pair<std::string, std::string> link(const std::string& a, const std::string& b);
+
+  MonotonicTime now_ = MonotonicTime{} + std::chrono::hours(1);
+  std::uint64_t sequence_ = 0;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+  std::map<std::string, ProcessPointer> processes_;
+  std::set<std::pair<std::string, std::string>> cuts_;
+  std::mt19937_64 random_;
+  NetworkSettings network_;
+};
+
+/// HTTP client of a simulated process.
+class SimulatedHttpClient : public HttpClient {
+ public:
+  explicit SimulatedHttpClient(ProcessPointer process) : process_(std::move(process)) {}
+  ~SimulatedHttpClient() override;
+  SimulatedHttpClient(const SimulatedHttpClient&) = delete;
+  SimulatedHttpClient& operator=(const SimulatedHttpClient&) = delete;
+
+  TransferId start(OutgoingRequest request, TransferHandlers handlers) override;
+  void cancel(TransferId id) override;
+  void resume(TransferId id) override;
+
+ private:
+  class Exchange;
+  class Responder;
+
+  ProcessPointer process_;
+  TransferId last_id_ = 0;
+  std::map<TransferId, std::shared_ptr<Exchange>> open_;
+};
+
+/// Messages between simulated nodes.
+class SimulatedTransport : public PeerTransport {
+ public:
+  explicit SimulatedTransport(ProcessPointer process) : process_(std::move(process)) {}
+
+  void set_handlers(DatagramHandler on_datagram, CallHandler on_call) override;
+  void send(const std::string& address, std::string_view text) override;
+  void call(const std::string& address, std::string text, Duration timeout,
+            AnswerHandler handler) override;
+  std::string local_address() const override { return process_->address(); }
+  std::uint64_t bytes_sent() const override { return process_->datagram_bytes_sent; }
+  std::uint64_t bytes_received() const override { return process_->datagram_bytes_received; }
+
+ private:
+  ProcessPointer process_;
+};
+
+}  // namespace shuntbank::simulation
--- a/src/standin/engine_emulator.cpp
+++ b/src/standin/engine_emulator.cpp
@@ -71,7 +71,7 @@
   if (!holds_model(job.model)) return SubmitResult::kUnknownModel;
   if (waiting_.size() >= costs_.max_waiting) return SubmitResult::kFull;
   Running running{job, executions_.size(), 0, job.resume_from, now};
-  executions_.push_back({job.request, job.attempt, now, {}, Execution::End::kRunning});
+  executions_.push_back({job.request, job.attempt, job.mark, now, {}, Execution::End::kRunning});
   if (job.part == JobPart::kDecodeOnly) {
     const double tokens = static_cast<double>(job.prompt_tokens);
     running.importing_until = now + from_seconds(tokens / costs_.import_tokens_per_second);
--- a/src/standin/engine_emulator.hpp
+++ b/src/standin/engine_emulator.hpp
@@ -48,6 +48,7 @@
 struct EngineJob {
   RequestId request;
   AttemptId attempt;
+  std::string mark;  ///< The caller's `user` field, by which tests find a request again.
   JobPart part = JobPart::kWhole;
   std::string model;  ///< With `:adapter` where one is asked for; empty for a plain service.
   std::uint64_t prompt_tokens = 1;
@@ -76,6 +77,7 @@
   enum class End { kRunning, kFinished, kCancelled, kCut };
   RequestId request;
   AttemptId attempt;
+  std::string mark;
   MonotonicTime started{};
   MonotonicTime ended{};
   End end = End::kRunning;
--- a/src/standin/engine_standin.cpp
+++ b/src/standin/engine_standin.cpp
@@ -171,6 +171,7 @@
   job.request = answer->request;
   job.attempt = answer->attempt;
   job.model = answer->facts.model;
+  job.mark = body.value("user", "");
   job.prompt_tokens = answer->facts.prompt_tokens;
   job.blocks = prefix_blocks(answer->facts.text);
   job.output_tokens = answer->facts.max_output_tokens;
@@ -308,7 +309,7 @@
   const RequestId id(std::string(request.headers.get(engine_api::kRequestIdHeader)));
   const AttemptId attempt(std::string(request.headers.get(engine_api::kAttemptIdHeader)));
   const MonotonicTime now = emulated_now();
-  plain_executions_.push_back({id, attempt, now, now, Execution::End::kFinished});
+  plain_executions_.push_back({id, attempt, "", now, now, Execution::End::kFinished});
   const std::string echoed = sha256_hex(request.method + " " + request.path + "\n" + request.body);
   HttpReply reply = json_reply(200, {{"path", request.path}, {"sha256", echoed}});
   reply.headers.add(engine_api::kAttemptIdHeader, attempt.value());
