Mend what the simulation found

Now the group goes on, granting nothing until every lost claim has run out. - Told to leave twice, a node ended at once and cut its requests. Saying it again changes nothing; a second signal still ends it.

--- a/src/apps/shuntbankd.cpp
+++ b/src/apps/shuntbankd.cpp
@@ -15,14 +15,12 @@
   asio::io_context loop(1);
   NodeServer node(loop, settings, [&loop] { loop.stop(); });
   asio::signal_set signals(loop, SIGTERM, SIGINT);
-  std::function<void()> wait = [&] {
-    signals.async_wait([&](const std::error_code& error, int) {
-      if (error) return;
-      node.leave();
-      wait();
-    });
-  };
-  wait();
+  signals.async_wait([&](const std::error_code& error, int) {
+    if (error) return;
+    node.leave();
+    // A second signal does not wait any longer.
+    signals.async_wait([&loop](const std::error_code&, int) { loop.stop(); });
+  });
   loop.run();
   return static_cast<int>(ExitCode::kSuccess);
 }
--- a/src/bench/simulate_command.cpp
+++ b/src/bench/simulate_command.cpp
@@ -84,9 +84,10 @@
               });
   options.add_whole("threads", threads, 1, 256, "Schedules at once.");
   options.add_flag("events", events, "Print the events of the first broken schedule.");
+  // Quiet unless --log-level asks for more, which is of use with a single seed.
+  static_cast<void>(set_log_levels("off"));
   const OptionsOutcome outcome = options.read(arguments, output, errors);
   if (!outcome.run) return outcome.code;
-  static_cast<void>(set_log_levels("off"));
   const SeedRunner run(range, threads);
   std::map<std::string, std::uint64_t> kinds;
   for (const auto& [seed, result] : run.broken) {
--- a/src/core/requests/claim_group.cpp
+++ b/src/core/requests/claim_group.cpp
@@ -75,7 +75,8 @@
   return next;
 }
 
-ClaimTakeover::ClaimTakeover(ClaimGroupRecord record) : record_(std::move(record)) {}
+ClaimTakeover::ClaimTakeover(ClaimGroupRecord record, Duration retention)
+    : record_(std::move(record)), retention_(retention) {}
 
 std::vector<ClaimMember> ClaimTakeover::to_seal() const {
   std::vector<ClaimMember> members;
@@ -90,8 +91,12 @@
   const bool served_new = result.vouched_view == record_.view;
   complete_ = complete_ || served_new;
   // Otherwise only a replica that served the view before knows what it granted there.
-  if (!served_new && result.vouched_view != record_.previous_view) return;
+  if (!served_new && result.vouched_view != record_.previous_view) {
+    forgetful_.insert(node);
+    return;
+  }
   if (!sealed_.insert(node).second) return;
+  quiet_for_ = std::max(quiet_for_, result.quiet_for);
   entries_.insert(entries_.end(), result.entries.begin(), result.entries.end());
 }
 
@@ -100,6 +105,16 @@
          is_majority(sealed_.size(), record_.previous_members.size());
 }
 
+bool ClaimTakeover::history_lost() const {
+  return !sealed() &&
+         is_majority(sealed_.size() + forgetful_.size(), record_.previous_members.size());
+}
+
+void ClaimTakeover::accept_loss() {
+  complete_ = true;
+  quiet_for_ = retention_;
+}
+
 std::vector<ClaimMember> ClaimTakeover::to_install() const {
   std::vector<ClaimMember> members;
   if (!sealed()) return members;
--- a/src/core/requests/claim_group.hpp
+++ b/src/core/requests/claim_group.hpp
@@ -48,7 +48,8 @@
 /// reports the answers.
 class ClaimTakeover {
  public:
-  explicit ClaimTakeover(ClaimGroupRecord record);
+  /// @param retention how long claims are held.
+  ClaimTakeover(ClaimGroupRecord record, Duration retention);
 
   const ClaimGroupRecord& record() const { return record_; }
 
@@ -61,6 +62,16 @@
   /// @return whether a majority of the view before is sealed, so that `entries` are complete.
   bool sealed() const;
 
+  /// @return whether a majority can grant nothing any more, but too many of it were restarted and
+  /// have forgotten what they granted.
+  bool history_lost() const;
+
+  /// Goes on without the history: nothing is granted until every lost claim has run out.
+  void accept_loss();
+
+  /// @return how long the new view grants nothing.
+  Duration quiet_for() const { return quiet_for_; }
+
   /// @return the merged claims.
   const std::vector<ClaimEntry>& entries() const { return entries_; }
 
@@ -76,7 +87,10 @@
  private:
   ClaimGroupRecord record_;
   bool complete_ = false;  ///< A member serves the new view already, so it knows every claim.
+  Duration retention_;
+  Duration quiet_for_{0};
   std::set<NodeId> sealed_;
+  std::set<NodeId> forgetful_;  ///< Sealed, but without knowledge of the view before.
   std::set<NodeId> installed_;
   std::vector<ClaimEntry> entries_;
 };
--- a/src/core/requests/claim_replica.cpp
+++ b/src/core/requests/claim_replica.cpp
@@ -32,6 +32,7 @@
   if (found != claims_.end() && now < found->second.granted_at + retention_) {
     return found->second.claimant == claimant ? ClaimVerdict::kGranted : ClaimVerdict::kHeld;
   }
+  if (now < grants_from_) return ClaimVerdict::kUnavailable;
   if (found == claims_.end() && claims_.size() >= max_claims_) return ClaimVerdict::kUnavailable;
   claims_[key] = {claimant, now};
   return ClaimVerdict::kGranted;
@@ -46,6 +47,7 @@
   sealed_ = std::max(sealed_, view);
   SealResult result;
   result.vouched_view = vouched_;
+  result.quiet_for = std::max(Duration::zero(), grants_from_ - now);
   for (const auto& [key, claim] : claims_) {
     result.entries.push_back({key, claim.claimant, now - claim.granted_at});
   }
@@ -53,12 +55,13 @@
 }
 
 bool ClaimReplica::install(MonotonicTime now, ClaimView view,
-                           const std::vector<ClaimEntry>& entries) {
+                           const std::vector<ClaimEntry>& entries, Duration quiet_for) {
   // A late install of an older view must not bring back what a newer view has sealed.
   if (view < sealed_ || view < vouched_) return false;
   for (const ClaimEntry& entry : entries) {
     claims_.try_emplace(entry.key, Claim{entry.claimant, now - entry.age});
   }
+  grants_from_ = std::max(grants_from_, now + quiet_for);
   vouched_ = view;
   sealed_ = view;
   return true;
--- a/src/core/requests/claim_replica.hpp
+++ b/src/core/requests/claim_replica.hpp
@@ -44,6 +44,7 @@
 struct SealResult {
   ClaimView vouched_view = 0;  ///< View that it knows all its grants of; zero: it knows nothing.
   std::vector<ClaimEntry> entries;
+  Duration quiet_for{0};  ///< It grants nothing for so long yet.
 };
 
 /// One replica of the claims. Memory only: after a restart it vouches for nothing.
@@ -64,8 +65,10 @@
   SealResult seal(MonotonicTime now, ClaimView view);
 
   /// Begins to serve `view` with the merged claims of a majority of the view before.
+  /// @param quiet_for grant nothing for so long: claims were lost, and must run out first.
   /// @return whether it now serves that view.
-  bool install(MonotonicTime now, ClaimView view, const std::vector<ClaimEntry>& entries);
+  bool install(MonotonicTime now, ClaimView view, const std::vector<ClaimEntry>& entries,
+               Duration quiet_for = Duration::zero());
 
   /// @return the view that it grants under; zero: none.
   ClaimView active_view() const { return sealed_ > vouched_ ? 0 : vouched_; }
@@ -86,6 +89,7 @@
   ClaimView sealed_ = 0;   ///< It grants nothing below this view.
   std::unordered_map<ClaimKey, Claim> claims_;
   MonotonicTime next_expiry_{};
+  MonotonicTime grants_from_{};
 };
 
 /// Counts the answers to one claim.
--- a/src/core/requests/request_progress.cpp
+++ b/src/core/requests/request_progress.cpp
@@ -11,10 +11,10 @@
 RequestProgress::RequestProgress(RequestId id, bool repeatable, std::uint32_t max_attempts)
     : id_(std::move(id)), repeatable_(repeatable), max_attempts_(max_attempts) {}
 
-AttemptId RequestProgress::begin_attempt(const EngineId& engine) {
+AttemptId RequestProgress::begin_attempt() {
   ++attempts_;
   in_flight_ = true;
-  tried_.push_back(engine);
+  
   current_ = AttemptId(id_.value() + "." + std::to_string(attempts_));
   return current_;
 }
--- a/src/core/requests/request_progress.hpp
+++ b/src/core/requests/request_progress.hpp
@@ -7,7 +7,7 @@
 #include <optional>
 #include <string>
 #include <variant>
-#include <vector>
+
 
 #include "common/identifiers.hpp"
 
@@ -58,7 +58,10 @@
 
   /// Starts the next attempt. Chunks of all attempts before are dropped from here on.
   /// @return the attempt's id, unique over all requests whose ids are unique.
-  AttemptId begin_attempt(const EngineId& engine);
+  AttemptId begin_attempt();
+
+  /// A part of the request ran, such as its prefill, though nothing was delivered yet.
+  void part_ran() { may_have_run_ = true; }
 
   /// Judges a chunk by its attempt and the index of its first token; counts it when delivered.
   ChunkVerdict accept_chunk(const AttemptId& attempt, std::uint32_t index);
@@ -77,8 +80,7 @@
   std::uint32_t delivered() const { return delivered_; }
   std::uint32_t attempts() const { return attempts_; }
 
-  /// @return the engines of all attempts so far; a retry avoids them while others are eligible.
-  const std::vector<EngineId>& tried() const { return tried_; }
+  
 
  private:
   RequestId id_;
@@ -89,7 +91,7 @@
   bool in_flight_ = false;
   bool may_have_run_ = false;
   AttemptId current_;
-  std::vector<EngineId> tried_;
+  
 };
 
 }  // namespace shuntbank
--- a/src/core/roles/engine_controller.cpp
+++ b/src/core/roles/engine_controller.cpp
@@ -46,8 +46,9 @@
   return "unclaimed";
 }
 
-EngineController::EngineController(Fence fence, const ControllerSettings& settings)
-    : fence_(fence), settings_(settings) {}
+EngineController::EngineController(Fence fence, const ControllerSettings& settings,
+                                   Sequence sequence)
+    : fence_(fence), settings_(settings), sequence_(sequence) {}
 
 void EngineController::configure(const std::vector<EngineId>& engines,
                                  const std::vector<ModelSpec>& models, Duration drain_bound) {
@@ -134,7 +135,7 @@
 
 ControlCommand EngineController::order(const EngineId& engine, Control& control,
                                        DesiredState desired) {
-  control.unconfirmed = EngineOrder{{fence_, ++control.sequence}, std::move(desired)};
+  control.unconfirmed = EngineOrder{{fence_, ++sequence_}, std::move(desired)};
   update_fact(engine, control);
   return SendOrder{engine, *control.unconfirmed};
 }
@@ -173,7 +174,7 @@
     return;
   }
   control.state = state;
-  control.sequence = std::max(control.sequence, state.stamp.sequence);
+  sequence_ = std::max(sequence_, state.stamp.sequence);
   if (control.phase == ControlPhase::kUnclaimed) {
     control.phase = state.changing ? ControlPhase::kChanging : ControlPhase::kSteady;
     // A holder before closed it for a drain; the drain goes on or is undone from its state.
--- a/src/core/roles/engine_controller.hpp
+++ b/src/core/roles/engine_controller.hpp
@@ -71,7 +71,9 @@
 /// Controls the engines of one service for as long as one fence is valid.
 class EngineController {
  public:
-  EngineController(Fence fence, const ControllerSettings& settings);
+  /// @param sequence the last number used under this fence, by a controller before: an engine that
+  /// crashed has forgotten it, and a number must not be used twice.
+  EngineController(Fence fence, const ControllerSettings& settings, Sequence sequence = 0);
 
   /// Sets which engines there are and what each holds, from the configuration.
   void configure(const std::vector<EngineId>& engines, const std::vector<ModelSpec>& models,
@@ -100,6 +102,9 @@
 
   Fence fence() const { return fence_; }
 
+  /// @return the last sequence number that was used.
+  Sequence last_sequence() const { return sequence_; }
+
   /// @return changes of role that were confirmed.
   std::uint64_t role_changes() const { return role_changes_; }
 
@@ -123,7 +128,6 @@
     std::optional<EngineRole> settled_role;  ///< In force when the engine was last at rest.
     EngineRole wanted_role = EngineRole::kMixed;
     bool role_is_wanted = false;  ///< The planner has spoken; else the engine keeps its role.
-    Sequence sequence = 0;
     std::optional<EngineOrder> unconfirmed;  ///< Sent again as it is until the engine shows it.
     bool busy = false;
     MonotonicTime next_at{};
@@ -149,6 +153,7 @@
   std::vector<ModelSpec> models_;
   Duration drain_bound_ = std::chrono::seconds(30);
   std::map<EngineId, Control> engines_;
+  Sequence sequence_ = 0;  ///< One count for all engines.
   bool superseded_ = false;
   std::uint64_t role_changes_ = 0;
   std::uint64_t put_off_ = 0;
--- a/src/node/claim_service.cpp
+++ b/src/node/claim_service.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr Duration kTick = std::chrono::milliseconds(500);
-constexpr Duration kRetention = std::chrono::minutes(10);
+
 constexpr std::size_t kMaxClaims = 200'000;
 
 /// The coordinator and those who stand behind it.
@@ -17,6 +17,9 @@
 /// A node that does not coordinate looks for a new composition so often, besides when it needs one.
 constexpr Duration kPullEvery = std::chrono::seconds(30);
 
+/// A member that may still know the lost claims is waited for so many ticks.
+constexpr int kTicksBeforeLoss = 20;
+
 /// A change of the group must be wanted for so many ticks, so that it does not follow every blip.
 constexpr int kTicksBeforeChange = 3;
 
@@ -41,12 +44,13 @@
 };
 
 ClaimService::ClaimService(Runtime& runtime, ObjectClient& platform, ClusterService& cluster,
-                           RegionName region)
+                           RegionName region, Duration retention)
     : runtime_(runtime),
       platform_(platform),
       cluster_(cluster),
       region_(std::move(region)),
-      replica_(kRetention, kMaxClaims),
+      retention_(retention),
+      replica_(retention, kMaxClaims),
       ticker_(runtime, kTick, [this] { tick(); }) {}
 
 std::vector<MemberFact> ClaimService::candidates() const {
@@ -164,7 +168,7 @@
     return ClaimSealed{replica_.seal(now, seal->view)};
   }
   if (const auto* install = std::get_if<ClaimInstall>(&message)) {
-    replica_.install(now, install->view, install->entries);
+    replica_.install(now, install->view, install->entries, install->quiet_for);
     return ClaimStatus{replica_.active_view()};
   }
   if (std::holds_alternative<ClaimProbe>(message)) return ClaimStatus{replica_.active_view()};
@@ -241,7 +245,10 @@
 }
 
 void ClaimService::run_takeover() {
-  if (!takeover_ || !(takeover_->record() == record_)) takeover_.emplace(record_);
+  if (!takeover_ || !(takeover_->record() == record_)) {
+    takeover_.emplace(record_, retention_);
+    takeover_ticks_ = 0;
+  }
   const ClaimView view = record_.view;
   const auto current = [this, view] {
     return takeover_ && takeover_->record().view == view && !record_.stable;
@@ -251,6 +258,10 @@
     stable.stable = true;
     return write_record(stable);
   }
+  if (takeover_->history_lost() && ++takeover_ticks_ > kTicksBeforeLoss) {
+    log_event(LogArea::kControl, LogLevel::kWarning, "claims_lost", {{"view", view}});
+    takeover_->accept_loss();
+  }
   if (!takeover_->sealed()) {
     for (const ClaimMember& member : takeover_->to_seal()) {
       ask(member, ClaimSeal{view}, [this, member, current](const std::optional<Message>& reply) {
@@ -261,7 +272,7 @@
     return;
   }
   for (const ClaimMember& member : takeover_->to_install()) {
-    ask(member, ClaimInstall{view, takeover_->entries()},
+    ask(member, ClaimInstall{view, takeover_->entries(), takeover_->quiet_for()},
         [this, member, view, current](const std::optional<Message>& reply) {
           const auto* status = reply ? std::get_if<ClaimStatus>(&*reply) : nullptr;
           const bool serves = status != nullptr && status->active_view == view;
--- a/src/node/claim_service.hpp
+++ b/src/node/claim_service.hpp
@@ -15,11 +15,11 @@
 
 namespace shuntbank {
 
-/// All of a node's part in claims.
+/// All of a node's part in claims. Keys are remembered for a retention time.
 class ClaimService {
  public:
-  ClaimService(Runtime& runtime, ObjectClient& platform, ClusterService& cluster,
-               RegionName region);
+  ClaimService(Runtime& runtime, ObjectClient& platform, ClusterService& cluster, RegionName region,
+               Duration retention);
 
   /// Claims a key for a request.
   /// @param handler gets `kGranted` once a majority holds it; `kHeld` when another request has it;
@@ -63,6 +63,7 @@
   ObjectClient& platform_;
   ClusterService& cluster_;
   RegionName region_;
+  Duration retention_;
   ClaimReplica replica_;
   ClaimGroupRecord record_;
   std::uint64_t record_version_ = 0;
@@ -72,6 +73,7 @@
   std::size_t probes_open_ = 0;
   int change_wanted_ticks_ = 0;
   std::optional<ClaimTakeover> takeover_;
+  int takeover_ticks_ = 0;
   bool resigned_ = false;
   bool pulling_ = false;
   MonotonicTime next_pull_{};
--- a/src/node/control_service.cpp
+++ b/src/node/control_service.cpp
@@ -155,9 +155,17 @@
                   });
 }
 
+void ControlService::drop_controller(Duty& duty) {
+  if (!duty.controller) return;
+  duty.role_changes_before += duty.controller->role_changes();
+  duty.last_sequence = duty.controller->last_sequence();
+  duty.controller.reset();
+}
+
 void ControlService::set_up_controller(const ServiceName& service, Duty& duty, Fence fence) {
-  if (duty.controller) duty.role_changes_before += duty.controller->role_changes();
-  duty.controller = std::make_unique<EngineController>(fence, ControllerSettings{});
+  drop_controller(duty);
+  duty.controller =
+      std::make_unique<EngineController>(fence, ControllerSettings{}, duty.last_sequence);
   duty.planner.reset();
   configure(snapshot_);
   log_event(LogArea::kControl, LogLevel::kInfo, "lease_taken",
@@ -168,11 +176,10 @@
   const auto fence = duty.lease.authority(runtime_.now());
   if (!fence) {
     if (duty.controller) {
-      duty.role_changes_before += duty.controller->role_changes();
       log_event(LogArea::kControl, LogLevel::kWarning, "lease_lost",
                 {{"service", service.value()}, {"fence", duty.controller->fence()}});
     }
-    duty.controller.reset();
+    drop_controller(duty);
     return;
   }
   if (!duty.controller || duty.controller->fence() != *fence) {
@@ -261,7 +268,7 @@
   resigned_ = true;
   for (auto& [service, duty] : duties_) {
     duty.lease.resign();
-    duty.controller.reset();
+    drop_controller(duty);
   }
 }
 
--- a/src/node/control_service.hpp
+++ b/src/node/control_service.hpp
@@ -60,6 +60,7 @@
     std::string plan = "none";
     MonotonicTime next_plan{};
     MonotonicTime next_standby_poll{};
+    Sequence last_sequence = 0;             ///< Of the controller before, under the same lease.
     std::uint64_t role_changes_before = 0;  ///< Of controllers under earlier fences.
   };
 
@@ -68,6 +69,7 @@
   void read_lease(const ServiceName& service);
   void write_lease(const ServiceName& service, const VersionedLease& lease);
   void run_controller(const ServiceName& service, Duty& duty);
+  void drop_controller(Duty& duty);
   void set_up_controller(const ServiceName& service, Duty& duty, Fence fence);
   void execute(const ServiceName& service, const ControlCommand& command);
   void on_engine_answer(const ServiceName& service, Fence fence, const EngineId& engine,
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -54,7 +54,8 @@
         cluster_(io.runtime, io.peers, self_fact(io.runtime, settings), seed_, cluster_hooks()),
         control_(io.runtime, platform_, engine_client_, cluster_, RegionName(settings.region),
                  settings.lease_length),
-        claims_(io.runtime, platform_, cluster_, RegionName(settings.region)),
+        claims_(io.runtime, platform_, cluster_, RegionName(settings.region),
+                settings.claim_retention),
         context_{io.runtime, settings_, io.http, engines_, router_, retries_, metrics_, claims_},
         queue_(context_),
         caller_api_(io.runtime, settings_, config_, queue_, metrics_),
@@ -82,7 +83,7 @@
   void on_close_callers(std::function<void()> handler) { close_callers_ = std::move(handler); }
 
   void leave() {
-    if (std::exchange(leaving_, true)) return on_left_();
+    if (std::exchange(leaving_, true)) return;
     log_event(LogArea::kProcess, LogLevel::kInfo, "leaving", {{"open", queue_.open_requests()}});
     cluster_.leave();
     control_.resign();
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -46,7 +46,7 @@
   void on_close_callers(std::function<void()> handler);
 
   /// Leaves in order: tells others, gives duties away, ends what it has, then calls `on_left`.
-  /// A second call does not wait any longer.
+  /// Further calls change nothing.
   void leave();
 
  private:
--- a/src/node/request_session.cpp
+++ b/src/node/request_session.cpp
@@ -90,7 +90,7 @@
 std::optional<EngineId> RequestSession::choose(EngineRole role, bool any_role) {
   RouteQuery query;
   query.engines = &request_.snapshot->engines_of(request_.service);
-  query.avoid = &progress_.tried();
+  query.avoid = &failed_engines_;
   query.prefix = role == EngineRole::kDecode ? nullptr : &request_.prefix;
   query.wanted_role = role;
   query.any_role = any_role;
@@ -116,7 +116,7 @@
 
 void RequestSession::dispatch() {
   if (!choose_engines()) return give_up(progress_.outcome_if_abandoned());
-  progress_.begin_attempt(answer_engine_);
+  progress_.begin_attempt();
   if (prefill_engine_) return send(*prefill_engine_, Step::kPrefill);
   send(answer_engine_, Step::kAnswer);
 }
@@ -282,6 +282,7 @@
     return attempt_failed(AttemptFailure::kUncertain);
   }
   context_.engines.on_success(*prefill_engine_);
+  progress_.part_ran();
   kv_handle_ = reply["kv_handle"].get<std::string>();
   send(answer_engine_, Step::kAnswer);
 }
@@ -320,7 +321,9 @@
   const bool refused = failure == AttemptFailure::kRefused;
   context_.metrics.count_attempt(request_.service.value(), refused ? "refused" : "failed");
   context_.engines.on_failure(context_.runtime.now(), *engine_);
+  failed_engines_.push_back(*engine_);
   const bool may_retry = context_.retries.try_withdraw();
+  if (may_retry && failure != AttemptFailure::kUncertain && decode_elsewhere()) return;
   const FailureDecision decision = progress_.attempt_failed(failure, may_retry);
   log_event(LogArea::kCallers, LogLevel::kInfo, "attempt_failed",
             {{"request", request_.id.value()},
@@ -331,6 +334,18 @@
   give_up(std::get<GiveUp>(decision).outcome);
 }
 
+bool RequestSession::decode_elsewhere() {
+  // The prefill ran and its KV cache still waits: another engine can decode from it, which is the
+  // same run going on and not a second one.
+  if (step_ != Step::kAnswer || !prefill_engine_) return false;
+  if (failed_engines_.size() >= context_.settings.max_attempts) return false;
+  const auto decode = choose(EngineRole::kDecode, false);
+  if (!decode || *decode == *engine_) return false;
+  answer_engine_ = *decode;
+  send(answer_engine_, Step::kAnswer);
+  return true;
+}
+
 void RequestSession::give_up(RequestOutcome outcome) {
   const bool not_run = outcome == RequestOutcome::kNotRun;
   respond_error({not_run ? ErrorCode::kNoEngine : ErrorCode::kEngineFailed,
--- a/src/node/request_session.hpp
+++ b/src/node/request_session.hpp
@@ -108,6 +108,7 @@
   void on_whole_answer();
   void on_stream_end();
   void attempt_failed(AttemptFailure failure);
+  bool decode_elsewhere();
   void release_engine();
   void give_up(RequestOutcome outcome);
   void on_deadline();
@@ -129,6 +130,7 @@
   std::optional<EngineId> engine_;  ///< That the transfer under way goes to.
   Step step_ = Step::kAnswer;
   std::string kv_handle_;
+  std::vector<EngineId> failed_engines_;  ///< Avoided while another is eligible.
   std::optional<TransferId> transfer_;
   EventStreamSplitter splitter_;
   int status_ = 0;
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -58,6 +58,8 @@
                        "After a signal to stop: time to go on taking requests while others learn.");
   options.add_duration("lease-length", settings.lease_length, seconds(1), minutes(5),
                        "Length of a controller lease.");
+  options.add_duration("claim-retention", settings.claim_retention, seconds(10), hours(24),
+                       "How long an idempotency key is remembered.");
   options.add_whole("seed", settings.seed, 0, UINT64_MAX,
                     "Seed of random choices; 0: from the system's generator.");
 }
--- a/src/node/settings.hpp
+++ b/src/node/settings.hpp
@@ -34,7 +34,9 @@
   std::uint64_t max_queue = 2048;
   Duration leave_grace = std::chrono::seconds(3);
   Duration lease_length = std::chrono::seconds(10);
-  std::uint64_t seed = 0;  ///< Zero: from the system's generator.
+  Duration claim_retention =
+      std::chrono::minutes(10);  ///< An idempotency key is remembered so long.
+  std::uint64_t seed = 0;        ///< Zero: from the system's generator.
 };
 
 /// Defines the options of `shuntbankd` over `settings`.
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -171,13 +171,15 @@
 json body_of(const ClaimSealed& message) {
   return {{"type", "claim_sealed"},
           {"vouched", message.result.vouched_view},
-          {"entries", list_to_json(message.result.entries)}};
+          {"entries", list_to_json(message.result.entries)},
+          {"quiet_us", message.result.quiet_for.count()}};
 }
 
 json body_of(const ClaimInstall& message) {
   return {{"type", "claim_install"},
           {"view", message.view},
-          {"entries", list_to_json(message.entries)}};
+          {"entries", list_to_json(message.entries)},
+          {"quiet_us", message.quiet_for.count()}};
 }
 
 json body_of(const ClaimStatus& message) {
@@ -227,11 +229,13 @@
   if (type == "claim_seal") return ClaimSeal{body.at("view").get<ClaimView>()};
   if (type == "claim_sealed") {
     return ClaimSealed{{body.at("vouched").get<ClaimView>(),
-                        list_from_json<ClaimEntry>(body.at("entries"), claim_entry_from_json)}};
+                        list_from_json<ClaimEntry>(body.at("entries"), claim_entry_from_json),
+                        Duration(body.at("quiet_us").get<std::int64_t>())}};
   }
   if (type == "claim_install") {
     return ClaimInstall{body.at("view").get<ClaimView>(),
-                        list_from_json<ClaimEntry>(body.at("entries"), claim_entry_from_json)};
+                        list_from_json<ClaimEntry>(body.at("entries"), claim_entry_from_json),
+                        Duration(body.at("quiet_us").get<std::int64_t>())};
   }
   if (type == "claim_status") return ClaimStatus{body.at("active").get<ClaimView>()};
   if (type == "claim_probe") return ClaimProbe{};
--- a/src/protocol/messages.hpp
+++ b/src/protocol/messages.hpp
@@ -102,6 +102,7 @@
 struct ClaimInstall {
   ClaimView view = 0;
   std::vector<ClaimEntry> entries;
+  Duration quiet_for{0};
 };
 
 /// Answer to `ClaimInstall` and `ClaimProbe`.
--- a/src/simulation/fleet.cpp
+++ b/src/simulation/fleet.cpp
@@ -20,6 +20,9 @@
 /// New work may reach a leaving engine for this long: the list's lag and a node's interval.
 constexpr Duration kLeavingBound = std::chrono::seconds(8);
 
+/// Longer than any simulated request can be on its way.
+constexpr Duration kClaimRetention = std::chrono::minutes(3);
+
 std::string numbered(const char* name, int index) {
   return name + std::to_string(index);
 }
@@ -100,6 +103,7 @@
   node->settings.leave_grace = std::chrono::seconds(2);
   node->settings.engine_silence = std::chrono::seconds(10);
   node->settings.request_deadline = std::chrono::seconds(40);
+  node->settings.claim_retention = kClaimRetention;
   node->process = world.start(node_address(index));
   node->http = std::make_unique<SimulatedHttpClient>(node->process);
   node->transport = std::make_unique<SimulatedTransport>(node->process);
--- a/src/simulation/schedule.cpp
+++ b/src/simulation/schedule.cpp
@@ -13,7 +13,7 @@
 
 constexpr int kSteps = 60;
 constexpr int kOnceKeys = 6;
-constexpr Duration kRest = seconds(75);
+constexpr Duration kRest = std::chrono::minutes(5);
 
 class Schedule {
  public:
@@ -88,6 +88,7 @@
     const bool once = pick(3) == 0;
     const std::string logical = once ? "once-" + std::to_string(pick(kOnceKeys)) : "";
     fleet_.ask(node, static_cast<std::uint32_t>(1 + pick(80)), logical);
+    note(fleet_.requests.back()->mark + " to node " + std::to_string(node) + " " + logical);
   }
 
   void disturb_node(const char* what, void (Fleet::*fault)(int)) {
--- a/tests/core/requests/claims_test.cpp
+++ b/tests/core/requests/claims_test.cpp
@@ -54,15 +54,17 @@
       if (const auto next = next_claim_group(stored, usable, vouching)) stored = *next;
       return;
     }
-    ClaimTakeover takeover(stored);
+    ClaimTakeover takeover(stored, 10min);
     for (const ClaimMember& to : takeover.to_seal()) {
       if (lost()) continue;
       const SealResult result = at(to.node).seal(now, stored.view);
       if (!lost()) takeover.on_sealed(to.node, result);
     }
+    if (takeover.history_lost()) takeover.accept_loss();
     for (const ClaimMember& to : takeover.to_install()) {
       if (lost()) continue;
-      const bool serves = at(to.node).install(now, stored.view, takeover.entries());
+      const bool serves =
+          at(to.node).install(now, stored.view, takeover.entries(), takeover.quiet_for());
       if (serves && !lost()) takeover.on_installed(to.node);
     }
     if (takeover.sealed() && takeover.installed() && !lost()) stored.stable = true;
--- a/tests/core/requests/request_progress_test.cpp
+++ b/tests/core/requests/request_progress_test.cpp
@@ -7,20 +7,14 @@
 
 using namespace shuntbank;
 
-namespace {
-
-const EngineId kEngine("e");
-
-}  // namespace
-
 Test(request_progress, drops_late_chunks_of_an_abandoned_attempt) {
   RequestProgress progress(RequestId("r"), true, 3);
-  const AttemptId first = progress.begin_attempt(kEngine);
+  const AttemptId first = progress.begin_attempt();
   cr_assert_eq(progress.accept_chunk(first, 0), ChunkVerdict::kDeliver);
   const auto decision = progress.attempt_failed(AttemptFailure::kUncertain, true);
   cr_assert_eq(std::get<TryElsewhere>(decision).resume_from, 1);
   cr_assert_eq(progress.accept_chunk(first, 1), ChunkVerdict::kDrop);
-  const AttemptId second = progress.begin_attempt(kEngine);
+  const AttemptId second = progress.begin_attempt();
   cr_assert_eq(progress.accept_chunk(first, 1), ChunkVerdict::kDrop);
   cr_assert_eq(progress.accept_chunk(second, 0), ChunkVerdict::kDrop);
   cr_assert_eq(progress.accept_chunk(second, 2), ChunkVerdict::kGap);
@@ -38,7 +32,7 @@
     std::uint32_t next = 0;
     std::set<AttemptId> attempts;
     while (true) {
-      const AttemptId attempt = progress.begin_attempt(kEngine);
+      const AttemptId attempt = progress.begin_attempt();
       RC_ASSERT(attempts.insert(attempt).second);
       const auto failure = *rc::gen::element(AttemptFailure::kNothingSent, AttemptFailure::kRefused,
                                              AttemptFailure::kUncertain);
@@ -64,10 +58,18 @@
   });
 }
 
+Test(request_progress, a_part_that_ran_rules_out_not_run) {
+  RequestProgress progress(RequestId("r"), false, 3);
+  progress.begin_attempt();
+  progress.part_ran();
+  const auto decision = progress.attempt_failed(AttemptFailure::kRefused, true);
+  cr_assert_eq(std::get<GiveUp>(decision).outcome, RequestOutcome::kUnknown);
+}
+
 Test(request_progress, an_attempt_in_flight_is_unknown) {
   RequestProgress progress(RequestId("r"), true, 3);
   cr_assert_eq(progress.outcome_if_abandoned(), RequestOutcome::kNotRun);
-  progress.begin_attempt(kEngine);
+  progress.begin_attempt();
   cr_assert_eq(progress.outcome_if_abandoned(), RequestOutcome::kUnknown);
 }
 
--- a/tests/process/failure_test.cpp
+++ b/tests/process/failure_test.cpp
@@ -125,6 +125,9 @@
   Site site;
   cr_assert_eq(send("POST", "http://" + site.operators(1) + "/v1/drain").status, 200);
   cr_assert_eq(send("GET", "http://" + site.operators(1) + "/readyz").status, 503);
+  // Said twice it is the same word, and not a reason to end at once.
+  cr_assert_eq(send("POST", "http://" + site.operators(1) + "/v1/drain").status, 200);
+  cr_assert_eq(send("GET", "http://" + site.operators(1) + "/healthz").status, 200);
   cr_assert_eq(site.nodes[1]->wait(), 0);
   cr_assert(eventually([&] { return site.all_see_members(2); }));
 }
