--- a/src/core/membership/membership.hpp
+++ b/src/core/membership/membership.hpp
@@ -29,6 +29,7 @@
 struct MemberFact {
   NodeId node;
   std::uint64_t incarnation = 0;  ///< Grows with each start and each refutation of the member.
+  std::uint64_t boot = 0;         ///< Told apart by each start; memory before it is lost.
   MemberState state = MemberState::kAlive;
   std::string address;  ///< `IP:PORT` of its cluster interface.
   ZoneName zone;
@@ -43,7 +44,7 @@
   Duration answer_within = std::chrono::milliseconds(400);  ///< Else the member is suspect.
   Duration suspect_for = std::chrono::seconds(3);   ///< Time to refute before a suspect is dead.
   Duration forget_after = std::chrono::minutes(5);  ///< Dead members are forgotten after this.
-  std::size_t facts_per_message = 6;
+  std::size_t facts_per_message = 3;
 };
 
 /// One heartbeat to send.
--- a/src/core/requests/claim_group.cpp
+++ b/src/core/requests/claim_group.cpp
@@ -51,7 +51,7 @@
   }
   fill(group, usable);
   ClaimGroupRecord next;
-  for (const MemberFact& fact : group) next.members.push_back({fact.node, fact.address});
+  for (const MemberFact& fact : group) next.members.push_back({fact.node, fact.address, fact.boot});
   // A missing member stays when nobody can replace it: a group never shrinks, since a smaller group
   // would survive fewer failures than the one that it takes over from.
   for (const ClaimMember& member : missing) {
@@ -70,8 +70,10 @@
                   [&vouching](const MemberFact& fact) { return vouching.contains(fact.node); });
   if (same_nodes() && all_vouch) return std::nullopt;
   next.view = record.view + 1;
-  next.previous_view = record.view;
-  next.previous_members = record.members;
+  // Nobody is granted anything under a view that never became stable, so the one before it still is
+  // what has to be taken over.
+  next.previous_view = record.stable ? record.view : record.previous_view;
+  next.previous_members = record.stable ? record.members : record.previous_members;
   return next;
 }
 
@@ -88,7 +90,7 @@
 
 void ClaimTakeover::on_sealed(const NodeId& node, const SealResult& result) {
   // A takeover before this one got as far as here: what it merged is complete.
-  const bool served_new = result.vouched_view == record_.view;
+  const bool served_new = result.vouched_view > record_.previous_view;
   complete_ = complete_ || served_new;
   // Otherwise only a replica that served the view before knows what it granted there.
   if (!served_new && result.vouched_view != record_.previous_view) {
--- a/src/core/requests/claim_group.hpp
+++ b/src/core/requests/claim_group.hpp
@@ -20,7 +20,8 @@
 /// A member of a group.
 struct ClaimMember {
   NodeId node;
-  std::string address;  ///< `IP:PORT` of its cluster interface.
+  std::string address;     ///< `IP:PORT` of its cluster interface.
+  std::uint64_t boot = 0;  ///< A restarted node is another member.
 
   bool operator==(const ClaimMember&) const = default;
 };
@@ -36,7 +37,7 @@
   bool operator==(const ClaimGroupRecord&) const = default;
 };
 
-/// Decides whether a stable group should change.
+/// Decides whether a group should change.
 /// @param usable members of the region that may hold duties.
 /// @param vouching members of the group that say that they serve its view.
 /// @return the next record, not yet stable; nothing when the group is fine as it is.
--- a/src/core/requests/claim_replica.cpp
+++ b/src/core/requests/claim_replica.cpp
@@ -21,8 +21,8 @@
   return ClaimKey(sha256_hex(joined).substr(0, kKeyDigits));
 }
 
-ClaimReplica::ClaimReplica(Duration retention, std::size_t max_claims)
-    : retention_(retention), max_claims_(max_claims) {}
+ClaimReplica::ClaimReplica(std::uint64_t boot, Duration retention, std::size_t max_claims)
+    : boot_(boot), retention_(retention), max_claims_(max_claims) {}
 
 ClaimVerdict ClaimReplica::claim(MonotonicTime now, ClaimView view, const ClaimKey& key,
                                  const RequestId& claimant) {
@@ -54,8 +54,9 @@
   return result;
 }
 
-bool ClaimReplica::install(MonotonicTime now, ClaimView view,
+bool ClaimReplica::install(MonotonicTime now, ClaimView view, std::uint64_t boot,
                            const std::vector<ClaimEntry>& entries, Duration quiet_for) {
+  if (boot != boot_) return false;
   // A late install of an older view must not bring back what a newer view has sealed.
   if (view < sealed_ || view < vouched_) return false;
   for (const ClaimEntry& entry : entries) {
--- a/src/core/requests/claim_replica.hpp
+++ b/src/core/requests/claim_replica.hpp
@@ -50,9 +50,10 @@
 /// One replica of the claims. Memory only: after a restart it vouches for nothing.
 class ClaimReplica {
  public:
+  /// @param boot tells this process from any before under the same name.
   /// @param retention how long a claim is held.
   /// @param max_claims most claims held; further ones are refused.
-  ClaimReplica(Duration retention, std::size_t max_claims);
+  ClaimReplica(std::uint64_t boot, Duration retention, std::size_t max_claims);
 
   /// Claims a key for a request under `view`. Claiming again for the same request is granted again.
   ClaimVerdict claim(MonotonicTime now, ClaimView view, const ClaimKey& key,
@@ -65,10 +66,12 @@
   SealResult seal(MonotonicTime now, ClaimView view);
 
   /// Begins to serve `view` with the merged claims of a majority of the view before.
+  /// @param boot of the process that the view names. A restarted one refuses: the process before
+  /// may have granted claims under this view that it does not know.
   /// @param quiet_for grant nothing for so long: claims were lost, and must run out first.
   /// @return whether it now serves that view.
-  bool install(MonotonicTime now, ClaimView view, const std::vector<ClaimEntry>& entries,
-               Duration quiet_for = Duration::zero());
+  bool install(MonotonicTime now, ClaimView view, std::uint64_t boot,
+               const std::vector<ClaimEntry>& entries, Duration quiet_for = Duration::zero());
 
   /// @return the view that it grants under; zero: none.
   ClaimView active_view() const { return sealed_ > vouched_ ? 0 : vouched_; }
@@ -83,6 +86,7 @@
 
   void expire(MonotonicTime now);
 
+  std::uint64_t boot_;
   Duration retention_;
   std::size_t max_claims_;
   ClaimView vouched_ = 0;  ///< It has every grant of this view that it made itself.
--- a/src/core/requests/request_progress.cpp
+++ b/src/core/requests/request_progress.cpp
@@ -14,7 +14,7 @@
 AttemptId RequestProgress::begin_attempt() {
   ++attempts_;
   in_flight_ = true;
-  
+
   current_ = AttemptId(id_.value() + "." + std::to_string(attempts_));
   return current_;
 }
--- a/src/core/requests/request_progress.hpp
+++ b/src/core/requests/request_progress.hpp
@@ -8,7 +8,6 @@
 #include <string>
 #include <variant>
 
-
 #include "common/identifiers.hpp"
 
 namespace shuntbank {
@@ -80,8 +79,6 @@
   std::uint32_t delivered() const { return delivered_; }
   std::uint32_t attempts() const { return attempts_; }
 
-  
-
  private:
   RequestId id_;
   bool repeatable_;
@@ -91,7 +88,6 @@
   bool in_flight_ = false;
   bool may_have_run_ = false;
   AttemptId current_;
-  
 };
 
 }  // namespace shuntbank
--- a/src/core/roles/engine_controller.cpp
+++ b/src/core/roles/engine_controller.cpp
@@ -47,8 +47,8 @@
 }
 
 EngineController::EngineController(Fence fence, const ControllerSettings& settings,
-                                   Sequence sequence)
-    : fence_(fence), settings_(settings), sequence_(sequence) {}
+                                   const ControlCounters& counters)
+    : fence_(fence), settings_(settings), counters_(counters) {}
 
 void EngineController::configure(const std::vector<EngineId>& engines,
                                  const std::vector<ModelSpec>& models, Duration drain_bound) {
@@ -135,7 +135,7 @@
 
 ControlCommand EngineController::order(const EngineId& engine, Control& control,
                                        DesiredState desired) {
-  control.unconfirmed = EngineOrder{{fence_, ++sequence_}, std::move(desired)};
+  control.unconfirmed = EngineOrder{{fence_, ++counters_.order}, std::move(desired)};
   update_fact(engine, control);
   return SendOrder{engine, *control.unconfirmed};
 }
@@ -174,7 +174,7 @@
     return;
   }
   control.state = state;
-  sequence_ = std::max(sequence_, state.stamp.sequence);
+  counters_.order = std::max(counters_.order, state.stamp.sequence);
   if (control.phase == ControlPhase::kUnclaimed) {
     control.phase = state.changing ? ControlPhase::kChanging : ControlPhase::kSteady;
     // A holder before closed it for a drain; the drain goes on or is undone from its state.
@@ -231,7 +231,7 @@
                     control.fact->availability == fact.availability;
   if (same) return;
   fact.stamp = {fence_, 0};
-  fact.change = ++control.fact_change;
+  fact.change = ++counters_.fact;
   control.fact = fact;
 }
 
--- a/src/core/roles/engine_controller.hpp
+++ b/src/core/roles/engine_controller.hpp
@@ -68,12 +68,19 @@
 /// @return the name of `phase` in logs and status.
 const char* to_text(ControlPhase phase);
 
+/// Numbers that only grow under one fence, over all engines of a service.
+struct ControlCounters {
+  Sequence order = 0;
+  std::uint32_t fact = 0;
+};
+
 /// Controls the engines of one service for as long as one fence is valid.
 class EngineController {
  public:
-  /// @param sequence the last number used under this fence, by a controller before: an engine that
-  /// crashed has forgotten it, and a number must not be used twice.
-  EngineController(Fence fence, const ControllerSettings& settings, Sequence sequence = 0);
+  /// @param counters of a controller before under the same fence, whose numbers must not be used
+  /// twice: an engine that crashed has forgotten them, and nodes would take new facts for old ones.
+  EngineController(Fence fence, const ControllerSettings& settings,
+                   const ControlCounters& counters = {});
 
   /// Sets which engines there are and what each holds, from the configuration.
   void configure(const std::vector<EngineId>& engines, const std::vector<ModelSpec>& models,
@@ -102,8 +109,8 @@
 
   Fence fence() const { return fence_; }
 
-  /// @return the last sequence number that was used.
-  Sequence last_sequence() const { return sequence_; }
+  /// @return the last numbers that were used.
+  const ControlCounters& counters() const { return counters_; }
 
   /// @return changes of role that were confirmed.
   std::uint64_t role_changes() const { return role_changes_; }
@@ -134,7 +141,7 @@
     MonotonicTime drain_since{};
     MonotonicTime put_off_until{};
     std::uint32_t unanswered = 0;
-    std::uint32_t fact_change = 0;
+
     std::optional<EngineFact> fact;
   };
 
@@ -153,7 +160,7 @@
   std::vector<ModelSpec> models_;
   Duration drain_bound_ = std::chrono::seconds(30);
   std::map<EngineId, Control> engines_;
-  Sequence sequence_ = 0;  ///< One count for all engines.
+  ControlCounters counters_;
   bool superseded_ = false;
   std::uint64_t role_changes_ = 0;
   std::uint64_t put_off_ = 0;
--- a/src/node/claim_service.cpp
+++ b/src/node/claim_service.cpp
@@ -20,6 +20,9 @@
 /// A member that may still know the lost claims is waited for so many ticks.
 constexpr int kTicksBeforeLoss = 20;
 
+/// A coordinator of a view that does not become stable looks at the store again so often.
+constexpr int kTicksBeforeReading = 10;
+
 /// A change of the group must be wanted for so many ticks, so that it does not follow every blip.
 constexpr int kTicksBeforeChange = 3;
 
@@ -34,7 +37,8 @@
   ClaimKey key;
   RequestId claimant;
   ClaimHandler handler;  ///< Empty once it was called.
-  ClaimVote vote{0};
+  std::shared_ptr<ClaimVote>
+      vote;  ///< Of the present round; late answers of one before are dropped.
   bool refreshed = false;
 
   void finish(ClaimVerdict verdict) {
@@ -50,7 +54,7 @@
       cluster_(cluster),
       region_(std::move(region)),
       retention_(retention),
-      replica_(retention, kMaxClaims),
+      replica_(cluster.self().boot, retention, kMaxClaims),
       ticker_(runtime, kTick, [this] { tick(); }) {}
 
 std::vector<MemberFact> ClaimService::candidates() const {
@@ -85,10 +89,12 @@
 }
 
 void ClaimService::ask_replicas(const std::shared_ptr<Attempt>& attempt) {
-  attempt->vote = ClaimVote(record_.members.size());
+  const auto vote = std::make_shared<ClaimVote>(record_.members.size());
+  attempt->vote = vote;
   const ClaimRequest request{record_.view, attempt->key, attempt->claimant};
   for (const ClaimMember& member : record_.members) {
-    ask(member, request, [this, attempt](const std::optional<Message>& reply) {
+    ask(member, request, [this, attempt, vote](const std::optional<Message>& reply) {
+      if (attempt->vote != vote) return;
       const auto* answered = reply ? std::get_if<ClaimAnswer>(&*reply) : nullptr;
       on_vote(attempt, answered == nullptr ? ClaimVerdict::kUnavailable : answered->verdict);
     });
@@ -97,7 +103,7 @@
 
 void ClaimService::on_vote(const std::shared_ptr<Attempt>& attempt, ClaimVerdict verdict) {
   if (!attempt->handler) return;
-  switch (attempt->vote.add(verdict)) {
+  switch (attempt->vote->add(verdict)) {
     case ClaimVote::Decision::kPending:
       return;
     case ClaimVote::Decision::kGranted:
@@ -158,7 +164,15 @@
 std::optional<Message> ClaimService::answer(const Message& message) {
   const MonotonicTime now = runtime_.now();
   if (const auto* request = std::get_if<ClaimRequest>(&message)) {
-    return ClaimAnswer{replica_.claim(now, request->view, request->key, request->claimant)};
+    const ClaimVerdict verdict =
+        replica_.claim(now, request->view, request->key, request->claimant);
+    log_event(LogArea::kControl, LogLevel::kDebug, "claim",
+              {{"replica", cluster_.self().node.value()},
+               {"view", request->view},
+               {"claimant", request->claimant.value()},
+               {"granted", verdict == ClaimVerdict::kGranted},
+               {"held", verdict == ClaimVerdict::kHeld}});
+    return ClaimAnswer{verdict};
   }
   if (const auto* given_back = std::get_if<ClaimRelease>(&message)) {
     replica_.release(given_back->key, given_back->claimant);
@@ -168,7 +182,13 @@
     return ClaimSealed{replica_.seal(now, seal->view)};
   }
   if (const auto* install = std::get_if<ClaimInstall>(&message)) {
-    replica_.install(now, install->view, install->entries, install->quiet_for);
+    const bool serves =
+        replica_.install(now, install->view, install->boot, install->entries, install->quiet_for);
+    log_event(LogArea::kControl, LogLevel::kDebug, "claim_install",
+              {{"replica", cluster_.self().node.value()},
+               {"view", install->view},
+               {"claims", install->entries.size()},
+               {"serves", serves}});
     return ClaimStatus{replica_.active_view()};
   }
   if (std::holds_alternative<ClaimProbe>(message)) return ClaimStatus{replica_.active_view()};
@@ -181,7 +201,11 @@
   if (store_busy_) return;
   // A coordinator starts from what is stored, since another may have changed it before.
   if (!record_read_) return read_record();
-  if (!record_.stable && record_.view > 0) return run_takeover();
+  if (!record_.stable && record_.view > 0) {
+    // Another coordinator may have gone on from here without this one hearing of it.
+    if (++unstable_ticks_ % kTicksBeforeReading == 0) return read_record();
+    return run_takeover();
+  }
   probe_members();
 }
 
@@ -191,7 +215,6 @@
     store_busy_ = false;
     if (!result) return;
     record_read_ = true;
-    takeover_.reset();
     if (!result->has_value()) return;
     try {
       record_ = claim_group_from_json((*result)->value);
@@ -222,26 +245,30 @@
 void ClaimService::probe_members() {
   if (probes_open_ > 0) return;
   vouching_.clear();
-  if (record_.members.empty()) return consider_change();
+  if (record_.members.empty()) {
+    consider_change(vouching_);
+    return;
+  }
   probes_open_ = record_.members.size();
   for (const ClaimMember& member : record_.members) {
     ask(member, ClaimProbe{}, [this, member](const std::optional<Message>& reply) {
       const auto* status = reply ? std::get_if<ClaimStatus>(&*reply) : nullptr;
       if (status != nullptr && status->active_view == record_.view) vouching_.insert(member.node);
-      if (--probes_open_ == 0) consider_change();
+      if (--probes_open_ == 0) consider_change(vouching_);
     });
   }
 }
 
-void ClaimService::consider_change() {
-  if (store_busy_ || !is_coordinator() || !record_read_) return;
+bool ClaimService::consider_change(const std::set<NodeId>& vouching) {
+  if (store_busy_ || !is_coordinator() || !record_read_) return false;
   std::vector<MemberFact> usable = cluster_.usable();
   std::erase_if(usable, [this](const MemberFact& member) { return member.region != region_; });
-  const auto next = next_claim_group(record_, usable, vouching_);
+  const auto next = next_claim_group(record_, usable, vouching);
   change_wanted_ticks_ = next ? change_wanted_ticks_ + 1 : 0;
-  if (change_wanted_ticks_ < kTicksBeforeChange) return;
+  if (change_wanted_ticks_ < kTicksBeforeChange) return false;
   change_wanted_ticks_ = 0;
   write_record(*next);
+  return true;
 }
 
 void ClaimService::run_takeover() {
@@ -258,6 +285,10 @@
     stable.stable = true;
     return write_record(stable);
   }
+  // A member that restarted meanwhile cannot install this view: name the members anew.
+  std::set<NodeId> members;
+  for (const ClaimMember& member : record_.members) members.insert(member.node);
+  if (consider_change(members)) return;
   if (takeover_->history_lost() && ++takeover_ticks_ > kTicksBeforeLoss) {
     log_event(LogArea::kControl, LogLevel::kWarning, "claims_lost", {{"view", view}});
     takeover_->accept_loss();
@@ -272,7 +303,7 @@
     return;
   }
   for (const ClaimMember& member : takeover_->to_install()) {
-    ask(member, ClaimInstall{view, takeover_->entries(), takeover_->quiet_for()},
+    ask(member, ClaimInstall{view, member.boot, takeover_->entries(), takeover_->quiet_for()},
         [this, member, view, current](const std::optional<Message>& reply) {
           const auto* status = reply ? std::get_if<ClaimStatus>(&*reply) : nullptr;
           const bool serves = status != nullptr && status->active_view == view;
--- a/src/node/claim_service.hpp
+++ b/src/node/claim_service.hpp
@@ -56,7 +56,7 @@
   void read_record();
   void write_record(const ClaimGroupRecord& next);
   void probe_members();
-  void consider_change();
+  bool consider_change(const std::set<NodeId>& vouching);
   void run_takeover();
 
   Runtime& runtime_;
@@ -74,6 +74,7 @@
   int change_wanted_ticks_ = 0;
   std::optional<ClaimTakeover> takeover_;
   int takeover_ticks_ = 0;
+  int unstable_ticks_ = 0;
   bool resigned_ = false;
   bool pulling_ = false;
   MonotonicTime next_pull_{};
--- a/src/node/cluster_service.cpp
+++ b/src/node/cluster_service.cpp
@@ -10,7 +10,7 @@
 
 constexpr Duration kTick = std::chrono::milliseconds(100);
 constexpr Duration kCallTimeout = std::chrono::seconds(3);
-constexpr std::size_t kEngineFactsPerMessage = 4;
+constexpr std::size_t kEngineFactsPerMessage = 3;
 constexpr std::size_t kAnnounceFanout = 4;
 
 /// Facts are pulled whole at most so often; between pulls they come piece by piece.
--- a/src/node/control_service.cpp
+++ b/src/node/control_service.cpp
@@ -158,14 +158,13 @@
 void ControlService::drop_controller(Duty& duty) {
   if (!duty.controller) return;
   duty.role_changes_before += duty.controller->role_changes();
-  duty.last_sequence = duty.controller->last_sequence();
+  duty.counters = duty.controller->counters();
   duty.controller.reset();
 }
 
 void ControlService::set_up_controller(const ServiceName& service, Duty& duty, Fence fence) {
   drop_controller(duty);
-  duty.controller =
-      std::make_unique<EngineController>(fence, ControllerSettings{}, duty.last_sequence);
+  duty.controller = std::make_unique<EngineController>(fence, ControllerSettings{}, duty.counters);
   duty.planner.reset();
   configure(snapshot_);
   log_event(LogArea::kControl, LogLevel::kInfo, "lease_taken",
--- a/src/node/control_service.hpp
+++ b/src/node/control_service.hpp
@@ -60,7 +60,7 @@
     std::string plan = "none";
     MonotonicTime next_plan{};
     MonotonicTime next_standby_poll{};
-    Sequence last_sequence = 0;             ///< Of the controller before, under the same lease.
+    ControlCounters counters;               ///< Of the controller before, under the same lease.
     std::uint64_t role_changes_before = 0;  ///< Of controllers under earlier fences.
   };
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -19,6 +19,7 @@
 
 constexpr Duration kDemandEvery = std::chrono::seconds(2);
 constexpr Duration kMachinesEvery = std::chrono::seconds(3);
+constexpr Duration kLinger = std::chrono::milliseconds(500);
 constexpr Duration kLeaveTick = std::chrono::milliseconds(50);
 constexpr double kRetryReserve = 20;
 
@@ -31,6 +32,7 @@
   self.node = NodeId(settings.name);
   // Wall time makes a restarted node newer than what is remembered of it.
   self.incarnation = runtime.unix_milliseconds();
+  self.boot = self.incarnation;
   self.zone = ZoneName(settings.zone);
   self.region = RegionName(settings.region);
   return self;
@@ -167,7 +169,9 @@
   void continue_leaving() {
     if (runtime_.now() < grace_ends_) return;
     if (const auto close = std::exchange(close_callers_, nullptr)) close();
-    if (queue_.open_requests() > 0 || std::exchange(left_, true)) return;
+    // Requests that were on their way when the interface closed still arrive.
+    if (queue_.open_requests() > 0 || runtime_.now() < grace_ends_ + kLinger) return;
+    if (std::exchange(left_, true)) return;
     log_event(LogArea::kProcess, LogLevel::kInfo, "left");
     on_left_();
   }
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -11,9 +11,9 @@
 constexpr int kMaxDepth = 32;
 
 json to_json(const MemberFact& fact) {
-  return {{"node", fact.node.value()},    {"inc", fact.incarnation},
-          {"state", to_text(fact.state)}, {"addr", fact.address},
-          {"zone", fact.zone.value()},    {"region", fact.region.value()}};
+  return {{"node", fact.node.value()},    {"inc", fact.incarnation}, {"boot", fact.boot},
+          {"state", to_text(fact.state)}, {"addr", fact.address},    {"zone", fact.zone.value()},
+          {"region", fact.region.value()}};
 }
 
 MemberFact member_from_json(const json& item) {
@@ -21,6 +21,7 @@
   if (!state) throw std::invalid_argument("unknown member state");
   return {NodeId(item.at("node").get<std::string>()),
           item.at("inc").get<std::uint64_t>(),
+          item.at("boot").get<std::uint64_t>(),
           *state,
           item.at("addr").get<std::string>(),
           ZoneName(item.at("zone").get<std::string>()),
@@ -135,7 +136,8 @@
 json members_to_json(const std::vector<ClaimMember>& members) {
   json list = json::array();
   for (const ClaimMember& member : members) {
-    list.push_back({{"node", member.node.value()}, {"addr", member.address}});
+    list.push_back(
+        {{"node", member.node.value()}, {"addr", member.address}, {"boot", member.boot}});
   }
   return list;
 }
@@ -143,7 +145,7 @@
 std::vector<ClaimMember> members_from_json(const json& list) {
   return list_from_json<ClaimMember>(list, [](const json& item) {
     return ClaimMember{NodeId(item.at("node").get<std::string>()),
-                       item.at("addr").get<std::string>()};
+                       item.at("addr").get<std::string>(), item.at("boot").get<std::uint64_t>()};
   });
 }
 
@@ -178,6 +180,7 @@
 json body_of(const ClaimInstall& message) {
   return {{"type", "claim_install"},
           {"view", message.view},
+          {"boot", message.boot},
           {"entries", list_to_json(message.entries)},
           {"quiet_us", message.quiet_for.count()}};
 }
@@ -233,7 +236,7 @@
                         Duration(body.at("quiet_us").get<std::int64_t>())}};
   }
   if (type == "claim_install") {
-    return ClaimInstall{body.at("view").get<ClaimView>(),
+    return ClaimInstall{body.at("view").get<ClaimView>(), body.at("boot").get<std::uint64_t>(),
                         list_from_json<ClaimEntry>(body.at("entries"), claim_entry_from_json),
                         Duration(body.at("quiet_us").get<std::int64_t>())};
   }
--- a/src/protocol/messages.hpp
+++ b/src/protocol/messages.hpp
@@ -101,6 +101,7 @@
 /// Begins a view at one replica. By framed connection.
 struct ClaimInstall {
   ClaimView view = 0;
+  std::uint64_t boot = 0;  ///< Of the process that it is meant for.
   std::vector<ClaimEntry> entries;
   Duration quiet_for{0};
 };
--- a/src/simulation/fleet.cpp
+++ b/src/simulation/fleet.cpp
@@ -120,6 +120,7 @@
     if (for_operator) return raw->node->handle_operator(request, responder);
     raw->node->handle_caller(std::move(request), responder);
   };
+  node->node->on_close_callers([raw] { raw->process->listening = false; });
   auto& place = nodes_.at(static_cast<std::size_t>(index));
   if (place) graveyard_.push_back(std::move(place));
   place = std::move(node);
@@ -243,7 +244,8 @@
   };
   handlers.on_done = [request, raw, tokens](const auto& result) {
     request->ended = true;
-    request->transport_failed = !result;
+    const bool refused = !result && result.error().failure == TransferFailure::kNothingSent;
+    if (refused) request->outcome = "not_run";
     const json error = json::parse(*raw, nullptr, false);
     if (error.is_object() && error.contains("error")) {
       request->outcome = error["error"].value("outcome", "");
@@ -395,7 +397,9 @@
   }
   for (const auto& request : requests) {
     if (request->once && attempts[request->logical].size() > 1) {
-      return "a request that may run once ran twice: " + request->logical;
+      std::string text = "a request that may run once ran twice: " + request->logical;
+      for (const std::string& attempt : attempts[request->logical]) text += " " + attempt;
+      return text;
     }
     if (request->ended && request->outcome == "not_run" && runs_of_try[request->mark] > 0) {
       return "a request ran that was called not run: " + request->mark;
--- a/src/simulation/schedule.cpp
+++ b/src/simulation/schedule.cpp
@@ -218,7 +218,7 @@
       const CallerRequest& request = *fleet_.requests[i];
       if (!request.whole) {
         result_.broken = "a healed site did not answer: status " + std::to_string(request.status) +
-                         " " + request.outcome;
+                         " " + request.outcome + " for " + request.mark;
       }
     }
   }
--- a/src/simulation/world.hpp
+++ b/src/simulation/world.hpp
@@ -59,6 +59,9 @@
   /// Sets what is called when the process dies, so that its connections break.
   void on_death(std::function<void()> handler) { death_handlers_.push_back(std::move(handler)); }
 
+  /// Whether new connections of callers are taken.
+  bool listening = true;
+
   /// Answers HTTP requests to this process.
   std::function<void(HttpRequest, std::shared_ptr<HttpResponder>)> http_handler;
 
--- a/tests/core/roles/engine_controller_test.cpp
+++ b/tests/core/roles/engine_controller_test.cpp
@@ -113,6 +113,23 @@
   cr_assert_eq(engine.submit(site.now, site.job(1, 5)), SubmitResult::kAccepted);
 }
 
+Test(engine_controller, numbers_go_on_after_a_lapse_so_that_nodes_believe_new_facts) {
+  Site site(2);
+  site.run(3s);
+  site.controller.want_role(EngineId("e1"), EngineRole::kPrefill);
+  site.run(1s);
+  const auto before = site.controller.facts();
+  site.controller = EngineController(1, ControllerSettings{}, site.controller.counters());
+  site.controller.configure({EngineId("e0"), EngineId("e1")}, kModels, 30s);
+  site.engines.at(EngineId("e0")).restart(site.now);
+  site.run(10s);
+  for (const EngineFact& fact : site.controller.facts()) {
+    for (const EngineFact& old : before) {
+      if (fact.engine == old.engine) cr_assert(is_newer(fact, old));
+    }
+  }
+}
+
 Test(engine_controller, gives_way_to_a_higher_fence) {
   Site site(2);
   site.run(3s);
