--- /dev/null
+++ b/tests/net/http_client_test.cpp
@@ -0,0 +1,92 @@
+#include "net/http_client.hpp"
+
+#include <criterion/criterion.h>
+
+#include <asio.hpp>
+
+#include "net/address.hpp"
+
+using namespace shuntbank;
+
+namespace {
+
+/// Answers the first request of each connection and drops the connection at the second, as an
+/// engine does that dies between two requests.
+class DroppingServer {
+ public:
+  explicit DroppingServer(asio::io_context& loop)
+      : acceptor_(loop, {asio::ip::make_address("127.0.0.1"), 0}) {
+    accept();
+  }
+
+  std::string url() const { return "http://" + format_endpoint(acceptor_.local_endpoint()) + "/"; }
+  int received = 0;
+
+ private:
+  void accept() {
+    acceptor_.async_accept([this](const std::error_code& error, asio::ip::tcp::socket socket) {
+      if (error) return;
+      read(std::make_shared<asio::ip::tcp::socket>(std::move(socket)), 0);
+      accept();
+    });
+  }
+
+  void read(const std::shared_ptr<asio::ip::tcp::socket>& socket, int served) {
+    auto buffer = std::make_shared<std::string>();
+    asio::async_read_until(
+        *socket, asio::dynamic_buffer(*buffer), "\r\n\r\n",
+        [this, socket, buffer, served](const std::error_code& error, std::size_t) {
+          if (error) return;
+          ++received;
+          if (served > 0) return socket->close();
+          static const std::string reply = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+          asio::async_write(*socket, asio::buffer(reply),
+                            [this, socket](const auto&, std::size_t) { read(socket, 1); });
+        });
+  }
+
+  asio::ip::tcp::acceptor acceptor_;
+};
+
+/// Sends two requests, one after the other. @return requests that the server received.
+int count_received(bool fresh_connection) {
+  asio::io_context loop;
+  DroppingServer server(loop);
+  CurlHttpClient client(loop);
+  const auto request = [&] {
+    OutgoingRequest outgoing;
+    outgoing.method = "POST";
+    outgoing.url = server.url();
+    outgoing.fresh_connection = fresh_connection;
+    return outgoing;
+  };
+  client.fetch(request(),
+               [&](const auto&) { client.fetch(request(), [&](const auto&) { loop.stop(); }); });
+  loop.run();
+  return server.received;
+}
+
+}  // namespace
+
+// Why a request that may run once never goes over a reused connection: libcurl sends it again by
+// itself when that connection turns out to be dead, though the request was received.
+Test(http_client, a_reused_connection_repeats_a_request_and_a_fresh_one_never_does) {
+  cr_assert_eq(count_received(false), 3);
+  cr_assert_eq(count_received(true), 2);
+}
+
+Test(http_client, tells_a_refused_connection_from_an_uncertain_end) {
+  asio::io_context loop;
+  CurlHttpClient client(loop);
+  asio::ip::tcp::acceptor closed(loop, {asio::ip::make_address("127.0.0.1"), 0});
+  OutgoingRequest outgoing;
+  outgoing.url = "http://" + format_endpoint(closed.local_endpoint()) + "/";
+  closed.close();
+  TransferFailure failure = TransferFailure::kUncertain;
+  client.fetch(outgoing, [&](const auto& reply) {
+    failure = reply.error().failure;
+    loop.stop();
+  });
+  loop.run();
+  cr_assert_eq(failure, TransferFailure::kNothingSent);
+}
