--- a/src/config/field_reader.cpp
+++ b/src/config/field_reader.cpp
@@ -154,7 +154,10 @@
     if (value.is_string()) {
       labels.emplace(name, value.get<std::string>());
     } else {
-      complain(key + "/" + name, "must be text");
+      std::string field = key;
+      field += "/";
+      field += name;
+      complain(field, "must be text");
     }
   }
   return labels;
--- a/src/node/config_service.cpp
+++ b/src/node/config_service.cpp
@@ -80,8 +80,8 @@
   }
   failures_ = 0;
   if (!result->has_value()) {
-    // Nothing was ever declared, so the empty configuration is the confirmed one; or a watch brought
-    // no news.
+    // Nothing was ever declared, so the empty configuration is the confirmed one; or a watch
+    // brought no news.
     if (!ready()) after_offer(replica_.offer(ConfigDocument{}));
     next_read_ = runtime_.now() + kFirstBackoff;
     return;
--- a/src/platform/object_client.hpp
+++ b/src/platform/object_client.hpp
@@ -52,7 +52,8 @@
       std::function<void(tl::expected<std::optional<VersionedValue>, PlatformError>)>;
   void read(const std::string& key, ReadHandler handler);
 
-  /// Waits until the object's version is beyond `from`; nothing when it was not within `kWatchTime`.
+  /// Waits until the object's version is beyond `from`; nothing when it was not within
+  /// `kWatchTime`.
   void watch(const std::string& key, std::uint64_t from, ReadHandler handler);
 
   /// Replaces the object if its version is `expected_version`; zero: if it does not exist.
