--- a/src/standin/engine_emulator.cpp
+++ b/src/standin/engine_emulator.cpp
@@ -249,7 +249,7 @@
 }
 
 void EngineEmulator::finish_prefill(Running& running, std::vector<EngineEvent>& events) {
-  note_cached(running.job.blocks);
+  note_cached(*step_ends_, running.job.blocks);
   if (running.job.part == JobPart::kPrefillOnly) {
     events.push_back({EngineEvent::Kind::kPrefilled, running.job.attempt, 0});
     return;
@@ -260,10 +260,10 @@
   }
 }
 
-void EngineEmulator::note_cached(const std::vector<std::uint64_t>& blocks) {
+void EngineEmulator::note_cached(MonotonicTime now, const std::vector<std::uint64_t>& blocks) {
   if (blocks.empty()) return;
   cache_.insert(blocks);
-  cache_events_.push_back({++last_cache_event_, true, blocks});
+  cache_events_.push_back({++last_cache_event_, now, true, blocks});
   if (cache_events_.size() > kMaxCacheEvents) cache_events_.pop_front();
 }
 
--- a/src/standin/engine_emulator.hpp
+++ b/src/standin/engine_emulator.hpp
@@ -95,6 +95,7 @@
 /// A change of the prefix cache. Numbered; a reader that misses a number has a gap.
 struct CacheEvent {
   std::uint64_t number = 0;
+  MonotonicTime at{};  ///< Published only some time later.
   bool inserted = true;
   std::vector<std::uint64_t> blocks;
 };
@@ -151,7 +152,7 @@
   void end_job(const AttemptId& attempt, MonotonicTime now, Execution::End end);
   void cut_all(MonotonicTime now, std::vector<EngineEvent>& events);
   void start_change(MonotonicTime now, const DesiredState& desired);
-  void note_cached(const std::vector<std::uint64_t>& blocks);
+  void note_cached(MonotonicTime now, const std::vector<std::uint64_t>& blocks);
   double chunk_tokens() const;
 
   EngineCosts costs_;
--- a/src/standin/engine_standin.cpp
+++ b/src/standin/engine_standin.cpp
@@ -347,7 +347,8 @@
     const double draw =
         static_cast<double>(hash64(std::to_string(event.number), settings_.seed) % 1000);
     const bool lost = draw < settings_.cache_event_loss * 1000;
-    if (event.number <= after || lost) continue;
+    const bool too_new = event.at + settings_.cache_event_lag > emulated_now();
+    if (event.number <= after || lost || too_new) continue;
     list.push_back(
         {{"number", event.number}, {"inserted", event.inserted}, {"blocks", event.blocks}});
   }
--- a/src/standin/engine_standin.hpp
+++ b/src/standin/engine_standin.hpp
@@ -33,7 +33,6 @@
   bool drop_after_accept = false;     ///< Run the request, then close without an answer.
   bool wrong_attempt_id = false;      ///< Mark chunks with another attempt's id.
   bool crash_in_next_change = false;  ///< Forget everything halfway through the next change.
-  Duration reply_delay{0};
 };
 
 /// One engine process.
--- a/tests/process/support/site.cpp
+++ b/tests/process/support/site.cpp
@@ -12,8 +12,6 @@
 
 using nlohmann::json;
 
-constexpr int kModelService = 0;
-
 void append(std::vector<std::string>& list, const std::vector<std::string>& more) {
   list.insert(list.end(), more.begin(), more.end());
 }
@@ -175,7 +173,7 @@
   for (std::size_t i = 0; i < nodes.size(); ++i) {
     if (!nodes[i]->running()) continue;
     const json duties = status(i)["duties"];
-    if (!duties.empty() && duties[kModelService].contains("fence")) return static_cast<int>(i);
+    if (!duties.empty() && duties.front().contains("fence")) return static_cast<int>(i);
   }
   return -1;
 }
