--- /dev/null
+++ b/src/core/relay/engine_directory.cpp
@@ -0,0 +1,190 @@
+#include "core/relay/engine_directory.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace shuntbank::relay {
+namespace {
+
+/// A report older than this says nothing of the load now.
+constexpr Duration kReportLife = std::chrono::seconds(2);
+
+/// Failures in a row after which an engine is avoided, and for how long at first and at most.
+constexpr std::uint32_t kFailuresToAvoid = 3;
+constexpr Duration kFirstAvoidance = std::chrono::milliseconds(500);
+constexpr Duration kLongestAvoidance = std::chrono::seconds(4);
+
+/// An engine that cannot be reached is avoided at once.
+constexpr Duration kUnreachableAvoidance = std::chrono::seconds(1);
+
+/// Weight of the newest attempt in the moving averages.
+constexpr double kNewestWeight = 0.15;
+
+}  // namespace
+
+const char* to_text(EngineStage stage) {
+  switch (stage) {
+    case EngineStage::kNone:
+      return "none";
+    case EngineStage::kPrefill:
+      return "prefill";
+    case EngineStage::kDecode:
+      return "decode";
+  }
+  return "none";
+}
+
+std::optional<std::uint64_t> PromptShape::shared_part() const {
+  if (parts.size() < 2) return std::nullopt;
+  return parts[parts.size() - 2].id;
+}
+
+std::uint64_t PromptCacheView::cached_tokens(const PromptShape& prompt) const {
+  std::uint64_t cached = 0;
+  for (const PromptPart& part : prompt.parts) {
+    const auto kept = parts_.find(part.id);
+    if (kept == parts_.end()) break;
+    cached += std::min(kept->second.tokens, part.tokens);
+    if (kept->second.tokens < part.tokens) break;
+  }
+  return cached;
+}
+
+void PromptCacheView::on_read(const PromptShape& prompt, std::uint64_t capacity,
+                              MonotonicTime now) {
+  for (const PromptPart& part : prompt.parts) {
+    Kept& kept = parts_[part.id];
+    tokens_ += std::max(part.tokens, kept.tokens) - kept.tokens;
+    kept.tokens = std::max(part.tokens, kept.tokens);
+    kept.used = now;
+  }
+  if (capacity > 0 && tokens_ > capacity) evict(capacity);
+}
+
+void PromptCacheView::evict(std::uint64_t capacity) {
+  std::vector<std::pair<MonotonicTime, std::uint64_t>> order;
+  order.reserve(parts_.size());
+  for (const auto& [id, kept] : parts_) order.emplace_back(kept.used, id);
+  std::sort(order.begin(), order.end());
+  // Some room at once, so that this is not done for each request.
+  const std::uint64_t wanted = capacity - capacity / 8;
+  for (const auto& [used, id] : order) {
+    if (tokens_ <= wanted) return;
+    tokens_ -= parts_[id].tokens;
+    parts_.erase(id);
+  }
+}
+
+void PromptCacheView::clear() {
+  parts_.clear();
+  tokens_ = 0;
+}
+
+double EngineView::requests_there(MonotonicTime now) const {
+  const double own = in_flight;
+  if (!load || now - load_at > kReportLife) return own;
+  const double reported = load->running + load->waiting;
+  const double others = std::max(0.0, reported - static_cast<double>(in_flight_at_report));
+  const double freshness = 1.0 - to_seconds(now - load_at) / to_seconds(kReportLife);
+  return own + others * freshness;
+}
+
+std::vector<std::string> EngineDirectory::replace_all(const std::vector<EngineRecord>& records) {
+  std::set<EngineId> present;
+  for (const EngineRecord& record : records) {
+    present.insert(record.id);
+    upsert(record);
+  }
+  std::vector<std::string> gone;
+  for (auto it = engines_.begin(); it != engines_.end();) {
+    if (present.count(it->first) != 0) {
+      ++it;
+      continue;
+    }
+    gone.push_back(it->second.record.address);
+    it = engines_.erase(it);
+  }
+  return gone;
+}
+
+void EngineDirectory::upsert(const EngineRecord& record) {
+  engines_[record.id].record = record;
+}
+
+std::string EngineDirectory::remove(const EngineId& id) {
+  const auto found = engines_.find(id);
+  if (found == engines_.end()) return "";
+  std::string address = found->second.record.address;
+  engines_.erase(found);
+  return address;
+}
+
+EngineView* EngineDirectory::find(const EngineId& id) {
+  const auto found = engines_.find(id);
+  return found == engines_.end() ? nullptr : &found->second;
+}
+
+const EngineView* EngineDirectory::find(const EngineId& id) const {
+  const auto found = engines_.find(id);
+  return found == engines_.end() ? nullptr : &found->second;
+}
+
+std::vector<EngineView*> EngineDirectory::of_service(const ServiceName& service) {
+  std::vector<EngineView*> engines;
+  for (auto& [id, engine] : engines_) {
+    if (engine.record.service == service) engines.push_back(&engine);
+  }
+  return engines;
+}
+
+void EngineDirectory::on_sent(const EngineId& id, std::uint64_t unread) {
+  EngineView* engine = find(id);
+  if (engine == nullptr) return;
+  ++engine->in_flight;
+  engine->unread_tokens += unread;
+}
+
+void EngineDirectory::on_read(const EngineId& id, std::uint64_t unread) {
+  EngineView* engine = find(id);
+  if (engine == nullptr) return;
+  engine->unread_tokens -= std::min(engine->unread_tokens, unread);
+}
+
+void EngineDirectory::on_ended(const EngineId& id) {
+  EngineView* engine = find(id);
+  if (engine != nullptr && engine->in_flight > 0) --engine->in_flight;
+}
+
+void EngineDirectory::on_load(MonotonicTime now, const EngineId& id, const ReportedLoad& load) {
+  EngineView* engine = find(id);
+  if (engine == nullptr) return;
+  engine->load = load;
+  engine->load_at = now;
+  engine->in_flight_at_report = engine->in_flight;
+}
+
+void EngineDirectory::on_health(MonotonicTime now, const EngineId& id, AttemptHealth health) {
+  EngineView* engine = find(id);
+  if (engine == nullptr) return;
+  const bool failed = health == AttemptHealth::kFailed || health == AttemptHealth::kUnreachable;
+  engine->failure_share += kNewestWeight * ((failed ? 1.0 : 0.0) - engine->failure_share);
+  if (health == AttemptHealth::kGood) engine->failures_in_a_row = 0;
+  if (!failed) return;
+  ++engine->failures_in_a_row;
+  if (health == AttemptHealth::kUnreachable) {
+    engine->avoided_until = now + kUnreachableAvoidance;
+  } else if (engine->failures_in_a_row >= kFailuresToAvoid) {
+    const auto doublings = std::min(engine->failures_in_a_row - kFailuresToAvoid, 4U);
+    engine->avoided_until = now + std::min(kFirstAvoidance * (1 << doublings), kLongestAvoidance);
+  }
+}
+
+void EngineDirectory::on_latency(const EngineId& id, Duration latency) {
+  EngineView* engine = find(id);
+  if (engine == nullptr) return;
+  const double ms = to_seconds(latency) * 1000;
+  if (engine->latency_ms == 0) engine->latency_ms = ms;
+  engine->latency_ms += kNewestWeight * (ms - engine->latency_ms);
+}
+
+}  // namespace shuntbank::relay
--- /dev/null
+++ b/src/core/relay/engine_directory.hpp
@@ -0,0 +1,150 @@
+/// @file
+/// What a node believes of the engines: their declared records, the load that they report on
+/// answers, what this node has under way at each, and what their caches hold.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "common/identifiers.hpp"
+#include "common/time.hpp"
+
+namespace shuntbank::relay {
+
+/// What a model engine does.
+enum class EngineStage {
+  kNone,     ///< The engine of a plain service.
+  kPrefill,  ///< Reads prompts and hands them over.
+  kDecode,   ///< Makes tokens; may read prompts as well.
+};
+
+/// @return `none`, `prefill` or `decode`.
+const char* to_text(EngineStage stage);
+
+/// An engine as it is registered. One record is one start of an engine.
+struct EngineRecord {
+  EngineId id;
+  ServiceName service;
+  std::string address;  ///< IP:PORT
+  ZoneName zone;
+  std::uint32_t slots = 1;
+  bool draining = false;
+  EngineStage stage = EngineStage::kNone;
+  std::uint64_t orders_taken = 0;  ///< Count of orders that the engine has taken since its start.
+};
+
+/// A part of a prompt that requests may share.
+struct PromptPart {
+  std::uint64_t id = 0;
+  std::uint64_t tokens = 0;
+};
+
+/// What a model request asks for.
+struct PromptShape {
+  std::vector<PromptPart> parts;  ///< In order; the last is the request's own or its session's.
+  std::uint64_t prompt_tokens = 0;
+  std::uint64_t most_output_tokens = 0;
+
+  /// @return the id of the deepest part that other requests may share, or nothing.
+  std::optional<std::uint64_t> shared_part() const;
+};
+
+/// Load that an engine reported with an answer.
+struct ReportedLoad {
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint32_t slots = 0;
+};
+
+/// Parts of prompts that an engine is believed to keep, least recently used first out.
+class PromptCacheView {
+ public:
+  /// @return tokens at the start of the prompt that need not be read.
+  std::uint64_t cached_tokens(const PromptShape& prompt) const;
+
+  /// The engine has read the prompt. @param capacity of the engine's memory, in tokens.
+  void on_read(const PromptShape& prompt, std::uint64_t capacity, MonotonicTime now);
+
+  void clear();
+
+ private:
+  struct Kept {
+    std::uint64_t tokens = 0;
+    MonotonicTime used{};
+  };
+  void evict(std::uint64_t capacity);
+
+  std::unordered_map<std::uint64_t, Kept> parts_;
+  std::uint64_t tokens_ = 0;
+};
+
+/// One engine as this node sees it.
+struct EngineView {
+  EngineRecord record;
+  std::uint32_t in_flight = 0;             ///< Sent by this node and not ended.
+  std::uint64_t unread_tokens = 0;         ///< Of this node's requests, still to be read there.
+  std::optional<ReportedLoad> load;        ///< The last report.
+  MonotonicTime load_at{};
+  std::uint32_t in_flight_at_report = 0;
+  std::uint32_t failures_in_a_row = 0;
+  MonotonicTime avoided_until{};           ///< Not chosen before, while others can be.
+  double failure_share = 0;                ///< Moving average over ended attempts, 0 to 1.
+  double latency_ms = 0;                   ///< Moving average of the time to an answer; 0: unknown.
+  PromptCacheView cache;
+
+  /// @return requests that run or wait there, as far as this node can tell.
+  double requests_there(MonotonicTime now) const;
+};
+
+/// How an attempt ended, as far as it tells of the engine's health.
+enum class AttemptHealth { kGood, kBusy, kFailed, kUnreachable };
+
+/// All engines that this node knows.
+class EngineDirectory {
+ public:
+  /// Takes the whole list. Engines that are not in it are forgotten.
+  /// @return addresses of engines that are gone.
+  std::vector<std::string> replace_all(const std::vector<EngineRecord>& records);
+
+  /// Takes one record. @return the address that the engine had before, when it changed.
+  void upsert(const EngineRecord& record);
+
+  /// Forgets an engine. @return its address, or empty text.
+  std::string remove(const EngineId& id);
+
+  EngineView* find(const EngineId& id);
+  const EngineView* find(const EngineId& id) const;
+
+  /// @return the engines of a service in order of their ids. Valid until the next change.
+  std::vector<EngineView*> of_service(const ServiceName& service);
+
+  std::size_t size() const { return engines_.size(); }
+  const std::map<EngineId, EngineView>& all() const { return engines_; }
+
+  /// An attempt was sent. @param unread tokens that the engine has to read for it.
+  void on_sent(const EngineId& id, std::uint64_t unread);
+
+  /// The engine has begun to answer, so that its prompt has been read.
+  void on_read(const EngineId& id, std::uint64_t unread);
+
+  /// An attempt has ended.
+  void on_ended(const EngineId& id);
+
+  /// Load came with an answer.
+  void on_load(MonotonicTime now, const EngineId& id, const ReportedLoad& load);
+
+  /// Learns from the end of an attempt.
+  void on_health(MonotonicTime now, const EngineId& id, AttemptHealth health);
+
+  /// Learns the time to an answer of a plain request.
+  void on_latency(const EngineId& id, Duration latency);
+
+ private:
+  std::map<EngineId, EngineView> engines_;
+};
+
+}  // namespace shuntbank::relay
--- /dev/null
+++ b/src/core/relay/placement.hpp
@@ -0,0 +1,48 @@
+/// @file
+/// Chooses the engine of a request. All nodes choose the same engine for prompts that share a part,
+/// without asking each other, until that engine is so loaded that reading the part again elsewhere is
+/// quicker.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "core/relay/engine_directory.hpp"
+#include "core/relay/routes.hpp"
+
+namespace shuntbank::relay {
+
+/// Tunables of placement, in one place.
+struct PlacementSettings {
+  double prefill_tokens_per_ms = 40;  ///< Reading speed of a prefill engine.
+  double decode_tokens_per_ms = 18;   ///< Reading speed of an engine that also makes tokens.
+  double request_cost_ms = 6;         ///< Added by each request that runs or waits at a model engine.
+  double other_zone_ms = 2;           ///< Added for an engine in another zone.
+  double failure_cost_ms = 400;       ///< Added times the share of attempts that failed.
+  double plain_request_ms = 15;       ///< Of a plain engine whose latency is not known.
+};
+
+/// What is asked of placement.
+struct PlacementQuery {
+  const RelayedService* service = nullptr;
+  const PromptShape* prompt = nullptr;  ///< Null for plain services.
+  EngineStage stage = EngineStage::kNone;  ///< Which engines of a model service.
+  ZoneName zone;                        ///< The node's own.
+  const std::vector<EngineId>* avoid = nullptr;  ///< Engines that this request has met.
+  std::uint32_t max_connections_here = 0;  ///< This node's part of an engine's bound; 0: unbounded.
+};
+
+/// The choice and what spoke for it.
+struct Placement {
+  EngineId engine;
+  double cost_ms = 0;
+  std::uint64_t unread_tokens = 0;  ///< That the engine will have to read.
+  std::size_t candidates = 0;
+};
+
+/// @return the engine with the least expected wait, or nothing when there is no candidate.
+std::optional<Placement> place(MonotonicTime now, EngineDirectory& engines,
+                               const PlacementQuery& query, const PlacementSettings& settings);
+
+}  // namespace shuntbank::relay
--- /dev/null
+++ b/src/core/relay/retry_budget.hpp
@@ -0,0 +1,44 @@
+/// @file
+/// The bound on extra dispatches of a service, shared by all nodes without talking.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+
+#include "common/time.hpp"
+
+namespace shuntbank::relay {
+
+/// The bound that holds for all nodes together.
+struct RetryBudgetSettings {
+  double ratio = 0.2;                         ///< Extra dispatches a request.
+  Duration window = std::chrono::seconds(10);
+  double slack = 0;          ///< Extra dispatches a window, of all nodes together.
+  double assumed_nodes = 8;  ///< How many nodes may share the slack.
+};
+
+/// One node's share of the budget of one service: the ratio times its own requests of the sliding
+/// window, and its part of the slack. Whatever the other nodes do, the sum over `assumed_nodes`
+/// nodes that keep to their shares keeps the bound.
+class RetryBudget {
+ public:
+  explicit RetryBudget(const RetryBudgetSettings& settings) : settings_(settings) {}
+
+  /// A request of a caller came for the service.
+  void on_request(MonotonicTime now);
+
+  /// Asks for one extra dispatch. @return whether it may happen; then it is counted.
+  bool try_spend(MonotonicTime now);
+
+  /// @return extra dispatches that could be spent now.
+  double available(MonotonicTime now);
+
+ private:
+  void forget(MonotonicTime now);
+
+  RetryBudgetSettings settings_;
+  std::deque<MonotonicTime> requests_;
+  std::deque<MonotonicTime> spent_;
+};
+
+}  // namespace shuntbank::relay
--- /dev/null
+++ b/src/core/relay/routes.cpp
@@ -0,0 +1,118 @@
+#include "core/relay/routes.hpp"
+
+#include <algorithm>
+#include <cctype>
+#include <set>
+
+namespace shuntbank::relay {
+namespace {
+
+std::string normalized_host(std::string_view host) {
+  // A port behind the host names the connection, not the route; IPv6 numbers stand in brackets.
+  const std::size_t bracket = host.rfind(']');
+  const std::size_t colon = host.rfind(':');
+  const bool has_port =
+      colon != std::string_view::npos && (bracket == std::string_view::npos || colon > bracket);
+  std::string lower(has_port ? host.substr(0, colon) : host);
+  std::transform(lower.begin(), lower.end(), lower.begin(),
+                 [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+  return lower;
+}
+
+void check_route(const Route& route, const std::set<std::string>& services, const std::string& place,
+                 Findings& findings) {
+  const std::string& prefix = route.path_prefix;
+  if (route.host.empty()) findings.add(place + "/host", "must not be empty");
+  if (prefix.empty() || prefix.front() != '/' || prefix.back() != '/') {
+    findings.add(place + "/path_prefix", "must begin and end with a slash");
+  }
+  if (route.split.empty()) findings.add(place + "/split", "must name a service");
+  double total = 0;
+  for (std::size_t i = 0; i < route.split.size(); ++i) {
+    const SplitPart& part = route.split[i];
+    const std::string part_place = place + "/split/" + std::to_string(i);
+    if (services.count(part.service.value()) == 0) {
+      findings.add(part_place, "service '" + part.service.value() + "' is not declared");
+    }
+    if (part.weight < 0) findings.add(part_place, "the weight must not be negative");
+    total += part.weight;
+  }
+  if (!route.split.empty() && total <= 0) findings.add(place + "/split", "no part has a weight");
+  if (route.max_attempts == 0) findings.add(place + "/max_attempts", "must be 1 or more");
+  if (route.timeout <= Duration::zero()) findings.add(place + "/timeout", "must be above 0");
+  if (route.resumable && route.kind != RouteKind::kStream) {
+    findings.add(place + "/resumable", "only a stream can be resumed");
+  }
+}
+
+}  // namespace
+
+Findings check(const RouteConfiguration& configuration) {
+  Findings findings;
+  std::set<std::string> services;
+  for (std::size_t i = 0; i < configuration.services.size(); ++i) {
+    const std::string& name = configuration.services[i].name.value();
+    const std::string place = "services/" + std::to_string(i) + "/name";
+    if (name.empty()) findings.add(place, "must not be empty");
+    if (!services.insert(name).second) findings.add(place, "'" + name + "' is declared twice");
+  }
+  std::set<std::pair<std::string, std::string>> taken;
+  for (std::size_t i = 0; i < configuration.routes.size(); ++i) {
+    const Route& route = configuration.routes[i];
+    const std::string place = "routes/" + std::to_string(i);
+    check_route(route, services, place, findings);
+    if (!taken.emplace(normalized_host(route.host), route.path_prefix).second) {
+      findings.add(place, "host and path prefix are those of an earlier route");
+    }
+  }
+  return findings;
+}
+
+RouteTable::RouteTable(RouteConfiguration configuration) : configuration_(std::move(configuration)) {
+  for (const Route& route : configuration_.routes) {
+    by_host_[normalized_host(route.host)].push_back(&route);
+  }
+  for (auto& [host, routes] : by_host_) {
+    std::stable_sort(routes.begin(), routes.end(), [](const Route* left, const Route* right) {
+      return left->path_prefix.size() > right->path_prefix.size();
+    });
+  }
+}
+
+const Route* RouteTable::find(std::string_view host, std::string_view path) const {
+  const auto routes = by_host_.find(normalized_host(host));
+  if (routes == by_host_.end()) return nullptr;
+  const auto found =
+      std::find_if(routes->second.begin(), routes->second.end(), [&](const Route* route) {
+        return path.substr(0, route->path_prefix.size()) == route->path_prefix;
+      });
+  return found == routes->second.end() ? nullptr : *found;
+}
+
+const RelayedService* RouteTable::find_service(const ServiceName& name) const {
+  const auto& services = configuration_.services;
+  const auto found = std::find_if(services.begin(), services.end(),
+                                  [&](const RelayedService& service) { return service.name == name; });
+  return found == services.end() ? nullptr : &*found;
+}
+
+const ServiceName& SplitChooser::choose(const Route& route) {
+  if (route.split.size() == 1) return route.split.front().service;
+  double total = 0;
+  for (const SplitPart& part : route.split) total += part.weight;
+  auto& credit = credit_[route.name];
+  if (credit.size() != route.split.size()) {
+    credit.assign(route.split.size(), 0);
+    credit.front() = offset_ * total;
+    credit.back() -= offset_ * total;
+  }
+  std::size_t best = 0;
+  for (std::size_t i = 0; i < credit.size(); ++i) {
+    credit[i] += route.split[i].weight;
+    if (credit[i] > credit[best]) best = i;
+  }
+  credit[best] -= total;
+  return route.split[best].service;
+}
+
+}  // namespace shuntbank::relay
--- /dev/null
+++ b/src/core/relay/routes.hpp
@@ -0,0 +1,124 @@
+/// @file
+/// Declared routes of relayed requests: which service a request goes to, what may be done with it,
+/// and how long it may take. A configuration is one immutable value with a version.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "common/findings.hpp"
+#include "common/identifiers.hpp"
+#include "common/time.hpp"
+
+namespace shuntbank::relay {
+
+/// What may be done with a request of a route.
+enum class RouteKind {
+  kSafe,    ///< May run any number of times.
+  kUnsafe,  ///< Runs at most once.
+  kStream,  ///< Answered by events; runs at most once unless the route is resumable.
+};
+
+/// One of the services that share a route.
+struct SplitPart {
+  ServiceName service;
+  double weight = 1;  ///< Share relative to the other parts.
+};
+
+/// A declared route.
+struct Route {
+  std::string name;
+  std::string host;         ///< Without a port; compared without regard to case.
+  std::string path_prefix;  ///< Begins and ends with a slash.
+  RouteKind kind = RouteKind::kUnsafe;
+  std::vector<SplitPart> split;  ///< One part or more.
+  std::uint32_t max_attempts = 1;
+  Duration timeout = std::chrono::seconds(30);    ///< Longest time until the final answer.
+  Duration objective = std::chrono::seconds(1);   ///< Until which an answer has its full worth.
+  Duration gap_target = Duration::zero();         ///< Longest pause between events; zero: unset.
+  int priority = 0;                               ///< 0 is the most urgent.
+  bool affinity = false;   ///< Requests carry the parts of their prompt.
+  bool resumable = false;  ///< A broken stream may be taken up at another engine.
+
+  /// @return whether a request may run more than once.
+  bool idempotent() const {
+    return kind == RouteKind::kSafe || (kind == RouteKind::kStream && resumable);
+  }
+};
+
+/// What all engines of a model service share.
+struct ModelServing {
+  std::uint32_t slots = 1;
+  std::uint64_t kv_tokens = 0;       ///< Memory of an engine, in tokens.
+  std::uint64_t kv_token_bytes = 0;  ///< Moved for each token of a prompt.
+  double link_megabits_per_second = 0;
+  Duration handle_lifetime = std::chrono::seconds(5);  ///< Of a prompt that was read ahead.
+  Duration role_change_time = std::chrono::seconds(2);
+};
+
+/// A declared service.
+struct RelayedService {
+  ServiceName name;
+  std::uint32_t max_connections = 0;  ///< An engine takes so many from all callers; 0: unbounded.
+  std::optional<ModelServing> model;  ///< Set for engines that read prompts and make tokens.
+};
+
+/// Bounds on what callers may send.
+struct RequestLimits {
+  std::size_t max_header_bytes = 16UL << 10U;
+  std::size_t max_body_bytes = 4UL << 20U;
+  Duration header_timeout = std::chrono::seconds(3);
+  Duration idle_timeout = std::chrono::seconds(15);
+};
+
+/// All that the operator declares for the relay.
+struct RouteConfiguration {
+  std::uint64_t version = 0;
+  std::vector<Route> routes;
+  std::vector<RelayedService> services;
+  RequestLimits limits;
+};
+
+/// Checks a configuration as a whole. @return every problem with its place.
+Findings check(const RouteConfiguration& configuration);
+
+/// A configuration made ready for look-up. Immutable.
+class RouteTable {
+ public:
+  explicit RouteTable(RouteConfiguration configuration);
+
+  std::uint64_t version() const { return configuration_.version; }
+  const RouteConfiguration& configuration() const { return configuration_; }
+
+  /// @return the route of that host with the longest prefix that begins the path, or null.
+  const Route* find(std::string_view host, std::string_view path) const;
+
+  /// @return the declared service, or null.
+  const RelayedService* find_service(const ServiceName& name) const;
+
+ private:
+  RouteConfiguration configuration_;
+  /// Routes of each host, longest prefix first.
+  std::unordered_map<std::string, std::vector<const Route*>> by_host_;
+};
+
+/// Chooses the part of a split so that over time each gets its weight's share (smooth weighted
+/// round robin). State is kept by route name across configurations.
+class SplitChooser {
+ public:
+  /// @param offset in [0, 1): where a new route starts, so that nodes do not all start alike.
+  explicit SplitChooser(double offset) : offset_(offset) {}
+
+  const ServiceName& choose(const Route& route);
+
+ private:
+  double offset_;
+  std::unordered_map<std::string, std::vector<double>> credit_;
+};
+
+}  // namespace shuntbank::relay
--- /dev/null
+++ b/src/net/http1_client.cpp
@@ -0,0 +1,463 @@
+#include "net/http1_client.hpp"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <asio/buffer.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+#include <charconv>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "net/address.hpp"
+#include "net/http1_parser.hpp"
+
+namespace shuntbank {
+namespace {
+
+constexpr std::size_t kReadSize = 16UL << 10U;
+constexpr std::string_view kScheme = "http://";
+
+/// Shortest life that `Keep-Alive` may name and still make the connection worth keeping.
+constexpr Duration kKeepAliveMargin = std::chrono::milliseconds(500);
+
+struct Target {
+  std::string address;
+  std::string path;
+};
+
+Target split_url(const std::string& url) {
+  const std::size_t begin = url.rfind(kScheme, 0) == 0 ? kScheme.size() : 0;
+  const std::size_t slash = std::min(url.find('/', begin), url.size());
+  return {url.substr(begin, slash - begin), slash < url.size() ? url.substr(slash) : "/"};
+}
+
+/// @return the seconds that a `Keep-Alive` field tells, or nothing.
+std::optional<Duration> told_idle_timeout(const HttpHeaders& headers) {
+  const std::string_view field = headers.get("Keep-Alive");
+  constexpr std::string_view kName = "timeout=";
+  const std::size_t at = field.find(kName);
+  if (at == std::string_view::npos) return std::nullopt;
+  unsigned seconds = 0;
+  const char* begin = field.data() + at + kName.size();
+  const auto parsed = std::from_chars(begin, field.data() + field.size(), seconds);
+  if (parsed.ec != std::errc()) return std::nullopt;
+  return std::chrono::seconds(seconds);
+}
+
+/// Makes the kernel find out within about `bound` that the peer is gone.
+void detect_dead_peer(asio::ip::tcp::socket& socket, Duration bound) {
+  const auto milliseconds =
+      static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(bound).count());
+  const int socket_fd = socket.native_handle();
+  const int on = 1;
+  const int interval = 1;  // Seconds, the least that the kernel takes.
+  const int probes = std::max(1, milliseconds / 1000);
+  setsockopt(socket_fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+  setsockopt(socket_fd, IPPROTO_TCP, TCP_KEEPIDLE, &interval, sizeof(interval));
+  setsockopt(socket_fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
+  setsockopt(socket_fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+  setsockopt(socket_fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof(milliseconds));
+}
+
+/// One request under way.
+struct Exchange {
+  TransferId id = 0;
+  OutgoingRequest request;
+  TransferHandlers handlers;
+  bool bytes_sent = false;  ///< Some byte may have left.
+  bool written = false;     ///< All bytes were handed to the kernel.
+};
+
+}  // namespace
+
+class PooledHttpClient::Impl : public std::enable_shared_from_this<PooledHttpClient::Impl> {
+ public:
+  Impl(asio::io_context& own_loop, const PooledHttpClientSettings& bounds)
+      : loop(own_loop), settings(bounds) {}
+
+  TransferId start(OutgoingRequest request, TransferHandlers handlers);
+  void cancel(TransferId id);
+  void resume(TransferId id);
+  void keep(const std::shared_ptr<Connection>& connection);
+  void drop_idle(const Connection* connection);
+  void forget_peer(const std::string& address);
+  void close();
+
+  asio::io_context& loop;
+  PooledHttpClientSettings settings;
+  PooledHttpClientStats stats;
+  std::unordered_map<TransferId, std::shared_ptr<Connection>> busy;
+  std::unordered_map<std::string, std::vector<std::shared_ptr<Connection>>> idle;
+  TransferId last_id = 0;
+  bool closed = false;
+};
+
+/// One connection: at most one request at a time.
+class PooledHttpClient::Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(std::shared_ptr<Impl> client, std::string address)
+      : client_(std::move(client)),
+        address_(std::move(address)),
+        socket_(client_->loop),
+        timer_(client_->loop),
+        parser_(HttpMessageKind::kResponse, client_->settings.max_header_bytes, handlers()) {}
+
+  const std::string& address() const { return address_; }
+
+  void begin(std::unique_ptr<Exchange> exchange) {
+    exchange_ = std::move(exchange);
+    answered_ = false;
+    parser_.set_without_body(exchange_->request.method == "HEAD");
+    started_at_ = std::chrono::steady_clock::now();
+    if (!connected_) return connect();
+    write();
+  }
+
+  /// Ends without telling anyone.
+  void close() {
+    if (std::exchange(closed_, true)) return;
+    // The owner may be closing from inside one of its handlers, which must outlive that call.
+    if (exchange_) {
+      asio::post(client_->loop, [ended = std::shared_ptr<Exchange>(std::move(exchange_))] {});
+    }
+    std::error_code ignored;
+    timer_.cancel();
+    socket_.close(ignored);
+    client_->drop_idle(this);
+  }
+
+  void resume() {
+    if (closed_ || !std::exchange(paused_, false)) return;
+    if (!held_piece_.empty()) {
+      const std::string piece = std::exchange(held_piece_, {});
+      if (!deliver(piece)) return;
+    }
+    parse();
+    if (!closed_ && !paused_ && exchange_) read();
+  }
+
+ private:
+  HttpParserHandlers handlers() {
+    HttpParserHandlers handlers;
+    handlers.on_head = [this](HttpHead head) { on_head(std::move(head)); };
+    handlers.on_body = [this](std::string_view piece) { return on_body(piece); };
+    handlers.on_end = [this] { on_end(); };
+    return handlers;
+  }
+
+  void connect() {
+    const auto endpoint = parse_endpoint(address_);
+    if (!endpoint) {
+      asio::post(client_->loop, [self = shared_from_this(), message = endpoint.error()] {
+        self->fail(message);
+      });
+      return;
+    }
+    ++client_->stats.opened;
+    arm(exchange_->request.connect_timeout, "the connection could not be made in time");
+    socket_.async_connect(*endpoint, [self = shared_from_this()](const std::error_code& error) {
+      if (self->closed_) return;
+      if (error) return self->fail(error.message());
+      self->connected_ = true;
+      std::error_code ignored;
+      self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+      detect_dead_peer(self->socket_, self->client_->settings.peer_timeout);
+      self->write();
+      self->read();
+    });
+  }
+
+  void write() {
+    const OutgoingRequest& request = exchange_->request;
+    const Target target = split_url(request.url);
+    writing_ = request.method + " " + target.path + " HTTP/1.1\r\n";
+    if (request.headers.count("Host") == 0) writing_ += "Host: " + target.address + "\r\n";
+    for (const HttpHeader& field : request.headers.fields()) {
+      writing_ += field.name + ": " + field.value + "\r\n";
+    }
+    const bool sized = !request.body.empty() || (request.method != "GET" && request.method != "HEAD");
+    if (sized) writing_ += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+    writing_ += "\r\n";
+    writing_ += request.body;
+    exchange_->request.body.clear();
+    exchange_->bytes_sent = true;
+    arm_total();
+    asio::async_write(socket_, asio::buffer(writing_),
+                      [self = shared_from_this(), id = exchange_->id](const std::error_code& error,
+                                                                      std::size_t) {
+                        if (self->closed_ || !self->exchange_ || self->exchange_->id != id) return;
+                        // A failed write is found by the read, which may still hold an answer.
+                        if (!error) self->exchange_->written = true;
+                      });
+  }
+
+  void arm_total() {
+    const Duration total = exchange_->request.total_timeout;
+    if (total <= Duration::zero()) {
+      timer_.cancel();
+      ++timer_generation_;
+      return;
+    }
+    const auto elapsed = std::chrono::steady_clock::now() - started_at_;
+    const auto left = total - std::chrono::duration_cast<Duration>(elapsed);
+    arm(std::max(left, Duration::zero()), "no whole answer in time");
+  }
+
+  void arm(Duration delay, const char* message) {
+    const std::uint64_t generation = ++timer_generation_;
+    timer_.expires_after(delay);
+    timer_.async_wait([weak = weak_from_this(), generation, message](const std::error_code& error) {
+      const auto self = weak.lock();
+      if (error || !self || self->closed_ || self->timer_generation_ != generation) return;
+      self->fail(message);
+    });
+  }
+
+  void read() {
+    if (closed_ || reading_) return;
+    reading_ = true;
+    socket_.async_read_some(
+        asio::buffer(buffer_),
+        [self = shared_from_this()](const std::error_code& error, std::size_t size) {
+          self->reading_ = false;
+          if (self->closed_) return;
+          if (error) return self->ended(error);
+          self->unparsed_.append(self->buffer_.data(), size);
+          if (!self->exchange_) {
+            // Bytes on a connection that rests belong to nobody.
+            ++self->client_->stats.surplus_answers;
+            return self->close();
+          }
+          self->parse();
+          if (!self->closed_ && !self->paused_) self->read();
+        });
+  }
+
+  void parse() {
+    while (!closed_ && !paused_ && exchange_ && !unparsed_.empty()) {
+      const std::string bytes = std::exchange(unparsed_, {});
+      const std::size_t taken = parser_.feed(bytes);
+      if (closed_) return;
+      unparsed_ = bytes.substr(std::min(taken, bytes.size())) + unparsed_;
+      if (parser_.failure() != HttpParseFailure::kNone) return fail("the answer is no HTTP");
+      if (taken == 0) break;
+    }
+    if (exchange_ && answered_) settle();
+  }
+
+  void on_head(HttpHead head) {
+    keep_alive_ = head.keep_alive;
+    idle_timeout_ = told_idle_timeout(head.headers).value_or(client_->settings.idle_timeout);
+    const bool interim = head.status < 200;
+    const OutgoingRequest& request = exchange_->request;
+    const bool foreign = request.belongs && !request.belongs(head.status, head.headers);
+    skipping_ = interim || foreign;
+    if (foreign && !interim) ++client_->stats.surplus_answers;
+    if (skipping_) return;
+    if (exchange_->handlers.on_headers) exchange_->handlers.on_headers(head.status, head.headers);
+  }
+
+  bool on_body(std::string_view piece) {
+    if (closed_) return false;
+    if (skipping_) return true;
+    return deliver(piece);
+  }
+
+  /// @return whether reading goes on; a piece that was not taken is kept.
+  bool deliver(std::string_view piece) {
+    if (exchange_->handlers.on_data(piece)) return !closed_;
+    if (closed_) return false;
+    held_piece_ = piece;
+    paused_ = true;
+    return false;
+  }
+
+  void on_end() {
+    if (closed_) return;
+    if (skipping_) {
+      skipping_ = false;
+      return;
+    }
+    answered_ = true;
+    settle();
+  }
+
+  /// The answer is whole: tells the owner, and keeps the connection if nothing speaks against it.
+  void settle() {
+    if (paused_) return;
+    const std::unique_ptr<Exchange> exchange = std::move(exchange_);
+    answered_ = false;
+    client_->busy.erase(exchange->id);
+    timer_.cancel();
+    ++timer_generation_;
+    const bool in_doubt = !exchange->written || exchange->request.fresh_connection;
+    if (keep_alive_ && !in_doubt && idle_timeout_ > kKeepAliveMargin) {
+      rest();
+    } else {
+      close();
+    }
+    exchange->handlers.on_done({});
+  }
+
+  void rest() {
+    arm(idle_timeout_ - kKeepAliveMargin, "");
+    client_->keep(shared_from_this());
+    // Bytes that came behind the answer are found when this turn of the loop is over.
+    asio::post(client_->loop, [self = shared_from_this()] {
+      if (self->closed_ || self->exchange_) return;
+      if (!self->unparsed_.empty()) {
+        ++self->client_->stats.surplus_answers;
+        return self->close();
+      }
+      self->read();
+    });
+  }
+
+  /// The peer has closed, or the connection broke.
+  void ended(const std::error_code& error) {
+    if (!exchange_) return close();
+    const bool clean = error == asio::error::eof;
+    if (clean && !skipping_ && parser_.inside_message() && parser_.feed_end()) return;
+    if (closed_ || !exchange_) return;
+    fail(clean ? "the peer closed the connection" : error.message());
+  }
+
+  void fail(const std::string& message) {
+    if (!exchange_) return close();
+    const std::unique_ptr<Exchange> exchange = std::move(exchange_);
+    client_->busy.erase(exchange->id);
+    const auto failure =
+        exchange->bytes_sent ? TransferFailure::kUncertain : TransferFailure::kNothingSent;
+    close();
+    exchange->handlers.on_done(tl::make_unexpected(TransferError{failure, message}));
+  }
+
+  std::shared_ptr<Impl> client_;
+  std::string address_;
+  asio::ip::tcp::socket socket_;
+  asio::steady_timer timer_;
+  std::uint64_t timer_generation_ = 0;
+  std::chrono::steady_clock::time_point started_at_;
+  Http1Parser parser_;
+  std::array<char, kReadSize> buffer_{};
+  std::string writing_;
+  std::string unparsed_;    ///< Arrived and not yet parsed.
+  std::string held_piece_;  ///< Parsed, and refused by the owner for now.
+  std::unique_ptr<Exchange> exchange_;
+  Duration idle_timeout_{};
+  bool connected_ = false;
+  bool closed_ = false;
+  bool reading_ = false;
+  bool paused_ = false;
+  bool keep_alive_ = false;
+  bool skipping_ = false;  ///< Inside an answer that does not belong to the request.
+  bool answered_ = false;  ///< The answer ended while the owner had paused.
+};
+
+TransferId PooledHttpClient::Impl::start(OutgoingRequest request, TransferHandlers handlers) {
+  auto exchange = std::make_unique<Exchange>();
+  exchange->id = ++last_id;
+  const TransferId id = exchange->id;
+  const std::string address = split_url(request.url).address;
+  const bool fresh = request.fresh_connection;
+  exchange->request = std::move(request);
+  exchange->handlers = std::move(handlers);
+  auto& resting = idle[address];
+  std::shared_ptr<Connection> connection;
+  if (!fresh && !resting.empty()) {
+    connection = resting.back();
+    resting.pop_back();
+    ++stats.reused;
+  } else {
+    connection = std::make_shared<Connection>(shared_from_this(), address);
+  }
+  busy.emplace(id, connection);
+  connection->begin(std::move(exchange));
+  return id;
+}
+
+void PooledHttpClient::Impl::cancel(TransferId id) {
+  const auto found = busy.find(id);
+  if (found == busy.end()) return;
+  const auto connection = found->second;
+  busy.erase(found);
+  connection->close();
+}
+
+void PooledHttpClient::Impl::resume(TransferId id) {
+  asio::post(loop, [self = shared_from_this(), id] {
+    const auto found = self->busy.find(id);
+    if (found == self->busy.end()) return;
+    const auto connection = found->second;
+    connection->resume();
+  });
+}
+
+void PooledHttpClient::Impl::keep(const std::shared_ptr<Connection>& connection) {
+  auto& resting = idle[connection->address()];
+  resting.push_back(connection);
+  if (resting.size() <= settings.max_idle_per_peer) return;
+  const auto oldest = resting.front();
+  oldest->close();
+}
+
+void PooledHttpClient::Impl::drop_idle(const Connection* connection) {
+  const auto found = idle.find(connection->address());
+  if (found == idle.end()) return;
+  std::erase_if(found->second, [&](const auto& resting) { return resting.get() == connection; });
+  if (found->second.empty()) idle.erase(found);
+}
+
+void PooledHttpClient::Impl::forget_peer(const std::string& address) {
+  const auto found = idle.find(address);
+  if (found == idle.end()) return;
+  const auto resting = found->second;
+  for (const auto& connection : resting) connection->close();
+}
+
+void PooledHttpClient::Impl::close() {
+  closed = true;
+  const auto open = std::exchange(busy, {});
+  for (const auto& [id, connection] : open) connection->close();
+  const auto resting = std::exchange(idle, {});
+  for (const auto& [address, connections] : resting) {
+    for (const auto& connection : connections) connection->close();
+  }
+}
+
+PooledHttpClient::PooledHttpClient(asio::io_context& loop,
+                                   const PooledHttpClientSettings& settings)
+    : impl_(std::make_shared<Impl>(loop, settings)) {}
+
+PooledHttpClient::~PooledHttpClient() {
+  impl_->close();
+}
+
+TransferId PooledHttpClient::start(OutgoingRequest request, TransferHandlers handlers) {
+  return impl_->start(std::move(request), std::move(handlers));
+}
+
+void PooledHttpClient::cancel(TransferId id) {
+  impl_->cancel(id);
+}
+
+void PooledHttpClient::resume(TransferId id) {
+  impl_->resume(id);
+}
+
+void PooledHttpClient::forget_peer(const std::string& address) {
+  impl_->forget_peer(address);
+}
+
+const PooledHttpClientStats& PooledHttpClient::stats() const {
+  return impl_->stats;
+}
+
+}  // namespace shuntbank
--- /dev/null
+++ b/src/net/http1_parser.cpp
@@ -0,0 +1,155 @@
+#include "net/http1_parser.hpp"
+
+#include <limits>
+#include <utility>
+
+namespace shuntbank {
+namespace {
+
+/// What the library itself bounds; ours, which can differ from connection to connection, is below.
+constexpr std::uint32_t kLibraryHeaderBound = 1U << 20U;
+
+/// Separators of one header line: colon, space, carriage return, line feed.
+constexpr std::size_t kFieldOverhead = 4;
+
+/// http_parser's value of `content_length` when none was given.
+constexpr std::uint64_t kNoLength = std::numeric_limits<std::uint64_t>::max();
+
+/// What http_parser takes from the callback behind the header fields.
+constexpr int kReadBody = 0;
+constexpr int kSkipBody = 1;
+constexpr int kRejectHead = -1;
+
+}  // namespace
+
+Http1Parser::Http1Parser(HttpMessageKind kind, std::size_t max_header_bytes,
+                         HttpParserHandlers handlers)
+    : max_header_bytes_(max_header_bytes), handlers_(std::move(handlers)) {
+  http_parser_set_max_header_size(kLibraryHeaderBound);
+  http_parser_init(&parser_, kind == HttpMessageKind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
+  parser_.data = this;
+}
+
+Http1Parser& Http1Parser::self(http_parser* parser) {
+  return *static_cast<Http1Parser*>(parser->data);
+}
+
+const http_parser_settings& Http1Parser::callbacks() {
+  static const http_parser_settings settings = [] {
+    http_parser_settings made;
+    http_parser_settings_init(&made);
+    made.on_message_begin = [](http_parser* parser) {
+      self(parser).begin_message();
+      return 0;
+    };
+    made.on_url = [](http_parser* parser, const char* at, std::size_t length) {
+      Http1Parser& own = self(parser);
+      return own.on_header_text({at, length}, own.head_.target);
+    };
+    made.on_header_field = [](http_parser* parser, const char* at, std::size_t length) {
+      Http1Parser& own = self(parser);
+      if (own.value_seen_) own.finish_field();
+      return own.on_header_text({at, length}, own.field_name_);
+    };
+    made.on_header_value = [](http_parser* parser, const char* at, std::size_t length) {
+      Http1Parser& own = self(parser);
+      own.value_seen_ = true;
+      return own.on_header_text({at, length}, own.field_value_);
+    };
+    made.on_headers_complete = [](http_parser* parser) { return self(parser).finish_head(); };
+    made.on_body = [](http_parser* parser, const char* at, std::size_t length) {
+      Http1Parser& own = self(parser);
+      if (own.handlers_.on_body({at, length})) return 0;
+      own.stop_ = true;
+      http_parser_pause(parser, 1);
+      return 0;
+    };
+    made.on_message_complete = [](http_parser* parser) {
+      Http1Parser& own = self(parser);
+      own.inside_ = false;
+      own.stop_ = true;
+      http_parser_pause(parser, 1);
+      return 0;
+    };
+    return made;
+  }();
+  return settings;
+}
+
+void Http1Parser::begin_message() {
+  head_ = HttpHead();
+  field_name_.clear();
+  field_value_.clear();
+  header_bytes_ = 0;
+  value_seen_ = false;
+  inside_ = true;
+}
+
+int Http1Parser::on_header_text(std::string_view piece, std::string& target) {
+  header_bytes_ += piece.size();
+  if (header_bytes_ > max_header_bytes_) {
+    failure_ = HttpParseFailure::kHeaderTooLarge;
+    return 1;
+  }
+  target.append(piece);
+  return 0;
+}
+
+int Http1Parser::finish_field() {
+  while (!field_value_.empty() && (field_value_.back() == ' ' || field_value_.back() == '\t')) {
+    field_value_.pop_back();
+  }
+  header_bytes_ += kFieldOverhead;
+  if (!field_name_.empty()) {
+    head_.headers.add(std::exchange(field_name_, {}), std::exchange(field_value_, {}));
+  }
+  value_seen_ = false;
+  return 0;
+}
+
+int Http1Parser::finish_head() {
+  finish_field();
+  if (parser_.type == HTTP_REQUEST) {
+    if (parser_.upgrade != 0) {
+      failure_ = HttpParseFailure::kMalformed;
+      return kRejectHead;
+    }
+    head_.method = http_method_str(static_cast<http_method>(parser_.method));
+  } else {
+    head_.status = static_cast<int>(parser_.status_code);
+  }
+  const bool chunked = (parser_.flags & F_CHUNKED) != 0;
+  head_.has_length = chunked || parser_.content_length != kNoLength;
+  head_.length = parser_.content_length == kNoLength ? 0 : parser_.content_length;
+  head_.keep_alive = http_should_keep_alive(&parser_) != 0;
+  handlers_.on_head(std::move(head_));
+  return without_body_ ? kSkipBody : kReadBody;
+}
+
+std::size_t Http1Parser::feed(std::string_view bytes) {
+  if (failure_ != HttpParseFailure::kNone) return 0;
+  stop_ = false;
+  const std::size_t taken =
+      http_parser_execute(&parser_, &callbacks(), bytes.data(), bytes.size());
+  const auto error = static_cast<http_errno>(parser_.http_errno);
+  if (error == HPE_PAUSED) {
+    http_parser_pause(&parser_, 0);
+  } else if (error != HPE_OK) {
+    if (failure_ == HttpParseFailure::kNone) failure_ = HttpParseFailure::kMalformed;
+    return taken;
+  }
+  if (stop_ && !inside_) handlers_.on_end();
+  return taken;
+}
+
+bool Http1Parser::feed_end() {
+  if (failure_ != HttpParseFailure::kNone) return false;
+  if (!inside_) return true;
+  stop_ = false;
+  http_parser_execute(&parser_, &callbacks(), nullptr, 0);
+  if (inside_ || !stop_) return false;
+  handlers_.on_end();
+  return true;
+}
+
+}  // namespace shuntbank
--- /dev/null
+++ b/src/net/http1_parser.hpp
@@ -0,0 +1,95 @@
+/// @file
+/// Incremental HTTP/1.1 parsing by the http_parser library, for requests and for responses.
+/// One parser reads one direction of one connection, message after message.
+#pragma once
+
+#include <http_parser.h>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "net/http_message.hpp"
+
+namespace shuntbank {
+
+/// What a parser reads.
+enum class HttpMessageKind { kRequest, kResponse };
+
+/// Why parsing cannot go on.
+enum class HttpParseFailure {
+  kNone,
+  kMalformed,       ///< The bytes are no HTTP/1.1.
+  kHeaderTooLarge,  ///< Start line and fields exceed the bound.
+};
+
+/// The start line and the header fields of a message.
+struct HttpHead {
+  std::string method;  ///< Requests only.
+  std::string target;  ///< Requests only; byte for byte.
+  int status = 0;      ///< Responses only.
+  HttpHeaders headers;
+  bool keep_alive = true;     ///< Whether the connection may carry another message.
+  bool has_length = false;    ///< Whether the end of the body can be told without the close.
+  std::uint64_t length = 0;   ///< Of the body, when `has_length` and not in chunks.
+};
+
+/// What a parser tells its owner, in the order of the bytes.
+struct HttpParserHandlers {
+  std::function<void(HttpHead head)> on_head;
+  /// A piece of the body. @return false to stop here; `feed` returns and the piece counts as taken.
+  std::function<bool(std::string_view piece)> on_body;
+  /// The message is whole; `feed` returns behind its last byte.
+  std::function<void()> on_end;
+};
+
+/// Reads one direction of a connection.
+class Http1Parser {
+ public:
+  /// @param max_header_bytes bound on the start line and all fields of one message.
+  Http1Parser(HttpMessageKind kind, std::size_t max_header_bytes, HttpParserHandlers handlers);
+  Http1Parser(const Http1Parser&) = delete;
+  Http1Parser& operator=(const Http1Parser&) = delete;
+
+  /// Parses up to the end of a message or to a stop by a handler.
+  /// @return how many bytes were taken.
+  std::size_t feed(std::string_view bytes);
+
+  /// The peer has closed its direction. A message that lasts until the close ends here.
+  /// @return false when a message was cut off.
+  bool feed_end();
+
+  HttpParseFailure failure() const { return failure_; }
+
+  /// @return whether a message has begun and has not ended.
+  bool inside_message() const { return inside_; }
+
+  /// The next response has no body whatever its fields say: it answers HEAD.
+  void set_without_body(bool without_body) { without_body_ = without_body; }
+
+  void set_max_header_bytes(std::size_t bytes) { max_header_bytes_ = bytes; }
+
+ private:
+  static Http1Parser& self(http_parser* parser);
+  static const http_parser_settings& callbacks();
+  int on_header_text(std::string_view piece, std::string& target);
+  int finish_field();
+  int finish_head();
+  void begin_message();
+
+  http_parser parser_{};
+  std::size_t max_header_bytes_;
+  HttpParserHandlers handlers_;
+  HttpParseFailure failure_ = HttpParseFailure::kNone;
+  HttpHead head_;
+  std::string field_name_;
+  std::string field_value_;
+  std::size_t header_bytes_ = 0;
+  bool value_seen_ = false;
+  bool inside_ = false;
+  bool stop_ = false;
+  bool without_body_ = false;
+};
+
+}  // namespace shuntbank
--- /dev/null
+++ b/src/net/http1_server.cpp
@@ -0,0 +1,515 @@
+#include "net/http1_server.hpp"
+
+#include <array>
+#include <asio/buffer.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+#include <optional>
+#include <unordered_set>
+#include <utility>
+
+#include "net/http1_parser.hpp"
+#include "net/http_status.hpp"
+
+namespace shuntbank {
+namespace {
+
+constexpr std::size_t kReadSize = 16UL << 10U;
+
+/// Bytes behind a request that are kept while it runs; a caller who sends more waits.
+constexpr std::size_t kMaxPipelinedBytes = 64UL << 10U;
+
+constexpr std::string_view kLastChunk = "0\r\n\r\n";
+
+std::string chunk(std::string_view piece) {
+  std::array<char, 20> size{};
+  const int length = std::snprintf(size.data(), size.size(), "%zx\r\n", piece.size());
+  std::string text(size.data(), static_cast<std::size_t>(length));
+  text += piece;
+  text += "\r\n";
+  return text;
+}
+
+void append_fields(std::string& text, const HttpHeaders& headers) {
+  for (const HttpHeader& field : headers.fields()) {
+    text += field.name;
+    text += ": ";
+    text += field.value;
+    text += "\r\n";
+  }
+}
+
+}  // namespace
+
+/// State shared by all connections of a server.
+class Http1Server::Impl : public std::enable_shared_from_this<Http1Server::Impl> {
+ public:
+  Impl(asio::io_context& own_loop, const Http1ServerSettings& bounds, ConnectionHandler answer)
+      : loop(own_loop),
+        settings(bounds),
+        handler(std::move(answer)),
+        acceptor(own_loop),
+        accept_pause(own_loop) {
+    acceptor.open(settings.listen.protocol());
+    acceptor.set_option(asio::socket_base::reuse_address(true));
+    acceptor.bind(settings.listen);
+    acceptor.listen();
+  }
+
+  void accept();
+  void connection_gone(const std::shared_ptr<Connection>& connection);
+  void close();
+  void drain();
+
+  asio::io_context& loop;
+  Http1ServerSettings settings;
+  ConnectionHandler handler;
+  CallerLimits limits;
+  asio::ip::tcp::acceptor acceptor;
+  asio::steady_timer accept_pause;
+  std::unordered_set<std::shared_ptr<Connection>> connections;
+  std::size_t buffered_bytes = 0;  ///< Of all request bodies.
+  bool accepting = false;
+  bool closing_after_answers = false;
+  Http1ServerStats stats;
+};
+
+/// One caller's connection: reads requests one after another and writes their replies.
+class Http1Server::Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(std::shared_ptr<Impl> server, asio::ip::tcp::socket socket)
+      : server_(std::move(server)),
+        socket_(std::move(socket)),
+        timer_(server_->loop),
+        parser_(HttpMessageKind::kRequest, server_->limits.max_header_bytes, handlers()) {
+    std::error_code ignored;
+    socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  }
+
+  void start() {
+    wait_for(server_->limits.idle_timeout);
+    read();
+  }
+
+  /// Closes at once when no request is being read or answered, else behind the answer.
+  void close_when_idle() {
+    close_after_answer_ = true;
+    if (!exchange_open_ && !parser_.inside_message() && unparsed_.empty()) close();
+  }
+
+  void close() {
+    if (std::exchange(closed_, true)) return;
+    std::error_code ignored;
+    timer_.cancel();
+    socket_.close(ignored);
+    release_body();
+    drained_ = nullptr;
+    const auto gone = std::exchange(gone_, nullptr);
+    server_->connection_gone(shared_from_this());
+    if (gone) gone();
+  }
+
+  // What the responder calls.
+  void respond(HttpReply reply) {
+    std::string text = head(reply.status, reply.headers);
+    text += "Content-Length: " + std::to_string(reply.body.size()) + "\r\n\r\n";
+    if (!head_request_) text += reply.body;
+    end_exchange();
+    send(std::move(text));
+  }
+  void begin_stream(int status, const HttpHeaders& headers) {
+    send(head(status, headers) + "Transfer-Encoding: chunked\r\n\r\n");
+  }
+  void write_piece(std::string_view piece) {
+    if (!piece.empty() && !head_request_) send(chunk(piece));
+  }
+  void finish_stream() {
+    end_exchange();
+    send(head_request_ ? std::string() : std::string(kLastChunk));
+  }
+  std::size_t pending_bytes() const { return outgoing_.size() + writing_.size(); }
+  void on_drained(std::function<void()> handler) { drained_ = std::move(handler); }
+  void on_gone(std::function<void()> handler) { gone_ = std::move(handler); }
+  bool closed() const { return closed_; }
+
+ private:
+  HttpParserHandlers handlers() {
+    HttpParserHandlers handlers;
+    handlers.on_head = [this](HttpHead head) { on_head(std::move(head)); };
+    handlers.on_body = [this](std::string_view piece) { return on_body(piece); };
+    handlers.on_end = [this] { on_request(); };
+    return handlers;
+  }
+
+  void read() {
+    if (closed_ || reading_) return;
+    reading_ = true;
+    socket_.async_read_some(
+        asio::buffer(buffer_),
+        [self = shared_from_this()](const std::error_code& error, std::size_t size) {
+          self->reading_ = false;
+          if (self->closed_) return;
+          if (error) return self->close();
+          self->received(std::string_view(self->buffer_.data(), size));
+        });
+  }
+
+  void received(std::string_view bytes) {
+    if (lingering_) return read();
+    unparsed_ += bytes;
+    parse();
+    if (closed_) return;
+    if (!exchange_open_ || unparsed_.size() < kMaxPipelinedBytes) read();
+  }
+
+  /// Parses what has arrived, as far as the end of one request.
+  void parse() {
+    while (!closed_ && !exchange_open_ && !lingering_ && !unparsed_.empty()) {
+      const bool begun = parser_.inside_message();
+      const std::string bytes = std::exchange(unparsed_, {});
+      const std::size_t taken = parser_.feed(bytes);
+      if (closed_) return;
+      unparsed_ = bytes.substr(std::min(taken, bytes.size())) + unparsed_;
+      if (parser_.failure() != HttpParseFailure::kNone) return reject_failure();
+      if (rejection_ != 0) return reject(rejection_);
+      if (exchange_open_) return;
+      if (!begun && parser_.inside_message() && !head_seen_) {
+        wait_for(server_->limits.header_timeout);
+      }
+      if (taken == 0) return;
+    }
+  }
+
+  void on_head(HttpHead head) {
+    head_seen_ = true;
+    request_ = HttpRequest();
+    request_.method = std::move(head.method);
+    request_.target = std::move(head.target);
+    const std::size_t mark = request_.target.find('?');
+    request_.path = request_.target.substr(0, mark);
+    if (mark != std::string::npos) request_.query = request_.target.substr(mark + 1);
+    request_.headers = std::move(head.headers);
+    keep_alive_ = head.keep_alive;
+    head_request_ = request_.method == "HEAD";
+    wait_for(server_->limits.idle_timeout);
+    if (head.length > server_->limits.max_body_bytes) {
+      rejection_ = http_status::kContentTooLarge;
+      return;
+    }
+    if (equal_ignoring_case(request_.headers.get("Expect"), "100-continue")) {
+      send("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+  }
+
+  bool on_body(std::string_view piece) {
+    if (rejection_ != 0) return false;
+    if (request_.body.size() + piece.size() > server_->limits.max_body_bytes) {
+      rejection_ = http_status::kContentTooLarge;
+      return false;
+    }
+    if (server_->buffered_bytes + piece.size() > server_->settings.max_buffered_bytes) {
+      rejection_ = http_status::kServiceUnavailable;
+      return false;
+    }
+    request_.body += piece;
+    body_bytes_ += piece.size();
+    server_->buffered_bytes += piece.size();
+    wait_for(server_->limits.idle_timeout);
+    return true;
+  }
+
+  void on_request();
+
+  void reject_failure() {
+    const bool large = parser_.failure() == HttpParseFailure::kHeaderTooLarge;
+    reject(large ? http_status::kHeadersTooLarge : http_status::kBadRequest);
+  }
+
+  /// Answers what cannot be taken and reads on for a while, so that the answer is not lost to a
+  /// reset.
+  void reject(int status) {
+    ++server_->stats.rejected;
+    close_after_answer_ = true;
+    lingering_ = true;
+    unparsed_.clear();
+    std::string text = head(status, {});
+    text += "Content-Length: 0\r\n\r\n";
+    outgoing_ += text;
+    shutdown_when_sent_ = true;
+    flush();
+    wait_for(server_->settings.linger_timeout);
+  }
+
+  std::string head(int status, const HttpHeaders& headers) {
+    const bool closes = close_after_answer_ || server_->closing_after_answers || !keep_alive_;
+    if (closes) close_after_answer_ = true;
+    std::string text = "HTTP/1.1 " + std::to_string(status) + " ";
+    text += http_status::reason(status);
+    text += "\r\n";
+    append_fields(text, headers);
+    if (closes) text += "Connection: close\r\n";
+    return text;
+  }
+
+  void end_exchange() {
+    exchange_open_ = false;
+    gone_ = nullptr;
+    drained_ = nullptr;
+    release_body();
+    answered_ = true;
+  }
+
+  void release_body() {
+    server_->buffered_bytes -= std::exchange(body_bytes_, 0);
+  }
+
+  void send(std::string text) {
+    if (closed_) return;
+    outgoing_ += text;
+    flush();
+  }
+
+  void flush() {
+    if (closed_ || !writing_.empty()) return;
+    if (outgoing_.empty()) return sent_all();
+    writing_ = std::exchange(outgoing_, {});
+    if (!write_deadline_armed_) {
+      write_deadline_armed_ = true;
+      wait_for(server_->settings.write_timeout);
+    }
+    asio::async_write(
+        socket_, asio::buffer(writing_),
+        [self = shared_from_this()](const std::error_code& error, std::size_t) {
+          self->writing_.clear();
+          self->write_deadline_armed_ = false;
+          if (self->closed_) return;
+          if (error) return self->close();
+          self->written();
+        });
+  }
+
+  void written() {
+    if (exchange_open_) {
+      timer_.cancel();
+    } else {
+      wait_for(server_->limits.idle_timeout);
+    }
+    flush();
+  }
+
+  void sent_all() {
+    if (shutdown_when_sent_) return linger();
+    if (std::exchange(answered_, false)) return next_request();
+    const auto handler = drained_;
+    if (handler) handler();
+  }
+
+  void next_request() {
+    if (close_after_answer_) return linger();
+    wait_for(server_->limits.idle_timeout);
+    head_seen_ = false;
+    parser_.set_max_header_bytes(server_->limits.max_header_bytes);
+    parse();
+    if (!closed_) read();
+  }
+
+  /// Ends our direction and reads on until the caller ends its own.
+  void linger() {
+    std::error_code ignored;
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    lingering_ = true;
+    unparsed_.clear();
+    wait_for(server_->settings.linger_timeout);
+    read();
+  }
+
+  void wait_for(Duration duration) {
+    const std::uint64_t generation = ++timer_generation_;
+    timer_.expires_after(duration);
+    timer_.async_wait([weak = weak_from_this(), generation](const std::error_code& error) {
+      const auto self = weak.lock();
+      if (error || !self || self->closed_ || self->timer_generation_ != generation) return;
+      self->timed_out();
+    });
+  }
+
+  void timed_out() {
+    if (!writing_.empty() || lingering_) return close();
+    if (exchange_open_) return;
+    if (parser_.inside_message()) return reject(http_status::kRequestTimeout);
+    close();
+  }
+
+  std::shared_ptr<Impl> server_;
+  asio::ip::tcp::socket socket_;
+  asio::steady_timer timer_;
+  std::uint64_t timer_generation_ = 0;
+  Http1Parser parser_;
+  std::array<char, kReadSize> buffer_{};
+  std::string unparsed_;  ///< Arrived and not yet parsed.
+  std::string outgoing_;  ///< To be sent behind `writing_`.
+  std::string writing_;   ///< Being handed to the kernel.
+  HttpRequest request_;
+  std::size_t body_bytes_ = 0;
+  int rejection_ = 0;  ///< Status with which the request is refused; 0: none.
+  std::function<void()> drained_;
+  std::function<void()> gone_;
+  bool reading_ = false;
+  bool closed_ = false;
+  bool head_seen_ = false;
+  bool keep_alive_ = true;
+  bool head_request_ = false;
+  bool exchange_open_ = false;  ///< A request was handed over and its reply has not ended.
+  bool answered_ = false;       ///< The reply has ended and is being sent.
+  bool close_after_answer_ = false;
+  bool shutdown_when_sent_ = false;
+  bool lingering_ = false;
+  bool write_deadline_armed_ = false;
+};
+
+/// The reply to one request. Ends as broken when dropped unfinished.
+class Http1Server::Responder : public ConnectionResponder {
+ public:
+  explicit Responder(const std::shared_ptr<Connection>& connection) : connection_(connection) {}
+  ~Responder() override {
+    if (ended_) return;
+    if (begun_) {
+      abort();
+    } else {
+      respond({http_status::kInternalError, {}, ""});
+    }
+  }
+  Responder(const Responder&) = delete;
+  Responder& operator=(const Responder&) = delete;
+
+  void respond(HttpReply reply) override {
+    if (const auto connection = end()) connection->respond(std::move(reply));
+  }
+  void begin_stream(int status, const HttpHeaders& headers) override {
+    begun_ = true;
+    if (const auto connection = open()) connection->begin_stream(status, headers);
+  }
+  void write(std::string_view piece) override {
+    if (const auto connection = open()) connection->write_piece(piece);
+  }
+  std::size_t pending_bytes() const override {
+    const auto connection = connection_.lock();
+    return connection && !ended_ ? connection->pending_bytes() : 0;
+  }
+  void on_drained(std::function<void()> handler) override {
+    if (const auto connection = open()) connection->on_drained(std::move(handler));
+  }
+  void finish() override {
+    if (const auto connection = end()) connection->finish_stream();
+  }
+  void on_closed(std::function<void()> handler) override {
+    if (const auto connection = open()) connection->on_gone(std::move(handler));
+  }
+  void abort() override {
+    const auto connection = end();
+    if (!connection) return;
+    connection->on_gone(nullptr);
+    connection->close();
+  }
+
+ private:
+  std::shared_ptr<Connection> open() const {
+    auto connection = connection_.lock();
+    return ended_ || !connection || connection->closed() ? nullptr : connection;
+  }
+  std::shared_ptr<Connection> end() {
+    auto connection = open();
+    ended_ = true;
+    return connection;
+  }
+
+  std::weak_ptr<Connection> connection_;
+  bool begun_ = false;
+  bool ended_ = false;
+};
+
+void Http1Server::Connection::on_request() {
+  if (rejection_ != 0) return;
+  exchange_open_ = true;
+  timer_.cancel();
+  ++timer_generation_;
+  server_->handler(std::move(request_), std::make_shared<Responder>(shared_from_this()));
+}
+
+void Http1Server::Impl::accept() {
+  if (accepting || !acceptor.is_open() || connections.size() >= settings.max_connections) return;
+  accepting = true;
+  acceptor.async_accept([self = shared_from_this()](const std::error_code& error,
+                                                    asio::ip::tcp::socket socket) {
+    self->accepting = false;
+    if (!self->acceptor.is_open()) return;
+    if (!error) {
+      auto connection = std::make_shared<Connection>(self, std::move(socket));
+      self->connections.insert(connection);
+      ++self->stats.connections;
+      self->stats.open_connections = self->connections.size();
+      connection->start();
+      return self->accept();
+    }
+    // Without descriptors each try fails at once; a pause keeps the loop free.
+    self->accept_pause.expires_after(std::chrono::milliseconds(50));
+    self->accept_pause.async_wait([self](const std::error_code&) { self->accept(); });
+  });
+}
+
+void Http1Server::Impl::connection_gone(const std::shared_ptr<Connection>& connection) {
+  connections.erase(connection);
+  stats.open_connections = connections.size();
+  accept();
+}
+
+void Http1Server::Impl::close() {
+  std::error_code ignored;
+  acceptor.close(ignored);
+  const auto open = connections;
+  for (const auto& connection : open) connection->close();
+}
+
+void Http1Server::Impl::drain() {
+  std::error_code ignored;
+  acceptor.close(ignored);
+  const auto open = connections;
+  for (const auto& connection : open) connection->close_when_idle();
+}
+
+Http1Server::Http1Server(asio::io_context& loop, const Http1ServerSettings& settings,
+                         ConnectionHandler handler)
+    : impl_(std::make_shared<Impl>(loop, settings, std::move(handler))) {
+  impl_->accept();
+}
+
+Http1Server::~Http1Server() {
+  impl_->handler = [](HttpRequest, const std::shared_ptr<ConnectionResponder>&) {};
+  impl_->close();
+}
+
+asio::ip::tcp::endpoint Http1Server::local_endpoint() const {
+  return impl_->acceptor.local_endpoint();
+}
+
+void Http1Server::set_limits(const CallerLimits& limits) {
+  impl_->limits = limits;
+}
+
+void Http1Server::close_after_answers() {
+  impl_->closing_after_answers = true;
+}
+
+void Http1Server::drain() {
+  impl_->drain();
+}
+
+void Http1Server::close() {
+  impl_->close();
+}
+
+const Http1ServerStats& Http1Server::stats() const {
+  return impl_->stats;
+}
+
+}  // namespace shuntbank
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -29,6 +29,9 @@
   /// Never send on a reused connection. libcurl sends a request again by itself when a reused
   /// connection turns out to be dead; a request that may run only once must not risk that.
   bool fresh_connection = false;
+  /// Whether an answer belongs to this request; one that does not is read and left out. Where it is
+  /// not set, each answer belongs. Only `PooledHttpClient` heeds it.
+  std::function<bool(int status, const HttpHeaders& headers)> belongs;
 };
 
 /// How far a failed transfer came.
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -17,6 +17,18 @@
   fields_.push_back({std::move(name), std::move(value)});
 }
 
+void HttpHeaders::remove(std::string_view name) {
+  std::erase_if(fields_,
+                [&](const HttpHeader& field) { return equal_ignoring_case(field.name, name); });
+}
+
+std::size_t HttpHeaders::count(std::string_view name) const {
+  return static_cast<std::size_t>(
+      std::count_if(fields_.begin(), fields_.end(), [&](const HttpHeader& field) {
+        return equal_ignoring_case(field.name, name);
+      }));
+}
+
 std::string_view HttpHeaders::get(std::string_view name) const {
   for (const HttpHeader& field : fields_) {
     if (equal_ignoring_case(field.name, name)) return field.value;
--- a/src/net/http_message.hpp
+++ b/src/net/http_message.hpp
@@ -23,6 +23,12 @@
   /// Appends a field.
   void add(std::string name, std::string value);
 
+  /// Removes every field of that name.
+  void remove(std::string_view name);
+
+  /// @return how many fields have that name.
+  std::size_t count(std::string_view name) const;
+
   /// @return the value of the first field of that name, or empty text.
   std::string_view get(std::string_view name) const;
 
@@ -37,6 +43,7 @@
   std::string method;
   std::string path;   ///< Without the query.
   std::string query;  ///< Behind `?`.
+  std::string target;  ///< Path and query as they were sent, byte for byte.
   HttpHeaders headers;
   std::string body;
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -6,6 +6,8 @@
 #include <unordered_map>
 #include <utility>
 
+#include "net/http_status.hpp"
+
 namespace shuntbank {
 namespace {
 
@@ -95,30 +97,7 @@
 
  private:
   static restinio::http_status_line_t status_line(int status) {
-    return {restinio::http_status_code_t{static_cast<std::uint16_t>(status)}, reason(status)};
-  }
-
-  static std::string reason(int status) {
-    switch (status) {
-      case 200:
-        return "OK";
-      case 400:
-        return "Bad Request";
-      case 401:
-        return "Unauthorized";
-      case 404:
-        return "Not Found";
-      case 409:
-        return "Conflict";
-      case 429:
-        return "Too Many Requests";
-      case 500:
-        return "Internal Server Error";
-      case 503:
-        return "Service Unavailable";
-      default:
-        return "Status";
-    }
+    return {restinio::http_status_code_t{static_cast<std::uint16_t>(status)}, http_status::reason(status)};
   }
 
   /// @return whether the reply was still open; it no longer is.
@@ -187,6 +166,7 @@
   request.method = std::string(header.method().c_str());
   request.path = std::string(header.path().data(), header.path().size());
   request.query = std::string(header.query().data(), header.query().size());
+  request.target = header.request_target();
   header.for_each_field(
       [&request](const auto& field) { request.headers.add(field.name(), field.value()); });
   request.body = received.body();
--- /dev/null
+++ b/src/net/http_status.hpp
@@ -0,0 +1,23 @@
+/// @file
+/// HTTP status codes that this system gives itself, and their reason phrases (RFC 9110).
+#pragma once
+
+namespace shuntbank::http_status {
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kRequestTimeout = 408;
+constexpr int kContentTooLarge = 413;
+constexpr int kMisdirected = 421;
+constexpr int kTooManyRequests = 429;
+constexpr int kHeadersTooLarge = 431;
+constexpr int kInternalError = 500;
+constexpr int kBadGateway = 502;
+constexpr int kServiceUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+/// @return the reason phrase of a status, or a neutral word for statuses not listed.
+const char* reason(int status);
+
+}  // namespace shuntbank::http_status
--- /dev/null
+++ b/src/relay/catalog.cpp
@@ -0,0 +1,71 @@
+#include "relay/catalog.hpp"
+
+#include "common/log.hpp"
+
+namespace shuntbank::relay {
+namespace {
+
+void log_malformed(const store::StoredObject& object, const std::string& why) {
+  log_event(LogArea::kPlatform, LogLevel::kError, "object_malformed",
+            {{"name", object.name}, {"revision", object.revision}, {"why", why}});
+}
+
+}  // namespace
+
+Catalog::Catalog(Runtime& runtime, store::ObjectStore& store, const CatalogCodec& codec,
+                 RelayNode& node)
+    : runtime_(runtime), codec_(codec), node_(node) {
+  store::KindWatchHandlers configuration;
+  configuration.on_list = [this](const store::ObjectList& list) {
+    for (const store::StoredObject& object : list.objects) take_configuration(object);
+  };
+  configuration.on_change = [this](const store::ObjectChange& change) {
+    // Without a configuration the last one serves on.
+    if (!change.gone) take_configuration(change.object);
+  };
+  store::KindWatchHandlers engines;
+  engines.on_list = [this](const store::ObjectList& list) { take_engines(list); };
+  engines.on_change = [this](const store::ObjectChange& change) { take_engine_change(change); };
+  configuration_ =
+      std::make_unique<store::KindWatch>(runtime, store, codec.configuration_kind(),
+                                         store::KindWatchSettings{}, std::move(configuration));
+  engines_ = std::make_unique<store::KindWatch>(runtime, store, codec.engine_kind(),
+                                                store::KindWatchSettings{}, std::move(engines));
+}
+
+void Catalog::take_configuration(const store::StoredObject& object) {
+  if (object.name != codec_.configuration_name()) return;
+  auto configuration = codec_.configuration(object.content);
+  if (!configuration) return log_malformed(object, configuration.error());
+  node_.adopt(std::move(*configuration));
+}
+
+void Catalog::take_engines(const store::ObjectList& list) {
+  std::vector<EngineRecord> records;
+  for (const store::StoredObject& object : list.objects) {
+    auto record = codec_.engine(object);
+    if (record) {
+      records.push_back(std::move(*record));
+    } else {
+      log_malformed(object, record.error());
+    }
+  }
+  node_.set_engines(records);
+}
+
+void Catalog::take_engine_change(const store::ObjectChange& change) {
+  if (change.gone) return node_.remove_engine(EngineId(change.object.name));
+  const auto record = codec_.engine(change.object);
+  if (!record) return log_malformed(change.object, record.error());
+  node_.set_engine(*record);
+}
+
+Duration Catalog::configuration_age() const {
+  return runtime_.now() - configuration_->confirmed_at();
+}
+
+Duration Catalog::engines_age() const {
+  return runtime_.now() - engines_->confirmed_at();
+}
+
+}  // namespace shuntbank::relay
--- /dev/null
+++ b/src/relay/catalog.hpp
@@ -0,0 +1,63 @@
+/// @file
+/// Feeds a relay node from the store: the operator's configuration and the engines' records.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <tl/expected.hpp>
+
+#include "core/relay/engine_directory.hpp"
+#include "core/relay/routes.hpp"
+#include "relay/relay_node.hpp"
+#include "store/kind_watch.hpp"
+#include "store/object_store.hpp"
+
+namespace shuntbank::relay {
+
+/// Reads objects of the store. Holds names and formats and decides nothing.
+class CatalogCodec {
+ public:
+  CatalogCodec() = default;
+  virtual ~CatalogCodec() = default;
+  CatalogCodec(const CatalogCodec&) = delete;
+  CatalogCodec& operator=(const CatalogCodec&) = delete;
+
+  virtual std::string configuration_kind() const = 0;
+  virtual std::string configuration_name() const = 0;
+  virtual std::string engine_kind() const = 0;
+
+  /// @return the configuration, or what cannot be read.
+  virtual tl::expected<RouteConfiguration, std::string> configuration(
+      const nlohmann::json& content) const = 0;
+
+  /// @return the engine's record, or what cannot be read.
+  virtual tl::expected<EngineRecord, std::string> engine(
+      const store::StoredObject& object) const = 0;
+};
+
+/// Watches both kinds until it is destroyed.
+class Catalog {
+ public:
+  Catalog(Runtime& runtime, store::ObjectStore& store, const CatalogCodec& codec, RelayNode& node);
+  Catalog(const Catalog&) = delete;
+  Catalog& operator=(const Catalog&) = delete;
+
+  /// @return how long ago the store last confirmed the configuration.
+  Duration configuration_age() const;
+
+  /// @return how long ago the store last confirmed the engines.
+  Duration engines_age() const;
+
+ private:
+  void take_configuration(const store::StoredObject& object);
+  void take_engines(const store::ObjectList& list);
+  void take_engine_change(const store::ObjectChange& change);
+
+  Runtime& runtime_;
+  const CatalogCodec& codec_;
+  RelayNode& node_;
+  std::unique_ptr<store::KindWatch> configuration_;
+  std::unique_ptr<store::KindWatch> engines_;
+};
+
+}  // namespace shuntbank::relay
--- /dev/null
+++ b/src/relay/engine_dialect.hpp
@@ -0,0 +1,86 @@
+/// @file
+/// The port to what engines and callers speak: names of header fields and the reading of values. An
+/// implementation holds names and formats and decides nothing.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+
+#include "core/relay/engine_directory.hpp"
+#include "core/relay/routes.hpp"
+#include "net/http_client.hpp"
+#include "net/http_message.hpp"
+
+namespace shuntbank::relay {
+
+/// Names of the header fields that the relay reads, sets or removes.
+struct HeaderNames {
+  std::string request_id;        ///< Set by the caller, echoed by the engine.
+  std::string deadline_ms;       ///< How long the sender waits, in milliseconds.
+  std::string last_event_id;     ///< Behind which a stream is taken up.
+  std::string seal;              ///< The engine's signature on an answer.
+  std::string retry_after;       ///< Seconds after which a refused caller may come again.
+  std::string expected_engine;   ///< The engine that alone may run the request.
+  std::string urgency;           ///< 0 (first) to 9.
+  std::string stage;             ///< Set when the prompt is only to be read.
+  std::string prompt_source;     ///< Engine and handle of a prompt that was read ahead.
+  std::vector<std::string> from_callers_removed;  ///< Fields that only the system may set.
+  std::vector<std::string> from_engines_removed;  ///< Fields that concern only the system.
+};
+
+/// A prompt that an engine has read ahead.
+struct PromptHandle {
+  std::string handle;
+  std::uint64_t tokens = 0;
+};
+
+/// An order to an engine to change its stage.
+struct StageOrder {
+  EngineId engine;
+  std::string address;
+  EngineStage stage = EngineStage::kDecode;
+  std::string holder;               ///< The node that gives the order.
+  std::uint64_t fence = 0;          ///< Of the holder's lease; only grows.
+  std::uint64_t expected_orders = 0;  ///< The engine refuses when it has taken another number.
+};
+
+/// Reads and writes what engines speak.
+class EngineDialect {
+ public:
+  EngineDialect() = default;
+  virtual ~EngineDialect() = default;
+  EngineDialect(const EngineDialect&) = delete;
+  EngineDialect& operator=(const EngineDialect&) = delete;
+
+  virtual const HeaderNames& names() const = 0;
+
+  /// @return the shape of the request's prompt, or nothing when none is told or it cannot be read.
+  virtual std::optional<PromptShape> prompt(const HttpHeaders& headers) const = 0;
+
+  /// @return the load that came with an answer.
+  virtual std::optional<ReportedLoad> load(const HttpHeaders& headers) const = 0;
+
+  /// @return whether the engine says that it did not run the request and never will.
+  virtual bool refused(int status, const HttpHeaders& headers) const = 0;
+
+  /// @return the value of the stage field that has a prompt only read.
+  virtual std::string prefill_stage() const = 0;
+
+  /// @return the value that names a prompt read ahead.
+  virtual std::string prompt_source(const std::string& address,
+                                    const std::string& handle) const = 0;
+
+  /// Reads the answer to a prompt that was only read.
+  virtual tl::expected<PromptHandle, std::string> prefill_answer(const std::string& body) const = 0;
+
+  /// @return the call that frees a prompt read ahead.
+  virtual OutgoingRequest release_handle(const std::string& address,
+                                         const std::string& handle) const = 0;
+
+  /// @return the call that gives an order.
+  virtual OutgoingRequest stage_order(const StageOrder& order) const = 0;
+};
+
+}  // namespace shuntbank::relay
--- /dev/null
+++ b/src/relay/event_cutter.cpp
@@ -0,0 +1,58 @@
+#include "relay/event_cutter.hpp"
+
+#include <charconv>
+
+namespace shuntbank::relay {
+namespace {
+
+/// @return the place behind the blank line that ends the first event, or npos.
+std::size_t end_of_event(std::string_view text) {
+  const std::size_t plain = text.find("\n\n");
+  const std::size_t with_return = text.find("\n\r\n");
+  if (plain == std::string_view::npos && with_return == std::string_view::npos) return plain;
+  return plain < with_return ? plain + 2 : with_return + 3;
+}
+
+std::string_view field(std::string_view event, std::string_view name) {
+  while (!event.empty()) {
+    const std::size_t end = std::min(event.find('\n'), event.size());
+    std::string_view line = event.substr(0, end);
+    event.remove_prefix(std::min(end + 1, event.size()));
+    if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+    if (line.substr(0, name.size()) != name) continue;
+    line.remove_prefix(name.size());
+    if (!line.empty() && line.front() == ' ') line.remove_prefix(1);
+    return line;
+  }
+  return {};
+}
+
+RawEvent parse(std::string_view bytes) {
+  RawEvent event;
+  event.bytes = bytes;
+  event.id_text = field(bytes, "id:");
+  std::uint64_t id = 0;
+  const char* end = event.id_text.data() + event.id_text.size();
+  const auto parsed = std::from_chars(event.id_text.data(), end, id);
+  if (parsed.ec == std::errc() && parsed.ptr == end) event.id = id;
+  return event;
+}
+
+}  // namespace
+
+bool EventCutter::feed(std::string_view piece,
+                       const std::function<void(const RawEvent&)>& handler) {
+  partial_ += piece;
+  std::size_t begin = 0;
+  while (true) {
+    const std::string_view rest = std::string_view(partial_).substr(begin);
+    const std::size_t end = end_of_event(rest);
+    if (end == std::string_view::npos) break;
+    handler(parse(rest.substr(0, end)));
+    begin += end;
+  }
+  partial_.erase(0, begin);
+  return partial_.size() <= kMaxEventSize;
+}
+
+}  // namespace shuntbank::relay
--- /dev/null
+++ b/src/relay/relay_metrics.cpp
@@ -0,0 +1,84 @@
+#include "relay/relay_metrics.hpp"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <sstream>
+
+namespace shuntbank::relay {
+namespace {
+
+const prometheus::Histogram::BucketBoundaries kSecondsBuckets{
+    0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.42, 0.6, 0.8, 1.2, 2, 4, 8};
+
+}  // namespace
+
+class RelayMetrics::Impl {
+ public:
+  prometheus::Registry registry;
+  prometheus::Family<prometheus::Counter>& requests =
+      prometheus::BuildCounter()
+          .Name("shuntbank_relay_requests_total")
+          .Help("Requests with their final result")
+          .Register(registry);
+  prometheus::Family<prometheus::Counter>& attempts =
+      prometheus::BuildCounter()
+          .Name("shuntbank_relay_attempts_total")
+          .Help("Attempts sent to engines")
+          .Register(registry);
+  prometheus::Family<prometheus::Counter>& failures =
+      prometheus::BuildCounter()
+          .Name("shuntbank_relay_attempt_failures_total")
+          .Help("Attempts that brought no answer to pass on")
+          .Register(registry);
+  prometheus::Family<prometheus::Histogram>& duration =
+      prometheus::BuildHistogram()
+          .Name("shuntbank_relay_request_seconds")
+          .Help("Time from a request's arrival to its end")
+          .Register(registry);
+  prometheus::Family<prometheus::Histogram>& first_event =
+      prometheus::BuildHistogram()
+          .Name("shuntbank_relay_first_event_seconds")
+          .Help("Time from a request's arrival to its first event")
+          .Register(registry);
+  prometheus::Family<prometheus::Gauge>& gauges = prometheus::BuildGauge()
+                                                      .Name("shuntbank_relay_state")
+                                                      .Help("What the node believes now")
+                                                      .Register(registry);
+};
+
+RelayMetrics::RelayMetrics() : impl_(std::make_unique<Impl>()) {}
+RelayMetrics::~RelayMetrics() = default;
+
+void RelayMetrics::count_request(const std::string& service, const std::string& result,
+                                 Duration took) {
+  impl_->requests.Add({{"service", service}, {"result", result}}).Increment();
+  impl_->duration.Add({{"service", service}}, kSecondsBuckets).Observe(to_seconds(took));
+}
+
+void RelayMetrics::count_attempt(const std::string& service, const std::string& step) {
+  impl_->attempts.Add({{"service", service}, {"step", step}}).Increment();
+}
+
+void RelayMetrics::count_failure(const std::string& service, const std::string& reason) {
+  impl_->failures.Add({{"service", service}, {"reason", reason}}).Increment();
+}
+
+void RelayMetrics::observe_first_event(const std::string& service, Duration took) {
+  impl_->first_event.Add({{"service", service}}, kSecondsBuckets).Observe(to_seconds(took));
+}
+
+void RelayMetrics::set_gauge(const std::string& name, double value) {
+  impl_->gauges.Add({{"name", name}}).Set(value);
+}
+
+std::string RelayMetrics::to_text() const {
+  std::ostringstream text;
+  prometheus::TextSerializer().Serialize(text, impl_->registry.Collect());
+  return text.str();
+}
+
+}  // namespace shuntbank::relay
--- /dev/null
+++ b/src/relay/relay_metrics.hpp
@@ -0,0 +1,43 @@
+/// @file
+/// Counters and histograms of a relay node, in the Prometheus text format.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "common/time.hpp"
+
+namespace shuntbank::relay {
+
+/// Counts what a node did. Labels come from bounded sets: services, results and reasons.
+class RelayMetrics {
+ public:
+  RelayMetrics();
+  ~RelayMetrics();
+  RelayMetrics(const RelayMetrics&) = delete;
+  RelayMetrics& operator=(const RelayMetrics&) = delete;
+
+  /// A request ended. @param result such as `answered`, `refused`, `failed`, `caller_gone`.
+  void count_request(const std::string& service, const std::string& result, Duration took);
+
+  /// An attempt was sent. @param step `plain`, `prefill` or `decode`.
+  void count_attempt(const std::string& service, const std::string& step);
+
+  /// An attempt failed. @param reason from a fixed set.
+  void count_failure(const std::string& service, const std::string& reason);
+
+  /// The first event of a stream was passed on.
+  void observe_first_event(const std::string& service, Duration took);
+
+  /// Sets a gauge such as `config_version` or `config_age_seconds`.
+  void set_gauge(const std::string& name, double value);
+
+  /// @return all figures as text.
+  std::string to_text() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace shuntbank::relay
--- /dev/null
+++ b/src/relay/relay_node.cpp
@@ -0,0 +1,141 @@
+#include "relay/relay_node.hpp"
+
+#include <utility>
+
+#include "common/log.hpp"
+#include "net/http_status.hpp"
+
+namespace shuntbank::relay {
+namespace {
+
+double random_fraction(Runtime& runtime) {
+  return static_cast<double>(std::stoul(runtime.random_hex(2), nullptr, 16)) / 65536.0;
+}
+
+void log_engine(const char* event, const EngineRecord& record) {
+  log_event(LogArea::kControl, LogLevel::kInfo, event,
+            {{"engine", record.id.value()},
+             {"service", record.service.value()},
+             {"address", record.address},
+             {"stage", to_text(record.stage)},
+             {"draining", record.draining},
+             {"orders", record.orders_taken}});
+}
+
+}  // namespace
+
+RelayNode::RelayNode(const RelayIo& io, const RelaySettings& settings)
+    : io_(io),
+      settings_(settings),
+      context_{io.runtime, io.http, io.dialect, settings_, engines_, metrics_, budgets_},
+      splits_(random_fraction(io.runtime)) {}
+
+RelayNode::~RelayNode() {
+  const auto open = std::exchange(sessions_, {});
+  for (const auto& session : open) session->give_up();
+}
+
+bool RelayNode::adopt(RouteConfiguration configuration) {
+  if (table_ && configuration.version <= table_->version()) return false;
+  const Findings findings = check(configuration);
+  if (!findings.empty()) {
+    log_event(LogArea::kConfig, LogLevel::kError, "config_refused",
+              {{"version", configuration.version}, {"findings", findings.to_text()}});
+    return false;
+  }
+  const std::uint64_t before = table_ ? table_->version() : 0;
+  table_ = std::make_shared<const RouteTable>(std::move(configuration));
+  log_event(LogArea::kConfig, LogLevel::kInfo, "config_adopted",
+            {{"version", table_->version()},
+             {"before", before},
+             {"routes", table_->configuration().routes.size()}});
+  metrics_.set_gauge("config_version", static_cast<double>(table_->version()));
+  if (adopted_) adopted_(*table_);
+  return true;
+}
+
+void RelayNode::set_engines(const std::vector<EngineRecord>& records) {
+  engines_known_ = true;
+  for (const std::string& address : engines_.replace_all(records)) {
+    if (address_free_) address_free_(address);
+  }
+  for (const EngineRecord& record : records) log_engine("engine_listed", record);
+  metrics_.set_gauge("engines", static_cast<double>(engines_.size()));
+}
+
+void RelayNode::set_engine(const EngineRecord& record) {
+  engines_.upsert(record);
+  log_engine("engine_changed", record);
+  metrics_.set_gauge("engines", static_cast<double>(engines_.size()));
+}
+
+void RelayNode::remove_engine(const EngineId& id) {
+  const std::string address = engines_.remove(id);
+  if (address.empty()) return;
+  log_event(LogArea::kControl, LogLevel::kInfo, "engine_gone",
+            {{"engine", id.value()}, {"address", address}});
+  metrics_.set_gauge("engines", static_cast<double>(engines_.size()));
+  if (address_free_) address_free_(address);
+}
+
+void RelayNode::refuse(const HttpRequest& request, ConnectionResponder& responder, int status,
+                       const char* why) {
+  const HeaderNames& names = io_.dialect.names();
+  const std::string id(request.headers.get(names.request_id));
+  log_event(LogArea::kCallers, LogLevel::kInfo, "refused",
+            {{"request", id},
+             {"status", status},
+             {"why", why},
+             {"config", table_ ? table_->version() : 0}});
+  HttpReply reply;
+  reply.status = status;
+  if (!id.empty()) reply.headers.add(names.request_id, id);
+  if (status == http_status::kServiceUnavailable) reply.headers.add(names.retry_after, "0.3");
+  responder.respond(std::move(reply));
+}
+
+void RelayNode::handle(HttpRequest request, const std::shared_ptr<ConnectionResponder>& responder) {
+  if (!table_) {
+    return refuse(request, *responder, http_status::kServiceUnavailable, "no configuration yet");
+  }
+  if (request.headers.count("Host") != 1) {
+    return refuse(request, *responder, http_status::kBadRequest, "one Host field is needed");
+  }
+  const Route* route = table_->find(request.headers.get("Host"), request.path);
+  if (route == nullptr) return refuse(request, *responder, http_status::kNotFound, "no route");
+  const ServiceName& service = splits_.choose(*route);
+  // The end handler needs the session that it belongs to, which does not exist yet.
+  auto own = std::make_shared<std::weak_ptr<RelaySession>>();
+  auto session = std::make_shared<RelaySession>(context_, table_, *route, service,
+                                                std::move(request), responder, [this, own] {
+                                                  if (const auto ended = own->lock()) {
+                                                    sessions_.erase(ended);
+                                                  }
+                                                });
+  *own = session;
+  sessions_.insert(session);
+  session->start();
+}
+
+bool RelayNode::ready() const {
+  return table_ != nullptr && engines_known_ && !stopping_;
+}
+
+void RelayNode::begin_stop() {
+  stopping_ = true;
+}
+
+void RelayNode::give_up_all() {
+  const auto open = sessions_;
+  for (const auto& session : open) session->give_up();
+}
+
+void RelayNode::on_adopted(std::function<void(const RouteTable&)> handler) {
+  adopted_ = std::move(handler);
+}
+
+void RelayNode::on_address_free(std::function<void(const std::string&)> handler) {
+  address_free_ = std::move(handler);
+}
+
+}  // namespace shuntbank::relay
--- /dev/null
+++ b/src/relay/relay_node.hpp
@@ -0,0 +1,95 @@
+/// @file
+/// The relay of one machine: the configuration in force, the engines that are known, the requests
+/// under way, readiness and the orderly stop. It knows no sockets.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "common/runtime.hpp"
+#include "core/relay/engine_directory.hpp"
+#include "core/relay/routes.hpp"
+#include "net/http1_server.hpp"
+#include "relay/engine_dialect.hpp"
+#include "relay/relay_metrics.hpp"
+#include "relay/relay_session.hpp"
+#include "relay/relay_settings.hpp"
+
+namespace shuntbank::relay {
+
+/// What a relay node does its input and output with. All of it outlives the node.
+struct RelayIo {
+  Runtime& runtime;
+  HttpClient& http;
+  const EngineDialect& dialect;
+};
+
+/// One relay node. All of it runs on one thread.
+class RelayNode {
+ public:
+  RelayNode(const RelayIo& io, const RelaySettings& settings);
+  ~RelayNode();
+  RelayNode(const RelayNode&) = delete;
+  RelayNode& operator=(const RelayNode&) = delete;
+
+  /// Takes a configuration over unless the one in force is as new. Requests under way keep theirs.
+  /// @return whether it is now in force.
+  bool adopt(RouteConfiguration configuration);
+
+  /// Takes the whole list of engines.
+  void set_engines(const std::vector<EngineRecord>& records);
+
+  /// Takes one engine's record.
+  void set_engine(const EngineRecord& record);
+
+  /// Forgets an engine; what runs there goes on.
+  void remove_engine(const EngineId& id);
+
+  /// Handles a request of a caller.
+  void handle(HttpRequest request, const std::shared_ptr<ConnectionResponder>& responder);
+
+  /// @return whether the node may get new callers.
+  bool ready() const;
+
+  /// The process is to stop: not ready from now on, requests are still taken.
+  void begin_stop();
+
+  /// Gives up what is still under way.
+  void give_up_all();
+
+  /// @return requests under way.
+  std::size_t under_way() const { return sessions_.size(); }
+
+  const RouteTable* table() const { return table_.get(); }
+  EngineDirectory& engines() { return engines_; }
+  RelayMetrics& metrics() { return metrics_; }
+
+  /// Sets what is called when a configuration came into force.
+  void on_adopted(std::function<void(const RouteTable&)> handler);
+
+  /// Sets what is called with the address of an engine that is gone or has moved.
+  void on_address_free(std::function<void(const std::string&)> handler);
+
+ private:
+  void refuse(const HttpRequest& request, ConnectionResponder& responder, int status,
+              const char* why);
+
+  RelayIo io_;
+  RelaySettings settings_;
+  EngineDirectory engines_;
+  RelayMetrics metrics_;
+  std::unordered_map<ServiceName, RetryBudget> budgets_;
+  RelayContext context_;
+  std::shared_ptr<const RouteTable> table_;
+  SplitChooser splits_;
+  bool engines_known_ = false;
+  bool stopping_ = false;
+  std::unordered_set<std::shared_ptr<RelaySession>> sessions_;
+  std::function<void(const RouteTable&)> adopted_;
+  std::function<void(const std::string&)> address_free_;
+};
+
+}  // namespace shuntbank::relay
--- /dev/null
+++ b/src/relay/relay_process.cpp
@@ -0,0 +1,162 @@
+#include "relay/relay_process.hpp"
+
+#include <utility>
+#include <vector>
+
+#include "common/log.hpp"
+#include "common/periodic.hpp"
+#include "net/address.hpp"
+#include "net/http1_client.hpp"
+#include "net/http1_server.hpp"
+#include "net/http_status.hpp"
+#include "relay/relay_node.hpp"
+
+namespace shuntbank::relay {
+namespace {
+
+/// Between two looks at whether a stopping process has become idle.
+constexpr Duration kStopTick = std::chrono::milliseconds(100);
+
+/// Left of the grace for giving up what is under way.
+constexpr Duration kStopMargin = std::chrono::milliseconds(600);
+
+constexpr std::string_view kMetricsPath = "/metrics";
+
+Http1ServerSettings listen_on(const std::string& address, std::size_t max_connections) {
+  Http1ServerSettings settings;
+  const auto endpoint = parse_endpoint(address);
+  if (!endpoint) throw std::invalid_argument(address + ": " + endpoint.error());
+  settings.listen = *endpoint;
+  settings.max_connections = max_connections;
+  return settings;
+}
+
+constexpr std::size_t kMaxCallers = 2000;
+constexpr std::size_t kMaxWatchers = 64;
+
+}  // namespace
+
+class RelayProcess::Impl {
+ public:
+  Impl(asio::io_context& loop, Runtime& runtime, store::ObjectStore& store,
+       const CatalogCodec& codec, const EngineDialect& dialect, const RelaySettings& settings,
+       const RelayAddresses& addresses)
+      : runtime_(runtime),
+        settings_(settings),
+        http_(loop, {}),
+        node_({runtime, http_, dialect}, settings),
+        callers_(loop, listen_on(addresses.callers, kMaxCallers),
+                 [this](HttpRequest request, const auto& responder) {
+                   node_.handle(std::move(request), responder);
+                 }),
+        catalog_(runtime, store, codec, node_) {
+    node_.on_adopted([this](const RouteTable& table) { take_limits(table); });
+    node_.on_address_free([this](const std::string& address) { http_.forget_peer(address); });
+    for (const std::string& address : {addresses.ready, addresses.control, addresses.metrics}) {
+      if (!address.empty()) serve_state(loop, address);
+    }
+    log_event(LogArea::kProcess, LogLevel::kInfo, "started",
+              {{"node", settings.node},
+               {"zone", settings.zone.value()},
+               {"callers", addresses.callers},
+               {"ready", addresses.ready}});
+  }
+
+  void reload(const RelaySettings& settings) {
+    settings_.stop_grace = settings.stop_grace;
+    log_event(LogArea::kProcess, LogLevel::kInfo, "reloaded", {{"node", settings.node}});
+  }
+
+  void stop(std::function<void()> on_stopped) {
+    if (stopping_) return;
+    stopping_ = true;
+    stopped_ = std::move(on_stopped);
+    stop_began_ = runtime_.now();
+    node_.begin_stop();
+    callers_.close_after_answers();
+    log_event(LogArea::kProcess, LogLevel::kInfo, "stopping", {{"under_way", node_.under_way()}});
+    stop_timer_ = std::make_unique<Periodic>(runtime_, kStopTick, [this] { stop_tick(); });
+  }
+
+ private:
+  void take_limits(const RouteTable& table) {
+    const RequestLimits& limits = table.configuration().limits;
+    callers_.set_limits({limits.max_header_bytes, limits.max_body_bytes, limits.header_timeout,
+                         limits.idle_timeout});
+  }
+
+  void serve_state(asio::io_context& loop, const std::string& address) {
+    servers_.push_back(std::make_unique<Http1Server>(
+        loop, listen_on(address, kMaxWatchers),
+        [this](const HttpRequest& request, const auto& responder) {
+          if (request.path == kMetricsPath) return responder->respond(metrics());
+          const bool ready = node_.ready();
+          responder->respond({ready ? http_status::kOk : http_status::kServiceUnavailable, {}, ""});
+        }));
+  }
+
+  HttpReply metrics() {
+    RelayMetrics& metrics = node_.metrics();
+    metrics.set_gauge("requests_under_way", static_cast<double>(node_.under_way()));
+    metrics.set_gauge("callers_connected", static_cast<double>(callers_.stats().open_connections));
+    metrics.set_gauge("callers_rejected", static_cast<double>(callers_.stats().rejected));
+    metrics.set_gauge("engine_connections_opened", static_cast<double>(http_.stats().opened));
+    metrics.set_gauge("engine_surplus_answers",
+                      static_cast<double>(http_.stats().surplus_answers));
+    metrics.set_gauge("configuration_age_seconds", to_seconds(catalog_.configuration_age()));
+    metrics.set_gauge("engines_age_seconds", to_seconds(catalog_.engines_age()));
+    HttpReply reply;
+    reply.status = http_status::kOk;
+    reply.headers.add("Content-Type", "text/plain; version=0.0.4");
+    reply.body = metrics.to_text();
+    return reply;
+  }
+
+  void stop_tick() {
+    const Duration elapsed = runtime_.now() - stop_began_;
+    const Duration last = settings_.stop_grace - kStopMargin;
+    if (!drained_ && elapsed >= std::min(settings_.stop_listening_after, last)) {
+      drained_ = true;
+      callers_.drain();
+    }
+    if (elapsed >= last) node_.give_up_all();
+    const bool idle = drained_ && callers_.stats().open_connections == 0;
+    if (!idle && elapsed < last) return;
+    const auto stopped = std::exchange(stopped_, nullptr);
+    if (!stopped) return;
+    log_event(LogArea::kProcess, LogLevel::kInfo, "stopped",
+              {{"under_way", node_.under_way()}, {"after_s", to_seconds(elapsed)}});
+    // The last answers are still on their way to the kernel.
+    call_after(runtime_, kStopTick, stopped);
+  }
+
+  Runtime& runtime_;
+  RelaySettings settings_;
+  PooledHttpClient http_;
+  RelayNode node_;
+  Http1Server callers_;
+  Catalog catalog_;
+  std::vector<std::unique_ptr<Http1Server>> servers_;
+  bool stopping_ = false;
+  bool drained_ = false;
+  MonotonicTime stop_began_{};
+  std::function<void()> stopped_;
+  std::unique_ptr<Periodic> stop_timer_;
+};
+
+RelayProcess::RelayProcess(asio::io_context& loop, Runtime& runtime, store::ObjectStore& store,
+                           const CatalogCodec& codec, const EngineDialect& dialect,
+                           const RelaySettings& settings, const RelayAddresses& addresses)
+    : impl_(std::make_unique<Impl>(loop, runtime, store, codec, dialect, settings, addresses)) {}
+
+RelayProcess::~RelayProcess() = default;
+
+void RelayProcess::reload(const RelaySettings& settings) {
+  impl_->reload(settings);
+}
+
+void RelayProcess::stop(std::function<void()> on_stopped) {
+  impl_->stop(std::move(on_stopped));
+}
+
+}  // namespace shuntbank::relay
--- /dev/null
+++ b/src/relay/relay_session.cpp
@@ -0,0 +1,537 @@
+#include "relay/relay_session.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "common/log.hpp"
+#include "net/http_status.hpp"
+
+namespace shuntbank::relay {
+namespace {
+
+/// Answers that are collected whole are bounded by this, in bytes.
+constexpr std::size_t kMaxWholeAnswer = 8UL << 20U;
+
+/// Bytes that wait for a slow caller before its engine is held up.
+constexpr std::size_t kHighWater = 256UL << 10U;
+
+/// Time below which another engine cannot answer any more.
+constexpr Duration kLeastUsefulTime = std::chrono::milliseconds(20);
+
+constexpr Duration kReleaseTimeout = std::chrono::seconds(1);
+
+/// Fields that concern one connection only (RFC 9110, 7.6.1), and framing that each hop sets itself.
+constexpr std::string_view kHopFields[] = {
+    "Connection", "Keep-Alive",        "Proxy-Connection", "TE",    "Trailer",
+    "Upgrade",    "Transfer-Encoding", "Content-Length",   "Expect"};
+
+HttpHeaders without_hop_fields(HttpHeaders headers) {
+  std::string named(headers.get("Connection"));
+  while (!named.empty()) {
+    const std::size_t comma = std::min(named.find(','), named.size());
+    std::string name = named.substr(0, comma);
+    named.erase(0, comma + 1);
+    name.erase(0, name.find_first_not_of(' ') == std::string::npos ? name.size()
+                                                                  : name.find_first_not_of(' '));
+    while (!name.empty() && name.back() == ' ') name.pop_back();
+    if (!name.empty()) headers.remove(name);
+  }
+  for (const std::string_view name : kHopFields) headers.remove(name);
+  return headers;
+}
+
+std::int64_t to_milliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+std::optional<std::int64_t> whole_number(std::string_view text) {
+  std::int64_t value = 0;
+  const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) return std::nullopt;
+  return value;
+}
+
+bool is_success(int status) {
+  return status >= 200 && status < 300;
+}
+
+std::string seconds_text(Duration duration) {
+  std::string text = std::to_string(to_seconds(duration));
+  return text.substr(0, text.find('.') + 3);
+}
+
+}  // namespace
+
+RetryBudget& RelayContext::budget_of(const ServiceName& service) {
+  return budgets.try_emplace(service, RetryBudget(settings.retry_budget)).first->second;
+}
+
+RelaySession::RelaySession(RelayContext& context, std::shared_ptr<const RouteTable> table,
+                           const Route& route, ServiceName service, HttpRequest request,
+                           std::shared_ptr<ConnectionResponder> responder, EndHandler on_end)
+    : context_(context),
+      table_(std::move(table)),
+      route_(route),
+      service_name_(std::move(service)),
+      service_(table_->find_service(service_name_)),
+      request_(std::move(request)),
+      responder_(std::move(responder)),
+      on_end_(std::move(on_end)) {}
+
+void RelaySession::start() {
+  arrived_ = context_.runtime.now();
+  responder_->on_closed([weak = weak_from_this()] {
+    if (const auto self = weak.lock()) self->caller_gone();
+  });
+  if (!read_fields()) return;
+  context_.budget_of(service_name_).on_request(arrived_);
+  timer_ = context_.runtime.after(expires_ - arrived_, [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) self->on_timeout();
+  });
+  dispatch();
+}
+
+bool RelaySession::read_fields() {
+  const HeaderNames& names = context_.dialect.names();
+  const bool one_id = request_.headers.count(names.request_id) == 1;
+  id_ = std::string(request_.headers.get(names.request_id));
+  if (!one_id || id_.empty() || request_.headers.count(names.deadline_ms) > 1) {
+    respond(http_status::kBadRequest, {}, "one request id is needed, and one deadline at most\n",
+            "bad_request");
+    return false;
+  }
+  expires_ = arrived_ + route_.timeout;
+  const auto deadline = whole_number(request_.headers.get(names.deadline_ms));
+  if (deadline) {
+    expires_ = std::min(expires_, arrived_ + Duration(std::chrono::milliseconds(*deadline)));
+  }
+  if (service_ != nullptr && service_->model) prompt_ = context_.dialect.prompt(request_.headers);
+  for (const std::string& name : names.from_callers_removed) request_.headers.remove(name);
+  request_.headers = without_hop_fields(std::move(request_.headers));
+  request_.headers.remove(names.deadline_ms);
+  const auto resumed = whole_number(request_.headers.get(names.last_event_id));
+  if (resumed && *resumed >= 0) last_event_ = static_cast<std::uint64_t>(*resumed);
+  return true;
+}
+
+Duration RelaySession::time_left() const {
+  return expires_ - context_.runtime.now();
+}
+
+std::uint32_t RelaySession::connections_per_engine() const {
+  if (service_ == nullptr || service_->max_connections == 0) return 0;
+  const double part = service_->max_connections / context_.settings.expected_nodes;
+  return std::max(1U, static_cast<std::uint32_t>(part));
+}
+
+std::optional<Placement> RelaySession::place_at(EngineStage stage) const {
+  PlacementQuery query;
+  query.service = service_;
+  query.prompt = prompt_ ? &*prompt_ : nullptr;
+  query.stage = stage;
+  query.zone = context_.settings.zone;
+  query.avoid = &met_;
+  query.max_connections_here = connections_per_engine();
+  return place(context_.runtime.now(), context_.engines, query, context_.settings.placement);
+}
+
+double RelaySession::prefill_path_cost(const Placement& prefill, const Placement& decode) const {
+  const ModelServing& model = *service_->model;
+  const double bits = static_cast<double>(prompt_->prompt_tokens * model.kv_token_bytes) * 8;
+  const double link = std::max(1.0, model.link_megabits_per_second * 1000);  // Bits in a millisecond.
+  const EngineView* engine = context_.engines.find(decode.engine);
+  const double there = engine->requests_there(context_.runtime.now());
+  return prefill.cost_ms + context_.settings.prefill.setup_ms + bits / link +
+         there * context_.settings.placement.request_cost_ms;
+}
+
+/// Chooses where the request goes: the engine for the answer, and one that reads the prompt first
+/// where that is quicker. @return false when no engine can be chosen.
+bool RelaySession::choose() {
+  decode_choice_.reset();
+  if (service_ == nullptr) return false;
+  if (!service_->model) {
+    const auto plain = place_at(EngineStage::kNone);
+    if (!plain) return false;
+    log_attempt("engine_chosen", "plain");
+    send(plain->engine, Step::kPlain);
+    return true;
+  }
+  const auto decode = place_at(EngineStage::kDecode);
+  if (!decode) return false;
+  const PrefillSettings& tunables = context_.settings.prefill;
+  if (prompt_ && decode->unread_tokens >= tunables.least_unread_tokens) {
+    const auto prefill = place_at(EngineStage::kPrefill);
+    const double direct = decode->cost_ms * tunables.direct_penalty;
+    if (prefill && prefill_path_cost(*prefill, *decode) < direct) {
+      decode_choice_ = decode;
+      unread_ = prefill->unread_tokens;
+      send(prefill->engine, Step::kPrefill);
+      return true;
+    }
+  }
+  unread_ = decode->unread_tokens;
+  send(decode->engine, Step::kPlain);
+  return true;
+}
+
+void RelaySession::dispatch() {
+  if (time_left() < kLeastUsefulTime) return on_timeout();
+  if (choose()) return;
+  if (failure_answer_ || history_.head_forwarded || !may_promise_not_run(history_)) {
+    return fail(http_status::kBadGateway, "no other engine");
+  }
+  refuse("no engine");
+}
+
+OutgoingRequest RelaySession::outgoing(const EngineRecord& record, Step step) const {
+  const HeaderNames& names = context_.dialect.names();
+  OutgoingRequest outgoing;
+  outgoing.method = request_.method;
+  outgoing.url = "http://" + record.address + request_.target;
+  outgoing.headers = request_.headers;
+  outgoing.headers.add(names.deadline_ms, std::to_string(std::max<std::int64_t>(
+                                              1, to_milliseconds(time_left()))));
+  outgoing.headers.add(names.expected_engine, record.id.value());
+  if (prompt_) {
+    outgoing.headers.add(names.urgency, std::to_string(std::clamp(route_.priority, 0, 9)));
+  }
+  if (step == Step::kPrefill) {
+    outgoing.headers.add(names.stage, context_.dialect.prefill_stage());
+  }
+  if (step == Step::kDecodeFromHandle) {
+    outgoing.headers.add(names.prompt_source,
+                         context_.dialect.prompt_source(handle_address_, handle_));
+  }
+  if (!last_event_text_.empty()) {
+    outgoing.headers.remove(names.last_event_id);
+    outgoing.headers.add(names.last_event_id, last_event_text_);
+  }
+  outgoing.body = request_.body;
+  outgoing.connect_timeout = std::min(context_.settings.connect_timeout, time_left());
+  outgoing.belongs = [weak = weak_from_this()](int, const HttpHeaders& headers) {
+    const auto self = weak.lock();
+    return !self || self->belongs(headers);
+  };
+  return outgoing;
+}
+
+void RelaySession::send(const EngineId& engine, Step step) {
+  const EngineView* view = context_.engines.find(engine);
+  step_ = step;
+  engine_ = engine;
+  status_ = 0;
+  headers_ = HttpHeaders();
+  refused_ = false;
+  streaming_ = false;
+  collected_.clear();
+  overflow_ = false;
+  broken_ = false;
+  cutter_.clear();
+  unread_released_ = false;
+  engine_held_ = true;
+  sent_at_ = context_.runtime.now();
+  if (step == Step::kDecodeFromHandle) unread_ = 0;
+  context_.engines.on_sent(engine, unread_);
+  context_.metrics.count_attempt(service_name_.value(),
+                                 step == Step::kPrefill ? "prefill" : "answer");
+  log_attempt("dispatched", "");
+  const auto self = shared_from_this();
+  TransferHandlers handlers;
+  handlers.on_headers = [self](int status, const HttpHeaders& headers) {
+    self->on_headers(status, headers);
+  };
+  handlers.on_data = [self](std::string_view piece) { return self->on_data(piece); };
+  handlers.on_done = [self](const auto& result) { self->on_done(result); };
+  transfer_ = context_.http.start(outgoing(view->record, step), std::move(handlers));
+}
+
+bool RelaySession::belongs(const HttpHeaders& headers) const {
+  const std::string_view echoed = headers.get(context_.dialect.names().request_id);
+  return echoed.empty() || echoed == id_;
+}
+
+void RelaySession::on_headers(int status, const HttpHeaders& headers) {
+  status_ = status;
+  headers_ = headers;
+  const MonotonicTime now = context_.runtime.now();
+  if (const auto load = context_.dialect.load(headers)) {
+    context_.engines.on_load(now, engine_, *load);
+  }
+  refused_ = context_.dialect.refused(status, headers);
+  const HeaderNames& names = context_.dialect.names();
+  const bool echoed = headers.get(names.request_id) == id_;
+  if (!echoed && !refused_) broken_ = true;
+  if (step_ == Step::kPrefill) return;
+  if (is_success(status) && headers.get(names.seal).empty()) broken_ = true;
+  streaming_ = !broken_ && route_.kind == RouteKind::kStream && is_success(status);
+}
+
+bool RelaySession::on_data(std::string_view piece) {
+  if (!streaming_) {
+    overflow_ = overflow_ || collected_.size() + piece.size() > kMaxWholeAnswer;
+    if (!overflow_) collected_ += piece;
+    return true;
+  }
+  if (responder_->pending_bytes() > kHighWater) {
+    responder_->on_drained([weak = weak_from_this()] {
+      const auto self = weak.lock();
+      if (self && self->transfer_) self->context_.http.resume(*self->transfer_);
+    });
+    return false;
+  }
+  const bool usable = cutter_.feed(piece, [this](const RawEvent& event) { on_event(event); });
+  broken_ = broken_ || !usable;
+  return true;
+}
+
+void RelaySession::on_event(const RawEvent& event) {
+  if (broken_ || ended_) return;
+  if (!unread_released_) {
+    unread_released_ = true;
+    context_.engines.on_read(engine_, unread_);
+    EngineView* view = context_.engines.find(engine_);
+    if (view != nullptr && prompt_) {
+      view->cache.on_read(*prompt_, service_->model->kv_tokens, context_.runtime.now());
+    }
+  }
+  if (event.id) {
+    if (last_event_ && *event.id <= *last_event_) {
+      // Taken up behind the last event, a stream must not come before it.
+      broken_ = true;
+      return;
+    }
+    last_event_ = event.id;
+    last_event_text_ = std::string(event.id_text);
+  }
+  if (!history_.head_forwarded) {
+    begin_stream();
+    context_.metrics.observe_first_event(service_name_.value(), context_.runtime.now() - arrived_);
+  }
+  ++events_;
+  responder_->write(event.bytes);
+}
+
+void RelaySession::begin_stream() {
+  history_.head_forwarded = true;
+  responder_->begin_stream(status_, forwarded_answer_fields());
+}
+
+HttpHeaders RelaySession::forwarded_answer_fields() const {
+  HttpHeaders fields = without_hop_fields(headers_);
+  for (const std::string& name : context_.dialect.names().from_engines_removed) fields.remove(name);
+  return fields;
+}
+
+void RelaySession::on_done(const tl::expected<void, TransferError>& result) {
+  if (ended_) return;
+  transfer_.reset();
+  release_engine();
+  if (!result) {
+    const bool not_sent = result.error().failure == TransferFailure::kNothingSent;
+    context_.engines.on_health(context_.runtime.now(), engine_,
+                               not_sent ? AttemptHealth::kUnreachable : AttemptHealth::kFailed);
+    return attempt_failed(not_sent ? AttemptOutcome::kNotSent : AttemptOutcome::kUncertain,
+                          result.error().message);
+  }
+  if (refused_) {
+    context_.engines.on_health(context_.runtime.now(), engine_, AttemptHealth::kBusy);
+    return attempt_failed(AttemptOutcome::kRefused, "status " + std::to_string(status_));
+  }
+  if (broken_ || overflow_) {
+    context_.engines.on_health(context_.runtime.now(), engine_, AttemptHealth::kFailed);
+    return attempt_failed(AttemptOutcome::kUncertain, "the answer cannot be trusted");
+  }
+  if (step_ == Step::kPrefill) return on_prefill_answer();
+  if (streaming_) return on_stream_end();
+  on_whole_answer();
+}
+
+void RelaySession::on_prefill_answer() {
+  const auto handle = context_.dialect.prefill_answer(collected_);
+  if (!is_success(status_) || !handle) {
+    context_.engines.on_health(context_.runtime.now(), engine_, AttemptHealth::kFailed);
+    return attempt_failed(AttemptOutcome::kUncertain, "the prompt was not read");
+  }
+  context_.engines.on_health(context_.runtime.now(), engine_, AttemptHealth::kGood);
+  EngineView* view = context_.engines.find(engine_);
+  if (view != nullptr) {
+    view->cache.on_read(*prompt_, service_->model->kv_tokens, context_.runtime.now());
+    handle_address_ = view->record.address;
+    handle_ = handle->handle;
+  }
+  const auto decode = place_at(EngineStage::kDecode);
+  if (!decode) return dispatch();
+  if (handle_.empty()) {
+    unread_ = decode->unread_tokens;
+    return send(decode->engine, Step::kPlain);
+  }
+  send(decode->engine, Step::kDecodeFromHandle);
+}
+
+void RelaySession::on_stream_end() {
+  if (cutter_.has_partial()) {
+    context_.engines.on_health(context_.runtime.now(), engine_, AttemptHealth::kFailed);
+    return attempt_failed(AttemptOutcome::kUncertain, "the stream ended inside an event");
+  }
+  context_.engines.on_health(context_.runtime.now(), engine_, AttemptHealth::kGood);
+  handle_.clear();
+  if (!history_.head_forwarded) begin_stream();
+  responder_->finish();
+  end("answered");
+}
+
+void RelaySession::on_whole_answer() {
+  const MonotonicTime now = context_.runtime.now();
+  const bool own_failure = status_ >= http_status::kInternalError;
+  context_.engines.on_health(now, engine_,
+                             own_failure ? AttemptHealth::kFailed : AttemptHealth::kGood);
+  context_.engines.on_latency(engine_, now - sent_at_);
+  if (own_failure && (route_.idempotent() || history_.head_forwarded)) {
+    keep_failure_answer();
+    return attempt_failed(AttemptOutcome::kUncertain, "status " + std::to_string(status_));
+  }
+  respond(status_, forwarded_answer_fields(), std::move(collected_), "answered");
+}
+
+void RelaySession::keep_failure_answer() {
+  if (history_.head_forwarded) return;
+  failure_answer_ = HttpReply{status_, forwarded_answer_fields(), std::move(collected_)};
+}
+
+bool RelaySession::may_spend() {
+  return context_.budget_of(service_name_).try_spend(context_.runtime.now());
+}
+
+void RelaySession::attempt_failed(AttemptOutcome outcome, const std::string& why) {
+  context_.metrics.count_failure(service_name_.value(),
+                                 outcome == AttemptOutcome::kNotSent   ? "not_sent"
+                                 : outcome == AttemptOutcome::kRefused ? "refused"
+                                                                       : "uncertain");
+  log_attempt("attempt_failed", why);
+  const bool only_read = step_ == Step::kPrefill;
+  if (outcome != AttemptOutcome::kNotSent) ++history_.sends;
+  // A prompt that was only read has not run.
+  if (outcome == AttemptOutcome::kUncertain && !only_read) ++history_.may_have_run;
+  // A refusal of a handle does not speak against the engine, which may still read the prompt itself.
+  if (step_ == Step::kDecodeFromHandle) {
+    handle_.clear();
+    if (outcome != AttemptOutcome::kRefused) met_.push_back(engine_);
+  } else {
+    met_.push_back(engine_);
+  }
+  const AttemptVerdict verdict = after_failure(route_, history_);
+  const bool counted = outcome != AttemptOutcome::kNotSent;
+  if (verdict == AttemptVerdict::kTryElsewhere && (!counted || may_spend())) return dispatch();
+  if (may_promise_not_run(history_) && !history_.head_forwarded) return refuse(why);
+  fail(http_status::kBadGateway, why);
+}
+
+void RelaySession::refuse(const std::string& why) {
+  HttpHeaders headers;
+  headers.add(context_.dialect.names().retry_after, seconds_text(context_.settings.retry_after));
+  log_attempt("refused", why);
+  respond(http_status::kServiceUnavailable, headers, "", "refused");
+}
+
+void RelaySession::fail(int status, const std::string& why) {
+  log_attempt("failed", why);
+  if (history_.head_forwarded) {
+    responder_->abort();
+    return end("broken_off");
+  }
+  if (failure_answer_) {
+    HttpReply reply = std::move(*failure_answer_);
+    return respond(reply.status, reply.headers, std::move(reply.body), "engine_failure");
+  }
+  respond(status, {}, "", "failed");
+}
+
+void RelaySession::on_timeout() {
+  if (ended_) return;
+  const bool may_run = transfer_.has_value() && step_ != Step::kPrefill;
+  drop_transfer();
+  if (!may_run && may_promise_not_run(history_) && !history_.head_forwarded) {
+    return refuse("out of time");
+  }
+  fail(http_status::kGatewayTimeout, "out of time");
+}
+
+void RelaySession::give_up() {
+  on_timeout();
+}
+
+void RelaySession::caller_gone() {
+  if (ended_) return;
+  drop_transfer();
+  end("caller_gone");
+}
+
+void RelaySession::drop_transfer() {
+  if (!transfer_) return;
+  context_.http.cancel(*transfer_);
+  transfer_.reset();
+  release_engine();
+}
+
+void RelaySession::release_engine() {
+  if (!std::exchange(engine_held_, false)) return;
+  context_.engines.on_ended(engine_);
+  if (!unread_released_) context_.engines.on_read(engine_, unread_);
+  unread_released_ = true;
+}
+
+void RelaySession::release_handle() {
+  if (handle_.empty()) return;
+  OutgoingRequest call = context_.dialect.release_handle(handle_address_, handle_);
+  call.total_timeout = kReleaseTimeout;
+  context_.http.fetch(std::move(call), [](const auto&) {});
+  handle_.clear();
+}
+
+void RelaySession::respond(int status, const HttpHeaders& headers, std::string body,
+                           const std::string& result) {
+  HttpReply reply{status, headers, std::move(body)};
+  const std::string& id_field = context_.dialect.names().request_id;
+  if (!id_.empty() && reply.headers.count(id_field) == 0) reply.headers.add(id_field, id_);
+  responder_->respond(std::move(reply));
+  status_ = status;
+  end(result);
+}
+
+void RelaySession::end(const std::string& result) {
+  if (std::exchange(ended_, true)) return;
+  timer_.reset();
+  release_engine();
+  release_handle();
+  const MonotonicTime now = context_.runtime.now();
+  context_.metrics.count_request(service_name_.value(), result, now - arrived_);
+  log_event(LogArea::kCallers, LogLevel::kInfo, "request_ended",
+            {{"request", id_},
+             {"result", result},
+             {"status", status_},
+             {"route", route_.name},
+             {"config", table_->version()},
+             {"engine", engine_.value()},
+             {"events", events_},
+             {"sends", history_.sends},
+             {"took_ms", to_milliseconds(now - arrived_)}});
+  const auto handler = std::exchange(on_end_, nullptr);
+  if (handler) handler();
+}
+
+void RelaySession::log_attempt(const char* event, const std::string& why) const {
+  const EngineView* view = context_.engines.find(engine_);
+  log_event(LogArea::kCallers, LogLevel::kInfo, event,
+            {{"request", id_},
+             {"engine", engine_.value()},
+             {"service", service_name_.value()},
+             {"step", step_ == Step::kPrefill ? "prefill" : step_ == Step::kPlain ? "whole" : "decode"},
+             {"why", why},
+             {"unread", unread_},
+             {"in_flight", view == nullptr ? 0 : view->in_flight},
+             {"age_ms", to_milliseconds(context_.runtime.now() - arrived_)}});
+}
+
+}  // namespace shuntbank::relay
--- /dev/null
+++ b/src/relay/relay_session.hpp
@@ -0,0 +1,150 @@
+/// @file
+/// One relayed request, from its arrival to its final answer.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "common/runtime.hpp"
+#include "core/relay/attempt_outcome.hpp"
+#include "core/relay/engine_directory.hpp"
+#include "core/relay/placement.hpp"
+#include "core/relay/retry_budget.hpp"
+#include "core/relay/routes.hpp"
+#include "net/http1_server.hpp"
+#include "relay/engine_dialect.hpp"
+#include "relay/event_cutter.hpp"
+#include "relay/relay_metrics.hpp"
+#include "relay/relay_settings.hpp"
+
+namespace shuntbank::relay {
+
+/// What sessions share. All of it outlives them.
+struct RelayContext {
+  Runtime& runtime;
+  HttpClient& http;
+  const EngineDialect& dialect;
+  const RelaySettings& settings;
+  EngineDirectory& engines;
+  RelayMetrics& metrics;
+  std::unordered_map<ServiceName, RetryBudget>& budgets;
+
+  RetryBudget& budget_of(const ServiceName& service);
+};
+
+/// One relayed request. Keeps itself alive until it has ended.
+class RelaySession : public std::enable_shared_from_this<RelaySession> {
+ public:
+  using EndHandler = std::function<void()>;
+
+  /// @param table the configuration that the request is served under; kept until the end.
+  /// @param route of `table`.
+  RelaySession(RelayContext& context, std::shared_ptr<const RouteTable> table, const Route& route,
+               ServiceName service, HttpRequest request,
+               std::shared_ptr<ConnectionResponder> responder, EndHandler on_end);
+
+  /// Takes the request up. Call once.
+  void start();
+
+  /// Gives up now: the process must end.
+  void give_up();
+
+ private:
+  /// What the attempt under way is for.
+  enum class Step { kPlain, kPrefill, kDecodeFromHandle };
+
+  // Setting out.
+  bool read_fields();
+  void dispatch();
+  std::optional<Placement> place_at(EngineStage stage) const;
+  bool choose();
+  double prefill_path_cost(const Placement& prefill, const Placement& decode) const;
+  void send(const EngineId& engine, Step step);
+  OutgoingRequest outgoing(const EngineRecord& record, Step step) const;
+  Duration time_left() const;
+  std::uint32_t connections_per_engine() const;
+
+  // The engine's answer.
+  bool belongs(const HttpHeaders& headers) const;
+  void on_headers(int status, const HttpHeaders& headers);
+  bool on_data(std::string_view piece);
+  void on_event(const RawEvent& event);
+  void on_done(const tl::expected<void, TransferError>& result);
+  void on_prefill_answer();
+  void on_stream_end();
+  void on_whole_answer();
+  bool is_good_success() const;
+
+  // Failures.
+  void attempt_failed(AttemptOutcome outcome, const std::string& why);
+  void keep_failure_answer();
+  bool may_spend();
+  void refuse(const std::string& why);
+  void fail(int status, const std::string& why);
+  void on_timeout();
+  void caller_gone();
+
+  // Ends.
+  void drop_transfer();
+  void release_engine();
+  void release_handle();
+  void respond(int status, const HttpHeaders& headers, std::string body, const std::string& result);
+  HttpHeaders forwarded_answer_fields() const;
+  void begin_stream();
+  void end(const std::string& result);
+  void log_attempt(const char* event, const std::string& why) const;
+
+  RelayContext& context_;
+  std::shared_ptr<const RouteTable> table_;
+  const Route& route_;
+  ServiceName service_name_;
+  const RelayedService* service_ = nullptr;
+  HttpRequest request_;
+  std::shared_ptr<ConnectionResponder> responder_;
+  EndHandler on_end_;
+  std::string id_;
+  std::optional<PromptShape> prompt_;
+  MonotonicTime arrived_{};
+  MonotonicTime expires_{};
+  std::unique_ptr<Timer> timer_;
+
+  AttemptHistory history_;
+  std::vector<EngineId> met_;  ///< Engines that failed or refused this request.
+  bool first_prefill_taken_ = false;
+
+  // The attempt under way.
+  Step step_ = Step::kPlain;
+  EngineId engine_;
+  std::uint64_t unread_ = 0;
+  bool unread_released_ = false;
+  bool engine_held_ = false;
+  std::optional<TransferId> transfer_;
+  MonotonicTime sent_at_{};
+  int status_ = 0;
+  HttpHeaders headers_;
+  bool refused_ = false;
+  bool streaming_ = false;  ///< The answer of this attempt is passed on event by event.
+  std::string collected_;
+  bool overflow_ = false;
+  bool broken_ = false;
+  EventCutter cutter_;
+
+  // Planned for the next sends.
+  std::optional<Placement> decode_choice_;
+  std::string handle_;          ///< Of the prompt read ahead, not yet taken.
+  std::string handle_address_;  ///< Engine that holds it.
+
+  // The stream to the caller.
+  std::optional<std::uint64_t> last_event_;
+  std::string last_event_text_;
+  std::uint64_t events_ = 0;
+
+  std::optional<HttpReply> failure_answer_;  ///< An engine's own failure, kept while trying on.
+  bool ended_ = false;
+};
+
+}  // namespace shuntbank::relay
--- /dev/null
+++ b/src/relay/relay_settings.hpp
@@ -0,0 +1,35 @@
+/// @file
+/// Settings and tunables of a relay node, in one place.
+#pragma once
+
+#include <string>
+
+#include "common/identifiers.hpp"
+#include "common/time.hpp"
+#include "core/relay/placement.hpp"
+#include "core/relay/retry_budget.hpp"
+
+namespace shuntbank::relay {
+
+/// When reading a prompt at an engine of its own pays.
+struct PrefillSettings {
+  std::uint64_t least_unread_tokens = 600;  ///< Shorter prompts are read where tokens are made.
+  double direct_penalty = 1.3;  ///< Reading between the tokens of others slows these as well.
+  double setup_ms = 8;          ///< Of moving a prompt, apart from its bytes.
+};
+
+/// Settings of one node.
+struct RelaySettings {
+  std::string node;
+  ZoneName zone;
+  PlacementSettings placement;
+  PrefillSettings prefill;
+  RetryBudgetSettings retry_budget;
+  double expected_nodes = 7;  ///< For this node's part of an engine's bound on connections.
+  Duration connect_timeout = std::chrono::milliseconds(600);
+  Duration retry_after = std::chrono::milliseconds(250);  ///< Told with a refusal.
+  Duration stop_grace = std::chrono::seconds(8);       ///< From the signal to the end.
+  Duration stop_listening_after = std::chrono::seconds(4);
+};
+
+}  // namespace shuntbank::relay
