Keep the retry budget of all machines, and stop taking requests in time

Change: each send beyond the first answer and the first prompt is charged, so is each refused prompt; prompts are read apart only while 3 extra sends are left; listening ends 2.6 s after the signal.

--- a/src/core/relay/attempt_outcome.hpp
+++ b/src/core/relay/attempt_outcome.hpp
@@ -20,8 +20,16 @@
   std::uint32_t sends = 0;        ///< Attempts of which a byte may have left.
   std::uint32_t may_have_run = 0; ///< Attempts that ended uncertain or with an engine's own failure.
   bool head_forwarded = false;    ///< The caller has the head of a stream.
+  bool prompt_sent = false;       ///< The prompt was sent to be read apart, once.
+  bool answer_sent = false;       ///< The request was sent to be answered, once.
 };
 
+/// @return whether sending now counts as an extra dispatch: the first send for an answer is the
+/// request itself, and the first for reading its prompt apart belongs to it.
+inline bool is_extra_send(const AttemptHistory& history, bool only_read) {
+  return only_read ? history.prompt_sent : history.answer_sent;
+}
+
 /// What happens next.
 enum class AttemptVerdict {
   kTryElsewhere,     ///< Another engine may get it.
--- a/src/core/relay/retry_budget.cpp
+++ b/src/core/relay/retry_budget.cpp
@@ -21,9 +21,13 @@
          static_cast<double>(spent_.size());
 }
 
+void RetryBudget::charge(MonotonicTime now) {
+  spent_.push_back(now);
+}
+
 bool RetryBudget::try_spend(MonotonicTime now) {
   if (available(now) < 1) return false;
-  spent_.push_back(now);
+  charge(now);
   return true;
 }
 
--- a/src/core/relay/retry_budget.hpp
+++ b/src/core/relay/retry_budget.hpp
@@ -30,6 +30,9 @@
   /// Asks for one extra dispatch. @return whether it may happen; then it is counted.
   bool try_spend(MonotonicTime now);
 
+  /// Counts an extra dispatch that has happened, whether or not the budget had room for it.
+  void charge(MonotonicTime now);
+
   /// @return extra dispatches that could be spent now.
   double available(MonotonicTime now);
 
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -161,7 +161,10 @@
   const auto decode = place_at(EngineStage::kDecode);
   if (!decode) return false;
   const PrefillSettings& tunables = context_.settings.prefill;
-  if (prompt_ && decode->unread_tokens >= tunables.least_unread_tokens) {
+  const bool may_read_apart = prompt_ && !history_.prompt_sent &&
+                              decode->unread_tokens >= tunables.least_unread_tokens &&
+                              budget_left() >= tunables.least_budget;
+  if (may_read_apart) {
     const auto prefill = place_at(EngineStage::kPrefill);
     const double direct = decode->cost_ms * tunables.direct_penalty;
     if (prefill && prefill_path_cost(*prefill, *decode) < direct) {
@@ -233,6 +236,7 @@
   engine_held_ = true;
   sent_at_ = context_.runtime.now();
   if (step == Step::kDecodeFromHandle) unread_ = 0;
+  count_send(step == Step::kPrefill);
   context_.engines.on_sent(engine, unread_);
   context_.metrics.count_attempt(service_name_.value(),
                                  step == Step::kPrefill ? "prefill" : "answer");
@@ -400,8 +404,21 @@
   failure_answer_ = HttpReply{status_, forwarded_answer_fields(), std::move(collected_)};
 }
 
-bool RelaySession::may_spend() {
-  return context_.budget_of(service_name_).try_spend(context_.runtime.now());
+/// Another send is an extra dispatch once the request has been sent for its answer. Where only its
+/// prompt was read, the next send is its first.
+bool RelaySession::may_send_again() {
+  return !is_extra_send(history_, false) || budget_left() >= 1;
+}
+
+double RelaySession::budget_left() const {
+  return context_.budget_of(service_name_).available(context_.runtime.now());
+}
+
+void RelaySession::count_send(bool only_read) {
+  if (is_extra_send(history_, only_read)) {
+    context_.budget_of(service_name_).charge(context_.runtime.now());
+  }
+  (only_read ? history_.prompt_sent : history_.answer_sent) = true;
 }
 
 void RelaySession::attempt_failed(AttemptOutcome outcome, const std::string& why) {
@@ -423,7 +440,9 @@
   }
   const AttemptVerdict verdict = after_failure(route_, history_);
   const bool counted = outcome != AttemptOutcome::kNotSent;
-  if (verdict == AttemptVerdict::kTryElsewhere && (!counted || may_spend())) return dispatch();
+  // The first prompt read apart belongs to the request only when an engine took it up.
+  if (only_read && counted) context_.budget_of(service_name_).charge(context_.runtime.now());
+  if (verdict == AttemptVerdict::kTryElsewhere && may_send_again()) return dispatch();
   if (may_promise_not_run(history_) && !history_.head_forwarded) return refuse(why);
   fail(http_status::kBadGateway, why);
 }
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -82,7 +82,9 @@
   // Failures.
   void attempt_failed(AttemptOutcome outcome, const std::string& why);
   void keep_failure_answer();
-  bool may_spend();
+  bool may_send_again();
+  double budget_left() const;
+  void count_send(bool only_read);
   void refuse(const std::string& why);
   void fail(int status, const std::string& why);
   void on_timeout();
@@ -114,7 +116,6 @@
 
   AttemptHistory history_;
   std::vector<EngineId> met_;  ///< Engines that failed or refused this request.
-  bool first_prefill_taken_ = false;
 
   // The attempt under way.
   Step step_ = Step::kPlain;
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -15,6 +15,7 @@
 struct PrefillSettings {
   std::uint64_t least_unread_tokens = 600;  ///< Shorter prompts are read where tokens are made.
   double direct_penalty = 1.3;  ///< Reading between the tokens of others slows these as well.
+  double least_budget = 3;  ///< Of the retry budget: a prompt that is refused counts against it.
   double setup_ms = 8;          ///< Of moving a prompt, apart from its bytes.
 };
 
@@ -29,7 +30,9 @@
   Duration connect_timeout = std::chrono::milliseconds(600);
   Duration retry_after = std::chrono::milliseconds(250);  ///< Told with a refusal.
   Duration stop_grace = std::chrono::seconds(8);       ///< From the signal to the end.
-  Duration stop_listening_after = std::chrono::seconds(4);
+  /// New callers have found other nodes by then: readiness is asked each second, and two misses
+  /// count. A request taken later could outlast the grace.
+  Duration stop_listening_after = std::chrono::milliseconds(2600);
 };
 
 }  // namespace shuntbank::relay
