Weigh other nodes' prompts at a prefill engine by their usual unread tokens

Cause: each request of others counted 6 ms, while a prompt waits for 2,000 tokens or more to be read. Change: others there (from the load on answers, fading over 2 s) times the moving average of unread tokens.

--- a/src/core/relay/engine_directory.cpp
+++ b/src/core/relay/engine_directory.cpp
@@ -80,13 +80,11 @@
   tokens_ = 0;
 }
 
-double EngineView::requests_there(MonotonicTime now) const {
-  const double own = in_flight;
-  if (!load || now - load_at > kReportLife) return own;
+double EngineView::others_there(MonotonicTime now) const {
+  if (!load || now - load_at > kReportLife) return 0;
   const double reported = load->running + load->waiting;
   const double others = std::max(0.0, reported - static_cast<double>(in_flight_at_report));
-  const double freshness = 1.0 - to_seconds(now - load_at) / to_seconds(kReportLife);
-  return own + others * freshness;
+  return others * (1.0 - to_seconds(now - load_at) / to_seconds(kReportLife));
 }
 
 std::vector<std::string> EngineDirectory::replace_all(const std::vector<EngineRecord>& records) {
@@ -179,6 +177,11 @@
   }
 }
 
+void EngineDirectory::on_prompt_sent(std::uint64_t unread) {
+  usual_unread_tokens_ +=
+      kNewestWeight * (static_cast<double>(unread) - usual_unread_tokens_);
+}
+
 void EngineDirectory::on_latency(const EngineId& id, Duration latency) {
   EngineView* engine = find(id);
   if (engine == nullptr) return;
--- a/src/core/relay/engine_directory.hpp
+++ b/src/core/relay/engine_directory.hpp
@@ -96,8 +96,11 @@
   double latency_ms = 0;                   ///< Moving average of the time to an answer; 0: unknown.
   PromptCacheView cache;
 
+  /// @return requests of other nodes that run or wait there, as far as this node can tell.
+  double others_there(MonotonicTime now) const;
+
   /// @return requests that run or wait there, as far as this node can tell.
-  double requests_there(MonotonicTime now) const;
+  double requests_there(MonotonicTime now) const { return in_flight + others_there(now); }
 };
 
 /// How an attempt ended, as far as it tells of the engine's health.
@@ -140,11 +143,18 @@
   /// Learns from the end of an attempt.
   void on_health(MonotonicTime now, const EngineId& id, AttemptHealth health);
 
+  /// @return the moving average of the tokens that a prompt read apart leaves to be read.
+  double usual_unread_tokens() const { return usual_unread_tokens_; }
+
+  /// Learns from a prompt that is sent to be read apart.
+  void on_prompt_sent(std::uint64_t unread);
+
   /// Learns the time to an answer of a plain request.
   void on_latency(const EngineId& id, Duration latency);
 
  private:
   std::map<EngineId, EngineView> engines_;
+  double usual_unread_tokens_ = 2000;
 };
 
 }  // namespace shuntbank::relay
--- a/src/core/relay/placement.cpp
+++ b/src/core/relay/placement.cpp
@@ -57,13 +57,15 @@
   return prompt.prompt_tokens - std::min(prompt.prompt_tokens, cached);
 }
 
-double model_cost(MonotonicTime now, const EngineView& engine, std::uint64_t unread,
-                  const PlacementSettings& settings) {
-  const double speed = engine.record.stage == EngineStage::kPrefill
-                           ? settings.prefill_tokens_per_ms
-                           : settings.decode_tokens_per_ms;
-  const double reading = static_cast<double>(unread + engine.unread_tokens) / speed;
-  return reading + engine.requests_there(now) * settings.request_cost_ms;
+double model_cost(MonotonicTime now, const EngineDirectory& engines, const EngineView& engine,
+                  std::uint64_t unread, const PlacementSettings& settings) {
+  const auto own = static_cast<double>(unread + engine.unread_tokens);
+  if (engine.record.stage == EngineStage::kPrefill) {
+    const double others = engine.others_there(now) * engines.usual_unread_tokens();
+    return (own + others) / settings.prefill_tokens_per_ms;
+  }
+  return own / settings.decode_tokens_per_ms +
+         engine.requests_there(now) * settings.request_cost_ms;
 }
 
 double plain_cost(MonotonicTime now, const EngineView& engine, const PlacementSettings& settings) {
@@ -86,7 +88,7 @@
     placement.candidates = sound.size();
     if (query.prompt != nullptr) {
       placement.unread_tokens = unread_tokens(*engine, *query.prompt, engine == home);
-      placement.cost_ms = model_cost(now, *engine, placement.unread_tokens, settings);
+      placement.cost_ms = model_cost(now, engines, *engine, placement.unread_tokens, settings);
     } else {
       placement.cost_ms = plain_cost(now, *engine, settings);
     }
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -238,6 +238,7 @@
   if (step == Step::kDecodeFromHandle) unread_ = 0;
   count_send(step == Step::kPrefill);
   context_.engines.on_sent(engine, unread_);
+  if (step == Step::kPrefill) context_.engines.on_prompt_sent(unread_);
   context_.metrics.count_attempt(service_name_.value(),
                                  step == Step::kPrefill ? "prefill" : "answer");
   log_attempt("dispatched", "");
