Plan engines' stages under a lease with fenced orders; learn the reading speed

Ruled out: the count in an engine's registration as the expected count: it is a heartbeat's number, each order got 409; the engine's report is asked right before an order. Change: LeaseHolder over the store port, RoleCoordinator, StagePlanner with a fixed share; an engine that refuses is avoided for 400 ms; direct reading without penalty.

--- a/src/core/relay/engine_directory.cpp
+++ b/src/core/relay/engine_directory.cpp
@@ -14,9 +14,19 @@
 constexpr Duration kFirstAvoidance = std::chrono::milliseconds(500);
 constexpr Duration kLongestAvoidance = std::chrono::seconds(4);
 
+/// An engine that refuses is full, or changes its stage, for a while.
+constexpr Duration kBusyAvoidance = std::chrono::milliseconds(400);
+
 /// An engine that cannot be reached is avoided at once.
 constexpr Duration kUnreachableAvoidance = std::chrono::seconds(1);
 
+/// Bounds on what is measured of an engine's reading, in tokens and tokens a millisecond.
+constexpr std::uint64_t kLeastMeasuredTokens = 1000;
+constexpr double kSlowestReading = 5;
+constexpr double kFastestReading = 1000;
+constexpr double kSpeedRise = 0.2;
+constexpr double kSpeedFall = 0.05;
+
 /// Weight of the newest attempt in the moving averages.
 constexpr double kNewestWeight = 0.15;
 
@@ -167,6 +177,7 @@
   const bool failed = health == AttemptHealth::kFailed || health == AttemptHealth::kUnreachable;
   engine->failure_share += kNewestWeight * ((failed ? 1.0 : 0.0) - engine->failure_share);
   if (health == AttemptHealth::kGood) engine->failures_in_a_row = 0;
+  if (health == AttemptHealth::kBusy) engine->avoided_until = now + kBusyAvoidance;
   if (!failed) return;
   ++engine->failures_in_a_row;
   if (health == AttemptHealth::kUnreachable) {
@@ -182,6 +193,15 @@
       kNewestWeight * (static_cast<double>(unread) - usual_unread_tokens_);
 }
 
+void EngineDirectory::on_prompt_read(std::uint64_t unread, Duration took) {
+  if (unread < kLeastMeasuredTokens || took <= Duration::zero()) return;
+  const double speed = static_cast<double>(unread) / (to_seconds(took) * 1000);
+  // A queue that this node cannot see makes a reading too slow, never too fast; so the estimate
+  // rises quickly and falls slowly.
+  const double weight = speed > reading_speed_ ? kSpeedRise : kSpeedFall;
+  reading_speed_ += weight * (std::clamp(speed, kSlowestReading, kFastestReading) - reading_speed_);
+}
+
 void EngineDirectory::on_latency(const EngineId& id, Duration latency) {
   EngineView* engine = find(id);
   if (engine == nullptr) return;
--- a/src/core/relay/engine_directory.hpp
+++ b/src/core/relay/engine_directory.hpp
@@ -34,7 +34,6 @@
   std::uint32_t slots = 1;
   bool draining = false;
   EngineStage stage = EngineStage::kNone;
-  std::uint64_t orders_taken = 0;  ///< Count of orders that the engine has taken since its start.
 };
 
 /// A part of a prompt that requests may share.
@@ -149,12 +148,19 @@
   /// Learns from a prompt that is sent to be read apart.
   void on_prompt_sent(std::uint64_t unread);
 
+  /// Learns how fast an idle prefill engine reads. @param unread tokens that it had to read.
+  void on_prompt_read(std::uint64_t unread, Duration took);
+
+  /// @return tokens that a prefill engine reads in a millisecond.
+  double reading_speed() const { return reading_speed_; }
+
   /// Learns the time to an answer of a plain request.
   void on_latency(const EngineId& id, Duration latency);
 
  private:
   std::map<EngineId, EngineView> engines_;
   double usual_unread_tokens_ = 2000;
+  double reading_speed_ = 40;
 };
 
 }  // namespace shuntbank::relay
--- a/src/core/relay/placement.cpp
+++ b/src/core/relay/placement.cpp
@@ -62,9 +62,9 @@
   const auto own = static_cast<double>(unread + engine.unread_tokens);
   if (engine.record.stage == EngineStage::kPrefill) {
     const double others = engine.others_there(now) * engines.usual_unread_tokens();
-    return (own + others) / settings.prefill_tokens_per_ms;
+    return (own + others) / engines.reading_speed();
   }
-  return own / settings.decode_tokens_per_ms +
+  return own / (engines.reading_speed() * settings.decode_reading_share) +
          engine.requests_there(now) * settings.request_cost_ms;
 }
 
--- a/src/core/relay/placement.hpp
+++ b/src/core/relay/placement.hpp
@@ -15,8 +15,7 @@
 
 /// Tunables of placement, in one place.
 struct PlacementSettings {
-  double prefill_tokens_per_ms = 40;  ///< Reading speed of a prefill engine.
-  double decode_tokens_per_ms = 18;   ///< Reading speed of an engine that also makes tokens.
+  double decode_reading_share = 0.45;  ///< Of a prefill engine's speed, where tokens are made too.
   double request_cost_ms = 6;         ///< Added by each request that runs or waits at a model engine.
   double other_zone_ms = 2;           ///< Added for an engine in another zone.
   double failure_cost_ms = 400;       ///< Added times the share of attempts that failed.
--- /dev/null
+++ b/src/core/relay/stage_planner.hpp
@@ -0,0 +1,55 @@
+/// @file
+/// Decides when a model engine changes its stage. Orders are priced and take the engine away for
+/// seconds, so that it orders little.
+#pragma once
+
+#include <map>
+#include <optional>
+
+#include "core/relay/engine_directory.hpp"
+#include "core/relay/routes.hpp"
+
+namespace shuntbank::relay {
+
+/// Tunables of the planner.
+struct StagePlannerSettings {
+  double prefill_share = 0.56;        ///< Of a service's engines.
+  std::uint32_t least_decode = 2;
+  Duration between_orders = std::chrono::seconds(3);
+  Duration not_again_within = std::chrono::seconds(12);  ///< For one engine.
+};
+
+/// An order to give.
+struct StageChange {
+  EngineId engine;
+  EngineStage stage = EngineStage::kDecode;
+};
+
+/// Plans the stages of one node's view of the engines.
+class StagePlanner {
+ public:
+  explicit StagePlanner(const StagePlannerSettings& settings) : settings_(settings) {}
+
+  /// @return the next order, if one pays now. It counts as given.
+  std::optional<StageChange> next(MonotonicTime now, EngineDirectory& engines,
+                                  const RouteTable& table);
+
+ private:
+  std::optional<StageChange> next_for(MonotonicTime now, EngineDirectory& engines,
+                                      const RelayedService& service);
+
+  /// An order that was given, whether or not its effect shows yet.
+  struct GivenOrder {
+    EngineStage stage = EngineStage::kDecode;
+    MonotonicTime at{};
+  };
+
+  /// @return the stage that the engine has, or will have once its order is carried out.
+  EngineStage expected_stage(MonotonicTime now, const EngineRecord& record) const;
+
+  StagePlannerSettings settings_;
+  std::optional<MonotonicTime> last_order_;
+  std::map<EngineId, GivenOrder> given_;
+};
+
+}  // namespace shuntbank::relay
--- a/src/relay/engine_dialect.hpp
+++ b/src/relay/engine_dialect.hpp
@@ -36,6 +36,13 @@
   std::uint64_t tokens = 0;
 };
 
+/// What an engine tells of itself when asked.
+struct EngineReport {
+  EngineStage stage = EngineStage::kNone;
+  std::uint64_t orders_taken = 0;
+  bool changing = false;  ///< An order is under way.
+};
+
 /// An order to an engine to change its stage.
 struct StageOrder {
   EngineId engine;
@@ -79,6 +86,12 @@
   virtual OutgoingRequest release_handle(const std::string& address,
                                          const std::string& handle) const = 0;
 
+  /// @return the call that asks an engine for its report.
+  virtual OutgoingRequest ask_report(const std::string& address, const EngineId& engine) const = 0;
+
+  /// Reads the answer to `ask_report`.
+  virtual tl::expected<EngineReport, std::string> report(const std::string& body) const = 0;
+
   /// @return the call that gives an order.
   virtual OutgoingRequest stage_order(const StageOrder& order) const = 0;
 };
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -18,8 +18,7 @@
              {"service", record.service.value()},
              {"address", record.address},
              {"stage", to_text(record.stage)},
-             {"draining", record.draining},
-             {"orders", record.orders_taken}});
+             {"draining", record.draining}});
 }
 
 }  // namespace
--- a/src/relay/relay_process.cpp
+++ b/src/relay/relay_process.cpp
@@ -10,6 +10,7 @@
 #include "net/http1_server.hpp"
 #include "net/http_status.hpp"
 #include "relay/relay_node.hpp"
+#include "relay/role_coordinator.hpp"
 
 namespace shuntbank::relay {
 namespace {
@@ -49,7 +50,9 @@
                  [this](HttpRequest request, const auto& responder) {
                    node_.handle(std::move(request), responder);
                  }),
-        catalog_(runtime, store, codec, node_) {
+        catalog_(runtime, store, codec, node_),
+        roles_({runtime, http_, dialect}, store, node_, settings.node, settings.roles,
+               settings.stages) {
     node_.on_adopted([this](const RouteTable& table) { take_limits(table); });
     node_.on_address_free([this](const std::string& address) { http_.forget_peer(address); });
     for (const std::string& address : {addresses.ready, addresses.control, addresses.metrics}) {
@@ -73,6 +76,7 @@
     stopped_ = std::move(on_stopped);
     stop_began_ = runtime_.now();
     node_.begin_stop();
+    roles_.stop();
     callers_.close_after_answers();
     log_event(LogArea::kProcess, LogLevel::kInfo, "stopping", {{"under_way", node_.under_way()}});
     stop_timer_ = std::make_unique<Periodic>(runtime_, kStopTick, [this] { stop_tick(); });
@@ -136,6 +140,7 @@
   RelayNode node_;
   Http1Server callers_;
   Catalog catalog_;
+  RoleCoordinator roles_;
   std::vector<std::unique_ptr<Http1Server>> servers_;
   bool stopping_ = false;
   bool drained_ = false;
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -237,6 +237,7 @@
   sent_at_ = context_.runtime.now();
   if (step == Step::kDecodeFromHandle) unread_ = 0;
   count_send(step == Step::kPrefill);
+  alone_when_sent_ = view->requests_there(sent_at_) < 0.5;
   context_.engines.on_sent(engine, unread_);
   if (step == Step::kPrefill) context_.engines.on_prompt_sent(unread_);
   context_.metrics.count_attempt(service_name_.value(),
@@ -314,6 +315,10 @@
     begin_stream();
     context_.metrics.observe_first_event(service_name_.value(), context_.runtime.now() - arrived_);
   }
+  const MonotonicTime now = context_.runtime.now();
+  if (events_ == 0) first_event_at_ = now;
+  if (events_ > 0) longest_gap_ = std::max(longest_gap_, now - last_event_at_);
+  last_event_at_ = now;
   ++events_;
   responder_->write(event.bytes);
 }
@@ -362,6 +367,10 @@
   context_.engines.on_health(context_.runtime.now(), engine_, AttemptHealth::kGood);
   EngineView* view = context_.engines.find(engine_);
   if (view != nullptr) {
+    const bool was_idle = alone_when_sent_ && view->in_flight == 0;
+    if (was_idle) {
+      context_.engines.on_prompt_read(unread_, context_.runtime.now() - sent_at_);
+    }
     view->cache.on_read(*prompt_, service_->model->kv_tokens, context_.runtime.now());
     handle_address_ = view->record.address;
     handle_ = handle->handle;
@@ -536,6 +545,8 @@
              {"engine", engine_.value()},
              {"events", events_},
              {"sends", history_.sends},
+             {"first_ms", events_ > 0 ? to_milliseconds(first_event_at_ - arrived_) : 0},
+             {"gap_ms", to_milliseconds(longest_gap_)},
              {"took_ms", to_milliseconds(now - arrived_)}});
   const auto handler = std::exchange(on_end_, nullptr);
   if (handler) handler();
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -123,6 +123,7 @@
   std::uint64_t unread_ = 0;
   bool unread_released_ = false;
   bool engine_held_ = false;
+  bool alone_when_sent_ = false;  ///< The engine had no other work that this node knew of.
   std::optional<TransferId> transfer_;
   MonotonicTime sent_at_{};
   int status_ = 0;
@@ -143,6 +144,9 @@
   std::optional<std::uint64_t> last_event_;
   std::string last_event_text_;
   std::uint64_t events_ = 0;
+  MonotonicTime first_event_at_{};
+  MonotonicTime last_event_at_{};
+  Duration longest_gap_{};
 
   std::optional<HttpReply> failure_answer_;  ///< An engine's own failure, kept while trying on.
   bool ended_ = false;
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -6,19 +6,32 @@
 
 #include "common/identifiers.hpp"
 #include "common/time.hpp"
+#include "core/lease/lease_holder.hpp"
 #include "core/relay/placement.hpp"
+#include "core/lease/lease_holder.hpp"
 #include "core/relay/retry_budget.hpp"
+#include "core/relay/stage_planner.hpp"
 
 namespace shuntbank::relay {
 
 /// When reading a prompt at an engine of its own pays.
 struct PrefillSettings {
   std::uint64_t least_unread_tokens = 600;  ///< Shorter prompts are read where tokens are made.
-  double direct_penalty = 1.3;  ///< Reading between the tokens of others slows these as well.
+  double direct_penalty = 1.0;  ///< Reading between the tokens of others slows these as well.
   double least_budget = 3;  ///< Of the retry budget: a prompt that is refused counts against it.
   double setup_ms = 8;          ///< Of moving a prompt, apart from its bytes.
 };
 
+/// The lease of the role planner, and the orders given under it.
+struct RoleCoordinatorSettings {
+  LeaseSettings lease{std::chrono::seconds(8), std::chrono::seconds(3), std::chrono::seconds(1)};
+  /// A new holder waits so long before its first order, so that orders of two holders never stand
+  /// closer together than this.
+  Duration settle = std::chrono::seconds(3);
+  Duration tick = std::chrono::milliseconds(500);
+  Duration order_timeout = std::chrono::milliseconds(1500);
+};
+
 /// Settings of one node.
 struct RelaySettings {
   std::string node;
@@ -26,6 +39,8 @@
   PlacementSettings placement;
   PrefillSettings prefill;
   RetryBudgetSettings retry_budget;
+  RoleCoordinatorSettings roles;
+  StagePlannerSettings stages;
   double expected_nodes = 7;  ///< For this node's part of an engine's bound on connections.
   Duration connect_timeout = std::chrono::milliseconds(600);
   Duration retry_after = std::chrono::milliseconds(250);  ///< Told with a refusal.
