--- a/src/core/relay/engine_directory.cpp
+++ b/src/core/relay/engine_directory.cpp
@@ -9,6 +9,9 @@
 /// A report older than this says nothing of the load now.
 constexpr Duration kReportLife = std::chrono::seconds(2);
 
+/// A node that was not heard of for so long has nothing under way as far as others can tell.
+constexpr Duration kPeerLife = std::chrono::milliseconds(2500);
+
 /// Failures in a row after which an engine is avoided, and for how long at first and at most.
 constexpr std::uint32_t kFailuresToAvoid = 3;
 constexpr Duration kFirstAvoidance = std::chrono::milliseconds(500);
@@ -60,9 +63,9 @@
   return cached;
 }
 
-void PromptCacheView::on_read(const PromptShape& prompt, std::uint64_t capacity,
+void PromptCacheView::on_read(const std::vector<PromptPart>& parts, std::uint64_t capacity,
                               MonotonicTime now) {
-  for (const PromptPart& part : prompt.parts) {
+  for (const PromptPart& part : parts) {
     Kept& kept = parts_[part.id];
     tokens_ += std::max(part.tokens, kept.tokens) - kept.tokens;
     kept.tokens = std::max(part.tokens, kept.tokens);
@@ -91,6 +94,7 @@
 }
 
 double EngineView::others_there(MonotonicTime now) const {
+  if (peers) return peers->in_flight;
   if (!load || now - load_at > kReportLife) return 0;
   const double reported = load->running + load->waiting;
   const double others = std::max(0.0, reported - static_cast<double>(in_flight_at_report));
@@ -145,6 +149,11 @@
   return engines;
 }
 
+void EngineDirectory::set_memory(const EngineId& id, std::uint64_t tokens) {
+  EngineView* engine = find(id);
+  if (engine != nullptr) engine->memory_tokens = tokens;
+}
+
 void EngineDirectory::on_sent(const EngineId& id, std::uint64_t unread) {
   EngineView* engine = find(id);
   if (engine == nullptr) return;
@@ -171,6 +180,42 @@
   engine->in_flight_at_report = engine->in_flight;
 }
 
+void EngineDirectory::on_peer_load(MonotonicTime now, const NodeId& peer,
+                                   std::map<EngineId, PeerLoad> load) {
+  peers_[peer] = {now, std::move(load)};
+  sum_peers();
+}
+
+void EngineDirectory::forget_silent_peers(MonotonicTime now) {
+  const auto forgotten = std::erase_if(
+      peers_, [&](const auto& entry) { return now - entry.second.heard_at > kPeerLife; });
+  if (forgotten > 0) sum_peers();
+}
+
+void EngineDirectory::sum_peers() {
+  for (auto& [id, engine] : engines_) {
+    engine.peers.reset();
+    if (peers_.empty()) continue;
+    PeerLoad sum;
+    for (const auto& [node, peer] : peers_) {
+      const auto load = peer.load.find(id);
+      if (load == peer.load.end()) continue;
+      sum.in_flight += load->second.in_flight;
+      sum.unread_tokens += load->second.unread_tokens;
+    }
+    engine.peers = sum;
+  }
+}
+
+std::map<EngineId, PeerLoad> EngineDirectory::own_load() const {
+  std::map<EngineId, PeerLoad> load;
+  for (const auto& [id, engine] : engines_) {
+    if (engine.in_flight == 0 && engine.unread_tokens == 0) continue;
+    load[id] = {engine.in_flight, engine.unread_tokens};
+  }
+  return load;
+}
+
 void EngineDirectory::on_health(MonotonicTime now, const EngineId& id, AttemptHealth health) {
   EngineView* engine = find(id);
   if (engine == nullptr) return;
--- a/src/core/relay/engine_directory.hpp
+++ b/src/core/relay/engine_directory.hpp
@@ -66,7 +66,7 @@
   std::uint64_t cached_tokens(const PromptShape& prompt) const;
 
   /// The engine has read the prompt. @param capacity of the engine's memory, in tokens.
-  void on_read(const PromptShape& prompt, std::uint64_t capacity, MonotonicTime now);
+  void on_read(const std::vector<PromptPart>& parts, std::uint64_t capacity, MonotonicTime now);
 
   void clear();
 
@@ -81,6 +81,18 @@
   std::uint64_t tokens_ = 0;
 };
 
+/// Work that another node has under way at an engine.
+struct PeerLoad {
+  std::uint32_t in_flight = 0;
+  std::uint64_t unread_tokens = 0;
+};
+
+/// A prompt that an engine has read.
+struct PromptRead {
+  EngineId engine;
+  std::vector<PromptPart> parts;
+};
+
 /// One engine as this node sees it.
 struct EngineView {
   EngineRecord record;
@@ -89,13 +101,16 @@
   std::optional<ReportedLoad> load;        ///< The last report.
   MonotonicTime load_at{};
   std::uint32_t in_flight_at_report = 0;
+  std::optional<PeerLoad> peers;  ///< Sum over the other nodes; unset while none is heard.
   std::uint32_t failures_in_a_row = 0;
   MonotonicTime avoided_until{};           ///< Not chosen before, while others can be.
   double failure_share = 0;                ///< Moving average over ended attempts, 0 to 1.
   double latency_ms = 0;                   ///< Moving average of the time to an answer; 0: unknown.
   PromptCacheView cache;
+  std::uint64_t memory_tokens = 0;  ///< For running requests and cached parts; 0: unknown.
 
-  /// @return requests of other nodes that run or wait there, as far as this node can tell.
+  /// @return requests of other nodes that run or wait there, as far as this node can tell: what
+  /// they tell themselves, or else what the engine reported.
   double others_there(MonotonicTime now) const;
 
   /// @return requests that run or wait there, as far as this node can tell.
@@ -127,6 +142,9 @@
   std::size_t size() const { return engines_.size(); }
   const std::map<EngineId, EngineView>& all() const { return engines_; }
 
+  /// Learns the memory of an engine, in tokens.
+  void set_memory(const EngineId& id, std::uint64_t tokens);
+
   /// An attempt was sent. @param unread tokens that the engine has to read for it.
   void on_sent(const EngineId& id, std::uint64_t unread);
 
@@ -139,6 +157,15 @@
   /// Load came with an answer.
   void on_load(MonotonicTime now, const EngineId& id, const ReportedLoad& load);
 
+  /// Another node told all that it has under way.
+  void on_peer_load(MonotonicTime now, const NodeId& peer, std::map<EngineId, PeerLoad> load);
+
+  /// Forgets nodes that were not heard of for a while.
+  void forget_silent_peers(MonotonicTime now);
+
+  /// @return what this node has under way, by engine; engines without any are left out.
+  std::map<EngineId, PeerLoad> own_load() const;
+
   /// Learns from the end of an attempt.
   void on_health(MonotonicTime now, const EngineId& id, AttemptHealth health);
 
@@ -158,7 +185,15 @@
   void on_latency(const EngineId& id, Duration latency);
 
  private:
+  /// What one node told last.
+  struct Peer {
+    MonotonicTime heard_at{};
+    std::map<EngineId, PeerLoad> load;
+  };
+  void sum_peers();
+
   std::map<EngineId, EngineView> engines_;
+  std::map<NodeId, Peer> peers_;
   double usual_unread_tokens_ = 2000;
   double reading_speed_ = 40;
 };
--- a/src/core/relay/placement.cpp
+++ b/src/core/relay/placement.cpp
@@ -59,12 +59,13 @@
 
 double model_cost(MonotonicTime now, const EngineDirectory& engines, const EngineView& engine,
                   std::uint64_t unread, const PlacementSettings& settings) {
-  const auto own = static_cast<double>(unread + engine.unread_tokens);
+  auto waiting = static_cast<double>(unread + engine.unread_tokens);
+  if (engine.peers) waiting += static_cast<double>(engine.peers->unread_tokens);
   if (engine.record.stage == EngineStage::kPrefill) {
-    const double others = engine.others_there(now) * engines.usual_unread_tokens();
-    return (own + others) / engines.reading_speed();
+    if (!engine.peers) waiting += engine.others_there(now) * engines.usual_unread_tokens();
+    return waiting / engines.reading_speed();
   }
-  return own / (engines.reading_speed() * settings.decode_reading_share) +
+  return waiting / (engines.reading_speed() * settings.decode_reading_share) +
          engine.requests_there(now) * settings.request_cost_ms;
 }
 
--- a/src/core/relay/retry_budget.hpp
+++ b/src/core/relay/retry_budget.hpp
@@ -24,6 +24,9 @@
  public:
   explicit RetryBudget(const RetryBudgetSettings& settings) : settings_(settings) {}
 
+  /// @param nodes how many nodes may share the slack.
+  void set_nodes(double nodes) { settings_.assumed_nodes = nodes; }
+
   /// A request of a caller came for the service.
   void on_request(MonotonicTime now);
 
--- /dev/null
+++ b/src/protocol/load_message.cpp
@@ -0,0 +1,68 @@
+#include "protocol/load_message.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace shuntbank {
+namespace {
+
+using nlohmann::json;
+
+json reads_to_json(const std::vector<relay::PromptRead>& reads) {
+  json list = json::array();
+  for (const relay::PromptRead& read : reads) {
+    json parts = json::array();
+    for (const relay::PromptPart& part : read.parts) parts.push_back({part.id, part.tokens});
+    list.push_back({read.engine.value(), parts});
+  }
+  return list;
+}
+
+std::vector<relay::PromptRead> reads_from_json(const json& list) {
+  std::vector<relay::PromptRead> reads;
+  for (const json& item : list) {
+    relay::PromptRead read;
+    read.engine = EngineId(item.at(0).get<std::string>());
+    for (const json& part : item.at(1)) {
+      read.parts.push_back({part.at(0).get<std::uint64_t>(), part.at(1).get<std::uint64_t>()});
+    }
+    reads.push_back(std::move(read));
+  }
+  return reads;
+}
+
+}  // namespace
+
+std::string encode(const LoadMessage& message) {
+  json load = json::array();
+  for (const auto& [engine, work] : message.load) {
+    load.push_back({engine.value(), work.in_flight, work.unread_tokens});
+  }
+  json document = {{"node", message.node.value()},
+                   {"boot", message.boot},
+                   {"seq", message.sequence},
+                   {"load", std::move(load)}};
+  if (!message.reads.empty()) document["reads"] = reads_to_json(message.reads);
+  std::string bytes;
+  json::to_msgpack(document, bytes);
+  return bytes;
+}
+
+tl::expected<LoadMessage, std::string> decode_load_message(std::string_view bytes) {
+  try {
+    const json document = json::from_msgpack(bytes.begin(), bytes.end());
+    LoadMessage message;
+    message.node = NodeId(document.at("node").get<std::string>());
+    message.boot = document.at("boot").get<std::uint64_t>();
+    message.sequence = document.at("seq").get<std::uint64_t>();
+    for (const json& item : document.at("load")) {
+      message.load[EngineId(item.at(0).get<std::string>())] = {
+          item.at(1).get<std::uint32_t>(), item.at(2).get<std::uint64_t>()};
+    }
+    if (document.contains("reads")) message.reads = reads_from_json(document["reads"]);
+    return message;
+  } catch (const json::exception& error) {
+    return tl::make_unexpected(std::string(error.what()));
+  }
+}
+
+}  // namespace shuntbank
--- /dev/null
+++ b/src/protocol/load_message.hpp
@@ -0,0 +1,34 @@
+/// @file
+/// What relay nodes tell each other: the work that each has under way at the engines, and the prompts
+/// that engines have read for it. Sent as a datagram in MessagePack; unknown fields are ignored.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <vector>
+
+#include "core/relay/engine_directory.hpp"
+
+namespace shuntbank {
+
+/// One node's work. Whole each time, so that a lost message does not matter.
+struct LoadMessage {
+  NodeId node;
+  std::uint64_t boot = 0;      ///< Drawn at the start of the process.
+  std::uint64_t sequence = 0;  ///< Rises with each message of one start.
+  std::map<EngineId, relay::PeerLoad> load;
+  std::vector<relay::PromptRead> reads;  ///< Since the last message.
+};
+
+/// Largest message, in bytes; stays below what one datagram of the usual links carries.
+constexpr std::size_t kMaxLoadMessage = 1400;
+
+std::string encode(const LoadMessage& message);
+
+/// @return the message, or what is wrong with the bytes.
+tl::expected<LoadMessage, std::string> decode_load_message(std::string_view bytes);
+
+}  // namespace shuntbank
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -1,5 +1,6 @@
 #include "relay/relay_node.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "common/log.hpp"
@@ -26,7 +27,7 @@
 RelayNode::RelayNode(const RelayIo& io, const RelaySettings& settings)
     : io_(io),
       settings_(settings),
-      context_{io.runtime, io.http, io.dialect, settings_, engines_, metrics_, budgets_},
+      context_{io.runtime, io.http, io.dialect, settings_, engines_, metrics_, budgets_, {}, {}},
       splits_(random_fraction(io.runtime)) {}
 
 RelayNode::~RelayNode() {
@@ -77,6 +78,18 @@
   if (address_free_) address_free_(address);
 }
 
+void RelayNode::learn_prompt_read(const PromptRead& read) {
+  context_.note_read(read.engine, read.parts);
+}
+
+void RelayNode::set_node_count(std::size_t nodes) {
+  // One more than known: a process that starts again has forgotten what it spent.
+  const auto assumed = static_cast<double>(nodes + 1);
+  settings_.retry_budget.assumed_nodes = std::max(settings_.retry_budget.assumed_nodes, assumed);
+  settings_.expected_nodes = std::max(settings_.expected_nodes, static_cast<double>(nodes));
+  for (auto& [service, budget] : budgets_) budget.set_nodes(settings_.retry_budget.assumed_nodes);
+}
+
 void RelayNode::refuse(const HttpRequest& request, ConnectionResponder& responder, int status,
                        const char* why) {
   const HeaderNames& names = io_.dialect.names();
--- a/src/relay/relay_node.hpp
+++ b/src/relay/relay_node.hpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "common/runtime.hpp"
@@ -67,6 +68,18 @@
   EngineDirectory& engines() { return engines_; }
   RelayMetrics& metrics() { return metrics_; }
 
+  /// Sets what is called when the work under way at engines has changed.
+  void on_load_changed(std::function<void()> handler) { context_.load_changed = std::move(handler); }
+
+  /// @return prompts that engines have read for this node since the last call.
+  std::vector<PromptRead> take_prompt_reads() { return std::exchange(context_.reads, {}); }
+
+  /// An engine has read a prompt for another node.
+  void learn_prompt_read(const PromptRead& read);
+
+  /// @param nodes relay nodes that share the budgets, this one included.
+  void set_node_count(std::size_t nodes);
+
   /// Sets what is called when a configuration came into force.
   void on_adopted(std::function<void(const RouteTable&)> handler);
 
--- a/src/relay/relay_process.cpp
+++ b/src/relay/relay_process.cpp
@@ -9,6 +9,7 @@
 #include "net/http1_client.hpp"
 #include "net/http1_server.hpp"
 #include "net/http_status.hpp"
+#include "relay/load_exchange.hpp"
 #include "relay/relay_node.hpp"
 #include "relay/role_coordinator.hpp"
 
@@ -53,6 +54,7 @@
         catalog_(runtime, store, codec, node_),
         roles_({runtime, http_, dialect}, store, node_, settings.node, settings.roles,
                settings.stages) {
+    if (!addresses.peers.empty()) exchange_load(loop, store, addresses.peers);
     node_.on_adopted([this](const RouteTable& table) { take_limits(table); });
     node_.on_address_free([this](const std::string& address) { http_.forget_peer(address); });
     for (const std::string& address : {addresses.ready, addresses.control, addresses.metrics}) {
@@ -89,6 +91,15 @@
                          limits.idle_timeout});
   }
 
+  void exchange_load(asio::io_context& loop, store::ObjectStore& store,
+                     const std::string& address) {
+    const auto endpoint = parse_endpoint(address);
+    if (!endpoint) throw std::invalid_argument(address + ": " + endpoint.error());
+    peers_ = make_peer_transport(loop, *endpoint, kMaxLoadMessage);
+    exchange_ = std::make_unique<LoadExchange>(runtime_, store, *peers_, node_, settings_.node,
+                                               LoadExchangeSettings{});
+  }
+
   void serve_state(asio::io_context& loop, const std::string& address) {
     servers_.push_back(std::make_unique<Http1Server>(
         loop, listen_on(address, kMaxWatchers),
@@ -141,6 +152,8 @@
   Http1Server callers_;
   Catalog catalog_;
   RoleCoordinator roles_;
+  std::unique_ptr<PeerTransport> peers_;
+  std::unique_ptr<LoadExchange> exchange_;
   std::vector<std::unique_ptr<Http1Server>> servers_;
   bool stopping_ = false;
   bool drained_ = false;
--- a/src/relay/relay_process.hpp
+++ b/src/relay/relay_process.hpp
@@ -22,6 +22,7 @@
   std::string ready;
   std::string control;
   std::string metrics;
+  std::string peers;  ///< Where other nodes of the system reach this one.
 };
 
 /// One relay process. All of it runs on the loop.
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -67,6 +67,12 @@
   return budgets.try_emplace(service, RetryBudget(settings.retry_budget)).first->second;
 }
 
+void RelayContext::note_read(const EngineId& engine, const std::vector<PromptPart>& parts) {
+  EngineView* view = engines.find(engine);
+  if (view == nullptr) return;
+  view->cache.on_read(parts, view->memory_tokens, runtime.now());
+}
+
 RelaySession::RelaySession(RelayContext& context, std::shared_ptr<const RouteTable> table,
                            const Route& route, ServiceName service, HttpRequest request,
                            std::shared_ptr<ConnectionResponder> responder, EndHandler on_end)
@@ -236,9 +242,11 @@
   engine_held_ = true;
   sent_at_ = context_.runtime.now();
   if (step == Step::kDecodeFromHandle) unread_ = 0;
+  if (service_->model) context_.engines.set_memory(engine, service_->model->kv_tokens);
   count_send(step == Step::kPrefill);
   alone_when_sent_ = view->requests_there(sent_at_) < 0.5;
   context_.engines.on_sent(engine, unread_);
+  if (prompt_) context_.note_load();
   if (step == Step::kPrefill) context_.engines.on_prompt_sent(unread_);
   context_.metrics.count_attempt(service_name_.value(),
                                  step == Step::kPrefill ? "prefill" : "answer");
@@ -297,10 +305,7 @@
   if (!unread_released_) {
     unread_released_ = true;
     context_.engines.on_read(engine_, unread_);
-    EngineView* view = context_.engines.find(engine_);
-    if (view != nullptr && prompt_) {
-      view->cache.on_read(*prompt_, service_->model->kv_tokens, context_.runtime.now());
-    }
+    if (prompt_) note_prompt_read();
   }
   if (event.id) {
     if (last_event_ && *event.id <= *last_event_) {
@@ -323,6 +328,14 @@
   responder_->write(event.bytes);
 }
 
+/// Parts that other requests share are told to the other nodes; the last one is this request's own.
+void RelaySession::note_prompt_read() {
+  context_.note_read(engine_, prompt_->parts);
+  if (prompt_->parts.size() < 2) return;
+  context_.reads.push_back({engine_, {prompt_->parts.begin(), prompt_->parts.end() - 1}});
+  context_.note_load();
+}
+
 void RelaySession::begin_stream() {
   history_.head_forwarded = true;
   responder_->begin_stream(status_, forwarded_answer_fields());
@@ -371,7 +384,7 @@
     if (was_idle) {
       context_.engines.on_prompt_read(unread_, context_.runtime.now() - sent_at_);
     }
-    view->cache.on_read(*prompt_, service_->model->kv_tokens, context_.runtime.now());
+    note_prompt_read();
     handle_address_ = view->record.address;
     handle_ = handle->handle;
   }
@@ -507,6 +520,7 @@
 void RelaySession::release_engine() {
   if (!std::exchange(engine_held_, false)) return;
   context_.engines.on_ended(engine_);
+  if (prompt_) context_.note_load();
   if (!unread_released_) context_.engines.on_read(engine_, unread_);
   unread_released_ = true;
 }
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -33,7 +33,18 @@
   RelayMetrics& metrics;
   std::unordered_map<ServiceName, RetryBudget>& budgets;
 
+  std::function<void()> load_changed;  ///< May be empty.
+  std::vector<PromptRead> reads;       ///< Not yet told to other nodes.
+
   RetryBudget& budget_of(const ServiceName& service);
+
+  /// An engine has read a prompt and keeps its parts.
+  void note_read(const EngineId& engine, const std::vector<PromptPart>& parts);
+
+  /// The work under way at an engine has changed.
+  void note_load() const {
+    if (load_changed) load_changed();
+  }
 };
 
 /// One relayed request. Keeps itself alive until it has ended.
@@ -96,6 +107,7 @@
   void release_handle();
   void respond(int status, const HttpHeaders& headers, std::string body, const std::string& result);
   HttpHeaders forwarded_answer_fields() const;
+  void note_prompt_read();
   void begin_stream();
   void end(const std::string& result);
   void log_attempt(const char* event, const std::string& why) const;
