--- a/src/core/relay/placement.cpp
+++ b/src/core/relay/placement.cpp
@@ -47,14 +47,44 @@
                            });
 }
 
-std::uint64_t unread_tokens(const EngineView& engine, const PromptShape& prompt, bool home) {
-  std::uint64_t cached = engine.cache.cached_tokens(prompt);
+/// What a candidate has of a prompt.
+struct PromptAt {
+  std::uint64_t kept = 0;     ///< Tokens that this node knows to be kept there.
+  std::uint64_t assumed = 0;  ///< Tokens that are most likely kept there.
+};
+
+PromptAt prompt_at(const EngineView& engine, const PromptShape& prompt, bool home) {
+  PromptAt at;
+  at.kept = std::min(prompt.prompt_tokens, engine.cache.cached_tokens(prompt));
+  at.assumed = at.kept;
   // Other nodes send such prompts to the home as well, so that it most likely keeps them.
   if (home && !prompt.parts.empty()) {
-    cached = std::max(cached, prompt.prompt_tokens - std::min(prompt.prompt_tokens,
-                                                              prompt.parts.back().tokens));
+    const std::uint64_t own = std::min(prompt.prompt_tokens, prompt.parts.back().tokens);
+    at.assumed = std::max(at.kept, prompt.prompt_tokens - own);
+  }
+  return at;
+}
+
+/// The engine that keeps most of a prompt, whatever its stage and load.
+struct FetchSource {
+  const EngineView* engine = nullptr;
+  std::uint64_t kept = 0;
+};
+
+FetchSource best_source(MonotonicTime now, EngineDirectory& engines, const PlacementQuery& query) {
+  FetchSource best;
+  for (const EngineView* engine : engines.of_service(query.service->name)) {
+    if (engine->avoided_until > now || listed(query.avoid, engine->record.id)) continue;
+    const std::uint64_t kept = prompt_at(*engine, *query.prompt, false).kept;
+    if (kept > best.kept) best = {engine, kept};
   }
-  return prompt.prompt_tokens - std::min(prompt.prompt_tokens, cached);
+  return best;
+}
+
+double fetch_ms(std::uint64_t tokens, const ModelServing& model, const PlacementSettings& settings) {
+  const double bits = static_cast<double>(tokens * model.kv_token_bytes) * 8;
+  const double bits_per_ms = std::max(1.0, model.link_megabits_per_second * 1000);
+  return settings.fetch_setup_ms + bits / bits_per_ms;
 }
 
 double model_cost(MonotonicTime now, const EngineDirectory& engines, const EngineView& engine,
@@ -76,20 +106,41 @@
   return each * (1 + there / slots + std::max(0.0, there + 1 - slots));
 }
 
+/// Fills in what a model engine would have to read, fetching parts where that is quicker.
+void place_prompt(MonotonicTime now, const EngineDirectory& engines, const EngineView& engine,
+                  const PlacementQuery& query, const PlacementSettings& settings, bool home,
+                  const FetchSource& source, Placement& placement) {
+  const PromptShape& prompt = *query.prompt;
+  const PromptAt at = prompt_at(engine, prompt, home);
+  placement.unread_tokens = prompt.prompt_tokens - at.assumed;
+  placement.cost_ms = model_cost(now, engines, engine, placement.unread_tokens, settings);
+  const bool useful = source.engine != nullptr && source.engine != &engine &&
+                      source.kept >= at.kept + settings.least_fetched_tokens;
+  if (!useful || !query.service->model) return;
+  const std::uint64_t unread = prompt.prompt_tokens - std::max(source.kept, at.assumed);
+  const double moving = fetch_ms(source.kept - at.kept, *query.service->model, settings);
+  const double cost = model_cost(now, engines, engine, unread, settings) + moving;
+  if (cost >= placement.cost_ms && source.kept <= at.assumed) return;
+  placement.unread_tokens = unread;
+  placement.cost_ms = cost;
+  placement.fetch_from = source.engine->record.id;
+}
+
 }  // namespace
 
 std::optional<Placement> place(MonotonicTime now, EngineDirectory& engines,
                                const PlacementQuery& query, const PlacementSettings& settings) {
   const auto sound = candidates(now, engines, query);
   const EngineView* home = query.prompt != nullptr ? home_of(sound, *query.prompt) : nullptr;
+  const FetchSource source =
+      query.prompt != nullptr ? best_source(now, engines, query) : FetchSource{};
   std::optional<Placement> best;
   for (const EngineView* engine : sound) {
     Placement placement;
     placement.engine = engine->record.id;
     placement.candidates = sound.size();
     if (query.prompt != nullptr) {
-      placement.unread_tokens = unread_tokens(*engine, *query.prompt, engine == home);
-      placement.cost_ms = model_cost(now, engines, *engine, placement.unread_tokens, settings);
+      place_prompt(now, engines, *engine, query, settings, engine == home, source, placement);
     } else {
       placement.cost_ms = plain_cost(now, *engine, settings);
     }
--- a/src/core/relay/placement.hpp
+++ b/src/core/relay/placement.hpp
@@ -16,6 +16,8 @@
 /// Tunables of placement, in one place.
 struct PlacementSettings {
   double decode_reading_share = 0.45;  ///< Of a prefill engine's speed, where tokens are made too.
+  std::uint64_t least_fetched_tokens = 1000;  ///< Fewer are read again rather than moved.
+  double fetch_setup_ms = 10;         ///< Of moving cached parts, apart from their bytes.
   double request_cost_ms = 6;         ///< Added by each request that runs or waits at a model engine.
   double other_zone_ms = 2;           ///< Added for an engine in another zone.
   double failure_cost_ms = 400;       ///< Added times the share of attempts that failed.
@@ -37,6 +39,7 @@
   EngineId engine;
   double cost_ms = 0;
   std::uint64_t unread_tokens = 0;  ///< That the engine will have to read.
+  std::optional<EngineId> fetch_from;  ///< Keeps parts of the prompt that the chosen one lacks.
   std::size_t candidates = 0;
 };
 
--- a/src/relay/engine_dialect.hpp
+++ b/src/relay/engine_dialect.hpp
@@ -26,6 +26,7 @@
   std::string urgency;           ///< 0 (first) to 9.
   std::string stage;             ///< Set when the prompt is only to be read.
   std::string prompt_source;     ///< Engine and handle of a prompt that was read ahead.
+  std::string fetch_from;        ///< Engine that keeps parts of the prompt.
   std::vector<std::string> from_callers_removed;  ///< Fields that only the system may set.
   std::vector<std::string> from_engines_removed;  ///< Fields that concern only the system.
 };
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -160,7 +160,6 @@
   if (!service_->model) {
     const auto plain = place_at(EngineStage::kNone);
     if (!plain) return false;
-    log_attempt("engine_chosen", "plain");
     send(plain->engine, Step::kPlain);
     return true;
   }
@@ -175,16 +174,24 @@
     const double direct = decode->cost_ms * tunables.direct_penalty;
     if (prefill && prefill_path_cost(*prefill, *decode) < direct) {
       decode_choice_ = decode;
-      unread_ = prefill->unread_tokens;
+      take(*prefill);
       send(prefill->engine, Step::kPrefill);
       return true;
     }
   }
-  unread_ = decode->unread_tokens;
+  take(*decode);
   send(decode->engine, Step::kPlain);
   return true;
 }
 
+void RelaySession::take(const Placement& placement) {
+  unread_ = placement.unread_tokens;
+  fetch_address_.clear();
+  const EngineView* source =
+      placement.fetch_from ? context_.engines.find(*placement.fetch_from) : nullptr;
+  if (source != nullptr) fetch_address_ = source->record.address;
+}
+
 void RelaySession::dispatch() {
   if (time_left() < kLeastUsefulTime) return on_timeout();
   if (choose()) return;
@@ -213,6 +220,7 @@
     outgoing.headers.add(names.prompt_source,
                          context_.dialect.prompt_source(handle_address_, handle_));
   }
+  if (!fetch_address_.empty()) outgoing.headers.add(names.fetch_from, fetch_address_);
   if (!last_event_text_.empty()) {
     outgoing.headers.remove(names.last_event_id);
     outgoing.headers.add(names.last_event_id, last_event_text_);
@@ -391,9 +399,10 @@
   const auto decode = place_at(EngineStage::kDecode);
   if (!decode) return dispatch();
   if (handle_.empty()) {
-    unread_ = decode->unread_tokens;
+    take(*decode);
     return send(decode->engine, Step::kPlain);
   }
+  fetch_address_.clear();
   send(decode->engine, Step::kDecodeFromHandle);
 }
 
@@ -575,6 +584,7 @@
              {"step", step_ == Step::kPrefill ? "prefill" : step_ == Step::kPlain ? "whole" : "decode"},
              {"why", why},
              {"unread", unread_},
+             {"fetch_from", fetch_address_},
              {"in_flight", view == nullptr ? 0 : view->in_flight},
              {"age_ms", to_milliseconds(context_.runtime.now() - arrived_)}});
 }
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -73,6 +73,7 @@
   void dispatch();
   std::optional<Placement> place_at(EngineStage stage) const;
   bool choose();
+  void take(const Placement& placement);
   double prefill_path_cost(const Placement& prefill, const Placement& decode) const;
   void send(const EngineId& engine, Step step);
   OutgoingRequest outgoing(const EngineRecord& record, Step step) const;
@@ -149,6 +150,7 @@
 
   // Planned for the next sends.
   std::optional<Placement> decode_choice_;
+  std::string fetch_address_;   ///< Engine from which parts of the prompt are taken; may be empty.
   std::string handle_;          ///< Of the prompt read ahead, not yet taken.
   std::string handle_address_;  ///< Engine that holds it.
 
