Go by what engines are known to keep; assume it at the home only after a restart

Change: the assumption holds for prefill engines after a restart and for parts that no engine is known to keep; else the home gets 40 ms, so that prompts sharing a part meet while it is read.

--- a/src/core/relay/placement.cpp
+++ b/src/core/relay/placement.cpp
@@ -47,22 +47,15 @@
                            });
 }
 
-/// What a candidate has of a prompt.
-struct PromptAt {
-  std::uint64_t kept = 0;     ///< Tokens that this node knows to be kept there.
-  std::uint64_t assumed = 0;  ///< Tokens that are most likely kept there.
-};
+/// @return tokens of the prompt that this node knows to be kept at an engine.
+std::uint64_t kept_at(const EngineView& engine, const PromptShape& prompt) {
+  return std::min(prompt.prompt_tokens, engine.cache.cached_tokens(prompt));
+}
 
-PromptAt prompt_at(const EngineView& engine, const PromptShape& prompt, bool home) {
-  PromptAt at;
-  at.kept = std::min(prompt.prompt_tokens, engine.cache.cached_tokens(prompt));
-  at.assumed = at.kept;
-  // Other nodes send such prompts to the home as well, so that it most likely keeps them.
-  if (home && !prompt.parts.empty()) {
-    const std::uint64_t own = std::min(prompt.prompt_tokens, prompt.parts.back().tokens);
-    at.assumed = std::max(at.kept, prompt.prompt_tokens - own);
-  }
-  return at;
+/// @return tokens of the prompt that other requests may share.
+std::uint64_t shared_tokens(const PromptShape& prompt) {
+  if (prompt.parts.empty()) return 0;
+  return prompt.prompt_tokens - std::min(prompt.prompt_tokens, prompt.parts.back().tokens);
 }
 
 /// The engine that keeps most of a prompt, whatever its stage and load.
@@ -75,7 +68,7 @@
   FetchSource best;
   for (const EngineView* engine : engines.of_service(query.service->name)) {
     if (engine->avoided_until > now || listed(query.avoid, engine->record.id)) continue;
-    const std::uint64_t kept = prompt_at(*engine, *query.prompt, false).kept;
+    const std::uint64_t kept = kept_at(*engine, *query.prompt);
     if (kept > best.kept) best = {engine, kept};
   }
   return best;
@@ -111,19 +104,24 @@
                   const PlacementQuery& query, const PlacementSettings& settings, bool home,
                   const FetchSource& source, Placement& placement) {
   const PromptShape& prompt = *query.prompt;
-  const PromptAt at = prompt_at(engine, prompt, home);
-  placement.unread_tokens = prompt.prompt_tokens - at.assumed;
+  const std::uint64_t kept = kept_at(engine, prompt);
+  std::uint64_t assumed = kept;
+  // After a restart, the home of a part that no engine is known to keep most likely keeps it.
+  if (home && source.kept == 0 && query.engines_may_keep_more) {
+    assumed = std::max(kept, shared_tokens(prompt));
+  }
+  placement.unread_tokens = prompt.prompt_tokens - assumed;
   placement.cost_ms = model_cost(now, engines, engine, placement.unread_tokens, settings);
   const bool useful = source.engine != nullptr && source.engine != &engine &&
-                      source.kept >= at.kept + settings.least_fetched_tokens;
-  if (!useful || !query.service->model) return;
-  const std::uint64_t unread = prompt.prompt_tokens - std::max(source.kept, at.assumed);
-  const double moving = fetch_ms(source.kept - at.kept, *query.service->model, settings);
-  const double cost = model_cost(now, engines, engine, unread, settings) + moving;
-  if (cost >= placement.cost_ms && source.kept <= at.assumed) return;
-  placement.unread_tokens = unread;
-  placement.cost_ms = cost;
-  placement.fetch_from = source.engine->record.id;
+                      source.kept >= kept + settings.least_fetched_tokens;
+  if (useful && query.service->model) {
+    const std::uint64_t unread = prompt.prompt_tokens - source.kept;
+    const double moving = fetch_ms(source.kept - kept, *query.service->model, settings);
+    placement.unread_tokens = unread;
+    placement.cost_ms = model_cost(now, engines, engine, unread, settings) + moving;
+    placement.fetch_from = source.engine->record.id;
+  }
+  if (home) placement.cost_ms -= settings.home_bonus_ms;
 }
 
 }  // namespace
--- a/src/core/relay/placement.hpp
+++ b/src/core/relay/placement.hpp
@@ -16,6 +16,7 @@
 /// Tunables of placement, in one place.
 struct PlacementSettings {
   double decode_reading_share = 0.45;  ///< Of a prefill engine's speed, where tokens are made too.
+  double home_bonus_ms = 40;          ///< Keeps prompts that share a part together while it is read.
   std::uint64_t least_fetched_tokens = 1000;  ///< Fewer are read again rather than moved.
   double fetch_setup_ms = 10;         ///< Of moving cached parts, apart from their bytes.
   double request_cost_ms = 6;         ///< Added by each request that runs or waits at a model engine.
@@ -30,6 +31,9 @@
   const PromptShape* prompt = nullptr;  ///< Null for plain services.
   EngineStage stage = EngineStage::kNone;  ///< Which engines of a model service.
   ZoneName zone;                        ///< The node's own.
+  /// The engines may have served before this node began to watch, so that the home of a part that
+  /// no engine is known to keep most likely keeps it.
+  bool engines_may_keep_more = true;
   const std::vector<EngineId>* avoid = nullptr;  ///< Engines that this request has met.
   std::uint32_t max_connections_here = 0;  ///< This node's part of an engine's bound; 0: unbounded.
 };
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -137,6 +137,7 @@
   query.prompt = prompt_ ? &*prompt_ : nullptr;
   query.stage = stage;
   query.zone = context_.settings.zone;
+  query.engines_may_keep_more = !context_.settings.first_start && stage == EngineStage::kPrefill;
   query.avoid = &met_;
   query.max_connections_here = connections_per_engine();
   return place(context_.runtime.now(), context_.engines, query, context_.settings.placement);
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -36,6 +36,7 @@
 struct RelaySettings {
   std::string node;
   ZoneName zone;
+  bool first_start = true;  ///< The whole system starts for the first time.
   PlacementSettings placement;
   PrefillSettings prefill;
   RetryBudgetSettings retry_budget;
