Keep prompts that share a part together more firmly; weigh direct reading 2.5 times

Cause: parts not yet kept anywhere were read at several engines at once. Change: bonus of the home 40 to 250 ms, penalty on direct reading 4 to 2.5.

--- a/src/core/relay/placement.hpp
+++ b/src/core/relay/placement.hpp
@@ -16,7 +16,7 @@
 /// Tunables of placement, in one place.
 struct PlacementSettings {
   double decode_reading_share = 0.45;  ///< Of a prefill engine's speed, where tokens are made too.
-  double home_bonus_ms = 40;          ///< Keeps prompts that share a part together while it is read.
+  double home_bonus_ms = 250;          ///< Keeps prompts that share a part together while it is read.
   std::uint64_t least_fetched_tokens = 1000;  ///< Fewer are read again rather than moved.
   double fetch_setup_ms = 10;         ///< Of moving cached parts, apart from their bytes.
   double request_cost_ms = 6;         ///< Added by each request that runs or waits at a model engine.
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -17,7 +17,7 @@
 /// When reading a prompt at an engine of its own pays.
 struct PrefillSettings {
   std::uint64_t least_unread_tokens = 600;  ///< Shorter prompts are read where tokens are made.
-  double direct_penalty = 4.0;  ///< Reading between the tokens of others slows these as well.
+  double direct_penalty = 2.5;  ///< Reading between the tokens of others slows these as well.
   double least_budget = 3;  ///< Of the retry budget: a prompt that is refused counts against it.
   double setup_ms = 8;          ///< Of moving a prompt, apart from its bytes.
 };
