--- a/src/core/relay/attempt_outcome.hpp
+++ b/src/core/relay/attempt_outcome.hpp
@@ -17,11 +17,12 @@
 
 /// How far a request has come.
 struct AttemptHistory {
-  std::uint32_t sends = 0;        ///< Attempts of which a byte may have left.
-  std::uint32_t may_have_run = 0; ///< Attempts that ended uncertain or with an engine's own failure.
-  bool head_forwarded = false;    ///< The caller has the head of a stream.
-  bool prompt_sent = false;       ///< The prompt was sent to be read apart, once.
-  bool answer_sent = false;       ///< The request was sent to be answered, once.
+  std::uint32_t sends = 0;  ///< Attempts of which a byte may have left.
+  std::uint32_t may_have_run =
+      0;                        ///< Attempts that ended uncertain or with an engine's own failure.
+  bool head_forwarded = false;  ///< The caller has the head of a stream.
+  bool prompt_sent = false;     ///< The prompt was sent to be read apart, once.
+  bool answer_sent = false;     ///< The request was sent to be answered, once.
 };
 
 /// @return whether sending now counts as an extra dispatch: the first send for an answer is the
@@ -32,9 +33,9 @@
 
 /// What happens next.
 enum class AttemptVerdict {
-  kTryElsewhere,     ///< Another engine may get it.
-  kRefuse,           ///< Final answer: it has not run and never will.
-  kFailUncertain,    ///< Final answer without a promise, or a broken connection.
+  kTryElsewhere,   ///< Another engine may get it.
+  kRefuse,         ///< Final answer: it has not run and never will.
+  kFailUncertain,  ///< Final answer without a promise, or a broken connection.
 };
 
 /// Largest number of engines that one request is offered to, refusals included.
--- a/src/core/relay/engine_directory.cpp
+++ b/src/core/relay/engine_directory.cpp
@@ -9,6 +9,9 @@
 /// A report older than this says nothing of the load now.
 constexpr Duration kReportLife = std::chrono::seconds(2);
 
+/// Engines that drain and are remembered as such.
+constexpr std::size_t kMostLeaving = 4096;
+
 /// A node that was not heard of for so long has nothing under way as far as others can tell.
 constexpr Duration kPeerLife = std::chrono::milliseconds(2500);
 
@@ -120,7 +123,17 @@
 }
 
 void EngineDirectory::upsert(const EngineRecord& record) {
-  engines_[record.id].record = record;
+  if (record.draining && leaving_.insert(record.id).second) {
+    leaving_order_.push_back(record.id);
+    if (leaving_order_.size() > kMostLeaving) {
+      leaving_.erase(leaving_order_.front());
+      leaving_order_.pop_front();
+    }
+  }
+  EngineRecord& known = engines_[record.id].record;
+  known = record;
+  // A start of an engine that drains never takes work again; a record that says so is an old one.
+  known.draining = leaving_.count(record.id) > 0;
 }
 
 std::string EngineDirectory::remove(const EngineId& id) {
@@ -234,8 +247,7 @@
 }
 
 void EngineDirectory::on_prompt_sent(std::uint64_t unread) {
-  usual_unread_tokens_ +=
-      kNewestWeight * (static_cast<double>(unread) - usual_unread_tokens_);
+  usual_unread_tokens_ += kNewestWeight * (static_cast<double>(unread) - usual_unread_tokens_);
 }
 
 void EngineDirectory::on_prompt_read(std::uint64_t unread, Duration took) {
--- a/src/core/relay/engine_directory.hpp
+++ b/src/core/relay/engine_directory.hpp
@@ -4,8 +4,10 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -96,16 +98,16 @@
 /// One engine as this node sees it.
 struct EngineView {
   EngineRecord record;
-  std::uint32_t in_flight = 0;             ///< Sent by this node and not ended.
-  std::uint64_t unread_tokens = 0;         ///< Of this node's requests, still to be read there.
-  std::optional<ReportedLoad> load;        ///< The last report.
+  std::uint32_t in_flight = 0;       ///< Sent by this node and not ended.
+  std::uint64_t unread_tokens = 0;   ///< Of this node's requests, still to be read there.
+  std::optional<ReportedLoad> load;  ///< The last report.
   MonotonicTime load_at{};
   std::uint32_t in_flight_at_report = 0;
   std::optional<PeerLoad> peers;  ///< Sum over the other nodes; unset while none is heard.
   std::uint32_t failures_in_a_row = 0;
-  MonotonicTime avoided_until{};           ///< Not chosen before, while others can be.
-  double failure_share = 0;                ///< Moving average over ended attempts, 0 to 1.
-  double latency_ms = 0;                   ///< Moving average of the time to an answer; 0: unknown.
+  MonotonicTime avoided_until{};  ///< Not chosen before, while others can be.
+  double failure_share = 0;       ///< Moving average over ended attempts, 0 to 1.
+  double latency_ms = 0;          ///< Moving average of the time to an answer; 0: unknown.
   PromptCacheView cache;
   std::uint64_t memory_tokens = 0;  ///< For running requests and cached parts; 0: unknown.
 
@@ -193,6 +195,8 @@
   void sum_peers();
 
   std::map<EngineId, EngineView> engines_;
+  std::set<EngineId> leaving_;  ///< Have said that they drain, whether still known or not.
+  std::deque<EngineId> leaving_order_;
   std::map<NodeId, Peer> peers_;
   double usual_unread_tokens_ = 2000;
   double reading_speed_ = 40;
--- a/src/core/relay/placement.cpp
+++ b/src/core/relay/placement.cpp
@@ -74,7 +74,8 @@
   return best;
 }
 
-double fetch_ms(std::uint64_t tokens, const ModelServing& model, const PlacementSettings& settings) {
+double fetch_ms(std::uint64_t tokens, const ModelServing& model,
+                const PlacementSettings& settings) {
   const double bits = static_cast<double>(tokens * model.kv_token_bytes) * 8;
   const double bits_per_ms = std::max(1.0, model.link_megabits_per_second * 1000);
   return settings.fetch_setup_ms + bits / bits_per_ms;
--- a/src/core/relay/placement.hpp
+++ b/src/core/relay/placement.hpp
@@ -1,7 +1,7 @@
 /// @file
 /// Chooses the engine of a request. All nodes choose the same engine for prompts that share a part,
-/// without asking each other, until that engine is so loaded that reading the part again elsewhere is
-/// quicker.
+/// without asking each other, until that engine is so loaded that reading the part again elsewhere
+/// is quicker.
 #pragma once
 
 #include <cstdint>
@@ -16,21 +16,21 @@
 /// Tunables of placement, in one place.
 struct PlacementSettings {
   double decode_reading_share = 0.45;  ///< Of a prefill engine's speed, where tokens are made too.
-  double home_bonus_ms = 250;          ///< Keeps prompts that share a part together while it is read.
+  double home_bonus_ms = 250;  ///< Keeps prompts that share a part together while it is read.
   std::uint64_t least_fetched_tokens = 1000;  ///< Fewer are read again rather than moved.
-  double fetch_setup_ms = 10;         ///< Of moving cached parts, apart from their bytes.
-  double request_cost_ms = 6;         ///< Added by each request that runs or waits at a model engine.
-  double other_zone_ms = 2;           ///< Added for an engine in another zone.
-  double failure_cost_ms = 400;       ///< Added times the share of attempts that failed.
-  double plain_request_ms = 15;       ///< Of a plain engine whose latency is not known.
+  double fetch_setup_ms = 10;                 ///< Of moving cached parts, apart from their bytes.
+  double request_cost_ms = 6;    ///< Added by each request that runs or waits at a model engine.
+  double other_zone_ms = 2;      ///< Added for an engine in another zone.
+  double failure_cost_ms = 400;  ///< Added times the share of attempts that failed.
+  double plain_request_ms = 15;  ///< Of a plain engine whose latency is not known.
 };
 
 /// What is asked of placement.
 struct PlacementQuery {
   const RelayedService* service = nullptr;
-  const PromptShape* prompt = nullptr;  ///< Null for plain services.
+  const PromptShape* prompt = nullptr;     ///< Null for plain services.
   EngineStage stage = EngineStage::kNone;  ///< Which engines of a model service.
-  ZoneName zone;                        ///< The node's own.
+  ZoneName zone;                           ///< The node's own.
   /// The engines may have served before this node began to watch, so that the home of a part that
   /// no engine is known to keep most likely keeps it.
   bool engines_may_keep_more = true;
@@ -42,7 +42,7 @@
 struct Placement {
   EngineId engine;
   double cost_ms = 0;
-  std::uint64_t unread_tokens = 0;  ///< That the engine will have to read.
+  std::uint64_t unread_tokens = 0;     ///< That the engine will have to read.
   std::optional<EngineId> fetch_from;  ///< Keeps parts of the prompt that the chosen one lacks.
   std::size_t candidates = 0;
 };
--- a/src/core/relay/retry_budget.hpp
+++ b/src/core/relay/retry_budget.hpp
@@ -11,7 +11,7 @@
 
 /// The bound that holds for all nodes together.
 struct RetryBudgetSettings {
-  double ratio = 0.2;                         ///< Extra dispatches a request.
+  double ratio = 0.2;  ///< Extra dispatches a request.
   Duration window = std::chrono::seconds(10);
   double slack = 0;          ///< Extra dispatches a window, of all nodes together.
   double assumed_nodes = 8;  ///< How many nodes may share the slack.
--- a/src/core/relay/routes.cpp
+++ b/src/core/relay/routes.cpp
@@ -19,8 +19,8 @@
   return lower;
 }
 
-void check_route(const Route& route, const std::set<std::string>& services, const std::string& place,
-                 Findings& findings) {
+void check_route(const Route& route, const std::set<std::string>& services,
+                 const std::string& place, Findings& findings) {
   const std::string& prefix = route.path_prefix;
   if (route.host.empty()) findings.add(place + "/host", "must not be empty");
   if (prefix.empty() || prefix.front() != '/' || prefix.back() != '/') {
@@ -68,7 +68,8 @@
   return findings;
 }
 
-RouteTable::RouteTable(RouteConfiguration configuration) : configuration_(std::move(configuration)) {
+RouteTable::RouteTable(RouteConfiguration configuration)
+    : configuration_(std::move(configuration)) {
   for (const Route& route : configuration_.routes) {
     by_host_[normalized_host(route.host)].push_back(&route);
   }
@@ -91,8 +92,9 @@
 
 const RelayedService* RouteTable::find_service(const ServiceName& name) const {
   const auto& services = configuration_.services;
-  const auto found = std::find_if(services.begin(), services.end(),
-                                  [&](const RelayedService& service) { return service.name == name; });
+  const auto found =
+      std::find_if(services.begin(), services.end(),
+                   [&](const RelayedService& service) { return service.name == name; });
   return found == services.end() ? nullptr : &*found;
 }
 
--- a/src/core/relay/routes.hpp
+++ b/src/core/relay/routes.hpp
@@ -38,11 +38,11 @@
   RouteKind kind = RouteKind::kUnsafe;
   std::vector<SplitPart> split;  ///< One part or more.
   std::uint32_t max_attempts = 1;
-  Duration timeout = std::chrono::seconds(30);    ///< Longest time until the final answer.
-  Duration objective = std::chrono::seconds(1);   ///< Until which an answer has its full worth.
-  Duration gap_target = Duration::zero();         ///< Longest pause between events; zero: unset.
-  int priority = 0;                               ///< 0 is the most urgent.
-  bool affinity = false;   ///< Requests carry the parts of their prompt.
+  Duration timeout = std::chrono::seconds(30);   ///< Longest time until the final answer.
+  Duration objective = std::chrono::seconds(1);  ///< Until which an answer has its full worth.
+  Duration gap_target = Duration::zero();        ///< Longest pause between events; zero: unset.
+  int priority = 0;                              ///< 0 is the most urgent.
+  bool affinity = false;                         ///< Requests carry the parts of their prompt.
   bool resumable = false;  ///< A broken stream may be taken up at another engine.
 
   /// @return whether a request may run more than once.
--- a/src/core/relay/stage_planner.cpp
+++ b/src/core/relay/stage_planner.cpp
@@ -21,7 +21,8 @@
 
 EngineStage StagePlanner::expected_stage(MonotonicTime now, const EngineRecord& record) const {
   const auto given = given_.find(record.id);
-  const bool under_way = given != given_.end() && now - given->second.at < settings_.not_again_within;
+  const bool under_way =
+      given != given_.end() && now - given->second.at < settings_.not_again_within;
   return under_way ? given->second.stage : record.stage;
 }
 
@@ -35,8 +36,8 @@
         .push_back(engine);
   }
   const auto all = prefill.size() + decode.size();
-  const auto wanted = static_cast<std::size_t>(
-      std::lround(static_cast<double>(all) * settings_.prefill_share));
+  const auto wanted =
+      static_cast<std::size_t>(std::lround(static_cast<double>(all) * settings_.prefill_share));
   if (prefill.size() == wanted) return std::nullopt;
   const bool more_prefill = prefill.size() < wanted;
   if (more_prefill && decode.size() <= settings_.least_decode) return std::nullopt;
--- a/src/core/relay/stage_planner.hpp
+++ b/src/core/relay/stage_planner.hpp
@@ -13,7 +13,7 @@
 
 /// Tunables of the planner.
 struct StagePlannerSettings {
-  double prefill_share = 0.56;        ///< Of a service's engines.
+  double prefill_share = 0.56;  ///< Of a service's engines.
   std::uint32_t least_decode = 2;
   Duration between_orders = std::chrono::seconds(3);
   Duration not_again_within = std::chrono::seconds(12);  ///< For one engine.
--- a/src/net/http1_client.cpp
+++ b/src/net/http1_client.cpp
@@ -155,9 +155,8 @@
   void connect() {
     const auto endpoint = parse_endpoint(address_);
     if (!endpoint) {
-      asio::post(client_->loop, [self = shared_from_this(), message = endpoint.error()] {
-        self->fail(message);
-      });
+      asio::post(client_->loop,
+                 [self = shared_from_this(), message = endpoint.error()] { self->fail(message); });
       return;
     }
     ++client_->stats.opened;
@@ -182,20 +181,21 @@
     for (const HttpHeader& field : request.headers.fields()) {
       writing_ += field.name + ": " + field.value + "\r\n";
     }
-    const bool sized = !request.body.empty() || (request.method != "GET" && request.method != "HEAD");
+    const bool sized =
+        !request.body.empty() || (request.method != "GET" && request.method != "HEAD");
     if (sized) writing_ += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
     writing_ += "\r\n";
     writing_ += request.body;
     exchange_->request.body.clear();
     exchange_->bytes_sent = true;
     arm_total();
-    asio::async_write(socket_, asio::buffer(writing_),
-                      [self = shared_from_this(), id = exchange_->id](const std::error_code& error,
-                                                                      std::size_t) {
-                        if (self->closed_ || !self->exchange_ || self->exchange_->id != id) return;
-                        // A failed write is found by the read, which may still hold an answer.
-                        if (!error) self->exchange_->written = true;
-                      });
+    asio::async_write(
+        socket_, asio::buffer(writing_),
+        [self = shared_from_this(), id = exchange_->id](const std::error_code& error, std::size_t) {
+          if (self->closed_ || !self->exchange_ || self->exchange_->id != id) return;
+          // A failed write is found by the read, which may still hold an answer.
+          if (!error) self->exchange_->written = true;
+        });
   }
 
   void arm_total() {
@@ -432,8 +432,7 @@
   }
 }
 
-PooledHttpClient::PooledHttpClient(asio::io_context& loop,
-                                   const PooledHttpClientSettings& settings)
+PooledHttpClient::PooledHttpClient(asio::io_context& loop, const PooledHttpClientSettings& settings)
     : impl_(std::make_shared<Impl>(loop, settings)) {}
 
 PooledHttpClient::~PooledHttpClient() {
--- a/src/net/http1_parser.cpp
+++ b/src/net/http1_parser.cpp
@@ -129,8 +129,7 @@
 std::size_t Http1Parser::feed(std::string_view bytes) {
   if (failure_ != HttpParseFailure::kNone) return 0;
   stop_ = false;
-  const std::size_t taken =
-      http_parser_execute(&parser_, &callbacks(), bytes.data(), bytes.size());
+  const std::size_t taken = http_parser_execute(&parser_, &callbacks(), bytes.data(), bytes.size());
   const auto error = static_cast<http_errno>(parser_.http_errno);
   if (error == HPE_PAUSED) {
     http_parser_pause(&parser_, 0);
--- a/src/net/http1_parser.hpp
+++ b/src/net/http1_parser.hpp
@@ -30,9 +30,9 @@
   std::string target;  ///< Requests only; byte for byte.
   int status = 0;      ///< Responses only.
   HttpHeaders headers;
-  bool keep_alive = true;     ///< Whether the connection may carry another message.
-  bool has_length = false;    ///< Whether the end of the body can be told without the close.
-  std::uint64_t length = 0;   ///< Of the body, when `has_length` and not in chunks.
+  bool keep_alive = true;    ///< Whether the connection may carry another message.
+  bool has_length = false;   ///< Whether the end of the body can be told without the close.
+  std::uint64_t length = 0;  ///< Of the body, when `has_length` and not in chunks.
 };
 
 /// What a parser tells its owner, in the order of the bytes.
--- a/src/net/http1_server.cpp
+++ b/src/net/http1_server.cpp
@@ -259,9 +259,7 @@
     answered_ = true;
   }
 
-  void release_body() {
-    server_->buffered_bytes -= std::exchange(body_bytes_, 0);
-  }
+  void release_body() { server_->buffered_bytes -= std::exchange(body_bytes_, 0); }
 
   void send(std::string text) {
     if (closed_) return;
@@ -277,15 +275,14 @@
       write_deadline_armed_ = true;
       wait_for(server_->settings.write_timeout);
     }
-    asio::async_write(
-        socket_, asio::buffer(writing_),
-        [self = shared_from_this()](const std::error_code& error, std::size_t) {
-          self->writing_.clear();
-          self->write_deadline_armed_ = false;
-          if (self->closed_) return;
-          if (error) return self->close();
-          self->written();
-        });
+    asio::async_write(socket_, asio::buffer(writing_),
+                      [self = shared_from_this()](const std::error_code& error, std::size_t) {
+                        self->writing_.clear();
+                        self->write_deadline_armed_ = false;
+                        if (self->closed_) return;
+                        if (error) return self->close();
+                        self->written();
+                      });
   }
 
   void written() {
@@ -439,22 +436,22 @@
 void Http1Server::Impl::accept() {
   if (accepting || !acceptor.is_open() || connections.size() >= settings.max_connections) return;
   accepting = true;
-  acceptor.async_accept([self = shared_from_this()](const std::error_code& error,
-                                                    asio::ip::tcp::socket socket) {
-    self->accepting = false;
-    if (!self->acceptor.is_open()) return;
-    if (!error) {
-      auto connection = std::make_shared<Connection>(self, std::move(socket));
-      self->connections.insert(connection);
-      ++self->stats.connections;
-      self->stats.open_connections = self->connections.size();
-      connection->start();
-      return self->accept();
-    }
-    // Without descriptors each try fails at once; a pause keeps the loop free.
-    self->accept_pause.expires_after(std::chrono::milliseconds(50));
-    self->accept_pause.async_wait([self](const std::error_code&) { self->accept(); });
-  });
+  acceptor.async_accept(
+      [self = shared_from_this()](const std::error_code& error, asio::ip::tcp::socket socket) {
+        self->accepting = false;
+        if (!self->acceptor.is_open()) return;
+        if (!error) {
+          auto connection = std::make_shared<Connection>(self, std::move(socket));
+          self->connections.insert(connection);
+          ++self->stats.connections;
+          self->stats.open_connections = self->connections.size();
+          connection->start();
+          return self->accept();
+        }
+        // Without descriptors each try fails at once; a pause keeps the loop free.
+        self->accept_pause.expires_after(std::chrono::milliseconds(50));
+        self->accept_pause.async_wait([self](const std::error_code&) { self->accept(); });
+      });
 }
 
 void Http1Server::Impl::connection_gone(const std::shared_ptr<Connection>& connection) {
--- a/src/net/http1_server.hpp
+++ b/src/net/http1_server.hpp
@@ -1,7 +1,7 @@
 /// @file
-/// HTTP/1.1 towards callers for the relay: http_parser on an Asio loop. Unlike `HttpServer` it answers
-/// bytes that are no HTTP, can end a reply as broken, sees a caller leave while a request runs, and
-/// takes its bounds from the configuration in force.
+/// HTTP/1.1 towards callers for the relay: http_parser on an Asio loop. Unlike `HttpServer` it
+/// answers bytes that are no HTTP, can end a reply as broken, sees a caller leave while a request
+/// runs, and takes its bounds from the configuration in force.
 #pragma once
 
 #include <asio/io_context.hpp>
@@ -25,10 +25,10 @@
 /// Bounds of the process, apart from the configuration.
 struct Http1ServerSettings {
   asio::ip::tcp::endpoint listen;
-  std::size_t max_connections = 2000;                   ///< More callers wait in the kernel's queue.
-  std::size_t max_buffered_bytes = 48UL << 20U;         ///< Of all request bodies together.
-  Duration write_timeout = std::chrono::seconds(20);    ///< For a caller who takes nothing.
-  Duration linger_timeout = std::chrono::seconds(1);    ///< Reading on after a refusal.
+  std::size_t max_connections = 2000;                 ///< More callers wait in the kernel's queue.
+  std::size_t max_buffered_bytes = 48UL << 20U;       ///< Of all request bodies together.
+  Duration write_timeout = std::chrono::seconds(20);  ///< For a caller who takes nothing.
+  Duration linger_timeout = std::chrono::seconds(1);  ///< Reading on after a refusal.
 };
 
 /// Answers one request; may also end the reply as broken.
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -23,10 +23,9 @@
 }
 
 std::size_t HttpHeaders::count(std::string_view name) const {
-  return static_cast<std::size_t>(
-      std::count_if(fields_.begin(), fields_.end(), [&](const HttpHeader& field) {
-        return equal_ignoring_case(field.name, name);
-      }));
+  return static_cast<std::size_t>(std::count_if(
+      fields_.begin(), fields_.end(),
+      [&](const HttpHeader& field) { return equal_ignoring_case(field.name, name); }));
 }
 
 std::string_view HttpHeaders::get(std::string_view name) const {
--- a/src/net/http_message.hpp
+++ b/src/net/http_message.hpp
@@ -41,8 +41,8 @@
 /// A request as a server receives it, whole.
 struct HttpRequest {
   std::string method;
-  std::string path;   ///< Without the query.
-  std::string query;  ///< Behind `?`.
+  std::string path;    ///< Without the query.
+  std::string query;   ///< Behind `?`.
   std::string target;  ///< Path and query as they were sent, byte for byte.
   HttpHeaders headers;
   std::string body;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -97,7 +97,8 @@
 
  private:
   static restinio::http_status_line_t status_line(int status) {
-    return {restinio::http_status_code_t{static_cast<std::uint16_t>(status)}, http_status::reason(status)};
+    return {restinio::http_status_code_t{static_cast<std::uint16_t>(status)},
+            http_status::reason(status)};
   }
 
   /// @return whether the reply was still open; it no longer is.
--- a/src/protocol/load_message.cpp
+++ b/src/protocol/load_message.cpp
@@ -55,8 +55,8 @@
     message.boot = document.at("boot").get<std::uint64_t>();
     message.sequence = document.at("seq").get<std::uint64_t>();
     for (const json& item : document.at("load")) {
-      message.load[EngineId(item.at(0).get<std::string>())] = {
-          item.at(1).get<std::uint32_t>(), item.at(2).get<std::uint64_t>()};
+      message.load[EngineId(item.at(0).get<std::string>())] = {item.at(1).get<std::uint32_t>(),
+                                                               item.at(2).get<std::uint64_t>()};
     }
     if (document.contains("reads")) message.reads = reads_from_json(document["reads"]);
     return message;
--- a/src/protocol/load_message.hpp
+++ b/src/protocol/load_message.hpp
@@ -1,6 +1,7 @@
 /// @file
-/// What relay nodes tell each other: the work that each has under way at the engines, and the prompts
-/// that engines have read for it. Sent as a datagram in MessagePack; unknown fields are ignored.
+/// What relay nodes tell each other: the work that each has under way at the engines, and the
+/// prompts that engines have read for it. Sent as a datagram in MessagePack; unknown fields are
+/// ignored.
 #pragma once
 
 #include <cstdint>
--- a/src/relay/engine_dialect.hpp
+++ b/src/relay/engine_dialect.hpp
@@ -17,16 +17,16 @@
 
 /// Names of the header fields that the relay reads, sets or removes.
 struct HeaderNames {
-  std::string request_id;        ///< Set by the caller, echoed by the engine.
-  std::string deadline_ms;       ///< How long the sender waits, in milliseconds.
-  std::string last_event_id;     ///< Behind which a stream is taken up.
-  std::string seal;              ///< The engine's signature on an answer.
-  std::string retry_after;       ///< Seconds after which a refused caller may come again.
-  std::string expected_engine;   ///< The engine that alone may run the request.
-  std::string urgency;           ///< 0 (first) to 9.
-  std::string stage;             ///< Set when the prompt is only to be read.
-  std::string prompt_source;     ///< Engine and handle of a prompt that was read ahead.
-  std::string fetch_from;        ///< Engine that keeps parts of the prompt.
+  std::string request_id;       ///< Set by the caller, echoed by the engine.
+  std::string deadline_ms;      ///< How long the sender waits, in milliseconds.
+  std::string last_event_id;    ///< Behind which a stream is taken up.
+  std::string seal;             ///< The engine's signature on an answer.
+  std::string retry_after;      ///< Seconds after which a refused caller may come again.
+  std::string expected_engine;  ///< The engine that alone may run the request.
+  std::string urgency;          ///< 0 (first) to 9.
+  std::string stage;            ///< Set when the prompt is only to be read.
+  std::string prompt_source;    ///< Engine and handle of a prompt that was read ahead.
+  std::string fetch_from;       ///< Engine that keeps parts of the prompt.
   std::vector<std::string> from_callers_removed;  ///< Fields that only the system may set.
   std::vector<std::string> from_engines_removed;  ///< Fields that concern only the system.
 };
@@ -49,8 +49,8 @@
   EngineId engine;
   std::string address;
   EngineStage stage = EngineStage::kDecode;
-  std::string holder;               ///< The node that gives the order.
-  std::uint64_t fence = 0;          ///< Of the holder's lease; only grows.
+  std::string holder;                 ///< The node that gives the order.
+  std::uint64_t fence = 0;            ///< Of the holder's lease; only grows.
   std::uint64_t expected_orders = 0;  ///< The engine refuses when it has taken another number.
 };
 
--- a/src/relay/load_exchange.cpp
+++ b/src/relay/load_exchange.cpp
@@ -51,12 +51,13 @@
 
 void LoadExchange::register_self() {
   const nlohmann::json content = {{"address", transport_.local_address()}};
-  store_.create(settings_.kind, self_.value(), content, kRegisterTimeout,
-                [this, alive = alive_](const tl::expected<store::StoredObject, store::StoreError>& made) {
-                  // A machine keeps its name and address when its process starts again.
-                  if (!*alive || made || made.error() == store::StoreError::kConflict) return;
-                  start_again_ = runtime_.after(kRegisterAgain, [this] { register_self(); });
-                });
+  store_.create(
+      settings_.kind, self_.value(), content, kRegisterTimeout,
+      [this, alive = alive_](const tl::expected<store::StoredObject, store::StoreError>& made) {
+        // A machine keeps its name and address when its process starts again.
+        if (!*alive || made || made.error() == store::StoreError::kConflict) return;
+        start_again_ = runtime_.after(kRegisterAgain, [this] { register_self(); });
+      });
 }
 
 void LoadExchange::watch_nodes() {
--- a/src/relay/load_exchange.hpp
+++ b/src/relay/load_exchange.hpp
@@ -20,7 +20,7 @@
 
 /// Tunables of the exchange.
 struct LoadExchangeSettings {
-  std::string kind = "shuntbank-nodes";  ///< Of the objects that name the nodes.
+  std::string kind = "shuntbank-nodes";                  ///< Of the objects that name the nodes.
   Duration flush_delay = std::chrono::milliseconds(15);  ///< Changes within it share a message.
   Duration refresh = std::chrono::seconds(1);  ///< Without changes, while work is under way.
   std::size_t most_peers = 16;
--- a/src/relay/relay_metrics.cpp
+++ b/src/relay/relay_metrics.cpp
@@ -19,16 +19,14 @@
 class RelayMetrics::Impl {
  public:
   prometheus::Registry registry;
-  prometheus::Family<prometheus::Counter>& requests =
-      prometheus::BuildCounter()
-          .Name("shuntbank_relay_requests_total")
-          .Help("Requests with their final result")
-          .Register(registry);
-  prometheus::Family<prometheus::Counter>& attempts =
-      prometheus::BuildCounter()
-          .Name("shuntbank_relay_attempts_total")
-          .Help("Attempts sent to engines")
-          .Register(registry);
+  prometheus::Family<prometheus::Counter>& requests = prometheus::BuildCounter()
+                                                          .Name("shuntbank_relay_requests_total")
+                                                          .Help("Requests with their final result")
+                                                          .Register(registry);
+  prometheus::Family<prometheus::Counter>& attempts = prometheus::BuildCounter()
+                                                          .Name("shuntbank_relay_attempts_total")
+                                                          .Help("Attempts sent to engines")
+                                                          .Register(registry);
   prometheus::Family<prometheus::Counter>& failures =
       prometheus::BuildCounter()
           .Name("shuntbank_relay_attempt_failures_total")
--- a/src/relay/relay_node.hpp
+++ b/src/relay/relay_node.hpp
@@ -69,7 +69,9 @@
   RelayMetrics& metrics() { return metrics_; }
 
   /// Sets what is called when the work under way at engines has changed.
-  void on_load_changed(std::function<void()> handler) { context_.load_changed = std::move(handler); }
+  void on_load_changed(std::function<void()> handler) {
+    context_.load_changed = std::move(handler);
+  }
 
   /// @return prompts that engines have read for this node since the last call.
   std::vector<PromptRead> take_prompt_reads() { return std::exchange(context_.reads, {}); }
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -21,7 +21,8 @@
 
 constexpr Duration kReleaseTimeout = std::chrono::seconds(1);
 
-/// Fields that concern one connection only (RFC 9110, 7.6.1), and framing that each hop sets itself.
+/// Fields that concern one connection only (RFC 9110, 7.6.1), and framing that each hop sets
+/// itself.
 constexpr std::string_view kHopFields[] = {
     "Connection", "Keep-Alive",        "Proxy-Connection", "TE",    "Trailer",
     "Upgrade",    "Transfer-Encoding", "Content-Length",   "Expect"};
@@ -33,7 +34,7 @@
     std::string name = named.substr(0, comma);
     named.erase(0, comma + 1);
     name.erase(0, name.find_first_not_of(' ') == std::string::npos ? name.size()
-                                                                  : name.find_first_not_of(' '));
+                                                                   : name.find_first_not_of(' '));
     while (!name.empty() && name.back() == ' ') name.pop_back();
     if (!name.empty()) headers.remove(name);
   }
@@ -146,7 +147,8 @@
 double RelaySession::prefill_path_cost(const Placement& prefill, const Placement& decode) const {
   const ModelServing& model = *service_->model;
   const double bits = static_cast<double>(prompt_->prompt_tokens * model.kv_token_bytes) * 8;
-  const double link = std::max(1.0, model.link_megabits_per_second * 1000);  // Bits in a millisecond.
+  const double link =
+      std::max(1.0, model.link_megabits_per_second * 1000);  // Bits in a millisecond.
   const EngineView* engine = context_.engines.find(decode.engine);
   const double there = engine->requests_there(context_.runtime.now());
   return prefill.cost_ms + context_.settings.prefill.setup_ms + bits / link +
@@ -208,8 +210,8 @@
   outgoing.method = request_.method;
   outgoing.url = "http://" + record.address + request_.target;
   outgoing.headers = request_.headers;
-  outgoing.headers.add(names.deadline_ms, std::to_string(std::max<std::int64_t>(
-                                              1, to_milliseconds(time_left()))));
+  outgoing.headers.add(names.deadline_ms,
+                       std::to_string(std::max<std::int64_t>(1, to_milliseconds(time_left()))));
   outgoing.headers.add(names.expected_engine, record.id.value());
   if (prompt_) {
     outgoing.headers.add(names.urgency, std::to_string(std::clamp(route_.priority, 0, 9)));
@@ -464,7 +466,8 @@
   if (outcome != AttemptOutcome::kNotSent) ++history_.sends;
   // A prompt that was only read has not run.
   if (outcome == AttemptOutcome::kUncertain && !only_read) ++history_.may_have_run;
-  // A refusal of a handle does not speak against the engine, which may still read the prompt itself.
+  // A refusal of a handle does not speak against the engine, which may still read the prompt
+  // itself.
   if (step_ == Step::kDecodeFromHandle) {
     handle_.clear();
     if (outcome != AttemptOutcome::kRefused) met_.push_back(engine_);
@@ -582,7 +585,9 @@
             {{"request", id_},
              {"engine", engine_.value()},
              {"service", service_name_.value()},
-             {"step", step_ == Step::kPrefill ? "prefill" : step_ == Step::kPlain ? "whole" : "decode"},
+             {"step", step_ == Step::kPrefill ? "prefill"
+                      : step_ == Step::kPlain ? "whole"
+                                              : "decode"},
              {"why", why},
              {"unread", unread_},
              {"fetch_from", fetch_address_},
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -8,7 +8,6 @@
 #include "common/time.hpp"
 #include "core/lease/lease_holder.hpp"
 #include "core/relay/placement.hpp"
-#include "core/lease/lease_holder.hpp"
 #include "core/relay/retry_budget.hpp"
 #include "core/relay/stage_planner.hpp"
 
@@ -19,7 +18,7 @@
   std::uint64_t least_unread_tokens = 600;  ///< Shorter prompts are read where tokens are made.
   double direct_penalty = 2.5;  ///< Reading between the tokens of others slows these as well.
   double least_budget = 3;  ///< Of the retry budget: a prompt that is refused counts against it.
-  double setup_ms = 8;          ///< Of moving a prompt, apart from its bytes.
+  double setup_ms = 8;      ///< Of moving a prompt, apart from its bytes.
 };
 
 /// The lease of the role planner, and the orders given under it.
@@ -45,7 +44,7 @@
   double expected_nodes = 7;  ///< For this node's part of an engine's bound on connections.
   Duration connect_timeout = std::chrono::milliseconds(600);
   Duration retry_after = std::chrono::milliseconds(250);  ///< Told with a refusal.
-  Duration stop_grace = std::chrono::seconds(8);       ///< From the signal to the end.
+  Duration stop_grace = std::chrono::seconds(8);          ///< From the signal to the end.
   /// New callers have found other nodes by then: readiness is asked each second, and two misses
   /// count. A request taken later could outlast the grace.
   Duration stop_listening_after = std::chrono::milliseconds(2600);
--- a/src/relay/role_coordinator.cpp
+++ b/src/relay/role_coordinator.cpp
@@ -75,28 +75,30 @@
 }
 
 void RoleCoordinator::read_lease() {
-  store_.read(location_.kind, location_.name, settings_.order_timeout,
-              [this, alive = alive_](const tl::expected<store::StoredObject, store::StoreError>& read) {
-                if (!*alive) return;
-                const MonotonicTime now = io_.runtime.now();
-                if (read) {
-                  return lease_.on_read(now, {read->revision, to_record(read->content)});
-                }
-                if (read.error() == store::StoreError::kMissing) return lease_.on_read(now, {});
-                lease_.on_read_failed(now);
-              });
+  store_.read(
+      location_.kind, location_.name, settings_.order_timeout,
+      [this, alive = alive_](const tl::expected<store::StoredObject, store::StoreError>& read) {
+        if (!*alive) return;
+        const MonotonicTime now = io_.runtime.now();
+        if (read) {
+          return lease_.on_read(now, {read->revision, to_record(read->content)});
+        }
+        if (read.error() == store::StoreError::kMissing) return lease_.on_read(now, {});
+        lease_.on_read_failed(now);
+      });
 }
 
 void RoleCoordinator::write_lease() {
   const VersionedLease& lease = lease_.pending_write();
-  auto done = [this, alive = alive_](
-                  const tl::expected<store::StoredObject, store::StoreError>& written) {
-    if (!*alive) return;
-    const MonotonicTime now = io_.runtime.now();
-    if (written) return lease_.on_written(now, true, written->revision);
-    if (written.error() == store::StoreError::kConflict) return lease_.on_written(now, false, 0);
-    lease_.on_write_unanswered(now);
-  };
+  auto done =
+      [this, alive = alive_](const tl::expected<store::StoredObject, store::StoreError>& written) {
+        if (!*alive) return;
+        const MonotonicTime now = io_.runtime.now();
+        if (written) return lease_.on_written(now, true, written->revision);
+        if (written.error() == store::StoreError::kConflict)
+          return lease_.on_written(now, false, 0);
+        lease_.on_write_unanswered(now);
+      };
   const nlohmann::json content = to_json(lease.record);
   if (lease.version == 0) {
     store_.create(location_.kind, location_.name, content, settings_.order_timeout, done);
@@ -121,8 +123,8 @@
   call.total_timeout = settings_.order_timeout;
   call.connect_timeout = settings_.order_timeout;
   order_under_way_ = true;
-  io_.http.fetch(std::move(call), [this, alive = alive_, record, stage](
-                                      const tl::expected<HttpReply, TransferError>& reply) {
+  io_.http.fetch(std::move(call), [this, alive = alive_, record,
+                                   stage](const tl::expected<HttpReply, TransferError>& reply) {
     if (!*alive) return;
     order_under_way_ = false;
     if (!reply || reply->status != http_status::kOk) return;
--- a/src/store/kind_watch.cpp
+++ b/src/store/kind_watch.cpp
@@ -102,8 +102,8 @@
     // Jitter keeps the nodes apart after an outage that met all of them.
     const std::string random = runtime_.random_hex(2);
     const double jitter = 0.5 + static_cast<double>(std::stoul(random, nullptr, 16)) / 65536.0;
-    const auto delay = Duration(static_cast<std::int64_t>(
-        static_cast<double>(backoff_.count()) * jitter));
+    const auto delay =
+        Duration(static_cast<std::int64_t>(static_cast<double>(backoff_.count()) * jitter));
     backoff_ = std::min(backoff_ * 2, settings_.longest_backoff);
     timer_ = runtime_.after(delay, [weak = weak_from_this()] {
       const auto self = weak.lock();
@@ -130,8 +130,8 @@
 
 KindWatch::KindWatch(Runtime& runtime, ObjectStore& store, std::string kind,
                      const KindWatchSettings& settings, KindWatchHandlers handlers)
-    : impl_(std::make_shared<Impl>(runtime, store, std::move(kind), settings,
-                                   std::move(handlers))) {
+    : impl_(
+          std::make_shared<Impl>(runtime, store, std::move(kind), settings, std::move(handlers))) {
   impl_->list();
 }
 
--- a/src/store/kind_watch.hpp
+++ b/src/store/kind_watch.hpp
@@ -1,5 +1,6 @@
 /// @file
-/// Keeps up with all objects of one kind: lists, watches on, and lists again when the history is gone.
+/// Keeps up with all objects of one kind: lists, watches on, and lists again when the history is
+/// gone.
 #pragma once
 
 #include <functional>
@@ -22,7 +23,7 @@
 
 /// What a watch tells.
 struct KindWatchHandlers {
-  std::function<void(const ObjectList&)> on_list;      ///< The whole state; replaces what was known.
+  std::function<void(const ObjectList&)> on_list;  ///< The whole state; replaces what was known.
   std::function<void(const ObjectChange&)> on_change;  ///< In the order of the store.
 };
 
--- /dev/null
+++ b/tests/core/relay/placement_test.cpp
@@ -0,0 +1,161 @@
+#include "core/relay/placement.hpp"
+
+#include <criterion/criterion.h>
+
+#include "core/relay/stage_planner.hpp"
+
+using namespace shuntbank;
+using namespace shuntbank::relay;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr MonotonicTime kNow{std::chrono::seconds(100)};
+
+EngineRecord engine(const std::string& id, EngineStage stage) {
+  EngineRecord record;
+  record.id = EngineId(id);
+  record.service = ServiceName("model");
+  record.address = id + ":1";
+  record.slots = 8;
+  record.stage = stage;
+  return record;
+}
+
+struct Fleet {
+  Fleet() {
+    ModelServing model;
+    model.kv_tokens = 1000000;
+    model.kv_token_bytes = 18432;
+    model.link_megabits_per_second = 370000;
+    service = {ServiceName("model"), 0, model};
+    for (int i = 0; i < 5; ++i) {
+      engines.upsert(engine("p" + std::to_string(i), EngineStage::kPrefill));
+    }
+    query.service = &service;
+    query.prompt = &prompt;
+    query.stage = EngineStage::kPrefill;
+    query.engines_may_keep_more = false;
+  }
+  std::optional<Placement> choose() { return place(kNow, engines, query, PlacementSettings{}); }
+
+  EngineDirectory engines;
+  RelayedService service;
+  PromptShape prompt{{{11, 12000}, {99, 3000}}, 15000, 100};
+  PlacementQuery query;
+};
+
+}  // namespace
+
+Test(placement, chooses_the_same_home_on_every_node) {
+  Fleet one;
+  Fleet other;
+  cr_assert_eq(one.choose()->engine, other.choose()->engine);
+}
+
+Test(placement, leaves_out_what_drains_has_another_stage_or_was_met) {
+  Fleet fleet;
+  for (int i = 0; i < 4; ++i) {
+    EngineRecord leaving = engine("p" + std::to_string(i), EngineStage::kPrefill);
+    leaving.draining = true;
+    fleet.engines.upsert(leaving);
+  }
+  cr_assert_eq(fleet.choose()->engine.value(), "p4");
+  const std::vector<EngineId> met{EngineId("p4")};
+  fleet.query.avoid = &met;
+  cr_assert_not(fleet.choose().has_value());
+}
+
+Test(placement, uses_an_avoided_engine_only_when_no_other_is_left) {
+  Fleet fleet;
+  const EngineId home = fleet.choose()->engine;
+  fleet.engines.on_health(kNow, home, AttemptHealth::kUnreachable);
+  cr_assert_neq(fleet.choose()->engine, home);
+  for (int i = 0; i < 5; ++i) {
+    fleet.engines.on_health(kNow, EngineId("p" + std::to_string(i)), AttemptHealth::kUnreachable);
+  }
+  cr_assert(fleet.choose().has_value());
+}
+
+Test(placement, fetches_kept_parts_when_their_engine_is_loaded) {
+  Fleet fleet;
+  const EngineId home = fleet.choose()->engine;
+  fleet.engines.find(home)->cache.on_read(fleet.prompt.parts, 1000000, kNow);
+  cr_assert_eq(fleet.choose()->engine, home);
+  cr_assert_eq(fleet.choose()->unread_tokens, 0);
+  fleet.engines.on_sent(home, 60000);
+  const auto spilled = fleet.choose();
+  cr_assert_neq(spilled->engine, home);
+  cr_assert_eq(*spilled->fetch_from, home);
+  cr_assert_eq(spilled->unread_tokens, 0);
+}
+
+Test(placement, counts_what_other_nodes_have_under_way) {
+  Fleet fleet;
+  const EngineId home = fleet.choose()->engine;
+  fleet.engines.on_peer_load(kNow, NodeId("n2"), {{home, {3, 90000}}});
+  cr_assert_neq(fleet.choose()->engine, home);
+  fleet.engines.forget_silent_peers(kNow + 3s);
+  cr_assert_eq(fleet.choose()->engine, home);
+}
+
+Test(placement, assumes_parts_at_their_home_after_a_restart) {
+  Fleet fleet;
+  cr_assert_eq(fleet.choose()->unread_tokens, 15000);
+  fleet.query.engines_may_keep_more = true;
+  cr_assert_eq(fleet.choose()->unread_tokens, 3000);
+}
+
+Test(engine_directory, keeps_an_engine_draining_whatever_comes_late) {
+  EngineDirectory engines;
+  EngineRecord record = engine("e", EngineStage::kDecode);
+  record.draining = true;
+  engines.upsert(record);
+  record.draining = false;
+  engines.upsert(record);
+  cr_assert(engines.find(EngineId("e"))->record.draining);
+}
+
+Test(prompt_cache, keeps_what_was_used_last) {
+  PromptCacheView cache;
+  const PromptShape old{{{1, 600}}, 600, 1};
+  const PromptShape recent{{{2, 600}}, 600, 1};
+  cache.on_read(old.parts, 1000, kNow);
+  cache.on_read(recent.parts, 1000, kNow + 1s);
+  cr_assert_eq(cache.cached_tokens(old), 0);
+  cr_assert_eq(cache.cached_tokens(recent), 600);
+}
+
+Test(stage_planner, counts_an_order_under_way_as_done) {
+  // Without it the planner ordered again before the first order showed, and back afterwards:
+  // quiet-1 at petalwire fell from 0.846 to 0.364.
+  Fleet fleet;
+  for (int i = 0; i < 5; ++i) {
+    fleet.engines.upsert(engine("p" + std::to_string(i), EngineStage::kDecode));
+  }
+  RouteConfiguration configuration;
+  configuration.services = {fleet.service};
+  const RouteTable table(configuration);
+  StagePlannerSettings settings;
+  settings.prefill_share = 0.4;
+  StagePlanner planner(settings);
+  int orders = 0;
+  for (int second = 0; second < 11; ++second) {
+    if (planner.next(kNow + std::chrono::seconds(second), fleet.engines, table)) ++orders;
+  }
+  cr_assert_eq(orders, 2);
+}
+
+Test(stage_planner, leaves_engines_that_decode) {
+  Fleet fleet;
+  for (int i = 0; i < 5; ++i) {
+    const auto stage = i < 2 ? EngineStage::kDecode : EngineStage::kPrefill;
+    fleet.engines.upsert(engine("p" + std::to_string(i), stage));
+  }
+  RouteConfiguration configuration;
+  configuration.services = {fleet.service};
+  StagePlannerSettings settings;
+  settings.prefill_share = 1;
+  StagePlanner planner(settings);
+  cr_assert_not(planner.next(kNow, fleet.engines, RouteTable(configuration)).has_value());
+}
--- /dev/null
+++ b/tests/core/relay/routes_test.cpp
@@ -0,0 +1,73 @@
+#include "core/relay/routes.hpp"
+
+#include <map>
+
+#include "support/property.hpp"
+
+using namespace shuntbank;
+using namespace shuntbank::relay;
+
+namespace {
+
+Route route(const std::string& name, const std::string& host, const std::string& prefix) {
+  Route made;
+  made.name = name;
+  made.host = host;
+  made.path_prefix = prefix;
+  made.split = {{ServiceName("s"), 1}};
+  return made;
+}
+
+RouteConfiguration with(std::vector<Route> routes) {
+  RouteConfiguration configuration;
+  configuration.version = 1;
+  configuration.routes = std::move(routes);
+  configuration.services = {{ServiceName("s"), 0, std::nullopt}};
+  return configuration;
+}
+
+}  // namespace
+
+Test(routes, takes_the_longest_prefix_of_the_host) {
+  const RouteTable table(
+      with({route("short", "a", "/x/"), route("long", "a", "/x/y/"), route("other", "b", "/x/")}));
+  cr_assert_eq(table.find("a", "/x/y/z")->name, "long");
+  cr_assert_eq(table.find("A:8080", "/x/z")->name, "short");
+  cr_assert_eq(table.find("b", "/x/y/z")->name, "other");
+  cr_assert_null(table.find("a", "/x"));
+  cr_assert_null(table.find("c", "/x/"));
+}
+
+Test(routes, reports_all_findings_with_their_places) {
+  auto configuration = with({route("r", "", "x"), route("r", "", "x")});
+  configuration.routes[0].split = {{ServiceName("missing"), -1}};
+  configuration.routes[1].max_attempts = 0;
+  configuration.routes[1].resumable = true;
+  const std::string text = check(configuration).to_text();
+  for (const char* place : {"routes/0/host", "routes/0/path_prefix", "routes/0/split/0",
+                            "routes/1/max_attempts", "routes/1/resumable", "routes/1:"}) {
+    cr_assert_neq(text.find(place), std::string::npos, "%s is missing in %s", place, text.c_str());
+  }
+}
+
+Test(split_chooser, gives_each_part_its_share_at_any_time) {
+  SHUNTBANK_PROPERTY("no part is more than its number of parts away from its share", [] {
+    Route split = route("r", "h", "/");
+    split.split.clear();
+    double total = 0;
+    const auto weights =
+        *rc::gen::nonEmpty(rc::gen::container<std::vector<int>>(3, rc::gen::inRange(1, 100)));
+    for (std::size_t i = 0; i < weights.size(); ++i) {
+      split.split.push_back({ServiceName(std::to_string(i)), static_cast<double>(weights[i])});
+      total += weights[i];
+    }
+    SplitChooser chooser(*rc::gen::inRange(0, 100) / 100.0);
+    std::map<ServiceName, double> taken;
+    for (int n = 1; n <= 300; ++n) {
+      ++taken[chooser.choose(split)];
+      for (const SplitPart& part : split.split) {
+        RC_ASSERT(std::abs(taken[part.service] - n * part.weight / total) <= 4);
+      }
+    }
+  });
+}
--- /dev/null
+++ b/tests/net/http1_edges_test.cpp
@@ -0,0 +1,370 @@
+#include <criterion/criterion.h>
+
+#include <asio.hpp>
+#include <optional>
+#include <random>
+
+#include "net/address.hpp"
+#include "net/http1_client.hpp"
+#include "net/http1_server.hpp"
+
+using namespace shuntbank;
+using namespace std::chrono_literals;
+
+namespace {
+
+const asio::ip::tcp::endpoint kAnyPort{asio::ip::make_address("127.0.0.1"), 0};
+
+Http1ServerSettings any_port() {
+  Http1ServerSettings settings;
+  settings.listen = kAnyPort;
+  settings.linger_timeout = 50ms;
+  return settings;
+}
+
+/// Sends bytes, then reads until the server closes; the loop runs meanwhile.
+std::string talk(asio::io_context& loop, const asio::ip::tcp::endpoint& server,
+                 const std::string& bytes, bool end_after_send = false) {
+  asio::ip::tcp::socket socket(loop);
+  std::string received;
+  std::array<char, 4096> buffer{};
+  bool over = false;
+  std::function<void()> read = [&] {
+    socket.async_read_some(asio::buffer(buffer), [&](const std::error_code& error, std::size_t n) {
+      received.append(buffer.data(), n);
+      if (error) {
+        over = true;
+      } else {
+        read();
+      }
+    });
+  };
+  socket.async_connect(server, [&](const std::error_code&) {
+    asio::async_write(socket, asio::buffer(bytes), [&](const std::error_code&, std::size_t) {
+      std::error_code ignored;
+      if (end_after_send) socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    });
+    read();
+  });
+  while (!over) loop.run_one();
+  return received;
+}
+
+/// A server that answers with method, target and body.
+struct EchoServer {
+  explicit EchoServer(asio::io_context& loop)
+      : server(loop, any_port(), [this](const HttpRequest& request, const auto& responder) {
+          ++requests;
+          HttpReply reply;
+          reply.status = 200;
+          reply.body = request.method + " " + request.target + " " + request.body;
+          responder->respond(std::move(reply));
+        }) {
+    CallerLimits limits;
+    limits.max_header_bytes = 1000;
+    limits.max_body_bytes = 100;
+    limits.idle_timeout = 100ms;
+    limits.header_timeout = 100ms;
+    server.set_limits(limits);
+  }
+  int requests = 0;
+  Http1Server server;
+};
+
+/// A peer whose connections are scripted: what it sends after each request head that it has read.
+class ScriptedPeer {
+ public:
+  struct Turn {
+    std::string bytes;
+    bool close = false;
+    bool reset = false;
+  };
+
+  ScriptedPeer(asio::io_context& loop, std::vector<std::vector<Turn>> connections)
+      : acceptor_(loop, kAnyPort), connections_(std::move(connections)) {
+    accept();
+  }
+  std::string url(const std::string& path = "/") const {
+    return "http://" + format_endpoint(acceptor_.local_endpoint()) + path;
+  }
+  int accepted = 0;
+  int received = 0;
+
+ private:
+  struct Open {
+    explicit Open(asio::ip::tcp::socket taken) : socket(std::move(taken)) {}
+    asio::ip::tcp::socket socket;
+    std::string buffer;
+    std::vector<Turn> turns;
+    std::size_t next = 0;
+  };
+  void accept() {
+    acceptor_.async_accept([this](const std::error_code& error, asio::ip::tcp::socket socket) {
+      if (error) return;
+      auto open = std::make_shared<Open>(std::move(socket));
+      open->turns = connections_.at(std::min<std::size_t>(accepted++, connections_.size() - 1));
+      serve(open);
+      accept();
+    });
+  }
+  void serve(const std::shared_ptr<Open>& open) {
+    asio::async_read_until(open->socket, asio::dynamic_buffer(open->buffer), "\r\n\r\n",
+                           [this, open](const std::error_code& error, std::size_t size) {
+                             if (error) return;
+                             open->buffer.erase(0, size);
+                             ++received;
+                             play(open);
+                           });
+  }
+  void play(const std::shared_ptr<Open>& open) {
+    const Turn turn = open->next < open->turns.size() ? open->turns[open->next++] : Turn{"", true};
+    if (!turn.bytes.empty()) asio::write(open->socket, asio::buffer(turn.bytes));
+    if (turn.reset) open->socket.set_option(asio::socket_base::linger(true, 0));
+    if (turn.close || turn.reset) return open->socket.close();
+    serve(open);
+  }
+
+  asio::ip::tcp::acceptor acceptor_;
+  std::vector<std::vector<Turn>> connections_;
+};
+
+struct Fetched {
+  int status = 0;
+  std::string body;
+  std::optional<TransferFailure> failure;
+};
+
+Fetched fetch(asio::io_context& loop, PooledHttpClient& client, OutgoingRequest request) {
+  Fetched fetched;
+  bool over = false;
+  request.total_timeout = 5s;
+  client.fetch(std::move(request), [&](const tl::expected<HttpReply, TransferError>& reply) {
+    over = true;
+    if (reply) {
+      fetched.status = reply->status;
+      fetched.body = reply->body;
+    } else {
+      fetched.failure = reply.error().failure;
+    }
+  });
+  while (!over) loop.run_one();
+  loop.poll();
+  return fetched;
+}
+
+std::string sized(const std::string& id, const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nid: " + id + "\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+OutgoingRequest asking(const std::string& url, const std::string& id) {
+  OutgoingRequest request;
+  request.method = "POST";
+  request.url = url;
+  request.belongs = [id](int, const HttpHeaders& headers) { return headers.get("id") == id; };
+  return request;
+}
+
+}  // namespace
+
+Test(http1_server, keeps_target_and_body_byte_for_byte) {
+  asio::io_context loop;
+  EchoServer echo(loop);
+  const std::string sent =
+      "POST /a%2F?x=%20&&y HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+      "Connection: close\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+  const std::string reply = talk(loop, echo.server.local_endpoint(), sent);
+  cr_assert_neq(reply.find("POST /a%2F?x=%20&&y abcde"), std::string::npos, "%s", reply.c_str());
+}
+
+Test(http1_server, answers_requests_sent_at_once_in_their_order) {
+  asio::io_context loop;
+  EchoServer echo(loop);
+  const std::string reply = talk(loop, echo.server.local_endpoint(),
+                                 "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n"
+                                 "Connection: close\r\n\r\n");
+  cr_assert_lt(reply.find("GET /1"), reply.find("GET /2"));
+}
+
+Test(http1_server, answers_bad_input_with_a_4xx_and_closes) {
+  const std::pair<std::string, std::string> cases[] = {
+      {"no HTTP at all\r\n\r\n", "400"},
+      {"GET / HTTP/1.1\r\nHost: h\r\nLong: " + std::string(2000, 'x') + "\r\n\r\n", "431"},
+      {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n", "413"},
+      {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", "400"},
+      {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: "
+       "chunked\r\n\r\n0\r\n\r\n",
+       "400"},
+      {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "400"},
+      {"GET / HTTP/1.1\r\nHost: h\r\nConnection: upgrade\r\nUpgrade: h2c\r\n\r\n", "400"},
+      {"GET / HTTP/1.1\r\nHo", "408"}};
+  asio::io_context loop;
+  EchoServer echo(loop);
+  for (const auto& [bytes, status] : cases) {
+    const std::string reply = talk(loop, echo.server.local_endpoint(), bytes);
+    cr_assert_eq(reply.rfind("HTTP/1.1 " + status, 0), 0, "%s got %s", bytes.c_str(),
+                 reply.c_str());
+    cr_assert_neq(reply.find("Connection: close"), std::string::npos);
+  }
+  cr_assert_eq(echo.requests, 0, "nothing was handed on");
+}
+
+Test(http1_server, serves_on_after_any_bytes) {
+  asio::io_context loop;
+  EchoServer echo(loop);
+  std::mt19937 random(20261202);  // NOLINT: repeatable on purpose
+  const std::string whole = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody";
+  for (int i = 0; i < 300; ++i) {
+    std::string bytes = whole;
+    for (int k = 0; k < 4; ++k) bytes[random() % bytes.size()] = static_cast<char>(random());
+    talk(loop, echo.server.local_endpoint(), bytes, true);
+  }
+  const std::string reply = talk(loop, echo.server.local_endpoint(),
+                                 "GET /still HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  cr_assert_neq(reply.find("GET /still"), std::string::npos);
+}
+
+Test(http1_server, ends_an_aborted_stream_without_its_last_chunk) {
+  asio::io_context loop;
+  std::shared_ptr<ConnectionResponder> kept;
+  Http1Server server(loop, any_port(), [&](const HttpRequest&, const auto& responder) {
+    kept = responder;
+    kept->begin_stream(200, {});
+    kept->write("event");
+    kept->on_drained([&] { kept->abort(); });
+  });
+  const std::string reply =
+      talk(loop, server.local_endpoint(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  cr_assert_neq(reply.find("event"), std::string::npos);
+  cr_assert_eq(reply.find("0\r\n\r\n"), std::string::npos);
+}
+
+Test(http1_server, tells_when_the_caller_leaves) {
+  asio::io_context loop;
+  bool gone = false;
+  std::shared_ptr<ConnectionResponder> kept;
+  Http1Server server(loop, any_port(), [&](const HttpRequest&, const auto& responder) {
+    kept = responder;
+    kept->on_closed([&] { gone = true; });
+  });
+  {
+    asio::ip::tcp::socket socket(loop);
+    socket.connect(server.local_endpoint());
+    asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+    while (!kept) loop.run_one();
+  }
+  while (!gone) loop.run_one();
+}
+
+Test(http1_server, closes_behind_answers_while_it_stops) {
+  asio::io_context loop;
+  EchoServer echo(loop);
+  echo.server.close_after_answers();
+  const std::string reply =
+      talk(loop, echo.server.local_endpoint(), "GET /last HTTP/1.1\r\nHost: h\r\n\r\n");
+  cr_assert_neq(reply.find("Connection: close"), std::string::npos);
+  cr_assert_neq(reply.find("GET /last"), std::string::npos);
+}
+
+Test(http1_client, keeps_a_connection_for_the_next_request) {
+  asio::io_context loop;
+  ScriptedPeer peer(loop, {{{sized("1", "one")}, {sized("2", "two")}}});
+  PooledHttpClient client(loop, {});
+  cr_assert_eq(fetch(loop, client, asking(peer.url(), "1")).body, "one");
+  cr_assert_eq(fetch(loop, client, asking(peer.url(), "2")).body, "two");
+  cr_assert_eq(peer.accepted, 1);
+}
+
+Test(http1_client, never_sends_again_by_itself) {
+  asio::io_context loop;
+  ScriptedPeer peer(loop, {{{sized("1", "one")}, {"", true}}, {{sized("2", "two")}}});
+  PooledHttpClient client(loop, {});
+  fetch(loop, client, asking(peer.url(), "1"));
+  const Fetched second = fetch(loop, client, asking(peer.url(), "2"));
+  cr_assert(second.failure == TransferFailure::kUncertain);
+  cr_assert_eq(peer.received, 2);
+}
+
+Test(http1_client, knows_when_nothing_was_sent) {
+  asio::io_context loop;
+  asio::ip::tcp::acceptor unused(loop, kAnyPort);
+  const std::string url = "http://" + format_endpoint(unused.local_endpoint()) + "/";
+  unused.close();
+  PooledHttpClient client(loop, {});
+  cr_assert(fetch(loop, client, asking(url, "1")).failure == TransferFailure::kNothingSent);
+}
+
+Test(http1_client, skips_an_answer_that_belongs_to_another_request) {
+  asio::io_context loop;
+  ScriptedPeer peer(loop, {{{sized("1", "one")}, {sized("1", "late") + sized("2", "two")}}});
+  PooledHttpClient client(loop, {});
+  fetch(loop, client, asking(peer.url(), "1"));
+  cr_assert_eq(fetch(loop, client, asking(peer.url(), "2")).body, "two");
+  cr_assert_eq(client.stats().surplus_answers, 1);
+}
+
+Test(http1_client, does_not_reuse_a_connection_with_surplus_bytes) {
+  asio::io_context loop;
+  ScriptedPeer peer(loop, {{{sized("1", "one") + sized("1", "again")}}, {{sized("2", "two")}}});
+  PooledHttpClient client(loop, {});
+  cr_assert_eq(fetch(loop, client, asking(peer.url(), "1")).body, "one");
+  cr_assert_eq(fetch(loop, client, asking(peer.url(), "2")).body, "two");
+  cr_assert_eq(peer.accepted, 2);
+}
+
+Test(http1_client, tells_an_answer_that_ends_with_its_connection_from_one_that_broke) {
+  asio::io_context loop;
+  const std::string unframed = "HTTP/1.1 200 OK\r\nid: 1\r\n\r\nall of it";
+  ScriptedPeer whole(loop, {{{unframed, true}}});
+  PooledHttpClient client(loop, {});
+  cr_assert_eq(fetch(loop, client, asking(whole.url(), "1")).body, "all of it");
+  ScriptedPeer broken(loop, {{{unframed, false, true}}});
+  cr_assert(fetch(loop, client, asking(broken.url(), "1")).failure.has_value());
+  ScriptedPeer cut(loop, {{{"HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: 50\r\n\r\nhalf", true}}});
+  cr_assert(fetch(loop, client, asking(cut.url(), "1")).failure.has_value());
+}
+
+Test(http1_client, takes_no_bytes_that_are_no_answer) {
+  asio::io_context loop;
+  ScriptedPeer peer(loop, {{{"this is no answer\r\n\r\n", true}}});
+  PooledHttpClient client(loop, {});
+  cr_assert(fetch(loop, client, asking(peer.url(), "1")).failure == TransferFailure::kUncertain);
+}
+
+Test(http1_client, does_not_reuse_a_connection_that_was_answered_before_all_was_sent) {
+  asio::io_context loop;
+  ScriptedPeer peer(loop,
+                    {{{sized("1", "early")}, {sized("2", "wrong place")}}, {{sized("2", "two")}}});
+  PooledHttpClient client(loop, {});
+  OutgoingRequest large = asking(peer.url(), "1");
+  large.body = std::string(32UL << 20U, 'x');
+  cr_assert_eq(fetch(loop, client, std::move(large)).body, "early");
+  cr_assert_eq(fetch(loop, client, asking(peer.url(), "2")).body, "two");
+}
+
+Test(http1_client, hands_a_refused_piece_over_again) {
+  asio::io_context loop;
+  ScriptedPeer peer(loop, {{{sized("1", "piece")}}});
+  PooledHttpClient client(loop, {});
+  std::string taken;
+  int offered = 0;
+  bool over = false;
+  TransferHandlers handlers;
+  TransferId id = 0;
+  handlers.on_headers = [](int, const HttpHeaders&) {};
+  handlers.on_data = [&](std::string_view piece) {
+    if (++offered == 1) {
+      client.resume(id);
+      return false;
+    }
+    taken += piece;
+    return true;
+  };
+  handlers.on_done = [&](const auto& result) {
+    cr_assert(result.has_value());
+    over = true;
+  };
+  id = client.start(asking(peer.url(), "1"), handlers);
+  while (!over) loop.run_one();
+  cr_assert_eq(taken, "piece");
+}
--- /dev/null
+++ b/tests/platform/codec_test.cpp
@@ -0,0 +1,130 @@
+#include "platform/codec.hpp"
+
+#include <random>
+
+#include "platform/dialect.hpp"
+#include "platform/store_client.hpp"
+#include "protocol/load_message.hpp"
+#include "relay/support/fakes.hpp"
+#include "support/property.hpp"
+
+using namespace shuntbank;
+using namespace shuntbank::platform_adapter;
+using namespace shuntbank::testing;
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+namespace {
+
+const char* const kConfiguration = R"({"version":7,"routes":[
+ {"name":"r","host":"h.example","path_prefix":"/a/","kind":"stream","timeout_ms":6000,"slo_ms":800,
+  "priority":2,"split":[{"service":"m","weight":90},{"service":"p","weight":10}],"max_attempts":2,
+  "affinity":true,"resumable":true,"gap_target_ms":300}],
+ "services":[{"name":"m","max_conns":360,"engine":{"slots":64,"kv_tokens":433612,
+  "kv_token_bytes":18432,"link_mbps":370000.0,"kv_ttl_s":5.0,"switch_s":2.3}},{"name":"p"}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,
+  "idle_timeout_ms":15000}})";
+
+}  // namespace
+
+Test(platform_codec, reads_a_configuration) {
+  const auto read = ObjectCodec().configuration(json::parse(kConfiguration));
+  cr_assert(read.has_value());
+  cr_assert_eq(read->version, 7);
+  const relay::Route& route = read->routes.at(0);
+  cr_assert(route.idempotent());
+  cr_assert_eq(route.split.size(), 2);
+  cr_assert_eq(route.timeout.count(), 6000000);
+  cr_assert_eq(read->services.at(0).model->kv_token_bytes, 18432);
+  cr_assert_not(read->services.at(1).model.has_value());
+  cr_assert_eq(read->limits.idle_timeout.count(), 15000000);
+  cr_assert(relay::check(*read).empty());
+}
+
+Test(platform_codec, survives_any_change_of_a_valid_document) {
+  // A fixed seed: the same documents each time.
+  std::mt19937 random(20261202);  // NOLINT: repeatable on purpose
+  const std::string whole = kConfiguration;
+  int refused = 0;
+  for (int i = 0; i < 3000; ++i) {
+    std::string changed = whole;
+    for (int k = 0; k < 3; ++k)
+      changed[random() % changed.size()] = static_cast<char>(random() % 128);
+    const json document = json::parse(changed, nullptr, false);
+    if (document.is_discarded() || !ObjectCodec().configuration(document)) ++refused;
+  }
+  cr_assert_gt(refused, 0);
+}
+
+Test(platform_codec, reads_an_engine) {
+  const json content = {{"service", "m"}, {"addr", "10.1.1.1:80"}, {"zone", "z"},
+                        {"slots", 64},    {"state", "draining"},   {"stage", "prefill"}};
+  const auto record = ObjectCodec().engine({"i-1", 5, content});
+  cr_assert(record.has_value());
+  cr_assert(record->draining);
+  cr_assert_eq(static_cast<int>(record->stage), static_cast<int>(relay::EngineStage::kPrefill));
+  cr_assert_not(ObjectCodec().engine({"i-1", 5, json::array()}).has_value());
+}
+
+Test(platform_dialect, reads_prompts_and_load) {
+  const PlatformDialect dialect;
+  const auto prompt =
+      dialect.prompt({{"X-Model", "m"},
+                      {"X-Token-Counts", "1460,80"},
+                      {"X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250"}});
+  cr_assert(prompt.has_value());
+  cr_assert_eq(prompt->prompt_tokens, 1460);
+  cr_assert_eq(*prompt->shared_part(), 0x91bd3f06);
+  cr_assert_not(dialect.prompt({{"X-Model", "m"}, {"X-Token-Counts", "many"}}).has_value());
+  cr_assert_eq(dialect.load({{"X-Server-Load", "3,1,8"}})->waiting, 1);
+  cr_assert_not(dialect.load({{"X-Server-Load", "3,-1,8"}}).has_value());
+  cr_assert(dialect.refused(503, {{"X-Not-Executed", "1"}}));
+  cr_assert(dialect.refused(421, {}));
+  cr_assert_not(dialect.refused(503, {}));
+}
+
+Test(platform_store, lists_all_pages_and_tells_errors_apart) {
+  ScriptedHttpClient http;
+  StoreClient client(http, "10.0.0.1:1");
+  tl::expected<store::ObjectList, store::StoreError> listed;
+  client.list("servers", 1s, [&](auto result) { listed = std::move(result); });
+  http.answer(0, 200, {},
+              R"({"items":[{"meta":{"name":"a","revision":3},"spec":{}}],"more":true,"at":9})");
+  cr_assert_eq(http.at(1).request.url, "http://10.0.0.1:1/v1/objects/servers?after=a");
+  http.answer(1, 200, {},
+              R"({"items":[{"meta":{"name":"b","revision":4},"spec":{}}],"more":false,"at":11})");
+  cr_assert_eq(listed->objects.size(), 2);
+  cr_assert_eq(listed->revision, 9, "changes between the pages are watched from the first");
+
+  const std::pair<int, store::StoreError> cases[] = {{409, store::StoreError::kConflict},
+                                                     {404, store::StoreError::kMissing},
+                                                     {410, store::StoreError::kHistoryGone},
+                                                     {429, store::StoreError::kNotDone},
+                                                     {503, store::StoreError::kNotDone}};
+  for (const auto& [status, expected] : cases) {
+    tl::expected<store::ChangeBatch, store::StoreError> batch;
+    client.watch("servers", 9, 1s, 2s, [&](auto result) { batch = std::move(result); });
+    http.answer(http.count() - 1, status, {}, "{}");
+    cr_assert_eq(static_cast<int>(batch.error()), static_cast<int>(expected));
+  }
+  tl::expected<store::StoredObject, store::StoreError> written;
+  client.replace("k", "n", 4, {}, 1s, [&](auto result) { written = std::move(result); });
+  http.fail(http.count() - 1, TransferFailure::kUncertain);
+  cr_assert_eq(static_cast<int>(written.error()), static_cast<int>(store::StoreError::kUncertain));
+}
+
+Test(load_message, survives_any_bytes_and_comes_back_as_it_was) {
+  LoadMessage message;
+  message.node = NodeId("n");
+  message.boot = 1ULL << 50U;
+  message.load[EngineId("e")] = {3, 4000};
+  message.reads = {{EngineId("e"), {{1ULL << 63U, 12}}}};
+  const auto back = decode_load_message(encode(message));
+  cr_assert(back.has_value());
+  cr_assert_eq(back->reads.at(0).parts.at(0).id, 1ULL << 63U);
+  cr_assert_eq(back->load.at(EngineId("e")).unread_tokens, 4000);
+  SHUNTBANK_PROPERTY("garbage is refused or read, never worse", [] {
+    const auto bytes = *rc::gen::arbitrary<std::string>();
+    decode_load_message(bytes);
+  });
+}
--- /dev/null
+++ b/tests/platform/settings_test.cpp
@@ -0,0 +1,33 @@
+#include "platform/settings.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace shuntbank::platform_adapter;
+
+namespace {
+
+const char* const kWhole =
+    "node=n-1\nzone=z\nip=10.1.0.38\nlisten.front=10.1.0.38:8149\nlisten.ready=10.1.0.38:8141\n"
+    "port_range=7380,7395\nbootstrap=true\nplatform.addr=10.200.1.7:8142\nbounds.budget_slack=54\n"
+    "bounds.grace_s=8\nsomething.new=whatever\nno equals sign\n";
+
+}  // namespace
+
+Test(platform_settings, reads_what_it_knows_and_leaves_the_rest) {
+  const auto settings = parse_settings(kWhole);
+  cr_assert(settings.has_value());
+  cr_assert_eq(settings->peer_address, "10.1.0.38:7380");
+  cr_assert(settings->first_start);
+  cr_assert_eq(relay_settings(*settings).retry_budget.slack, 54);
+}
+
+Test(platform_settings, reports_all_bad_values_with_their_lines) {
+  const auto settings =
+      parse_settings("node=n\nlisten.front=nowhere\nbounds.grace_s=soon\nbootstrap=perhaps\n");
+  cr_assert_not(settings.has_value());
+  const std::string text = settings.error().to_text();
+  for (const char* part : {"line 2, listen.front", "line 3, bounds.grace_s", "line 4, bootstrap",
+                           "listen.ready: is missing", "platform.addr: is missing"}) {
+    cr_assert_neq(text.find(part), std::string::npos, "%s is missing in %s", part, text.c_str());
+  }
+}
--- /dev/null
+++ b/tests/relay/relay_session_test.cpp
@@ -0,0 +1,266 @@
+#include "relay/relay_session.hpp"
+
+#include <criterion/criterion.h>
+
+#include "relay/support/fakes.hpp"
+
+using namespace shuntbank;
+using namespace shuntbank::testing;
+using namespace std::chrono_literals;
+using relay::EngineStage;
+
+Test(relay_session, passes_method_target_and_body_unchanged) {
+  RelayFixture site;
+  site.add_engine("e1", "plain");
+  const auto seen = site.request("/once/a%2Fb?x=%20&y", {{"deadline", "900"}, {"own", "kept"}},
+                                 "PUT", std::string("a\0b", 3));
+  cr_assert_eq(site.http.count(), 1);
+  const OutgoingRequest& sent = site.http.at(0).request;
+  cr_assert_eq(sent.method, "PUT");
+  cr_assert_eq(sent.url, "http://e1:80/once/a%2Fb?x=%20&y");
+  cr_assert_eq(sent.body, std::string("a\0b", 3));
+  cr_assert_eq(sent.headers.get("own"), "kept");
+  cr_assert_eq(sent.headers.get("for-engine"), "e1");
+  cr_assert_eq(sent.headers.get("deadline"), "900");
+  site.http.answer(0, 201, RelayFixture::sealed(), "made");
+  cr_assert_eq(seen->status, 201);
+  cr_assert_eq(seen->body, "made");
+  cr_assert_eq(seen->headers.get("seal"), "s");
+}
+
+Test(relay_session, removes_what_only_the_system_may_set_and_what_concerns_one_connection) {
+  RelayFixture site;
+  site.add_engine("e1", "plain");
+  site.request("/once/a", {{"for-engine", "other"},
+                           {"stage", "read"},
+                           {"Connection", "close, private"},
+                           {"private", "1"},
+                           {"Transfer-Encoding", "chunked"}});
+  const HttpHeaders& headers = site.http.at(0).request.headers;
+  cr_assert_eq(headers.count("for-engine"), 1);
+  cr_assert_eq(headers.get("for-engine"), "e1");
+  cr_assert_eq(headers.count("stage"), 0);
+  cr_assert_eq(headers.count("private"), 0);
+  cr_assert_eq(headers.count("Connection"), 0);
+  cr_assert_eq(headers.count("Transfer-Encoding"), 0);
+}
+
+Test(relay_session, refuses_a_request_with_two_ids) {
+  RelayFixture site;
+  site.add_engine("e1", "plain");
+  const auto seen = site.request("/once/a", {{"id", "r1"}, {"id", "r2"}});
+  cr_assert_eq(seen->status, 400);
+  cr_assert_eq(site.http.count(), 0);
+}
+
+Test(relay_session, sends_what_may_run_once_nowhere_else_after_an_uncertain_end) {
+  RelayFixture site;
+  site.add_engine("e1", "plain");
+  site.add_engine("e2", "plain");
+  const auto seen = site.request("/once/a");
+  site.http.fail(0, TransferFailure::kUncertain);
+  cr_assert_eq(site.http.count(), 1);
+  cr_assert_eq(seen->status, 502);
+}
+
+Test(relay_session, tries_elsewhere_what_was_not_sent_or_was_refused) {
+  RelayFixture site;
+  site.add_engine("e1", "plain");
+  site.add_engine("e2", "plain");
+  site.add_engine("e3", "plain");
+  const auto seen = site.request("/once/a");
+  site.http.fail(0, TransferFailure::kNothingSent);
+  site.http.answer(1, 503, {{"id", "r1"}, {"refused", "1"}}, "");
+  cr_assert_eq(site.http.count(), 3);
+  cr_assert_neq(site.http.at(2).request.headers.get("for-engine"),
+                site.http.at(0).request.headers.get("for-engine"));
+  site.http.answer(2, 200, RelayFixture::sealed(), "whole");
+  cr_assert_eq(seen->status, 200);
+}
+
+Test(relay_session, tells_a_refused_caller_when_to_come_back) {
+  RelayFixture site;
+  site.add_engine("e1", "plain");
+  const auto seen = site.request("/once/a");
+  site.http.answer(0, 503, {{"id", "r1"}, {"refused", "1"}}, "");
+  cr_assert_eq(seen->status, 503);
+  cr_assert_not(seen->headers.get("Retry-After").empty());
+}
+
+Test(relay_session, repeats_a_safe_request_after_an_engines_own_failure) {
+  RelayFixture site;
+  site.add_engine("e1", "plain");
+  site.add_engine("e2", "plain");
+  const auto seen = site.request("/safe/a", {}, "GET", "");
+  site.http.answer(0, 500, RelayFixture::sealed(), "first failure");
+  site.http.answer(1, 500, RelayFixture::sealed(), "second failure");
+  cr_assert_eq(site.http.count(), 2, "no more engines than the route allows");
+  cr_assert_eq(seen->status, 500);
+  cr_assert_eq(seen->body, "second failure");
+}
+
+Test(relay_session, does_not_take_a_success_without_the_engines_seal_or_id) {
+  for (const HttpHeaders& headers :
+       {HttpHeaders{{"id", "r1"}}, HttpHeaders{{"seal", "s"}}, HttpHeaders{}}) {
+    RelayFixture site;
+    site.add_engine("e1", "plain");
+    const auto seen = site.request("/once/a");
+    site.http.answer(0, 200, headers, "bytes");
+    cr_assert_eq(seen->status, 502);
+    cr_assert(seen->body.empty());
+  }
+}
+
+Test(relay_session, knows_which_answers_belong_to_it) {
+  RelayFixture site;
+  site.add_engine("e1", "plain");
+  site.request("/once/a");
+  const auto& belongs = site.http.at(0).request.belongs;
+  cr_assert(belongs(200, RelayFixture::sealed("r1")));
+  cr_assert_not(belongs(200, RelayFixture::sealed("r0")));
+}
+
+Test(relay_session, cancels_at_once_when_the_caller_leaves) {
+  RelayFixture site;
+  site.add_engine("e1", "plain");
+  site.request("/once/a");
+  site.caller->caller_leaves();
+  cr_assert(site.http.at(0).cancelled);
+  cr_assert_eq(site.node->under_way(), 0);
+}
+
+Test(relay_session, ends_at_the_routes_timeout_with_no_promise_once_it_was_sent) {
+  RelayFixture site;
+  site.add_engine("e1", "plain");
+  const auto seen = site.request("/once/a", {{"deadline", "60000"}});
+  cr_assert_eq(site.http.at(0).request.headers.get("deadline"), "3000",
+               "an engine gets no more time than the route has");
+  site.runtime.advance(3s);
+  cr_assert(site.http.at(0).cancelled);
+  cr_assert_eq(seen->status, 504);
+}
+
+Test(relay_session, hands_on_what_is_left_of_the_time) {
+  RelayFixture site;
+  site.add_engine("e1", "plain");
+  site.add_engine("e2", "plain");
+  site.request("/safe/a", {{"deadline", "2000"}}, "GET", "");
+  site.runtime.advance(700ms);
+  site.http.fail(0, TransferFailure::kUncertain);
+  cr_assert_eq(site.http.at(1).request.headers.get("deadline"), "1300");
+}
+
+Test(relay_session, reads_a_long_prompt_apart_and_takes_it_up_by_its_handle) {
+  RelayFixture site;
+  site.add_engine("p", "model", EngineStage::kPrefill);
+  site.add_engine("d", "model", EngineStage::kDecode);
+  const auto seen = site.request("/stream/a", {{"tokens", "20000"}});
+  cr_assert_eq(site.http.at(0).request.headers.get("for-engine"), "p");
+  cr_assert_eq(site.http.at(0).request.headers.get("stage"), "read");
+  site.http.answer(0, 200, {{"id", "r1"}}, "h1");
+  cr_assert_eq(site.http.at(1).request.headers.get("for-engine"), "d");
+  cr_assert_eq(site.http.at(1).request.headers.get("source"), "p:80/h1");
+  cr_assert_eq(site.http.at(1).request.headers.count("stage"), 0);
+  site.http.answer(1, 200, RelayFixture::sealed(), "id: 1\ndata: a\n\n");
+  cr_assert_eq(seen->body, "id: 1\ndata: a\n\n");
+  cr_assert(seen->finished);
+  cr_assert_eq(site.http.count(), 2, "a handle that was taken is not freed");
+}
+
+Test(relay_session, frees_the_handle_that_nobody_took_up) {
+  RelayFixture site;
+  site.add_engine("p", "model", EngineStage::kPrefill);
+  site.add_engine("d", "model", EngineStage::kDecode);
+  site.request("/stream/a", {{"tokens", "20000"}});
+  site.http.answer(0, 200, {{"id", "r1"}}, "h1");
+  site.caller->caller_leaves();
+  cr_assert(site.http.at(1).cancelled);
+  cr_assert_eq(site.http.at(2).request.method, "DELETE");
+  cr_assert_eq(site.http.at(2).request.url, "http://p:80/handle/h1");
+}
+
+Test(relay_session, promises_not_run_when_only_the_prompt_was_read) {
+  RelayFixture site;
+  site.add_engine("p", "model", EngineStage::kPrefill);
+  site.add_engine("d", "model", EngineStage::kDecode);
+  const auto seen = site.request("/stream/a", {{"tokens", "20000"}});
+  site.runtime.advance(3s);
+  cr_assert_eq(seen->status, 503);
+}
+
+Test(relay_session, reads_at_the_decode_engine_when_the_handle_is_gone) {
+  RelayFixture site;
+  site.add_engine("p", "model", EngineStage::kPrefill);
+  site.add_engine("d", "model", EngineStage::kDecode);
+  site.request("/stream/a", {{"tokens", "20000"}});
+  site.http.answer(0, 200, {{"id", "r1"}}, "h1");
+  site.http.answer(1, 503, {{"id", "r1"}, {"refused", "1"}}, "");
+  cr_assert_eq(site.http.at(2).request.headers.get("for-engine"), "d");
+  cr_assert_eq(site.http.at(2).request.headers.count("source"), 0);
+}
+
+Test(relay_session, breaks_a_stream_off_that_ends_inside_an_event) {
+  RelayFixture site;
+  site.add_engine("d", "model", EngineStage::kDecode);
+  const auto seen = site.request("/stream/a", {{"tokens", "100"}});
+  site.http.begin(0, 200, RelayFixture::sealed());
+  site.http.piece(0, "id: 1\ndata: a\n\nid: 2\nda");
+  site.http.finish(0);
+  cr_assert_eq(seen->body, "id: 1\ndata: a\n\n", "only whole events go on");
+  cr_assert(seen->aborted);
+  cr_assert_not(seen->finished);
+}
+
+Test(relay_session, takes_a_resumable_stream_up_behind_its_last_whole_event) {
+  RelayFixture site;
+  site.add_engine("d1", "model", EngineStage::kDecode);
+  site.add_engine("d2", "model", EngineStage::kDecode);
+  const auto seen = site.request("/resumable/a", {{"tokens", "100"}});
+  site.http.begin(0, 200, {{"id", "r1"}, {"seal", "first"}});
+  site.http.piece(0, "id: 1\ndata: a\n\nid: 2\nda");
+  site.http.fail(0, TransferFailure::kUncertain);
+  cr_assert_eq(site.http.count(), 2);
+  cr_assert_eq(site.http.at(1).request.headers.get("last-event"), "1");
+  cr_assert_neq(site.http.at(1).request.headers.get("for-engine"),
+                site.http.at(0).request.headers.get("for-engine"));
+  site.http.answer(1, 200, {{"id", "r1"}, {"seal", "second"}}, "id: 2\ndata: b\n\n");
+  cr_assert_eq(seen->body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  cr_assert_eq(seen->headers.get("seal"), "first");
+  cr_assert_eq(seen->heads, 1);
+  cr_assert(seen->finished);
+}
+
+Test(relay_session, joins_no_stream_that_comes_before_its_place) {
+  RelayFixture site;
+  site.add_engine("d1", "model", EngineStage::kDecode);
+  site.add_engine("d2", "model", EngineStage::kDecode);
+  const auto seen = site.request("/resumable/a", {{"tokens", "100"}});
+  site.http.begin(0, 200, RelayFixture::sealed());
+  site.http.piece(0, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  site.http.fail(0, TransferFailure::kUncertain);
+  site.http.answer(1, 200, RelayFixture::sealed(), "id: 1\ndata: a\n\n");
+  cr_assert_eq(seen->body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  cr_assert(seen->aborted);
+}
+
+Test(relay_session, spends_the_budget_for_each_refused_prompt_and_then_reads_directly) {
+  // Seen on petalwire, trouble-1 seed 114636742152: 358 extra arrivals where 186 were allowed.
+  RelayFixture site;
+  site.add_engine("p", "model", EngineStage::kPrefill);
+  site.add_engine("d", "model", EngineStage::kDecode);
+  int prompts_refused = 0;
+  std::size_t next = 0;
+  for (int i = 0; i < 60; ++i) {
+    site.request("/stream/a", {{"tokens", "20000"}});
+    if (!site.http.at(next).request.headers.get("stage").empty()) {
+      ++prompts_refused;
+      site.http.answer(next++, 500, {{"id", "r1"}}, "");
+      if (next == site.http.count()) continue;
+    }
+    site.http.answer(next++, 200, RelayFixture::sealed(), "id: 1\ndata: a\n\n");
+    site.runtime.advance(10ms);
+  }
+  // The share of one of 8 nodes: 80 / 8 and a fifth of its own 60 requests.
+  cr_assert_leq(prompts_refused, 10 + 12);
+  cr_assert_gt(prompts_refused, 0);
+}
--- /dev/null
+++ b/tests/relay/support/fakes.cpp
@@ -0,0 +1,357 @@
+#include "relay/support/fakes.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace shuntbank::testing {
+
+class ManualRuntime::ManualTimer : public Timer {
+ public:
+  explicit ManualTimer(std::shared_ptr<bool> alive) : alive_(std::move(alive)) {}
+
+ private:
+  std::shared_ptr<bool> alive_;
+};
+
+std::unique_ptr<Timer> ManualRuntime::after(Duration delay, std::function<void()> function) {
+  auto alive = std::make_shared<bool>(true);
+  due_.emplace(now_ + delay, Entry{std::move(function), alive});
+  return std::make_unique<ManualTimer>(std::move(alive));
+}
+
+void ManualRuntime::post(std::function<void()> function) {
+  due_.emplace(now_, Entry{std::move(function), always_});
+}
+
+std::string ManualRuntime::random_hex(std::size_t bytes) {
+  const std::string digits = "0123456789abcdef";
+  std::string text;
+  for (std::size_t i = 0; i < bytes * 2; ++i) text += digits[(++drawn_ * 7 + i) % digits.size()];
+  return text;
+}
+
+void ManualRuntime::advance(Duration duration) {
+  const MonotonicTime until = now_ + duration;
+  while (!due_.empty() && due_.begin()->first <= until) {
+    const auto first = due_.begin();
+    now_ = std::max(now_, first->first);
+    const Entry entry = std::move(first->second);
+    due_.erase(first);
+    const auto alive = entry.alive.lock();
+    if (alive) entry.function();
+  }
+  now_ = until;
+}
+
+TransferId ScriptedHttpClient::start(OutgoingRequest request, TransferHandlers handlers) {
+  auto entry = std::make_shared<SentRequest>();
+  entry->id = sent.size() + 1;
+  entry->request = std::move(request);
+  entry->handlers = std::move(handlers);
+  sent.push_back(entry);
+  return entry->id;
+}
+
+void ScriptedHttpClient::cancel(TransferId id) {
+  sent.at(id - 1)->cancelled = true;
+}
+
+void ScriptedHttpClient::answer(std::size_t index, int status, const HttpHeaders& headers,
+                                const std::string& body) {
+  begin(index, status, headers);
+  if (!body.empty()) piece(index, body);
+  finish(index);
+}
+
+void ScriptedHttpClient::begin(std::size_t index, int status, const HttpHeaders& headers) {
+  const auto entry = sent.at(index);
+  if (!entry->cancelled) entry->handlers.on_headers(status, headers);
+}
+
+void ScriptedHttpClient::piece(std::size_t index, const std::string& bytes) {
+  const auto entry = sent.at(index);
+  if (!entry->cancelled) entry->handlers.on_data(bytes);
+}
+
+void ScriptedHttpClient::finish(std::size_t index) {
+  const auto entry = sent.at(index);
+  entry->done = true;
+  if (!entry->cancelled) entry->handlers.on_done({});
+}
+
+void ScriptedHttpClient::fail(std::size_t index, TransferFailure failure) {
+  const auto entry = sent.at(index);
+  entry->done = true;
+  if (!entry->cancelled) {
+    entry->handlers.on_done(tl::make_unexpected(TransferError{failure, "broken"}));
+  }
+}
+
+void RecordingResponder::respond(HttpReply reply) {
+  seen_->status = reply.status;
+  seen_->headers = reply.headers;
+  seen_->body = reply.body;
+  seen_->finished = true;
+  ++seen_->heads;
+}
+
+void RecordingResponder::begin_stream(int status, const HttpHeaders& headers) {
+  seen_->status = status;
+  seen_->headers = headers;
+  ++seen_->heads;
+}
+
+TestDialect::TestDialect() {
+  names_.request_id = "id";
+  names_.deadline_ms = "deadline";
+  names_.last_event_id = "last-event";
+  names_.seal = "seal";
+  names_.retry_after = "Retry-After";
+  names_.expected_engine = "for-engine";
+  names_.urgency = "urgency";
+  names_.stage = "stage";
+  names_.prompt_source = "source";
+  names_.fetch_from = "fetch";
+  names_.from_callers_removed = {"for-engine", "urgency", "stage", "source", "fetch"};
+}
+
+std::optional<relay::PromptShape> TestDialect::prompt(const HttpHeaders& headers) const {
+  if (headers.get("tokens").empty()) return std::nullopt;
+  relay::PromptShape shape;
+  shape.prompt_tokens = std::stoull(std::string(headers.get("tokens")));
+  shape.parts = {{7, shape.prompt_tokens / 2}, {8, shape.prompt_tokens - shape.prompt_tokens / 2}};
+  return shape;
+}
+
+tl::expected<relay::PromptHandle, std::string> TestDialect::prefill_answer(
+    const std::string& body) const {
+  if (body.empty()) return tl::make_unexpected(std::string("empty"));
+  return relay::PromptHandle{body, 0};
+}
+
+OutgoingRequest TestDialect::release_handle(const std::string& address,
+                                            const std::string& handle) const {
+  OutgoingRequest call;
+  call.method = "DELETE";
+  call.url = "http://" + address + "/handle/" + handle;
+  return call;
+}
+
+OutgoingRequest TestDialect::ask_report(const std::string& address, const EngineId&) const {
+  OutgoingRequest call;
+  call.url = "http://" + address + "/report";
+  return call;
+}
+
+tl::expected<relay::EngineReport, std::string> TestDialect::report(const std::string& body) const {
+  if (body != "decode" && body != "prefill") return tl::make_unexpected(std::string("unknown"));
+  relay::EngineReport report;
+  report.stage = body == "decode" ? relay::EngineStage::kDecode : relay::EngineStage::kPrefill;
+  report.orders_taken = 4;
+  return report;
+}
+
+OutgoingRequest TestDialect::stage_order(const relay::StageOrder& order) const {
+  OutgoingRequest call;
+  call.method = "POST";
+  call.url = "http://" + order.address + "/order";
+  call.headers.add("fence", std::to_string(order.fence));
+  call.headers.add("expected", std::to_string(order.expected_orders));
+  call.headers.add("for-engine", order.engine.value());
+  call.body = relay::to_text(order.stage);
+  return call;
+}
+
+void MemoryStore::list(const std::string& kind, Duration,
+                       store::StoreHandler<store::ObjectList> handler) {
+  ++lists;
+  if (down)
+    return reply<store::ObjectList>(std::move(handler),
+                                    tl::make_unexpected(store::StoreError::kNotDone));
+  store::ObjectList list;
+  for (const auto& [name, object] : kinds_[kind]) list.objects.push_back(object);
+  list.revision = revision_;
+  reply<store::ObjectList>(std::move(handler), list);
+}
+
+store::ChangeBatch MemoryStore::changes_after(const std::string& kind,
+                                              std::uint64_t revision) const {
+  store::ChangeBatch batch;
+  batch.revision = revision_;
+  for (const Change& change : history_) {
+    if (change.kind == kind && change.revision > revision) batch.changes.push_back(change.change);
+  }
+  return batch;
+}
+
+void MemoryStore::watch(const std::string& kind, std::uint64_t revision, Duration wait, Duration,
+                        store::StoreHandler<store::ChangeBatch> handler) {
+  ++watches;
+  if (down)
+    return reply<store::ChangeBatch>(std::move(handler),
+                                     tl::make_unexpected(store::StoreError::kNotDone));
+  if (revision < oldest_) {
+    return reply<store::ChangeBatch>(std::move(handler),
+                                     tl::make_unexpected(store::StoreError::kHistoryGone));
+  }
+  const auto batch = changes_after(kind, revision);
+  if (!batch.changes.empty()) return reply<store::ChangeBatch>(std::move(handler), batch);
+  auto open = std::make_shared<bool>(true);
+  std::shared_ptr<Timer> timer = runtime_.after(wait, [this, open, handler, kind, revision] {
+    if (std::exchange(*open, false)) handler(changes_after(kind, revision));
+  });
+  waiting_.push_back({kind, revision, std::move(handler), open, std::move(timer)});
+}
+
+void MemoryStore::wake() {
+  for (Waiting& waiting : waiting_) {
+    const auto batch = changes_after(waiting.kind, waiting.revision);
+    if (!*waiting.open || batch.changes.empty()) continue;
+    *waiting.open = false;
+    reply<store::ChangeBatch>(waiting.handler, batch);
+  }
+  std::erase_if(waiting_, [](const Waiting& waiting) { return !*waiting.open; });
+}
+
+void MemoryStore::put(const std::string& kind, const std::string& name,
+                      const nlohmann::json& content) {
+  store::StoredObject object{name, ++revision_, content};
+  kinds_[kind][name] = object;
+  history_.push_back({kind, {object, false}, revision_});
+  wake();
+}
+
+void MemoryStore::remove(const std::string& kind, const std::string& name) {
+  const store::StoredObject object = kinds_[kind][name];
+  kinds_[kind].erase(name);
+  history_.push_back({kind, {object, true}, ++revision_});
+  wake();
+}
+
+void MemoryStore::forget_history() {
+  history_.clear();
+  oldest_ = ++revision_;
+  for (Waiting& waiting : waiting_) {
+    if (std::exchange(*waiting.open, false)) {
+      reply<store::ChangeBatch>(waiting.handler,
+                                tl::make_unexpected(store::StoreError::kUncertain));
+    }
+  }
+  waiting_.clear();
+}
+
+void MemoryStore::read(const std::string& kind, const std::string& name, Duration,
+                       store::StoreHandler<store::StoredObject> handler) {
+  using Result = tl::expected<store::StoredObject, store::StoreError>;
+  Result result = tl::make_unexpected(store::StoreError::kMissing);
+  const auto found = kinds_[kind].find(name);
+  if (found != kinds_[kind].end()) result = found->second;
+  if (down) result = tl::make_unexpected(store::StoreError::kNotDone);
+  reply<store::StoredObject>(std::move(handler), result);
+}
+
+void MemoryStore::create(const std::string& kind, const std::string& name,
+                         const nlohmann::json& content, Duration,
+                         store::StoreHandler<store::StoredObject> handler) {
+  using Result = tl::expected<store::StoredObject, store::StoreError>;
+  ++writes;
+  Result result = tl::make_unexpected(store::StoreError::kConflict);
+  if (down) {
+    result = tl::make_unexpected(store::StoreError::kNotDone);
+  } else if (kinds_[kind].count(name) == 0) {
+    put(kind, name, content);
+    result = kinds_[kind][name];
+    if (lose_answers) result = tl::make_unexpected(store::StoreError::kUncertain);
+  }
+  reply<store::StoredObject>(std::move(handler), result);
+}
+
+void MemoryStore::replace(const std::string& kind, const std::string& name, std::uint64_t revision,
+                          const nlohmann::json& content, Duration,
+                          store::StoreHandler<store::StoredObject> handler) {
+  using Result = tl::expected<store::StoredObject, store::StoreError>;
+  ++writes;
+  Result result = tl::make_unexpected(store::StoreError::kConflict);
+  if (down) {
+    result = tl::make_unexpected(store::StoreError::kNotDone);
+  } else if (kinds_[kind][name].revision == revision) {
+    put(kind, name, content);
+    result = kinds_[kind][name];
+    if (lose_answers) result = tl::make_unexpected(store::StoreError::kUncertain);
+  }
+  reply<store::StoredObject>(std::move(handler), result);
+}
+
+relay::RouteConfiguration RelayFixture::configuration(std::uint64_t version) {
+  using namespace std::chrono_literals;
+  relay::RouteConfiguration configuration;
+  configuration.version = version;
+  const auto route = [&](const std::string& name, const std::string& service, relay::RouteKind kind,
+                         std::uint32_t attempts, bool resumable) {
+    relay::Route made;
+    made.name = name;
+    made.host = "site";
+    made.path_prefix = "/" + name + "/";
+    made.kind = kind;
+    made.split = {{ServiceName(service), 1}};
+    made.max_attempts = attempts;
+    made.timeout = 3s;
+    made.resumable = resumable;
+    configuration.routes.push_back(made);
+  };
+  route("safe", "plain", relay::RouteKind::kSafe, 2, false);
+  route("once", "plain", relay::RouteKind::kUnsafe, 1, false);
+  route("stream", "model", relay::RouteKind::kStream, 1, false);
+  route("resumable", "model", relay::RouteKind::kStream, 2, true);
+  relay::ModelServing model;
+  model.kv_tokens = 100000;
+  model.kv_token_bytes = 1000;
+  model.link_megabits_per_second = 100000;
+  configuration.services = {{ServiceName("plain"), 0, std::nullopt},
+                            {ServiceName("model"), 0, model}};
+  return configuration;
+}
+
+RelayFixture::RelayFixture() {
+  settings.node = "n1";
+  settings.zone = ZoneName("z1");
+  settings.retry_budget.slack = 80;
+  node = std::make_unique<relay::RelayNode>(relay::RelayIo{runtime, http, dialect}, settings);
+  node->adopt(configuration(1));
+  node->set_engines({});
+}
+
+void RelayFixture::add_engine(const std::string& id, const std::string& service,
+                              relay::EngineStage stage, bool draining) {
+  relay::EngineRecord record;
+  record.id = EngineId(id);
+  record.service = ServiceName(service);
+  record.address = id + ":80";
+  record.zone = ZoneName("z1");
+  record.slots = 8;
+  record.stage = stage;
+  record.draining = draining;
+  node->set_engine(record);
+}
+
+HttpHeaders RelayFixture::sealed(const std::string& id) {
+  return {{"id", id}, {"seal", "s"}};
+}
+
+std::shared_ptr<SeenReply> RelayFixture::request(const std::string& path, const HttpHeaders& more,
+                                                 const std::string& method,
+                                                 const std::string& body) {
+  HttpRequest request;
+  request.method = method;
+  request.target = path;
+  request.path = path.substr(0, path.find('?'));
+  request.headers.add("Host", "site");
+  if (more.count("id") == 0) request.headers.add("id", "r1");
+  for (const HttpHeader& field : more.fields()) request.headers.add(field.name, field.value);
+  request.body = body;
+  auto seen = std::make_shared<SeenReply>();
+  caller = std::make_shared<RecordingResponder>(seen);
+  node->handle(std::move(request), caller);
+  return seen;
+}
+
+}  // namespace shuntbank::testing
--- /dev/null
+++ b/tests/relay/support/fakes.hpp
@@ -0,0 +1,224 @@
+/// @file
+/// What a relay node runs on in tests: a clock that is moved by hand, an HTTP client whose answers
+/// the test gives, a caller that records, and a small dialect of its own.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "common/runtime.hpp"
+#include "net/http1_server.hpp"
+#include "net/http_client.hpp"
+#include "relay/engine_dialect.hpp"
+#include "relay/relay_node.hpp"
+#include "store/object_store.hpp"
+
+namespace shuntbank::testing {
+
+/// Time that passes only when the test says so.
+class ManualRuntime : public Runtime {
+ public:
+  MonotonicTime now() const override { return now_; }
+  std::uint64_t unix_milliseconds() const override { return 0; }
+  std::unique_ptr<Timer> after(Duration delay, std::function<void()> function) override;
+  void post(std::function<void()> function) override;
+  std::string random_hex(std::size_t bytes) override;
+
+  /// Lets time pass and calls what is due, in order.
+  void advance(Duration duration);
+
+  /// Lets time pass without calling anything, as for a process that stands still.
+  void stand_still(Duration duration) { now_ += duration; }
+
+ private:
+  struct Entry {
+    std::function<void()> function;
+    std::weak_ptr<bool> alive;
+  };
+  class ManualTimer;
+
+  MonotonicTime now_{std::chrono::seconds(1000)};
+  std::multimap<MonotonicTime, Entry> due_;
+  std::shared_ptr<bool> always_ = std::make_shared<bool>(true);
+  std::uint64_t drawn_ = 0;
+};
+
+/// One request that the node has sent.
+struct SentRequest {
+  TransferId id = 0;
+  OutgoingRequest request;
+  TransferHandlers handlers;
+  bool cancelled = false;
+  bool done = false;
+};
+
+/// Records what is sent; the test answers.
+class ScriptedHttpClient : public HttpClient {
+ public:
+  TransferId start(OutgoingRequest request, TransferHandlers handlers) override;
+  void cancel(TransferId id) override;
+  void resume(TransferId) override {}
+
+  /// Answers whole.
+  void answer(std::size_t index, int status, const HttpHeaders& headers, const std::string& body);
+  /// Begins an answer and sends a piece; the rest follows by `piece`, `finish` or `fail`.
+  void begin(std::size_t index, int status, const HttpHeaders& headers);
+  void piece(std::size_t index, const std::string& bytes);
+  void finish(std::size_t index);
+  void fail(std::size_t index, TransferFailure failure);
+
+  SentRequest& at(std::size_t index) { return *sent.at(index); }
+  std::size_t count() const { return sent.size(); }
+
+  std::vector<std::shared_ptr<SentRequest>> sent;
+};
+
+/// What a caller has seen.
+struct SeenReply {
+  int status = 0;
+  HttpHeaders headers;
+  std::string body;
+  bool finished = false;
+  bool aborted = false;
+  int heads = 0;
+};
+
+/// Records a reply. The caller can go away.
+class RecordingResponder : public ConnectionResponder {
+ public:
+  explicit RecordingResponder(std::shared_ptr<SeenReply> seen) : seen_(std::move(seen)) {}
+  void respond(HttpReply reply) override;
+  void begin_stream(int status, const HttpHeaders& headers) override;
+  void write(std::string_view piece) override { seen_->body += piece; }
+  std::size_t pending_bytes() const override { return 0; }
+  void on_drained(std::function<void()>) override {}
+  void finish() override { seen_->finished = true; }
+  void on_closed(std::function<void()> handler) override { closed_ = std::move(handler); }
+  void abort() override { seen_->aborted = true; }
+
+  void caller_leaves() {
+    const auto handler = std::exchange(closed_, nullptr);
+    if (handler) handler();
+  }
+
+ private:
+  std::shared_ptr<SeenReply> seen_;
+  std::function<void()> closed_;
+};
+
+/// Header names and formats of the tests' own.
+class TestDialect : public relay::EngineDialect {
+ public:
+  TestDialect();
+  const relay::HeaderNames& names() const override { return names_; }
+  std::optional<relay::PromptShape> prompt(const HttpHeaders& headers) const override;
+  std::optional<relay::ReportedLoad> load(const HttpHeaders&) const override { return {}; }
+  bool refused(int, const HttpHeaders& headers) const override {
+    return headers.count("refused") > 0;
+  }
+  std::string prefill_stage() const override { return "read"; }
+  std::string prompt_source(const std::string& address, const std::string& handle) const override {
+    return address + "/" + handle;
+  }
+  tl::expected<relay::PromptHandle, std::string> prefill_answer(
+      const std::string& body) const override;
+  OutgoingRequest release_handle(const std::string& address,
+                                 const std::string& handle) const override;
+  OutgoingRequest ask_report(const std::string& address, const EngineId& engine) const override;
+  tl::expected<relay::EngineReport, std::string> report(const std::string& body) const override;
+  OutgoingRequest stage_order(const relay::StageOrder& order) const override;
+
+ private:
+  relay::HeaderNames names_;
+};
+
+/// A store in memory, whose answers the test can hold back or lose.
+class MemoryStore : public store::ObjectStore {
+ public:
+  explicit MemoryStore(Runtime& runtime) : runtime_(runtime) {}
+
+  void list(const std::string& kind, Duration timeout,
+            store::StoreHandler<store::ObjectList> handler) override;
+  void watch(const std::string& kind, std::uint64_t revision, Duration wait, Duration timeout,
+             store::StoreHandler<store::ChangeBatch> handler) override;
+  void read(const std::string& kind, const std::string& name, Duration timeout,
+            store::StoreHandler<store::StoredObject> handler) override;
+  void create(const std::string& kind, const std::string& name, const nlohmann::json& content,
+              Duration timeout, store::StoreHandler<store::StoredObject> handler) override;
+  void replace(const std::string& kind, const std::string& name, std::uint64_t revision,
+               const nlohmann::json& content, Duration timeout,
+               store::StoreHandler<store::StoredObject> handler) override;
+
+  /// The operator or an engine writes.
+  void put(const std::string& kind, const std::string& name, const nlohmann::json& content);
+  void remove(const std::string& kind, const std::string& name);
+  /// Drops the history: watches from before get `kHistoryGone`.
+  void forget_history();
+
+  bool down = false;          ///< Calls fail with `kNotDone`.
+  bool lose_answers = false;  ///< Writes are done and not answered.
+  int lists = 0;
+  int watches = 0;
+  int writes = 0;
+
+ private:
+  struct Change {
+    std::string kind;
+    store::ObjectChange change;
+    std::uint64_t revision;
+  };
+  struct Waiting {
+    std::string kind;
+    std::uint64_t revision;
+    store::StoreHandler<store::ChangeBatch> handler;
+    std::shared_ptr<bool> open;
+    std::shared_ptr<Timer> timer;
+  };
+  store::ChangeBatch changes_after(const std::string& kind, std::uint64_t revision) const;
+  void wake();
+  template <typename Value>
+  void reply(store::StoreHandler<Value> handler, tl::expected<Value, store::StoreError> value) {
+    runtime_.post([handler = std::move(handler), value = std::move(value)] { handler(value); });
+  }
+
+  Runtime& runtime_;
+  std::map<std::string, std::map<std::string, store::StoredObject>> kinds_;
+  std::vector<Change> history_;
+  std::vector<Waiting> waiting_;
+  std::uint64_t revision_ = 1;
+  std::uint64_t oldest_ = 0;
+};
+
+/// A relay node with two services, `plain` and `model`, and what it runs on.
+class RelayFixture {
+ public:
+  RelayFixture();
+
+  /// Sends a request of a caller.
+  std::shared_ptr<SeenReply> request(const std::string& path, const HttpHeaders& more = {},
+                                     const std::string& method = "POST",
+                                     const std::string& body = "body");
+
+  /// Registers an engine of a service.
+  void add_engine(const std::string& id, const std::string& service,
+                  relay::EngineStage stage = relay::EngineStage::kNone, bool draining = false);
+
+  /// @return header fields of an answer by the engine to the request `id`.
+  static HttpHeaders sealed(const std::string& id = "r1");
+
+  static relay::RouteConfiguration configuration(std::uint64_t version);
+
+  ManualRuntime runtime;
+  ScriptedHttpClient http;
+  TestDialect dialect;
+  relay::RelaySettings settings;
+  std::unique_ptr<relay::RelayNode> node;
+  std::shared_ptr<RecordingResponder> caller;  ///< Of the last request.
+};
+
+}  // namespace shuntbank::testing
--- /dev/null
+++ b/tests/store/kind_watch_test.cpp
@@ -0,0 +1,89 @@
+#include "store/kind_watch.hpp"
+
+#include <criterion/criterion.h>
+
+#include <set>
+
+#include "relay/support/fakes.hpp"
+
+using namespace shuntbank;
+using namespace shuntbank::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Watched {
+  Watched() {
+    handlers.on_list = [this](const store::ObjectList& list) {
+      names.clear();
+      for (const auto& object : list.objects) names.insert(object.name);
+    };
+    handlers.on_change = [this](const store::ObjectChange& change) {
+      if (change.gone) {
+        names.erase(change.object.name);
+      } else {
+        names.insert(change.object.name);
+      }
+    };
+  }
+  void start() {
+    watch = std::make_unique<store::KindWatch>(runtime, store, "k", store::KindWatchSettings{},
+                                               handlers);
+  }
+  ManualRuntime runtime;
+  MemoryStore store{runtime};
+  store::KindWatchHandlers handlers;
+  std::set<std::string> names;
+  std::unique_ptr<store::KindWatch> watch;
+};
+
+}  // namespace
+
+Test(kind_watch, keeps_up_with_changes) {
+  Watched watched;
+  watched.store.put("k", "a", {});
+  watched.start();
+  watched.runtime.advance(1ms);
+  cr_assert_eq(watched.names.count("a"), 1);
+  watched.store.put("k", "b", {});
+  watched.store.remove("k", "a");
+  watched.runtime.advance(1ms);
+  cr_assert_eq(watched.names, std::set<std::string>{"b"});
+}
+
+Test(kind_watch, lists_again_when_the_history_is_gone) {
+  Watched watched;
+  watched.store.put("k", "a", {});
+  watched.start();
+  watched.runtime.advance(1ms);
+  watched.store.remove("k", "a");
+  watched.store.put("k", "b", {});
+  watched.store.forget_history();
+  watched.runtime.advance(2s);
+  cr_assert_eq(watched.store.lists, 2);
+  cr_assert_eq(watched.names, std::set<std::string>{"b"});
+}
+
+Test(kind_watch, keeps_trying_without_a_stampede_while_the_store_is_down) {
+  Watched watched;
+  watched.store.put("k", "a", {});
+  watched.store.down = true;
+  watched.start();
+  watched.runtime.advance(20s);
+  cr_assert(watched.watch->lost());
+  cr_assert_leq(watched.store.lists, 60);
+  watched.store.down = false;
+  watched.runtime.advance(2s);
+  cr_assert_eq(watched.names.count("a"), 1, "found within two seconds");
+  cr_assert_not(watched.watch->lost());
+}
+
+Test(kind_watch, serves_the_last_known_state_while_the_store_is_down) {
+  Watched watched;
+  watched.store.put("k", "a", {});
+  watched.start();
+  watched.runtime.advance(1ms);
+  watched.store.down = true;
+  watched.runtime.advance(30s);
+  cr_assert_eq(watched.names.count("a"), 1);
+}
