--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -155,6 +155,18 @@
          there * context_.settings.placement.request_cost_ms;
 }
 
+/// Reading where tokens are made holds up every stream that runs there.
+double RelaySession::direct_path_cost(const Placement& decode) const {
+  const PrefillSettings& tunables = context_.settings.prefill;
+  const double speed =
+      context_.engines.reading_speed() * context_.settings.placement.decode_reading_share;
+  const double reading = static_cast<double>(decode.unread_tokens) / speed;
+  const EngineView* engine = context_.engines.find(decode.engine);
+  const double streams = engine->requests_there(context_.runtime.now());
+  return decode.cost_ms * tunables.direct_penalty +
+         reading * streams * tunables.held_up_stream_weight;
+}
+
 /// Chooses where the request goes: the engine for the answer, and one that reads the prompt first
 /// where that is quicker. @return false when no engine can be chosen.
 bool RelaySession::choose() {
@@ -174,7 +186,7 @@
                               budget_left() >= tunables.least_budget;
   if (may_read_apart) {
     const auto prefill = place_at(EngineStage::kPrefill);
-    const double direct = decode->cost_ms * tunables.direct_penalty;
+    const double direct = direct_path_cost(*decode);
     if (prefill && prefill_path_cost(*prefill, *decode) < direct) {
       decode_choice_ = decode;
       take(*prefill);
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -74,6 +74,7 @@
   std::optional<Placement> place_at(EngineStage stage) const;
   bool choose();
   void take(const Placement& placement);
+  double direct_path_cost(const Placement& decode) const;
   double prefill_path_cost(const Placement& prefill, const Placement& decode) const;
   void send(const EngineId& engine, Step step);
   OutgoingRequest outgoing(const EngineRecord& record, Step step) const;
