Log each decision with its inputs and their age, in bounded lines that never wait

Ruled out: O_NONBLOCK on standard output: its open description is shared with other processes. Change: LogOutput polls before each write (a pipe that is ready takes PIPE_BUF bytes), steps go first, outcomes next, warnings last; what is left out is counted, told in the log and in the metrics. Session lines name route, configuration, cost, candidates, load's age, budget and time left. Tests: log_output/* (a full pipe, bounds).

--- a/src/common/log.cpp
+++ b/src/common/log.cpp
@@ -1,11 +1,14 @@
 #include "common/log.hpp"
 
-#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <memory>
+#include <mutex>
 
 namespace shuntbank {
 namespace {
@@ -18,12 +21,33 @@
     LogLevel::kInfo, LogLevel::kInfo, LogLevel::kInfo, LogLevel::kInfo,
     LogLevel::kInfo, LogLevel::kInfo, LogLevel::kInfo};
 
+/// A sink of spdlog that writes to standard output without waiting.
+class LogSink : public spdlog::sinks::base_sink<std::mutex> {
+ public:
+  LogOutput output{STDOUT_FILENO};
+  LogImportance importance = LogImportance::kOutcome;  ///< Of the line that is being logged.
+
+ protected:
+  void sink_it_(const spdlog::details::log_msg& message) override {
+    spdlog::memory_buf_t formatted;
+    formatter_->format(message, formatted);
+    std::string line(formatted.data(), formatted.size());
+    while (!line.empty() && line.back() == '\n') line.pop_back();
+    output.write(monotonic_now(), importance, line);
+  }
+  void flush_() override {}
+};
+
+std::shared_ptr<LogSink>& sink() {
+  static std::shared_ptr<LogSink> made = std::make_shared<LogSink>();
+  return made;
+}
+
 spdlog::logger& output() {
   static const std::shared_ptr<spdlog::logger> logger = [] {
-    auto created = spdlog::stdout_logger_mt("shuntbank");
+    auto created = std::make_shared<spdlog::logger>("shuntbank", sink());
     created->set_pattern("time=%Y-%m-%dT%H:%M:%S.%eZ %v", spdlog::pattern_time_type::utc);
     created->set_level(spdlog::level::trace);
-    created->flush_on(spdlog::level::trace);
     return created;
   }();
   return *logger;
@@ -88,8 +112,16 @@
   return quoted + '"';
 }
 
+void set_log_limits(const LogLimits& limits) {
+  sink()->output.set_limits(limits);
+}
+
+std::uint64_t log_lines_left_out() {
+  return sink()->output.left_out();
+}
+
 void log_event(LogArea area, LogLevel level, std::string_view event,
-               std::initializer_list<LogField> fields) {
+               std::initializer_list<LogField> fields, LogImportance importance) {
   if (level < area_levels.at(static_cast<std::size_t>(area))) return;
   std::string line = "level=" + std::string(kLevelNames.at(static_cast<std::size_t>(level)));
   line += " area=" + std::string(kAreaNames.at(static_cast<std::size_t>(area)));
@@ -100,6 +132,7 @@
     line += '=';
     line += escape_log_value(field.value);
   }
+  sink()->importance = level >= LogLevel::kWarning ? LogImportance::kTrouble : importance;
   output().info(line);
 }
 
--- a/src/common/log.hpp
+++ b/src/common/log.hpp
@@ -8,6 +8,8 @@
 #include <tl/expected.hpp>
 #include <type_traits>
 
+#include "common/log_output.hpp"
+
 namespace shuntbank {
 
 enum class LogLevel { kDebug, kInfo, kWarning, kError, kOff };
@@ -32,9 +34,17 @@
 /// @return nothing, or a message that names the unknown level or area.
 tl::expected<void, std::string> set_log_levels(std::string_view text);
 
-/// Writes `time=… level=… area=… event=NAME key=value …` to standard output.
+/// Bounds the lines a second of this process; without a call there is no bound.
+void set_log_limits(const LogLimits& limits);
+
+/// @return lines that were left out, for want of room or by the bounds.
+std::uint64_t log_lines_left_out();
+
+/// Writes `time=… level=… area=… event=NAME key=value …` to standard output, never waiting.
+/// @param importance what may be left out first under load; warnings and errors go last anyway.
 void log_event(LogArea area, LogLevel level, std::string_view event,
-               std::initializer_list<LogField> fields = {});
+               std::initializer_list<LogField> fields = {},
+               LogImportance importance = LogImportance::kOutcome);
 
 /// @return `text` quoted and escaped when it holds anything but plain characters.
 std::string escape_log_value(std::string_view text);
--- a/src/relay/load_exchange.cpp
+++ b/src/relay/load_exchange.cpp
@@ -13,10 +13,11 @@
 constexpr Duration kRegisterAgain = std::chrono::seconds(2);
 constexpr std::size_t kBootBytes = 7;
 
-/// A silent store costs nothing here but a late look at new nodes.
+/// A silent store costs nothing here but a late look at new nodes. The wait stays below the history
+/// that the store keeps; a longer one had to list again each time (seen in an incident).
 store::KindWatchSettings watch_settings() {
   store::KindWatchSettings settings;
-  settings.wait = std::chrono::seconds(25);
+  settings.wait = std::chrono::seconds(12);
   settings.longest_backoff = std::chrono::seconds(4);
   return settings;
 }
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -170,11 +170,11 @@
 /// Chooses where the request goes: the engine for the answer, and one that reads the prompt first
 /// where that is quicker. @return false when no engine can be chosen.
 bool RelaySession::choose() {
-  decode_choice_.reset();
   if (service_ == nullptr) return false;
   if (!service_->model) {
     const auto plain = place_at(EngineStage::kNone);
     if (!plain) return false;
+    take(*plain);
     send(plain->engine, Step::kPlain);
     return true;
   }
@@ -188,7 +188,6 @@
     const auto prefill = place_at(EngineStage::kPrefill);
     const double direct = direct_path_cost(*decode);
     if (prefill && prefill_path_cost(*prefill, *decode) < direct) {
-      decode_choice_ = decode;
       take(*prefill);
       send(prefill->engine, Step::kPrefill);
       return true;
@@ -200,6 +199,7 @@
 }
 
 void RelaySession::take(const Placement& placement) {
+  chosen_ = placement;
   unread_ = placement.unread_tokens;
   fetch_address_.clear();
   const EngineView* source =
@@ -417,6 +417,7 @@
     take(*decode);
     return send(decode->engine, Step::kPlain);
   }
+  chosen_ = *decode;
   fetch_address_.clear();
   send(decode->engine, Step::kDecodeFromHandle);
 }
@@ -592,19 +593,43 @@
 }
 
 void RelaySession::log_attempt(const char* event, const std::string& why) const {
+  const MonotonicTime now = context_.runtime.now();
   const EngineView* view = context_.engines.find(engine_);
+  const bool load_known = view != nullptr && view->load.has_value();
+  const bool peers_known = view != nullptr && view->peers.has_value();
   log_event(LogArea::kCallers, LogLevel::kInfo, event,
             {{"request", id_},
+             {"route", route_.name},
+             {"config", table_->version()},
              {"engine", engine_.value()},
              {"service", service_name_.value()},
-             {"step", step_ == Step::kPrefill ? "prefill"
-                      : step_ == Step::kPlain ? "whole"
-                                              : "decode"},
+             {"step", step_name()},
              {"why", why},
+             {"cost_ms", chosen_.cost_ms},
+             {"candidates", chosen_.candidates},
              {"unread", unread_},
              {"fetch_from", fetch_address_},
              {"in_flight", view == nullptr ? 0 : view->in_flight},
-             {"age_ms", to_milliseconds(context_.runtime.now() - arrived_)}});
+             {"peers_in_flight", peers_known ? view->peers->in_flight : 0},
+             {"load_age_ms", load_known ? to_milliseconds(now - view->load_at) : -1},
+             {"sends", history_.sends},
+             {"may_have_run", history_.may_have_run},
+             {"budget", budget_left()},
+             {"left_ms", to_milliseconds(expires_ - now)},
+             {"age_ms", to_milliseconds(now - arrived_)}},
+            LogImportance::kStep);
+}
+
+const char* RelaySession::step_name() const {
+  switch (step_) {
+    case Step::kPlain:
+      return "whole";
+    case Step::kPrefill:
+      return "prefill";
+    case Step::kDecodeFromHandle:
+      return "decode";
+  }
+  return "whole";
 }
 
 }  // namespace shuntbank::relay
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -113,6 +113,7 @@
   void begin_stream();
   void end(const std::string& result);
   void log_attempt(const char* event, const std::string& why) const;
+  const char* step_name() const;
 
   RelayContext& context_;
   std::shared_ptr<const RouteTable> table_;
@@ -150,7 +151,7 @@
   EventCutter cutter_;
 
   // Planned for the next sends.
-  std::optional<Placement> decode_choice_;
+  Placement chosen_;            ///< The last choice of an engine, with what spoke for it.
   std::string fetch_address_;   ///< Engine from which parts of the prompt are taken; may be empty.
   std::string handle_;          ///< Of the prompt read ahead, not yet taken.
   std::string handle_address_;  ///< Engine that holds it.
--- /dev/null
+++ b/tests/common/log_output_test.cpp
@@ -0,0 +1,58 @@
+#include "common/log_output.hpp"
+
+#include <criterion/criterion.h>
+#include <unistd.h>
+
+#include <array>
+
+using namespace shuntbank;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr MonotonicTime kNow{std::chrono::seconds(50)};
+
+struct Pipe {
+  Pipe() { cr_assert_eq(pipe(ends.data()), 0); }
+  ~Pipe() {
+    close(ends[0]);
+    close(ends[1]);
+  }
+  std::array<int, 2> ends{};
+};
+
+}  // namespace
+
+Test(log_output, never_waits_for_a_reader_that_has_stopped) {
+  Pipe pipe;
+  LogOutput output(pipe.ends[1]);
+  const std::string line(1000, 'x');
+  int written = 0;
+  // Far more than a pipe holds; a call that waited would never come back.
+  for (int i = 0; i < 2000; ++i)
+    written += output.write(kNow, LogImportance::kTrouble, line) ? 1 : 0;
+  cr_assert_gt(written, 0);
+  cr_assert_lt(written, 2000);
+  cr_assert_eq(output.left_out(), 2000 - written);
+  std::array<char, 65536> buffer{};
+  cr_assert_gt(read(pipe.ends[0], buffer.data(), buffer.size()), 0);
+  cr_assert(output.write(kNow, LogImportance::kTrouble, line), "goes on once there is room");
+}
+
+Test(log_output, leaves_steps_out_first_and_trouble_never) {
+  Pipe pipe;
+  LogOutput output(pipe.ends[1]);
+  output.set_limits({3, 5});
+  int steps = 0;
+  int outcomes = 0;
+  int troubles = 0;
+  for (int i = 0; i < 10; ++i) {
+    steps += output.write(kNow, LogImportance::kStep, "s") ? 1 : 0;
+    outcomes += output.write(kNow, LogImportance::kOutcome, "o") ? 1 : 0;
+    troubles += output.write(kNow, LogImportance::kTrouble, "t") ? 1 : 0;
+  }
+  cr_assert_eq(steps, 3);
+  cr_assert_eq(outcomes, 2);
+  cr_assert_eq(troubles, 10);
+  cr_assert(output.write(kNow + 1s, LogImportance::kStep, "s"), "the next second has room again");
+}
