--- a/src/net/http1_server.cpp
+++ b/src/net/http1_server.cpp
@@ -113,12 +113,12 @@
   }
 
   // What the responder calls.
-  void respond(HttpReply reply) {
+  void respond(const HttpReply& reply) {
     std::string text = head(reply.status, reply.headers);
     text += "Content-Length: " + std::to_string(reply.body.size()) + "\r\n\r\n";
     if (!head_request_) text += reply.body;
     end_exchange();
-    send(std::move(text));
+    send(text);
   }
   void begin_stream(int status, const HttpHeaders& headers) {
     send(head(status, headers) + "Transfer-Encoding: chunked\r\n\r\n");
@@ -264,7 +264,7 @@
 
   void release_body() { server_->buffered_bytes -= std::exchange(body_bytes_, 0); }
 
-  void send(std::string text) {
+  void send(const std::string& text) {
     if (closed_) return;
     outgoing_ += text;
     flush();
@@ -383,7 +383,7 @@
   Responder& operator=(const Responder&) = delete;
 
   void respond(HttpReply reply) override {
-    if (const auto connection = end()) connection->respond(std::move(reply));
+    if (const auto connection = end()) connection->respond(reply);
   }
   void begin_stream(int status, const HttpHeaders& headers) override {
     begun_ = true;
@@ -484,7 +484,7 @@
 }
 
 Http1Server::~Http1Server() {
-  impl_->handler = [](HttpRequest, const std::shared_ptr<ConnectionResponder>&) {};
+  impl_->handler = [](const HttpRequest&, const std::shared_ptr<ConnectionResponder>&) {};
   impl_->close();
 }
 
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -5,6 +5,13 @@
 #include <utility>
 
 namespace shuntbank {
+namespace {
+
+constexpr std::string_view kHopFields[] = {
+    "Connection", "Keep-Alive",        "Proxy-Connection", "TE",    "Trailer",
+    "Upgrade",    "Transfer-Encoding", "Content-Length",   "Expect"};
+
+}  // namespace
 
 bool equal_ignoring_case(std::string_view left, std::string_view right) {
   const auto same = [](unsigned char a, unsigned char b) {
@@ -49,4 +56,17 @@
   return {};
 }
 
+HttpHeaders without_hop_fields(HttpHeaders headers) {
+  std::string named(headers.get("Connection"));
+  while (!named.empty()) {
+    const std::size_t comma = std::min(named.find(','), named.size());
+    std::string name = named.substr(0, comma);
+    named.erase(0, comma + 1);
+    std::erase_if(name, [](char c) { return c == ' ' || c == '\t'; });
+    if (!name.empty()) headers.remove(name);
+  }
+  for (const std::string_view name : kHopFields) headers.remove(name);
+  return headers;
+}
+
 }  // namespace shuntbank
--- a/src/node/control_service.cpp
+++ b/src/node/control_service.cpp
@@ -5,6 +5,7 @@
 
 #include "common/log.hpp"
 #include "common/units.hpp"
+#include "protocol/lease_codec.hpp"
 
 namespace shuntbank {
 namespace {
@@ -19,24 +20,6 @@
 
 const Policy kDefaultPolicy;
 
-nlohmann::json to_json(const LeaseRecord& record) {
-  return {{"holder", record.holder.value()},
-          {"epoch", record.epoch},
-          {"write_id", record.write_id},
-          {"length", format_duration(record.length)}};
-}
-
-/// An unreadable record counts as one of unknown holder whose epoch is kept where it can be read.
-LeaseRecord lease_from_json(const nlohmann::json& json) {
-  LeaseRecord record;
-  if (!json.is_object()) return record;
-  record.holder = NodeId(json.value("holder", ""));
-  record.epoch = json.value("epoch", Fence{0});
-  record.write_id = json.value("write_id", "");
-  record.length = parse_duration(json.value("length", "")).value_or(std::chrono::seconds(30));
-  return record;
-}
-
 bool allows_split(const Service& service) {
   const auto allows = [&service](EngineRole role) {
     return std::find(service.allowed_roles.begin(), service.allowed_roles.end(), role) !=
@@ -138,7 +121,7 @@
 }
 
 void ControlService::write_lease(const ServiceName& service, const VersionedLease& lease) {
-  platform_.write(lease_key(service), lease.version, to_json(lease.record),
+  platform_.write(lease_key(service), lease.version, lease_to_json(lease.record),
                   [this, service](const auto& result) {
                     const auto found = duties_.find(service);
                     if (found == duties_.end()) return;
--- a/src/relay/load_exchange.cpp
+++ b/src/relay/load_exchange.cpp
@@ -92,6 +92,7 @@
   std::sort(order.begin(), order.end());
   if (order.size() > settings_.most_peers) order.resize(settings_.most_peers);
   std::vector<std::string> targets;
+  targets.reserve(order.size());
   for (auto& [weight, address] : order) targets.push_back(std::move(address));
   return targets;
 }
--- a/src/relay/relay_process.cpp
+++ b/src/relay/relay_process.cpp
@@ -47,10 +47,11 @@
         settings_(settings),
         http_(loop, {}),
         node_({runtime, http_, dialect}, settings),
-        callers_(loop, listen_on(addresses.callers, kMaxCallers),
-                 [this](HttpRequest request, const auto& responder) {
-                   node_.handle(std::move(request), responder);
-                 }),
+        callers_(
+            loop, listen_on(addresses.callers, kMaxCallers),
+            [this](HttpRequest request, const std::shared_ptr<ConnectionResponder>& responder) {
+              node_.handle(std::move(request), responder);
+            }),
         catalog_(runtime, store, codec, node_),
         roles_({runtime, http_, dialect}, store, node_, settings.node, settings.roles,
                settings.stages) {
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -21,27 +21,6 @@
 
 constexpr Duration kReleaseTimeout = std::chrono::seconds(1);
 
-/// Fields that concern one connection only (RFC 9110, 7.6.1), and framing that each hop sets
-/// itself.
-constexpr std::string_view kHopFields[] = {
-    "Connection", "Keep-Alive",        "Proxy-Connection", "TE",    "Trailer",
-    "Upgrade",    "Transfer-Encoding", "Content-Length",   "Expect"};
-
-HttpHeaders without_hop_fields(HttpHeaders headers) {
-  std::string named(headers.get("Connection"));
-  while (!named.empty()) {
-    const std::size_t comma = std::min(named.find(','), named.size());
-    std::string name = named.substr(0, comma);
-    named.erase(0, comma + 1);
-    name.erase(0, name.find_first_not_of(' ') == std::string::npos ? name.size()
-                                                                   : name.find_first_not_of(' '));
-    while (!name.empty() && name.back() == ' ') name.pop_back();
-    if (!name.empty()) headers.remove(name);
-  }
-  for (const std::string_view name : kHopFields) headers.remove(name);
-  return headers;
-}
-
 std::int64_t to_milliseconds(Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
--- a/src/relay/role_coordinator.cpp
+++ b/src/relay/role_coordinator.cpp
@@ -4,28 +4,13 @@
 
 #include "common/log.hpp"
 #include "net/http_status.hpp"
+#include "protocol/lease_codec.hpp"
 
 namespace shuntbank::relay {
 namespace {
 
 constexpr std::size_t kWriteIdBytes = 8;
 
-nlohmann::json to_json(const LeaseRecord& record) {
-  return {{"holder", record.holder.value()},
-          {"epoch", record.epoch},
-          {"write_id", record.write_id},
-          {"length_us", record.length.count()}};
-}
-
-LeaseRecord to_record(const nlohmann::json& json) {
-  LeaseRecord record;
-  record.holder = NodeId(json.value("holder", ""));
-  record.epoch = json.value("epoch", Fence{0});
-  record.write_id = json.value("write_id", "");
-  record.length = Duration(json.value("length_us", std::int64_t{0}));
-  return record;
-}
-
 }  // namespace
 
 RoleCoordinator::RoleCoordinator(const RelayIo& io, store::ObjectStore& store, RelayNode& node,
@@ -81,7 +66,7 @@
         if (!*alive) return;
         const MonotonicTime now = io_.runtime.now();
         if (read) {
-          return lease_.on_read(now, {read->revision, to_record(read->content)});
+          return lease_.on_read(now, {read->revision, lease_from_json(read->content)});
         }
         if (read.error() == store::StoreError::kMissing) return lease_.on_read(now, {});
         lease_.on_read_failed(now);
@@ -99,7 +84,7 @@
           return lease_.on_written(now, false, 0);
         lease_.on_write_unanswered(now);
       };
-  const nlohmann::json content = to_json(lease.record);
+  const nlohmann::json content = lease_to_json(lease.record);
   if (lease.version == 0) {
     store_.create(location_.kind, location_.name, content, settings_.order_timeout, done);
   } else {
--- a/src/store/kind_watch.cpp
+++ b/src/store/kind_watch.cpp
@@ -38,7 +38,7 @@
 
   void list() {
     store_.list(kind_, settings_.list_timeout,
-                [weak = weak_from_this()](tl::expected<ObjectList, StoreError> list) {
+                [weak = weak_from_this()](const tl::expected<ObjectList, StoreError>& list) {
                   if (const auto self = weak.lock()) self->on_list(list);
                 });
   }
@@ -64,7 +64,7 @@
   void watch() {
     if (stopped_) return;
     store_.watch(kind_, revision_, settings_.wait, settings_.wait + settings_.wait_slack,
-                 [weak = weak_from_this()](tl::expected<ChangeBatch, StoreError> batch) {
+                 [weak = weak_from_this()](const tl::expected<ChangeBatch, StoreError>& batch) {
                    if (const auto self = weak.lock()) self->on_batch(batch);
                  });
   }
