Read the change once more: one cost of a move, one note of health, dead code out

Prompts read were gathered for other nodes also where no exchange takes them, and would have grown without bound. Change: ModelServing::move_ms, RelaySession::note_health, the rest removed; reads are gathered only where an exchange listens. Behaviour with an exchange stays as it is.

--- a/src/core/relay/engine_directory.cpp
+++ b/src/core/relay/engine_directory.cpp
@@ -91,11 +91,6 @@
   }
 }
 
-void PromptCacheView::clear() {
-  parts_.clear();
-  tokens_ = 0;
-}
-
 double EngineView::others_there(MonotonicTime now) const {
   if (peers) return peers->in_flight;
   if (!load || now - load_at > kReportLife) return 0;
--- a/src/core/relay/engine_directory.hpp
+++ b/src/core/relay/engine_directory.hpp
@@ -70,8 +70,6 @@
   /// The engine has read the prompt. @param capacity of the engine's memory, in tokens.
   void on_read(const std::vector<PromptPart>& parts, std::uint64_t capacity, MonotonicTime now);
 
-  void clear();
-
  private:
   struct Kept {
     std::uint64_t tokens = 0;
--- a/src/core/relay/placement.cpp
+++ b/src/core/relay/placement.cpp
@@ -74,13 +74,6 @@
   return best;
 }
 
-double fetch_ms(std::uint64_t tokens, const ModelServing& model,
-                const PlacementSettings& settings) {
-  const double bits = static_cast<double>(tokens * model.kv_token_bytes) * 8;
-  const double bits_per_ms = std::max(1.0, model.link_megabits_per_second * 1000);
-  return settings.fetch_setup_ms + bits / bits_per_ms;
-}
-
 double model_cost(MonotonicTime now, const EngineDirectory& engines, const EngineView& engine,
                   std::uint64_t unread, const PlacementSettings& settings) {
   auto waiting = static_cast<double>(unread + engine.unread_tokens);
@@ -117,7 +110,8 @@
                       source.kept >= kept + settings.least_fetched_tokens;
   if (useful && query.service->model) {
     const std::uint64_t unread = prompt.prompt_tokens - source.kept;
-    const double moving = fetch_ms(source.kept - kept, *query.service->model, settings);
+    const double moving =
+        settings.fetch_setup_ms + query.service->model->move_ms(source.kept - kept);
     placement.unread_tokens = unread;
     placement.cost_ms = model_cost(now, engines, engine, unread, settings) + moving;
     placement.fetch_from = source.engine->record.id;
--- a/src/core/relay/routes.cpp
+++ b/src/core/relay/routes.cpp
@@ -47,6 +47,12 @@
 
 }  // namespace
 
+double ModelServing::move_ms(std::uint64_t tokens) const {
+  const double bits = static_cast<double>(tokens * kv_token_bytes) * 8;
+  const double bits_per_ms = std::max(1.0, link_megabits_per_second * 1000);
+  return bits / bits_per_ms;
+}
+
 Findings check(const RouteConfiguration& configuration) {
   Findings findings;
   std::set<std::string> services;
--- a/src/core/relay/routes.hpp
+++ b/src/core/relay/routes.hpp
@@ -59,6 +59,9 @@
   double link_megabits_per_second = 0;
   Duration handle_lifetime = std::chrono::seconds(5);  ///< Of a prompt that was read ahead.
   Duration role_change_time = std::chrono::seconds(2);
+
+  /// @return milliseconds that the bytes of so many tokens take on an engine's link.
+  double move_ms(std::uint64_t tokens) const;
 };
 
 /// A declared service.
--- a/src/net/http1_client.cpp
+++ b/src/net/http1_client.cpp
@@ -96,7 +96,6 @@
   std::unordered_map<TransferId, std::shared_ptr<Connection>> busy;
   std::unordered_map<std::string, std::vector<std::shared_ptr<Connection>>> idle;
   TransferId last_id = 0;
-  bool closed = false;
 };
 
 /// One connection: at most one request at a time.
@@ -423,7 +422,6 @@
 }
 
 void PooledHttpClient::Impl::close() {
-  closed = true;
   const auto open = std::exchange(busy, {});
   for (const auto& [id, connection] : open) connection->close();
   const auto resting = std::exchange(idle, {});
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -124,13 +124,10 @@
 }
 
 double RelaySession::prefill_path_cost(const Placement& prefill, const Placement& decode) const {
-  const ModelServing& model = *service_->model;
-  const double bits = static_cast<double>(prompt_->prompt_tokens * model.kv_token_bytes) * 8;
-  const double link =
-      std::max(1.0, model.link_megabits_per_second * 1000);  // Bits in a millisecond.
   const EngineView* engine = context_.engines.find(decode.engine);
   const double there = engine->requests_there(context_.runtime.now());
-  return prefill.cost_ms + context_.settings.prefill.setup_ms + bits / link +
+  return prefill.cost_ms + context_.settings.prefill.setup_ms +
+         service_->model->move_ms(prompt_->prompt_tokens) +
          there * context_.settings.placement.request_cost_ms;
 }
 
@@ -333,11 +330,16 @@
 /// Parts that other requests share are told to the other nodes; the last one is this request's own.
 void RelaySession::note_prompt_read() {
   context_.note_read(engine_, prompt_->parts);
-  if (prompt_->parts.size() < 2) return;
+  // Without an exchange nobody would ever take them.
+  if (prompt_->parts.size() < 2 || !context_.load_changed) return;
   context_.reads.push_back({engine_, {prompt_->parts.begin(), prompt_->parts.end() - 1}});
   context_.note_load();
 }
 
+void RelaySession::note_health(AttemptHealth health) {
+  context_.engines.on_health(context_.runtime.now(), engine_, health);
+}
+
 void RelaySession::begin_stream() {
   history_.head_forwarded = true;
   responder_->begin_stream(status_, forwarded_answer_fields());
@@ -355,17 +357,16 @@
   release_engine();
   if (!result) {
     const bool not_sent = result.error().failure == TransferFailure::kNothingSent;
-    context_.engines.on_health(context_.runtime.now(), engine_,
-                               not_sent ? AttemptHealth::kUnreachable : AttemptHealth::kFailed);
+    note_health(not_sent ? AttemptHealth::kUnreachable : AttemptHealth::kFailed);
     return attempt_failed(not_sent ? AttemptOutcome::kNotSent : AttemptOutcome::kUncertain,
                           result.error().message);
   }
   if (refused_) {
-    context_.engines.on_health(context_.runtime.now(), engine_, AttemptHealth::kBusy);
+    note_health(AttemptHealth::kBusy);
     return attempt_failed(AttemptOutcome::kRefused, "status " + std::to_string(status_));
   }
   if (broken_ || overflow_) {
-    context_.engines.on_health(context_.runtime.now(), engine_, AttemptHealth::kFailed);
+    note_health(AttemptHealth::kFailed);
     return attempt_failed(AttemptOutcome::kUncertain, "the answer cannot be trusted");
   }
   if (step_ == Step::kPrefill) return on_prefill_answer();
@@ -376,10 +377,10 @@
 void RelaySession::on_prefill_answer() {
   const auto handle = context_.dialect.prefill_answer(collected_);
   if (!is_success(status_) || !handle) {
-    context_.engines.on_health(context_.runtime.now(), engine_, AttemptHealth::kFailed);
+    note_health(AttemptHealth::kFailed);
     return attempt_failed(AttemptOutcome::kUncertain, "the prompt was not read");
   }
-  context_.engines.on_health(context_.runtime.now(), engine_, AttemptHealth::kGood);
+  note_health(AttemptHealth::kGood);
   EngineView* view = context_.engines.find(engine_);
   if (view != nullptr) {
     const bool was_idle = alone_when_sent_ && view->in_flight == 0;
@@ -403,10 +404,10 @@
 
 void RelaySession::on_stream_end() {
   if (cutter_.has_partial()) {
-    context_.engines.on_health(context_.runtime.now(), engine_, AttemptHealth::kFailed);
+    note_health(AttemptHealth::kFailed);
     return attempt_failed(AttemptOutcome::kUncertain, "the stream ended inside an event");
   }
-  context_.engines.on_health(context_.runtime.now(), engine_, AttemptHealth::kGood);
+  note_health(AttemptHealth::kGood);
   handle_.clear();
   if (!history_.head_forwarded) begin_stream();
   responder_->finish();
@@ -416,8 +417,7 @@
 void RelaySession::on_whole_answer() {
   const MonotonicTime now = context_.runtime.now();
   const bool own_failure = status_ >= http_status::kInternalError;
-  context_.engines.on_health(now, engine_,
-                             own_failure ? AttemptHealth::kFailed : AttemptHealth::kGood);
+  note_health(own_failure ? AttemptHealth::kFailed : AttemptHealth::kGood);
   context_.engines.on_latency(engine_, now - sent_at_);
   if (own_failure && (route_.idempotent() || history_.head_forwarded)) {
     keep_failure_answer();
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -34,7 +34,7 @@
   std::unordered_map<ServiceName, RetryBudget>& budgets;
 
   std::function<void()> load_changed;  ///< May be empty.
-  std::vector<PromptRead> reads;       ///< Not yet told to other nodes.
+  std::vector<PromptRead> reads;       ///< Not yet told to other nodes; empty where none listens.
 
   RetryBudget& budget_of(const ServiceName& service);
 
@@ -90,7 +90,6 @@
   void on_prefill_answer();
   void on_stream_end();
   void on_whole_answer();
-  bool is_good_success() const;
 
   // Failures.
   void attempt_failed(AttemptOutcome outcome, const std::string& why);
@@ -110,6 +109,7 @@
   void respond(int status, const HttpHeaders& headers, std::string body, const std::string& result);
   HttpHeaders forwarded_answer_fields() const;
   void note_prompt_read();
+  void note_health(AttemptHealth health);
   void begin_stream();
   void end(const std::string& result);
   void log_attempt(const char* event, const std::string& why) const;
