Tell up to 64 peers what is under way; order stages in batches; call the store less

Ruled out: shortage of engines (decoding needs 6 of 36 engines at its target, reading 28 of 54).

Tests: the waits in kind_watch tests follow the setting (300 ms instead of 40); the bound on calls is tighter (6 for 200 changes in a second, 30 before). The lease test takes the first order instead of the second call, since orders no longer wait for each other.

--- a/src/core/lease/lease_holder.cpp
+++ b/src/core/lease/lease_holder.cpp
@@ -43,7 +43,6 @@
 
 void LeaseHolder::on_read(MonotonicTime now, const VersionedLease& lease) {
   busy_ = false;
-  next_poll_ = now + settings_.renew_every;
   const bool settles = write_sent_ && lease.record.write_id == pending_.record.write_id;
   const bool changed = !seen_known_ || lease.version != seen_.version;
   if (changed) seen_changed_at_ = now;
@@ -55,6 +54,9 @@
     resign();
   }
   write_sent_.reset();
+  const bool standby = !(epoch_ && holds_seen_record());
+  next_poll_ =
+      now + (standby ? standby_every_.value_or(settings_.renew_every) : settings_.renew_every);
 }
 
 void LeaseHolder::on_read_failed(MonotonicTime now) {
--- a/src/core/lease/lease_holder.hpp
+++ b/src/core/lease/lease_holder.hpp
@@ -64,6 +64,10 @@
   /// The write got no answer. It may have taken effect, so the record is read before anything else.
   void on_write_unanswered(MonotonicTime now);
 
+  /// Sets how often a node that does not hold the lease reads it. A long interval only delays that
+  /// this node takes the lease over.
+  void set_standby_interval(Duration interval) { standby_every_ = interval; }
+
   /// Gives the lease up: no order may be sent from here on.
   void resign();
 
@@ -92,6 +96,7 @@
   MonotonicTime next_poll_{};
   std::optional<Fence> epoch_;
   MonotonicTime act_until_{};
+  std::optional<Duration> standby_every_;  ///< Unset: as often as the holder renews.
 };
 
 }  // namespace shuntbank
--- a/src/core/relay/engine_directory.cpp
+++ b/src/core/relay/engine_directory.cpp
@@ -1,6 +1,7 @@
 #include "core/relay/engine_directory.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace shuntbank::relay {
@@ -77,6 +78,19 @@
   if (capacity > 0 && tokens_ > capacity) evict(capacity);
 }
 
+std::vector<PromptPart> PromptCacheView::kept() const {
+  std::vector<std::pair<MonotonicTime, PromptPart>> order;
+  order.reserve(parts_.size());
+  for (const auto& [id, kept] : parts_) order.push_back({kept.used, {id, kept.tokens}});
+  std::sort(order.begin(), order.end(), [](const auto& left, const auto& right) {
+    return std::pair(left.first, left.second.id) < std::pair(right.first, right.second.id);
+  });
+  std::vector<PromptPart> parts;
+  parts.reserve(order.size());
+  for (const auto& entry : order) parts.push_back(entry.second);
+  return parts;
+}
+
 void PromptCacheView::evict(std::uint64_t capacity) {
   std::vector<std::pair<MonotonicTime, std::uint64_t>> order;
   order.reserve(parts_.size());
@@ -125,10 +139,20 @@
       leaving_order_.pop_front();
     }
   }
-  EngineRecord& known = engines_[record.id].record;
-  known = record;
+  const auto [entry, added] = engines_.try_emplace(record.id);
+  EngineView& engine = entry->second;
+  engine.record = record;
   // A start of an engine that drains never takes work again; a record that says so is an old one.
-  known.draining = leaving_.count(record.id) > 0;
+  engine.record.draining = leaving_.count(record.id) > 0;
+  if (!added) return;
+  // Others may have known it earlier.
+  for (const auto& [node, peer] : peers_) {
+    const auto load = peer.load.find(record.id);
+    if (load == peer.load.end()) continue;
+    engine.heard.in_flight += load->second.in_flight;
+    engine.heard.unread_tokens += load->second.unread_tokens;
+  }
+  show_peers(engine);
 }
 
 std::string EngineDirectory::remove(const EngineId& id) {
@@ -190,31 +214,69 @@
 
 void EngineDirectory::on_peer_load(MonotonicTime now, const NodeId& peer,
                                    std::map<EngineId, PeerLoad> load) {
-  peers_[peer] = {now, std::move(load)};
-  sum_peers();
+  const bool first = peers_.empty();
+  Peer& known = peers_[peer];
+  add_to_peers(known.load, true);
+  known = {now, std::move(load)};
+  add_to_peers(known.load, false);
+  if (first) show_all_peers();
 }
 
 void EngineDirectory::forget_silent_peers(MonotonicTime now) {
-  const auto forgotten = std::erase_if(
-      peers_, [&](const auto& entry) { return now - entry.second.heard_at > kPeerLife; });
-  if (forgotten > 0) sum_peers();
+  for (auto it = peers_.begin(); it != peers_.end();) {
+    if (now - it->second.heard_at <= kPeerLife) {
+      ++it;
+      continue;
+    }
+    add_to_peers(it->second.load, true);
+    it = peers_.erase(it);
+  }
+  show_all_peers();
 }
 
-void EngineDirectory::sum_peers() {
-  for (auto& [id, engine] : engines_) {
-    engine.peers.reset();
-    if (peers_.empty()) continue;
-    PeerLoad sum;
-    for (const auto& [node, peer] : peers_) {
-      const auto load = peer.load.find(id);
-      if (load == peer.load.end()) continue;
-      sum.in_flight += load->second.in_flight;
-      sum.unread_tokens += load->second.unread_tokens;
+/// Only the engines of one message are touched, so that its cost does not grow with the fleet.
+void EngineDirectory::add_to_peers(const std::map<EngineId, PeerLoad>& load, bool subtract) {
+  for (const auto& [id, work] : load) {
+    EngineView* engine = find(id);
+    if (engine == nullptr) continue;
+    if (subtract) {
+      engine->heard.in_flight -= std::min(engine->heard.in_flight, work.in_flight);
+      engine->heard.unread_tokens -= std::min(engine->heard.unread_tokens, work.unread_tokens);
+    } else {
+      engine->heard.in_flight += work.in_flight;
+      engine->heard.unread_tokens += work.unread_tokens;
     }
-    engine.peers = sum;
+    show_peers(*engine);
   }
 }
 
+void EngineDirectory::show_peers(EngineView& engine) const {
+  if (peers_.empty()) {
+    engine.peers.reset();
+    return;
+  }
+  const double factor = unheard_factor();
+  const double in_flight = engine.heard.in_flight * factor;
+  const double unread = static_cast<double>(engine.heard.unread_tokens) * factor;
+  engine.peers = PeerLoad{static_cast<std::uint32_t>(std::lround(in_flight)),
+                          static_cast<std::uint64_t>(unread)};
+}
+
+void EngineDirectory::show_all_peers() {
+  for (auto& [id, engine] : engines_) show_peers(engine);
+}
+
+void EngineDirectory::set_peer_count(std::size_t known, std::size_t most_heard) {
+  known_peers_ = known;
+  heard_peers_ = std::min(known, most_heard);
+}
+
+/// Peers that tell others than this node are taken to have as much under way as those it hears.
+double EngineDirectory::unheard_factor() const {
+  if (heard_peers_ == 0) return 1;
+  return static_cast<double>(known_peers_) / static_cast<double>(heard_peers_);
+}
+
 std::map<EngineId, PeerLoad> EngineDirectory::own_load() const {
   std::map<EngineId, PeerLoad> load;
   for (const auto& [id, engine] : engines_) {
--- a/src/core/relay/engine_directory.hpp
+++ b/src/core/relay/engine_directory.hpp
@@ -70,6 +70,9 @@
   /// The engine has read the prompt. @param capacity of the engine's memory, in tokens.
   void on_read(const std::vector<PromptPart>& parts, std::uint64_t capacity, MonotonicTime now);
 
+  /// @return the parts, least recently used first.
+  std::vector<PromptPart> kept() const;
+
  private:
   struct Kept {
     std::uint64_t tokens = 0;
@@ -101,7 +104,8 @@
   std::optional<ReportedLoad> load;  ///< The last report.
   MonotonicTime load_at{};
   std::uint32_t in_flight_at_report = 0;
-  std::optional<PeerLoad> peers;  ///< Sum over the other nodes; unset while none is heard.
+  std::optional<PeerLoad> peers;  ///< Of all other nodes; unset while none is heard.
+  PeerLoad heard;                 ///< Sum of what the other nodes have told.
   std::uint32_t failures_in_a_row = 0;
   MonotonicTime avoided_until{};  ///< Not chosen before, while others can be.
   double failure_share = 0;       ///< Moving average over ended attempts, 0 to 1.
@@ -163,6 +167,10 @@
   /// Forgets nodes that were not heard of for a while.
   void forget_silent_peers(MonotonicTime now);
 
+  /// @param known other nodes that share the engines.
+  /// @param most_heard of them tell this node; the rest are taken to have as much under way.
+  void set_peer_count(std::size_t known, std::size_t most_heard);
+
   /// @return what this node has under way, by engine; engines without any are left out.
   std::map<EngineId, PeerLoad> own_load() const;
 
@@ -190,12 +198,17 @@
     MonotonicTime heard_at{};
     std::map<EngineId, PeerLoad> load;
   };
-  void sum_peers();
+  void add_to_peers(const std::map<EngineId, PeerLoad>& load, bool subtract);
+  void show_peers(EngineView& engine) const;
+  void show_all_peers();
+  double unheard_factor() const;
 
   std::map<EngineId, EngineView> engines_;
   std::set<EngineId> leaving_;  ///< Have said that they drain, whether still known or not.
   std::deque<EngineId> leaving_order_;
   std::map<NodeId, Peer> peers_;
+  std::size_t known_peers_ = 0;
+  std::size_t heard_peers_ = 0;
   double usual_unread_tokens_ = 2000;
   double reading_speed_ = 40;
 };
--- a/src/core/relay/stage_planner.cpp
+++ b/src/core/relay/stage_planner.cpp
@@ -7,18 +7,29 @@
 
 std::optional<StageChange> StagePlanner::next(MonotonicTime now, EngineDirectory& engines,
                                               const RouteTable& table) {
-  if (last_order_ && now - *last_order_ < settings_.between_orders) return std::nullopt;
+  const bool new_batch = !batch_began_ || now - *batch_began_ >= settings_.between_batches;
+  if (!new_batch && batch_left_ == 0) return std::nullopt;
   for (const RelayedService& service : table.configuration().services) {
     if (!service.model) continue;
     auto change = next_for(now, engines, service);
     if (!change) continue;
-    last_order_ = now;
+    if (new_batch) {
+      batch_began_ = now;
+      batch_left_ = batch_size(engines, service);
+    }
+    --batch_left_;
     given_[change->engine] = {change->stage, now};
     return change;
   }
   return std::nullopt;
 }
 
+std::size_t StagePlanner::batch_size(EngineDirectory& engines,
+                                     const RelayedService& service) const {
+  const auto all = static_cast<double>(engines.of_service(service.name).size());
+  return std::max<std::size_t>(1, static_cast<std::size_t>(all * settings_.share_at_once));
+}
+
 EngineStage StagePlanner::expected_stage(MonotonicTime now, const EngineRecord& record) const {
   const auto given = given_.find(record.id);
   const bool under_way =
--- a/src/core/relay/stage_planner.hpp
+++ b/src/core/relay/stage_planner.hpp
@@ -15,7 +15,8 @@
 struct StagePlannerSettings {
   double prefill_share = 0.56;  ///< Of a service's engines.
   std::uint32_t least_decode = 2;
-  Duration between_orders = std::chrono::seconds(3);
+  Duration between_batches = std::chrono::seconds(3);  ///< From one batch's begin to the next.
+  double share_at_once = 0.1;  ///< Of a service's engines, ordered in one batch; one at least.
   Duration not_again_within = std::chrono::seconds(12);  ///< For one engine.
 };
 
@@ -37,6 +38,7 @@
  private:
   std::optional<StageChange> next_for(MonotonicTime now, EngineDirectory& engines,
                                       const RelayedService& service);
+  std::size_t batch_size(EngineDirectory& engines, const RelayedService& service) const;
 
   /// An order that was given, whether or not its effect shows yet.
   struct GivenOrder {
@@ -48,7 +50,8 @@
   EngineStage expected_stage(MonotonicTime now, const EngineRecord& record) const;
 
   StagePlannerSettings settings_;
-  std::optional<MonotonicTime> last_order_;
+  std::optional<MonotonicTime> batch_began_;
+  std::size_t batch_left_ = 0;  ///< Orders that the batch may still hold.
   std::map<EngineId, GivenOrder> given_;
 };
 
--- a/src/protocol/load_message.cpp
+++ b/src/protocol/load_message.cpp
@@ -40,13 +40,29 @@
   json document = {{"node", message.node.value()},
                    {"boot", message.boot},
                    {"seq", message.sequence},
-                   {"load", std::move(load)}};
+                   {"load", std::move(load)},
+                   {"seen", {message.seen.configuration, message.seen.engines}}};
   if (!message.reads.empty()) document["reads"] = reads_to_json(message.reads);
   std::string bytes;
   json::to_msgpack(document, bytes);
   return bytes;
 }
 
+std::string encode(const CacheSnapshot& snapshot) {
+  std::string bytes;
+  json::to_msgpack(json{{"kept", reads_to_json(snapshot.kept)}}, bytes);
+  return bytes;
+}
+
+tl::expected<CacheSnapshot, std::string> decode_cache_snapshot(std::string_view bytes) {
+  try {
+    const json document = json::from_msgpack(bytes.begin(), bytes.end());
+    return CacheSnapshot{reads_from_json(document.at("kept"))};
+  } catch (const json::exception& error) {
+    return tl::make_unexpected(std::string(error.what()));
+  }
+}
+
 tl::expected<LoadMessage, std::string> decode_load_message(std::string_view bytes) {
   try {
     const json document = json::from_msgpack(bytes.begin(), bytes.end());
@@ -58,6 +74,10 @@
       message.load[EngineId(item.at(0).get<std::string>())] = {item.at(1).get<std::uint32_t>(),
                                                                item.at(2).get<std::uint64_t>()};
     }
+    if (document.contains("seen")) {
+      message.seen.configuration = document["seen"].at(0).get<std::uint64_t>();
+      message.seen.engines = document["seen"].at(1).get<std::uint64_t>();
+    }
     if (document.contains("reads")) message.reads = reads_from_json(document["reads"]);
     return message;
   } catch (const json::exception& error) {
--- a/src/protocol/load_message.hpp
+++ b/src/protocol/load_message.hpp
@@ -11,6 +11,7 @@
 #include <tl/expected.hpp>
 #include <vector>
 
+#include "core/relay/catalog_revisions.hpp"
 #include "core/relay/engine_directory.hpp"
 
 namespace shuntbank {
@@ -22,14 +23,30 @@
   std::uint64_t sequence = 0;  ///< Rises with each message of one start.
   std::map<EngineId, relay::PeerLoad> load;
   std::vector<relay::PromptRead> reads;  ///< Since the last message.
+  relay::CatalogRevisions seen;          ///< How far the node has come in the store's changes.
+};
+
+/// What a node that has just started asks of another: the prompts that engines keep.
+struct CacheSnapshot {
+  std::vector<relay::PromptRead> kept;  ///< One entry an engine; least recently used first.
 };
 
 /// Largest message, in bytes; stays below what one datagram of the usual links carries.
 constexpr std::size_t kMaxLoadMessage = 1400;
 
+/// Largest snapshot, in bytes.
+constexpr std::size_t kMaxCacheSnapshot = 4UL << 20U;
+
+/// The call that is answered by a snapshot.
+constexpr std::string_view kSnapshotCall = "caches";
+
 std::string encode(const LoadMessage& message);
+std::string encode(const CacheSnapshot& snapshot);
 
 /// @return the message, or what is wrong with the bytes.
 tl::expected<LoadMessage, std::string> decode_load_message(std::string_view bytes);
 
+/// @return the snapshot, or what is wrong with the bytes.
+tl::expected<CacheSnapshot, std::string> decode_cache_snapshot(std::string_view bytes);
+
 }  // namespace shuntbank
--- a/src/relay/catalog.cpp
+++ b/src/relay/catalog.cpp
@@ -1,5 +1,7 @@
 #include "relay/catalog.hpp"
 
+#include <algorithm>
+
 #include "common/log.hpp"
 
 namespace shuntbank::relay {
@@ -13,8 +15,8 @@
 }  // namespace
 
 Catalog::Catalog(Runtime& runtime, store::ObjectStore& store, const CatalogCodec& codec,
-                 RelayNode& node)
-    : runtime_(runtime), codec_(codec), node_(node) {
+                 RelayNode& node, const CatalogSettings& settings)
+    : runtime_(runtime), codec_(codec), node_(node), settings_(settings) {
   store::KindWatchHandlers configuration;
   configuration.on_list = [this](const store::ObjectList& list) {
     for (const store::StoredObject& object : list.objects) take_configuration(object);
@@ -31,6 +33,23 @@
                                          store::KindWatchSettings{}, std::move(configuration));
   engines_ = std::make_unique<store::KindWatch>(runtime, store, codec.engine_kind(),
                                                 store::KindWatchSettings{}, std::move(engines));
+  ticker_ = std::make_unique<Periodic>(runtime, settings.tick, [this] { pace(); });
+}
+
+void Catalog::pace() {
+  const Duration scaled = settings_.wait_a_node * static_cast<std::int64_t>(node_.fleet().nodes);
+  const Duration wait = std::clamp(scaled, settings_.shortest_wait, settings_.longest_wait);
+  configuration_->set_wait(wait);
+  engines_->set_wait(wait);
+}
+
+CatalogRevisions Catalog::revisions() const {
+  return {configuration_->newest_change(), engines_->newest_change()};
+}
+
+void Catalog::hint(const CatalogRevisions& revisions) {
+  configuration_->hint(revisions.configuration);
+  engines_->hint(revisions.engines);
 }
 
 void Catalog::take_configuration(const store::StoredObject& object) {
--- a/src/relay/catalog.hpp
+++ b/src/relay/catalog.hpp
@@ -6,9 +6,12 @@
 #include <string>
 #include <tl/expected.hpp>
 
+#include "common/periodic.hpp"
+#include "core/relay/catalog_revisions.hpp"
 #include "core/relay/engine_directory.hpp"
 #include "core/relay/routes.hpp"
 #include "relay/relay_node.hpp"
+#include "relay/relay_settings.hpp"
 #include "store/kind_watch.hpp"
 #include "store/object_store.hpp"
 
@@ -38,10 +41,17 @@
 /// Watches both kinds until it is destroyed.
 class Catalog {
  public:
-  Catalog(Runtime& runtime, store::ObjectStore& store, const CatalogCodec& codec, RelayNode& node);
+  Catalog(Runtime& runtime, store::ObjectStore& store, const CatalogCodec& codec, RelayNode& node,
+          const CatalogSettings& settings);
   Catalog(const Catalog&) = delete;
   Catalog& operator=(const Catalog&) = delete;
 
+  /// @return the newest changes that this node has seen.
+  CatalogRevisions revisions() const;
+
+  /// Another node has seen changes up to these.
+  void hint(const CatalogRevisions& revisions);
+
   /// @return how long ago the store last confirmed the configuration.
   Duration configuration_age() const;
 
@@ -52,12 +62,15 @@
   void take_configuration(const store::StoredObject& object);
   void take_engines(const store::ObjectList& list);
   void take_engine_change(const store::ObjectChange& change);
+  void pace();
 
   Runtime& runtime_;
   const CatalogCodec& codec_;
   RelayNode& node_;
   std::unique_ptr<store::KindWatch> configuration_;
   std::unique_ptr<store::KindWatch> engines_;
+  CatalogSettings settings_;
+  std::unique_ptr<Periodic> ticker_;
 };
 
 }  // namespace shuntbank::relay
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -82,7 +82,9 @@
   context_.note_read(read.engine, read.parts);
 }
 
-void RelayNode::set_node_count(std::size_t nodes) {
+void RelayNode::set_fleet(const Fleet& fleet) {
+  fleet_ = fleet;
+  const std::size_t nodes = fleet.nodes;
   // One more than known: a process that starts again has forgotten what it spent.
   const auto assumed = static_cast<double>(nodes + 1);
   settings_.retry_budget.assumed_nodes = std::max(settings_.retry_budget.assumed_nodes, assumed);
--- a/src/relay/relay_node.hpp
+++ b/src/relay/relay_node.hpp
@@ -28,6 +28,14 @@
   const EngineDialect& dialect;
 };
 
+/// The relay nodes as this one knows them.
+struct Fleet {
+  std::size_t nodes = 1;  ///< This one included.
+  std::size_t rank = 0;   ///< This one's place in an order that all nodes agree on, from 0.
+
+  bool operator==(const Fleet&) const = default;
+};
+
 /// One relay node. All of it runs on one thread.
 class RelayNode {
  public:
@@ -79,8 +87,10 @@
   /// An engine has read a prompt for another node.
   void learn_prompt_read(const PromptRead& read);
 
-  /// @param nodes relay nodes that share the budgets, this one included.
-  void set_node_count(std::size_t nodes);
+  /// Learns of the other relay nodes, which share the budgets.
+  void set_fleet(const Fleet& fleet);
+
+  const Fleet& fleet() const { return fleet_; }
 
   /// Sets what is called when a configuration came into force.
   void on_adopted(std::function<void(const RouteTable&)> handler);
@@ -100,6 +110,7 @@
   RelayContext context_;
   std::shared_ptr<const RouteTable> table_;
   SplitChooser splits_;
+  Fleet fleet_;
   bool engines_known_ = false;
   bool stopping_ = false;
   std::unordered_set<std::shared_ptr<RelaySession>> sessions_;
--- a/src/relay/relay_process.cpp
+++ b/src/relay/relay_process.cpp
@@ -52,7 +52,7 @@
             [this](HttpRequest request, const std::shared_ptr<ConnectionResponder>& responder) {
               node_.handle(std::move(request), responder);
             }),
-        catalog_(runtime, store, codec, node_),
+        catalog_(runtime, store, codec, node_, settings.catalog),
         roles_({runtime, http_, dialect}, store, node_, settings.node, settings.roles,
                settings.stages) {
     if (!addresses.peers.empty()) exchange_load(loop, store, addresses.peers);
@@ -96,9 +96,14 @@
                      const std::string& address) {
     const auto endpoint = parse_endpoint(address);
     if (!endpoint) throw std::invalid_argument(address + ": " + endpoint.error());
-    peers_ = make_peer_transport(loop, *endpoint, kMaxLoadMessage);
-    exchange_ = std::make_unique<LoadExchange>(runtime_, store, *peers_, node_, settings_.node,
-                                               LoadExchangeSettings{});
+    peers_ = make_peer_transport(loop, *endpoint, kMaxCacheSnapshot);
+    LoadExchangeSettings exchange;
+    exchange.joins = !settings_.first_start;
+    exchange_ =
+        std::make_unique<LoadExchange>(runtime_, store, *peers_, node_, settings_.node, exchange);
+    exchange_->connect_revisions(
+        [this] { return catalog_.revisions(); },
+        [this](const CatalogRevisions& revisions) { catalog_.hint(revisions); });
   }
 
   void serve_state(asio::io_context& loop, const std::string& address) {
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -28,10 +28,22 @@
   /// A new holder waits so long before its first order, so that orders of two holders never stand
   /// closer together than this.
   Duration settle = std::chrono::seconds(3);
+  std::size_t standbys = 3;  ///< Nodes that read the lease as often as its holder renews it.
+  /// Times the number of nodes: how often the others read it, so that their calls do not grow.
+  Duration others_read_every = std::chrono::milliseconds(400);
   Duration tick = std::chrono::milliseconds(500);
   Duration order_timeout = std::chrono::milliseconds(1500);
 };
 
+/// How long the watches of the store wait. The fleet as a whole asks as often in a large fleet as
+/// in a small one; who is deaf learns from the others that something has changed.
+struct CatalogSettings {
+  Duration wait_a_node = std::chrono::milliseconds(200);
+  Duration shortest_wait = std::chrono::seconds(3);
+  Duration longest_wait = std::chrono::seconds(12);  ///< Below the history that stores keep.
+  Duration tick = std::chrono::milliseconds(500);
+};
+
 /// Settings of one node.
 struct RelaySettings {
   std::string node;
@@ -42,6 +54,7 @@
   RetryBudgetSettings retry_budget;
   RoleCoordinatorSettings roles;
   StagePlannerSettings stages;
+  CatalogSettings catalog;
   double expected_nodes = 7;  ///< For this node's part of an engine's bound on connections.
   Duration connect_timeout = std::chrono::milliseconds(600);
   Duration retry_after = std::chrono::milliseconds(250);  ///< Told with a refusal.
--- a/src/relay/role_coordinator.cpp
+++ b/src/relay/role_coordinator.cpp
@@ -1,5 +1,6 @@
 #include "relay/role_coordinator.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "common/log.hpp"
@@ -11,6 +12,9 @@
 
 constexpr std::size_t kWriteIdBytes = 8;
 
+/// Calls to engines that wait for their answer at the same time.
+constexpr std::size_t kMostOrdersUnderWay = 32;
+
 }  // namespace
 
 RoleCoordinator::RoleCoordinator(const RelayIo& io, store::ObjectStore& store, RelayNode& node,
@@ -48,7 +52,17 @@
   if (holds && io_.runtime.now() - held_since_ >= settings_.settle) plan();
 }
 
+/// A few nodes stand by closely; of the rest, one looks now and then in case those are all gone.
+void RoleCoordinator::pace_standby() {
+  const Fleet& fleet = node_.fleet();
+  const Duration renewed = settings_.lease.renew_every;
+  const Duration others = settings_.others_read_every * static_cast<std::int64_t>(fleet.nodes);
+  const bool close = fleet.rank < settings_.standbys;
+  lease_.set_standby_interval(close ? renewed : std::max(renewed, others));
+}
+
 void RoleCoordinator::run_lease() {
+  pace_standby();
   switch (lease_.poll(io_.runtime.now(), true, io_.runtime.random_hex(kWriteIdBytes))) {
     case LeaseAction::kNothing:
       return;
@@ -94,11 +108,13 @@
 }
 
 void RoleCoordinator::plan() {
-  if (order_under_way_ || node_.table() == nullptr) return;
-  const auto change = planner_.next(io_.runtime.now(), node_.engines(), *node_.table());
-  if (!change) return;
-  const EngineView* engine = node_.engines().find(change->engine);
-  if (engine != nullptr) ask(engine->record, change->stage);
+  if (node_.table() == nullptr) return;
+  while (orders_under_way_ < kMostOrdersUnderWay) {
+    const auto change = planner_.next(io_.runtime.now(), node_.engines(), *node_.table());
+    if (!change) return;
+    const EngineView* engine = node_.engines().find(change->engine);
+    if (engine != nullptr) ask(engine->record, change->stage);
+  }
 }
 
 /// Asks how many orders the engine has taken, so that the order which follows is refused if another
@@ -107,11 +123,11 @@
   OutgoingRequest call = io_.dialect.ask_report(record.address, record.id);
   call.total_timeout = settings_.order_timeout;
   call.connect_timeout = settings_.order_timeout;
-  order_under_way_ = true;
+  ++orders_under_way_;
   io_.http.fetch(std::move(call), [this, alive = alive_, record,
                                    stage](const tl::expected<HttpReply, TransferError>& reply) {
     if (!*alive) return;
-    order_under_way_ = false;
+    --orders_under_way_;
     if (!reply || reply->status != http_status::kOk) return;
     const auto report = io_.dialect.report(reply->body);
     if (!report || report->changing || report->stage == stage) return;
@@ -134,7 +150,7 @@
   OutgoingRequest call = io_.dialect.stage_order(order);
   call.total_timeout = settings_.order_timeout;
   call.connect_timeout = settings_.order_timeout;
-  order_under_way_ = true;
+  ++orders_under_way_;
   log_event(LogArea::kControl, LogLevel::kInfo, "order_given",
             {{"engine", record.id.value()},
              {"stage", to_text(stage)},
@@ -143,7 +159,7 @@
   io_.http.fetch(std::move(call), [this, alive = alive_, id = record.id](
                                       const tl::expected<HttpReply, TransferError>& reply) {
     if (!*alive) return;
-    order_under_way_ = false;
+    --orders_under_way_;
     log_event(LogArea::kControl, LogLevel::kInfo, "order_answered",
               {{"engine", id.value()},
                {"status", reply ? reply->status : 0},
--- a/src/relay/role_coordinator.hpp
+++ b/src/relay/role_coordinator.hpp
@@ -41,6 +41,7 @@
  private:
   void tick();
   void run_lease();
+  void pace_standby();
   void read_lease();
   void write_lease();
   void plan();
@@ -58,7 +59,7 @@
   bool stopped_ = false;
   bool held_ = false;
   MonotonicTime held_since_{};
-  bool order_under_way_ = false;
+  std::size_t orders_under_way_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   std::unique_ptr<Periodic> ticker_;
 };
--- a/src/store/kind_watch.cpp
+++ b/src/store/kind_watch.cpp
@@ -6,6 +6,13 @@
 #include "common/log.hpp"
 
 namespace shuntbank::store {
+namespace {
+
+/// Parts of a wait and of a backoff by which they vary, so that the nodes don't call together.
+constexpr double kWaitSpread = 0.2;
+constexpr double kBackoffSpread = 0.5;
+
+}  // namespace
 
 const char* to_text(StoreError error) {
   switch (error) {
@@ -34,7 +41,8 @@
         kind_(std::move(kind)),
         settings_(settings),
         handlers_(std::move(handlers)),
-        backoff_(settings.first_backoff) {}
+        backoff_(settings.first_backoff),
+        wait_(settings.wait) {}
 
   void list() {
     store_.list(kind_, settings_.list_timeout,
@@ -45,7 +53,18 @@
 
   void stop() { stopped_ = true; }
 
+  void hint(std::uint64_t revision) {
+    hinted_ = std::max(hinted_, revision);
+    if (hint_timer_ || !watching_ || hinted_ <= revision_) return;
+    hint_timer_ = runtime_.after(settings_.hint_grace, [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) self->check_hint();
+    });
+  }
+
+  void set_wait(Duration wait) { wait_ = wait; }
+
   MonotonicTime confirmed_at{};
+  std::uint64_t newest_change = 0;
   bool lost = false;
 
  private:
@@ -54,6 +73,7 @@
     if (!list) return retry("list", list.error());
     regained();
     revision_ = list->revision;
+    for (const StoredObject& object : list->objects) note_change(object);
     listed_ = true;
     log_event(LogArea::kPlatform, LogLevel::kInfo, "kind_listed",
               {{"kind", kind_}, {"objects", list->objects.size()}, {"revision", revision_}});
@@ -63,14 +83,33 @@
 
   void watch() {
     if (stopped_) return;
-    store_.watch(kind_, revision_, settings_.wait, settings_.wait + settings_.wait_slack,
-                 [weak = weak_from_this()](const tl::expected<ChangeBatch, StoreError>& batch) {
-                   if (const auto self = weak.lock()) self->on_batch(batch);
-                 });
+    watching_ = true;
+    const std::uint64_t call = ++calls_;
+    const Duration wait = jittered(wait_, kWaitSpread);
+    store_.watch(
+        kind_, revision_, wait, wait + settings_.wait_slack,
+        [weak = weak_from_this(), call](const tl::expected<ChangeBatch, StoreError>& batch) {
+          const auto self = weak.lock();
+          // An answer to a call that was given up is not in the order of the others.
+          if (self && self->watching_ && call == self->calls_) self->on_batch(batch);
+        });
+  }
+
+  void check_hint() {
+    hint_timer_.reset();
+    if (stopped_ || !watching_ || hinted_ <= revision_) return;
+    log_event(LogArea::kPlatform, LogLevel::kWarning, "watch_deaf",
+              {{"kind", kind_}, {"revision", revision_}, {"others_have", hinted_}});
+    watch();
+  }
+
+  void note_change(const StoredObject& object) {
+    newest_change = std::max(newest_change, object.revision);
   }
 
   void on_batch(const tl::expected<ChangeBatch, StoreError>& batch) {
     if (stopped_) return;
+    watching_ = false;
     if (!batch && batch.error() == StoreError::kHistoryGone) {
       log_event(LogArea::kPlatform, LogLevel::kWarning, "history_gone",
                 {{"kind", kind_}, {"revision", revision_}});
@@ -81,6 +120,7 @@
     regained();
     for (const ObjectChange& change : batch->changes) {
       if (stopped_) return;
+      note_change(change.object);
       handlers_.on_change(change);
     }
     revision_ = std::max(revision_, batch->revision);
@@ -108,10 +148,7 @@
                 {{"kind", kind_}, {"call", call}, {"error", to_text(error)}});
     }
     // Jitter keeps the nodes apart after an outage that met all of them.
-    const std::string random = runtime_.random_hex(2);
-    const double jitter = 0.5 + static_cast<double>(std::stoul(random, nullptr, 16)) / 65536.0;
-    const auto delay =
-        Duration(static_cast<std::int64_t>(static_cast<double>(backoff_.count()) * jitter));
+    const Duration delay = jittered(backoff_, kBackoffSpread);
     backoff_ = std::min(backoff_ * 2, settings_.longest_backoff);
     call_after(delay, [](Impl& self) {
       if (self.listed_) {
@@ -122,6 +159,14 @@
     });
   }
 
+  /// @return `duration` times a random factor from 1 - spread to 1 + spread.
+  Duration jittered(Duration duration, double spread) {
+    const std::string random = runtime_.random_hex(2);
+    const double fraction = static_cast<double>(std::stoul(random, nullptr, 16)) / 65536.0;
+    const double factor = 1 - spread + 2 * spread * fraction;
+    return Duration(static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor));
+  }
+
   Runtime& runtime_;
   ObjectStore& store_;
   std::string kind_;
@@ -129,7 +174,12 @@
   KindWatchHandlers handlers_;
   Duration backoff_;
   std::unique_ptr<Timer> timer_;
+  std::unique_ptr<Timer> hint_timer_;
+  Duration wait_;
   std::uint64_t revision_ = 0;
+  std::uint64_t hinted_ = 0;  ///< Newest change that others have told of.
+  std::uint64_t calls_ = 0;   ///< Watches so far.
+  bool watching_ = false;     ///< A watch is under way.
   bool listed_ = false;
   bool stopped_ = false;
 };
@@ -153,4 +203,16 @@
   return impl_->lost;
 }
 
+void KindWatch::set_wait(Duration wait) {
+  impl_->set_wait(wait);
+}
+
+std::uint64_t KindWatch::newest_change() const {
+  return impl_->newest_change;
+}
+
+void KindWatch::hint(std::uint64_t revision) {
+  impl_->hint(revision);
+}
+
 }  // namespace shuntbank::store
--- a/src/store/kind_watch.hpp
+++ b/src/store/kind_watch.hpp
@@ -17,7 +17,10 @@
   Duration wait = std::chrono::seconds(3);  ///< Longest wait of one call; finds a silent store.
   Duration wait_slack = std::chrono::milliseconds(700);  ///< Behind `wait`, until the call fails.
   /// Behind a batch with changes, until the next call: changes that come close together share one.
-  Duration gather = std::chrono::milliseconds(40);
+  Duration gather = std::chrono::milliseconds(300);
+  /// A change that somebody else has seen must have come here within this time, or else the call
+  /// under way is taken for lost.
+  Duration hint_grace = std::chrono::milliseconds(500);
   Duration list_timeout = std::chrono::milliseconds(1500);
   Duration first_backoff = std::chrono::milliseconds(50);
   Duration longest_backoff = std::chrono::milliseconds(800);
@@ -44,6 +47,16 @@
   /// @return whether the last call failed.
   bool lost() const;
 
+  /// Sets the longest wait of the calls that follow. Must stay below the store's history.
+  void set_wait(Duration wait);
+
+  /// @return the revision of the newest change that this watch has seen; 0: none.
+  std::uint64_t newest_change() const;
+
+  /// Somebody else has seen a change at `revision`. Where it does not arrive here soon, the call
+  /// under way is given up and made again: the store answers others, and this call is deaf.
+  void hint(std::uint64_t revision);
+
  private:
   class Impl;
   std::shared_ptr<Impl> impl_;
--- a/tests/relay/role_coordinator_test.cpp
+++ b/tests/relay/role_coordinator_test.cpp
@@ -43,6 +43,15 @@
       [&](const auto& sent) { return sent->request.url.find(path) != std::string::npos; }));
 }
 
+/// @return the first order; reports of other engines may have been asked for meanwhile.
+const OutgoingRequest& order_of(const RelayFixture& site) {
+  const auto order = std::find_if(
+      site.http.sent.begin(), site.http.sent.end(),
+      [](const auto& sent) { return sent->request.url.find("/order") != std::string::npos; });
+  cr_assert(order != site.http.sent.end());
+  return (*order)->request;
+}
+
 }  // namespace
 
 Test(role_coordinator, asks_the_engine_and_orders_under_its_fence_and_count) {
@@ -90,7 +99,7 @@
   site.runtime.advance(13s);
   cr_assert_geq(count_of(site, "/report"), 1);
   site.http.answer(0, 200, {}, "decode");
-  cr_assert_eq(site.http.at(1).request.headers.get("fence"), "2", "the fence has grown");
+  cr_assert_eq(order_of(site).headers.get("fence"), "2", "the fence has grown");
 }
 
 Test(role_coordinator, settles_a_write_that_was_done_and_not_answered) {
--- a/tests/relay/support/fakes.cpp
+++ b/tests/relay/support/fakes.cpp
@@ -203,6 +203,7 @@
 }
 
 void MemoryStore::wake() {
+  if (deaf) return;
   for (Waiting& waiting : waiting_) {
     const auto batch = changes_after(waiting.kind, waiting.revision);
     if (!*waiting.open || batch.changes.empty()) continue;
--- a/tests/relay/support/fakes.hpp
+++ b/tests/relay/support/fakes.hpp
@@ -157,11 +157,14 @@
   /// The operator or an engine writes.
   void put(const std::string& kind, const std::string& name, const nlohmann::json& content);
   void remove(const std::string& kind, const std::string& name);
+  /// @return the revision of the last change.
+  std::uint64_t revision() const { return revision_; }
   /// Drops the history: watches from before get `kHistoryGone`.
   void forget_history();
 
   bool down = false;          ///< Calls fail with `kNotDone`.
   bool lose_answers = false;  ///< Writes are done and not answered.
+  bool deaf = false;          ///< Watches under way do not hear of changes.
   int lists = 0;
   int watches = 0;
   int writes = 0;
--- a/tests/store/kind_watch_test.cpp
+++ b/tests/store/kind_watch_test.cpp
@@ -27,9 +27,9 @@
     };
   }
   void start() {
-    watch = std::make_unique<store::KindWatch>(runtime, store, "k", store::KindWatchSettings{},
-                                               handlers);
+    watch = std::make_unique<store::KindWatch>(runtime, store, "k", settings, handlers);
   }
+  store::KindWatchSettings settings;
   ManualRuntime runtime;
   MemoryStore store{runtime};
   store::KindWatchHandlers handlers;
@@ -47,7 +47,7 @@
   cr_assert_eq(watched.names.count("a"), 1);
   watched.store.put("k", "b", {});
   watched.store.remove("k", "a");
-  watched.runtime.advance(60ms);
+  watched.runtime.advance(watched.settings.gather + 20ms);
   cr_assert_eq(watched.names, std::set<std::string>{"b"});
 }
 
@@ -60,9 +60,53 @@
     watched.store.put("k", "e" + std::to_string(i), {});
     watched.runtime.advance(5ms);
   }
-  watched.runtime.advance(50ms);
+  watched.runtime.advance(watched.settings.gather + 20ms);
   cr_assert_eq(watched.names.size(), 200);
-  cr_assert_leq(watched.store.watches, 30);
+  cr_assert_leq(watched.store.watches, 6);
+}
+
+Test(kind_watch, calls_again_at_once_when_others_have_seen_what_it_has_not) {
+  Watched watched;
+  watched.store.put("k", "a", {});
+  watched.settings.wait = 30s;
+  watched.start();
+  watched.runtime.advance(1ms);
+  watched.store.deaf = true;
+  watched.store.put("k", "b", {});
+  watched.store.deaf = false;
+  watched.runtime.advance(3s);
+  cr_assert_eq(watched.names.count("b"), 0, "the call under way does not tell");
+  watched.watch->hint(watched.store.revision());
+  watched.runtime.advance(watched.settings.hint_grace + 20ms);
+  cr_assert_eq(watched.names.count("b"), 1);
+  cr_assert_eq(watched.watch->newest_change(), watched.store.revision());
+}
+
+Test(kind_watch, makes_no_call_for_a_hint_of_what_it_has_seen) {
+  Watched watched;
+  watched.store.put("k", "a", {});
+  watched.start();
+  watched.runtime.advance(1ms);
+  watched.watch->hint(watched.store.revision());
+  watched.runtime.advance(1s);
+  cr_assert_eq(watched.store.watches, 1);
+}
+
+Test(kind_watch, takes_no_answer_of_a_call_that_it_gave_up) {
+  Watched watched;
+  watched.store.put("k", "a", {});
+  watched.settings.wait = 30s;
+  watched.start();
+  watched.runtime.advance(1ms);
+  watched.store.deaf = true;
+  watched.store.put("k", "b", {});
+  watched.store.deaf = false;
+  watched.watch->hint(watched.store.revision());
+  watched.runtime.advance(watched.settings.hint_grace + 20ms);
+  watched.store.remove("k", "b");
+  // The call that was given up wakes with both changes; the second has been seen by then.
+  watched.runtime.advance(watched.settings.gather + 20ms);
+  cr_assert_eq(watched.names, std::set<std::string>{"a"});
 }
 
 Test(kind_watch, lists_again_when_the_history_is_gone) {
