Avoid an engine that is not the one expected until its record changes, and tell the other nodes

Their old records stood, they were idle and so drew 1,703 attempts in 5 s; each was answered 421, avoided for 0.4 s and tried again. That used up the retry budgets, 1,480 requests were refused, and nodes without budget read 4,000 prompts where tokens are made, ten times as slow. Ruled out: engines too few (their queue was empty), the store's changes coming late (it was down).

Change: 421 leads to 5 s without work or until the record changes; nodes tell each other of engines that were misdirected or not reached; an engine that could not be reached is not preferred for its idleness afterwards; prompts are read apart with a budget of 1 (was 3), since the first such call is no extra one.

--- a/src/core/relay/engine_directory.cpp
+++ b/src/core/relay/engine_directory.cpp
@@ -24,8 +24,15 @@
 /// An engine that refuses is full, or changes its stage, for a while.
 constexpr Duration kBusyAvoidance = std::chrono::milliseconds(400);
 
-/// An engine that cannot be reached is avoided at once.
+/// An engine that cannot be reached is avoided at once, and not preferred for its idleness after.
 constexpr Duration kUnreachableAvoidance = std::chrono::seconds(1);
+constexpr double kUnreachableShare = 0.5;
+
+/// An engine that is not the one expected is avoided until its record changes, or so long.
+constexpr Duration kMisdirectedAvoidance = std::chrono::seconds(5);
+
+/// What another node has met at an engine does not count against a later success here.
+constexpr Duration kTroubleAge = std::chrono::milliseconds(300);
 
 /// Bounds on what is measured of an engine's reading, in tokens and tokens a millisecond.
 constexpr std::uint64_t kLeastMeasuredTokens = 1000;
@@ -141,6 +148,8 @@
   }
   const auto [entry, added] = engines_.try_emplace(record.id);
   EngineView& engine = entry->second;
+  // What was met before says nothing of an engine that has changed.
+  if (!(engine.record == record)) engine.avoided_until = {};
   engine.record = record;
   // A start of an engine that drains never takes work again; a record that says so is an old one.
   engine.record.draining = leaving_.count(record.id) > 0;
@@ -292,17 +301,29 @@
   const bool failed = health == AttemptHealth::kFailed || health == AttemptHealth::kUnreachable;
   engine->failure_share += kNewestWeight * ((failed ? 1.0 : 0.0) - engine->failure_share);
   if (health == AttemptHealth::kGood) engine->failures_in_a_row = 0;
+  if (health == AttemptHealth::kGood) engine->last_good = now;
   if (health == AttemptHealth::kBusy) engine->avoided_until = now + kBusyAvoidance;
+  if (health == AttemptHealth::kMisdirected) engine->avoided_until = now + kMisdirectedAvoidance;
   if (!failed) return;
   ++engine->failures_in_a_row;
   if (health == AttemptHealth::kUnreachable) {
     engine->avoided_until = now + kUnreachableAvoidance;
+    engine->failure_share = std::max(engine->failure_share, kUnreachableShare);
   } else if (engine->failures_in_a_row >= kFailuresToAvoid) {
     const auto doublings = std::min(engine->failures_in_a_row - kFailuresToAvoid, 4U);
     engine->avoided_until = now + std::min(kFirstAvoidance * (1 << doublings), kLongestAvoidance);
   }
 }
 
+void EngineDirectory::on_peer_trouble(MonotonicTime now, const EngineTrouble& trouble) {
+  EngineView* engine = find(trouble.engine);
+  // A node that knows a newer record of the engine would not have met this.
+  if (engine == nullptr || engine->record.stage != trouble.stage) return;
+  if (!trouble.misdirected && now - engine->last_good < kTroubleAge) return;
+  const Duration avoidance = trouble.misdirected ? kMisdirectedAvoidance : kUnreachableAvoidance;
+  engine->avoided_until = std::max(engine->avoided_until, now + avoidance);
+}
+
 void EngineDirectory::on_prompt_sent(std::uint64_t unread) {
   usual_unread_tokens_ += kNewestWeight * (static_cast<double>(unread) - usual_unread_tokens_);
 }
--- a/src/core/relay/engine_directory.hpp
+++ b/src/core/relay/engine_directory.hpp
@@ -36,6 +36,8 @@
   std::uint32_t slots = 1;
   bool draining = false;
   EngineStage stage = EngineStage::kNone;
+
+  bool operator==(const EngineRecord&) const = default;
 };
 
 /// A part of a prompt that requests may share.
@@ -108,6 +110,7 @@
   PeerLoad heard;                 ///< Sum of what the other nodes have told.
   std::uint32_t failures_in_a_row = 0;
   MonotonicTime avoided_until{};  ///< Not chosen before, while others can be.
+  MonotonicTime last_good{};      ///< The last attempt that ended well.
   double failure_share = 0;       ///< Moving average over ended attempts, 0 to 1.
   double latency_ms = 0;          ///< Moving average of the time to an answer; 0: unknown.
   PromptCacheView cache;
@@ -122,7 +125,22 @@
 };
 
 /// How an attempt ended, as far as it tells of the engine's health.
-enum class AttemptHealth { kGood, kBusy, kFailed, kUnreachable };
+enum class AttemptHealth {
+  kGood,
+  kBusy,
+  kFailed,
+  kUnreachable,
+  kMisdirected,  ///< Another start of an engine has the address, or the engine has another stage.
+};
+
+/// What one node has met at an engine and others need not find out for themselves.
+struct EngineTrouble {
+  EngineId engine;
+  EngineStage stage = EngineStage::kNone;  ///< That the node took it to have.
+  bool misdirected = false;                ///< Otherwise it could not be reached.
+
+  bool operator==(const EngineTrouble&) const = default;
+};
 
 /// All engines that this node knows.
 class EngineDirectory {
@@ -177,6 +195,9 @@
   /// Learns from the end of an attempt.
   void on_health(MonotonicTime now, const EngineId& id, AttemptHealth health);
 
+  /// Another node has met trouble at an engine.
+  void on_peer_trouble(MonotonicTime now, const EngineTrouble& trouble);
+
   /// @return the moving average of the tokens that a prompt read apart leaves to be read.
   double usual_unread_tokens() const { return usual_unread_tokens_; }
 
--- a/src/protocol/load_message.cpp
+++ b/src/protocol/load_message.cpp
@@ -30,6 +30,24 @@
   return reads;
 }
 
+json troubles_to_json(const std::vector<relay::EngineTrouble>& troubles) {
+  json list = json::array();
+  for (const relay::EngineTrouble& trouble : troubles) {
+    list.push_back({trouble.engine.value(), static_cast<int>(trouble.stage), trouble.misdirected});
+  }
+  return list;
+}
+
+std::vector<relay::EngineTrouble> troubles_from_json(const json& list) {
+  std::vector<relay::EngineTrouble> troubles;
+  for (const json& item : list) {
+    troubles.push_back({EngineId(item.at(0).get<std::string>()),
+                        static_cast<relay::EngineStage>(item.at(1).get<int>()),
+                        item.at(2).get<bool>()});
+  }
+  return troubles;
+}
+
 }  // namespace
 
 std::string encode(const LoadMessage& message) {
@@ -43,6 +61,7 @@
                    {"load", std::move(load)},
                    {"seen", {message.seen.configuration, message.seen.engines}}};
   if (!message.reads.empty()) document["reads"] = reads_to_json(message.reads);
+  if (!message.troubles.empty()) document["troubles"] = troubles_to_json(message.troubles);
   std::string bytes;
   json::to_msgpack(document, bytes);
   return bytes;
@@ -78,6 +97,9 @@
       message.seen.configuration = document["seen"].at(0).get<std::uint64_t>();
       message.seen.engines = document["seen"].at(1).get<std::uint64_t>();
     }
+    if (document.contains("troubles")) {
+      message.troubles = troubles_from_json(document["troubles"]);
+    }
     if (document.contains("reads")) message.reads = reads_from_json(document["reads"]);
     return message;
   } catch (const json::exception& error) {
--- a/src/protocol/load_message.hpp
+++ b/src/protocol/load_message.hpp
@@ -22,8 +22,9 @@
   std::uint64_t boot = 0;      ///< Drawn at the start of the process.
   std::uint64_t sequence = 0;  ///< Rises with each message of one start.
   std::map<EngineId, relay::PeerLoad> load;
-  std::vector<relay::PromptRead> reads;  ///< Since the last message.
-  relay::CatalogRevisions seen;          ///< How far the node has come in the store's changes.
+  std::vector<relay::PromptRead> reads;        ///< Since the last message.
+  std::vector<relay::EngineTrouble> troubles;  ///< The same.
+  relay::CatalogRevisions seen;  ///< How far the node has come in the store's changes.
 };
 
 /// What a node that has just started asks of another: the prompts that engines keep.
--- a/src/relay/load_exchange.cpp
+++ b/src/relay/load_exchange.cpp
@@ -177,6 +177,7 @@
   message.sequence = ++sequence_;
   message.load = node_.engines().own_load();
   message.reads = node_.take_prompt_reads();
+  message.troubles = node_.take_troubles();
   if (own_revisions_) message.seen = own_revisions_();
   had_load_ = !message.load.empty();
   std::string bytes = encode(message);
@@ -196,6 +197,9 @@
   heard = {message->boot, message->sequence};
   const MonotonicTime now = runtime_.now();
   node_.engines().on_peer_load(now, message->node, std::move(message->load));
+  for (const EngineTrouble& trouble : message->troubles) {
+    node_.engines().on_peer_trouble(now, trouble);
+  }
   if (on_revisions_) on_revisions_(message->seen);
   for (const PromptRead& read : message->reads) node_.learn_prompt_read(read);
 }
--- a/src/relay/relay_node.hpp
+++ b/src/relay/relay_node.hpp
@@ -81,9 +81,18 @@
     context_.load_changed = std::move(handler);
   }
 
+  /// The work under way at engines has changed.
+  void note_load_changed() const { context_.note_load(); }
+
+  /// Tells the other nodes what was met at an engine.
+  void note_trouble(const EngineTrouble& trouble) { context_.note_trouble(trouble); }
+
   /// @return prompts that engines have read for this node since the last call.
   std::vector<PromptRead> take_prompt_reads() { return std::exchange(context_.reads, {}); }
 
+  /// @return what was met at engines since the last call.
+  std::vector<EngineTrouble> take_troubles() { return std::exchange(context_.troubles, {}); }
+
   /// An engine has read a prompt for another node.
   void learn_prompt_read(const PromptRead& read);
 
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -53,6 +53,12 @@
   view->cache.on_read(parts, view->memory_tokens, runtime.now());
 }
 
+void RelayContext::note_trouble(const EngineTrouble& trouble) {
+  if (!load_changed) return;
+  troubles.push_back(trouble);
+  note_load();
+}
+
 RelaySession::RelaySession(RelayContext& context, std::shared_ptr<const RouteTable> table,
                            const Route& route, ServiceName service, HttpRequest request,
                            std::shared_ptr<ConnectionResponder> responder, EndHandler on_end)
@@ -338,6 +344,11 @@
 
 void RelaySession::note_health(AttemptHealth health) {
   context_.engines.on_health(context_.runtime.now(), engine_, health);
+  const bool misdirected = health == AttemptHealth::kMisdirected;
+  const EngineView* view = context_.engines.find(engine_);
+  if (view == nullptr) return;
+  if (!misdirected && health != AttemptHealth::kUnreachable) return;
+  context_.note_trouble({engine_, view->record.stage, misdirected});
 }
 
 void RelaySession::begin_stream() {
@@ -362,7 +373,8 @@
                           result.error().message);
   }
   if (refused_) {
-    note_health(AttemptHealth::kBusy);
+    note_health(status_ == http_status::kMisdirected ? AttemptHealth::kMisdirected
+                                                     : AttemptHealth::kBusy);
     return attempt_failed(AttemptOutcome::kRefused, "status " + std::to_string(status_));
   }
   if (broken_ || overflow_) {
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -33,14 +33,18 @@
   RelayMetrics& metrics;
   std::unordered_map<ServiceName, RetryBudget>& budgets;
 
-  std::function<void()> load_changed;  ///< May be empty.
-  std::vector<PromptRead> reads;       ///< Not yet told to other nodes; empty where none listens.
+  std::function<void()> load_changed;   ///< May be empty.
+  std::vector<PromptRead> reads;        ///< Not yet told to other nodes; empty where none listens.
+  std::vector<EngineTrouble> troubles;  ///< The same.
 
   RetryBudget& budget_of(const ServiceName& service);
 
   /// An engine has read a prompt and keeps its parts.
   void note_read(const EngineId& engine, const std::vector<PromptPart>& parts);
 
+  /// Other nodes need not find out for themselves.
+  void note_trouble(const EngineTrouble& trouble);
+
   /// The work under way at an engine has changed.
   void note_load() const {
     if (load_changed) load_changed();
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -18,7 +18,7 @@
   std::uint64_t least_unread_tokens = 600;  ///< Shorter prompts are read where tokens are made.
   double direct_penalty = 2.5;  ///< Reading between the tokens of others slows these as well.
   double held_up_stream_weight = 0.1;  ///< Of reading time, for each stream that it holds up.
-  double least_budget = 3;  ///< Of the retry budget: a prompt that is refused counts against it.
+  double least_budget = 1;  ///< Of the retry budget: a prompt that is refused counts against it.
   double setup_ms = 8;      ///< Of moving a prompt, apart from its bytes.
 };
 
--- /dev/null
+++ b/tests/core/relay/engine_directory_test.cpp
@@ -0,0 +1,124 @@
+#include "core/relay/engine_directory.hpp"
+
+#include <criterion/criterion.h>
+
+#include "core/relay/stage_planner.hpp"
+
+using namespace shuntbank;
+using namespace shuntbank::relay;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr MonotonicTime kNow{std::chrono::seconds(100)};
+
+EngineRecord record(const std::string& id, EngineStage stage = EngineStage::kDecode) {
+  EngineRecord record;
+  record.id = EngineId(id);
+  record.service = ServiceName("model");
+  record.address = id + ":1";
+  record.stage = stage;
+  return record;
+}
+
+const EngineView& view(const EngineDirectory& engines, const std::string& id) {
+  return *engines.find(EngineId(id));
+}
+
+}  // namespace
+
+Test(engine_directory, avoids_a_misdirected_engine_until_its_record_changes) {
+  // Engines that had started anew while the store was down drew 1,703 attempts in five seconds,
+  // since they were idle, and used up the retry budget of all nodes.
+  EngineDirectory engines;
+  engines.upsert(record("e"));
+  engines.on_health(kNow, EngineId("e"), AttemptHealth::kMisdirected);
+  cr_assert_gt(view(engines, "e").avoided_until, kNow + 3s);
+  engines.upsert(record("e"));
+  cr_assert_gt(view(engines, "e").avoided_until, kNow + 3s, "the same record tells nothing new");
+  engines.upsert(record("e", EngineStage::kPrefill));
+  cr_assert_leq(view(engines, "e").avoided_until, kNow);
+}
+
+Test(engine_directory, takes_another_nodes_word_for_a_misdirected_engine) {
+  EngineDirectory engines;
+  engines.upsert(record("e"));
+  engines.on_health(kNow, EngineId("e"), AttemptHealth::kGood);
+  engines.on_peer_trouble(kNow, {EngineId("e"), EngineStage::kDecode, true});
+  cr_assert_gt(view(engines, "e").avoided_until, kNow + 3s);
+  engines.on_peer_trouble(kNow, {EngineId("unknown"), EngineStage::kDecode, true});
+  cr_assert_eq(engines.size(), 1);
+}
+
+Test(engine_directory, knows_better_than_a_node_that_took_the_engine_for_another_stage) {
+  EngineDirectory engines;
+  engines.upsert(record("e", EngineStage::kPrefill));
+  engines.on_peer_trouble(kNow, {EngineId("e"), EngineStage::kDecode, true});
+  cr_assert_leq(view(engines, "e").avoided_until, kNow);
+}
+
+Test(engine_directory, trusts_its_own_recent_success_more_than_another_nodes_failure) {
+  EngineDirectory engines;
+  engines.upsert(record("e"));
+  engines.on_health(kNow, EngineId("e"), AttemptHealth::kGood);
+  const EngineTrouble unreachable{EngineId("e"), EngineStage::kDecode, false};
+  engines.on_peer_trouble(kNow + 100ms, unreachable);
+  cr_assert_leq(view(engines, "e").avoided_until, kNow);
+  engines.on_peer_trouble(kNow + 2s, unreachable);
+  cr_assert_gt(view(engines, "e").avoided_until, kNow + 2s);
+}
+
+Test(engine_directory, sums_what_the_others_tell_last) {
+  EngineDirectory engines;
+  engines.upsert(record("a"));
+  engines.upsert(record("b"));
+  engines.on_peer_load(kNow, NodeId("n1"), {{EngineId("a"), {2, 100}}});
+  engines.on_peer_load(kNow, NodeId("n2"), {{EngineId("a"), {1, 50}}, {EngineId("b"), {4, 0}}});
+  cr_assert_eq(view(engines, "a").peers->in_flight, 3);
+  cr_assert_eq(view(engines, "a").peers->unread_tokens, 150);
+  engines.on_peer_load(kNow + 2s, NodeId("n1"), {{EngineId("b"), {1, 0}}});
+  cr_assert_eq(view(engines, "a").peers->in_flight, 1);
+  cr_assert_eq(view(engines, "b").peers->in_flight, 5);
+  engines.forget_silent_peers(kNow + 4s);
+  cr_assert_eq(view(engines, "a").peers->in_flight, 0, "n2 has been silent");
+  cr_assert_eq(view(engines, "b").peers->in_flight, 1);
+  engines.forget_silent_peers(kNow + 10s);
+  cr_assert_not(view(engines, "a").peers.has_value());
+}
+
+Test(engine_directory, counts_what_was_told_of_an_engine_before_it_was_known) {
+  EngineDirectory engines;
+  engines.on_peer_load(kNow, NodeId("n1"), {{EngineId("late"), {2, 100}}});
+  engines.upsert(record("late"));
+  cr_assert_eq(view(engines, "late").peers->in_flight, 2);
+  engines.on_peer_load(kNow, NodeId("n1"), {});
+  cr_assert_eq(view(engines, "late").peers->in_flight, 0);
+}
+
+Test(engine_directory, scales_up_what_it_hears_of_a_part_of_the_fleet) {
+  EngineDirectory engines;
+  engines.upsert(record("a"));
+  engines.set_peer_count(128, 64);
+  engines.on_peer_load(kNow, NodeId("n1"), {{EngineId("a"), {3, 500}}});
+  cr_assert_eq(view(engines, "a").peers->in_flight, 6);
+  cr_assert_eq(view(engines, "a").peers->unread_tokens, 1000);
+}
+
+Test(stage_planner, orders_a_tenth_of_a_large_fleet_at_once) {
+  EngineDirectory engines;
+  for (int i = 0; i < 90; ++i) engines.upsert(record("e" + std::to_string(i)));
+  RouteConfiguration configuration;
+  RelayedService service;
+  service.name = ServiceName("model");
+  service.model.emplace();
+  configuration.services = {service};
+  const RouteTable table(configuration);
+  StagePlannerSettings settings;
+  settings.prefill_share = 0.5;
+  StagePlanner planner(settings);
+  int at_once = 0;
+  while (planner.next(kNow, engines, table)) ++at_once;
+  cr_assert_eq(at_once, 9);
+  cr_assert_not(planner.next(kNow + settings.between_batches - 1ms, engines, table).has_value());
+  cr_assert(planner.next(kNow + settings.between_batches, engines, table).has_value());
+}
