Avoid an engine longer each time it refuses, and tell the others; a soak of real processes

Ruled out: engines that were full (0 to 4 requests there at most refusals), lapsed handles (their refusals lie at many engines; they are kept apart now).

Change: refusals in a row double the time without work up to 4 s; a refusal by an engine with room is told to the other nodes. A refused handle is a kind of its own and does not count in that row.

--- a/src/core/relay/engine_directory.cpp
+++ b/src/core/relay/engine_directory.cpp
@@ -21,7 +21,7 @@
 constexpr Duration kFirstAvoidance = std::chrono::milliseconds(500);
 constexpr Duration kLongestAvoidance = std::chrono::seconds(4);
 
-/// An engine that refuses is full, or changes its stage, for a while.
+/// An engine that refuses is full, or changes its stage, for a while; longer each time in a row.
 constexpr Duration kBusyAvoidance = std::chrono::milliseconds(400);
 
 /// An engine that cannot be reached is avoided at once, and not preferred for its idleness after.
@@ -44,6 +44,12 @@
 /// Weight of the newest attempt in the moving averages.
 constexpr double kNewestWeight = 0.15;
 
+/// @return the avoidance after so many others in a row.
+Duration doubled(Duration first, std::uint32_t times) {
+  constexpr std::uint32_t kMostDoublings = 4;
+  return std::min(first * (1 << std::min(times, kMostDoublings)), kLongestAvoidance);
+}
+
 }  // namespace
 
 const char* to_text(EngineStage stage) {
@@ -300,9 +306,16 @@
   if (engine == nullptr) return;
   const bool failed = health == AttemptHealth::kFailed || health == AttemptHealth::kUnreachable;
   engine->failure_share += kNewestWeight * ((failed ? 1.0 : 0.0) - engine->failure_share);
-  if (health == AttemptHealth::kGood) engine->failures_in_a_row = 0;
+  if (health == AttemptHealth::kGood) {
+    engine->failures_in_a_row = 0;
+    engine->refusals_in_a_row = 0;
+  }
   if (health == AttemptHealth::kGood) engine->last_good = now;
-  if (health == AttemptHealth::kBusy) engine->avoided_until = now + kBusyAvoidance;
+  if (health == AttemptHealth::kBusy) {
+    engine->avoided_until = now + doubled(kBusyAvoidance, engine->refusals_in_a_row++);
+  }
+  // The handle may have lapsed, which says little of the engine.
+  if (health == AttemptHealth::kHandleRefused) engine->avoided_until = now + kBusyAvoidance;
   if (health == AttemptHealth::kMisdirected) engine->avoided_until = now + kMisdirectedAvoidance;
   if (!failed) return;
   ++engine->failures_in_a_row;
@@ -310,8 +323,8 @@
     engine->avoided_until = now + kUnreachableAvoidance;
     engine->failure_share = std::max(engine->failure_share, kUnreachableShare);
   } else if (engine->failures_in_a_row >= kFailuresToAvoid) {
-    const auto doublings = std::min(engine->failures_in_a_row - kFailuresToAvoid, 4U);
-    engine->avoided_until = now + std::min(kFirstAvoidance * (1 << doublings), kLongestAvoidance);
+    engine->avoided_until =
+        now + doubled(kFirstAvoidance, engine->failures_in_a_row - kFailuresToAvoid);
   }
 }
 
--- a/src/core/relay/engine_directory.hpp
+++ b/src/core/relay/engine_directory.hpp
@@ -109,6 +109,7 @@
   std::optional<PeerLoad> peers;  ///< Of all other nodes; unset while none is heard.
   PeerLoad heard;                 ///< Sum of what the other nodes have told.
   std::uint32_t failures_in_a_row = 0;
+  std::uint32_t refusals_in_a_row = 0;
   MonotonicTime avoided_until{};  ///< Not chosen before, while others can be.
   MonotonicTime last_good{};      ///< The last attempt that ended well.
   double failure_share = 0;       ///< Moving average over ended attempts, 0 to 1.
@@ -130,14 +131,15 @@
   kBusy,
   kFailed,
   kUnreachable,
-  kMisdirected,  ///< Another start of an engine has the address, or the engine has another stage.
+  kHandleRefused,  ///< The engine did not take up a prompt that was read elsewhere.
+  kMisdirected,    ///< Another start of an engine has the address, or the engine has another stage.
 };
 
 /// What one node has met at an engine and others need not find out for themselves.
 struct EngineTrouble {
   EngineId engine;
   EngineStage stage = EngineStage::kNone;  ///< That the node took it to have.
-  bool misdirected = false;                ///< Otherwise it could not be reached.
+  bool misdirected = false;  ///< Otherwise it could not be reached, or refuses though it has room.
 
   bool operator==(const EngineTrouble&) const = default;
 };
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -19,6 +19,9 @@
 /// Time below which another engine cannot answer any more.
 constexpr Duration kLeastUsefulTime = std::chrono::milliseconds(20);
 
+/// An engine with less of its slots in use has no reason to refuse.
+constexpr double kRoomShare = 0.5;
+
 constexpr Duration kReleaseTimeout = std::chrono::seconds(1);
 
 std::int64_t to_milliseconds(Duration duration) {
@@ -342,12 +345,20 @@
   context_.note_load();
 }
 
+AttemptHealth RelaySession::refusal_health() const {
+  if (status_ == http_status::kMisdirected) return AttemptHealth::kMisdirected;
+  return step_ == Step::kDecodeFromHandle ? AttemptHealth::kHandleRefused : AttemptHealth::kBusy;
+}
+
 void RelaySession::note_health(AttemptHealth health) {
   context_.engines.on_health(context_.runtime.now(), engine_, health);
   const bool misdirected = health == AttemptHealth::kMisdirected;
   const EngineView* view = context_.engines.find(engine_);
   if (view == nullptr) return;
-  if (!misdirected && health != AttemptHealth::kUnreachable) return;
+  const double there = view->requests_there(context_.runtime.now());
+  const bool has_room = there < view->record.slots * kRoomShare;
+  const bool refuses = health == AttemptHealth::kBusy && has_room && view->refusals_in_a_row > 1;
+  if (!misdirected && !refuses && health != AttemptHealth::kUnreachable) return;
   context_.note_trouble({engine_, view->record.stage, misdirected});
 }
 
@@ -373,8 +384,7 @@
                           result.error().message);
   }
   if (refused_) {
-    note_health(status_ == http_status::kMisdirected ? AttemptHealth::kMisdirected
-                                                     : AttemptHealth::kBusy);
+    note_health(refusal_health());
     return attempt_failed(AttemptOutcome::kRefused, "status " + std::to_string(status_));
   }
   if (broken_ || overflow_) {
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -113,6 +113,7 @@
   void respond(int status, const HttpHeaders& headers, std::string body, const std::string& result);
   HttpHeaders forwarded_answer_fields() const;
   void note_prompt_read();
+  AttemptHealth refusal_health() const;
   void note_health(AttemptHealth health);
   void begin_stream();
   void end(const std::string& result);
--- a/tests/core/relay/engine_directory_test.cpp
+++ b/tests/core/relay/engine_directory_test.cpp
@@ -68,6 +68,24 @@
   cr_assert_gt(view(engines, "e").avoided_until, kNow + 2s);
 }
 
+Test(engine_directory, avoids_longer_each_time_an_engine_that_refuses_again) {
+  // Three engines that refused at once looked idle and drew 1,800 attempts in eight seconds.
+  EngineDirectory engines;
+  engines.upsert(record("e"));
+  MonotonicTime now = kNow;
+  Duration before{0};
+  for (int i = 0; i < 3; ++i) {
+    engines.on_health(now, EngineId("e"), AttemptHealth::kBusy);
+    const Duration avoided = view(engines, "e").avoided_until - now;
+    cr_assert_gt(avoided, before);
+    before = avoided;
+    now += avoided;
+  }
+  engines.on_health(now, EngineId("e"), AttemptHealth::kGood);
+  engines.on_health(now, EngineId("e"), AttemptHealth::kBusy);
+  cr_assert_lt(view(engines, "e").avoided_until - now, before);
+}
+
 Test(engine_directory, sums_what_the_others_tell_last) {
   EngineDirectory engines;
   engines.upsert(record("a"));
--- /dev/null
+++ b/tests/platform/support/engine_standin.hpp
@@ -0,0 +1,113 @@
+/// @file
+/// An engine that speaks the platform's published protocol, with faults that tests switch on.
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+
+#include "net/http1_server.hpp"
+#include "platform/support/fault_proxy.hpp"
+#include "platform/support/ledger.hpp"
+#include "platform/support/store_standin.hpp"
+
+namespace shuntbank::testing {
+
+/// What an engine is.
+struct EngineShape {
+  std::string service;
+  bool model = false;
+  std::string stage;  ///< `prefill` or `decode` at its start; empty for plain engines.
+  std::size_t slots = 48;
+  std::chrono::milliseconds step{10};  ///< Between two events, or for a plain answer.
+
+  bool operator==(const EngineShape&) const = default;
+};
+
+/// How an engine misbehaves while its health is good.
+enum class EngineFault { kNone, kErrors, kSheds, kHangs, kResets, kLosesAnswers };
+
+/// One engine behind a fault proxy. A start after a crash is a new incarnation.
+class EngineStandin {
+ public:
+  EngineStandin(asio::io_context& loop, StoreStandin& store, Ledger& ledger,
+                const EngineShape& shape, std::uint64_t seed);
+  ~EngineStandin();
+
+  /// Begins a new incarnation and registers it.
+  void start();
+
+  /// Ends at once. Its registration goes after `lag`.
+  void crash(std::chrono::milliseconds lag);
+
+  /// Says that it drains, and ends after `serve_on`.
+  void drain(std::chrono::milliseconds serve_on);
+
+  /// Misbehaves in a share of its answers.
+  void set_fault(EngineFault fault, double share);
+
+  /// Works `times` as long for each step.
+  void set_slowness(int times) { this->slowness = times; }
+
+  bool running() const { return this->server != nullptr; }
+  FaultProxy& link() { return *this->proxy; }
+  std::size_t runs_under_way() const { return this->runs.size(); }
+
+ private:
+  using Responder = std::shared_ptr<ConnectionResponder>;
+
+  /// A request that the engine works on.
+  struct Run {
+    std::string id;
+    Responder responder;
+    std::unique_ptr<asio::steady_timer> timer;
+    std::uint64_t next = 1;
+    std::uint64_t last = 0;
+    EngineFault fault = EngineFault::kNone;
+  };
+  using RunPointer = std::shared_ptr<Run>;
+
+  void handle(const HttpRequest& request, const Responder& responder);
+  void take(const HttpRequest& request, const Responder& responder);
+  void read_prompt(const HttpRequest& request, const Responder& responder);
+  void report(const Responder& responder);
+  void order(const HttpRequest& request, const Responder& responder);
+  void change_stage(const std::string& wanted);
+  void begin(const HttpRequest& request, const Responder& responder);
+  void step(const RunPointer& run);
+  void answer_plain(const RunPointer& run);
+  void begin_stream(const RunPointer& run, const HttpRequest& request);
+  void end(const RunPointer& run);
+  void refuse(const HttpRequest& request, const Responder& responder, int status);
+  HttpHeaders fields(const std::string& id, const std::string& seal) const;
+  EngineFault draw_fault();
+  void publish();
+  std::chrono::milliseconds pace() const { return this->shape.step * this->slowness; }
+
+  asio::io_context& loop;
+  StoreStandin& store;
+  Ledger& ledger;
+  EngineShape shape;
+  std::mt19937_64 random;
+  std::unique_ptr<Http1Server> server;
+  std::unique_ptr<FaultProxy> proxy;
+  std::unique_ptr<asio::steady_timer> later;
+  std::string id;
+  std::string stage;
+  std::string state;
+  std::uint64_t orders = 0;
+  std::uint64_t highest_fence = 0;
+  bool changing = false;
+  std::set<RunPointer> runs;
+  std::set<std::string> handles;
+  EngineFault fault = EngineFault::kNone;
+  double fault_share = 0;
+  int slowness = 1;
+};
+
+}  // namespace shuntbank::testing
--- /dev/null
+++ b/tests/platform/support/ledger.hpp
@@ -0,0 +1,106 @@
+/// @file
+/// What callers sent, what engines ran and what callers got, and the promises checked over both.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace shuntbank::testing {
+
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+/// What a request is, as its caller made it.
+struct SentByCaller {
+  std::string id;
+  std::string method;
+  std::string target;
+  std::string body;
+  std::string service;       ///< The only one that may run it.
+  bool repeatable = false;   ///< May run more than once.
+  std::uint64_t pieces = 0;  ///< Events of a whole stream; 0: a plain answer.
+
+  bool operator==(const SentByCaller&) const = default;
+};
+
+/// One answer of an engine, as it left.
+struct AnswerOfEngine {
+  std::string request;
+  int status = 0;
+  std::string body;
+
+  bool operator==(const AnswerOfEngine&) const = default;
+};
+
+/// A promise that was broken, by its rule's usual name.
+struct BrokenPromise {
+  std::string rule;
+  std::string what;
+
+  bool operator==(const BrokenPromise&) const = default;
+};
+
+/// Bound on repeated arrivals of a service.
+struct RetryBound {
+  double ratio = 0.2;
+  double slack = 0;
+  std::chrono::seconds window{10};
+};
+
+/// The record of one run. Not thread safe.
+class Ledger {
+ public:
+  explicit Ledger(const RetryBound& retry_bound) : bound(retry_bound) {}
+
+  // Callers.
+  void sent(const SentByCaller& request);
+  void got_answer(const std::string& id, int status, const std::string& seal,
+                  const std::string& body);
+  /// One event of a stream, in its order. @return whether it was the one expected.
+  bool got_event(const std::string& id, std::uint64_t number, const std::string& text);
+  void got_stream_end(const std::string& id, std::uint64_t last);
+
+  // Engines.
+  void arrived(const std::string& id, const std::string& service, bool only_read);
+  void runs(const std::string& id, const std::string& service, const std::string& method,
+            const std::string& target, const std::string& body);
+  /// @return the seal to send with the answer.
+  std::string answers(const AnswerOfEngine& answer);
+  void made_handle(const std::string& handle, const std::string& id);
+  void took_handle(const std::string& handle, const std::string& id);
+  void ordered(const std::string& engine, const std::string& holder, std::uint64_t fence);
+
+  void broke(const std::string& rule, const std::string& what);
+
+  const SentByCaller* find(const std::string& id) const;
+  const std::vector<BrokenPromise>& broken() const { return this->promises; }
+  std::uint64_t count_runs(const std::string& id) const;
+
+  /// @return the text of event `number` of a request's stream.
+  static std::string event_text(const std::string& id, std::uint64_t number);
+
+ private:
+  struct Arrivals {
+    std::deque<SteadyTime> requests;
+    std::deque<SteadyTime> repeats;
+  };
+  void check_budget(const std::string& service, SteadyTime now);
+
+  RetryBound bound;
+  std::map<std::string, SentByCaller> requests;
+  std::map<std::string, std::uint64_t> run_counts;
+  std::map<std::string, bool> promised_not_run;
+  std::map<std::string, AnswerOfEngine> answers_by_seal;
+  std::map<std::string, std::string> handles;
+  std::map<std::string, std::map<std::uint64_t, std::string>> holders;
+  std::map<std::string, std::uint64_t> seen_arrivals;
+  std::map<std::string, bool> seen_reads;
+  std::map<std::string, Arrivals> arrivals;
+  std::vector<BrokenPromise> promises;
+  std::uint64_t seals = 0;
+};
+
+}  // namespace shuntbank::testing
--- /dev/null
+++ b/tests/platform/support/relay_child.cpp
@@ -0,0 +1,90 @@
+#include "platform/support/relay_child.hpp"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <fstream>
+#include <stdexcept>
+#include <utility>
+
+namespace shuntbank::testing {
+
+std::uint16_t free_port(const std::string& ip) {
+  const int socket_fd = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
+  socklen_t size = sizeof(address);
+  auto* any = reinterpret_cast<sockaddr*>(&address);
+  const bool bound = ::bind(socket_fd, any, size) == 0 && ::getsockname(socket_fd, any, &size) == 0;
+  ::close(socket_fd);
+  if (!bound) throw std::runtime_error("no port on " + ip);
+  return ntohs(address.sin_port);
+}
+
+RelayChild::RelayChild(std::string relay_program, RelayPlace place, const std::string& folder)
+    : program(std::move(relay_program)),
+      where(std::move(place)),
+      settings_path(folder + "/" + this->where.name + ".conf"),
+      log_path(folder + "/" + this->where.name + ".log") {}
+
+RelayChild::~RelayChild() {
+  if (!this->running()) return;
+  this->send_signal(SIGKILL);
+  ::waitpid(this->process, nullptr, 0);
+}
+
+std::string RelayChild::callers_address() const {
+  return this->where.ip + ":" + std::to_string(this->where.callers);
+}
+
+std::string RelayChild::ready_address() const {
+  return this->where.ip + ":" + std::to_string(this->where.ready);
+}
+
+void RelayChild::write_settings(bool first) const {
+  std::ofstream file(this->settings_path, std::ios::trunc);
+  const std::string& ip = this->where.ip;
+  file << "node=" << this->where.name << "\nzone=" << this->where.zone << "\nip=" << ip
+       << "\nlisten.front=" << this->callers_address() << "\nlisten.ready=" << this->ready_address()
+       << "\nlisten.control=" << ip << ":" << this->where.control
+       << "\nport_range=" << this->where.peers << "," << this->where.peers
+       << "\nbootstrap=" << (first ? "true" : "false")
+       << "\nbounds.budget_ratio=0.2\nbounds.budget_window_s=10\nbounds.budget_slack=20"
+       << "\nbounds.grace_s=8\nplatform.addr=" << this->where.store << "\nan.unknown.key=1\n";
+}
+
+void RelayChild::start(bool first) {
+  this->write_settings(first);
+  posix_spawn_file_actions_t files;
+  posix_spawn_file_actions_init(&files);
+  posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, this->log_path.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
+  posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
+  std::string variable = "SHUNTBANK_BOOT=" + this->settings_path;
+  std::string name = this->program;
+  char* arguments[] = {name.data(), nullptr};
+  char* environment[] = {variable.data(), nullptr};
+  const int failed =
+      ::posix_spawn(&this->process, this->program.c_str(), &files, nullptr, arguments, environment);
+  posix_spawn_file_actions_destroy(&files);
+  if (failed != 0) throw std::runtime_error("cannot start " + this->program);
+}
+
+void RelayChild::send_signal(int signal) {
+  if (this->process > 0) ::kill(this->process, signal);
+}
+
+bool RelayChild::running() {
+  if (this->process <= 0) return false;
+  if (::waitpid(this->process, nullptr, WNOHANG) == 0) return true;
+  this->process = 0;
+  return false;
+}
+
+}  // namespace shuntbank::testing
--- /dev/null
+++ b/tests/platform/support/relay_child.hpp
@@ -0,0 +1,59 @@
+/// @file
+/// A relay program as a process of its own, with its settings file, log and signals.
+#pragma once
+
+#include <sys/types.h>
+
+#include <cstdint>
+#include <string>
+
+namespace shuntbank::testing {
+
+/// Where one relay listens and what it reaches.
+struct RelayPlace {
+  std::string name;
+  std::string ip;
+  std::string zone;
+  std::string store;  ///< IP:PORT
+  std::uint16_t callers = 0;
+  std::uint16_t ready = 0;
+  std::uint16_t control = 0;
+  std::uint16_t peers = 0;
+
+  bool operator==(const RelayPlace&) const = default;
+};
+
+/// @return a port that the kernel has just found free on an address.
+std::uint16_t free_port(const std::string& ip);
+
+/// One process at a time, on one place. Killed and reaped when the object goes.
+class RelayChild {
+ public:
+  /// @param folder of the settings file and the log; must exist.
+  RelayChild(std::string program, RelayPlace place, const std::string& folder);
+  ~RelayChild();
+  RelayChild(const RelayChild&) = delete;
+  RelayChild& operator=(const RelayChild&) = delete;
+
+  /// @param first whether the whole system starts for the first time.
+  void start(bool first);
+  void send_signal(int signal);
+
+  /// @return whether the process runs; reaps it when it has ended.
+  bool running();
+
+  const RelayPlace& place() const { return this->where; }
+  std::string callers_address() const;
+  std::string ready_address() const;
+
+ private:
+  void write_settings(bool first) const;
+
+  std::string program;
+  RelayPlace where;
+  std::string settings_path;
+  std::string log_path;
+  pid_t process = 0;
+};
+
+}  // namespace shuntbank::testing
--- /dev/null
+++ b/tests/platform/support/soak_site.cpp
@@ -0,0 +1,333 @@
+#include "platform/support/soak_site.hpp"
+
+#include <algorithm>
+#include <csignal>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "net/address.hpp"
+
+namespace shuntbank::testing {
+namespace {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+/// The bound of the settings that relays get, with room for what a killed relay forgets.
+constexpr double kRetryRatio = 0.2;
+constexpr double kRetrySlack = 20;
+
+json route(const char* prefix, const char* kind, const char* service, bool resumable) {
+  return {{"name", prefix},   {"host", "soak.example"}, {"path_prefix", prefix},
+          {"kind", kind},     {"timeout_ms", 4000},     {"slo_ms", 500},
+          {"priority", 1},    {"service", service},     {"max_attempts", 2},
+          {"affinity", true}, {"resumable", resumable}, {"gap_target_ms", 300}};
+}
+
+json services() {
+  return json::array({{{"name", "model"},
+                       {"max_conns", 200},
+                       {"engine",
+                        {{"slots", 16},
+                         {"kv_tokens", 200000},
+                         {"kv_token_bytes", 18432},
+                         {"link_mbps", 370000.0},
+                         {"kv_ttl_s", 5.0},
+                         {"switch_s", 0.8}}}},
+                      {{"name", "plain"}, {"max_conns", 100}}});
+}
+
+EngineShape model_shape(const char* stage) {
+  return {"model", true, stage, 48, 10ms};
+}
+
+}  // namespace
+
+SoakSite::SoakSite(const SoakShape& wanted)
+    : shape(wanted),
+      random(wanted.seed),
+      ledger({kRetryRatio, kRetrySlack, 10s}),
+      store(this->loop),
+      watchdog(this->loop) {
+  this->build_engines();
+  this->put_configuration();
+  this->build_relays();
+}
+
+SoakSite::~SoakSite() = default;
+
+void SoakSite::build_engines() {
+  const std::vector<EngineShape> shapes = {
+      model_shape("decode"),          model_shape("decode"),         model_shape("decode"),
+      model_shape("decode"),          model_shape("prefill"),        {"plain", false, "", 12, 15ms},
+      {"plain", false, "", 12, 15ms}, {"plain", false, "", 12, 15ms}};
+  for (const EngineShape& engine : shapes) {
+    this->engines.push_back(std::make_unique<EngineStandin>(this->loop, this->store, this->ledger,
+                                                            engine, this->random()));
+    this->engines.back()->start();
+  }
+}
+
+void SoakSite::build_relays() {
+  std::vector<EntryNode> entry;
+  for (std::size_t i = 0; i < this->shape.relays; ++i) {
+    this->store_links.push_back(std::make_unique<FaultProxy>(this->loop, this->store.endpoint()));
+    RelayPlace place;
+    place.name = "relay-" + std::to_string(i + 1);
+    place.ip = "127.0.1." + std::to_string(i + 1);
+    place.zone = "z" + std::to_string(i % 3);
+    place.store = this->store_links.back()->address();
+    for (std::uint16_t* port : {&place.callers, &place.ready, &place.control, &place.peers}) {
+      *port = free_port(place.ip);
+    }
+    this->relays.push_back(
+        std::make_unique<RelayChild>(this->shape.program, place, this->shape.folder));
+    entry.push_back({this->relays.back()->callers_address(), this->relays.back()->ready_address()});
+  }
+  this->callers = std::make_unique<Callers>(this->loop, this->ledger, entry, this->random());
+}
+
+void SoakSite::put_configuration() {
+  ++this->version;
+  json routes = json::array(
+      {route("/stream/", "stream", "model", true), route("/ask/", "stream", "model", false),
+       route("/once/", "unsafe", "plain", false), route("/safe/", "safe", "plain", false)});
+  const std::string added = "/added" + std::to_string(this->version) + "/";
+  routes.push_back(route(added.c_str(), "safe", "plain", false));
+  this->store.put("config", "main",
+                  {{"version", this->version}, {"routes", routes}, {"services", services()}});
+}
+
+void SoakSite::wait(std::chrono::milliseconds duration) {
+  this->wait_until([] { return false; }, duration);
+}
+
+bool SoakSite::wait_until(const std::function<bool()>& condition,
+                          std::chrono::milliseconds longest) {
+  const auto end = std::chrono::steady_clock::now() + longest;
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() >= end) return false;
+    this->loop.run_for(10ms);
+    this->loop.restart();
+  }
+  return true;
+}
+
+bool SoakSite::all_ready() const {
+  const auto& nodes = this->callers->nodes();
+  return std::all_of(nodes.begin(), nodes.end(),
+                     [](const EntryNode& node) { return node.misses == 0; });
+}
+
+/// A process that has ended starts again after a short while, as on the platform.
+void SoakSite::keep_relays_running() {
+  for (const auto& relay : this->relays) {
+    if (!relay->running()) relay->start(this->first);
+  }
+  this->first = false;
+  this->watchdog.expires_after(300ms);
+  this->watchdog.async_wait([this](const std::error_code& error) {
+    if (!error) this->keep_relays_running();
+  });
+}
+
+void SoakSite::later(std::chrono::milliseconds delay, std::function<void()> action) {
+  auto timer = std::make_shared<asio::steady_timer>(this->loop, delay);
+  timer->async_wait([timer, action = std::move(action)](const std::error_code& error) {
+    if (!error) action();
+  });
+  this->timers.push_back(timer);
+}
+
+void SoakSite::run() {
+  this->keep_relays_running();
+  this->callers->start(this->shape.callers);
+  if (!this->wait_until([this] { return this->all_ready(); }, 15s)) {
+    this->ledger.broke("RECOVER", "not all relays became ready at the start");
+  }
+  this->wait(2s);
+  const auto end = std::chrono::steady_clock::now() + this->shape.faults_for;
+  while (std::chrono::steady_clock::now() < end) {
+    this->do_fault();
+    this->wait(std::chrono::milliseconds(300 + this->draw(1500)));
+  }
+  this->heal();
+  this->check_recovery();
+  this->callers->stop();
+  this->wait_until([this] { return this->callers->under_way() == 0; }, 6s);
+}
+
+void SoakSite::do_fault() {
+  const std::uint64_t kind = this->draw(24);
+  if (kind < 8) return this->relay_fault(kind);
+  if (kind < 15) return this->store_fault(kind - 8);
+  if (kind < 23) return this->engine_fault(kind - 15);
+  this->note("configuration");
+  this->put_configuration();
+}
+
+void SoakSite::relay_fault(std::uint64_t kind) {
+  RelayChild& relay = *this->relays[this->draw(this->relays.size())];
+  const std::string name = relay.place().name;
+  const std::chrono::milliseconds duration(300 + this->draw(3500));
+  switch (kind) {
+    case 0:
+    case 1:
+      this->note("kill " + name);
+      return relay.send_signal(SIGKILL);
+    case 2:
+    case 3:
+      this->note("pause " + name + " for " + std::to_string(duration.count()) + " ms");
+      relay.send_signal(SIGSTOP);
+      return this->later(duration, [&relay] { relay.send_signal(SIGCONT); });
+    case 4:
+      this->note("stop " + name);
+      return relay.send_signal(SIGTERM);
+    case 5:
+      this->note("reload " + name);
+      return relay.send_signal(SIGHUP);
+    case 6:
+      this->note("kill all relays");
+      for (const auto& each : this->relays) each->send_signal(SIGKILL);
+      return;
+    default:
+      this->note("callers leave early");
+      this->callers->set_leaving(0.3);
+      return this->later(duration, [this] { this->callers->set_leaving(0.02); });
+  }
+}
+
+void SoakSite::store_fault(std::uint64_t kind) {
+  const std::chrono::milliseconds duration(500 + this->draw(4000));
+  const std::string length = " for " + std::to_string(duration.count()) + " ms";
+  FaultProxy& link = *this->store_links[this->draw(this->store_links.size())];
+  const auto whole_store = [&](StoreFault fault, const char* name) {
+    this->note(std::string("store ") + name + length);
+    this->store.set_fault(fault);
+    this->later(duration, [this] { this->store.set_fault(StoreFault::kNone); });
+  };
+  switch (kind) {
+    case 0:
+      return whole_store(StoreFault::kBusy, "busy");
+    case 1:
+      return whole_store(StoreFault::kSilent, "silent");
+    case 2:
+      return whole_store(StoreFault::kResetting, "resetting");
+    case 3:
+      return whole_store(StoreFault::kLosingWrites, "losing answers to writes");
+    case 4:
+      this->note("store forgets its history");
+      return this->store.forget_history();
+    case 5: {
+      const bool up = this->draw(3) != 0;
+      const bool down = !up || this->draw(2) == 0;
+      this->note("a relay cut from the store" + length);
+      link.set({up, down, false, 0ms});
+      return this->later(duration, [&link] { link.set({}); });
+    }
+    default:
+      this->note("a relay refused by the store" + length);
+      link.set({false, false, true, 0ms});
+      link.reset_all();
+      return this->later(duration, [&link] { link.set({}); });
+  }
+}
+
+void SoakSite::engine_fault(std::uint64_t kind) {
+  const std::size_t index = this->draw(this->engines.size());
+  EngineStandin& engine = *this->engines[index];
+  if (!engine.running()) return;
+  const std::string name = "engine " + std::to_string(index);
+  const std::chrono::milliseconds duration(500 + this->draw(3000));
+  const auto misbehaves = [&](EngineFault fault, const char* how, double share) {
+    this->note(name + how);
+    engine.set_fault(fault, share);
+    this->later(duration, [&engine] { engine.set_fault(EngineFault::kNone, 0); });
+  };
+  switch (kind) {
+    case 0:
+      this->note(name + " crashes");
+      engine.crash(std::chrono::milliseconds(this->draw(3000)));
+      return this->later(duration + 1s, [&engine] {
+        if (!engine.running()) engine.start();
+      });
+    case 1:
+      this->note(name + " drains");
+      engine.drain(2500ms);
+      return this->later(5s, [&engine] {
+        if (!engine.running()) engine.start();
+      });
+    case 2:
+      return misbehaves(EngineFault::kErrors, " fails", 0.5);
+    case 3:
+      return misbehaves(EngineFault::kSheds, " sheds", 0.5);
+    case 4:
+      return misbehaves(EngineFault::kHangs, " hangs", 0.3);
+    case 5:
+      return misbehaves(EngineFault::kLosesAnswers, " loses answers", 0.4);
+    case 6:
+      this->note(name + " slow and its link reset");
+      engine.set_slowness(6);
+      engine.link().reset_all();
+      return this->later(duration, [&engine] { engine.set_slowness(1); });
+    default:
+      this->note(name + " silent");
+      engine.link().set({true, this->draw(2) == 0, false, 0ms});
+      return this->later(duration, [&engine] { engine.link().set({}); });
+  }
+}
+
+void SoakSite::heal() {
+  this->timers.clear();
+  // Timers that are still due run; what they undo is undone here as well.
+  this->store.set_fault(StoreFault::kNone);
+  for (const auto& link : this->store_links) link->set({});
+  for (const auto& relay : this->relays) relay->send_signal(SIGCONT);
+  for (const auto& engine : this->engines) {
+    engine->set_fault(EngineFault::kNone, 0);
+    engine->set_slowness(1);
+    engine->link().set({});
+  }
+  this->callers->set_leaving(0);
+  // Engines that drain end first; all are there again after that.
+  this->wait(6s);
+  for (const auto& engine : this->engines) {
+    if (!engine->running()) engine->start();
+  }
+}
+
+void SoakSite::check_recovery() {
+  if (!this->wait_until([this] { return this->all_ready(); }, 15s)) {
+    this->ledger.broke("RECOVER", "not all relays are ready after all is healed");
+  }
+  this->wait(3s);
+  const CallerCounts before = this->counts();
+  this->wait(4s);
+  const CallerCounts& after = this->counts();
+  const auto whole = static_cast<double>(after.whole - before.whole);
+  const auto rest = static_cast<double>(after.refused - before.refused) +
+                    static_cast<double>(after.failed - before.failed);
+  if (whole < 50 || rest > whole * 0.02) {
+    this->ledger.broke("RECOVER", "calm again, " + std::to_string(whole) + " whole and " +
+                                      std::to_string(rest) + " not");
+  }
+  this->check_configuration();
+}
+
+void SoakSite::check_configuration() {
+  this->put_configuration();
+  this->wait(2500ms);
+  const std::string target = "/added" + std::to_string(this->version) + "/";
+  auto answers = std::make_shared<std::size_t>(0);
+  for (const EntryNode& node : this->callers->nodes()) {
+    this->callers->probe(node, target, [this, answers, target](int status) {
+      ++*answers;
+      if (status != 200) {
+        this->ledger.broke("CONFIG", target + " gets " + std::to_string(status));
+      }
+    });
+  }
+  this->wait_until([&] { return *answers == this->shape.relays; }, 3s);
+}
+
+}  // namespace shuntbank::testing
--- /dev/null
+++ b/tests/platform/support/soak_site.hpp
@@ -0,0 +1,83 @@
+/// @file
+/// A whole site for a soak: real relay processes before stand-ins, and the faults done to them.
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "platform/support/callers.hpp"
+#include "platform/support/engine_standin.hpp"
+#include "platform/support/fault_proxy.hpp"
+#include "platform/support/ledger.hpp"
+#include "platform/support/relay_child.hpp"
+#include "platform/support/store_standin.hpp"
+
+namespace shuntbank::testing {
+
+/// What a soak runs.
+struct SoakShape {
+  std::string program;  ///< Of the relay.
+  std::string folder;   ///< For settings and logs.
+  std::uint64_t seed = 1;
+  std::chrono::seconds faults_for{30};
+  std::size_t relays = 5;
+  std::size_t callers = 40;
+
+  bool operator==(const SoakShape&) const = default;
+};
+
+/// One run. All of it, but for the relays, is one loop on one thread.
+class SoakSite {
+ public:
+  explicit SoakSite(const SoakShape& shape);
+  ~SoakSite();
+
+  /// Runs the faults that the seed draws, then heals all and checks that the site recovers.
+  void run();
+
+  const Ledger& result() const { return this->ledger; }
+  const CallerCounts& counts() const { return this->callers->counts(); }
+  const std::vector<std::string>& faults() const { return this->done; }
+
+ private:
+  void build_engines();
+  void build_relays();
+  void put_configuration();
+  void wait(std::chrono::milliseconds duration);
+  bool wait_until(const std::function<bool()>& condition, std::chrono::milliseconds longest);
+  bool all_ready() const;
+  void keep_relays_running();
+  void later(std::chrono::milliseconds delay, std::function<void()> action);
+
+  void do_fault();
+  void relay_fault(std::uint64_t kind);
+  void store_fault(std::uint64_t kind);
+  void engine_fault(std::uint64_t kind);
+  void heal();
+  void check_recovery();
+  void check_configuration();
+  std::uint64_t draw(std::uint64_t below) { return this->random() % below; }
+  void note(const std::string& fault) { this->done.push_back(fault); }
+
+  asio::io_context loop;
+  SoakShape shape;
+  std::mt19937_64 random;
+  Ledger ledger;
+  StoreStandin store;
+  std::vector<std::unique_ptr<EngineStandin>> engines;
+  std::vector<std::unique_ptr<FaultProxy>> store_links;  ///< One for each relay.
+  std::vector<std::unique_ptr<RelayChild>> relays;
+  std::unique_ptr<Callers> callers;
+  std::vector<std::shared_ptr<asio::steady_timer>> timers;
+  asio::steady_timer watchdog;
+  std::vector<std::string> done;
+  std::uint64_t version = 0;
+  bool first = true;
+};
+
+}  // namespace shuntbank::testing
--- /dev/null
+++ b/tests/platform/support/store_standin.cpp
@@ -0,0 +1,183 @@
+#include "platform/support/store_standin.hpp"
+
+#include <asio/steady_timer.hpp>
+#include <utility>
+
+namespace shuntbank::testing {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kPrefix = "/v1/objects/";
+
+void reply(const std::shared_ptr<ConnectionResponder>& responder, int status, const json& body) {
+  HttpReply reply;
+  reply.status = status;
+  reply.headers.add("Content-Type", "application/json");
+  reply.body = body.is_null() ? "" : body.dump();
+  responder->respond(std::move(reply));
+}
+
+std::uint64_t number(const std::string& text) {
+  return text.empty() ? 0 : std::stoull(text);
+}
+
+}  // namespace
+
+StoreStandin::StoreStandin(asio::io_context& own_loop) : loop(own_loop) {
+  Http1ServerSettings settings;
+  settings.listen = {asio::ip::make_address("127.0.0.1"), 0};
+  this->server = std::make_unique<Http1Server>(
+      this->loop, settings, [this](const HttpRequest& request, const auto& responder) {
+        this->handle(request, responder);
+      });
+}
+
+StoreStandin::~StoreStandin() = default;
+
+void StoreStandin::set_fault(StoreFault wanted) {
+  this->fault = wanted;
+  for (const Responder& responder : std::exchange(this->held, {})) responder->abort();
+  const bool cuts = wanted == StoreFault::kBusy || wanted == StoreFault::kResetting;
+  if (!cuts) return;
+  for (Watch& watch : this->watches) {
+    if (std::exchange(watch.open, false)) watch.responder->abort();
+  }
+}
+
+void StoreStandin::forget_history() {
+  this->history.clear();
+  this->oldest = this->revision + 1;
+}
+
+void StoreStandin::handle(const HttpRequest& request, const Responder& responder) {
+  if (this->fault == StoreFault::kBusy) return reply(responder, 503, {});
+  if (this->fault == StoreFault::kResetting) return responder->abort();
+  if (this->fault == StoreFault::kSilent) {
+    this->held.push_back(responder);
+    return;
+  }
+  if (request.path.rfind(kPrefix, 0) != 0) return reply(responder, 404, {});
+  const std::string rest = request.path.substr(kPrefix.size());
+  const std::size_t slash = rest.find('/');
+  const std::string kind = rest.substr(0, slash);
+  const std::string name = slash == std::string::npos ? "" : rest.substr(slash + 1);
+  const json body = json::parse(request.body, nullptr, false);
+  if (request.method == "POST") return this->make(kind, body, responder);
+  if (request.method == "PUT") return this->replace(kind, name, body, responder);
+  if (!request.query_value("watch").empty()) return this->watch(kind, request, responder);
+  if (name.empty()) return this->list(kind, request, responder);
+  const auto object = this->kinds[kind].find(name);
+  if (object == this->kinds[kind].end()) return reply(responder, 404, {});
+  reply(responder, 200, object->second);
+}
+
+void StoreStandin::list(const std::string& kind, const HttpRequest& request,
+                        const Responder& responder) {
+  constexpr std::size_t kPage = 5;  // Small, so that lists take several calls.
+  json items = json::array();
+  const auto& objects = this->kinds[kind];
+  auto next = objects.upper_bound(request.query_value("after"));
+  for (; next != objects.end() && items.size() < kPage; ++next) items.push_back(next->second);
+  reply(responder, 200,
+        {{"items", items}, {"more", next != objects.end()}, {"at", this->revision}});
+}
+
+void StoreStandin::watch(const std::string& kind, const HttpRequest& request,
+                         const Responder& responder) {
+  const std::uint64_t since = number(request.query_value("watch"));
+  if (since < this->oldest) return reply(responder, 410, {});
+  Watch& watch = this->watches.emplace_back();
+  watch.kind = kind;
+  watch.since = since;
+  watch.responder = responder;
+  if (!this->events_after(kind, since).empty()) return this->answer(watch);
+  const std::chrono::milliseconds wait(number(request.query_value("wait_ms")));
+  watch.timer = std::make_unique<asio::steady_timer>(this->loop, wait);
+  watch.timer->async_wait([this, &watch](const std::error_code& error) {
+    if (!error && watch.open) this->answer(watch);
+  });
+  responder->on_closed([&watch] { watch.open = false; });
+}
+
+void StoreStandin::answer(Watch& watch) {
+  watch.open = false;
+  if (this->fault == StoreFault::kSilent) {
+    this->held.push_back(watch.responder);
+    return;
+  }
+  reply(watch.responder, 200,
+        {{"events", this->events_after(watch.kind, watch.since)}, {"at", this->revision}});
+}
+
+void StoreStandin::wake() {
+  for (Watch& watch : this->watches) {
+    if (watch.open && !this->events_after(watch.kind, watch.since).empty()) this->answer(watch);
+  }
+}
+
+json StoreStandin::events_after(const std::string& kind, std::uint64_t since) const {
+  json events = json::array();
+  for (const Event& event : this->history) {
+    if (event.kind == kind && event.revision > since) events.push_back(event.event);
+  }
+  return events;
+}
+
+json& StoreStandin::store_object(const std::string& kind, const std::string& name,
+                                 const json& spec) {
+  json& object = this->kinds[kind][name];
+  object = {{"meta",
+             {{"name", name},
+              {"revision", ++this->revision},
+              {"finalizers", json::array()},
+              {"deleting", false}}},
+            {"spec", spec},
+            {"status", nullptr}};
+  this->record(kind, object, false);
+  return object;
+}
+
+void StoreStandin::record(const std::string& kind, const json& object, bool gone) {
+  this->history.push_back({this->revision, kind, {{"object", object}, {"gone", gone}}});
+}
+
+void StoreStandin::put(const std::string& kind, const std::string& name, const json& spec) {
+  this->store_object(kind, name, spec);
+  this->wake();
+}
+
+void StoreStandin::remove(const std::string& kind, const std::string& name) {
+  const auto object = this->kinds[kind].find(name);
+  if (object == this->kinds[kind].end()) return;
+  ++this->revision;
+  this->record(kind, object->second, true);
+  this->kinds[kind].erase(object);
+  this->wake();
+}
+
+void StoreStandin::make(const std::string& kind, const json& body, const Responder& responder) {
+  const std::string name = body.at("meta").at("name");
+  if (this->kinds[kind].count(name) > 0) return reply(responder, 409, this->kinds[kind][name]);
+  this->done(this->store_object(kind, name, body.at("spec")), responder);
+}
+
+void StoreStandin::replace(const std::string& kind, const std::string& name, const json& body,
+                           const Responder& responder) {
+  const auto object = this->kinds[kind].find(name);
+  if (object == this->kinds[kind].end()) return reply(responder, 404, {});
+  const json& meta = body.at("meta");
+  const bool same =
+      !meta.contains("revision") || meta["revision"] == object->second.at("meta").at("revision");
+  if (!same) return reply(responder, 409, object->second);
+  this->done(this->store_object(kind, name, body.at("spec")), responder);
+}
+
+void StoreStandin::done(const json& object, const Responder& responder) {
+  const json answer = object;
+  this->wake();
+  if (this->fault == StoreFault::kLosingWrites) return responder->abort();
+  reply(responder, 200, answer);
+}
+
+}  // namespace shuntbank::testing
--- /dev/null
+++ b/tests/platform/support/store_standin.hpp
@@ -0,0 +1,78 @@
+/// @file
+/// A store that speaks the platform's published protocol, with faults that tests switch on.
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "net/http1_server.hpp"
+
+namespace shuntbank::testing {
+
+/// What the store does to calls.
+enum class StoreFault { kNone, kBusy, kSilent, kResetting, kLosingWrites };
+
+/// The store.
+class StoreStandin {
+ public:
+  explicit StoreStandin(asio::io_context& loop);
+  ~StoreStandin();
+
+  asio::ip::tcp::endpoint endpoint() const { return this->server->local_endpoint(); }
+
+  void set_fault(StoreFault fault);
+
+  /// Drops the history: a watch from before gets 410.
+  void forget_history();
+
+  /// The operator or an engine writes.
+  void put(const std::string& kind, const std::string& name, const nlohmann::json& spec);
+  void remove(const std::string& kind, const std::string& name);
+
+ private:
+  using Responder = std::shared_ptr<ConnectionResponder>;
+  struct Event {
+    std::uint64_t revision = 0;
+    std::string kind;
+    nlohmann::json event;
+  };
+  struct Watch {
+    std::string kind;
+    std::uint64_t since = 0;
+    Responder responder;
+    std::unique_ptr<asio::steady_timer> timer;
+    bool open = true;
+  };
+
+  void handle(const HttpRequest& request, const Responder& responder);
+  void list(const std::string& kind, const HttpRequest& request, const Responder& responder);
+  void watch(const std::string& kind, const HttpRequest& request, const Responder& responder);
+  void make(const std::string& kind, const nlohmann::json& body, const Responder& responder);
+  void replace(const std::string& kind, const std::string& name, const nlohmann::json& body,
+               const Responder& responder);
+  void done(const nlohmann::json& object, const Responder& responder);
+  nlohmann::json& store_object(const std::string& kind, const std::string& name,
+                               const nlohmann::json& spec);
+  void record(const std::string& kind, const nlohmann::json& object, bool gone);
+  nlohmann::json events_after(const std::string& kind, std::uint64_t revision) const;
+  void wake();
+  void answer(Watch& watch);
+
+  asio::io_context& loop;
+  std::unique_ptr<Http1Server> server;
+  StoreFault fault = StoreFault::kNone;
+  std::map<std::string, std::map<std::string, nlohmann::json>> kinds;
+  std::deque<Event> history;
+  std::list<Watch> watches;
+  std::vector<Responder> held;  ///< Calls that get no answer.
+  std::uint64_t revision = 1;
+  std::uint64_t oldest = 0;
+};
+
+}  // namespace shuntbank::testing
