Take the choice of how a request is sent out of the session

It is core now (dispatch_choice), without I/O and with tests of its own. No change of behaviour: the same costs in the same order.

--- /dev/null
+++ b/src/core/relay/dispatch_choice.hpp
@@ -0,0 +1,41 @@
+/// @file
+/// Chooses how a request is sent: whole to one engine, or its prompt first to a prefill engine that
+/// hands it over.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include "core/relay/placement.hpp"
+
+namespace shuntbank::relay {
+
+/// When reading a prompt at an engine of its own pays.
+struct PrefillSettings {
+  std::uint64_t least_unread_tokens = 600;  ///< Shorter prompts are read where tokens are made.
+  double direct_penalty = 2.5;  ///< Reading between the tokens of others slows these as well.
+  double held_up_stream_weight = 0.1;  ///< Of reading time, for each stream that it holds up.
+  double least_budget = 1;  ///< Of the retry budget: a prompt that is refused counts against it.
+  double setup_ms = 8;      ///< Of moving a prompt, apart from its bytes.
+};
+
+/// What is asked of the choice.
+struct DispatchQuery {
+  PlacementQuery placement;  ///< Its stage is left to the choice.
+  bool prompt_sent = false;  ///< The prompt was sent to be read apart before.
+  double budget = 0;         ///< What is left of the retry budget.
+};
+
+/// The choice and what spoke for it.
+struct DispatchChoice {
+  bool read_first = false;  ///< The engine only reads the prompt; another one answers.
+  Placement placement;
+};
+
+/// @return how to send the request, or nothing when no engine can be chosen.
+std::optional<DispatchChoice> choose_dispatch(MonotonicTime now, EngineDirectory& engines,
+                                              const DispatchQuery& query,
+                                              const PlacementSettings& placement,
+                                              const PrefillSettings& prefill);
+
+}  // namespace shuntbank::relay
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -120,66 +120,34 @@
   return std::max(1U, static_cast<std::uint32_t>(part));
 }
 
-std::optional<Placement> RelaySession::place_at(EngineStage stage) const {
+PlacementQuery RelaySession::placement_query() const {
   PlacementQuery query;
   query.service = service_;
   query.prompt = prompt_ ? &*prompt_ : nullptr;
-  query.stage = stage;
   query.zone = context_.settings.zone;
-  query.engines_may_keep_more = !context_.settings.first_start && stage == EngineStage::kPrefill;
+  query.engines_may_keep_more = !context_.settings.first_start;
   query.avoid = &met_;
   query.max_connections_here = connections_per_engine();
-  return place(context_.runtime.now(), context_.engines, query, context_.settings.placement);
-}
-
-double RelaySession::prefill_path_cost(const Placement& prefill, const Placement& decode) const {
-  const EngineView* engine = context_.engines.find(decode.engine);
-  const double there = engine->requests_there(context_.runtime.now());
-  return prefill.cost_ms + context_.settings.prefill.setup_ms +
-         service_->model->move_ms(prompt_->prompt_tokens) +
-         there * context_.settings.placement.request_cost_ms;
+  return query;
 }
 
-/// Reading where tokens are made holds up every stream that runs there.
-double RelaySession::direct_path_cost(const Placement& decode) const {
-  const PrefillSettings& tunables = context_.settings.prefill;
-  const double speed =
-      context_.engines.reading_speed() * context_.settings.placement.decode_reading_share;
-  const double reading = static_cast<double>(decode.unread_tokens) / speed;
-  const EngineView* engine = context_.engines.find(decode.engine);
-  const double streams = engine->requests_there(context_.runtime.now());
-  return decode.cost_ms * tunables.direct_penalty +
-         reading * streams * tunables.held_up_stream_weight;
+/// @return the engine that takes a prompt up which was read elsewhere.
+std::optional<Placement> RelaySession::place_taker() const {
+  PlacementQuery query = placement_query();
+  query.stage = EngineStage::kDecode;
+  query.engines_may_keep_more = false;
+  return place(context_.runtime.now(), context_.engines, query, context_.settings.placement);
 }
 
-/// Chooses where the request goes: the engine for the answer, and one that reads the prompt first
-/// where that is quicker. @return false when no engine can be chosen.
+/// Sends the request where the choice says. @return false when no engine can be chosen.
 bool RelaySession::choose() {
   if (service_ == nullptr) return false;
-  if (!service_->model) {
-    const auto plain = place_at(EngineStage::kNone);
-    if (!plain) return false;
-    take(*plain);
-    send(plain->engine, Step::kPlain);
-    return true;
-  }
-  const auto decode = place_at(EngineStage::kDecode);
-  if (!decode) return false;
-  const PrefillSettings& tunables = context_.settings.prefill;
-  const bool may_read_apart = prompt_ && !history_.prompt_sent &&
-                              decode->unread_tokens >= tunables.least_unread_tokens &&
-                              budget_left() >= tunables.least_budget;
-  if (may_read_apart) {
-    const auto prefill = place_at(EngineStage::kPrefill);
-    const double direct = direct_path_cost(*decode);
-    if (prefill && prefill_path_cost(*prefill, *decode) < direct) {
-      take(*prefill);
-      send(prefill->engine, Step::kPrefill);
-      return true;
-    }
-  }
-  take(*decode);
-  send(decode->engine, Step::kPlain);
+  const DispatchQuery query{placement_query(), history_.prompt_sent, budget_left()};
+  const auto choice = choose_dispatch(context_.runtime.now(), context_.engines, query,
+                                      context_.settings.placement, context_.settings.prefill);
+  if (!choice) return false;
+  take(choice->placement);
+  send(choice->placement.engine, choice->read_first ? Step::kPrefill : Step::kPlain);
   return true;
 }
 
@@ -413,7 +381,7 @@
     handle_address_ = view->record.address;
     handle_ = handle->handle;
   }
-  const auto decode = place_at(EngineStage::kDecode);
+  const auto decode = place_taker();
   if (!decode) return dispatch();
   if (handle_.empty()) {
     take(*decode);
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -11,8 +11,8 @@
 
 #include "common/runtime.hpp"
 #include "core/relay/attempt_outcome.hpp"
+#include "core/relay/dispatch_choice.hpp"
 #include "core/relay/engine_directory.hpp"
-#include "core/relay/placement.hpp"
 #include "core/relay/retry_budget.hpp"
 #include "core/relay/routes.hpp"
 #include "net/http1_server.hpp"
@@ -75,11 +75,10 @@
   // Setting out.
   bool read_fields();
   void dispatch();
-  std::optional<Placement> place_at(EngineStage stage) const;
+  PlacementQuery placement_query() const;
+  std::optional<Placement> place_taker() const;
   bool choose();
   void take(const Placement& placement);
-  double direct_path_cost(const Placement& decode) const;
-  double prefill_path_cost(const Placement& prefill, const Placement& decode) const;
   void send(const EngineId& engine, Step step);
   OutgoingRequest outgoing(const EngineRecord& record, Step step) const;
   Duration time_left() const;
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -7,21 +7,13 @@
 #include "common/identifiers.hpp"
 #include "common/time.hpp"
 #include "core/lease/lease_holder.hpp"
+#include "core/relay/dispatch_choice.hpp"
 #include "core/relay/placement.hpp"
 #include "core/relay/retry_budget.hpp"
 #include "core/relay/stage_planner.hpp"
 
 namespace shuntbank::relay {
 
-/// When reading a prompt at an engine of its own pays.
-struct PrefillSettings {
-  std::uint64_t least_unread_tokens = 600;  ///< Shorter prompts are read where tokens are made.
-  double direct_penalty = 2.5;  ///< Reading between the tokens of others slows these as well.
-  double held_up_stream_weight = 0.1;  ///< Of reading time, for each stream that it holds up.
-  double least_budget = 1;  ///< Of the retry budget: a prompt that is refused counts against it.
-  double setup_ms = 8;      ///< Of moving a prompt, apart from its bytes.
-};
-
 /// The lease of the role planner, and the orders given under it.
 struct RoleCoordinatorSettings {
   LeaseSettings lease{std::chrono::seconds(8), std::chrono::seconds(3), std::chrono::seconds(1)};
--- /dev/null
+++ b/tests/core/relay/dispatch_choice_test.cpp
@@ -0,0 +1,83 @@
+#include "core/relay/dispatch_choice.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace shuntbank;
+using namespace shuntbank::relay;
+
+namespace {
+
+constexpr MonotonicTime kNow{std::chrono::seconds(100)};
+
+/// A prefill and a decode engine, and a prompt that neither keeps.
+struct Choice {
+  Choice() {
+    this->service.name = ServiceName("model");
+    this->service.model.emplace();
+    this->service.model->kv_token_bytes = 18432;
+    this->service.model->link_megabits_per_second = 370000;
+    this->add("reader", EngineStage::kPrefill);
+    this->add("maker", EngineStage::kDecode);
+    this->query.placement.service = &this->service;
+    this->query.placement.prompt = &this->prompt;
+    this->query.budget = 10;
+  }
+
+  void add(const std::string& id, EngineStage stage) {
+    EngineRecord record;
+    record.id = EngineId(id);
+    record.service = this->service.name;
+    record.stage = stage;
+    this->engines.upsert(record);
+  }
+
+  std::optional<DispatchChoice> choose() {
+    return choose_dispatch(kNow, this->engines, this->query, {}, {});
+  }
+
+  EngineDirectory engines;
+  RelayedService service;
+  PromptShape prompt{{{1, 9000}, {2, 1000}}, 10000, 80};
+  DispatchQuery query;
+};
+
+}  // namespace
+
+Test(dispatch_choice, has_a_long_prompt_read_apart) {
+  Choice choice;
+  cr_assert(choice.choose()->read_first);
+  cr_assert_eq(choice.choose()->placement.engine.value(), "reader");
+}
+
+Test(dispatch_choice, reads_what_the_answering_engine_keeps_there) {
+  Choice choice;
+  choice.engines.find(EngineId("maker"))->cache.on_read(choice.prompt.parts, 1000000, kNow);
+  cr_assert_not(choice.choose()->read_first);
+  cr_assert_eq(choice.choose()->placement.engine.value(), "maker");
+}
+
+Test(dispatch_choice, reads_a_prompt_apart_once) {
+  Choice choice;
+  choice.query.prompt_sent = true;
+  cr_assert_not(choice.choose()->read_first);
+}
+
+Test(dispatch_choice, takes_no_risk_of_a_refusal_without_budget) {
+  Choice choice;
+  choice.query.budget = 0.9;
+  cr_assert_not(choice.choose()->read_first);
+  choice.query.budget = 1;
+  cr_assert(choice.choose()->read_first);
+}
+
+Test(dispatch_choice, reads_at_the_decode_engine_when_the_readers_queue_is_long) {
+  Choice choice;
+  choice.engines.on_sent(EngineId("reader"), 500000);
+  cr_assert_not(choice.choose()->read_first);
+}
+
+Test(dispatch_choice, chooses_nothing_where_nobody_answers) {
+  Choice choice;
+  choice.engines.remove(EngineId("maker"));
+  cr_assert_not(choice.choose().has_value());
+}
