--- a/tests/platform/support/soak_site.hpp
+++ b/tests/platform/support/soak_site.hpp
@@ -60,6 +60,7 @@
   void engine_fault(std::uint64_t kind);
   void heal();
   void check_recovery();
+  bool served_in_a_stretch();
   void check_configuration();
   std::uint64_t draw(std::uint64_t below) { return this->random() % below; }
   void note(const std::string& fault) { this->done.push_back(fault); }
