--- a/tests/relay/support/fakes.cpp
+++ b/tests/relay/support/fakes.cpp
@@ -255,15 +255,14 @@
                          store::StoreHandler<store::StoredObject> handler) {
   using Result = tl::expected<store::StoredObject, store::StoreError>;
   ++writes;
-  Result result = tl::make_unexpected(store::StoreError::kConflict);
-  if (down) {
-    result = tl::make_unexpected(store::StoreError::kNotDone);
-  } else if (kinds_[kind].count(name) == 0) {
-    put(kind, name, content);
-    result = kinds_[kind][name];
-    if (lose_answers) result = tl::make_unexpected(store::StoreError::kUncertain);
-  }
-  reply<store::StoredObject>(std::move(handler), result);
+  const auto fail = [&](store::StoreError error) {
+    reply<store::StoredObject>(std::move(handler), tl::make_unexpected(error));
+  };
+  if (down) return fail(store::StoreError::kNotDone);
+  if (kinds_[kind].count(name) > 0) return fail(store::StoreError::kConflict);
+  put(kind, name, content);
+  if (lose_answers) return fail(store::StoreError::kUncertain);
+  reply<store::StoredObject>(std::move(handler), Result(kinds_[kind][name]));
 }
 
 void MemoryStore::replace(const std::string& kind, const std::string& name, std::uint64_t revision,
