Take out work done twice and rules that stood twice, found by the last read

Cause: the last read of the whole change. The catalog asked for the fleet's size each half second on a timer of its own, though the fleet changes rarely and the node knows when; each node of a list led to a new rank over all peers (370 x 370 hashes at a start); each message chose and hashed its targets anew; all engines' sums were shown anew each second; the arithmetic of a peer's load stood in two places; that only prefill engines may keep more than is known was said by both callers of placement. Ruled out: joining RelaySession and RequestSession, or the two HTTP connections' reads: their cutters, conditions and errors differ, and one piece would carry them as parameters.

Change: the catalog follows the change of the fleet; rank and targets are computed when the list of nodes changes; sums are shown when one changes; PeerLoad adds and subtracts; placement holds its own rule. Tests: kind_watch's missed change is set up in one place, assertions as before.

--- a/src/core/relay/dispatch_choice.cpp
+++ b/src/core/relay/dispatch_choice.cpp
@@ -8,7 +8,6 @@
                                   const PlacementSettings& settings) {
   PlacementQuery at_stage = query.placement;
   at_stage.stage = stage;
-  at_stage.engines_may_keep_more = at_stage.engines_may_keep_more && stage == EngineStage::kPrefill;
   return place(now, engines, at_stage, settings);
 }
 
--- a/src/core/relay/engine_directory.cpp
+++ b/src/core/relay/engine_directory.cpp
@@ -118,6 +118,18 @@
   }
 }
 
+PeerLoad& PeerLoad::operator+=(const PeerLoad& more) {
+  in_flight += more.in_flight;
+  unread_tokens += more.unread_tokens;
+  return *this;
+}
+
+PeerLoad& PeerLoad::operator-=(const PeerLoad& less) {
+  in_flight -= std::min(in_flight, less.in_flight);
+  unread_tokens -= std::min(unread_tokens, less.unread_tokens);
+  return *this;
+}
+
 double EngineView::others_there(MonotonicTime now) const {
   if (peers) return peers->in_flight;
   if (!load || now - load_at > kReportLife) return 0;
@@ -163,9 +175,7 @@
   // Others may have known it earlier.
   for (const auto& [node, peer] : peers_) {
     const auto load = peer.load.find(record.id);
-    if (load == peer.load.end()) continue;
-    engine.heard.in_flight += load->second.in_flight;
-    engine.heard.unread_tokens += load->second.unread_tokens;
+    if (load != peer.load.end()) engine.heard += load->second;
   }
   show_peers(engine);
 }
@@ -245,8 +255,8 @@
     }
     add_to_peers(it->second.load, true);
     it = peers_.erase(it);
+    if (peers_.empty()) show_all_peers();
   }
-  show_all_peers();
 }
 
 /// Only the engines of one message are touched, so that its cost does not grow with the fleet.
@@ -255,11 +265,9 @@
     EngineView* engine = find(id);
     if (engine == nullptr) continue;
     if (subtract) {
-      engine->heard.in_flight -= std::min(engine->heard.in_flight, work.in_flight);
-      engine->heard.unread_tokens -= std::min(engine->heard.unread_tokens, work.unread_tokens);
+      engine->heard -= work;
     } else {
-      engine->heard.in_flight += work.in_flight;
-      engine->heard.unread_tokens += work.unread_tokens;
+      engine->heard += work;
     }
     show_peers(*engine);
   }
@@ -284,6 +292,7 @@
 void EngineDirectory::set_peer_count(std::size_t known, std::size_t most_heard) {
   known_peers_ = known;
   heard_peers_ = std::min(known, most_heard);
+  show_all_peers();
 }
 
 /// Peers that tell others than this node are taken to have as much under way as those it hears.
--- a/src/core/relay/engine_directory.hpp
+++ b/src/core/relay/engine_directory.hpp
@@ -90,6 +90,9 @@
 struct PeerLoad {
   std::uint32_t in_flight = 0;
   std::uint64_t unread_tokens = 0;
+
+  PeerLoad& operator+=(const PeerLoad& more);
+  PeerLoad& operator-=(const PeerLoad& less);  ///< Never below nothing.
 };
 
 /// A prompt that an engine has read.
--- a/src/core/relay/placement.cpp
+++ b/src/core/relay/placement.cpp
@@ -100,8 +100,10 @@
   const PromptShape& prompt = *query.prompt;
   const std::uint64_t kept = kept_at(engine, prompt);
   std::uint64_t assumed = kept;
-  // After a restart, the home of a part that no engine is known to keep most likely keeps it.
-  if (home && source.kept == 0 && query.engines_may_keep_more) {
+  // After a restart, the prefill engine that is the home of a part which no engine is known to keep
+  // most likely keeps it.
+  const bool may_keep_more = query.engines_may_keep_more && query.stage == EngineStage::kPrefill;
+  if (home && source.kept == 0 && may_keep_more) {
     assumed = std::max(kept, shared_tokens(prompt));
   }
   placement.unread_tokens = prompt.prompt_tokens - assumed;
--- a/src/core/relay/placement.hpp
+++ b/src/core/relay/placement.hpp
@@ -32,7 +32,7 @@
   EngineStage stage = EngineStage::kNone;  ///< Which engines of a model service.
   ZoneName zone;                           ///< The node's own.
   /// The engines may have served before this node began to watch, so that the home of a part that
-  /// no engine is known to keep most likely keeps it.
+  /// no engine is known to keep most likely keeps it. Taken of prefill engines only.
   bool engines_may_keep_more = true;
   const std::vector<EngineId>* avoid = nullptr;  ///< Engines that this request has met.
   std::uint32_t max_connections_here = 0;  ///< This node's part of an engine's bound; 0: unbounded.
--- a/src/relay/catalog.cpp
+++ b/src/relay/catalog.cpp
@@ -33,11 +33,11 @@
                                          store::KindWatchSettings{}, std::move(configuration));
   engines_ = std::make_unique<store::KindWatch>(runtime, store, codec.engine_kind(),
                                                 store::KindWatchSettings{}, std::move(engines));
-  ticker_ = std::make_unique<Periodic>(runtime, settings.tick, [this] { pace(); });
+  node.on_fleet_changed([this](const Fleet& fleet) { pace(fleet); });
 }
 
-void Catalog::pace() {
-  const Duration scaled = settings_.wait_a_node * static_cast<std::int64_t>(node_.fleet().nodes);
+void Catalog::pace(const Fleet& fleet) {
+  const Duration scaled = settings_.wait_a_node * static_cast<std::int64_t>(fleet.nodes);
   const Duration wait = std::clamp(scaled, settings_.shortest_wait, settings_.longest_wait);
   configuration_->set_wait(wait);
   engines_->set_wait(wait);
--- a/src/relay/catalog.hpp
+++ b/src/relay/catalog.hpp
@@ -6,7 +6,6 @@
 #include <string>
 #include <tl/expected.hpp>
 
-#include "common/periodic.hpp"
 #include "core/relay/catalog_revisions.hpp"
 #include "core/relay/engine_directory.hpp"
 #include "core/relay/routes.hpp"
@@ -62,7 +61,7 @@
   void take_configuration(const store::StoredObject& object);
   void take_engines(const store::ObjectList& list);
   void take_engine_change(const store::ObjectChange& change);
-  void pace();
+  void pace(const Fleet& fleet);
 
   Runtime& runtime_;
   const CatalogCodec& codec_;
@@ -70,7 +69,6 @@
   std::unique_ptr<store::KindWatch> configuration_;
   std::unique_ptr<store::KindWatch> engines_;
   CatalogSettings settings_;
-  std::unique_ptr<Periodic> ticker_;
 };
 
 }  // namespace shuntbank::relay
--- a/src/relay/load_exchange.cpp
+++ b/src/relay/load_exchange.cpp
@@ -72,6 +72,7 @@
   store::KindWatchHandlers handlers;
   handlers.on_list = [this](const store::ObjectList& list) {
     for (const store::StoredObject& object : list.objects) take_node(object);
+    update_fleet();
   };
   handlers.on_change = [this](const store::ObjectChange& change) {
     if (change.gone) {
@@ -79,6 +80,7 @@
     } else {
       take_node(change.object);
     }
+    update_fleet();
   };
   watch_ = std::make_unique<store::KindWatch>(runtime_, store_, settings_.kind, watch_settings(),
                                               std::move(handlers));
@@ -87,6 +89,10 @@
 void LoadExchange::take_node(const store::StoredObject& object) {
   if (!object.content.is_object() || object.name == self_.value()) return;
   peers_[NodeId(object.name)] = object.content.value("address", "");
+}
+
+void LoadExchange::update_fleet() {
+  targets_ = choose_targets();
   node_.set_fleet({nodes(), rank()});
   node_.engines().set_peer_count(peers_.size(), settings_.most_peers);
 }
@@ -142,7 +148,7 @@
 }
 
 /// In a large fleet each node tells a few others, chosen by a hash so that all are told by as many.
-std::vector<std::string> LoadExchange::targets() const {
+std::vector<std::string> LoadExchange::choose_targets() const {
   std::vector<std::pair<std::uint64_t, std::string>> order;
   for (const auto& [name, address] : peers_) {
     order.emplace_back(hash64(name.value() + "/" + self_.value()), address);
@@ -164,7 +170,7 @@
 }
 
 Duration LoadExchange::flush_delay() const {
-  const std::size_t told = std::min(peers_.size(), settings_.most_peers);
+  const std::size_t told = targets_.size();
   const std::size_t least = std::max<std::size_t>(settings_.peers_a_flush, 1);
   if (told <= least) return settings_.flush_delay;
   return settings_.flush_delay * static_cast<std::int64_t>(told) / static_cast<std::int64_t>(least);
@@ -186,7 +192,7 @@
     bytes = encode(message);
   }
   if (bytes.size() > kMaxLoadMessage) return;
-  for (const std::string& address : targets()) transport_.send(address, bytes);
+  for (const std::string& address : targets_) transport_.send(address, bytes);
 }
 
 void LoadExchange::on_message(std::string_view bytes) {
--- a/src/relay/load_exchange.hpp
+++ b/src/relay/load_exchange.hpp
@@ -66,7 +66,8 @@
   void pull_caches();
   void take_caches(const tl::expected<std::string, std::string>& answer);
   std::string snapshot() const;
-  std::vector<std::string> targets() const;
+  std::vector<std::string> choose_targets() const;
+  void update_fleet();
 
   struct Heard {
     std::uint64_t boot = 0;
@@ -83,6 +84,7 @@
   std::uint64_t sequence_ = 0;
   bool had_load_ = false;
   std::map<NodeId, std::string> peers_;  ///< Addresses by name.
+  std::vector<std::string> targets_;     ///< Addresses of the peers that are told.
   std::map<NodeId, Heard> heard_;
   std::unique_ptr<store::KindWatch> watch_;
   std::unique_ptr<Timer> flush_timer_;
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -91,6 +91,7 @@
   settings_.retry_budget.assumed_nodes = std::max(settings_.retry_budget.assumed_nodes, assumed);
   settings_.expected_nodes = std::max(settings_.expected_nodes, static_cast<double>(nodes));
   for (auto& [service, budget] : budgets_) budget.set_nodes(settings_.retry_budget.assumed_nodes);
+  if (fleet_changed_) fleet_changed_(fleet_);
 }
 
 void RelayNode::refuse(const HttpRequest& request, ConnectionResponder& responder, int status,
--- a/src/relay/relay_node.hpp
+++ b/src/relay/relay_node.hpp
@@ -101,6 +101,11 @@
 
   const Fleet& fleet() const { return fleet_; }
 
+  /// Sets what is called when the fleet has changed.
+  void on_fleet_changed(std::function<void(const Fleet&)> handler) {
+    fleet_changed_ = std::move(handler);
+  }
+
   /// Sets what is called when a configuration came into force.
   void on_adopted(std::function<void(const RouteTable&)> handler);
 
@@ -123,6 +128,7 @@
   bool engines_known_ = false;
   bool stopping_ = false;
   std::unordered_set<std::shared_ptr<RelaySession>> sessions_;
+  std::function<void(const Fleet&)> fleet_changed_;
   std::function<void(const RouteTable&)> adopted_;
   std::function<void(const std::string&)> address_free_;
 };
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -135,7 +135,6 @@
 std::optional<Placement> RelaySession::place_taker() const {
   PlacementQuery query = placement_query();
   query.stage = EngineStage::kDecode;
-  query.engines_may_keep_more = false;
   return place(context_.runtime.now(), context_.engines, query, context_.settings.placement);
 }
 
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -33,7 +33,6 @@
   Duration wait_a_node = std::chrono::milliseconds(200);
   Duration shortest_wait = std::chrono::seconds(3);
   Duration longest_wait = std::chrono::seconds(12);  ///< Below the history that stores keep.
-  Duration tick = std::chrono::milliseconds(500);
 };
 
 /// Settings of one node.
--- a/tests/platform/support/engine_standin.cpp
+++ b/tests/platform/support/engine_standin.cpp
@@ -35,7 +35,6 @@
   this->orders = 0;
   this->highest_fence = 0;
   this->changing = false;
-  this->handles.clear();
   Http1ServerSettings settings;
   settings.listen = {asio::ip::make_address("127.0.0.1"), 0};
   this->server = std::make_unique<Http1Server>(
@@ -115,10 +114,7 @@
   if (request.path == "/v1/report") return this->report(responder);
   if (request.path == "/v1/order") return this->order(request, responder);
   constexpr std::string_view kHandle = "/v1/kv-handle/";
-  if (request.path.rfind(kHandle, 0) == 0) {
-    this->handles.erase(request.path.substr(kHandle.size()));
-    return responder->respond({200, {}, ""});
-  }
+  if (request.path.rfind(kHandle, 0) == 0) return responder->respond({200, {}, ""});
   this->take(request, responder);
 }
 
@@ -182,7 +178,6 @@
       [this, timer, responder, request_id, incarnation = this->id](const std::error_code& error) {
         if (error || !this->running() || incarnation != this->id) return;
         const std::string handle = hexadecimal(this->random());
-        this->handles.insert(handle);
         this->ledger.made_handle(handle, request_id);
         const json body = {{"kv_handle", handle}, {"tokens", 100}, {"version", 1}};
         responder->respond({200, this->fields(request_id, ""), body.dump()});
--- a/tests/platform/support/engine_standin.hpp
+++ b/tests/platform/support/engine_standin.hpp
@@ -56,7 +56,6 @@
 
   bool running() const { return this->server != nullptr; }
   FaultProxy& link() { return *this->proxy; }
-  std::size_t runs_under_way() const { return this->runs.size(); }
 
  private:
   using Responder = std::shared_ptr<ConnectionResponder>;
@@ -104,7 +103,6 @@
   std::uint64_t highest_fence = 0;
   bool changing = false;
   std::set<RunPointer> runs;
-  std::set<std::string> handles;
   EngineFault fault = EngineFault::kNone;
   double fault_share = 0;
   int slowness = 1;
--- a/tests/platform/support/soak_site.cpp
+++ b/tests/platform/support/soak_site.cpp
@@ -18,6 +18,9 @@
 constexpr double kRetryRatio = 0.2;
 constexpr double kRetrySlack = 20;
 
+/// Of each piece on a link that is slow.
+constexpr std::chrono::milliseconds kDelay{40};
+
 /// Until a site that was healed must serve again; far longer than it takes.
 constexpr std::chrono::seconds kLongestRecovery{30};
 
@@ -270,10 +273,14 @@
     case 5:
       return misbehaves(EngineFault::kLosesAnswers, " loses answers", 0.4);
     case 6:
-      this->note(name + " slow and its link reset");
+      this->note(name + " slow, its link reset and delayed from then on");
       engine.set_slowness(6);
       engine.link().reset_all();
-      return this->later(duration, [&engine] { engine.set_slowness(1); });
+      engine.link().set({false, false, false, kDelay});
+      return this->later(duration, [&engine] {
+        engine.set_slowness(1);
+        engine.link().set({});
+      });
     default:
       this->note(name + " silent");
       engine.link().set({true, this->draw(2) == 0, false, 0ms});
--- a/tests/store/kind_watch_test.cpp
+++ b/tests/store/kind_watch_test.cpp
@@ -29,6 +29,17 @@
   void start() {
     watch = std::make_unique<store::KindWatch>(runtime, store, "k", settings, handlers);
   }
+  /// Starts with one object and a long wait, and then changes the store without the watch under way
+  /// hearing of it.
+  void start_and_miss(const std::string& name) {
+    store.put("k", "a", {});
+    settings.wait = 30s;
+    start();
+    runtime.advance(1ms);
+    store.deaf = true;
+    store.put("k", name, {});
+    store.deaf = false;
+  }
   store::KindWatchSettings settings;
   ManualRuntime runtime;
   MemoryStore store{runtime};
@@ -67,13 +78,7 @@
 
 Test(kind_watch, calls_again_at_once_when_others_have_seen_what_it_has_not) {
   Watched watched;
-  watched.store.put("k", "a", {});
-  watched.settings.wait = 30s;
-  watched.start();
-  watched.runtime.advance(1ms);
-  watched.store.deaf = true;
-  watched.store.put("k", "b", {});
-  watched.store.deaf = false;
+  watched.start_and_miss("b");
   watched.runtime.advance(3s);
   cr_assert_eq(watched.names.count("b"), 0, "the call under way does not tell");
   watched.watch->hint(watched.store.revision());
@@ -94,13 +99,7 @@
 
 Test(kind_watch, takes_no_answer_of_a_call_that_it_gave_up) {
   Watched watched;
-  watched.store.put("k", "a", {});
-  watched.settings.wait = 30s;
-  watched.start();
-  watched.runtime.advance(1ms);
-  watched.store.deaf = true;
-  watched.store.put("k", "b", {});
-  watched.store.deaf = false;
+  watched.start_and_miss("b");
   watched.watch->hint(watched.store.revision());
   watched.runtime.advance(watched.settings.hint_grace + 20ms);
   watched.store.remove("k", "b");
