Place prompts by a learned model of reading instead of tuned milliseconds

Cause: a home bonus of 250 ms, penalties and a reading speed of 40 tokens a ms were tuned on slow engines. Change: EngineModel learns, by service, what a prompt costs (fixed part and token, least squares that forget), what a hand-over and a fetch cost, and the pace of undisturbed streams. Placement and the choice of sending count in its milliseconds; a decode engine whose streams are nearly late reads no prompts beside them. The home of a part is kept unless another engine is sooner by twice the time of reading the shared parts.

--- a/src/core/relay/dispatch_choice.cpp
+++ b/src/core/relay/dispatch_choice.cpp
@@ -15,26 +15,37 @@
   return engines.find(placement.engine)->requests_there(now);
 }
 
-double prefill_path_cost(const DispatchQuery& query, const Placement& prefill, double streams,
-                         const PlacementSettings& placement, const PrefillSettings& settings) {
-  return prefill.cost_ms + settings.setup_ms +
-         query.placement.service->model->move_ms(query.placement.prompt->prompt_tokens) +
-         streams * placement.request_cost_ms;
+double prefill_path_cost(const EngineDirectory& engines, const DispatchQuery& query,
+                         const Placement& prefill) {
+  const EngineModel& model = engines.model_of(query.placement.service->name);
+  return prefill.cost_ms + model.handover_ms() +
+         query.placement.service->model->move_ms(query.placement.prompt->prompt_tokens);
 }
 
 /// Reading where tokens are made holds up every stream that runs there.
-double direct_path_cost(const EngineDirectory& engines, const Placement& decode, double streams,
-                        const PlacementSettings& placement, const PrefillSettings& settings) {
-  const double speed = engines.reading_speed() * placement.decode_reading_share;
-  const double reading = static_cast<double>(decode.unread_tokens) / speed;
-  return decode.cost_ms * settings.direct_penalty +
-         reading * streams * settings.held_up_stream_weight;
+double direct_path_cost(MonotonicTime now, const EngineDirectory& engines,
+                        const DispatchQuery& query, const Placement& decode,
+                        const PrefillSettings& settings) {
+  const EngineModel& model = engines.model_of(query.placement.service->name);
+  const double reading = model.decode_read_ms(static_cast<double>(decode.unread_tokens));
+  const double streams = streams_at(now, engines, decode);
+  return decode.cost_ms + reading * streams * settings.held_up_stream_weight;
 }
 
-bool may_read_apart(const DispatchQuery& query, const Placement& decode,
-                    const PrefillSettings& settings) {
+/// @return whether the streams at a decode engine stay in time while it reads the prompt.
+bool streams_bear(MonotonicTime now, const EngineDirectory& engines, const DispatchQuery& query,
+                  const Placement& decode, const PrefillSettings& settings) {
+  const double target = to_seconds(query.gap_target) * 1000;
+  if (target <= 0) return true;
+  const EngineModel& model = engines.model_of(query.placement.service->name);
+  const EngineView& engine = *engines.find(decode.engine);
+  const double pace = engine.recent_pace_ms(now, model.free_pace_ms());
+  const double reading = model.decode_read_ms(static_cast<double>(decode.unread_tokens));
+  return pace + reading <= target * settings.pause_share;
+}
+
+bool may_read_apart(const DispatchQuery& query, const PrefillSettings& settings) {
   return query.placement.prompt != nullptr && !query.prompt_sent &&
-         decode.unread_tokens >= settings.least_unread_tokens &&
          query.budget >= settings.least_budget;
 }
 
@@ -49,12 +60,12 @@
   const auto decode = place_at(now, engines, query, answering, placement);
   if (!decode) return std::nullopt;
   const DispatchChoice whole{false, *decode};
-  if (!model || !may_read_apart(query, *decode, prefill)) return whole;
+  if (!model || !may_read_apart(query, prefill)) return whole;
   const auto reader = place_at(now, engines, query, EngineStage::kPrefill, placement);
   if (!reader) return whole;
-  const double streams = streams_at(now, engines, *decode);
-  const double apart = prefill_path_cost(query, *reader, streams, placement, prefill);
-  const double direct = direct_path_cost(engines, *decode, streams, placement, prefill);
+  if (!streams_bear(now, engines, query, *decode, prefill)) return DispatchChoice{true, *reader};
+  const double apart = prefill_path_cost(engines, query, *reader);
+  const double direct = direct_path_cost(now, engines, query, *decode, prefill);
   return apart < direct ? DispatchChoice{true, *reader} : whole;
 }
 
--- a/src/core/relay/dispatch_choice.hpp
+++ b/src/core/relay/dispatch_choice.hpp
@@ -12,18 +12,19 @@
 
 /// When reading a prompt at an engine of its own pays.
 struct PrefillSettings {
-  std::uint64_t least_unread_tokens = 600;  ///< Shorter prompts are read where tokens are made.
-  double direct_penalty = 2.5;  ///< Reading between the tokens of others slows these as well.
+  /// Of the longest pause between events that still counts as in time: a decode engine whose
+  /// streams are slower than this, or would be, reads no prompts beside them.
+  double pause_share = 0.8;
   double held_up_stream_weight = 0.1;  ///< Of reading time, for each stream that it holds up.
   double least_budget = 1;  ///< Of the retry budget: a prompt that is refused counts against it.
-  double setup_ms = 8;      ///< Of moving a prompt, apart from its bytes.
 };
 
 /// What is asked of the choice.
 struct DispatchQuery {
-  PlacementQuery placement;  ///< Its stage is left to the choice.
-  bool prompt_sent = false;  ///< The prompt was sent to be read apart before.
-  double budget = 0;         ///< What is left of the retry budget.
+  PlacementQuery placement;                ///< Its stage is left to the choice.
+  bool prompt_sent = false;                ///< The prompt was sent to be read apart before.
+  double budget = 0;                       ///< What is left of the retry budget.
+  Duration gap_target = Duration::zero();  ///< Longest pause between events; zero: unset.
 };
 
 /// The choice and what spoke for it.
--- a/src/core/relay/engine_directory.cpp
+++ b/src/core/relay/engine_directory.cpp
@@ -34,12 +34,8 @@
 /// What another node has met at an engine does not count against a later success here.
 constexpr Duration kTroubleAge = std::chrono::milliseconds(300);
 
-/// Bounds on what is measured of an engine's reading, in tokens and tokens a millisecond.
-constexpr std::uint64_t kLeastMeasuredTokens = 1000;
-constexpr double kSlowestReading = 5;
-constexpr double kFastestReading = 1000;
-constexpr double kSpeedRise = 0.2;
-constexpr double kSpeedFall = 0.05;
+/// A pace that is older says nothing of an engine's streams now.
+constexpr Duration kPaceLife = std::chrono::milliseconds(600);
 
 /// Weight of the newest attempt in the moving averages.
 constexpr double kNewestWeight = 0.15;
@@ -138,6 +134,10 @@
   return others * (1.0 - to_seconds(now - load_at) / to_seconds(kReportLife));
 }
 
+double EngineView::recent_pace_ms(MonotonicTime now, double fallback) const {
+  return pace_ms > 0 && now - pace_at <= kPaceLife ? pace_ms : fallback;
+}
+
 std::vector<std::string> EngineDirectory::replace_all(const std::vector<EngineRecord>& records) {
   std::set<EngineId> present;
   for (const EngineRecord& record : records) {
@@ -350,13 +350,19 @@
   usual_unread_tokens_ += kNewestWeight * (static_cast<double>(unread) - usual_unread_tokens_);
 }
 
-void EngineDirectory::on_prompt_read(std::uint64_t unread, Duration took) {
-  if (unread < kLeastMeasuredTokens || took <= Duration::zero()) return;
-  const double speed = static_cast<double>(unread) / (to_seconds(took) * 1000);
-  // A queue that this node cannot see makes a reading too slow, never too fast; so the estimate
-  // rises quickly and falls slowly.
-  const double weight = speed > reading_speed_ ? kSpeedRise : kSpeedFall;
-  reading_speed_ += weight * (std::clamp(speed, kSlowestReading, kFastestReading) - reading_speed_);
+const EngineModel& EngineDirectory::model_of(const ServiceName& service) const {
+  static const EngineModel defaults;
+  const auto found = models_.find(service);
+  return found == models_.end() ? defaults : found->second;
+}
+
+void EngineDirectory::on_event_gap(MonotonicTime now, const EngineId& id, Duration gap) {
+  EngineView* engine = find(id);
+  if (engine == nullptr) return;
+  const double ms = to_seconds(gap) * 1000;
+  const bool fresh = engine->pace_ms > 0 && now - engine->pace_at <= kPaceLife;
+  engine->pace_ms = fresh ? engine->pace_ms + kNewestWeight * (ms - engine->pace_ms) : ms;
+  engine->pace_at = now;
 }
 
 void EngineDirectory::on_latency(const EngineId& id, Duration latency) {
--- a/src/core/relay/engine_directory.hpp
+++ b/src/core/relay/engine_directory.hpp
@@ -14,6 +14,7 @@
 
 #include "common/identifiers.hpp"
 #include "common/time.hpp"
+#include "core/relay/engine_model.hpp"
 
 namespace shuntbank::relay {
 
@@ -119,6 +120,8 @@
   double latency_ms = 0;          ///< Moving average of the time to an answer; 0: unknown.
   PromptCacheView cache;
   std::uint64_t memory_tokens = 0;  ///< For running requests and cached parts; 0: unknown.
+  double pace_ms = 0;               ///< Moving average of the time between events of its streams.
+  MonotonicTime pace_at{};          ///< The last event that `pace_ms` counts.
 
   /// @return requests of other nodes that run or wait there, as far as this node can tell: what
   /// they tell themselves, or else what the engine reported.
@@ -126,6 +129,10 @@
 
   /// @return requests that run or wait there, as far as this node can tell.
   double requests_there(MonotonicTime now) const { return in_flight + others_there(now); }
+
+  /// @return milliseconds between the events of streams there now, or `fallback` where this node
+  /// has seen none lately.
+  double recent_pace_ms(MonotonicTime now, double fallback) const;
 };
 
 /// How an attempt ended, as far as it tells of the engine's health.
@@ -209,11 +216,12 @@
   /// Learns from a prompt that is sent to be read apart.
   void on_prompt_sent(std::uint64_t unread);
 
-  /// Learns how fast an idle prefill engine reads. @param unread tokens that it had to read.
-  void on_prompt_read(std::uint64_t unread, Duration took);
+  /// @return what work costs at the engines of a service.
+  const EngineModel& model_of(const ServiceName& service) const;
+  EngineModel& model_of(const ServiceName& service) { return models_[service]; }
 
-  /// @return tokens that a prefill engine reads in a millisecond.
-  double reading_speed() const { return reading_speed_; }
+  /// Learns from the time between two events of a stream.
+  void on_event_gap(MonotonicTime now, const EngineId& id, Duration gap);
 
   /// Learns the time to an answer of a plain request.
   void on_latency(const EngineId& id, Duration latency);
@@ -236,7 +244,7 @@
   std::size_t known_peers_ = 0;
   std::size_t heard_peers_ = 0;
   double usual_unread_tokens_ = 2000;
-  double reading_speed_ = 40;
+  std::map<ServiceName, EngineModel> models_;
 };
 
 }  // namespace shuntbank::relay
--- a/src/core/relay/placement.cpp
+++ b/src/core/relay/placement.cpp
@@ -74,16 +74,38 @@
   return best;
 }
 
-double model_cost(MonotonicTime now, const EngineDirectory& engines, const EngineView& engine,
-                  std::uint64_t unread, const PlacementSettings& settings) {
-  auto waiting = static_cast<double>(unread + engine.unread_tokens);
-  if (engine.peers) waiting += static_cast<double>(engine.peers->unread_tokens);
-  if (engine.record.stage == EngineStage::kPrefill) {
-    if (!engine.peers) waiting += engine.others_there(now) * engines.usual_unread_tokens();
-    return waiting / engines.reading_speed();
+/// @return milliseconds until the engine has read all that waits there.
+double waiting_ms(MonotonicTime now, const EngineDirectory& engines, const EngineView& engine) {
+  const EngineModel& model = engines.model_of(engine.record.service);
+  auto tokens = static_cast<double>(engine.unread_tokens);
+  if (engine.peers) tokens += static_cast<double>(engine.peers->unread_tokens);
+  if (engine.record.stage == EngineStage::kDecode) {
+    return model.decode_read_ms(tokens) - model.reading().setup_ms();
   }
-  return waiting / (engines.reading_speed() * settings.decode_reading_share) +
-         engine.requests_there(now) * settings.request_cost_ms;
+  if (!engine.peers) tokens += engine.others_there(now) * engines.usual_unread_tokens();
+  return engine.requests_there(now) * model.reading().setup_ms() +
+         tokens * model.reading().token_ms();
+}
+
+/// A batch that is nearly full costs as much as reading a usual prompt, a full one many times that.
+double crowding_ms(MonotonicTime now, const EngineDirectory& engines, const EngineView& engine) {
+  constexpr double kFullBatch = 20;
+  const EngineModel& model = engines.model_of(engine.record.service);
+  const double usual_ms = model.reading().read_ms(engines.usual_unread_tokens());
+  const double fill = engine.requests_there(now) / std::max(1U, engine.record.slots);
+  return usual_ms * (fill < 1 ? fill : kFullBatch * fill);
+}
+
+double model_cost(MonotonicTime now, const EngineDirectory& engines, const EngineView& engine,
+                  std::uint64_t unread) {
+  const EngineModel& model = engines.model_of(engine.record.service);
+  const double waiting = waiting_ms(now, engines, engine);
+  const auto tokens = static_cast<double>(unread);
+  if (engine.record.stage == EngineStage::kPrefill)
+    return waiting + model.reading().read_ms(tokens);
+  const double free_pace = model.free_pace_ms();
+  return waiting + model.decode_read_ms(tokens) + crowding_ms(now, engines, engine) +
+         engine.recent_pace_ms(now, free_pace) - free_pace;
 }
 
 double plain_cost(MonotonicTime now, const EngineView& engine, const PlacementSettings& settings) {
@@ -98,27 +120,33 @@
                   const PlacementQuery& query, const PlacementSettings& settings, bool home,
                   const FetchSource& source, Placement& placement) {
   const PromptShape& prompt = *query.prompt;
+  const EngineModel& model = engines.model_of(engine.record.service);
   const std::uint64_t kept = kept_at(engine, prompt);
   std::uint64_t assumed = kept;
-  // After a restart, the prefill engine that is the home of a part which no engine is known to keep
-  // most likely keeps it.
+  // A part that no engine is known to keep will be kept at its home, where others look for it too;
+  // after a restart, it most likely is there already.
+  const bool first_reading = home && source.kept == 0;
   const bool may_keep_more = query.engines_may_keep_more && query.stage == EngineStage::kPrefill;
-  if (home && source.kept == 0 && may_keep_more) {
-    assumed = std::max(kept, shared_tokens(prompt));
-  }
+  if (first_reading && may_keep_more) assumed = std::max(kept, shared_tokens(prompt));
   placement.unread_tokens = prompt.prompt_tokens - assumed;
-  placement.cost_ms = model_cost(now, engines, engine, placement.unread_tokens, settings);
+  placement.cost_ms = model_cost(now, engines, engine, placement.unread_tokens);
+  if (home) {
+    placement.cost_ms -= settings.home_share * static_cast<double>(shared_tokens(prompt)) *
+                         model.reading().token_ms();
+  }
   const bool useful = source.engine != nullptr && source.engine != &engine &&
                       source.kept >= kept + settings.least_fetched_tokens;
-  if (useful && query.service->model) {
-    const std::uint64_t unread = prompt.prompt_tokens - source.kept;
-    const double moving =
-        settings.fetch_setup_ms + query.service->model->move_ms(source.kept - kept);
-    placement.unread_tokens = unread;
-    placement.cost_ms = model_cost(now, engines, engine, unread, settings) + moving;
-    placement.fetch_from = source.engine->record.id;
-  }
-  if (home) placement.cost_ms -= settings.home_bonus_ms;
+  if (!useful || !query.service->model) return;
+  const std::uint64_t saved = source.kept - kept;
+  const std::uint64_t unread = prompt.prompt_tokens - source.kept;
+  const double moving = model.fetch_setup_ms() + query.service->model->move_ms(saved);
+  const double displaced =
+      settings.displaced_share * static_cast<double>(saved) * model.reading().token_ms();
+  const double reading = static_cast<double>(saved) * model.reading().token_ms();
+  if (moving + displaced >= reading) return;
+  placement.unread_tokens = unread;
+  placement.cost_ms += moving + displaced - reading;
+  placement.fetch_from = source.engine->record.id;
 }
 
 }  // namespace
--- a/src/core/relay/placement.hpp
+++ b/src/core/relay/placement.hpp
@@ -13,13 +13,15 @@
 
 namespace shuntbank::relay {
 
-/// Tunables of placement, in one place.
+/// Tunables of placement, in one place. What work costs is learned (see engine_model.hpp).
 struct PlacementSettings {
-  double decode_reading_share = 0.45;  ///< Of a prefill engine's speed, where tokens are made too.
-  double home_bonus_ms = 250;  ///< Keeps prompts that share a part together while it is read.
   std::uint64_t least_fetched_tokens = 1000;  ///< Fewer are read again rather than moved.
-  double fetch_setup_ms = 10;                 ///< Of moving cached parts, apart from their bytes.
-  double request_cost_ms = 6;    ///< Added by each request that runs or waits at a model engine.
+  /// Of the reading that a fetch saves: the copy takes the place of parts that would have to be
+  /// read again in turn.
+  double displaced_share = 0;
+  /// Of the time that the shared parts of a prompt take to be read: how much sooner another engine
+  /// must be than their home, so that requests which share parts meet there.
+  double home_share = 2;
   double other_zone_ms = 2;      ///< Added for an engine in another zone.
   double failure_cost_ms = 400;  ///< Added times the share of attempts that failed.
   double plain_request_ms = 15;  ///< Of a plain engine whose latency is not known.
--- /dev/null
+++ b/src/relay/policy_options.cpp
@@ -0,0 +1,51 @@
+#include "relay/policy_options.hpp"
+
+#include <boost/program_options/parsers.hpp>
+#include <boost/program_options/variables_map.hpp>
+
+namespace shuntbank::relay {
+namespace {
+
+namespace options = boost::program_options;
+
+template <typename Value>
+options::typed_value<Value>* into(Value& target) {
+  return options::value(&target)->default_value(target);
+}
+
+}  // namespace
+
+options::options_description policy_options(RelaySettings& settings) {
+  options::options_description known("Policy of a relay node");
+  auto add = known.add_options();
+  add("displaced-share", into(settings.placement.displaced_share),
+      "cost of a fetched copy, as a share of the reading that it saves");
+  add("home-share", into(settings.placement.home_share),
+      "of reading the shared parts: how much sooner than their home another engine must be");
+  add("pause-share", into(settings.prefill.pause_share),
+      "of the longest pause in time: slower decode engines read no prompts; 0: never read there");
+  add("held-up-weight", into(settings.prefill.held_up_stream_weight),
+      "cost of reading at a decode engine, for each stream there");
+  add("prefill-share", into(settings.stages.prefill_share),
+      "of a service's engines that read prompts");
+  return known;
+}
+
+tl::expected<PolicyRequest, Findings> take_policy_options(int argc, const char* const* argv,
+                                                          const RelaySettings& settings) {
+  PolicyRequest request{settings, false};
+  auto known = policy_options(request.settings);
+  known.add_options()("help", options::bool_switch(&request.help), "show the options and end");
+  try {
+    options::variables_map values;
+    options::store(options::parse_command_line(argc, argv, known), values);
+    options::notify(values);
+  } catch (const options::error& error) {
+    Findings findings;
+    findings.add("command line", error.what());
+    return tl::make_unexpected(findings);
+  }
+  return request;
+}
+
+}  // namespace shuntbank::relay
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -141,7 +141,8 @@
 /// Sends the request where the choice says. @return false when no engine can be chosen.
 bool RelaySession::choose() {
   if (service_ == nullptr) return false;
-  const DispatchQuery query{placement_query(), history_.prompt_sent, budget_left()};
+  const DispatchQuery query{placement_query(), history_.prompt_sent, budget_left(),
+                            route_.gap_target};
   const auto choice = choose_dispatch(context_.runtime.now(), context_.engines, query,
                                       context_.settings.placement, context_.settings.prefill);
   if (!choice) return false;
@@ -281,6 +282,9 @@
     unread_released_ = true;
     context_.engines.on_read(engine_, unread_);
     if (prompt_) note_prompt_read();
+    if (step_ == Step::kDecodeFromHandle) {
+      context_.engines.model_of(service_name_).on_handed_over(context_.runtime.now() - sent_at_);
+    }
   }
   if (event.id) {
     if (last_event_ && *event.id <= *last_event_) {
@@ -297,12 +301,18 @@
   }
   const MonotonicTime now = context_.runtime.now();
   if (events_ == 0) first_event_at_ = now;
-  if (events_ > 0) longest_gap_ = std::max(longest_gap_, now - last_event_at_);
+  if (events_ > 0) note_gap(now);
   last_event_at_ = now;
   ++events_;
   responder_->write(event.bytes);
 }
 
+void RelaySession::note_gap(MonotonicTime now) {
+  const Duration gap = now - last_event_at_;
+  longest_gap_ = std::max(longest_gap_, gap);
+  context_.engines.on_event_gap(now, engine_, gap);
+}
+
 /// Parts that other requests share are told to the other nodes; the last one is this request's own.
 void RelaySession::note_prompt_read() {
   context_.note_read(engine_, prompt_->parts);
@@ -372,10 +382,7 @@
   note_health(AttemptHealth::kGood);
   EngineView* view = context_.engines.find(engine_);
   if (view != nullptr) {
-    const bool was_idle = alone_when_sent_ && view->in_flight == 0;
-    if (was_idle) {
-      context_.engines.on_prompt_read(unread_, context_.runtime.now() - sent_at_);
-    }
+    if (alone_when_sent_ && view->in_flight == 0) learn_reading();
     note_prompt_read();
     handle_address_ = view->record.address;
     handle_ = handle->handle;
@@ -391,12 +398,24 @@
   send(decode->engine, Step::kDecodeFromHandle);
 }
 
+/// The engine had no other work, so that the time tells what the prompt cost.
+void RelaySession::learn_reading() {
+  EngineModel& model = context_.engines.model_of(service_name_);
+  const Duration took = context_.runtime.now() - sent_at_;
+  if (fetch_address_.empty()) return model.on_prompt_read(unread_, took);
+  model.on_fetched(unread_, service_->model->move_ms(prompt_->prompt_tokens - unread_), took);
+}
+
 void RelaySession::on_stream_end() {
   if (cutter_.has_partial()) {
     note_health(AttemptHealth::kFailed);
     return attempt_failed(AttemptOutcome::kUncertain, "the stream ended inside an event");
   }
   note_health(AttemptHealth::kGood);
+  if (events_ > 1) {
+    context_.engines.model_of(service_name_)
+        .on_stream_pace((last_event_at_ - first_event_at_) / static_cast<int>(events_ - 1));
+  }
   handle_.clear();
   if (!history_.head_forwarded) begin_stream();
   responder_->finish();
--- a/tests/core/relay/dispatch_choice_test.cpp
+++ b/tests/core/relay/dispatch_choice_test.cpp
@@ -81,3 +81,22 @@
   choice.engines.remove(EngineId("maker"));
   cr_assert_not(choice.choose().has_value());
 }
+
+Test(dispatch_choice, reads_no_prompt_beside_streams_that_are_nearly_late) {
+  // Streams came 100 to 170 ms apart where 40 was free running and 150 in time: two in five late.
+  Choice choice;
+  choice.prompt = {{{1, 200}}, 200, 80};
+  choice.query.gap_target = std::chrono::milliseconds(150);
+  cr_assert_not(choice.choose()->read_first);
+  choice.engines.on_event_gap(kNow, EngineId("maker"), std::chrono::milliseconds(140));
+  cr_assert(choice.choose()->read_first);
+}
+
+Test(dispatch_choice, forgets_how_slow_streams_were) {
+  Choice choice;
+  choice.prompt = {{{1, 200}}, 200, 80};
+  choice.query.gap_target = std::chrono::milliseconds(150);
+  choice.engines.on_event_gap(kNow - std::chrono::seconds(2), EngineId("maker"),
+                              std::chrono::milliseconds(140));
+  cr_assert_not(choice.choose()->read_first);
+}
--- /dev/null
+++ b/tests/core/relay/engine_model_test.cpp
@@ -0,0 +1,70 @@
+#include "core/relay/engine_model.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace shuntbank;
+using namespace shuntbank::relay;
+
+namespace {
+
+constexpr double kTokenMs = 1.0 / 300;
+constexpr double kSetupMs = 6;
+
+Duration from_ms(double ms) {
+  return from_seconds(ms / 1000);
+}
+
+/// Shows the model prompts of several sizes that took what an engine of these costs takes.
+void teach(ReadingModel& model, double token_ms, double setup_ms) {
+  for (int round = 0; round < 40; ++round) {
+    const auto tokens = static_cast<std::uint64_t>(500 + 700 * (round % 12));
+    model.observe(tokens, from_ms(setup_ms + static_cast<double>(tokens) * token_ms));
+  }
+}
+
+}  // namespace
+
+Test(reading_model, learns_what_a_token_and_a_prompt_cost) {
+  ReadingModel model;
+  teach(model, kTokenMs, kSetupMs);
+  cr_assert_float_eq(model.read_ms(9000), kSetupMs + 9000 * kTokenMs, 1);
+  cr_assert_float_eq(model.setup_ms(), kSetupMs, 1);
+}
+
+Test(reading_model, believes_its_first_observation_rather_than_the_defaults) {
+  ReadingModel model;
+  model.observe(9000, from_ms(36));
+  cr_assert_float_eq(model.read_ms(9000), 36, 2);
+  cr_assert_lt(model.read_ms(1000), 36);
+}
+
+Test(reading_model, is_hardly_moved_by_prompts_that_waited_in_a_queue) {
+  ReadingModel model;
+  teach(model, kTokenMs, kSetupMs);
+  for (int i = 0; i < 5; ++i) model.observe(5000, from_ms(400));
+  cr_assert_lt(model.read_ms(5000), 1.5 * (kSetupMs + 5000 * kTokenMs));
+}
+
+Test(reading_model, follows_engines_that_become_slower) {
+  ReadingModel model;
+  teach(model, kTokenMs, kSetupMs);
+  for (int i = 0; i < 20; ++i) teach(model, 4 * kTokenMs, 4 * kSetupMs);
+  cr_assert_float_eq(model.read_ms(5000), 4 * (kSetupMs + 5000 * kTokenMs), 10);
+}
+
+Test(engine_model, takes_the_pace_of_the_quickest_streams_for_the_free_one) {
+  EngineModel model;
+  cr_assert_eq(model.free_pace_ms(), 0);
+  for (int i = 0; i < 20; ++i) {
+    model.on_stream_pace(from_ms(40));
+    model.on_stream_pace(from_ms(160));
+  }
+  cr_assert_lt(model.free_pace_ms(), 60);
+}
+
+Test(engine_model, learns_what_a_fetch_adds_to_reading) {
+  EngineModel model;
+  model.on_prompt_read(3000, from_ms(16));
+  model.on_fetched(3000, 2, from_ms(16 + 2 + 7));
+  cr_assert_float_eq(model.fetch_setup_ms(), 7, 1);
+}
--- a/tests/core/relay/placement_test.cpp
+++ b/tests/core/relay/placement_test.cpp
@@ -90,6 +90,21 @@
   cr_assert_eq(spilled->unread_tokens, 0);
 }
 
+Test(placement, leaves_the_home_when_reading_the_shared_parts_elsewhere_is_quicker) {
+  // A fixed bonus in milliseconds, right for slow engines, let queues stand at quick ones.
+  Fleet fleet;
+  const EngineId home = fleet.choose()->engine;
+  const double shared_ms = 12000 * fleet.engines.model_of(fleet.service.name).reading().token_ms();
+  const auto tokens_of = [&](double ms) {
+    return static_cast<std::uint64_t>(
+        ms / fleet.engines.model_of(fleet.service.name).reading().token_ms());
+  };
+  fleet.engines.on_sent(home, tokens_of(shared_ms));
+  cr_assert_eq(fleet.choose()->engine, home);
+  fleet.engines.on_sent(home, tokens_of(2 * shared_ms));
+  cr_assert_neq(fleet.choose()->engine, home);
+}
+
 Test(placement, counts_what_other_nodes_have_under_way) {
   Fleet fleet;
   const EngineId home = fleet.choose()->engine;
