Defer prompts that cannot be in time, so that they hold up none that can

Cause: every request went to an engine at once and in turn; a rise to four times the usual requests for four seconds made each of them late, and the backlog those of the next seconds. Change: the choice predicts the first token (what waits, reading, hand-over). A request expected later than 0.9 of the time to its objective gets the engines' least urgency; the exchange tells deferred tokens apart, so that requests which can be in time count only what is ahead of them.

--- a/src/core/relay/dispatch_choice.cpp
+++ b/src/core/relay/dispatch_choice.cpp
@@ -15,10 +15,9 @@
   return engines.find(placement.engine)->requests_there(now);
 }
 
-double prefill_path_cost(const EngineDirectory& engines, const DispatchQuery& query,
-                         const Placement& prefill) {
-  const EngineModel& model = engines.model_of(query.placement.service->name);
-  return prefill.cost_ms + model.handover_ms() +
+/// @return milliseconds from the reading of a prompt apart to its first token.
+double handover_ms(const EngineDirectory& engines, const DispatchQuery& query) {
+  return engines.model_of(query.placement.service->name).handover_ms() +
          query.placement.service->model->move_ms(query.placement.prompt->prompt_tokens);
 }
 
@@ -49,24 +48,53 @@
          query.budget >= settings.least_budget;
 }
 
-}  // namespace
+DispatchChoice whole(const Placement& decode) {
+  return {false, decode, decode.expected_ms, false};
+}
 
-std::optional<DispatchChoice> choose_dispatch(MonotonicTime now, EngineDirectory& engines,
-                                              const DispatchQuery& query,
-                                              const PlacementSettings& placement,
-                                              const PrefillSettings& prefill) {
+DispatchChoice apart(const EngineDirectory& engines, const DispatchQuery& query,
+                     const Placement& reader) {
+  return {true, reader, reader.expected_ms + handover_ms(engines, query), false};
+}
+
+/// Chooses without regard to the objective.
+std::optional<DispatchChoice> choose_path(MonotonicTime now, EngineDirectory& engines,
+                                          const DispatchQuery& query,
+                                          const PlacementSettings& placement,
+                                          const PrefillSettings& prefill) {
   const bool model = query.placement.service->model.has_value();
   const EngineStage answering = model ? EngineStage::kDecode : EngineStage::kNone;
   const auto decode = place_at(now, engines, query, answering, placement);
   if (!decode) return std::nullopt;
-  const DispatchChoice whole{false, *decode};
-  if (!model || !may_read_apart(query, prefill)) return whole;
+  if (!model || !may_read_apart(query, prefill)) return whole(*decode);
   const auto reader = place_at(now, engines, query, EngineStage::kPrefill, placement);
-  if (!reader) return whole;
-  if (!streams_bear(now, engines, query, *decode, prefill)) return DispatchChoice{true, *reader};
-  const double apart = prefill_path_cost(engines, query, *reader);
-  const double direct = direct_path_cost(now, engines, query, *decode, prefill);
-  return apart < direct ? DispatchChoice{true, *reader} : whole;
+  if (!reader) return whole(*decode);
+  if (!streams_bear(now, engines, query, *decode, prefill)) return apart(engines, query, *reader);
+  const double apart_cost = reader->cost_ms + handover_ms(engines, query);
+  const double direct_cost = direct_path_cost(now, engines, query, *decode, prefill);
+  return apart_cost < direct_cost ? apart(engines, query, *reader) : whole(*decode);
+}
+
+bool in_time(const DispatchQuery& query, const DispatchChoice& choice,
+             const PrefillSettings& settings) {
+  if (query.placement.prompt == nullptr || query.time_to_objective == Duration::max()) return true;
+  const double left_ms = to_seconds(query.time_to_objective) * 1000;
+  return choice.expected_ms <= left_ms * settings.in_time_share;
+}
+
+}  // namespace
+
+std::optional<DispatchChoice> choose_dispatch(MonotonicTime now, EngineDirectory& engines,
+                                              const DispatchQuery& query,
+                                              const PlacementSettings& placement,
+                                              const PrefillSettings& prefill) {
+  const auto choice = choose_path(now, engines, query, placement, prefill);
+  if (!choice || in_time(query, *choice, prefill)) return choice;
+  DispatchQuery behind = query;
+  behind.placement.deferred = true;
+  auto deferred = choose_path(now, engines, behind, placement, prefill);
+  deferred->deferred = true;
+  return deferred;
 }
 
 }  // namespace shuntbank::relay
--- a/src/core/relay/dispatch_choice.hpp
+++ b/src/core/relay/dispatch_choice.hpp
@@ -16,6 +16,8 @@
   /// streams are slower than this, or would be, reads no prompts beside them.
   double pause_share = 0.8;
   double held_up_stream_weight = 0.1;  ///< Of reading time, for each stream that it holds up.
+  /// Of the time left to the objective: a request whose first token is expected later is deferred.
+  double in_time_share = 0.9;
   double least_budget = 1;  ///< Of the retry budget: a prompt that is refused counts against it.
 };
 
@@ -25,12 +27,16 @@
   bool prompt_sent = false;                ///< The prompt was sent to be read apart before.
   double budget = 0;                       ///< What is left of the retry budget.
   Duration gap_target = Duration::zero();  ///< Longest pause between events; zero: unset.
+  /// Left of the time within which an answer has its full worth; may be negative.
+  Duration time_to_objective = Duration::max();
 };
 
 /// The choice and what spoke for it.
 struct DispatchChoice {
   bool read_first = false;  ///< The engine only reads the prompt; another one answers.
   Placement placement;
+  double expected_ms = 0;  ///< Until the first token.
+  bool deferred = false;   ///< Cannot be in time, and so waits behind what can.
 };
 
 /// @return how to send the request, or nothing when no engine can be chosen.
--- a/src/core/relay/engine_directory.cpp
+++ b/src/core/relay/engine_directory.cpp
@@ -117,12 +117,14 @@
 PeerLoad& PeerLoad::operator+=(const PeerLoad& more) {
   in_flight += more.in_flight;
   unread_tokens += more.unread_tokens;
+  deferred_tokens += more.deferred_tokens;
   return *this;
 }
 
 PeerLoad& PeerLoad::operator-=(const PeerLoad& less) {
   in_flight -= std::min(in_flight, less.in_flight);
   unread_tokens -= std::min(unread_tokens, less.unread_tokens);
+  deferred_tokens -= std::min(deferred_tokens, less.deferred_tokens);
   return *this;
 }
 
@@ -211,17 +213,20 @@
   if (engine != nullptr) engine->memory_tokens = tokens;
 }
 
-void EngineDirectory::on_sent(const EngineId& id, std::uint64_t unread) {
+void EngineDirectory::on_sent(const EngineId& id, const PromptWork& work) {
   EngineView* engine = find(id);
   if (engine == nullptr) return;
   ++engine->in_flight;
-  engine->unread_tokens += unread;
+  engine->unread_tokens += work.unread_tokens;
+  if (work.deferred) engine->deferred_tokens += work.unread_tokens;
 }
 
-void EngineDirectory::on_read(const EngineId& id, std::uint64_t unread) {
+void EngineDirectory::on_read(const EngineId& id, const PromptWork& work) {
   EngineView* engine = find(id);
   if (engine == nullptr) return;
-  engine->unread_tokens -= std::min(engine->unread_tokens, unread);
+  engine->unread_tokens -= std::min(engine->unread_tokens, work.unread_tokens);
+  if (!work.deferred) return;
+  engine->deferred_tokens -= std::min(engine->deferred_tokens, work.unread_tokens);
 }
 
 void EngineDirectory::on_ended(const EngineId& id) {
@@ -281,8 +286,9 @@
   const double factor = unheard_factor();
   const double in_flight = engine.heard.in_flight * factor;
   const double unread = static_cast<double>(engine.heard.unread_tokens) * factor;
+  const double deferred = static_cast<double>(engine.heard.deferred_tokens) * factor;
   engine.peers = PeerLoad{static_cast<std::uint32_t>(std::lround(in_flight)),
-                          static_cast<std::uint64_t>(unread)};
+                          static_cast<std::uint64_t>(unread), static_cast<std::uint64_t>(deferred)};
 }
 
 void EngineDirectory::show_all_peers() {
@@ -305,7 +311,7 @@
   std::map<EngineId, PeerLoad> load;
   for (const auto& [id, engine] : engines_) {
     if (engine.in_flight == 0 && engine.unread_tokens == 0) continue;
-    load[id] = {engine.in_flight, engine.unread_tokens};
+    load[id] = {engine.in_flight, engine.unread_tokens, engine.deferred_tokens};
   }
   return load;
 }
--- a/src/core/relay/engine_directory.hpp
+++ b/src/core/relay/engine_directory.hpp
@@ -91,11 +91,20 @@
 struct PeerLoad {
   std::uint32_t in_flight = 0;
   std::uint64_t unread_tokens = 0;
+  std::uint64_t deferred_tokens = 0;  ///< Of `unread_tokens`: read only when nothing else waits.
 
   PeerLoad& operator+=(const PeerLoad& more);
   PeerLoad& operator-=(const PeerLoad& less);  ///< Never below nothing.
 };
 
+/// What an attempt gives an engine to read.
+struct PromptWork {
+  std::uint64_t unread_tokens = 0;
+  bool deferred = false;  ///< Behind all prompts that can still be answered in time.
+
+  bool operator==(const PromptWork&) const = default;
+};
+
 /// A prompt that an engine has read.
 struct PromptRead {
   EngineId engine;
@@ -105,9 +114,10 @@
 /// One engine as this node sees it.
 struct EngineView {
   EngineRecord record;
-  std::uint32_t in_flight = 0;       ///< Sent by this node and not ended.
-  std::uint64_t unread_tokens = 0;   ///< Of this node's requests, still to be read there.
-  std::optional<ReportedLoad> load;  ///< The last report.
+  std::uint32_t in_flight = 0;        ///< Sent by this node and not ended.
+  std::uint64_t unread_tokens = 0;    ///< Of this node's requests, still to be read there.
+  std::uint64_t deferred_tokens = 0;  ///< Of `unread_tokens`: behind all that can be in time.
+  std::optional<ReportedLoad> load;   ///< The last report.
   MonotonicTime load_at{};
   std::uint32_t in_flight_at_report = 0;
   std::optional<PeerLoad> peers;  ///< Of all other nodes; unset while none is heard.
@@ -179,11 +189,11 @@
   /// Learns the memory of an engine, in tokens.
   void set_memory(const EngineId& id, std::uint64_t tokens);
 
-  /// An attempt was sent. @param unread tokens that the engine has to read for it.
-  void on_sent(const EngineId& id, std::uint64_t unread);
+  /// An attempt was sent. @param work that the engine has to do before its first token.
+  void on_sent(const EngineId& id, const PromptWork& work);
 
   /// The engine has begun to answer, so that its prompt has been read.
-  void on_read(const EngineId& id, std::uint64_t unread);
+  void on_read(const EngineId& id, const PromptWork& work);
 
   /// An attempt has ended.
   void on_ended(const EngineId& id);
--- a/src/core/relay/placement.cpp
+++ b/src/core/relay/placement.cpp
@@ -74,16 +74,31 @@
   return best;
 }
 
-/// @return milliseconds until the engine has read all that waits there.
-double waiting_ms(MonotonicTime now, const EngineDirectory& engines, const EngineView& engine) {
-  const EngineModel& model = engines.model_of(engine.record.service);
+/// @return tokens that will be read at an engine before another prompt.
+double tokens_ahead(MonotonicTime now, const EngineDirectory& engines, const EngineView& engine,
+                    bool deferred) {
   auto tokens = static_cast<double>(engine.unread_tokens);
-  if (engine.peers) tokens += static_cast<double>(engine.peers->unread_tokens);
+  auto behind = static_cast<double>(engine.deferred_tokens);
+  if (engine.peers) {
+    tokens += static_cast<double>(engine.peers->unread_tokens);
+    behind += static_cast<double>(engine.peers->deferred_tokens);
+  } else if (engine.record.stage == EngineStage::kPrefill) {
+    tokens += engine.others_there(now) * engines.usual_unread_tokens();
+  }
+  return deferred ? tokens : std::max(0.0, tokens - behind);
+}
+
+/// @return milliseconds until the engine has read all that comes before another prompt.
+double waiting_ms(MonotonicTime now, const EngineDirectory& engines, const EngineView& engine,
+                  bool deferred) {
+  const EngineModel& model = engines.model_of(engine.record.service);
+  const double tokens = tokens_ahead(now, engines, engine, deferred);
   if (engine.record.stage == EngineStage::kDecode) {
     return model.decode_read_ms(tokens) - model.reading().setup_ms();
   }
-  if (!engine.peers) tokens += engine.others_there(now) * engines.usual_unread_tokens();
-  return engine.requests_there(now) * model.reading().setup_ms() +
+  const double all = tokens_ahead(now, engines, engine, true);
+  const double share = all > 0 ? tokens / all : 1;
+  return engine.requests_there(now) * share * model.reading().setup_ms() +
          tokens * model.reading().token_ms();
 }
 
@@ -96,16 +111,22 @@
   return usual_ms * (fill < 1 ? fill : kFullBatch * fill);
 }
 
-double model_cost(MonotonicTime now, const EngineDirectory& engines, const EngineView& engine,
-                  std::uint64_t unread) {
+/// @return milliseconds until the engine will have read a prompt that is sent there now.
+double reading_wait_ms(MonotonicTime now, const EngineDirectory& engines, const EngineView& engine,
+                       std::uint64_t unread, bool deferred) {
   const EngineModel& model = engines.model_of(engine.record.service);
-  const double waiting = waiting_ms(now, engines, engine);
+  const double waiting = waiting_ms(now, engines, engine, deferred);
   const auto tokens = static_cast<double>(unread);
-  if (engine.record.stage == EngineStage::kPrefill)
-    return waiting + model.reading().read_ms(tokens);
-  const double free_pace = model.free_pace_ms();
-  return waiting + model.decode_read_ms(tokens) + crowding_ms(now, engines, engine) +
-         engine.recent_pace_ms(now, free_pace) - free_pace;
+  return waiting + (engine.record.stage == EngineStage::kPrefill ? model.reading().read_ms(tokens)
+                                                                 : model.decode_read_ms(tokens));
+}
+
+/// @return what speaks against an engine whose streams are many or slow, in milliseconds.
+double busy_streams_ms(MonotonicTime now, const EngineDirectory& engines,
+                       const EngineView& engine) {
+  if (engine.record.stage == EngineStage::kPrefill) return 0;
+  const double free_pace = engines.model_of(engine.record.service).free_pace_ms();
+  return crowding_ms(now, engines, engine) + engine.recent_pace_ms(now, free_pace) - free_pace;
 }
 
 double plain_cost(MonotonicTime now, const EngineView& engine, const PlacementSettings& settings) {
@@ -129,7 +150,9 @@
   const bool may_keep_more = query.engines_may_keep_more && query.stage == EngineStage::kPrefill;
   if (first_reading && may_keep_more) assumed = std::max(kept, shared_tokens(prompt));
   placement.unread_tokens = prompt.prompt_tokens - assumed;
-  placement.cost_ms = model_cost(now, engines, engine, placement.unread_tokens);
+  placement.expected_ms =
+      reading_wait_ms(now, engines, engine, placement.unread_tokens, query.deferred);
+  placement.cost_ms = placement.expected_ms + busy_streams_ms(now, engines, engine);
   if (home) {
     placement.cost_ms -= settings.home_share * static_cast<double>(shared_tokens(prompt)) *
                          model.reading().token_ms();
@@ -145,6 +168,7 @@
   const double reading = static_cast<double>(saved) * model.reading().token_ms();
   if (moving + displaced >= reading) return;
   placement.unread_tokens = unread;
+  placement.expected_ms += moving - reading;
   placement.cost_ms += moving + displaced - reading;
   placement.fetch_from = source.engine->record.id;
 }
--- a/src/core/relay/placement.hpp
+++ b/src/core/relay/placement.hpp
@@ -37,13 +37,15 @@
   /// no engine is known to keep most likely keeps it. Taken of prefill engines only.
   bool engines_may_keep_more = true;
   const std::vector<EngineId>* avoid = nullptr;  ///< Engines that this request has met.
+  bool deferred = false;  ///< Waits behind all prompts that can be answered in time.
   std::uint32_t max_connections_here = 0;  ///< This node's part of an engine's bound; 0: unbounded.
 };
 
 /// The choice and what spoke for it.
 struct Placement {
   EngineId engine;
-  double cost_ms = 0;
+  double cost_ms = 0;      ///< What the choice goes by: the expected wait, and preferences.
+  double expected_ms = 0;  ///< Until the prompt will have been read.
   std::uint64_t unread_tokens = 0;     ///< That the engine will have to read.
   std::optional<EngineId> fetch_from;  ///< Keeps parts of the prompt that the chosen one lacks.
   std::size_t candidates = 0;
--- a/src/protocol/load_message.cpp
+++ b/src/protocol/load_message.cpp
@@ -53,7 +53,9 @@
 std::string encode(const LoadMessage& message) {
   json load = json::array();
   for (const auto& [engine, work] : message.load) {
-    load.push_back({engine.value(), work.in_flight, work.unread_tokens});
+    json entry = {engine.value(), work.in_flight, work.unread_tokens};
+    if (work.deferred_tokens > 0) entry.push_back(work.deferred_tokens);
+    load.push_back(std::move(entry));
   }
   json document = {{"node", message.node.value()},
                    {"boot", message.boot},
@@ -90,8 +92,10 @@
     message.boot = document.at("boot").get<std::uint64_t>();
     message.sequence = document.at("seq").get<std::uint64_t>();
     for (const json& item : document.at("load")) {
-      message.load[EngineId(item.at(0).get<std::string>())] = {item.at(1).get<std::uint32_t>(),
-                                                               item.at(2).get<std::uint64_t>()};
+      relay::PeerLoad& work = message.load[EngineId(item.at(0).get<std::string>())];
+      work.in_flight = item.at(1).get<std::uint32_t>();
+      work.unread_tokens = item.at(2).get<std::uint64_t>();
+      if (item.size() > 3) work.deferred_tokens = item.at(3).get<std::uint64_t>();
     }
     if (document.contains("seen")) {
       message.seen.configuration = document["seen"].at(0).get<std::uint64_t>();
--- a/src/relay/policy_options.cpp
+++ b/src/relay/policy_options.cpp
@@ -26,6 +26,8 @@
       "of the longest pause in time: slower decode engines read no prompts; 0: never read there");
   add("held-up-weight", into(settings.prefill.held_up_stream_weight),
       "cost of reading at a decode engine, for each stream there");
+  add("in-time-share", into(settings.prefill.in_time_share),
+      "of the time to the objective: requests expected later are deferred; 1000: never");
   add("prefill-share", into(settings.stages.prefill_share),
       "of a service's engines that read prompts");
   return known;
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -22,6 +22,10 @@
 /// An engine with less of its slots in use has no reason to refuse.
 constexpr double kRoomShare = 0.5;
 
+/// Range of the urgency that engines take.
+constexpr int kMostUrgent = 0;
+constexpr int kLeastUrgent = 9;
+
 constexpr Duration kReleaseTimeout = std::chrono::seconds(1);
 
 std::int64_t to_milliseconds(Duration duration) {
@@ -142,10 +146,13 @@
 bool RelaySession::choose() {
   if (service_ == nullptr) return false;
   const DispatchQuery query{placement_query(), history_.prompt_sent, budget_left(),
-                            route_.gap_target};
+                            route_.gap_target,
+                            arrived_ + route_.objective - context_.runtime.now()};
   const auto choice = choose_dispatch(context_.runtime.now(), context_.engines, query,
                                       context_.settings.placement, context_.settings.prefill);
   if (!choice) return false;
+  deferred_ = choice->deferred;
+  expected_ms_ = choice->expected_ms;
   take(choice->placement);
   send(choice->placement.engine, choice->read_first ? Step::kPrefill : Step::kPlain);
   return true;
@@ -179,7 +186,7 @@
                        std::to_string(std::max<std::int64_t>(1, to_milliseconds(time_left()))));
   outgoing.headers.add(names.expected_engine, record.id.value());
   if (prompt_) {
-    outgoing.headers.add(names.urgency, std::to_string(std::clamp(route_.priority, 0, 9)));
+    outgoing.headers.add(names.urgency, std::to_string(urgency()));
   }
   if (step == Step::kPrefill) {
     outgoing.headers.add(names.stage, context_.dialect.prefill_stage());
@@ -202,6 +209,11 @@
   return outgoing;
 }
 
+/// Requests that cannot be in time any more hold up none that can.
+int RelaySession::urgency() const {
+  return deferred_ ? kLeastUrgent : std::clamp(route_.priority, kMostUrgent, kLeastUrgent - 1);
+}
+
 void RelaySession::send(const EngineId& engine, Step step) {
   const EngineView* view = context_.engines.find(engine);
   step_ = step;
@@ -221,7 +233,7 @@
   if (service_->model) context_.engines.set_memory(engine, service_->model->kv_tokens);
   count_send(step == Step::kPrefill);
   alone_when_sent_ = view->requests_there(sent_at_) < 0.5;
-  context_.engines.on_sent(engine, unread_);
+  context_.engines.on_sent(engine, {unread_, deferred_});
   if (prompt_) context_.note_load();
   if (step == Step::kPrefill) context_.engines.on_prompt_sent(unread_);
   context_.metrics.count_attempt(service_name_.value(),
@@ -280,7 +292,7 @@
   if (broken_ || ended_) return;
   if (!unread_released_) {
     unread_released_ = true;
-    context_.engines.on_read(engine_, unread_);
+    context_.engines.on_read(engine_, {unread_, deferred_});
     if (prompt_) note_prompt_read();
     if (step_ == Step::kDecodeFromHandle) {
       context_.engines.model_of(service_name_).on_handed_over(context_.runtime.now() - sent_at_);
@@ -534,7 +546,7 @@
   if (!std::exchange(engine_held_, false)) return;
   context_.engines.on_ended(engine_);
   if (prompt_) context_.note_load();
-  if (!unread_released_) context_.engines.on_read(engine_, unread_);
+  if (!unread_released_) context_.engines.on_read(engine_, {unread_, deferred_});
   unread_released_ = true;
 }
 
@@ -593,6 +605,8 @@
              {"step", step_name()},
              {"why", why},
              {"cost_ms", chosen_.cost_ms},
+             {"expected_ms", expected_ms_},
+             {"deferred", deferred_},
              {"candidates", chosen_.candidates},
              {"unread", unread_},
              {"fetch_from", fetch_address_},
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -81,6 +81,7 @@
   void take(const Placement& placement);
   void send(const EngineId& engine, Step step);
   OutgoingRequest outgoing(const EngineRecord& record, Step step) const;
+  int urgency() const;
   Duration time_left() const;
   std::uint32_t connections_per_engine() const;
 
@@ -142,6 +143,8 @@
   Step step_ = Step::kPlain;
   EngineId engine_;
   std::uint64_t unread_ = 0;
+  bool deferred_ = false;   ///< Waits behind requests that can be in time.
+  double expected_ms_ = 0;  ///< Until the first token, when the engine was chosen.
   bool unread_released_ = false;
   bool engine_held_ = false;
   bool alone_when_sent_ = false;  ///< The engine had no other work that this node knew of.
--- a/tests/core/relay/dispatch_choice_test.cpp
+++ b/tests/core/relay/dispatch_choice_test.cpp
@@ -72,7 +72,7 @@
 
 Test(dispatch_choice, reads_at_the_decode_engine_when_the_readers_queue_is_long) {
   Choice choice;
-  choice.engines.on_sent(EngineId("reader"), 500000);
+  choice.engines.on_sent(EngineId("reader"), {500000, false});
   cr_assert_not(choice.choose()->read_first);
 }
 
@@ -100,3 +100,33 @@
                               std::chrono::milliseconds(140));
   cr_assert_not(choice.choose()->read_first);
 }
+
+Test(dispatch_choice, defers_what_cannot_be_in_time) {
+  // Four times the usual requests for four seconds: each waited in turn, and all were late.
+  Choice choice;
+  choice.query.time_to_objective = std::chrono::milliseconds(600);
+  cr_assert_not(choice.choose()->deferred);
+  choice.engines.on_sent(EngineId("reader"), {500000, false});
+  choice.engines.on_sent(EngineId("maker"), {500000, false});
+  cr_assert(choice.choose()->deferred);
+}
+
+Test(dispatch_choice, passes_what_is_deferred) {
+  Choice choice;
+  choice.query.time_to_objective = std::chrono::milliseconds(600);
+  choice.engines.on_sent(EngineId("reader"), {500000, true});
+  choice.engines.on_peer_load(kNow, NodeId("n2"), {{EngineId("reader"), {9, 400000, 400000}}});
+  cr_assert_not(choice.choose()->deferred);
+  choice.engines.on_peer_load(kNow, NodeId("n2"), {{EngineId("reader"), {9, 400000, 0}}});
+  cr_assert(choice.choose()->deferred);
+}
+
+Test(dispatch_choice, counts_deferred_work_as_read_or_dropped) {
+  Choice choice;
+  const EngineId reader("reader");
+  choice.engines.on_sent(reader, {5000, true});
+  choice.engines.on_sent(reader, {3000, false});
+  choice.engines.on_read(reader, {5000, true});
+  cr_assert_eq(choice.engines.find(reader)->deferred_tokens, 0);
+  cr_assert_eq(choice.engines.find(reader)->unread_tokens, 3000);
+}
--- a/tests/core/relay/placement_test.cpp
+++ b/tests/core/relay/placement_test.cpp
@@ -83,7 +83,7 @@
   fleet.engines.find(home)->cache.on_read(fleet.prompt.parts, 1000000, kNow);
   cr_assert_eq(fleet.choose()->engine, home);
   cr_assert_eq(fleet.choose()->unread_tokens, 0);
-  fleet.engines.on_sent(home, 60000);
+  fleet.engines.on_sent(home, {60000, false});
   const auto spilled = fleet.choose();
   cr_assert_neq(spilled->engine, home);
   cr_assert_eq(*spilled->fetch_from, home);
@@ -99,9 +99,9 @@
     return static_cast<std::uint64_t>(
         ms / fleet.engines.model_of(fleet.service.name).reading().token_ms());
   };
-  fleet.engines.on_sent(home, tokens_of(shared_ms));
+  fleet.engines.on_sent(home, {tokens_of(shared_ms), false});
   cr_assert_eq(fleet.choose()->engine, home);
-  fleet.engines.on_sent(home, tokens_of(2 * shared_ms));
+  fleet.engines.on_sent(home, {tokens_of(2 * shared_ms), false});
   cr_assert_neq(fleet.choose()->engine, home);
 }
 
--- a/tests/protocol/load_message_test.cpp
+++ b/tests/protocol/load_message_test.cpp
@@ -12,7 +12,7 @@
   message.node = NodeId("n1");
   message.boot = 7;
   message.sequence = 9;
-  message.load[EngineId("e1")] = {3, 4500};
+  message.load[EngineId("e1")] = {3, 4500, 700};
   message.reads = {{EngineId("e1"), {{0xabcdef0123456789, 800}, {2, 30}}}};
   message.troubles = {{EngineId("e2"), EngineStage::kPrefill, true}};
   message.seen = {41, 42};
@@ -26,6 +26,7 @@
   cr_assert(read.has_value());
   cr_assert_eq(read->node, NodeId("n1"));
   cr_assert_eq(read->load.at(EngineId("e1")).unread_tokens, 4500);
+  cr_assert_eq(read->load.at(EngineId("e1")).deferred_tokens, 700);
   cr_assert_eq(read->reads[0].parts[0].id, 0xabcdef0123456789);
   cr_assert(read->troubles[0] == full_message().troubles[0]);
   cr_assert(read->seen == full_message().seen);
--- a/tests/relay/load_exchange_test.cpp
+++ b/tests/relay/load_exchange_test.cpp
@@ -96,7 +96,7 @@
   ExchangingFleet fleet(60);
   fleet.runtime.advance(3s);
   for (std::size_t i = 0; i < 60; ++i) {
-    fleet.sites[i]->node->engines().on_sent(EngineId("p1"), 10);
+    fleet.sites[i]->node->engines().on_sent(EngineId("p1"), {10, false});
   }
   fleet.runtime.advance(3s);
   for (std::size_t i = 0; i < 60; ++i) {
@@ -112,7 +112,7 @@
     fleet.runtime.advance(3s);
     const int before = fleet.transports[0]->sent;
     for (int change = 0; change < 1000; ++change) {
-      fleet.sites[0]->node->engines().on_sent(EngineId("p1"), 10);
+      fleet.sites[0]->node->engines().on_sent(EngineId("p1"), {10, false});
       fleet.sites[0]->node->note_load_changed();
       fleet.runtime.advance(1ms);
     }
--- a/tests/relay/relay_session_test.cpp
+++ b/tests/relay/relay_session_test.cpp
@@ -264,3 +264,18 @@
   cr_assert_leq(prompts_refused, 10 + 12);
   cr_assert_gt(prompts_refused, 0);
 }
+
+Test(relay_session, gives_what_cannot_be_in_time_the_least_urgency) {
+  RelayFixture site;
+  site.add_engine("p", "model", EngineStage::kPrefill);
+  site.add_engine("d", "model", EngineStage::kDecode);
+  site.request("/stream/a", {{"tokens", "20000"}});
+  cr_assert_eq(site.http.at(0).request.headers.get("urgency"), "0");
+  for (const char* id : {"p", "d"}) {
+    site.node->engines().on_sent(EngineId(id), {1000000, false});
+  }
+  site.request("/stream/b", {{"tokens", "20000"}});
+  cr_assert_eq(site.http.at(1).request.headers.get("urgency"), "9");
+  site.request("/stream/c", {{"tokens", "20000"}, {"id", "r3"}});
+  cr_assert_eq(site.http.at(2).request.headers.get("urgency"), "9");
+}
