--- a/tests/core/relay/dispatch_choice_test.cpp
+++ b/tests/core/relay/dispatch_choice_test.cpp
@@ -114,6 +114,7 @@
 Test(dispatch_choice, passes_what_is_deferred) {
   Choice choice;
   choice.query.time_to_objective = std::chrono::milliseconds(600);
+  choice.engines.on_sent(EngineId("maker"), {500000, false});
   choice.engines.on_sent(EngineId("reader"), {500000, true});
   choice.engines.on_peer_load(kNow, NodeId("n2"), {{EngineId("reader"), {9, 400000, 400000}}});
   cr_assert_not(choice.choose()->deferred);
