--- a/src/core/relay/engine_model.cpp
+++ b/src/core/relay/engine_model.cpp
@@ -95,7 +95,9 @@
   this->has_value = true;
 }
 
-void EngineModel::on_prompt_read(std::uint64_t unread_tokens, Duration took) {
+void EngineModel::on_prompt_read(std::uint64_t unread_tokens, Duration took, bool deferred) {
+  const double expected = this->prompt_reading.read_ms(static_cast<double>(unread_tokens));
+  if (deferred && milliseconds(took) >= expected) return;
   this->prompt_reading.observe(unread_tokens, took);
 }
 
@@ -108,7 +110,8 @@
   return this->handover.value_or(kDefaultHandoverMs);
 }
 
-void EngineModel::on_handed_over(Duration took) {
+void EngineModel::on_handed_over(Duration took, bool deferred) {
+  if (deferred && milliseconds(took) >= this->handover_ms()) return;
   this->handover.observe(milliseconds(took));
 }
 
--- a/src/core/relay/engine_model.hpp
+++ b/src/core/relay/engine_model.hpp
@@ -62,14 +62,19 @@
 class EngineModel {
  public:
   const ReadingModel& reading() const { return this->prompt_reading; }
-  void on_prompt_read(std::uint64_t unread_tokens, Duration took);
+
+  /// Learns from a prompt that was read at an engine which was idle as far as the node knew.
+  /// @param deferred it gave way to others, and so tells nothing unless it was quicker than
+  /// expected.
+  void on_prompt_read(std::uint64_t unread_tokens, Duration took, bool deferred);
 
   /// @return milliseconds that a decode engine takes for tokens which it reads itself.
   double decode_read_ms(double unread_tokens) const;
 
   /// @return milliseconds from handing a prompt over to the first event, moving included.
   double handover_ms() const;
-  void on_handed_over(Duration took);
+  /// @param deferred as in `on_prompt_read`.
+  void on_handed_over(Duration took, bool deferred);
 
   /// @return milliseconds that taking parts from another engine costs, apart from moving the bytes.
   double fetch_setup_ms() const;
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -295,7 +295,8 @@
     context_.engines.on_read(engine_, {unread_, deferred_});
     if (prompt_) note_prompt_read();
     if (step_ == Step::kDecodeFromHandle) {
-      context_.engines.model_of(service_name_).on_handed_over(context_.runtime.now() - sent_at_);
+      context_.engines.model_of(service_name_)
+          .on_handed_over(context_.runtime.now() - sent_at_, deferred_);
     }
   }
   if (event.id) {
@@ -414,7 +415,8 @@
 void RelaySession::learn_reading() {
   EngineModel& model = context_.engines.model_of(service_name_);
   const Duration took = context_.runtime.now() - sent_at_;
-  if (fetch_address_.empty()) return model.on_prompt_read(unread_, took);
+  if (fetch_address_.empty()) return model.on_prompt_read(unread_, took, deferred_);
+  if (deferred_) return;
   model.on_fetched(unread_, service_->model->move_ms(prompt_->prompt_tokens - unread_), took);
 }
 
