Copy long streams that must not run twice to a second engine, and go on there

Tried: a stream that is not resumable and may make more tokens than its prompt has names a second decode engine for a copy of its memory; when its connection breaks off it is taken up there behind its last event.

--- a/tests/relay/relay_session_test.cpp
+++ b/tests/relay/relay_session_test.cpp
@@ -279,3 +279,46 @@
   site.request("/stream/c", {{"tokens", "20000"}, {"id", "r3"}});
   cr_assert_eq(site.http.at(2).request.headers.get("urgency"), "9");
 }
+
+Test(relay_session, goes_on_with_a_stream_where_its_memory_was_copied) {
+  // One in eight passengers' answers was cut when its engine crashed, left or reset connections.
+  RelayFixture site;
+  for (const char* id : {"d1", "d2"}) site.add_engine(id, "model", EngineStage::kDecode);
+  const auto seen = site.request("/stream/a", {{"tokens", "100"}, {"output", "500"}});
+  const HttpHeaders first = site.http.at(0).request.headers;
+  const bool at_first = first.get("for-engine") == "d1";
+  cr_assert_eq(first.get("backup"), at_first ? "d2:80" : "d1:80");
+  site.http.begin(0, 200, RelayFixture::sealed());
+  site.http.piece(0, "id: 1\ndata: a\n\nid: 2\nda");
+  site.http.fail(0, TransferFailure::kUncertain);
+  const HttpHeaders& second = site.http.at(1).request.headers;
+  cr_assert_eq(second.get("for-engine"), at_first ? "d2" : "d1");
+  cr_assert_eq(second.get("source"), at_first ? "d2:80/r1" : "d1:80/r1");
+  cr_assert_eq(second.get("last-event"), "1");
+  cr_assert_eq(second.count("backup"), 0);
+  site.http.answer(1, 200, RelayFixture::sealed(), "id: 2\ndata: b\n\n");
+  cr_assert_eq(seen->body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  cr_assert(seen->finished);
+  cr_assert_eq(seen->heads, 1);
+}
+
+Test(relay_session, breaks_a_stream_off_when_there_is_no_copy) {
+  RelayFixture site;
+  for (const char* id : {"d1", "d2"}) site.add_engine(id, "model", EngineStage::kDecode);
+  const auto seen = site.request("/stream/a", {{"tokens", "100"}, {"output", "500"}});
+  site.http.begin(0, 200, RelayFixture::sealed());
+  site.http.piece(0, "id: 1\ndata: a\n\n");
+  site.http.fail(0, TransferFailure::kUncertain);
+  site.http.answer(1, 503, {{"id", "r1"}, {"refused", "1"}}, "");
+  cr_assert_eq(site.http.count(), 2);
+  cr_assert_not(seen->finished);
+}
+
+Test(relay_session, copies_no_stream_that_is_short_or_may_run_again) {
+  RelayFixture site;
+  for (const char* id : {"d1", "d2"}) site.add_engine(id, "model", EngineStage::kDecode);
+  site.request("/stream/a", {{"tokens", "100"}, {"output", "20"}});
+  cr_assert_eq(site.http.at(0).request.headers.count("backup"), 0);
+  site.request("/resumable/a", {{"tokens", "100"}, {"output", "500"}});
+  cr_assert_eq(site.http.at(1).request.headers.count("backup"), 0);
+}
