--- a/src/relay/engine_dialect.hpp
+++ b/src/relay/engine_dialect.hpp
@@ -27,7 +27,6 @@
   std::string stage;            ///< Set when the prompt is only to be read.
   std::string prompt_source;    ///< Engine and handle of a prompt that was read ahead.
   std::string fetch_from;       ///< Engine that keeps parts of the prompt.
-  std::string backup;           ///< Engine that takes a copy of the run's memory as it grows.
   std::vector<std::string> from_callers_removed;  ///< Fields that only the system may set.
   std::vector<std::string> from_engines_removed;  ///< Fields that concern only the system.
 };
@@ -77,8 +76,7 @@
   /// @return the value of the stage field that has a prompt only read.
   virtual std::string prefill_stage() const = 0;
 
-  /// @return the value that names a prompt read ahead, or the copy of a run by the run's request
-  /// id.
+  /// @return the value that names a prompt read ahead.
   virtual std::string prompt_source(const std::string& address,
                                     const std::string& handle) const = 0;
 
--- a/src/relay/policy_options.cpp
+++ b/src/relay/policy_options.cpp
@@ -28,8 +28,6 @@
       "cost of reading at a decode engine, for each stream there");
   add("in-time-share", into(settings.prefill.in_time_share),
       "of the time to the objective: requests expected later are deferred; 1000: never");
-  add("backup-share", into(settings.backup.least_output_share),
-      "of the prompt's tokens: streams that may make as many are copied; 1e9: none");
   add("prefill-share", into(settings.stages.prefill_share),
       "of a service's engines that read prompts");
   return known;
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -195,11 +195,6 @@
     outgoing.headers.add(names.prompt_source,
                          context_.dialect.prompt_source(handle_address_, handle_));
   }
-  if (step == Step::kTakeUp) {
-    outgoing.headers.add(names.prompt_source, context_.dialect.prompt_source(record.address, id_));
-  } else if (backup_) {
-    outgoing.headers.add(names.backup, backup_->address);
-  }
   if (!fetch_address_.empty()) outgoing.headers.add(names.fetch_from, fetch_address_);
   if (!last_event_text_.empty()) {
     outgoing.headers.remove(names.last_event_id);
@@ -219,18 +214,8 @@
   return deferred_ ? kLeastUrgent : std::clamp(route_.priority, kMostUrgent, kLeastUrgent - 1);
 }
 
-void RelaySession::plan_backup(const EngineId& engine, Step step) {
-  backup_.reset();
-  if (step == Step::kPrefill || step == Step::kTakeUp || !prompt_) return;
-  if (!wants_backup(route_, *prompt_, context_.settings.backup)) return;
-  const auto chosen = choose_backup(context_.runtime.now(), context_.engines, placement_query(),
-                                    engine, context_.settings.placement);
-  if (chosen) backup_ = context_.engines.find(*chosen)->record;
-}
-
 void RelaySession::send(const EngineId& engine, Step step) {
   const EngineView* view = context_.engines.find(engine);
-  plan_backup(engine, step);
   step_ = step;
   engine_ = engine;
   status_ = 0;
@@ -244,7 +229,7 @@
   unread_released_ = false;
   engine_held_ = true;
   sent_at_ = context_.runtime.now();
-  if (step == Step::kDecodeFromHandle || step == Step::kTakeUp) unread_ = 0;
+  if (step == Step::kDecodeFromHandle) unread_ = 0;
   if (service_->model) context_.engines.set_memory(engine, service_->model->kv_tokens);
   count_send(step == Step::kPrefill);
   alone_when_sent_ = view->requests_there(sent_at_) < 0.5;
@@ -473,15 +458,6 @@
   return !is_extra_send(history_, false) || budget_left() >= 1;
 }
 
-/// A stream that broke off goes on where its memory was copied: the same run, not another one. Its
-/// first engine must not work on it any more, which the broken connection tells it.
-bool RelaySession::may_take_up(AttemptOutcome outcome) {
-  if (outcome != AttemptOutcome::kUncertain || !backup_ || !history_.head_forwarded) return false;
-  const EngineView* view = context_.engines.find(backup_->id);
-  const bool there = view != nullptr && !view->record.draining && view->record == *backup_;
-  return there && time_left() >= kLeastUsefulTime && budget_left() >= 1;
-}
-
 double RelaySession::budget_left() const {
   return context_.budget_of(service_name_).available(context_.runtime.now());
 }
@@ -511,10 +487,6 @@
   } else {
     met_.push_back(engine_);
   }
-  if (may_take_up(outcome)) {
-    fetch_address_.clear();
-    return send(backup_->id, Step::kTakeUp);
-  }
   const AttemptVerdict verdict = after_failure(route_, history_);
   const bool counted = outcome != AttemptOutcome::kNotSent;
   // The first prompt read apart belongs to the request only when an engine took it up.
@@ -642,7 +614,6 @@
              {"candidates", chosen_.candidates},
              {"unread", unread_},
              {"fetch_from", fetch_address_},
-             {"backup", backup_ ? backup_->id.value() : std::string()},
              {"in_flight", view == nullptr ? 0 : view->in_flight},
              {"peers_in_flight", peers_known ? view->peers->in_flight : 0},
              {"load_age_ms", load_known ? to_milliseconds(now - view->load_at) : -1},
@@ -662,8 +633,6 @@
       return "prefill";
     case Step::kDecodeFromHandle:
       return "decode";
-    case Step::kTakeUp:
-      return "take_up";
   }
   return "whole";
 }
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -70,7 +70,7 @@
 
  private:
   /// What the attempt under way is for.
-  enum class Step { kPlain, kPrefill, kDecodeFromHandle, kTakeUp };
+  enum class Step { kPlain, kPrefill, kDecodeFromHandle };
 
   // Setting out.
   bool read_fields();
@@ -79,7 +79,6 @@
   std::optional<Placement> place_taker() const;
   bool choose();
   void take(const Placement& placement);
-  void plan_backup(const EngineId& engine, Step step);
   void send(const EngineId& engine, Step step);
   OutgoingRequest outgoing(const EngineRecord& record, Step step) const;
   int urgency() const;
@@ -100,7 +99,6 @@
   void attempt_failed(AttemptOutcome outcome, const std::string& why);
   void keep_failure_answer();
   bool may_send_again();
-  bool may_take_up(AttemptOutcome outcome);
   double budget_left() const;
   void count_send(bool only_read);
   void refuse(const std::string& why);
@@ -162,11 +160,10 @@
   EventCutter cutter_;
 
   // Planned for the next sends.
-  Placement chosen_;           ///< The last choice of an engine, with what spoke for it.
-  std::string fetch_address_;  ///< Engine from which parts of the prompt are taken; may be empty.
-  std::optional<EngineRecord> backup_;  ///< Engine that has a copy of the run's memory.
-  std::string handle_;                  ///< Of the prompt read ahead, not yet taken.
-  std::string handle_address_;          ///< Engine that holds it.
+  Placement chosen_;            ///< The last choice of an engine, with what spoke for it.
+  std::string fetch_address_;   ///< Engine from which parts of the prompt are taken; may be empty.
+  std::string handle_;          ///< Of the prompt read ahead, not yet taken.
+  std::string handle_address_;  ///< Engine that holds it.
 
   // The stream to the caller.
   std::optional<std::uint64_t> last_event_;
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -7,7 +7,6 @@
 #include "common/identifiers.hpp"
 #include "common/time.hpp"
 #include "core/lease/lease_holder.hpp"
-#include "core/relay/backup_choice.hpp"
 #include "core/relay/dispatch_choice.hpp"
 #include "core/relay/placement.hpp"
 #include "core/relay/retry_budget.hpp"
@@ -43,7 +42,6 @@
   bool first_start = true;  ///< The whole system starts for the first time.
   PlacementSettings placement;
   PrefillSettings prefill;
-  BackupSettings backup;
   RetryBudgetSettings retry_budget;
   RoleCoordinatorSettings roles;
   StagePlannerSettings stages;
--- a/tests/relay/support/fakes.cpp
+++ b/tests/relay/support/fakes.cpp
@@ -111,16 +111,13 @@
   names_.stage = "stage";
   names_.prompt_source = "source";
   names_.fetch_from = "fetch";
-  names_.backup = "backup";
-  names_.from_callers_removed = {"for-engine", "urgency", "stage", "source", "fetch", "backup"};
+  names_.from_callers_removed = {"for-engine", "urgency", "stage", "source", "fetch"};
 }
 
 std::optional<relay::PromptShape> TestDialect::prompt(const HttpHeaders& headers) const {
   if (headers.get("tokens").empty()) return std::nullopt;
   relay::PromptShape shape;
   shape.prompt_tokens = std::stoull(std::string(headers.get("tokens")));
-  const std::string output(headers.get("output"));
-  if (!output.empty()) shape.most_output_tokens = std::stoull(output);
   shape.parts = {{7, shape.prompt_tokens / 2}, {8, shape.prompt_tokens - shape.prompt_tokens / 2}};
   return shape;
 }
