--- a/src/relay/catalog.cpp
+++ b/src/relay/catalog.cpp
@@ -41,6 +41,8 @@
   const Duration wait = std::clamp(scaled, settings_.shortest_wait, settings_.longest_wait);
   configuration_->set_wait(wait);
   engines_->set_wait(wait);
+  const Duration gather = settings_.gather_a_node * static_cast<std::int64_t>(fleet.nodes);
+  engines_->set_gather(std::clamp(gather, settings_.shortest_gather, settings_.longest_gather));
 }
 
 CatalogRevisions Catalog::revisions() const {
--- a/src/relay/policy_options.cpp
+++ b/src/relay/policy_options.cpp
@@ -13,6 +13,12 @@
   return options::value(&target)->default_value(target);
 }
 
+options::typed_value<std::int64_t>* milliseconds_into(Duration& target) {
+  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(target).count();
+  return options::value<std::int64_t>()->default_value(ms)->notifier(
+      [&target](std::int64_t value) { target = std::chrono::milliseconds(value); });
+}
+
 }  // namespace
 
 options::options_description policy_options(RelaySettings& settings) {
@@ -28,6 +34,8 @@
       "cost of reading at a decode engine, for each stream there");
   add("in-time-share", into(settings.prefill.in_time_share),
       "of the time to the objective: requests expected later are deferred; 1000: never");
+  add("gather-ms", milliseconds_into(settings.catalog.longest_gather),
+      "longest time for which changes of engines are gathered");
   add("prefill-share", into(settings.stages.prefill_share),
       "of a service's engines that read prompts");
   return known;
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -33,6 +33,11 @@
   Duration wait_a_node = std::chrono::milliseconds(200);
   Duration shortest_wait = std::chrono::seconds(3);
   Duration longest_wait = std::chrono::seconds(12);  ///< Below the history that stores keep.
+  /// Times the number of nodes: how long changes of engines are gathered behind a batch of them, so
+  /// that the calls of a fleet do not grow with its square while engines are replaced.
+  Duration gather_a_node = std::chrono::milliseconds(15);
+  Duration shortest_gather = std::chrono::milliseconds(300);
+  Duration longest_gather = std::chrono::milliseconds(600);  ///< Well below the time to drain.
 };
 
 /// Settings of one node.
--- a/src/store/kind_watch.cpp
+++ b/src/store/kind_watch.cpp
@@ -62,6 +62,7 @@
   }
 
   void set_wait(Duration wait) { wait_ = wait; }
+  void set_gather(Duration gather) { settings_.gather = gather; }
 
   MonotonicTime confirmed_at{};
   std::uint64_t newest_change = 0;
@@ -207,6 +208,10 @@
   impl_->set_wait(wait);
 }
 
+void KindWatch::set_gather(Duration gather) {
+  impl_->set_gather(gather);
+}
+
 std::uint64_t KindWatch::newest_change() const {
   return impl_->newest_change;
 }
--- a/src/store/kind_watch.hpp
+++ b/src/store/kind_watch.hpp
@@ -50,6 +50,9 @@
   /// Sets the longest wait of the calls that follow. Must stay below the store's history.
   void set_wait(Duration wait);
 
+  /// Sets how long changes are gathered from the next batch on.
+  void set_gather(Duration gather);
+
   /// @return the revision of the newest change that this watch has seen; 0: none.
   std::uint64_t newest_change() const;
 
