--- a/src/core/relay/dispatch_choice.cpp
+++ b/src/core/relay/dispatch_choice.cpp
@@ -15,9 +15,11 @@
   return engines.find(placement.engine)->requests_there(now);
 }
 
-/// @return milliseconds from the reading of a prompt apart to its first token.
+/// @return milliseconds from the reading of a prompt apart to its first token. The request is sent
+/// a second time, behind as much as waits on the link now.
 double handover_ms(const EngineDirectory& engines, const DispatchQuery& query) {
-  return engines.model_of(query.placement.service->name).handover_ms() +
+  return query.link_wait_ms + query.link_send_ms +
+         engines.model_of(query.placement.service->name).handover_ms() +
          query.placement.service->model->move_ms(query.placement.prompt->prompt_tokens);
 }
 
@@ -79,7 +81,8 @@
              const PrefillSettings& settings) {
   if (query.placement.prompt == nullptr || query.time_to_objective == Duration::max()) return true;
   const double left_ms = to_seconds(query.time_to_objective) * 1000;
-  return choice.expected_ms <= left_ms * settings.in_time_share;
+  const double expected_ms = query.link_wait_ms + query.link_send_ms + choice.expected_ms;
+  return expected_ms <= left_ms * settings.in_time_share;
 }
 
 }  // namespace
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -27,8 +27,9 @@
 RelayNode::RelayNode(const RelayIo& io, const RelaySettings& settings)
     : io_(io),
       settings_(settings),
-      context_{io.runtime, io.http,  io.dialect, settings_, engines_,
-               metrics_,   budgets_, {},         {},        {}},
+      link_(settings.link_megabits_per_second),
+      context_{io.runtime, io.http, io.dialect, settings_, engines_, metrics_,
+               budgets_,   link_,   {},         {},        {}},
       splits_(random_fraction(io.runtime)) {}
 
 RelayNode::~RelayNode() {
