--- a/src/core/relay/dispatch_choice.cpp
+++ b/src/core/relay/dispatch_choice.cpp
@@ -15,11 +15,9 @@
   return engines.find(placement.engine)->requests_there(now);
 }
 
-/// @return milliseconds from the reading of a prompt apart to its first token. The request is sent
-/// a second time, behind as much as waits on the link now.
+/// @return milliseconds from the reading of a prompt apart to its first token.
 double handover_ms(const EngineDirectory& engines, const DispatchQuery& query) {
-  return query.link_wait_ms + query.link_send_ms +
-         engines.model_of(query.placement.service->name).handover_ms() +
+  return engines.model_of(query.placement.service->name).handover_ms() +
          query.placement.service->model->move_ms(query.placement.prompt->prompt_tokens);
 }
 
@@ -81,8 +79,7 @@
              const PrefillSettings& settings) {
   if (query.placement.prompt == nullptr || query.time_to_objective == Duration::max()) return true;
   const double left_ms = to_seconds(query.time_to_objective) * 1000;
-  const double expected_ms = query.link_wait_ms + query.link_send_ms + choice.expected_ms;
-  return expected_ms <= left_ms * settings.in_time_share;
+  return choice.expected_ms <= left_ms * settings.in_time_share;
 }
 
 }  // namespace
--- a/src/core/relay/dispatch_choice.hpp
+++ b/src/core/relay/dispatch_choice.hpp
@@ -29,8 +29,6 @@
   Duration gap_target = Duration::zero();  ///< Longest pause between events; zero: unset.
   /// Left of the time within which an answer has its full worth; may be negative.
   Duration time_to_objective = Duration::max();
-  double link_wait_ms = 0;  ///< Until what was sent before has left on the node's own link.
-  double link_send_ms = 0;  ///< That the request itself takes there, each time it is sent.
 };
 
 /// The choice and what spoke for it.
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -27,9 +27,8 @@
 RelayNode::RelayNode(const RelayIo& io, const RelaySettings& settings)
     : io_(io),
       settings_(settings),
-      link_(settings.link_megabits_per_second),
-      context_{io.runtime, io.http, io.dialect, settings_, engines_, metrics_,
-               budgets_,   link_,   {},         {},        {}},
+      context_{io.runtime, io.http,  io.dialect, settings_, engines_,
+               metrics_,   budgets_, {},         {},        {}},
       splits_(random_fraction(io.runtime)) {}
 
 RelayNode::~RelayNode() {
--- a/src/relay/relay_node.hpp
+++ b/src/relay/relay_node.hpp
@@ -121,7 +121,6 @@
   EngineDirectory engines_;
   RelayMetrics metrics_;
   std::unordered_map<ServiceName, RetryBudget> budgets_;
-  LinkModel link_;
   RelayContext context_;
   std::shared_ptr<const RouteTable> table_;
   SplitChooser splits_;
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -145,13 +145,9 @@
 /// Sends the request where the choice says. @return false when no engine can be chosen.
 bool RelaySession::choose() {
   if (service_ == nullptr) return false;
-  const DispatchQuery query{placement_query(),
-                            history_.prompt_sent,
-                            budget_left(),
+  const DispatchQuery query{placement_query(), history_.prompt_sent, budget_left(),
                             route_.gap_target,
-                            arrived_ + route_.objective - context_.runtime.now(),
-                            context_.link.wait_ms(context_.runtime.now()),
-                            context_.link.send_ms(request_.body.size())};
+                            arrived_ + route_.objective - context_.runtime.now()};
   const auto choice = choose_dispatch(context_.runtime.now(), context_.engines, query,
                                       context_.settings.placement, context_.settings.prefill);
   if (!choice) return false;
@@ -236,7 +232,6 @@
   if (step == Step::kDecodeFromHandle) unread_ = 0;
   if (service_->model) context_.engines.set_memory(engine, service_->model->kv_tokens);
   count_send(step == Step::kPrefill);
-  context_.link.on_sent(sent_at_, request_.body.size());
   alone_when_sent_ = view->requests_there(sent_at_) < 0.5;
   context_.engines.on_sent(engine, {unread_, deferred_});
   if (prompt_) context_.note_load();
@@ -616,7 +611,6 @@
              {"deferred", deferred_},
              {"reading_ms", model.reading().read_ms(static_cast<double>(unread_))},
              {"handover_ms", model.handover_ms()},
-             {"link_ms", context_.link.wait_ms(now)},
              {"candidates", chosen_.candidates},
              {"unread", unread_},
              {"fetch_from", fetch_address_},
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -13,7 +13,6 @@
 #include "core/relay/attempt_outcome.hpp"
 #include "core/relay/dispatch_choice.hpp"
 #include "core/relay/engine_directory.hpp"
-#include "core/relay/link_model.hpp"
 #include "core/relay/retry_budget.hpp"
 #include "core/relay/routes.hpp"
 #include "net/http1_server.hpp"
@@ -33,7 +32,6 @@
   EngineDirectory& engines;
   RelayMetrics& metrics;
   std::unordered_map<ServiceName, RetryBudget>& budgets;
-  LinkModel& link;
 
   std::function<void()> load_changed;   ///< May be empty.
   std::vector<PromptRead> reads;        ///< Not yet told to other nodes; empty where none listens.
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -51,7 +51,6 @@
   RoleCoordinatorSettings roles;
   StagePlannerSettings stages;
   CatalogSettings catalog;
-  double link_megabits_per_second = 0;  ///< Of the machine's own link; 0: not known.
   double expected_nodes = 7;  ///< For this node's part of an engine's bound on connections.
   Duration connect_timeout = std::chrono::milliseconds(600);
   Duration retry_after = std::chrono::milliseconds(250);  ///< Told with a refusal.
