--- a/src/core/relay/dispatch_choice.hpp
+++ b/src/core/relay/dispatch_choice.hpp
@@ -15,7 +15,7 @@
   /// Of the longest pause between events that still counts as in time: a decode engine whose
   /// streams are slower than this, or would be, reads no prompts beside them.
   double pause_share = 0.8;
-  double held_up_stream_weight = 0.1;  ///< Of reading time, for each stream that it holds up.
+  double held_up_stream_weight = 0.4;  ///< Of reading time, for each stream that it holds up.
   /// Of the time left to the objective: a request whose first token is expected later is deferred.
   double in_time_share = 0.9;
   double least_budget = 1;  ///< Of the retry budget: a prompt that is refused counts against it.
--- a/src/core/relay/engine_model.hpp
+++ b/src/core/relay/engine_model.hpp
@@ -25,8 +25,6 @@
   /// Learns from a prompt that was read.
   void observe(std::uint64_t unread_tokens, Duration took);
 
-  std::uint64_t observations() const { return this->count; }
-
  private:
   void add(double thousand_tokens, double ms, double weight);
   void fit();
--- a/src/core/relay/placement.cpp
+++ b/src/core/relay/placement.cpp
@@ -163,13 +163,11 @@
   const std::uint64_t saved = source.kept - kept;
   const std::uint64_t unread = prompt.prompt_tokens - source.kept;
   const double moving = model.fetch_setup_ms() + query.service->model->move_ms(saved);
-  const double displaced =
-      settings.displaced_share * static_cast<double>(saved) * model.reading().token_ms();
   const double reading = static_cast<double>(saved) * model.reading().token_ms();
-  if (moving + displaced >= reading) return;
+  if (moving >= reading) return;
   placement.unread_tokens = unread;
   placement.expected_ms += moving - reading;
-  placement.cost_ms += moving + displaced - reading;
+  placement.cost_ms += moving - reading;
   placement.fetch_from = source.engine->record.id;
 }
 
--- a/src/core/relay/placement.hpp
+++ b/src/core/relay/placement.hpp
@@ -16,9 +16,6 @@
 /// Tunables of placement, in one place. What work costs is learned (see engine_model.hpp).
 struct PlacementSettings {
   std::uint64_t least_fetched_tokens = 1000;  ///< Fewer are read again rather than moved.
-  /// Of the reading that a fetch saves: the copy takes the place of parts that would have to be
-  /// read again in turn.
-  double displaced_share = 0;
   /// Of the time that the shared parts of a prompt take to be read: how much sooner another engine
   /// must be than their home, so that requests which share parts meet there.
   double home_share = 2;
--- a/src/relay/policy_options.cpp
+++ b/src/relay/policy_options.cpp
@@ -24,8 +24,6 @@
 options::options_description policy_options(RelaySettings& settings) {
   options::options_description known("Policy of a relay node");
   auto add = known.add_options();
-  add("displaced-share", into(settings.placement.displaced_share),
-      "cost of a fetched copy, as a share of the reading that it saves");
   add("home-share", into(settings.placement.home_share),
       "of reading the shared parts: how much sooner than their home another engine must be");
   add("pause-share", into(settings.prefill.pause_share),
--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -21,6 +21,21 @@
   cr_assert_eq(relay_settings(*settings).retry_budget.slack, 54);
 }
 
+Test(platform_settings, gathers_changes_well_within_the_time_that_a_leaving_engine_serves) {
+  const auto settings = parse_settings(std::string(kWhole) + "bounds.drain_ms=3000\n");
+  cr_assert(settings.has_value());
+  const auto relay = relay_settings(*settings);
+  cr_assert(relay.catalog.longest_gather == std::chrono::milliseconds(1000));
+}
+
+Test(platform_settings, takes_the_policy_of_the_command_line_over) {
+  shuntbank::relay::RelaySettings policy;
+  policy.placement.home_share = 0.5;
+  const auto relay = relay_settings(*parse_settings(kWhole), policy);
+  cr_assert_eq(relay.placement.home_share, 0.5);
+  cr_assert_eq(relay.node, "n-1");
+}
+
 Test(platform_settings, reports_all_bad_values_with_their_lines) {
   const auto settings =
       parse_settings("node=n\nlisten.front=nowhere\nbounds.grace_s=soon\nbootstrap=perhaps\n");
--- a/tests/store/kind_watch_test.cpp
+++ b/tests/store/kind_watch_test.cpp
@@ -76,6 +76,20 @@
   cr_assert_leq(watched.store.watches, 6);
 }
 
+Test(kind_watch, gathers_as_long_as_it_is_told) {
+  Watched watched;
+  watched.start();
+  watched.runtime.advance(1ms);
+  watched.watch->set_gather(900ms);
+  for (int i = 0; i < 200; ++i) {
+    watched.store.put("k", "e" + std::to_string(i), {});
+    watched.runtime.advance(5ms);
+  }
+  watched.runtime.advance(920ms);
+  cr_assert_eq(watched.names.size(), 200);
+  cr_assert_leq(watched.store.watches, 4);
+}
+
 Test(kind_watch, calls_again_at_once_when_others_have_seen_what_it_has_not) {
   Watched watched;
   watched.start_and_miss("b");
