Tell refused callers one time to come back; mend a finding of the linter

The time stood twice, 0.3 s where a node knows no configuration and 0.25 s elsewhere; both now come from the setting.

--- a/src/core/relay/dispatch_choice.cpp
+++ b/src/core/relay/dispatch_choice.cpp
@@ -88,7 +88,7 @@
                                               const DispatchQuery& query,
                                               const PlacementSettings& placement,
                                               const PrefillSettings& prefill) {
-  const auto choice = choose_path(now, engines, query, placement, prefill);
+  auto choice = choose_path(now, engines, query, placement, prefill);
   if (!choice || in_time(query, *choice, prefill)) return choice;
   DispatchQuery behind = query;
   behind.placement.deferred = true;
--- a/src/core/relay/placement.cpp
+++ b/src/core/relay/placement.cpp
@@ -144,8 +144,8 @@
   const EngineModel& model = engines.model_of(engine.record.service);
   const std::uint64_t kept = kept_at(engine, prompt);
   std::uint64_t assumed = kept;
-  // A part that no engine is known to keep will be kept at its home, where others look for it too;
-  // after a restart, it most likely is there already.
+  // After a restart, the prefill engine that is the home of a part which no engine is known to keep
+  // most likely keeps it.
   const bool first_reading = home && source.kept == 0;
   const bool may_keep_more = query.engines_may_keep_more && query.stage == EngineStage::kPrefill;
   if (first_reading && may_keep_more) assumed = std::max(kept, shared_tokens(prompt));
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -106,7 +106,9 @@
   HttpReply reply;
   reply.status = status;
   if (!id.empty()) reply.headers.add(names.request_id, id);
-  if (status == http_status::kServiceUnavailable) reply.headers.add(names.retry_after, "0.3");
+  if (status == http_status::kServiceUnavailable) {
+    reply.headers.add(names.retry_after, retry_after_text(settings_));
+  }
   responder.respond(std::move(reply));
 }
 
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -43,11 +43,6 @@
   return status >= 200 && status < 300;
 }
 
-std::string seconds_text(Duration duration) {
-  std::string text = std::to_string(to_seconds(duration));
-  return text.substr(0, text.find('.') + 3);
-}
-
 }  // namespace
 
 RetryBudget& RelayContext::budget_of(const ServiceName& service) {
@@ -498,7 +493,7 @@
 
 void RelaySession::refuse(const std::string& why) {
   HttpHeaders headers;
-  headers.add(context_.dialect.names().retry_after, seconds_text(context_.settings.retry_after));
+  headers.add(context_.dialect.names().retry_after, retry_after_text(context_.settings));
   log_attempt("refused", why);
   respond(http_status::kServiceUnavailable, headers, "", "refused");
 }
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -60,4 +60,7 @@
   Duration stop_listening_after = std::chrono::milliseconds(2600);
 };
 
+/// @return the seconds after which a refused caller may come again, as refusals tell them.
+std::string retry_after_text(const RelaySettings& settings);
+
 }  // namespace shuntbank::relay
