Look the learned model up once a choice, and compute each cost once

Found by reading the whole change again. Cause: placement looked the service's model up by its name five times for each candidate engine, on the path of every prompt, though all candidates share it; the tokens that wait were summed twice, and the hand-over was computed twice a choice. Change: PromptCosts carries what one choice rests on; waiting_ms sums once; the hand-over is computed once. Milliseconds with a fraction were spelled out in five places: to_ms stands beside to_seconds. Ruled out: joining the repeated add() calls of policy_options, which are a list of options and read as one. No behaviour is meant to change; no assertion was touched.

--- a/src/common/time.hpp
+++ b/src/common/time.hpp
@@ -19,6 +19,11 @@
   return std::chrono::duration<double>(duration).count();
 }
 
+/// @return `duration` in milliseconds, with their fraction.
+inline double to_ms(Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
 /// @return `seconds` as a duration, rounded down to a microsecond.
 inline Duration from_seconds(double seconds) {
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
--- a/src/core/relay/dispatch_choice.cpp
+++ b/src/core/relay/dispatch_choice.cpp
@@ -34,7 +34,7 @@
 /// @return whether the streams at a decode engine stay in time while it reads the prompt.
 bool streams_bear(MonotonicTime now, const EngineDirectory& engines, const DispatchQuery& query,
                   const Placement& decode, const PrefillSettings& settings) {
-  const double target = to_seconds(query.gap_target) * 1000;
+  const double target = to_ms(query.gap_target);
   if (target <= 0) return true;
   const EngineModel& model = engines.model_of(query.placement.service->name);
   const EngineView& engine = *engines.find(decode.engine);
@@ -52,9 +52,8 @@
   return {false, decode, decode.expected_ms, false};
 }
 
-DispatchChoice apart(const EngineDirectory& engines, const DispatchQuery& query,
-                     const Placement& reader) {
-  return {true, reader, reader.expected_ms + handover_ms(engines, query), false};
+DispatchChoice apart(const Placement& reader, double handover) {
+  return {true, reader, reader.expected_ms + handover, false};
 }
 
 /// Chooses without regard to the objective.
@@ -69,16 +68,17 @@
   if (!model || !may_read_apart(query, prefill)) return whole(*decode);
   const auto reader = place_at(now, engines, query, EngineStage::kPrefill, placement);
   if (!reader) return whole(*decode);
-  if (!streams_bear(now, engines, query, *decode, prefill)) return apart(engines, query, *reader);
-  const double apart_cost = reader->cost_ms + handover_ms(engines, query);
+  const double handover = handover_ms(engines, query);
+  if (!streams_bear(now, engines, query, *decode, prefill)) return apart(*reader, handover);
   const double direct_cost = direct_path_cost(now, engines, query, *decode, prefill);
-  return apart_cost < direct_cost ? apart(engines, query, *reader) : whole(*decode);
+  const bool apart_is_less = reader->cost_ms + handover < direct_cost;
+  return apart_is_less ? apart(*reader, handover) : whole(*decode);
 }
 
 bool in_time(const DispatchQuery& query, const DispatchChoice& choice,
              const PrefillSettings& settings) {
   if (query.placement.prompt == nullptr || query.time_to_objective == Duration::max()) return true;
-  const double left_ms = to_seconds(query.time_to_objective) * 1000;
+  const double left_ms = to_ms(query.time_to_objective);
   return choice.expected_ms <= left_ms * settings.in_time_share;
 }
 
--- a/src/core/relay/engine_directory.cpp
+++ b/src/core/relay/engine_directory.cpp
@@ -365,7 +365,7 @@
 void EngineDirectory::on_event_gap(MonotonicTime now, const EngineId& id, Duration gap) {
   EngineView* engine = find(id);
   if (engine == nullptr) return;
-  const double ms = to_seconds(gap) * 1000;
+  const double ms = to_ms(gap);
   const bool fresh = engine->pace_ms > 0 && now - engine->pace_at <= kPaceLife;
   engine->pace_ms = fresh ? engine->pace_ms + kNewestWeight * (ms - engine->pace_ms) : ms;
   engine->pace_at = now;
@@ -374,7 +374,7 @@
 void EngineDirectory::on_latency(const EngineId& id, Duration latency) {
   EngineView* engine = find(id);
   if (engine == nullptr) return;
-  const double ms = to_seconds(latency) * 1000;
+  const double ms = to_ms(latency);
   if (engine->latency_ms == 0) engine->latency_ms = ms;
   engine->latency_ms += kNewestWeight * (ms - engine->latency_ms);
 }
--- a/src/core/relay/engine_model.cpp
+++ b/src/core/relay/engine_model.cpp
@@ -5,7 +5,6 @@
 namespace shuntbank::relay {
 namespace {
 
-constexpr double kMillisecondsASecond = 1000;
 constexpr double kThousand = 1000;
 
 /// Share of its weight that an observation keeps with each one that follows: about fifty count.
@@ -35,10 +34,6 @@
 constexpr double kPaceFall = 0.3;
 constexpr double kPaceRise = 0.01;
 
-double milliseconds(Duration duration) {
-  return to_seconds(duration) * kMillisecondsASecond;
-}
-
 }  // namespace
 
 double ReadingModel::read_ms(double unread_tokens) const {
@@ -46,7 +41,7 @@
 }
 
 void ReadingModel::observe(std::uint64_t unread_tokens, Duration took) {
-  const double ms = milliseconds(took);
+  const double ms = to_ms(took);
   if (ms <= 0) return;
   const auto tokens = static_cast<double>(unread_tokens);
   const bool held_up = this->count > 0 && ms > this->read_ms(tokens) * kHeldUpFactor;
@@ -97,7 +92,7 @@
 
 void EngineModel::on_prompt_read(std::uint64_t unread_tokens, Duration took, bool alone) {
   const double expected = this->prompt_reading.read_ms(static_cast<double>(unread_tokens));
-  if (!alone && milliseconds(took) >= expected) return;
+  if (!alone && to_ms(took) >= expected) return;
   this->prompt_reading.observe(unread_tokens, took);
 }
 
@@ -111,8 +106,8 @@
 }
 
 void EngineModel::on_handed_over(Duration took, bool deferred) {
-  if (deferred && milliseconds(took) >= this->handover_ms()) return;
-  this->handover.observe(milliseconds(took));
+  if (deferred && to_ms(took) >= this->handover_ms()) return;
+  this->handover.observe(to_ms(took));
 }
 
 double EngineModel::fetch_setup_ms() const {
@@ -121,7 +116,7 @@
 
 void EngineModel::on_fetched(std::uint64_t unread_tokens, double move_ms, Duration took) {
   const double reading = this->prompt_reading.read_ms(static_cast<double>(unread_tokens));
-  this->fetch_setup.observe(std::max(0.0, milliseconds(took) - reading - move_ms));
+  this->fetch_setup.observe(std::max(0.0, to_ms(took) - reading - move_ms));
 }
 
 double EngineModel::free_pace_ms() const {
@@ -129,7 +124,7 @@
 }
 
 void EngineModel::on_stream_pace(Duration between_events) {
-  const double ms = milliseconds(between_events);
+  const double ms = to_ms(between_events);
   if (this->undisturbed_pace_ms == 0) this->undisturbed_pace_ms = ms;
   const double weight = ms < this->undisturbed_pace_ms ? kPaceFall : kPaceRise;
   this->undisturbed_pace_ms += weight * (ms - this->undisturbed_pace_ms);
--- a/src/core/relay/placement.cpp
+++ b/src/core/relay/placement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 
 #include "common/hash.hpp"
 
@@ -74,59 +75,54 @@
   return best;
 }
 
-/// @return tokens that will be read at an engine before another prompt.
-double tokens_ahead(MonotonicTime now, const EngineDirectory& engines, const EngineView& engine,
-                    bool deferred) {
-  auto tokens = static_cast<double>(engine.unread_tokens);
+/// What the costs of one choice rest on; the engines of a service share their model.
+struct PromptCosts {
+  MonotonicTime now;
+  const EngineModel& model;
+  double usual_unread_tokens;
+  bool deferred;  ///< The prompt waits behind all that can be answered in time.
+};
+
+/// @return milliseconds until the engine has read all that comes before another prompt.
+double waiting_ms(const PromptCosts& costs, const EngineView& engine) {
+  const bool prefill = engine.record.stage == EngineStage::kPrefill;
+  auto all = static_cast<double>(engine.unread_tokens);
   auto behind = static_cast<double>(engine.deferred_tokens);
   if (engine.peers) {
-    tokens += static_cast<double>(engine.peers->unread_tokens);
+    all += static_cast<double>(engine.peers->unread_tokens);
     behind += static_cast<double>(engine.peers->deferred_tokens);
-  } else if (engine.record.stage == EngineStage::kPrefill) {
-    tokens += engine.others_there(now) * engines.usual_unread_tokens();
-  }
-  return deferred ? tokens : std::max(0.0, tokens - behind);
-}
-
-/// @return milliseconds until the engine has read all that comes before another prompt.
-double waiting_ms(MonotonicTime now, const EngineDirectory& engines, const EngineView& engine,
-                  bool deferred) {
-  const EngineModel& model = engines.model_of(engine.record.service);
-  const double tokens = tokens_ahead(now, engines, engine, deferred);
-  if (engine.record.stage == EngineStage::kDecode) {
-    return model.decode_read_ms(tokens) - model.reading().setup_ms();
+  } else if (prefill) {
+    all += engine.others_there(costs.now) * costs.usual_unread_tokens;
   }
-  const double all = tokens_ahead(now, engines, engine, true);
-  const double share = all > 0 ? tokens / all : 1;
-  return engine.requests_there(now) * share * model.reading().setup_ms() +
-         tokens * model.reading().token_ms();
+  const double ahead = costs.deferred ? all : std::max(0.0, all - behind);
+  const ReadingModel& reading = costs.model.reading();
+  if (!prefill) return costs.model.decode_read_ms(ahead) - reading.setup_ms();
+  const double share = all > 0 ? ahead / all : 1;
+  return engine.requests_there(costs.now) * share * reading.setup_ms() + ahead * reading.token_ms();
 }
 
 /// A batch that is nearly full costs as much as reading a usual prompt, a full one many times that.
-double crowding_ms(MonotonicTime now, const EngineDirectory& engines, const EngineView& engine) {
+double crowding_ms(const PromptCosts& costs, const EngineView& engine) {
   constexpr double kFullBatch = 20;
-  const EngineModel& model = engines.model_of(engine.record.service);
-  const double usual_ms = model.reading().read_ms(engines.usual_unread_tokens());
-  const double fill = engine.requests_there(now) / std::max(1U, engine.record.slots);
+  const double usual_ms = costs.model.reading().read_ms(costs.usual_unread_tokens);
+  const double fill = engine.requests_there(costs.now) / std::max(1U, engine.record.slots);
   return usual_ms * (fill < 1 ? fill : kFullBatch * fill);
 }
 
 /// @return milliseconds until the engine will have read a prompt that is sent there now.
-double reading_wait_ms(MonotonicTime now, const EngineDirectory& engines, const EngineView& engine,
-                       std::uint64_t unread, bool deferred) {
-  const EngineModel& model = engines.model_of(engine.record.service);
-  const double waiting = waiting_ms(now, engines, engine, deferred);
+double reading_wait_ms(const PromptCosts& costs, const EngineView& engine, std::uint64_t unread) {
   const auto tokens = static_cast<double>(unread);
-  return waiting + (engine.record.stage == EngineStage::kPrefill ? model.reading().read_ms(tokens)
-                                                                 : model.decode_read_ms(tokens));
+  const bool prefill = engine.record.stage == EngineStage::kPrefill;
+  const double reading =
+      prefill ? costs.model.reading().read_ms(tokens) : costs.model.decode_read_ms(tokens);
+  return waiting_ms(costs, engine) + reading;
 }
 
 /// @return what speaks against an engine whose streams are many or slow, in milliseconds.
-double busy_streams_ms(MonotonicTime now, const EngineDirectory& engines,
-                       const EngineView& engine) {
+double busy_streams_ms(const PromptCosts& costs, const EngineView& engine) {
   if (engine.record.stage == EngineStage::kPrefill) return 0;
-  const double free_pace = engines.model_of(engine.record.service).free_pace_ms();
-  return crowding_ms(now, engines, engine) + engine.recent_pace_ms(now, free_pace) - free_pace;
+  const double free_pace = costs.model.free_pace_ms();
+  return crowding_ms(costs, engine) + engine.recent_pace_ms(costs.now, free_pace) - free_pace;
 }
 
 double plain_cost(MonotonicTime now, const EngineView& engine, const PlacementSettings& settings) {
@@ -137,11 +133,11 @@
 }
 
 /// Fills in what a model engine would have to read, fetching parts where that is quicker.
-void place_prompt(MonotonicTime now, const EngineDirectory& engines, const EngineView& engine,
-                  const PlacementQuery& query, const PlacementSettings& settings, bool home,
-                  const FetchSource& source, Placement& placement) {
+void place_prompt(const PromptCosts& costs, const EngineView& engine, const PlacementQuery& query,
+                  const PlacementSettings& settings, bool home, const FetchSource& source,
+                  Placement& placement) {
   const PromptShape& prompt = *query.prompt;
-  const EngineModel& model = engines.model_of(engine.record.service);
+  const EngineModel& model = costs.model;
   const std::uint64_t kept = kept_at(engine, prompt);
   std::uint64_t assumed = kept;
   // After a restart, the prefill engine that is the home of a part which no engine is known to keep
@@ -150,9 +146,8 @@
   const bool may_keep_more = query.engines_may_keep_more && query.stage == EngineStage::kPrefill;
   if (first_reading && may_keep_more) assumed = std::max(kept, shared_tokens(prompt));
   placement.unread_tokens = prompt.prompt_tokens - assumed;
-  placement.expected_ms =
-      reading_wait_ms(now, engines, engine, placement.unread_tokens, query.deferred);
-  placement.cost_ms = placement.expected_ms + busy_streams_ms(now, engines, engine);
+  placement.expected_ms = reading_wait_ms(costs, engine, placement.unread_tokens);
+  placement.cost_ms = placement.expected_ms + busy_streams_ms(costs, engine);
   if (home) {
     placement.cost_ms -= settings.home_share * static_cast<double>(shared_tokens(prompt)) *
                          model.reading().token_ms();
@@ -179,13 +174,15 @@
   const EngineView* home = query.prompt != nullptr ? home_of(sound, *query.prompt) : nullptr;
   const FetchSource source =
       query.prompt != nullptr ? best_source(now, engines, query) : FetchSource{};
+  const PromptCosts costs{now, std::as_const(engines).model_of(query.service->name),
+                          engines.usual_unread_tokens(), query.deferred};
   std::optional<Placement> best;
   for (const EngineView* engine : sound) {
     Placement placement;
     placement.engine = engine->record.id;
     placement.candidates = sound.size();
     if (query.prompt != nullptr) {
-      place_prompt(now, engines, *engine, query, settings, engine == home, source, placement);
+      place_prompt(costs, *engine, query, settings, engine == home, source, placement);
     } else {
       placement.cost_ms = plain_cost(now, *engine, settings);
     }
