Gather load zone by zone, and show every node the whole fleet

Cause: in a fleet of 295 each node heard 64 others; it scaled their load up, and never heard of four fifths of the prompts that engines had read. Change: above 24 peers the nodes of a zone tell two collectors of the zone, chosen by rank (larger machines first) without election; a collector sums its zone ten times a second, tells the collectors of the other zones, and sends the fleet's sum to its members, each with the number of the member's own newest message in it, so that own work is taken out exactly. Prompts read and troubles go the same way. Up to 24 peers each tells all, as before.

--- a/src/core/relay/engine_directory.cpp
+++ b/src/core/relay/engine_directory.cpp
@@ -114,20 +114,6 @@
   }
 }
 
-PeerLoad& PeerLoad::operator+=(const PeerLoad& more) {
-  in_flight += more.in_flight;
-  unread_tokens += more.unread_tokens;
-  deferred_tokens += more.deferred_tokens;
-  return *this;
-}
-
-PeerLoad& PeerLoad::operator-=(const PeerLoad& less) {
-  in_flight -= std::min(in_flight, less.in_flight);
-  unread_tokens -= std::min(unread_tokens, less.unread_tokens);
-  deferred_tokens -= std::min(deferred_tokens, less.deferred_tokens);
-  return *this;
-}
-
 double EngineView::others_there(MonotonicTime now) const {
   if (peers) return peers->in_flight;
   if (!load || now - load_at > kReportLife) return 0;
@@ -153,6 +139,7 @@
       continue;
     }
     gone.push_back(it->second.record.address);
+    forget_key(it->second);
     it = engines_.erase(it);
   }
   return gone;
@@ -174,6 +161,8 @@
   // A start of an engine that drains never takes work again; a record that says so is an old one.
   engine.record.draining = leaving_.count(record.id) > 0;
   if (!added) return;
+  engine.key = engine_key(record.id);
+  by_key_[engine.key] = &engine;
   // Others may have known it earlier.
   for (const auto& [node, peer] : peers_) {
     const auto load = peer.load.find(record.id);
@@ -186,10 +175,21 @@
   const auto found = engines_.find(id);
   if (found == engines_.end()) return "";
   std::string address = found->second.record.address;
+  forget_key(found->second);
   engines_.erase(found);
   return address;
 }
 
+void EngineDirectory::forget_key(const EngineView& engine) {
+  const auto found = by_key_.find(engine.key);
+  if (found != by_key_.end() && found->second == &engine) by_key_.erase(found);
+}
+
+EngineView* EngineDirectory::find_by_key(EngineKey key) {
+  const auto found = by_key_.find(key);
+  return found == by_key_.end() ? nullptr : found->second;
+}
+
 EngineView* EngineDirectory::find(const EngineId& id) {
   const auto found = engines_.find(id);
   return found == engines_.end() ? nullptr : &found->second;
@@ -252,7 +252,24 @@
   if (first) show_all_peers();
 }
 
+void EngineDirectory::on_fleet_load(MonotonicTime now, const LoadRange& part,
+                                    const LoadByKey& own_counted) {
+  fleet_load_at_ = now;
+  for (auto& [id, engine] : engines_) {
+    if (!part.covers(engine.key)) continue;
+    const auto told = part.load.find(engine.key);
+    PeerLoad others = told == part.load.end() ? PeerLoad{} : told->second;
+    const auto own = own_counted.find(engine.key);
+    if (own != own_counted.end()) others -= own->second;
+    engine.peers = others;
+  }
+}
+
 void EngineDirectory::forget_silent_peers(MonotonicTime now) {
+  if (fleet_load_at_ && now - *fleet_load_at_ > kPeerLife) {
+    fleet_load_at_.reset();
+    show_all_peers();
+  }
   for (auto it = peers_.begin(); it != peers_.end();) {
     if (now - it->second.heard_at <= kPeerLife) {
       ++it;
@@ -279,34 +296,18 @@
 }
 
 void EngineDirectory::show_peers(EngineView& engine) const {
+  if (fleet_load_at_) return;
   if (peers_.empty()) {
     engine.peers.reset();
     return;
   }
-  const double factor = unheard_factor();
-  const double in_flight = engine.heard.in_flight * factor;
-  const double unread = static_cast<double>(engine.heard.unread_tokens) * factor;
-  const double deferred = static_cast<double>(engine.heard.deferred_tokens) * factor;
-  engine.peers = PeerLoad{static_cast<std::uint32_t>(std::lround(in_flight)),
-                          static_cast<std::uint64_t>(unread), static_cast<std::uint64_t>(deferred)};
+  engine.peers = engine.heard;
 }
 
 void EngineDirectory::show_all_peers() {
   for (auto& [id, engine] : engines_) show_peers(engine);
 }
 
-void EngineDirectory::set_peer_count(std::size_t known, std::size_t most_heard) {
-  known_peers_ = known;
-  heard_peers_ = std::min(known, most_heard);
-  show_all_peers();
-}
-
-/// Peers that tell others than this node are taken to have as much under way as those it hears.
-double EngineDirectory::unheard_factor() const {
-  if (heard_peers_ == 0) return 1;
-  return static_cast<double>(known_peers_) / static_cast<double>(heard_peers_);
-}
-
 std::map<EngineId, PeerLoad> EngineDirectory::own_load() const {
   std::map<EngineId, PeerLoad> load;
   for (const auto& [id, engine] : engines_) {
--- a/src/core/relay/engine_directory.hpp
+++ b/src/core/relay/engine_directory.hpp
@@ -15,6 +15,7 @@
 #include "common/identifiers.hpp"
 #include "common/time.hpp"
 #include "core/relay/engine_model.hpp"
+#include "core/relay/peer_load.hpp"
 
 namespace shuntbank::relay {
 
@@ -45,6 +46,8 @@
 struct PromptPart {
   std::uint64_t id = 0;
   std::uint64_t tokens = 0;
+
+  bool operator==(const PromptPart&) const = default;
 };
 
 /// What a model request asks for.
@@ -87,16 +90,6 @@
   std::uint64_t tokens_ = 0;
 };
 
-/// Work that another node has under way at an engine.
-struct PeerLoad {
-  std::uint32_t in_flight = 0;
-  std::uint64_t unread_tokens = 0;
-  std::uint64_t deferred_tokens = 0;  ///< Of `unread_tokens`: read only when nothing else waits.
-
-  PeerLoad& operator+=(const PeerLoad& more);
-  PeerLoad& operator-=(const PeerLoad& less);  ///< Never below nothing.
-};
-
 /// What an attempt gives an engine to read.
 struct PromptWork {
   std::uint64_t unread_tokens = 0;
@@ -114,6 +107,7 @@
 /// One engine as this node sees it.
 struct EngineView {
   EngineRecord record;
+  EngineKey key = 0;                  ///< Its name in sums of load.
   std::uint32_t in_flight = 0;        ///< Sent by this node and not ended.
   std::uint64_t unread_tokens = 0;    ///< Of this node's requests, still to be read there.
   std::uint64_t deferred_tokens = 0;  ///< Of `unread_tokens`: behind all that can be in time.
@@ -204,12 +198,16 @@
   /// Another node told all that it has under way.
   void on_peer_load(MonotonicTime now, const NodeId& peer, std::map<EngineId, PeerLoad> load);
 
-  /// Forgets nodes that were not heard of for a while.
+  /// What all nodes have under way at some engines, as a collector has summed it up. While such
+  /// sums come, they stand for what single nodes tell.
+  /// @param own_counted this node's own work in the sum.
+  void on_fleet_load(MonotonicTime now, const LoadRange& part, const LoadByKey& own_counted);
+
+  /// Forgets nodes, and sums of the fleet, that were not heard of for a while.
   void forget_silent_peers(MonotonicTime now);
 
-  /// @param known other nodes that share the engines.
-  /// @param most_heard of them tell this node; the rest are taken to have as much under way.
-  void set_peer_count(std::size_t known, std::size_t most_heard);
+  /// @return the engine of a key, or null.
+  EngineView* find_by_key(EngineKey key);
 
   /// @return what this node has under way, by engine; engines without any are left out.
   std::map<EngineId, PeerLoad> own_load() const;
@@ -244,15 +242,15 @@
   };
   void add_to_peers(const std::map<EngineId, PeerLoad>& load, bool subtract);
   void show_peers(EngineView& engine) const;
+  void forget_key(const EngineView& engine);
   void show_all_peers();
-  double unheard_factor() const;
 
   std::map<EngineId, EngineView> engines_;
+  std::unordered_map<EngineKey, EngineView*> by_key_;
   std::set<EngineId> leaving_;  ///< Have said that they drain, whether still known or not.
   std::deque<EngineId> leaving_order_;
   std::map<NodeId, Peer> peers_;
-  std::size_t known_peers_ = 0;
-  std::size_t heard_peers_ = 0;
+  std::optional<MonotonicTime> fleet_load_at_;  ///< The last sum of the fleet, while it is fresh.
   double usual_unread_tokens_ = 2000;
   std::map<ServiceName, EngineModel> models_;
 };
--- /dev/null
+++ b/src/core/relay/engine_news.cpp
@@ -0,0 +1,10 @@
+#include "core/relay/engine_news.hpp"
+
+namespace shuntbank::relay {
+
+void EngineNews::append(const EngineNews& more) {
+  reads.insert(reads.end(), more.reads.begin(), more.reads.end());
+  troubles.insert(troubles.end(), more.troubles.begin(), more.troubles.end());
+}
+
+}  // namespace shuntbank::relay
--- /dev/null
+++ b/src/core/relay/engine_news.hpp
@@ -0,0 +1,39 @@
+/// @file
+/// What nodes have met and read at the engines, as they tell each other.
+#pragma once
+
+#include <vector>
+
+#include "core/relay/engine_directory.hpp"
+#include "core/relay/engine_key.hpp"
+
+namespace shuntbank::relay {
+
+/// A prompt that an engine has read.
+struct KeyedRead {
+  EngineKey engine = 0;
+  std::vector<PromptPart> parts;
+
+  bool operator==(const KeyedRead&) const = default;
+};
+
+/// Trouble that a node has met at an engine; see EngineTrouble.
+struct KeyedTrouble {
+  EngineKey engine = 0;
+  EngineStage stage = EngineStage::kNone;
+  bool misdirected = false;
+
+  bool operator==(const KeyedTrouble&) const = default;
+};
+
+/// What happened at engines since the last message.
+struct EngineNews {
+  std::vector<KeyedRead> reads;
+  std::vector<KeyedTrouble> troubles;
+
+  bool empty() const { return reads.empty() && troubles.empty(); }
+  void append(const EngineNews& more);
+  bool operator==(const EngineNews&) const = default;
+};
+
+}  // namespace shuntbank::relay
--- /dev/null
+++ b/src/protocol/load_digest.cpp
@@ -0,0 +1,250 @@
+#include "protocol/load_digest.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <nlohmann/json.hpp>
+
+#include "protocol/load_message.hpp"
+
+namespace shuntbank {
+namespace {
+
+using nlohmann::json;
+
+/// First byte of a message. MessagePack never begins a value with the first, and the documents of
+/// load messages are maps, which the second is not.
+constexpr char kViewMark = '\xc1';
+constexpr char kDigestMark = '\x9a';  // An array of ten.
+constexpr std::size_t kCountedBytes = 8;
+
+/// Of a digest without load and news: names, numbers and revisions. Names of nodes and zones are
+/// well below 100 bytes.
+constexpr std::size_t kHeadBytes = 300;
+
+/// @return bytes of a number in MessagePack.
+std::size_t packed_size(std::uint64_t number) {
+  if (number < 128) return 1;
+  if (number < 256) return 2;
+  if (number < 65536) return 3;
+  return number < (1ULL << 32U) ? 5 : 9;
+}
+
+std::size_t packed_size(const relay::PeerLoad& work) {
+  constexpr std::size_t kKeyBytes = 5;
+  return kKeyBytes + packed_size(work.in_flight) + packed_size(work.unread_tokens) +
+         packed_size(work.deferred_tokens);
+}
+
+std::size_t packed_size(const relay::KeyedRead& read) {
+  std::size_t bytes = 9;
+  for (const relay::PromptPart& part : read.parts) {
+    bytes += packed_size(part.id) + packed_size(part.tokens);
+  }
+  return bytes;
+}
+
+constexpr std::size_t kTroubleBytes = 8;
+
+json load_to_json(const relay::LoadByKey& load) {
+  json numbers = json::array();
+  for (const auto& [key, work] : load) {
+    numbers.push_back(key);
+    numbers.push_back(work.in_flight);
+    numbers.push_back(work.unread_tokens);
+    numbers.push_back(work.deferred_tokens);
+  }
+  return numbers;
+}
+
+relay::LoadByKey load_from_json(const json& numbers) {
+  relay::LoadByKey load;
+  for (std::size_t i = 0; i + 3 < numbers.size(); i += 4) {
+    load[numbers[i].get<relay::EngineKey>()] = {numbers[i + 1].get<std::uint32_t>(),
+                                                numbers[i + 2].get<std::uint64_t>(),
+                                                numbers[i + 3].get<std::uint64_t>()};
+  }
+  return load;
+}
+
+json reads_to_json(const std::vector<relay::KeyedRead>& reads) {
+  json list = json::array();
+  for (const relay::KeyedRead& read : reads) {
+    json entry = json::array({read.engine});
+    for (const relay::PromptPart& part : read.parts) {
+      entry.push_back(part.id);
+      entry.push_back(part.tokens);
+    }
+    list.push_back(std::move(entry));
+  }
+  return list;
+}
+
+std::vector<relay::KeyedRead> reads_from_json(const json& list) {
+  std::vector<relay::KeyedRead> reads;
+  for (const json& entry : list) {
+    relay::KeyedRead read{entry.at(0).get<relay::EngineKey>(), {}};
+    for (std::size_t i = 1; i + 1 < entry.size(); i += 2) {
+      read.parts.push_back({entry[i].get<std::uint64_t>(), entry[i + 1].get<std::uint64_t>()});
+    }
+    reads.push_back(std::move(read));
+  }
+  return reads;
+}
+
+json troubles_to_json(const std::vector<relay::KeyedTrouble>& troubles) {
+  json list = json::array();
+  for (const relay::KeyedTrouble& trouble : troubles) {
+    list.push_back({trouble.engine, static_cast<int>(trouble.stage), trouble.misdirected});
+  }
+  return list;
+}
+
+std::vector<relay::KeyedTrouble> troubles_from_json(const json& list) {
+  std::vector<relay::KeyedTrouble> troubles;
+  for (const json& entry : list) {
+    troubles.push_back({entry.at(0).get<relay::EngineKey>(),
+                        static_cast<relay::EngineStage>(entry.at(1).get<int>()),
+                        entry.at(2).get<bool>()});
+  }
+  return troubles;
+}
+
+std::string encode(const LoadDigest& digest) {
+  const json document = {digest.collector.value(),
+                         digest.number.boot,
+                         digest.number.sequence,
+                         digest.zone.value(),
+                         digest.nodes,
+                         {digest.part.first, digest.part.last},
+                         load_to_json(digest.part.load),
+                         {reads_to_json(digest.news.reads), troubles_to_json(digest.news.troubles)},
+                         {digest.seen.configuration, digest.seen.engines},
+                         digest.store_age_ms};
+  std::string bytes;
+  json::to_msgpack(document, bytes);
+  return bytes;
+}
+
+/// Fills one message after the other with load, and then with news.
+class Splitter {
+ public:
+  explicit Splitter(const LoadDigest& own_whole) : whole(own_whole) { this->part = this->empty(); }
+
+  std::vector<std::string> split() {
+    for (const auto& [key, work] : this->whole.part.load) this->add_load(key, work);
+    this->part.part.last = this->whole.part.last;
+    for (const relay::KeyedRead& read : this->whole.news.reads) this->add_read(read);
+    for (const relay::KeyedTrouble& trouble : this->whole.news.troubles) this->add_trouble(trouble);
+    this->parts.push_back(encode(this->part));
+    return std::move(this->parts);
+  }
+
+ private:
+  LoadDigest empty() const {
+    LoadDigest head = this->whole;
+    head.part.load.clear();
+    head.news = {};
+    return head;
+  }
+
+  bool full(std::size_t more) {
+    constexpr std::size_t kRoom = kMaxLoadMessage - kHeadBytes - kCountedBytes;
+    const bool is_full = this->bytes > 0 && this->bytes + more > kRoom;
+    this->bytes = is_full ? more : this->bytes + more;
+    return is_full;
+  }
+
+  void add_load(relay::EngineKey key, const relay::PeerLoad& work) {
+    if (this->full(packed_size(work))) {
+      this->part.part.last = key - 1;
+      this->parts.push_back(encode(this->part));
+      this->part = this->empty();
+      this->part.part.first = key;
+    }
+    this->part.part.load[key] = work;
+  }
+
+  /// A message that holds news only covers no engines.
+  void begin_news() {
+    this->parts.push_back(encode(this->part));
+    this->part = this->empty();
+    this->part.part.first = 1;
+    this->part.part.last = 0;
+  }
+
+  void add_read(const relay::KeyedRead& read) {
+    if (this->full(packed_size(read))) this->begin_news();
+    this->part.news.reads.push_back(read);
+  }
+
+  void add_trouble(const relay::KeyedTrouble& trouble) {
+    if (this->full(kTroubleBytes)) this->begin_news();
+    this->part.news.troubles.push_back(trouble);
+  }
+
+  const LoadDigest& whole;
+  LoadDigest part;
+  std::size_t bytes = 0;
+  std::vector<std::string> parts;
+};
+
+}  // namespace
+
+std::vector<std::string> encode_parts(const LoadDigest& whole) {
+  return Splitter(whole).split();
+}
+
+std::string address_view(std::uint64_t counted, std::string_view digest) {
+  std::string bytes(1, kViewMark);
+  for (std::size_t i = 0; i < kCountedBytes; ++i) {
+    bytes += static_cast<char>(counted >> (8 * (kCountedBytes - 1 - i)));
+  }
+  bytes += digest;
+  return bytes;
+}
+
+bool is_view(std::string_view bytes) {
+  return !bytes.empty() && bytes.front() == kViewMark;
+}
+
+bool is_digest(std::string_view bytes) {
+  return !bytes.empty() && bytes.front() == kDigestMark;
+}
+
+tl::expected<LoadDigest, std::string> decode_digest(std::string_view bytes) {
+  try {
+    const json document = json::from_msgpack(bytes.begin(), bytes.end());
+    LoadDigest digest;
+    digest.collector = NodeId(document.at(0).get<std::string>());
+    digest.number = {document.at(1).get<std::uint64_t>(), document.at(2).get<std::uint64_t>()};
+    digest.zone = ZoneName(document.at(3).get<std::string>());
+    digest.nodes = document.at(4).get<std::size_t>();
+    digest.part.first = document.at(5).at(0).get<relay::EngineKey>();
+    digest.part.last = document.at(5).at(1).get<relay::EngineKey>();
+    digest.part.load = load_from_json(document.at(6));
+    digest.news.reads = reads_from_json(document.at(7).at(0));
+    digest.news.troubles = troubles_from_json(document.at(7).at(1));
+    digest.seen = {document.at(8).at(0).get<std::uint64_t>(),
+                   document.at(8).at(1).get<std::uint64_t>()};
+    digest.store_age_ms = document.at(9).get<std::uint32_t>();
+    return digest;
+  } catch (const json::exception& error) {
+    return tl::make_unexpected(std::string(error.what()));
+  }
+}
+
+tl::expected<FleetView, std::string> decode_view(std::string_view bytes) {
+  if (!is_view(bytes) || bytes.size() <= 1 + kCountedBytes) {
+    return tl::make_unexpected(std::string("too short for a view"));
+  }
+  FleetView view;
+  for (std::size_t i = 0; i < kCountedBytes; ++i) {
+    view.counted = (view.counted << 8U) | static_cast<unsigned char>(bytes[1 + i]);
+  }
+  auto digest = decode_digest(bytes.substr(1 + kCountedBytes));
+  if (!digest) return tl::make_unexpected(digest.error());
+  view.digest = std::move(*digest);
+  return view;
+}
+
+}  // namespace shuntbank
--- a/src/protocol/load_message.hpp
+++ b/src/protocol/load_message.hpp
@@ -25,6 +25,8 @@
   std::vector<relay::PromptRead> reads;        ///< Since the last message.
   std::vector<relay::EngineTrouble> troubles;  ///< The same.
   relay::CatalogRevisions seen;  ///< How far the node has come in the store's changes.
+  bool to_collector = false;     ///< The receiver is to sum it up with that of others.
+  bool wants_view = false;       ///< The receiver is to send the sum back.
 };
 
 /// What a node that has just started asks of another: the prompts that engines keep.
--- /dev/null
+++ b/src/relay/exchange_settings.hpp
@@ -0,0 +1,53 @@
+/// @file
+/// Tunables of what the relay nodes tell each other, in one place.
+#pragma once
+
+#include <string>
+
+#include "common/identifiers.hpp"
+#include "common/time.hpp"
+#include "core/relay/collector_choice.hpp"
+#include "core/relay/load_collector.hpp"
+
+namespace shuntbank::relay {
+
+/// Tunables of the list of nodes.
+struct PeerDirectorySettings {
+  std::string kind = "shuntbank-nodes";  ///< Of the objects that name the nodes.
+  /// The nodes of a new system start together; a list taken later holds them all.
+  Duration first_look = std::chrono::milliseconds(1500);
+};
+
+/// Tunables of the exchange by zones.
+struct ZoneExchangeSettings {
+  CollectorChoiceSettings choice;
+  LoadCollectorSettings collector;
+  /// Between two sums. A view is then 50 ms old on average where it is made, and 100 ms where it
+  /// comes from another zone; the usual request takes a few hundred.
+  Duration collect_every = std::chrono::milliseconds(100);
+  /// Prompts read that one sum tells of; more come from a fleet that nobody could follow.
+  std::size_t most_reads = 1000;
+};
+
+/// Tunables of the exchange.
+struct LoadExchangeSettings {
+  PeerDirectorySettings peers;
+  ZoneExchangeSettings zones;
+  ZoneName zone;                                         ///< This node's own.
+  double capacity = 0;                                   ///< Of this machine, in cores.
+  Duration flush_delay = std::chrono::milliseconds(15);  ///< Changes within it share a message.
+  /// Up to so many peers, each node tells all the others; with more, by zones. All nodes together
+  /// send messages in proportion to the square of this.
+  std::size_t most_told_directly = 24;
+  /// Peers that are told each `flush_delay`; with more, messages are rarer in proportion, so that a
+  /// node sends as many in a small fleet as in a large one.
+  std::size_t peers_a_flush = 9;
+  Duration refresh = std::chrono::seconds(1);  ///< Without changes, while work is under way.
+  /// A node that joins a running system asks others what the engines keep, so often at most.
+  bool joins = false;
+  int most_pulls = 8;
+  Duration pull_interval = std::chrono::milliseconds(250);
+  Duration pull_timeout = std::chrono::seconds(1);
+};
+
+}  // namespace shuntbank::relay
--- a/src/relay/load_exchange.cpp
+++ b/src/relay/load_exchange.cpp
@@ -9,17 +9,17 @@
 namespace shuntbank::relay {
 namespace {
 
-constexpr Duration kRegisterTimeout = std::chrono::milliseconds(1500);
-constexpr Duration kRegisterAgain = std::chrono::seconds(2);
 constexpr std::size_t kBootBytes = 7;
 
-/// A silent store costs nothing here but a late look at new nodes. The wait stays below the history
-/// that the store keeps; a longer one had to list again each time (seen in an incident).
-store::KindWatchSettings watch_settings() {
-  store::KindWatchSettings settings;
-  settings.wait = std::chrono::seconds(12);
-  settings.longest_backoff = std::chrono::seconds(4);
-  return settings;
+PeerRecord own_record(const PeerTransport& transport, const LoadExchangeSettings& settings) {
+  return {transport.local_address(), settings.zone, settings.capacity};
+}
+
+/// A node that joins looks at once.
+PeerDirectorySettings directory_settings(const LoadExchangeSettings& settings) {
+  PeerDirectorySettings peers = settings.peers;
+  if (settings.joins) peers.first_look = Duration::zero();
+  return peers;
 }
 
 }  // namespace
@@ -28,79 +28,56 @@
                            RelayNode& node, const std::string& self,
                            const LoadExchangeSettings& settings)
     : runtime_(runtime),
-      store_(store),
       transport_(transport),
       node_(node),
       self_(self),
       settings_(settings),
-      boot_(std::stoull(runtime.random_hex(kBootBytes), nullptr, 16)) {
+      boot_(std::stoull(runtime.random_hex(kBootBytes), nullptr, 16)),
+      peers_(runtime, store, self_, own_record(transport, settings), directory_settings(settings),
+             [this] { update_fleet(); }),
+      zones_(runtime, transport, node, peers_, self_, settings.zone, boot_, settings.zones) {
   transport_.set_handlers(
       [this](std::string_view bytes, const std::string&) { on_message(bytes); },
       [this](const std::string& call, const std::function<void(std::string)>& reply) {
         reply(call == kSnapshotCall ? snapshot() : std::string());
       });
   node_.on_load_changed([this] { schedule_flush(); });
-  register_self();
-  const Duration first_look = settings.joins ? Duration::zero() : settings.first_look;
-  start_timer_ = runtime.after(first_look, [this] { watch_nodes(); });
+  zones_.connect(
+      [this](const CatalogRevisions& seen) {
+        if (on_revisions_) on_revisions_(seen);
+      },
+      [this] { flush(); });
   if (settings.joins) {
     pulls_left_ = settings.most_pulls;
     pull_timer_ = runtime.after(settings.pull_interval, [this] { pull_caches(); });
   }
-  refresh_ = std::make_unique<Periodic>(runtime, settings.refresh, [this] {
-    node_.engines().forget_silent_peers(runtime_.now());
-    if (had_load_ || !node_.engines().own_load().empty()) flush();
-  });
+  refresh_ = std::make_unique<Periodic>(runtime, settings.refresh, [this] { refresh(); });
 }
 
 LoadExchange::~LoadExchange() {
   *alive_ = false;
 }
 
-void LoadExchange::register_self() {
-  const nlohmann::json content = {{"address", transport_.local_address()}};
-  store_.create(
-      settings_.kind, self_.value(), content, kRegisterTimeout,
-      [this, alive = alive_](const tl::expected<store::StoredObject, store::StoreError>& made) {
-        // A machine keeps its name and address when its process starts again.
-        if (!*alive || made || made.error() == store::StoreError::kConflict) return;
-        start_again_ = runtime_.after(kRegisterAgain, [this] { register_self(); });
-      });
-}
-
-void LoadExchange::watch_nodes() {
-  store::KindWatchHandlers handlers;
-  handlers.on_list = [this](const store::ObjectList& list) {
-    for (const store::StoredObject& object : list.objects) take_node(object);
-    update_fleet();
-  };
-  handlers.on_change = [this](const store::ObjectChange& change) {
-    if (change.gone) {
-      peers_.erase(NodeId(change.object.name));
-    } else {
-      take_node(change.object);
-    }
-    update_fleet();
-  };
-  watch_ = std::make_unique<store::KindWatch>(runtime_, store_, settings_.kind, watch_settings(),
-                                              std::move(handlers));
-}
-
-void LoadExchange::take_node(const store::StoredObject& object) {
-  if (!object.content.is_object() || object.name == self_.value()) return;
-  peers_[NodeId(object.name)] = object.content.value("address", "");
+/// A collector forgets who is silent, so that in a large fleet idle nodes speak as well.
+void LoadExchange::refresh() {
+  node_.engines().forget_silent_peers(runtime_.now());
+  if (by_zones() || had_load_ || !node_.engines().own_load().empty()) flush();
 }
 
 void LoadExchange::update_fleet() {
-  targets_ = choose_targets();
+  if (by_zones()) {
+    zones_.start();
+  } else {
+    zones_.stop();
+  }
   node_.set_fleet({nodes(), rank()});
-  node_.engines().set_peer_count(peers_.size(), settings_.most_peers);
 }
 
 std::size_t LoadExchange::rank() const {
   const std::uint64_t own = hash64(self_.value());
+  const PeerRecords& nodes = peers_.nodes();
   return static_cast<std::size_t>(
-      std::count_if(peers_.begin(), peers_.end(),
+      std::count_if(nodes.begin(), nodes.end(),
                     [own](const auto& peer) { return hash64(peer.first.value()) < own; }));
 }
 
@@ -115,16 +92,29 @@
 void LoadExchange::pull_caches() {
   if (pulls_left_-- <= 0) return;
   pull_timer_ = runtime_.after(settings_.pull_interval, [this] { pull_caches(); });
-  if (peers_.empty() || !node_.ready()) return;
+  const auto askable = peers_to_ask();
+  if (askable.empty() || !node_.ready()) return;
   pull_timer_.reset();
-  const std::size_t drawn = std::stoul(runtime_.random_hex(2), nullptr, 16) % peers_.size();
-  const auto peer = std::next(peers_.begin(), static_cast<std::ptrdiff_t>(drawn));
-  transport_.call(peer->second, std::string(kSnapshotCall), settings_.pull_timeout,
+  const std::size_t drawn = std::stoul(runtime_.random_hex(2), nullptr, 16) % askable.size();
+  transport_.call(askable[drawn], std::string(kSnapshotCall), settings_.pull_timeout,
                   [this, alive = alive_](const tl::expected<std::string, std::string>& answer) {
                     if (*alive) take_caches(answer);
                   });
 }
 
+/// Those of the node's own zone where there are any: a snapshot is large, and bytes between zones
+/// are dear.
+std::vector<std::string> LoadExchange::peers_to_ask() const {
+  std::vector<std::string> near;
+  std::vector<std::string> all;
+  for (const auto& [name, record] : peers_.nodes()) {
+    if (name == self_) continue;
+    all.push_back(record.address);
+    if (record.zone == settings_.zone) near.push_back(record.address);
+  }
+  return near.empty() ? all : near;
+}
+
 void LoadExchange::take_caches(const tl::expected<std::string, std::string>& answer) {
   const auto snapshot =
       answer ? decode_cache_snapshot(*answer) : tl::make_unexpected(answer.error());
@@ -147,20 +137,6 @@
   return bytes.size() <= kMaxCacheSnapshot ? bytes : std::string();
 }
 
-/// In a large fleet each node tells a few others, chosen by a hash so that all are told by as many.
-std::vector<std::string> LoadExchange::choose_targets() const {
-  std::vector<std::pair<std::uint64_t, std::string>> order;
-  for (const auto& [name, address] : peers_) {
-    order.emplace_back(hash64(name.value() + "/" + self_.value()), address);
-  }
-  std::sort(order.begin(), order.end());
-  if (order.size() > settings_.most_peers) order.resize(settings_.most_peers);
-  std::vector<std::string> targets;
-  targets.reserve(order.size());
-  for (auto& [weight, address] : order) targets.push_back(std::move(address));
-  return targets;
-}
-
 void LoadExchange::schedule_flush() {
   if (flush_timer_) return;
   flush_timer_ = runtime_.after(flush_delay(), [this] {
@@ -170,13 +146,13 @@
 }
 
 Duration LoadExchange::flush_delay() const {
-  const std::size_t told = targets_.size();
+  const std::size_t told = by_zones() ? 0 : peers_.peer_count();
   const std::size_t least = std::max<std::size_t>(settings_.peers_a_flush, 1);
   if (told <= least) return settings_.flush_delay;
   return settings_.flush_delay * static_cast<std::int64_t>(told) / static_cast<std::int64_t>(least);
 }
 
-void LoadExchange::flush() {
+LoadMessage LoadExchange::own_message() {
   LoadMessage message;
   message.node = self_;
   message.boot = boot_;
@@ -185,29 +161,47 @@
   message.reads = node_.take_prompt_reads();
   message.troubles = node_.take_troubles();
   if (own_revisions_) message.seen = own_revisions_();
+  return message;
+}
+
+void LoadExchange::flush() {
+  LoadMessage message = own_message();
   had_load_ = !message.load.empty();
-  std::string bytes = encode(message);
-  if (bytes.size() > kMaxLoadMessage) {
+  if (encode(message).size() > kMaxLoadMessage) {
+    log_event(LogArea::kControl, LogLevel::kWarning, "news_left_out",
+              {{"reads", message.reads.size()}, {"engines", message.load.size()}});
     message.reads.clear();
-    bytes = encode(message);
   }
-  if (bytes.size() > kMaxLoadMessage) return;
-  for (const std::string& address : targets_) transport_.send(address, bytes);
+  if (encode(message).size() > kMaxLoadMessage) return;
+  if (by_zones()) return zones_.tell(std::move(message));
+  const std::string bytes = encode(message);
+  for (const auto& [name, record] : peers_.nodes()) {
+    if (name != self_) transport_.send(record.address, bytes);
+  }
 }
 
 void LoadExchange::on_message(std::string_view bytes) {
+  if (is_view(bytes)) return zones_.on_view(bytes);
+  if (is_digest(bytes)) return zones_.on_digest(bytes);
   auto message = decode_load_message(bytes);
   if (!message || message->node == self_) return;
-  Heard& heard = heard_[message->node];
-  if (heard.boot == message->boot && message->sequence <= heard.sequence) return;
-  heard = {message->boot, message->sequence};
+  if (message->to_collector) return zones_.on_report(*message);
+  take(std::move(*message));
+}
+
+void LoadExchange::take(LoadMessage message) {
+  if (!peers_.is_peer(message.node)) return;
+  MessageNumber& last = heard_[message.node];
+  const MessageNumber number{message.boot, message.sequence};
+  if (!number.follows(last)) return;
+  last = number;
   const MonotonicTime now = runtime_.now();
-  node_.engines().on_peer_load(now, message->node, std::move(message->load));
-  for (const EngineTrouble& trouble : message->troubles) {
+  node_.engines().on_peer_load(now, message.node, std::move(message.load));
+  for (const EngineTrouble& trouble : message.troubles) {
     node_.engines().on_peer_trouble(now, trouble);
   }
-  if (on_revisions_) on_revisions_(message->seen);
-  for (const PromptRead& read : message->reads) node_.learn_prompt_read(read);
+  if (on_revisions_) on_revisions_(message.seen);
+  for (const PromptRead& read : message.reads) node_.learn_prompt_read(read);
 }
 
 }  // namespace shuntbank::relay
--- /dev/null
+++ b/src/relay/peer_directory.cpp
@@ -0,0 +1,96 @@
+#include "relay/peer_directory.hpp"
+
+#include <utility>
+
+#include "common/log.hpp"
+
+namespace shuntbank::relay {
+namespace {
+
+constexpr Duration kRegisterTimeout = std::chrono::milliseconds(1500);
+constexpr Duration kRegisterAgain = std::chrono::seconds(2);
+
+/// A silent store costs nothing here but a late look at new nodes. The wait stays below the history
+/// that the store keeps; a longer one had to list again each time (seen in an incident).
+store::KindWatchSettings watch_settings() {
+  store::KindWatchSettings settings;
+  settings.wait = std::chrono::seconds(12);
+  settings.longest_backoff = std::chrono::seconds(4);
+  return settings;
+}
+
+nlohmann::json to_json(const PeerRecord& record) {
+  return {
+      {"address", record.address}, {"zone", record.zone.value()}, {"capacity", record.capacity}};
+}
+
+}  // namespace
+
+PeerDirectory::PeerDirectory(Runtime& own_runtime, store::ObjectStore& own_store,
+                             const NodeId& own_name, const PeerRecord& own_record,
+                             const PeerDirectorySettings& own_settings,
+                             std::function<void()> on_change)
+    : runtime(own_runtime),
+      store(own_store),
+      self(own_name),
+      settings(own_settings),
+      changed(std::move(on_change)) {
+  this->records[this->self] = own_record;
+  this->register_self();
+  this->start_timer =
+      this->runtime.after(this->settings.first_look, [this] { this->watch_nodes(); });
+}
+
+PeerDirectory::~PeerDirectory() {
+  *this->alive = false;
+}
+
+const PeerRecord* PeerDirectory::find(const NodeId& node) const {
+  const auto found = this->records.find(node);
+  return found == this->records.end() ? nullptr : &found->second;
+}
+
+void PeerDirectory::register_self() {
+  this->store.create(
+      this->settings.kind, this->self.value(), to_json(this->records[this->self]), kRegisterTimeout,
+      [this,
+       living = this->alive](const tl::expected<store::StoredObject, store::StoreError>& made) {
+        // A machine keeps its name and address when its process starts again.
+        if (!*living || made || made.error() == store::StoreError::kConflict) return;
+        this->register_timer =
+            this->runtime.after(kRegisterAgain, [this] { this->register_self(); });
+      });
+}
+
+void PeerDirectory::watch_nodes() {
+  store::KindWatchHandlers handlers;
+  handlers.on_list = [this](const store::ObjectList& list) {
+    for (const store::StoredObject& object : list.objects) this->take(object);
+    this->changed();
+  };
+  handlers.on_change = [this](const store::ObjectChange& change) {
+    if (!change.gone) {
+      this->take(change.object);
+    } else if (change.object.name != this->self.value()) {
+      this->records.erase(NodeId(change.object.name));
+    }
+    this->changed();
+  };
+  this->watch = std::make_unique<store::KindWatch>(this->runtime, this->store, this->settings.kind,
+                                                   watch_settings(), std::move(handlers));
+}
+
+void PeerDirectory::take(const store::StoredObject& object) {
+  if (!object.content.is_object() || object.name == this->self.value()) return;
+  try {
+    this->records[NodeId(object.name)] = {object.content.at("address").get<std::string>(),
+                                          ZoneName(object.content.value("zone", "")),
+                                          object.content.value("capacity", 0.0)};
+  } catch (const nlohmann::json::exception& error) {
+    log_event(
+        LogArea::kPlatform, LogLevel::kError, "object_malformed",
+        {{"name", object.name}, {"revision", object.revision}, {"why", std::string(error.what())}});
+  }
+}
+
+}  // namespace shuntbank::relay
--- a/src/relay/policy_options.cpp
+++ b/src/relay/policy_options.cpp
@@ -34,6 +34,10 @@
       "of the time to the objective: requests expected later are deferred; 1000: never");
   add("gather-ms", milliseconds_into(settings.catalog.longest_gather),
       "longest time for which changes of engines are gathered");
+  add("told-directly", into(settings.exchange.most_told_directly),
+      "peers up to which each node tells all others; with more, load is gathered by zones");
+  add("collect-ms", milliseconds_into(settings.exchange.zones.collect_every),
+      "between two sums of a zone's collector");
   add("prefill-share", into(settings.stages.prefill_share),
       "of a service's engines that read prompts");
   return known;
--- a/src/relay/relay_process.cpp
+++ b/src/relay/relay_process.cpp
@@ -97,7 +97,8 @@
     const auto endpoint = parse_endpoint(address);
     if (!endpoint) throw std::invalid_argument(address + ": " + endpoint.error());
     peers_ = make_peer_transport(loop, *endpoint, kMaxCacheSnapshot);
-    LoadExchangeSettings exchange;
+    LoadExchangeSettings exchange = settings_.exchange;
+    exchange.zone = settings_.zone;
     exchange.joins = !settings_.first_start;
     exchange_ =
         std::make_unique<LoadExchange>(runtime_, store, *peers_, node_, settings_.node, exchange);
@@ -126,6 +127,7 @@
     metrics.set_gauge("log_lines_left_out", static_cast<double>(log_lines_left_out()));
     metrics.set_gauge("configuration_age_seconds", to_seconds(catalog_.configuration_age()));
     metrics.set_gauge("engines_age_seconds", to_seconds(catalog_.engines_age()));
+    if (exchange_) show_exchange(metrics);
     HttpReply reply;
     reply.status = http_status::kOk;
     reply.headers.add("Content-Type", "text/plain; version=0.0.4");
@@ -133,6 +135,14 @@
     return reply;
   }
 
+  void show_exchange(RelayMetrics& metrics) const {
+    const ZoneExchange& zones = exchange_->zones();
+    metrics.set_gauge("nodes_known", static_cast<double>(exchange_->nodes()));
+    metrics.set_gauge("fleet_view_nodes", static_cast<double>(zones.nodes_seen()));
+    metrics.set_gauge("fleet_view_age_seconds", to_seconds(runtime_.now() - zones.view_at()));
+    metrics.set_gauge("collecting", zones.collecting() ? 1 : 0);
+  }
+
   void stop_tick() {
     const Duration elapsed = runtime_.now() - stop_began_;
     const Duration last = settings_.stop_grace - kStopMargin;
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -11,6 +11,7 @@
 #include "core/relay/placement.hpp"
 #include "core/relay/retry_budget.hpp"
 #include "core/relay/stage_planner.hpp"
+#include "relay/exchange_settings.hpp"
 
 namespace shuntbank::relay {
 
@@ -44,7 +45,8 @@
 struct RelaySettings {
   std::string node;
   ZoneName zone;
-  bool first_start = true;  ///< The whole system starts for the first time.
+  bool first_start = true;        ///< The whole system starts for the first time.
+  LoadExchangeSettings exchange;  ///< Its zone and whether it joins are those of this.
   PlacementSettings placement;
   PrefillSettings prefill;
   RetryBudgetSettings retry_budget;
--- /dev/null
+++ b/src/relay/zone_exchange.cpp
@@ -0,0 +1,267 @@
+#include "relay/zone_exchange.hpp"
+
+#include <algorithm>
+#include <set>
+
+#include "common/log.hpp"
+
+namespace shuntbank::relay {
+namespace {
+
+/// Own messages that are remembered, to be taken out of the sums that hold them. A sum is a few
+/// hundred milliseconds old at most, and a message is sent every 15 ms at most.
+constexpr std::size_t kMostTold = 128;
+
+LoadByKey by_key(const std::map<EngineId, PeerLoad>& load) {
+  LoadByKey keyed;
+  for (const auto& [engine, work] : load) keyed[engine_key(engine)] += work;
+  return keyed;
+}
+
+EngineNews news_of(const LoadMessage& message) {
+  EngineNews news;
+  for (const PromptRead& read : message.reads) {
+    news.reads.push_back({engine_key(read.engine), read.parts});
+  }
+  for (const EngineTrouble& trouble : message.troubles) {
+    news.troubles.push_back({engine_key(trouble.engine), trouble.stage, trouble.misdirected});
+  }
+  return news;
+}
+
+void log_malformed(const char* what, const std::string& why) {
+  log_event(LogArea::kControl, LogLevel::kWarning, "message_malformed",
+            {{"what", what}, {"why", why}});
+}
+
+}  // namespace
+
+ZoneExchange::ZoneExchange(Runtime& own_runtime, PeerTransport& own_transport, RelayNode& own_node,
+                           const PeerDirectory& own_peers, const NodeId& own_name,
+                           const ZoneName& own_zone, std::uint64_t own_boot,
+                           const ZoneExchangeSettings& own_settings)
+    : runtime(own_runtime),
+      transport(own_transport),
+      node(own_node),
+      peers(own_peers),
+      self(own_name),
+      zone(own_zone),
+      boot(own_boot),
+      settings(own_settings),
+      choice(own_settings.choice),
+      collector(own_settings.collector) {}
+
+void ZoneExchange::start() {
+  this->choice.set_order(collector_order(this->peers.nodes(), this->zone));
+  for (const auto& [name, record] : this->peers.nodes()) {
+    if (record.zone != this->zone) {
+      this->other_zones.try_emplace(record.zone, this->settings.choice);
+    }
+  }
+  for (auto& [name, there] : this->other_zones) {
+    there.set_order(collector_order(this->peers.nodes(), name));
+  }
+  if (this->timer) return;
+  this->timer = std::make_unique<Periodic>(this->runtime, this->settings.collect_every,
+                                           [this] { this->tick(); });
+  this->watch_source();
+}
+
+void ZoneExchange::stop() {
+  this->timer.reset();
+  this->choice.set_order({});
+}
+
+void ZoneExchange::send(const NodeId& name, std::string_view bytes) {
+  const PeerRecord* record = this->peers.find(name);
+  if (record != nullptr) this->transport.send(record->address, bytes);
+}
+
+void ZoneExchange::tell(LoadMessage message) {
+  this->told.push_back({message.sequence, by_key(message.load)});
+  if (this->told.size() > kMostTold) this->told.pop_front();
+  message.to_collector = true;
+  for (const NodeId& name : this->choice.told(this->runtime.now())) {
+    message.wants_view = this->choice.source() == name;
+    if (name == this->self) {
+      this->on_report(message);
+    } else {
+      this->send(name, encode(message));
+    }
+  }
+}
+
+void ZoneExchange::on_report(const LoadMessage& message) {
+  if (!this->peers.find(message.node)) return;
+  if (this->collector.idle()) this->begin_collecting();
+  MemberLoad member{{message.boot, message.sequence}, by_key(message.load), message.wants_view};
+  if (!this->collector.on_member(this->runtime.now(), message.node, std::move(member))) return;
+  this->append_news(this->zone_news, news_of(message));
+  this->note_seen(message.seen);
+}
+
+void ZoneExchange::on_digest(std::string_view bytes) {
+  if (this->collector.idle()) return;  // Nobody here to hand it on to.
+  auto digest = decode_digest(bytes);
+  if (!digest) return log_malformed("digest", digest.error());
+  if (!this->peers.is_peer(digest->collector) || digest->zone == this->zone) return;
+  const MonotonicTime now = this->runtime.now();
+  const bool taken = this->collector.on_zone(now, {digest->zone, digest->collector, digest->number,
+                                                   digest->nodes, std::move(digest->part)});
+  if (taken) this->append_news(this->other_news, digest->news);
+  const auto there = this->other_zones.find(digest->zone);
+  if (there != this->other_zones.end()) there->second.on_view(now, digest->collector);
+  this->note_seen(digest->seen);
+}
+
+void ZoneExchange::on_view(std::string_view bytes) {
+  const auto view = decode_view(bytes);
+  if (!view) return log_malformed("view", view.error());
+  const LoadDigest& digest = view->digest;
+  if (!this->peers.is_peer(digest.collector)) return;
+  MessageNumber& last = this->views[digest.collector];
+  if (digest.number != last && !digest.number.follows(last)) return;
+  last = digest.number;
+  const MonotonicTime now = this->runtime.now();
+  this->choice.on_view(now, digest.collector);
+  if (this->choice.source() != digest.collector) return;
+  this->viewed_at = now;
+  this->view_nodes = digest.nodes;
+  this->node.engines().on_fleet_load(now, digest.part, this->told_with(view->counted));
+  this->take_news(digest.news);
+  this->note_seen(digest.seen);
+}
+
+void ZoneExchange::append_news(EngineNews& news, const EngineNews& more) {
+  if (news.reads.size() + more.reads.size() > this->settings.most_reads) {
+    log_event(LogArea::kControl, LogLevel::kWarning, "news_left_out",
+              {{"reads", more.reads.size()}, {"waiting", news.reads.size()}});
+    return;
+  }
+  news.append(more);
+}
+
+const LoadByKey& ZoneExchange::told_with(std::uint64_t sequence) const {
+  static const LoadByKey nothing;
+  const auto found =
+      std::find_if(this->told.rbegin(), this->told.rend(),
+                   [sequence](const Told& entry) { return entry.sequence == sequence; });
+  return found == this->told.rend() ? nothing : found->load;
+}
+
+void ZoneExchange::take_news(const EngineNews& news) {
+  EngineDirectory& engines = this->node.engines();
+  for (const KeyedRead& read : news.reads) {
+    const EngineView* engine = engines.find_by_key(read.engine);
+    if (engine != nullptr) this->node.learn_prompt_read({engine->record.id, read.parts});
+  }
+  for (const KeyedTrouble& trouble : news.troubles) {
+    const EngineView* engine = engines.find_by_key(trouble.engine);
+    if (engine == nullptr) continue;
+    engines.on_peer_trouble(this->runtime.now(),
+                            {engine->record.id, trouble.stage, trouble.misdirected});
+  }
+}
+
+void ZoneExchange::note_seen(const CatalogRevisions& revisions) {
+  this->seen.configuration = std::max(this->seen.configuration, revisions.configuration);
+  this->seen.engines = std::max(this->seen.engines, revisions.engines);
+  if (this->on_seen) this->on_seen(revisions);
+}
+
+void ZoneExchange::tick() {
+  this->watch_source();
+  this->collector.expire(this->runtime.now());
+  if (!this->collector.idle()) this->collect();
+}
+
+void ZoneExchange::watch_source() {
+  const auto before = this->choice.source();
+  const auto given_up = this->choice.poll(this->runtime.now());
+  if (this->choice.source() == before) {
+    if (this->choice.waits(this->runtime.now())) this->ask();
+    return;
+  }
+  log_event(LogArea::kControl, LogLevel::kInfo, "collector_chosen",
+            {{"collector", this->choice.source() ? this->choice.source()->value() : ""},
+             {"silent", given_up ? given_up->value() : ""}});
+  this->ask();
+}
+
+void ZoneExchange::ask() {
+  if (this->on_ask) this->on_ask();
+}
+
+/// The choice for the other zones begins anew: silence from before means nothing.
+void ZoneExchange::begin_collecting() {
+  log_event(LogArea::kControl, LogLevel::kInfo, "collecting", {{"zone", this->zone.value()}});
+  for (auto& [name, there] : this->other_zones) {
+    there = CollectorChoice(this->settings.choice);
+    there.set_order(collector_order(this->peers.nodes(), name));
+  }
+}
+
+void ZoneExchange::collect() {
+  const MonotonicTime now = this->runtime.now();
+  ++this->sums_sent;
+  LoadDigest zone_sum = this->digest(this->zone);
+  zone_sum.nodes = this->collector.zone_nodes();
+  zone_sum.part.load = this->collector.zone_load();
+  zone_sum.news = this->zone_news;
+  this->send_to_zones(now, zone_sum);
+
+  LoadDigest fleet_sum = this->digest(ZoneName());
+  fleet_sum.nodes = this->collector.fleet_nodes(now);
+  fleet_sum.part.load = this->collector.fleet_load(now);
+  fleet_sum.news = std::exchange(this->zone_news, {});
+  fleet_sum.news.append(std::exchange(this->other_news, {}));
+  this->send_to_members(fleet_sum);
+  if (this->choice.source() == this->self) this->take_own_sum(fleet_sum);
+}
+
+LoadDigest ZoneExchange::digest(const ZoneName& of_zone) const {
+  LoadDigest digest;
+  digest.collector = this->self;
+  digest.number = {this->boot, this->sums_sent};
+  digest.zone = of_zone;
+  digest.seen = this->seen;
+  return digest;
+}
+
+/// Two collectors of each other zone, and those that are heard from there.
+void ZoneExchange::send_to_zones(MonotonicTime now, const LoadDigest& whole) {
+  if (this->other_zones.empty()) return;
+  const auto parts = encode_parts(whole);
+  for (auto& [name, there] : this->other_zones) {
+    there.poll(now);
+    const std::vector<NodeId> likely = there.told(now);
+    std::set<NodeId> targets(likely.begin(), likely.end());
+    for (NodeId& heard : this->collector.heard_of(now, name)) targets.insert(std::move(heard));
+    for (const NodeId& target : targets) {
+      for (const std::string& part : parts) this->send(target, part);
+    }
+  }
+}
+
+void ZoneExchange::send_to_members(const LoadDigest& whole) {
+  const auto parts = encode_parts(whole);
+  for (const Subscriber& subscriber : this->collector.subscribers()) {
+    if (subscriber.node == this->self) continue;
+    for (const std::string& part : parts) {
+      this->send(subscriber.node, address_view(subscriber.counted, part));
+    }
+  }
+}
+
+/// A collector that listens to itself needs no messages.
+void ZoneExchange::take_own_sum(const LoadDigest& whole) {
+  const MonotonicTime now = this->runtime.now();
+  this->choice.on_view(now, this->self);
+  this->viewed_at = now;
+  this->view_nodes = whole.nodes;
+  const LoadByKey own = this->told.empty() ? LoadByKey{} : this->told.back().load;
+  this->node.engines().on_fleet_load(now, whole.part, own);
+  this->take_news(whole.news);
+}
+
+}  // namespace shuntbank::relay
--- /dev/null
+++ b/src/relay/zone_exchange.hpp
@@ -0,0 +1,115 @@
+/// @file
+/// The exchange of load in a large fleet: the nodes of a zone tell two collectors of the zone,
+/// these tell the sum to the collectors of the other zones, and send the sum of all zones back.
+/// What a node sends and reads for it does not grow with the number of nodes.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string_view>
+#include <utility>
+
+#include "common/periodic.hpp"
+#include "common/runtime.hpp"
+#include "core/relay/collector_choice.hpp"
+#include "core/relay/load_collector.hpp"
+#include "net/peer_transport.hpp"
+#include "protocol/load_digest.hpp"
+#include "protocol/load_message.hpp"
+#include "relay/exchange_settings.hpp"
+#include "relay/peer_directory.hpp"
+#include "relay/relay_node.hpp"
+
+namespace shuntbank::relay {
+
+/// The part of one node in it, as member of a zone and, when others tell it, as collector.
+class ZoneExchange {
+ public:
+  /// All references outlive this.
+  /// @param own_zone of this node.
+  ZoneExchange(Runtime& runtime, PeerTransport& transport, RelayNode& node,
+               const PeerDirectory& peers, const NodeId& self, const ZoneName& own_zone,
+               std::uint64_t boot, const ZoneExchangeSettings& settings);
+
+  /// Begins or goes on with the nodes that are known now.
+  void start();
+
+  /// Goes back to silence.
+  void stop();
+
+  /// Tells the collectors all that this node has under way.
+  void tell(LoadMessage message);
+
+  /// A node of the zone has told this one.
+  void on_report(const LoadMessage& message);
+
+  /// A digest or a view has come.
+  void on_digest(std::string_view bytes);
+  void on_view(std::string_view bytes);
+
+  /// Sets who is told what, while sums come: of changes of the store that others have seen, and
+  /// that this node's load is to be told at once, since a collector is asked for the view.
+  void connect(std::function<void(const CatalogRevisions&)> on_revisions,
+               std::function<void()> ask_now) {
+    this->on_seen = std::move(on_revisions);
+    this->on_ask = std::move(ask_now);
+  }
+
+  /// @return whether this node collects for others.
+  bool collecting() const { return this->timer && !this->collector.idle(); }
+
+  /// @return nodes whose load is in the last view.
+  std::size_t nodes_seen() const { return this->view_nodes; }
+
+  /// @return when the last view came, or the epoch of the clock.
+  MonotonicTime view_at() const { return this->viewed_at; }
+
+ private:
+  void tick();
+  void watch_source();
+  void ask();
+  void begin_collecting();
+  void collect();
+  LoadDigest digest(const ZoneName& zone) const;
+  void send_to_zones(MonotonicTime now, const LoadDigest& whole);
+  void send_to_members(const LoadDigest& whole);
+  void take_own_sum(const LoadDigest& whole);
+  void append_news(EngineNews& news, const EngineNews& more);
+  void take_news(const EngineNews& news);
+  void note_seen(const CatalogRevisions& revisions);
+  void send(const NodeId& node, std::string_view bytes);
+
+  /// What this node told with one message.
+  struct Told {
+    std::uint64_t sequence = 0;
+    LoadByKey load;
+  };
+  const LoadByKey& told_with(std::uint64_t sequence) const;
+
+  Runtime& runtime;
+  PeerTransport& transport;
+  RelayNode& node;
+  const PeerDirectory& peers;
+  NodeId self;
+  ZoneName zone;
+  std::uint64_t boot;
+  ZoneExchangeSettings settings;
+  std::function<void(const CatalogRevisions&)> on_seen;
+  std::function<void()> on_ask;
+
+  CollectorChoice choice;
+  std::map<ZoneName, CollectorChoice> other_zones;  ///< Whom this node tells there as collector.
+  LoadCollector collector;
+  std::unique_ptr<Periodic> timer;
+  std::deque<Told> told;
+  std::uint64_t sums_sent = 0;
+  EngineNews zone_news;   ///< Of this zone's nodes, since the last sum.
+  EngineNews other_news;  ///< Of the other zones, since the last sum.
+  CatalogRevisions seen;
+  std::map<NodeId, MessageNumber> views;  ///< The last one of each collector.
+  std::size_t view_nodes = 0;
+  MonotonicTime viewed_at{};
+};
+
+}  // namespace shuntbank::relay
--- a/tests/protocol/load_message_test.cpp
+++ b/tests/protocol/load_message_test.cpp
@@ -16,6 +16,8 @@
   message.reads = {{EngineId("e1"), {{0xabcdef0123456789, 800}, {2, 30}}}};
   message.troubles = {{EngineId("e2"), EngineStage::kPrefill, true}};
   message.seen = {41, 42};
+  message.to_collector = true;
+  message.wants_view = true;
   return message;
 }
 
@@ -30,6 +32,7 @@
   cr_assert_eq(read->reads[0].parts[0].id, 0xabcdef0123456789);
   cr_assert(read->troubles[0] == full_message().troubles[0]);
   cr_assert(read->seen == full_message().seen);
+  cr_assert(read->to_collector && read->wants_view);
 }
 
 Test(load_message, reads_a_snapshot_back) {
