Read the store by a few nodes; let the others' reading lag, with hints

Ruled out: a copy of the state handed from node to node. The store's own lagging reads cost a tenth and need no second protocol; what they lack is a bound on their age, and that the exchange can give. Change: the collectors of each zone (in a small fleet three nodes by a hash among those heard) ask for the latest; the others' lists and watches may lag. They also tell when the store last confirmed its state to a reader: where that is older than 4.5 s, each node reads the latest again. A lagging list is handed on only with what a call for the latest says came after it (not at the very first start); a node that joins is not ready before. While the store is down, those who do not read for others pause longer (to 3 s), and call at once on a hint.

--- a/src/core/relay/catalog_revisions.hpp
+++ b/src/core/relay/catalog_revisions.hpp
@@ -4,6 +4,8 @@
 
 #include <cstdint>
 
+#include "common/time.hpp"
+
 namespace shuntbank::relay {
 
 /// Revisions of the newest changes that a node has seen; 0: none yet.
@@ -14,4 +16,18 @@
   bool operator==(const CatalogRevisions&) const = default;
 };
 
+/// What a node says of its reading of the store.
+struct StoreProgress {
+  CatalogRevisions seen;
+  MonotonicTime latest_at{};  ///< When the store last said that nothing newer is known.
+};
+
+/// Who reads the store, as one node knows.
+struct StoreReaders {
+  bool self = false;         ///< This node reads the latest for others.
+  MonotonicTime heard_at{};  ///< When the store last confirmed the state to any reader.
+
+  bool operator==(const StoreReaders&) const = default;
+};
+
 }  // namespace shuntbank::relay
--- a/src/protocol/load_digest.cpp
+++ b/src/protocol/load_digest.cpp
@@ -190,6 +190,16 @@
 
 }  // namespace
 
+std::uint32_t to_age_ms(MonotonicTime now, MonotonicTime confirmed_at) {
+  if (confirmed_at == MonotonicTime{}) return kNeverConfirmed;
+  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(now - confirmed_at).count();
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(ms, 0, kNeverConfirmed - 1));
+}
+
+MonotonicTime from_age_ms(MonotonicTime now, std::uint32_t age_ms) {
+  return age_ms == kNeverConfirmed ? MonotonicTime{} : now - std::chrono::milliseconds(age_ms);
+}
+
 std::vector<std::string> encode_parts(const LoadDigest& whole) {
   return Splitter(whole).split();
 }
--- a/src/protocol/load_digest.hpp
+++ b/src/protocol/load_digest.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -17,6 +18,14 @@
 
 namespace shuntbank {
 
+constexpr std::uint32_t kNeverConfirmed = std::numeric_limits<std::uint32_t>::max();
+
+/// @return the age of a confirmation as messages tell it.
+std::uint32_t to_age_ms(MonotonicTime now, MonotonicTime confirmed_at);
+
+/// @return when the store confirmed what a message says to be so old, or the epoch of the clock.
+MonotonicTime from_age_ms(MonotonicTime now, std::uint32_t age_ms);
+
 /// One part of a collector's sum.
 struct LoadDigest {
   NodeId collector;
@@ -26,8 +35,9 @@
   relay::LoadRange part;
   relay::EngineNews news;        ///< Since the sum before.
   relay::CatalogRevisions seen;  ///< The newest changes of the store that any of them has seen.
-  /// How long ago a node that reads the store for others has heard from it, in milliseconds.
-  std::uint32_t store_age_ms = 0;
+  /// How long ago the store has confirmed its state to a node that reads it for others, in
+  /// milliseconds; kNeverConfirmed: to none that is known.
+  std::uint32_t store_age_ms = kNeverConfirmed;
 
   bool operator==(const LoadDigest&) const = default;
 };
--- a/src/protocol/load_message.cpp
+++ b/src/protocol/load_message.cpp
@@ -62,6 +62,7 @@
                    {"seq", message.sequence},
                    {"load", std::move(load)},
                    {"seen", {message.seen.configuration, message.seen.engines}}};
+  if (message.store_age_ms) document["age"] = *message.store_age_ms;
   if (message.to_collector) document["sum"] = message.wants_view;
   if (!message.reads.empty()) document["reads"] = reads_to_json(message.reads);
   if (!message.troubles.empty()) document["troubles"] = troubles_to_json(message.troubles);
@@ -102,6 +103,7 @@
       message.seen.configuration = document["seen"].at(0).get<std::uint64_t>();
       message.seen.engines = document["seen"].at(1).get<std::uint64_t>();
     }
+    if (document.contains("age")) message.store_age_ms = document["age"].get<std::uint32_t>();
     if (document.contains("sum")) {
       message.to_collector = true;
       message.wants_view = document["sum"].get<bool>();
--- a/src/protocol/load_message.hpp
+++ b/src/protocol/load_message.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -25,8 +26,10 @@
   std::vector<relay::PromptRead> reads;        ///< Since the last message.
   std::vector<relay::EngineTrouble> troubles;  ///< The same.
   relay::CatalogRevisions seen;  ///< How far the node has come in the store's changes.
-  bool to_collector = false;     ///< The receiver is to sum it up with that of others.
-  bool wants_view = false;       ///< The receiver is to send the sum back.
+  /// How long ago the store confirmed them, in milliseconds, where the node reads it for others.
+  std::optional<std::uint32_t> store_age_ms;
+  bool to_collector = false;  ///< The receiver is to sum it up with that of others.
+  bool wants_view = false;    ///< The receiver is to send the sum back.
 };
 
 /// What a node that has just started asks of another: the prompts that engines keep.
--- a/src/relay/catalog.cpp
+++ b/src/relay/catalog.cpp
@@ -1,6 +1,7 @@
 #include "relay/catalog.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include "common/log.hpp"
 
@@ -16,7 +17,11 @@
 
 Catalog::Catalog(Runtime& runtime, store::ObjectStore& store, const CatalogCodec& codec,
                  RelayNode& node, const CatalogSettings& settings)
-    : runtime_(runtime), codec_(codec), node_(node), settings_(settings) {
+    : runtime_(runtime),
+      codec_(codec),
+      node_(node),
+      settings_(settings),
+      started_at_(runtime.now()) {
   store::KindWatchHandlers configuration;
   configuration.on_list = [this](const store::ObjectList& list) {
     for (const store::StoredObject& object : list.objects) take_configuration(object);
@@ -28,25 +33,47 @@
   store::KindWatchHandlers engines;
   engines.on_list = [this](const store::ObjectList& list) { take_engines(list); };
   engines.on_change = [this](const store::ObjectChange& change) { take_engine_change(change); };
-  configuration_ =
-      std::make_unique<store::KindWatch>(runtime, store, codec.configuration_kind(),
-                                         store::KindWatchSettings{}, std::move(configuration));
-  engines_ = std::make_unique<store::KindWatch>(runtime, store, codec.engine_kind(),
-                                                store::KindWatchSettings{}, std::move(engines));
+  store::KindWatchSettings watch;
+  watch.freshness = store::Freshness::kMayLag;
+  watch.confirm_first_list = settings.joins;
+  configuration_ = std::make_unique<store::KindWatch>(runtime, store, codec.configuration_kind(),
+                                                      watch, std::move(configuration));
+  engines_ = std::make_unique<store::KindWatch>(runtime, store, codec.engine_kind(), watch,
+                                                std::move(engines));
   node.on_fleet_changed([this](const Fleet& fleet) { pace(fleet); });
 }
 
 void Catalog::pace(const Fleet& fleet) {
-  const Duration scaled = settings_.wait_a_node * static_cast<std::int64_t>(fleet.nodes);
-  const Duration wait = std::clamp(scaled, settings_.shortest_wait, settings_.longest_wait);
-  configuration_->set_wait(wait);
-  engines_->set_wait(wait);
-  const Duration gather = settings_.gather_a_node * static_cast<std::int64_t>(fleet.nodes);
-  engines_->set_gather(std::clamp(gather, settings_.shortest_gather, settings_.longest_gather));
+  // Readers are few in any fleet, and the others go by their hints.
+  const auto nodes = static_cast<std::int64_t>(reads_for_others_ ? 1 : fleet.nodes);
+  const Duration wait =
+      std::clamp(settings_.wait_a_node * nodes, settings_.shortest_wait, settings_.longest_wait);
+  const Duration backoff = std::clamp(settings_.backoff_a_node * nodes, settings_.shortest_backoff,
+                                      settings_.longest_backoff);
+  for (const auto& watch : {configuration_.get(), engines_.get()}) {
+    watch->set_wait(wait);
+    watch->set_longest_backoff(backoff);
+  }
+  engines_->set_gather(std::clamp(settings_.gather_a_node * nodes, settings_.shortest_gather,
+                                  settings_.longest_gather));
+}
+
+StoreProgress Catalog::progress() const {
+  return {{configuration_->newest_change(), engines_->newest_change()},
+          std::min(configuration_->confirmed_latest_at(), engines_->confirmed_latest_at())};
+}
+
+void Catalog::set_readers(const StoreReaders& readers) {
+  // A node that has just started counts on the readers until it has had the time to hear of them.
+  const MonotonicTime heard_at = std::max(readers.heard_at, started_at_);
+  const bool others_read = runtime_.now() - heard_at <= settings_.readers_silent;
+  read_with(readers.self || !others_read ? store::Freshness::kLatest : store::Freshness::kMayLag);
+  if (std::exchange(reads_for_others_, readers.self) != readers.self) pace(node_.fleet());
 }
 
-CatalogRevisions Catalog::revisions() const {
-  return {configuration_->newest_change(), engines_->newest_change()};
+void Catalog::read_with(store::Freshness freshness) {
+  configuration_->set_freshness(freshness);
+  engines_->set_freshness(freshness);
 }
 
 void Catalog::hint(const CatalogRevisions& revisions) {
--- a/src/relay/catalog.hpp
+++ b/src/relay/catalog.hpp
@@ -45,8 +45,11 @@
   Catalog(const Catalog&) = delete;
   Catalog& operator=(const Catalog&) = delete;
 
-  /// @return the newest changes that this node has seen.
-  CatalogRevisions revisions() const;
+  /// @return the newest changes that this node has seen, and when the store confirmed them.
+  StoreProgress progress() const;
+
+  /// Tells who reads the store. While others do, this node's own reading may lag: they give hints.
+  void set_readers(const StoreReaders& readers);
 
   /// Another node has seen changes up to these.
   void hint(const CatalogRevisions& revisions);
@@ -62,6 +65,7 @@
   void take_engines(const store::ObjectList& list);
   void take_engine_change(const store::ObjectChange& change);
   void pace(const Fleet& fleet);
+  void read_with(store::Freshness freshness);
 
   Runtime& runtime_;
   const CatalogCodec& codec_;
@@ -69,6 +73,8 @@
   std::unique_ptr<store::KindWatch> configuration_;
   std::unique_ptr<store::KindWatch> engines_;
   CatalogSettings settings_;
+  MonotonicTime started_at_;
+  bool reads_for_others_ = false;
 };
 
 }  // namespace shuntbank::relay
--- a/src/relay/exchange_settings.hpp
+++ b/src/relay/exchange_settings.hpp
@@ -42,7 +42,10 @@
   /// Peers that are told each `flush_delay`; with more, messages are rarer in proportion, so that a
   /// node sends as many in a small fleet as in a large one.
   std::size_t peers_a_flush = 9;
-  Duration refresh = std::chrono::seconds(1);  ///< Without changes, while work is under way.
+  Duration refresh = std::chrono::seconds(1);  ///< Between messages without a change.
+  /// Nodes of a small fleet that read the latest from the store and give the others hints; in a
+  /// large one the collectors do. One may be cut off, and one more be dead.
+  std::size_t readers = 3;
   /// A node that joins a running system asks others what the engines keep, so often at most.
   bool joins = false;
   int most_pulls = 8;
--- a/src/relay/load_exchange.cpp
+++ b/src/relay/load_exchange.cpp
@@ -58,10 +58,10 @@
   *alive_ = false;
 }
 
-/// A collector forgets who is silent, so that in a large fleet idle nodes speak as well.
+/// Idle nodes speak as well: who is silent is taken for dead.
 void LoadExchange::refresh() {
   node_.engines().forget_silent_peers(runtime_.now());
-  if (by_zones() || had_load_ || !node_.engines().own_load().empty()) flush();
+  flush();
 }
 
 void LoadExchange::update_fleet() {
@@ -81,9 +81,9 @@
                     [own](const auto& peer) { return hash64(peer.first.value()) < own; }));
 }
 
-void LoadExchange::connect_revisions(std::function<CatalogRevisions()> own,
+void LoadExchange::connect_revisions(std::function<StoreProgress()> own,
                                      std::function<void(const CatalogRevisions&)> on_heard) {
-  own_revisions_ = std::move(own);
+  own_progress_ = std::move(own);
   on_revisions_ = std::move(on_heard);
 }
 
@@ -160,13 +160,32 @@
   message.load = node_.engines().own_load();
   message.reads = node_.take_prompt_reads();
   message.troubles = node_.take_troubles();
-  if (own_revisions_) message.seen = own_revisions_();
+  if (!own_progress_) return message;
+  const StoreProgress progress = own_progress_();
+  message.seen = progress.seen;
+  if (reads_for_others()) message.store_age_ms = to_age_ms(runtime_.now(), progress.latest_at);
   return message;
 }
 
+/// In a small fleet the first few of those that are heard, by a hash; in a large one the
+/// collectors.
+bool LoadExchange::reads_for_others() const {
+  if (by_zones()) return zones_.collects_by_rank();
+  const std::uint64_t own = hash64(self_.value());
+  const MonotonicTime now = runtime_.now();
+  const auto before = std::count_if(heard_.begin(), heard_.end(), [&](const auto& peer) {
+    return now - peer.second.at <= settings_.zones.collector.member_life &&
+           hash64(peer.first.value()) < own;
+  });
+  return static_cast<std::size_t>(before) < settings_.readers;
+}
+
+StoreReaders LoadExchange::readers() const {
+  return {reads_for_others(), std::max(readers_heard_at_, zones_.readers_heard_at())};
+}
+
 void LoadExchange::flush() {
   LoadMessage message = own_message();
-  had_load_ = !message.load.empty();
   if (encode(message).size() > kMaxLoadMessage) {
     log_event(LogArea::kControl, LogLevel::kWarning, "news_left_out",
               {{"reads", message.reads.size()}, {"engines", message.load.size()}});
@@ -191,11 +210,14 @@
 
 void LoadExchange::take(LoadMessage message) {
   if (!peers_.is_peer(message.node)) return;
-  MessageNumber& last = heard_[message.node];
-  const MessageNumber number{message.boot, message.sequence};
-  if (!number.follows(last)) return;
-  last = number;
   const MonotonicTime now = runtime_.now();
+  Heard& last = heard_[message.node];
+  const MessageNumber number{message.boot, message.sequence};
+  if (!number.follows(last.number)) return;
+  last = {number, now};
+  if (message.store_age_ms) {
+    readers_heard_at_ = std::max(readers_heard_at_, from_age_ms(now, *message.store_age_ms));
+  }
   node_.engines().on_peer_load(now, message.node, std::move(message.load));
   for (const EngineTrouble& trouble : message.troubles) {
     node_.engines().on_peer_trouble(now, trouble);
--- a/src/relay/load_exchange.hpp
+++ b/src/relay/load_exchange.hpp
@@ -32,9 +32,12 @@
 
   /// Sets where this node's progress in the store's changes comes from, and who is told that of
   /// others.
-  void connect_revisions(std::function<CatalogRevisions()> own,
+  void connect_revisions(std::function<StoreProgress()> own,
                          std::function<void(const CatalogRevisions&)> on_heard);
 
+  /// @return who reads the store, this node or others.
+  StoreReaders readers() const;
+
   /// @return nodes known, this one included.
   std::size_t nodes() const { return peers_.nodes().size(); }
 
@@ -64,15 +67,22 @@
   LoadExchangeSettings settings_;
   std::uint64_t boot_;
   std::uint64_t sequence_ = 0;
-  bool had_load_ = false;
   PeerDirectory peers_;
   ZoneExchange zones_;
-  std::map<NodeId, MessageNumber> heard_;
+  /// The last message of a peer that tells this node directly.
+  struct Heard {
+    MessageNumber number;
+    MonotonicTime at{};
+  };
+  bool reads_for_others() const;
+
+  std::map<NodeId, Heard> heard_;
+  MonotonicTime readers_heard_at_{};  ///< When the store last confirmed the state to a reader.
   std::unique_ptr<Timer> flush_timer_;
   std::unique_ptr<Periodic> refresh_;
   std::unique_ptr<Timer> pull_timer_;
   int pulls_left_ = 0;
-  std::function<CatalogRevisions()> own_revisions_;
+  std::function<StoreProgress()> own_progress_;
   std::function<void(const CatalogRevisions&)> on_revisions_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/relay/peer_directory.cpp
+++ b/src/relay/peer_directory.cpp
@@ -16,6 +16,9 @@
   store::KindWatchSettings settings;
   settings.wait = std::chrono::seconds(12);
   settings.longest_backoff = std::chrono::seconds(4);
+  // Late news of nodes cost nothing either.
+  settings.freshness = store::Freshness::kMayLag;
+  settings.confirm_first_list = false;
   return settings;
 }
 
--- a/src/relay/relay_process.cpp
+++ b/src/relay/relay_process.cpp
@@ -33,6 +33,15 @@
   return settings;
 }
 
+/// Between two looks at who reads the store. A reader that is silent is noticed that much later.
+constexpr Duration kReadersTick = std::chrono::milliseconds(250);
+
+CatalogSettings catalog_settings(const RelaySettings& settings) {
+  CatalogSettings catalog = settings.catalog;
+  catalog.joins = !settings.first_start;
+  return catalog;
+}
+
 constexpr std::size_t kMaxCallers = 2000;
 constexpr std::size_t kMaxWatchers = 64;
 
@@ -52,7 +61,7 @@
             [this](HttpRequest request, const std::shared_ptr<ConnectionResponder>& responder) {
               node_.handle(std::move(request), responder);
             }),
-        catalog_(runtime, store, codec, node_, settings.catalog),
+        catalog_(runtime, store, codec, node_, catalog_settings(settings)),
         roles_({runtime, http_, dialect}, store, node_, settings.node, settings.roles,
                settings.stages) {
     if (!addresses.peers.empty()) exchange_load(loop, store, addresses.peers);
@@ -103,8 +112,10 @@
     exchange_ =
         std::make_unique<LoadExchange>(runtime_, store, *peers_, node_, settings_.node, exchange);
     exchange_->connect_revisions(
-        [this] { return catalog_.revisions(); },
+        [this] { return catalog_.progress(); },
         [this](const CatalogRevisions& revisions) { catalog_.hint(revisions); });
+    readers_tick_ = std::make_unique<Periodic>(
+        runtime_, kReadersTick, [this] { catalog_.set_readers(exchange_->readers()); });
   }
 
   void serve_state(asio::io_context& loop, const std::string& address) {
@@ -170,6 +181,7 @@
   RoleCoordinator roles_;
   std::unique_ptr<PeerTransport> peers_;
   std::unique_ptr<LoadExchange> exchange_;
+  std::unique_ptr<Periodic> readers_tick_;
   std::vector<std::unique_ptr<Http1Server>> servers_;
   bool stopping_ = false;
   bool drained_ = false;
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -31,6 +31,10 @@
 /// How long the watches of the store wait. The fleet as a whole asks as often in a large fleet as
 /// in a small one; who is deaf learns from the others that something has changed.
 struct CatalogSettings {
+  bool joins = false;  ///< A system that serves: old news are not taken, not even at the start.
+  /// When the store has confirmed its state to no reader for so long, a node reads the latest
+  /// itself. Longer than a reader's wait; with a call after it, well below the time to drain.
+  Duration readers_silent = std::chrono::milliseconds(4500);
   Duration wait_a_node = std::chrono::milliseconds(200);
   Duration shortest_wait = std::chrono::seconds(3);
   Duration longest_wait = std::chrono::seconds(12);  ///< Below the history that stores keep.
@@ -39,6 +43,12 @@
   Duration gather_a_node = std::chrono::milliseconds(15);
   Duration shortest_gather = std::chrono::milliseconds(300);
   Duration longest_gather = std::chrono::milliseconds(600);  ///< Well below the time to drain.
+  /// Times the number of nodes: the longest pause between calls of a node that fail, so that the
+  /// calls of a fleet do not grow while the store is down. Readers keep to the shortest: they tell
+  /// the others when it is back.
+  Duration backoff_a_node = std::chrono::milliseconds(10);
+  Duration shortest_backoff = std::chrono::milliseconds(800);
+  Duration longest_backoff = std::chrono::seconds(3);
 };
 
 /// Settings of one node.
--- a/src/relay/zone_exchange.cpp
+++ b/src/relay/zone_exchange.cpp
@@ -98,6 +98,7 @@
   if (!this->collector.on_member(this->runtime.now(), message.node, std::move(member))) return;
   this->append_news(this->zone_news, news_of(message));
   this->note_seen(message.seen);
+  if (message.store_age_ms) this->note_reader(*message.store_age_ms);
 }
 
 void ZoneExchange::on_digest(std::string_view bytes) {
@@ -112,6 +113,7 @@
   const auto there = this->other_zones.find(digest->zone);
   if (there != this->other_zones.end()) there->second.on_view(now, digest->collector);
   this->note_seen(digest->seen);
+  this->note_reader(digest->store_age_ms);
 }
 
 void ZoneExchange::on_view(std::string_view bytes) {
@@ -130,6 +132,7 @@
   this->node.engines().on_fleet_load(now, digest.part, this->told_with(view->counted));
   this->take_news(digest.news);
   this->note_seen(digest.seen);
+  this->note_reader(digest.store_age_ms);
 }
 
 void ZoneExchange::append_news(EngineNews& news, const EngineNews& more) {
@@ -169,6 +172,17 @@
   if (this->on_seen) this->on_seen(revisions);
 }
 
+void ZoneExchange::note_reader(std::uint32_t store_age_ms) {
+  this->store_heard_at =
+      std::max(this->store_heard_at, from_age_ms(this->runtime.now(), store_age_ms));
+}
+
+bool ZoneExchange::collects_by_rank() const {
+  if (!this->collecting()) return false;
+  const auto ranked = this->choice.told(this->runtime.now());
+  return std::find(ranked.begin(), ranked.end(), this->self) != ranked.end();
+}
+
 void ZoneExchange::tick() {
   this->watch_source();
   this->collector.expire(this->runtime.now());
@@ -225,6 +239,7 @@
   digest.number = {this->boot, this->sums_sent};
   digest.zone = of_zone;
   digest.seen = this->seen;
+  digest.store_age_ms = to_age_ms(this->runtime.now(), this->store_heard_at);
   return digest;
 }
 
--- a/src/relay/zone_exchange.hpp
+++ b/src/relay/zone_exchange.hpp
@@ -59,6 +59,13 @@
   /// @return whether this node collects for others.
   bool collecting() const { return this->timer && !this->collector.idle(); }
 
+  /// @return whether this node collects for others and is one of those that should.
+  bool collects_by_rank() const;
+
+  /// @return when the store last confirmed its state to a node that reads it for others, as far as
+  /// this node has heard; the epoch of the clock if never.
+  MonotonicTime readers_heard_at() const { return this->store_heard_at; }
+
   /// @return nodes whose load is in the last view.
   std::size_t nodes_seen() const { return this->view_nodes; }
 
@@ -78,6 +85,7 @@
   void append_news(EngineNews& news, const EngineNews& more);
   void take_news(const EngineNews& news);
   void note_seen(const CatalogRevisions& revisions);
+  void note_reader(std::uint32_t store_age_ms);
   void send(const NodeId& node, std::string_view bytes);
 
   /// What this node told with one message.
@@ -107,6 +115,7 @@
   EngineNews zone_news;   ///< Of this zone's nodes, since the last sum.
   EngineNews other_news;  ///< Of the other zones, since the last sum.
   CatalogRevisions seen;
+  MonotonicTime store_heard_at{};  ///< The last confirmation by the store that a reader told of.
   std::map<NodeId, MessageNumber> views;  ///< The last one of each collector.
   std::size_t view_nodes = 0;
   MonotonicTime viewed_at{};
--- a/src/store/kind_watch.cpp
+++ b/src/store/kind_watch.cpp
@@ -1,6 +1,7 @@
 #include "store/kind_watch.hpp"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "common/log.hpp"
@@ -12,8 +13,15 @@
 constexpr double kWaitSpread = 0.2;
 constexpr double kBackoffSpread = 0.5;
 
+/// For a watch that only asks whether anything is new.
+constexpr Duration kNoWait = std::chrono::milliseconds(1);
+
 }  // namespace
 
+const char* to_text(Freshness freshness) {
+  return freshness == Freshness::kLatest ? "latest" : "may_lag";
+}
+
 const char* to_text(StoreError error) {
   switch (error) {
     case StoreError::kNotDone:
@@ -42,12 +50,17 @@
         settings_(settings),
         handlers_(std::move(handlers)),
         backoff_(settings.first_backoff),
-        wait_(settings.wait) {}
+        wait_(settings.wait),
+        freshness_(settings.freshness),
+        confirm_lists_(settings.confirm_first_list) {}
 
-  void list() {
-    store_.list(kind_, settings_.list_timeout,
-                [weak = weak_from_this()](const tl::expected<ObjectList, StoreError>& list) {
-                  if (const auto self = weak.lock()) self->on_list(list);
+  void list() { list(freshness_); }
+
+  void list(Freshness freshness) {
+    listing_ = freshness;
+    store_.list(kind_, listing_, settings_.list_timeout,
+                [weak = weak_from_this()](tl::expected<ObjectList, StoreError> list) {
+                  if (const auto self = weak.lock()) self->on_list(std::move(list));
                 });
   }
 
@@ -55,7 +68,8 @@
 
   void hint(std::uint64_t revision) {
     hinted_ = std::max(hinted_, revision);
-    if (hint_timer_ || !watching_ || hinted_ <= revision_) return;
+    if (hint_timer_ || !listed_ || hinted_ <= revision_) return;
+    if (lost && !watching_) return hurry();
     hint_timer_ = runtime_.after(settings_.hint_grace, [weak = weak_from_this()] {
       if (const auto self = weak.lock()) self->check_hint();
     });
@@ -63,32 +77,57 @@
 
   void set_wait(Duration wait) { wait_ = wait; }
   void set_gather(Duration gather) { settings_.gather = gather; }
+  void set_longest_backoff(Duration backoff) { settings_.longest_backoff = backoff; }
+
+  void set_freshness(Freshness freshness) {
+    if (std::exchange(freshness_, freshness) == freshness) return;
+    log_event(LogArea::kPlatform, LogLevel::kInfo, "store_reading",
+              {{"kind", kind_}, {"freshness", to_text(freshness)}});
+    // Nobody else looks any more: what the call under way may miss is asked for now.
+    if (freshness == Freshness::kLatest && watching_) watch();
+  }
 
   MonotonicTime confirmed_at{};
+  MonotonicTime confirmed_latest_at{};
   std::uint64_t newest_change = 0;
   bool lost = false;
 
  private:
-  void on_list(const tl::expected<ObjectList, StoreError>& list) {
+  void on_list(tl::expected<ObjectList, StoreError> list) {
     if (stopped_) return;
     if (!list) return retry("list", list.error());
-    regained();
-    revision_ = list->revision;
-    for (const StoredObject& object : list->objects) note_change(object);
+    regained(listing_);
     listed_ = true;
-    log_event(LogArea::kPlatform, LogLevel::kInfo, "kind_listed",
-              {{"kind", kind_}, {"objects", list->objects.size()}, {"revision", revision_}});
-    handlers_.on_list(*list);
+    const bool confirm = listing_ == Freshness::kMayLag && confirm_lists_;
+    confirm_lists_ = true;
+    if (confirm) {
+      // The list may be older than what is known here. It is taken once the store has said what
+      // came after it.
+      unconfirmed_ = std::move(*list);
+    } else {
+      take_list(*list);
+    }
     watch();
   }
 
+  void take_list(const ObjectList& list) {
+    revision_ = list.revision;
+    for (const StoredObject& object : list.objects) note_change(object);
+    log_event(LogArea::kPlatform, LogLevel::kInfo, "kind_listed",
+              {{"kind", kind_}, {"objects", list.objects.size()}, {"revision", revision_}});
+    handlers_.on_list(list);
+  }
+
   void watch() {
     if (stopped_) return;
     watching_ = true;
+    hurried_ = false;
     const std::uint64_t call = ++calls_;
-    const Duration wait = jittered(wait_, kWaitSpread);
+    asked_ = unconfirmed_ || hinted_ > revision_ ? Freshness::kLatest : freshness_;
+    const std::uint64_t revision = unconfirmed_ ? unconfirmed_->revision : revision_;
+    const Duration wait = unconfirmed_ ? kNoWait : jittered(wait_, kWaitSpread);
     store_.watch(
-        kind_, revision_, wait, wait + settings_.wait_slack,
+        kind_, revision, asked_, wait, wait + settings_.wait_slack,
         [weak = weak_from_this(), call](const tl::expected<ChangeBatch, StoreError>& batch) {
           const auto self = weak.lock();
           // An answer to a call that was given up is not in the order of the others.
@@ -96,6 +135,12 @@
         });
   }
 
+  /// The store answers others: there is no reason to wait any longer.
+  void hurry() {
+    if (std::exchange(hurried_, true)) return;
+    call_after(settings_.first_backoff, [](Impl& self) { self.watch(); });
+  }
+
   void check_hint() {
     hint_timer_.reset();
     if (stopped_ || !watching_ || hinted_ <= revision_) return;
@@ -115,10 +160,13 @@
       log_event(LogArea::kPlatform, LogLevel::kWarning, "history_gone",
                 {{"kind", kind_}, {"revision", revision_}});
       listed_ = false;
-      return list();
+      // A list so old that nobody knows what came after it is of no use a second time.
+      const bool too_old = std::exchange(unconfirmed_, std::nullopt).has_value();
+      return list(too_old ? Freshness::kLatest : freshness_);
     }
     if (!batch) return retry("watch", batch.error());
-    regained();
+    regained(asked_);
+    if (unconfirmed_) take_list(*std::exchange(unconfirmed_, std::nullopt));
     for (const ObjectChange& change : batch->changes) {
       if (stopped_) return;
       note_change(change.object);
@@ -136,8 +184,9 @@
     });
   }
 
-  void regained() {
+  void regained(Freshness answered) {
     confirmed_at = runtime_.now();
+    if (answered == Freshness::kLatest) confirmed_latest_at = confirmed_at;
     backoff_ = settings_.first_backoff;
     if (!std::exchange(lost, false)) return;
     log_event(LogArea::kPlatform, LogLevel::kInfo, "store_regained", {{"kind", kind_}});
@@ -177,10 +226,16 @@
   std::unique_ptr<Timer> timer_;
   std::unique_ptr<Timer> hint_timer_;
   Duration wait_;
+  Freshness freshness_;
+  Freshness listing_ = Freshness::kLatest;  ///< Of the list under way.
+  Freshness asked_ = Freshness::kLatest;    ///< Of the watch under way.
+  bool confirm_lists_;
+  std::optional<ObjectList> unconfirmed_;  ///< Waits for the store to say what came after it.
   std::uint64_t revision_ = 0;
   std::uint64_t hinted_ = 0;  ///< Newest change that others have told of.
   std::uint64_t calls_ = 0;   ///< Watches so far.
   bool watching_ = false;     ///< A watch is under way.
+  bool hurried_ = false;      ///< The next call after a failure was brought forward.
   bool listed_ = false;
   bool stopped_ = false;
 };
@@ -200,6 +255,10 @@
   return impl_->confirmed_at;
 }
 
+MonotonicTime KindWatch::confirmed_latest_at() const {
+  return impl_->confirmed_latest_at;
+}
+
 bool KindWatch::lost() const {
   return impl_->lost;
 }
@@ -212,6 +271,14 @@
   impl_->set_gather(gather);
 }
 
+void KindWatch::set_longest_backoff(Duration backoff) {
+  impl_->set_longest_backoff(backoff);
+}
+
+void KindWatch::set_freshness(Freshness freshness) {
+  impl_->set_freshness(freshness);
+}
+
 std::uint64_t KindWatch::newest_change() const {
   return impl_->newest_change;
 }
--- a/src/store/kind_watch.hpp
+++ b/src/store/kind_watch.hpp
@@ -24,6 +24,10 @@
   Duration list_timeout = std::chrono::milliseconds(1500);
   Duration first_backoff = std::chrono::milliseconds(50);
   Duration longest_backoff = std::chrono::milliseconds(800);
+  Freshness freshness = Freshness::kLatest;  ///< Of lists and watches until told otherwise.
+  /// A first list that may lag is handed on only with what came after it. Not needed where no
+  /// harm comes from old news.
+  bool confirm_first_list = true;
 };
 
 /// What a watch tells.
@@ -44,6 +48,10 @@
   /// @return when the state was last confirmed by the store, or the epoch of the clock.
   MonotonicTime confirmed_at() const;
 
+  /// @return when the store last said that nothing newer is known, or the epoch of the clock. An
+  /// answer that may lag says no such thing.
+  MonotonicTime confirmed_latest_at() const;
+
   /// @return whether the last call failed.
   bool lost() const;
 
@@ -53,6 +61,13 @@
   /// Sets how long changes are gathered from the next batch on.
   void set_gather(Duration gather);
 
+  /// Sets the longest pause between calls that fail.
+  void set_longest_backoff(Duration backoff);
+
+  /// Sets how fresh the answers of the calls that follow must be. Where others read the latest and
+  /// give hints, a watch may lag: a hint of something newer makes it ask for the latest.
+  void set_freshness(Freshness freshness);
+
   /// @return the revision of the newest change that this watch has seen; 0: none.
   std::uint64_t newest_change() const;
 
--- a/src/store/object_store.hpp
+++ b/src/store/object_store.hpp
@@ -51,6 +51,15 @@
 /// @return a short name for logs and metrics.
 const char* to_text(StoreError error);
 
+/// How fresh an answer must be.
+enum class Freshness {
+  kLatest,  ///< Holds every change that the store acknowledged before the call.
+  kMayLag,  ///< May be seconds old, and costs the store little.
+};
+
+/// @return a short name for logs.
+const char* to_text(Freshness freshness);
+
 template <typename Value>
 using StoreHandler = std::function<void(tl::expected<Value, StoreError>)>;
 
@@ -63,12 +72,12 @@
   ObjectStore& operator=(const ObjectStore&) = delete;
 
   /// Reads all objects of a kind.
-  virtual void list(const std::string& kind, Duration timeout,
+  virtual void list(const std::string& kind, Freshness freshness, Duration timeout,
                     StoreHandler<ObjectList> handler) = 0;
 
   /// Waits up to `wait` for changes behind `revision`.
-  virtual void watch(const std::string& kind, std::uint64_t revision, Duration wait,
-                     Duration timeout, StoreHandler<ChangeBatch> handler) = 0;
+  virtual void watch(const std::string& kind, std::uint64_t revision, Freshness freshness,
+                     Duration wait, Duration timeout, StoreHandler<ChangeBatch> handler) = 0;
 
   /// Reads one object.
   virtual void read(const std::string& kind, const std::string& name, Duration timeout,
--- a/tests/relay/load_exchange_test.cpp
+++ b/tests/relay/load_exchange_test.cpp
@@ -234,10 +234,10 @@
   relay::CatalogRevisions heard;
   fleet.exchanges[0]->connect_revisions(
       [] {
-        return relay::CatalogRevisions{5, 6};
+        return relay::StoreProgress{{5, 6}, {}};
       },
       [](const auto&) {});
-  fleet.exchanges[1]->connect_revisions([] { return relay::CatalogRevisions{}; },
+  fleet.exchanges[1]->connect_revisions([] { return relay::StoreProgress{}; },
                                         [&heard](const auto& seen) { heard = seen; });
   fleet.runtime.advance(3s);
   fleet.sites[0]->node->note_trouble({EngineId("p1"), EngineStage::kPrefill, true});
--- a/tests/relay/support/fakes.cpp
+++ b/tests/relay/support/fakes.cpp
@@ -161,31 +161,45 @@
   return call;
 }
 
-void MemoryStore::list(const std::string& kind, Duration,
+std::uint64_t MemoryStore::known(store::Freshness freshness) const {
+  const bool lags = freshness == store::Freshness::kMayLag;
+  return lags ? std::min(revision_, replica_revision) : revision_;
+}
+
+void MemoryStore::list(const std::string& kind, store::Freshness freshness, Duration,
                        store::StoreHandler<store::ObjectList> handler) {
   ++lists;
+  if (freshness == store::Freshness::kLatest) ++latest_calls;
   if (down)
     return reply<store::ObjectList>(std::move(handler),
                                     tl::make_unexpected(store::StoreError::kNotDone));
   store::ObjectList list;
-  for (const auto& [name, object] : kinds_[kind]) list.objects.push_back(object);
-  list.revision = revision_;
+  list.revision = known(freshness);
+  std::map<std::string, store::StoredObject> objects;
+  for (const Change& change : all_) {
+    if (change.kind != kind || change.revision > list.revision) continue;
+    objects[change.change.object.name] = change.change.object;
+    if (change.change.gone) objects.erase(change.change.object.name);
+  }
+  for (const auto& [name, object] : objects) list.objects.push_back(object);
   reply<store::ObjectList>(std::move(handler), list);
 }
 
-store::ChangeBatch MemoryStore::changes_after(const std::string& kind,
-                                              std::uint64_t revision) const {
+store::ChangeBatch MemoryStore::changes_after(const std::string& kind, std::uint64_t revision,
+                                              store::Freshness freshness) const {
   store::ChangeBatch batch;
-  batch.revision = revision_;
+  batch.revision = known(freshness);
   for (const Change& change : history_) {
-    if (change.kind == kind && change.revision > revision) batch.changes.push_back(change.change);
+    if (change.kind != kind || change.revision <= revision) continue;
+    if (change.revision <= batch.revision) batch.changes.push_back(change.change);
   }
   return batch;
 }
 
-void MemoryStore::watch(const std::string& kind, std::uint64_t revision, Duration wait, Duration,
-                        store::StoreHandler<store::ChangeBatch> handler) {
+void MemoryStore::watch(const std::string& kind, std::uint64_t revision, store::Freshness freshness,
+                        Duration wait, Duration, store::StoreHandler<store::ChangeBatch> handler) {
   ++watches;
+  if (freshness == store::Freshness::kLatest) ++latest_calls;
   if (down)
     return reply<store::ChangeBatch>(std::move(handler),
                                      tl::make_unexpected(store::StoreError::kNotDone));
@@ -193,19 +207,20 @@
     return reply<store::ChangeBatch>(std::move(handler),
                                      tl::make_unexpected(store::StoreError::kHistoryGone));
   }
-  const auto batch = changes_after(kind, revision);
+  const auto batch = changes_after(kind, revision, freshness);
   if (!batch.changes.empty()) return reply<store::ChangeBatch>(std::move(handler), batch);
   auto open = std::make_shared<bool>(true);
-  std::shared_ptr<Timer> timer = runtime_.after(wait, [this, open, handler, kind, revision] {
-    if (std::exchange(*open, false)) handler(changes_after(kind, revision));
-  });
-  waiting_.push_back({kind, revision, std::move(handler), open, std::move(timer)});
+  std::shared_ptr<Timer> timer =
+      runtime_.after(wait, [this, open, handler, kind, revision, freshness] {
+        if (std::exchange(*open, false)) handler(changes_after(kind, revision, freshness));
+      });
+  waiting_.push_back({kind, revision, freshness, std::move(handler), open, std::move(timer)});
 }
 
 void MemoryStore::wake() {
   if (deaf) return;
   for (Waiting& waiting : waiting_) {
-    const auto batch = changes_after(waiting.kind, waiting.revision);
+    const auto batch = changes_after(waiting.kind, waiting.revision, waiting.freshness);
     if (!*waiting.open || batch.changes.empty()) continue;
     *waiting.open = false;
     reply<store::ChangeBatch>(waiting.handler, batch);
@@ -218,6 +233,7 @@
   store::StoredObject object{name, ++revision_, content};
   kinds_[kind][name] = object;
   history_.push_back({kind, {object, false}, revision_});
+  all_.push_back(history_.back());
   wake();
 }
 
@@ -225,6 +241,7 @@
   const store::StoredObject object = kinds_[kind][name];
   kinds_[kind].erase(name);
   history_.push_back({kind, {object, true}, ++revision_});
+  all_.push_back(history_.back());
   wake();
 }
 
--- a/tests/relay/support/fakes.hpp
+++ b/tests/relay/support/fakes.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -142,9 +143,10 @@
  public:
   explicit MemoryStore(Runtime& runtime) : runtime_(runtime) {}
 
-  void list(const std::string& kind, Duration timeout,
+  void list(const std::string& kind, store::Freshness freshness, Duration timeout,
             store::StoreHandler<store::ObjectList> handler) override;
-  void watch(const std::string& kind, std::uint64_t revision, Duration wait, Duration timeout,
+  void watch(const std::string& kind, std::uint64_t revision, store::Freshness freshness,
+             Duration wait, Duration timeout,
              store::StoreHandler<store::ChangeBatch> handler) override;
   void read(const std::string& kind, const std::string& name, Duration timeout,
             store::StoreHandler<store::StoredObject> handler) override;
@@ -165,8 +167,11 @@
   bool down = false;          ///< Calls fail with `kNotDone`.
   bool lose_answers = false;  ///< Writes are done and not answered.
   bool deaf = false;          ///< Watches under way do not hear of changes.
+  /// Answers that may lag know nothing newer than this revision.
+  std::uint64_t replica_revision = std::numeric_limits<std::uint64_t>::max();
   int lists = 0;
   int watches = 0;
+  int latest_calls = 0;  ///< Of the lists and watches: those that may not lag.
   int writes = 0;
 
  private:
@@ -178,11 +183,14 @@
   struct Waiting {
     std::string kind;
     std::uint64_t revision;
+    store::Freshness freshness;
     store::StoreHandler<store::ChangeBatch> handler;
     std::shared_ptr<bool> open;
     std::shared_ptr<Timer> timer;
   };
-  store::ChangeBatch changes_after(const std::string& kind, std::uint64_t revision) const;
+  std::uint64_t known(store::Freshness freshness) const;
+  store::ChangeBatch changes_after(const std::string& kind, std::uint64_t revision,
+                                   store::Freshness freshness) const;
   void wake();
   template <typename Value>
   void reply(store::StoreHandler<Value> handler, tl::expected<Value, store::StoreError> value) {
@@ -192,6 +200,7 @@
   Runtime& runtime_;
   std::map<std::string, std::map<std::string, store::StoredObject>> kinds_;
   std::vector<Change> history_;
+  std::vector<Change> all_;  ///< With what the store has forgotten.
   std::vector<Waiting> waiting_;
   std::uint64_t revision_ = 1;
   std::uint64_t oldest_ = 0;
--- a/tests/store/kind_watch_test.cpp
+++ b/tests/store/kind_watch_test.cpp
@@ -158,3 +158,104 @@
   watched.runtime.advance(30s);
   cr_assert_eq(watched.names.count("a"), 1);
 }
+
+Test(kind_watch, hands_an_old_list_on_only_with_what_came_after_it) {
+  Watched watched;
+  watched.store.put("k", "a", {});
+  watched.store.replica_revision = watched.store.revision();
+  watched.store.put("k", "b", {});
+  watched.store.remove("k", "a");
+  watched.settings.freshness = store::Freshness::kMayLag;
+  std::vector<std::size_t> lists;
+  watched.handlers.on_list = [&](const store::ObjectList& list) {
+    lists.push_back(list.objects.size());
+  };
+  watched.start();
+  watched.runtime.advance(1ms);
+  cr_assert_eq(lists, std::vector<std::size_t>{1});
+  cr_assert_eq(watched.names, std::set<std::string>{"b"});
+  cr_assert_eq(watched.store.latest_calls, 1, "one to confirm it, at a tenth of a list's price");
+}
+
+Test(kind_watch, is_not_ready_with_an_old_list_that_nobody_confirms) {
+  Watched watched;
+  watched.store.put("k", "a", {});
+  watched.settings.freshness = store::Freshness::kMayLag;
+  bool listed = false;
+  watched.handlers.on_list = [&](const auto&) {
+    listed = true;
+    watched.store.down = false;
+  };
+  watched.start();
+  watched.store.down = true;  // The list is on its way, and the next call fails.
+  watched.runtime.advance(1ms);
+  cr_assert_not(listed);
+  watched.store.down = false;
+  watched.runtime.advance(1s);
+  cr_assert(listed);
+}
+
+Test(kind_watch, asks_for_the_latest_when_others_have_seen_more_than_a_lagging_answer_tells) {
+  Watched watched;
+  watched.store.put("k", "a", {});
+  watched.settings.freshness = store::Freshness::kMayLag;
+  watched.settings.wait = 30s;
+  watched.start();
+  watched.runtime.advance(1ms);
+  watched.store.replica_revision = watched.store.revision();
+  watched.store.put("k", "b", {});
+  watched.runtime.advance(3s);
+  cr_assert_eq(watched.names.count("b"), 0, "the replica lags");
+  watched.watch->hint(watched.store.revision());
+  watched.runtime.advance(watched.settings.hint_grace + 20ms);
+  cr_assert_eq(watched.names.count("b"), 1);
+}
+
+Test(kind_watch, never_goes_back_when_the_replica_is_behind) {
+  Watched watched;
+  watched.store.put("k", "a", {});
+  watched.settings.freshness = store::Freshness::kMayLag;
+  watched.start();
+  watched.runtime.advance(1ms);
+  watched.store.replica_revision = watched.store.revision();
+  watched.store.remove("k", "a");
+  watched.store.put("k", "b", {});
+  watched.watch->hint(watched.store.revision());
+  watched.runtime.advance(10s);
+  cr_assert_eq(watched.names, std::set<std::string>{"b"});
+  watched.store.forget_history();
+  watched.store.replica_revision = 2;
+  watched.runtime.advance(10s);
+  cr_assert_eq(watched.names, std::set<std::string>{"b"}, "though the replica still has a");
+}
+
+Test(kind_watch, asks_anew_when_nobody_reads_the_latest_any_more) {
+  Watched watched;
+  watched.store.put("k", "a", {});
+  watched.settings.freshness = store::Freshness::kMayLag;
+  watched.settings.wait = 30s;
+  watched.start();
+  watched.runtime.advance(1ms);
+  watched.store.replica_revision = watched.store.revision();
+  watched.store.put("k", "b", {});
+  watched.watch->set_freshness(store::Freshness::kLatest);
+  watched.runtime.advance(1ms);
+  cr_assert_eq(watched.names.count("b"), 1);
+}
+
+Test(kind_watch, does_not_wait_out_a_pause_when_the_store_answers_others) {
+  Watched watched;
+  watched.store.put("k", "a", {});
+  watched.settings.longest_backoff = 30s;
+  watched.start();
+  watched.runtime.advance(1ms);
+  watched.store.down = true;
+  watched.runtime.advance(60s);
+  watched.store.down = false;
+  watched.store.put("k", "b", {});
+  for (int i = 0; i < 20; ++i) {
+    watched.watch->hint(watched.store.revision());
+    watched.runtime.advance(10ms);
+  }
+  cr_assert_eq(watched.names.count("b"), 1);
+}
