Read the latest where a node has no exchange

Found in reading the diff: without an address for peers nobody gives hints, and the node would read lagging answers for ever. Catalog::set_readers has tests of its own now.

--- a/src/relay/relay_process.cpp
+++ b/src/relay/relay_process.cpp
@@ -64,7 +64,12 @@
         catalog_(runtime, store, codec, node_, catalog_settings(settings)),
         roles_({runtime, http_, dialect}, store, node_, settings.node, settings.roles,
                settings.stages) {
-    if (!addresses.peers.empty()) exchange_load(loop, store, addresses.peers);
+    if (addresses.peers.empty()) {
+      // Nobody will ever give hints.
+      catalog_.set_readers({true, runtime.now()});
+    } else {
+      exchange_load(loop, store, addresses.peers);
+    }
     node_.on_adopted([this](const RouteTable& table) { take_limits(table); });
     node_.on_address_free([this](const std::string& address) { http_.forget_peer(address); });
     for (const std::string& address : {addresses.ready, addresses.control, addresses.metrics}) {
--- /dev/null
+++ b/tests/relay/catalog_test.cpp
@@ -0,0 +1,89 @@
+#include "relay/catalog.hpp"
+
+#include <criterion/criterion.h>
+
+#include "relay/support/fakes.hpp"
+
+using namespace shuntbank;
+using namespace shuntbank::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Configurations are version numbers; engines are read by no test here.
+class VersionCodec : public relay::CatalogCodec {
+ public:
+  std::string configuration_kind() const override { return "routes"; }
+  std::string configuration_name() const override { return "main"; }
+  std::string engine_kind() const override { return "engines"; }
+  tl::expected<relay::RouteConfiguration, std::string> configuration(
+      const nlohmann::json& content) const override {
+    return RelayFixture::configuration(content.at("version").get<std::uint64_t>());
+  }
+  tl::expected<relay::EngineRecord, std::string> engine(const store::StoredObject&) const override {
+    return tl::make_unexpected(std::string("none"));
+  }
+};
+
+/// A catalog over a store whose lagging answers stand still.
+struct Read {
+  explicit Read(bool joins = false) {
+    settings.joins = joins;
+    put(3);
+    store.replica_revision = store.revision();
+    put(4);
+    catalog = std::make_unique<relay::Catalog>(runtime, store, codec, *site.node, settings);
+    runtime.advance(1ms);
+  }
+
+  void put(std::uint64_t version) { store.put("routes", "main", {{"version", version}}); }
+  std::uint64_t version() const { return site.node->table()->version(); }
+
+  ManualRuntime runtime;
+  MemoryStore store{runtime};
+  VersionCodec codec;
+  RelayFixture site;
+  relay::CatalogSettings settings;
+  std::unique_ptr<relay::Catalog> catalog;
+};
+
+}  // namespace
+
+Test(catalog, takes_no_old_configuration_when_it_joins) {
+  Read starts(false);
+  cr_assert_eq(starts.version(), 3, "a whole system starts: nothing serves yet");
+  Read joins(true);
+  cr_assert_eq(joins.version(), 4);
+}
+
+Test(catalog, follows_a_hint_within_a_second) {
+  Read read;
+  read.catalog->set_readers({false, read.runtime.now()});
+  relay::CatalogRevisions seen;
+  seen.configuration = read.store.revision();
+  read.catalog->hint(seen);
+  read.runtime.advance(1s);
+  cr_assert_eq(read.version(), 4);
+}
+
+Test(catalog, reads_the_latest_when_the_readers_are_silent) {
+  Read read;
+  for (int i = 0; i < 16; ++i) {
+    read.catalog->set_readers({false, read.runtime.now()});
+    read.runtime.advance(250ms);
+  }
+  const MonotonicTime last_heard = read.runtime.now();
+  cr_assert_eq(read.version(), 3, "readers are heard, but nobody has told of the change");
+  for (int i = 0; i < 20; ++i) {
+    read.catalog->set_readers({false, last_heard});
+    read.runtime.advance(250ms);
+  }
+  cr_assert_eq(read.version(), 4);
+}
+
+Test(catalog, reads_the_latest_when_it_is_a_reader) {
+  Read read;
+  read.catalog->set_readers({true, {}});
+  read.runtime.advance(1ms);
+  cr_assert_eq(read.version(), 4);
+}
--- a/tests/relay/relay_process_test.cpp
+++ b/tests/relay/relay_process_test.cpp
@@ -148,3 +148,9 @@
   cr_assert_neq(metrics.body.find("shuntbank_relay_state{name=\"config_version\"} 1"),
                 std::string::npos, "%s", metrics.body.c_str());
 }
+
+Test(relay_process, reads_the_latest_itself_where_it_has_no_exchange) {
+  // Without an address for peers nobody gives hints, and answers that lag would be all it ever has.
+  Running running;
+  cr_assert_gt(running.store.latest_calls, 0);
+}
