Make no sum that nobody asks for, and say things once in the exchange

Work done for nothing: a zone's second collector summed the fleet and encoded it every 30 ms though nobody had asked it for a view; each message was encoded two or three times to learn its size. Written twice: the order of the other zones' nodes (start, begin_collecting), taking a sum (own, from a collector), the walk over the zones' sums (fleet_nodes, fleet_load), a hash as a fraction (placement, directory), a random fraction (relay node and kind watch, from before), a random number of 56 bits (boot and seed). Each stands once now: order_other_zones, take_sum, LoadCollector::taken, hash_fraction, random_fraction, random_number. State that follows from other state: the node's name, zone and capacity were handed to the exchange by zones beside the directory that holds them in the node's own record. Not taken up: messages between nodes name engines by id in one codec and by key in the other; one form for both would change the wire and what the tests spell out.

--- a/src/common/hash.cpp
+++ b/src/common/hash.cpp
@@ -29,6 +29,11 @@
   return XXH3_64bits_withSeed(text.data(), text.size(), seed);
 }
 
+double hash_fraction(std::string_view text, std::uint64_t seed) {
+  constexpr double kWhole = 18446744073709551616.0;  // 2 to the 64th.
+  return static_cast<double>(hash64(text, seed)) / kWhole;
+}
+
 std::string sha256_hex(std::string_view text) {
   std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
   unsigned int size = 0;
--- a/src/common/hash.hpp
+++ b/src/common/hash.hpp
@@ -11,6 +11,9 @@
 /// @return the 64-bit xxHash of `text` under `seed`. Stable across processes; not for secrets.
 std::uint64_t hash64(std::string_view text, std::uint64_t seed = 0);
 
+/// @return `hash64` as a fraction, from 0 to less than 1.
+double hash_fraction(std::string_view text, std::uint64_t seed);
+
 /// @return the SHA-256 of `text` as 64 lower-case hexadecimal digits.
 std::string sha256_hex(std::string_view text);
 
--- a/src/common/runtime.cpp
+++ b/src/common/runtime.cpp
@@ -4,6 +4,17 @@
 
 namespace shuntbank {
 
+std::uint64_t random_number(Runtime& runtime) {
+  constexpr std::size_t kBytes = 7;
+  return std::stoull(runtime.random_hex(kBytes), nullptr, 16);
+}
+
+double random_fraction(Runtime& runtime) {
+  constexpr std::size_t kBytes = 2;
+  constexpr double kWhole = 65536;
+  return static_cast<double>(std::stoul(runtime.random_hex(kBytes), nullptr, 16)) / kWhole;
+}
+
 void call_after(Runtime& runtime, Duration delay, std::function<void()> function) {
   // The timer lives in its own call and goes with it.
   auto holder = std::make_shared<std::unique_ptr<Timer>>();
--- a/src/common/runtime.hpp
+++ b/src/common/runtime.hpp
@@ -47,6 +47,12 @@
   virtual std::string random_hex(std::size_t bytes) = 0;
 };
 
+/// @return an unpredictable number of 56 bits; in a simulation, a predictable one.
+std::uint64_t random_number(Runtime& runtime);
+
+/// @return an unpredictable fraction from 0 to less than 1, in steps of 1/65536.
+double random_fraction(Runtime& runtime);
+
 /// Calls `function` once after `delay`, whatever happens to the caller.
 void call_after(Runtime& runtime, Duration delay, std::function<void()> function);
 
--- a/src/core/relay/engine_directory.cpp
+++ b/src/core/relay/engine_directory.cpp
@@ -365,9 +365,8 @@
 }
 
 Duration EngineDirectory::longer_by_lot(Duration shortest, const EngineId& engine) {
-  constexpr double kWhole = 18446744073709551616.0;  // 2 to the 64th.
-  const std::uint64_t lot = hash64(engine.value(), seed_ + ++lots_drawn_);
-  const double factor = 1 + (kLongestByLot - 1) * static_cast<double>(lot) / kWhole;
+  const double lot = hash_fraction(engine.value(), seed_ + ++lots_drawn_);
+  const double factor = 1 + (kLongestByLot - 1) * lot;
   return Duration(static_cast<std::int64_t>(static_cast<double>(shortest.count()) * factor));
 }
 
--- a/src/core/relay/load_collector.cpp
+++ b/src/core/relay/load_collector.cpp
@@ -53,19 +53,24 @@
   return sum;
 }
 
+std::vector<const LoadCollector::Sum*> LoadCollector::taken(MonotonicTime now) const {
+  std::vector<const Sum*> sums;
+  for (const auto& [zone, by_collector] : this->zones) {
+    if (const ChosenSum source = this->chosen(now, by_collector))
+      sums.push_back(&(*source)->second);
+  }
+  return sums;
+}
+
 std::size_t LoadCollector::fleet_nodes(MonotonicTime now) const {
   std::size_t nodes = this->members.size();
-  for (const auto& [zone, sums] : this->zones) {
-    if (const ChosenSum source = this->chosen(now, sums)) nodes += (*source)->second.nodes;
-  }
+  for (const Sum* other : this->taken(now)) nodes += other->nodes;
   return nodes;
 }
 
 LoadByKey LoadCollector::fleet_load(MonotonicTime now) const {
   LoadByKey sum = this->zone_load();
-  for (const auto& [zone, sums] : this->zones) {
-    if (const ChosenSum source = this->chosen(now, sums)) add_load(sum, (*source)->second.load);
-  }
+  for (const Sum* other : this->taken(now)) add_load(sum, other->load);
   return sum;
 }
 
--- a/src/core/relay/load_collector.hpp
+++ b/src/core/relay/load_collector.hpp
@@ -107,6 +107,9 @@
 
   ChosenSum chosen(MonotonicTime now, const SumsByCollector& sums) const;
 
+  /// @return the sum that is taken of each other zone.
+  std::vector<const Sum*> taken(MonotonicTime now) const;
+
   LoadCollectorSettings settings;
   std::map<NodeId, Member> members;
   std::map<ZoneName, SumsByCollector> zones;
--- a/src/core/relay/placement.cpp
+++ b/src/core/relay/placement.cpp
@@ -104,8 +104,7 @@
 /// @return a number from 0 to 1 that differs from prompt to prompt and from engine to engine.
 double lot(const PromptShape& prompt, const EngineView& engine) {
   if (prompt.parts.empty()) return 0;
-  constexpr double kWhole = 18446744073709551616.0;  // 2 to the 64th.
-  return rendezvous_weight(prompt.parts.back().id, engine.record.id) / kWhole;
+  return hash_fraction(engine.record.id.value(), prompt.parts.back().id);
 }
 
 /// All nodes see the same engine idle until the next view. By so much, in milliseconds, the costs
--- a/src/relay/exchange_settings.hpp
+++ b/src/relay/exchange_settings.hpp
@@ -30,7 +30,6 @@
   /// Messages a second that a collector sends, for each core of its machine: at 10 us each, 4% of
   /// what it has.
   double messages_a_core = 4000;
-  double capacity = 1;  ///< Of this machine, in cores.
   /// Prompts read that one sum tells of; more come from a fleet that nobody could follow.
   std::size_t most_reads = 1000;
 };
@@ -40,7 +39,7 @@
   PeerDirectorySettings peers;
   ZoneExchangeSettings zones;
   ZoneName zone;                                         ///< This node's own.
-  double capacity = 0;                                   ///< Of this machine, in cores.
+  double capacity = 1;                                   ///< Of this machine, in cores.
   Duration flush_delay = std::chrono::milliseconds(15);  ///< Changes within it share a message.
   /// Up to so many peers, each node tells all the others; with more, by zones. All nodes together
   /// send messages in proportion to the square of this.
--- a/src/relay/load_exchange.cpp
+++ b/src/relay/load_exchange.cpp
@@ -9,8 +9,6 @@
 namespace shuntbank::relay {
 namespace {
 
-constexpr std::size_t kBootBytes = 7;
-
 PeerRecord own_record(const PeerTransport& transport, const LoadExchangeSettings& settings) {
   return {transport.local_address(), settings.zone, settings.capacity};
 }
@@ -22,12 +20,6 @@
   return peers;
 }
 
-ZoneExchangeSettings zone_settings(const LoadExchangeSettings& settings) {
-  ZoneExchangeSettings zones = settings.zones;
-  zones.capacity = settings.capacity;
-  return zones;
-}
-
 }  // namespace
 
 LoadExchange::LoadExchange(Runtime& runtime, store::ObjectStore& store, PeerTransport& transport,
@@ -38,11 +30,10 @@
       node_(node),
       self_(self),
       settings_(settings),
-      boot_(std::stoull(runtime.random_hex(kBootBytes), nullptr, 16)),
+      boot_(random_number(runtime)),
       peers_(runtime, store, self_, own_record(transport, settings), directory_settings(settings),
              [this] { update_fleet(); }),
-      zones_(runtime, transport, node, peers_, self_, settings.zone, boot_,
-             zone_settings(settings)) {
+      zones_(runtime, transport, node, peers_, boot_, settings.zones) {
   transport_.set_handlers(
       [this](std::string_view bytes, const std::string&) { on_message(bytes); },
       [this](const std::string& call, const std::function<void(std::string)>& reply) {
@@ -104,7 +95,7 @@
   const auto askable = peers_to_ask();
   if (askable.empty() || !node_.ready()) return;
   pull_timer_.reset();
-  const std::size_t drawn = std::stoul(runtime_.random_hex(2), nullptr, 16) % askable.size();
+  const std::size_t drawn = random_number(runtime_) % askable.size();
   transport_.call(askable[drawn], std::string(kSnapshotCall), settings_.pull_timeout,
                   [this, alive = alive_](const tl::expected<std::string, std::string>& answer) {
                     if (*alive) take_caches(answer);
@@ -196,14 +187,15 @@
 
 void LoadExchange::flush() {
   LoadMessage message = own_message();
-  if (encode(message).size() > kMaxLoadMessage) {
+  std::string bytes = encode(message);
+  if (bytes.size() > kMaxLoadMessage) {
     log_event(LogArea::kControl, LogLevel::kWarning, "news_left_out",
               {{"reads", message.reads.size()}, {"engines", message.load.size()}});
     message.reads.clear();
+    bytes = encode(message);
   }
-  if (encode(message).size() > kMaxLoadMessage) return;
+  if (bytes.size() > kMaxLoadMessage) return;
   if (by_zones()) return zones_.tell(std::move(message));
-  const std::string bytes = encode(message);
   for (const auto& [name, record] : peers_.nodes()) {
     if (name != self_) transport_.send(record.address, bytes);
   }
--- a/src/relay/peer_directory.cpp
+++ b/src/relay/peer_directory.cpp
@@ -30,15 +30,15 @@
 }  // namespace
 
 PeerDirectory::PeerDirectory(Runtime& own_runtime, store::ObjectStore& own_store,
-                             const NodeId& own_name, const PeerRecord& own_record,
+                             const NodeId& name, const PeerRecord& record,
                              const PeerDirectorySettings& own_settings,
                              std::function<void()> on_change)
     : runtime(own_runtime),
       store(own_store),
-      self(own_name),
+      self(name),
       settings(own_settings),
       changed(std::move(on_change)) {
-  this->records[this->self] = own_record;
+  this->records[this->self] = record;
   this->register_self();
   this->start_timer =
       this->runtime.after(this->settings.first_look, [this] { this->watch_nodes(); });
@@ -55,7 +55,7 @@
 
 void PeerDirectory::register_self() {
   this->store.create(
-      this->settings.kind, this->self.value(), to_json(this->records[this->self]), kRegisterTimeout,
+      this->settings.kind, this->self.value(), to_json(this->own_record()), kRegisterTimeout,
       [this,
        living = this->alive](const tl::expected<store::StoredObject, store::StoreError>& made) {
         // A machine keeps its name and address when its process starts again.
--- a/src/relay/peer_directory.hpp
+++ b/src/relay/peer_directory.hpp
@@ -19,9 +19,10 @@
 class PeerDirectory {
  public:
   /// All references outlive this.
+  /// @param name of this node. @param record of this node.
   /// @param on_change called with the first list and after each change.
-  PeerDirectory(Runtime& runtime, store::ObjectStore& store, const NodeId& self,
-                const PeerRecord& own_record, const PeerDirectorySettings& settings,
+  PeerDirectory(Runtime& runtime, store::ObjectStore& store, const NodeId& name,
+                const PeerRecord& record, const PeerDirectorySettings& settings,
                 std::function<void()> on_change);
   ~PeerDirectory();
   PeerDirectory(const PeerDirectory&) = delete;
@@ -30,6 +31,10 @@
   /// @return the nodes known, this one included.
   const PeerRecords& nodes() const { return this->records; }
 
+  /// @return this node's name and record.
+  const NodeId& own_name() const { return this->self; }
+  const PeerRecord& own_record() const { return this->records.at(this->self); }
+
   /// @return other nodes known.
   std::size_t peer_count() const { return this->records.size() - 1; }
 
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -9,12 +9,6 @@
 namespace shuntbank::relay {
 namespace {
 
-constexpr std::size_t kSeedBytes = 7;
-
-double random_fraction(Runtime& runtime) {
-  return static_cast<double>(std::stoul(runtime.random_hex(2), nullptr, 16)) / 65536.0;
-}
-
 void log_engine(const char* event, const EngineRecord& record) {
   log_event(LogArea::kControl, LogLevel::kInfo, event,
             {{"engine", record.id.value()},
@@ -29,7 +23,7 @@
 RelayNode::RelayNode(const RelayIo& io, const RelaySettings& settings)
     : io_(io),
       settings_(settings),
-      engines_(std::stoull(io.runtime.random_hex(kSeedBytes), nullptr, 16)),
+      engines_(random_number(io.runtime)),
       context_{io.runtime, io.http,  io.dialect, settings_, engines_,
                metrics_,   budgets_, {},         {},        {}},
       splits_(random_fraction(io.runtime)) {}
--- a/src/relay/zone_exchange.cpp
+++ b/src/relay/zone_exchange.cpp
@@ -37,15 +37,14 @@
 }  // namespace
 
 ZoneExchange::ZoneExchange(Runtime& own_runtime, PeerTransport& own_transport, RelayNode& own_node,
-                           const PeerDirectory& own_peers, const NodeId& own_name,
-                           const ZoneName& own_zone, std::uint64_t own_boot,
+                           const PeerDirectory& own_peers, std::uint64_t own_boot,
                            const ZoneExchangeSettings& own_settings)
     : runtime(own_runtime),
       transport(own_transport),
       node(own_node),
       peers(own_peers),
-      self(own_name),
-      zone(own_zone),
+      self(own_peers.own_name()),
+      zone(own_peers.own_record().zone),
       boot(own_boot),
       settings(own_settings),
       choice(own_settings.choice),
@@ -53,6 +52,13 @@
 
 void ZoneExchange::start() {
   this->choice.set_order(collector_order(this->peers.nodes(), this->zone));
+  this->order_other_zones();
+  if (std::exchange(this->running, true)) return;
+  this->schedule();
+  this->watch_source();
+}
+
+void ZoneExchange::order_other_zones() {
   for (const auto& [name, record] : this->peers.nodes()) {
     if (record.zone != this->zone) {
       this->other_zones.try_emplace(record.zone, this->settings.choice);
@@ -61,9 +67,6 @@
   for (auto& [name, there] : this->other_zones) {
     there.set_order(collector_order(this->peers.nodes(), name));
   }
-  if (std::exchange(this->running, true)) return;
-  this->schedule();
-  this->watch_source();
 }
 
 void ZoneExchange::schedule() {
@@ -78,7 +81,8 @@
 Duration ZoneExchange::interval() const {
   if (this->collector.idle()) return this->settings.longest_collect;
   const double messages = static_cast<double>(this->view_messages);
-  const double seconds = messages / (this->settings.messages_a_core * this->settings.capacity);
+  const double seconds =
+      messages / (this->settings.messages_a_core * this->peers.own_record().capacity);
   return std::clamp(from_seconds(seconds), this->settings.collect_every,
                     this->settings.longest_collect);
 }
@@ -147,13 +151,17 @@
   this->choice.on_view(now, digest.collector);
   if (this->choice.source() != digest.collector) return;
   if (!another_part) this->note_view(now);
-  this->view_nodes = digest.nodes;
-  this->node.engines().on_fleet_load(now, digest.part, this->told_with(view->counted));
-  this->take_news(digest.news);
+  this->take_sum(now, digest, view->counted);
   this->note_seen(digest.seen);
   this->note_reader(digest.store_age_ms);
 }
 
+void ZoneExchange::take_sum(MonotonicTime now, const LoadDigest& sum, std::uint64_t counted) {
+  this->view_nodes = sum.nodes;
+  this->node.engines().on_fleet_load(now, sum.part, this->told_with(counted));
+  this->take_news(sum.news);
+}
+
 void ZoneExchange::append_news(EngineNews& news, const EngineNews& more) {
   if (news.reads.size() + more.reads.size() > this->settings.most_reads) {
     log_event(LogArea::kControl, LogLevel::kWarning, "news_left_out",
@@ -236,10 +244,8 @@
 /// The choice for the other zones begins anew: silence from before means nothing.
 void ZoneExchange::begin_collecting() {
   log_event(LogArea::kControl, LogLevel::kInfo, "collecting", {{"zone", this->zone.value()}});
-  for (auto& [name, there] : this->other_zones) {
-    there = CollectorChoice(this->settings.choice);
-    there.set_order(collector_order(this->peers.nodes(), name));
-  }
+  this->other_zones.clear();
+  this->order_other_zones();
 }
 
 void ZoneExchange::collect() {
@@ -251,13 +257,19 @@
   zone_sum.news = this->zone_news;
   this->send_to_zones(now, zone_sum);
 
+  EngineNews news = std::exchange(this->zone_news, {});
+  news.append(std::exchange(this->other_news, {}));
+  // The zone's second collector knows all that the first does, and is asked by nobody.
+  const auto subscribers = this->collector.subscribers();
+  this->view_messages = 0;
+  const bool own_source = this->choice.source() == this->self;
+  if (subscribers.empty() && !own_source) return;
   LoadDigest fleet_sum = this->digest(ZoneName());
   fleet_sum.nodes = this->collector.fleet_nodes(now);
   fleet_sum.part.load = this->collector.fleet_load(now);
-  fleet_sum.news = std::exchange(this->zone_news, {});
-  fleet_sum.news.append(std::exchange(this->other_news, {}));
-  this->send_to_members(fleet_sum);
-  if (this->choice.source() == this->self) this->take_own_sum(fleet_sum);
+  fleet_sum.news = std::move(news);
+  this->send_to_members(subscribers, fleet_sum);
+  if (own_source) this->take_own_sum(now, fleet_sum);
 }
 
 LoadDigest ZoneExchange::digest(const ZoneName& of_zone) const {
@@ -285,9 +297,9 @@
   }
 }
 
-void ZoneExchange::send_to_members(const LoadDigest& whole) {
+void ZoneExchange::send_to_members(const std::vector<Subscriber>& subscribers,
+                                   const LoadDigest& whole) {
   const auto parts = encode_parts(whole);
-  const auto subscribers = this->collector.subscribers();
   this->view_messages = parts.size() * subscribers.size();
   for (const Subscriber& subscriber : subscribers) {
     if (subscriber.node == this->self) continue;
@@ -298,14 +310,10 @@
 }
 
 /// A collector that listens to itself needs no messages.
-void ZoneExchange::take_own_sum(const LoadDigest& whole) {
-  const MonotonicTime now = this->runtime.now();
+void ZoneExchange::take_own_sum(MonotonicTime now, const LoadDigest& whole) {
   this->choice.on_view(now, this->self);
   this->note_view(now);
-  this->view_nodes = whole.nodes;
-  const LoadByKey own = this->told.empty() ? LoadByKey{} : this->told.back().load;
-  this->node.engines().on_fleet_load(now, whole.part, own);
-  this->take_news(whole.news);
+  this->take_sum(now, whole, this->told.empty() ? 0 : this->told.back().sequence);
 }
 
 }  // namespace shuntbank::relay
--- a/src/relay/zone_exchange.hpp
+++ b/src/relay/zone_exchange.hpp
@@ -26,10 +26,9 @@
 class ZoneExchange {
  public:
   /// All references outlive this.
-  /// @param own_zone of this node.
   ZoneExchange(Runtime& runtime, PeerTransport& transport, RelayNode& node,
-               const PeerDirectory& peers, const NodeId& self, const ZoneName& own_zone,
-               std::uint64_t boot, const ZoneExchangeSettings& settings);
+               const PeerDirectory& peers, std::uint64_t boot,
+               const ZoneExchangeSettings& settings);
 
   /// Begins or goes on with the nodes that are known now.
   void start();
@@ -72,6 +71,7 @@
   MonotonicTime view_at() const { return this->viewed_at; }
 
  private:
+  void order_other_zones();
   void schedule();
   Duration interval() const;
   void tick();
@@ -81,8 +81,9 @@
   void collect();
   LoadDigest digest(const ZoneName& zone) const;
   void send_to_zones(MonotonicTime now, const LoadDigest& whole);
-  void send_to_members(const LoadDigest& whole);
-  void take_own_sum(const LoadDigest& whole);
+  void send_to_members(const std::vector<Subscriber>& subscribers, const LoadDigest& whole);
+  void take_own_sum(MonotonicTime now, const LoadDigest& whole);
+  void take_sum(MonotonicTime now, const LoadDigest& sum, std::uint64_t counted);
   void append_news(EngineNews& news, const EngineNews& more);
   void take_news(const EngineNews& news);
   void note_view(MonotonicTime now);
--- a/src/store/kind_watch.cpp
+++ b/src/store/kind_watch.cpp
@@ -219,9 +219,7 @@
 
   /// @return `duration` times a random factor from 1 - spread to 1 + spread.
   Duration jittered(Duration duration, double spread) {
-    const std::string random = runtime_.random_hex(2);
-    const double fraction = static_cast<double>(std::stoul(random, nullptr, 16)) / 65536.0;
-    const double factor = 1 - spread + 2 * spread * fraction;
+    const double factor = 1 - spread + 2 * spread * random_fraction(runtime_);
     return Duration(static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor));
   }
 
