Bound how often a machine without a capacity sums up

Cause: a capacity of 0, which settings may tell, was divided by; the result, not a number of seconds, came out as the shortest pause. Found in reading. The test of small machines has a third case, which failed first: 1,948 messages a second where 700 are allowed. At least one message a second is assumed now, which the longest pause bounds.

--- a/src/relay/zone_exchange.cpp
+++ b/src/relay/zone_exchange.cpp
@@ -80,9 +80,10 @@
 /// theirs is silent.
 Duration ZoneExchange::interval() const {
   if (this->collector.idle()) return this->settings.longest_collect;
-  const double messages = static_cast<double>(this->view_messages);
-  const double seconds =
-      messages / (this->settings.messages_a_core * this->peers.own_record().capacity);
+  const double capacity = this->peers.own_record().capacity;
+  // A machine may tell no capacity.
+  const double a_second = std::max(1.0, this->settings.messages_a_core * capacity);
+  const double seconds = static_cast<double>(this->view_messages) / a_second;
   return std::clamp(from_seconds(seconds), this->settings.collect_every,
                     this->settings.longest_collect);
 }
--- a/tests/relay/load_exchange_test.cpp
+++ b/tests/relay/load_exchange_test.cpp
@@ -197,7 +197,8 @@
 }
 
 Test(load_exchange, sums_up_more_rarely_on_a_small_machine) {
-  for (const double capacity : {0.02, 1.0}) {
+  // A machine that tells no capacity divided by nothing, and summed up as often as a large one.
+  for (const double capacity : {0.0, 0.02, 1.0}) {
     ExchangingFleet fleet(0);
     for (int i = 0; i < 60; ++i) {
       relay::LoadExchangeSettings settings;
