Part what sessions share, and what has reached the caller, from the session

Behaviour stays; the session's tests are as they were. Not parted: the attempt under way, its failures and its end share nearly all of their state; files that divide one class by length would help no reader.

--- /dev/null
+++ b/src/relay/relay_context.hpp
@@ -0,0 +1,47 @@
+/// @file
+/// What the sessions of one relay node share.
+#pragma once
+
+#include <functional>
+#include <unordered_map>
+#include <vector>
+
+#include "common/runtime.hpp"
+#include "core/relay/engine_directory.hpp"
+#include "core/relay/retry_budget.hpp"
+#include "net/http_client.hpp"
+#include "relay/engine_dialect.hpp"
+#include "relay/relay_metrics.hpp"
+#include "relay/relay_settings.hpp"
+
+namespace shuntbank::relay {
+
+/// What sessions share. All of it outlives them.
+struct RelayContext {
+  Runtime& runtime;
+  HttpClient& http;
+  const EngineDialect& dialect;
+  const RelaySettings& settings;
+  EngineDirectory& engines;
+  RelayMetrics& metrics;
+  std::unordered_map<ServiceName, RetryBudget>& budgets;
+
+  std::function<void()> load_changed;   ///< May be empty.
+  std::vector<PromptRead> reads;        ///< Not yet told to other nodes; empty where none listens.
+  std::vector<EngineTrouble> troubles;  ///< The same.
+
+  RetryBudget& budget_of(const ServiceName& service);
+
+  /// An engine has read a prompt and keeps its parts.
+  void note_read(const EngineId& engine, const std::vector<PromptPart>& parts);
+
+  /// Other nodes need not find out for themselves.
+  void note_trouble(const EngineTrouble& trouble);
+
+  /// The work under way at an engine has changed.
+  void note_load() const {
+    if (load_changed) load_changed();
+  }
+};
+
+}  // namespace shuntbank::relay
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -45,22 +45,6 @@
 
 }  // namespace
 
-RetryBudget& RelayContext::budget_of(const ServiceName& service) {
-  return budgets.try_emplace(service, RetryBudget(settings.retry_budget)).first->second;
-}
-
-void RelayContext::note_read(const EngineId& engine, const std::vector<PromptPart>& parts) {
-  EngineView* view = engines.find(engine);
-  if (view == nullptr) return;
-  view->cache.on_read(parts, view->memory_tokens, runtime.now());
-}
-
-void RelayContext::note_trouble(const EngineTrouble& trouble) {
-  if (!load_changed) return;
-  troubles.push_back(trouble);
-  note_load();
-}
-
 RelaySession::RelaySession(RelayContext& context, std::shared_ptr<const RouteTable> table,
                            const Route& route, ServiceName service, HttpRequest request,
                            std::shared_ptr<ConnectionResponder> responder, EndHandler on_end)
@@ -105,7 +89,7 @@
   request_.headers = without_hop_fields(std::move(request_.headers));
   request_.headers.remove(names.deadline_ms);
   const auto resumed = whole_number(request_.headers.get(names.last_event_id));
-  if (resumed && *resumed >= 0) last_event_ = static_cast<std::uint64_t>(*resumed);
+  if (resumed && *resumed >= 0) stream_.resume_behind(static_cast<std::uint64_t>(*resumed));
   return true;
 }
 
@@ -191,9 +175,9 @@
                          context_.dialect.prompt_source(handle_address_, handle_));
   }
   if (!fetch_address_.empty()) outgoing.headers.add(names.fetch_from, fetch_address_);
-  if (!last_event_text_.empty()) {
+  if (!stream_.last_id_text().empty()) {
     outgoing.headers.remove(names.last_event_id);
-    outgoing.headers.add(names.last_event_id, last_event_text_);
+    outgoing.headers.add(names.last_event_id, stream_.last_id_text());
   }
   outgoing.body = request_.body;
   outgoing.connect_timeout = std::min(context_.settings.connect_timeout, time_left());
@@ -297,33 +281,20 @@
           .on_handed_over(context_.runtime.now() - sent_at_, deferred_);
     }
   }
-  if (event.id) {
-    if (last_event_ && *event.id <= *last_event_) {
-      // Taken up behind the last event, a stream must not come before it.
-      broken_ = true;
-      return;
-    }
-    last_event_ = event.id;
-    last_event_text_ = std::string(event.id_text);
+  if (!stream_.may_follow(event)) {
+    broken_ = true;
+    return;
   }
   if (!history_.head_forwarded) {
     begin_stream();
     context_.metrics.observe_first_event(service_name_.value(), context_.runtime.now() - arrived_);
   }
   const MonotonicTime now = context_.runtime.now();
-  if (events_ == 0) first_event_at_ = now;
-  if (events_ > 0) note_gap(now);
-  last_event_at_ = now;
-  ++events_;
+  const auto pause = stream_.pass_on(now, event);
+  if (pause) context_.engines.on_event_gap(now, engine_, *pause);
   responder_->write(event.bytes);
 }
 
-void RelaySession::note_gap(MonotonicTime now) {
-  const Duration gap = now - last_event_at_;
-  longest_gap_ = std::max(longest_gap_, gap);
-  context_.engines.on_event_gap(now, engine_, gap);
-}
-
 /// Parts that other requests share are told to the other nodes; the last one is this request's own.
 void RelaySession::note_prompt_read() {
   context_.note_read(engine_, prompt_->parts);
@@ -423,9 +394,8 @@
     return attempt_failed(AttemptOutcome::kUncertain, "the stream ended inside an event");
   }
   note_health(AttemptHealth::kGood);
-  if (events_ > 1) {
-    context_.engines.model_of(service_name_)
-        .on_stream_pace((last_event_at_ - first_event_at_) / static_cast<int>(events_ - 1));
+  if (const auto pause = stream_.mean_pause()) {
+    context_.engines.model_of(service_name_).on_stream_pace(*pause);
   }
   handle_.clear();
   if (!history_.head_forwarded) begin_stream();
@@ -582,10 +552,10 @@
              {"route", route_.name},
              {"config", table_->version()},
              {"engine", engine_.value()},
-             {"events", events_},
+             {"events", stream_.events()},
              {"sends", history_.sends},
-             {"first_ms", events_ > 0 ? to_milliseconds(first_event_at_ - arrived_) : 0},
-             {"gap_ms", to_milliseconds(longest_gap_)},
+             {"first_ms", to_milliseconds(stream_.first_event_after(arrived_))},
+             {"gap_ms", to_milliseconds(stream_.longest_pause())},
              {"took_ms", to_milliseconds(now - arrived_)}});
   const auto handler = std::exchange(on_end_, nullptr);
   if (handler) handler();
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -6,51 +6,20 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include "common/runtime.hpp"
 #include "core/relay/attempt_outcome.hpp"
 #include "core/relay/dispatch_choice.hpp"
 #include "core/relay/engine_directory.hpp"
-#include "core/relay/retry_budget.hpp"
 #include "core/relay/routes.hpp"
 #include "net/http1_server.hpp"
-#include "relay/engine_dialect.hpp"
 #include "relay/event_cutter.hpp"
-#include "relay/relay_metrics.hpp"
-#include "relay/relay_settings.hpp"
+#include "relay/relay_context.hpp"
+#include "relay/stream_progress.hpp"
 
 namespace shuntbank::relay {
 
-/// What sessions share. All of it outlives them.
-struct RelayContext {
-  Runtime& runtime;
-  HttpClient& http;
-  const EngineDialect& dialect;
-  const RelaySettings& settings;
-  EngineDirectory& engines;
-  RelayMetrics& metrics;
-  std::unordered_map<ServiceName, RetryBudget>& budgets;
-
-  std::function<void()> load_changed;   ///< May be empty.
-  std::vector<PromptRead> reads;        ///< Not yet told to other nodes; empty where none listens.
-  std::vector<EngineTrouble> troubles;  ///< The same.
-
-  RetryBudget& budget_of(const ServiceName& service);
-
-  /// An engine has read a prompt and keeps its parts.
-  void note_read(const EngineId& engine, const std::vector<PromptPart>& parts);
-
-  /// Other nodes need not find out for themselves.
-  void note_trouble(const EngineTrouble& trouble);
-
-  /// The work under way at an engine has changed.
-  void note_load() const {
-    if (load_changed) load_changed();
-  }
-};
-
 /// One relayed request. Keeps itself alive until it has ended.
 class RelaySession : public std::enable_shared_from_this<RelaySession> {
  public:
@@ -113,7 +82,6 @@
   void respond(int status, const HttpHeaders& headers, std::string body, const std::string& result);
   HttpHeaders forwarded_answer_fields() const;
   void learn_reading(bool alone);
-  void note_gap(MonotonicTime now);
   void note_prompt_read();
   AttemptHealth refusal_health() const;
   void note_health(AttemptHealth health);
@@ -165,13 +133,7 @@
   std::string handle_;          ///< Of the prompt read ahead, not yet taken.
   std::string handle_address_;  ///< Engine that holds it.
 
-  // The stream to the caller.
-  std::optional<std::uint64_t> last_event_;
-  std::string last_event_text_;
-  std::uint64_t events_ = 0;
-  MonotonicTime first_event_at_{};
-  MonotonicTime last_event_at_{};
-  Duration longest_gap_{};
+  StreamProgress stream_;  ///< What the caller has of it.
 
   std::optional<HttpReply> failure_answer_;  ///< An engine's own failure, kept while trying on.
   bool ended_ = false;
--- /dev/null
+++ b/src/relay/stream_progress.cpp
@@ -0,0 +1,36 @@
+#include "relay/stream_progress.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace shuntbank::relay {
+
+bool StreamProgress::may_follow(const RawEvent& event) const {
+  return !event.id || !this->last_id || *event.id > *this->last_id;
+}
+
+std::optional<Duration> StreamProgress::pass_on(MonotonicTime now, const RawEvent& event) {
+  if (event.id) {
+    this->last_id = event.id;
+    this->last_text = std::string(event.id_text);
+  }
+  const MonotonicTime before = std::exchange(this->last_at, now);
+  if (++this->count == 1) {
+    this->first_at = now;
+    return std::nullopt;
+  }
+  const Duration pause = now - before;
+  this->longest = std::max(this->longest, pause);
+  return pause;
+}
+
+Duration StreamProgress::first_event_after(MonotonicTime since) const {
+  return this->count > 0 ? this->first_at - since : Duration::zero();
+}
+
+std::optional<Duration> StreamProgress::mean_pause() const {
+  if (this->count < 2) return std::nullopt;
+  return (this->last_at - this->first_at) / static_cast<int>(this->count - 1);
+}
+
+}  // namespace shuntbank::relay
