Share the tests' codec and their lagging start

catalog_test and relay_process_test each had a codec of the same objects, and two tests of kind_watch the same eight lines of a start behind a replica that stands still. Both stand once now, in tests/relay/support and in Watched; no assertion changed. A line of a test that did nothing went, and a comment of encode_parts says who is sent what. The other pairs that were looked at are alike in shape only: lists of constants, and options declared one after another.

--- a/src/protocol/load_digest.hpp
+++ b/src/protocol/load_digest.hpp
@@ -50,7 +50,7 @@
 };
 
 /// @return `whole` in as many messages as it needs, none larger than kMaxLoadMessage. The news go
-/// with the parts, each once. Not a message for a node before `address_view`.
+/// with the parts, each once. Collectors are sent them as they are, members through `address_view`.
 std::vector<std::string> encode_parts(const LoadDigest& whole);
 
 /// @return an encoded digest as it is sent to one node.
--- a/tests/relay/catalog_test.cpp
+++ b/tests/relay/catalog_test.cpp
@@ -10,21 +10,6 @@
 
 namespace {
 
-/// Configurations are version numbers; engines are read by no test here.
-class VersionCodec : public relay::CatalogCodec {
- public:
-  std::string configuration_kind() const override { return "routes"; }
-  std::string configuration_name() const override { return "main"; }
-  std::string engine_kind() const override { return "engines"; }
-  tl::expected<relay::RouteConfiguration, std::string> configuration(
-      const nlohmann::json& content) const override {
-    return RelayFixture::configuration(content.at("version").get<std::uint64_t>());
-  }
-  tl::expected<relay::EngineRecord, std::string> engine(const store::StoredObject&) const override {
-    return tl::make_unexpected(std::string("none"));
-  }
-};
-
 /// A catalog over a store whose lagging answers stand still.
 struct Read {
   explicit Read(bool joins = false) {
@@ -41,7 +26,7 @@
 
   ManualRuntime runtime;
   MemoryStore store{runtime};
-  VersionCodec codec;
+  TestCodec codec;
   RelayFixture site;
   relay::CatalogSettings settings;
   std::unique_ptr<relay::Catalog> catalog;
--- a/tests/relay/relay_process_test.cpp
+++ b/tests/relay/relay_process_test.cpp
@@ -19,26 +19,6 @@
 
 namespace {
 
-/// Objects as the tests' store holds them.
-class TestCodec : public relay::CatalogCodec {
- public:
-  std::string configuration_kind() const override { return "routes"; }
-  std::string configuration_name() const override { return "main"; }
-  std::string engine_kind() const override { return "engines"; }
-  tl::expected<relay::RouteConfiguration, std::string> configuration(
-      const json& content) const override {
-    return RelayFixture::configuration(content.at("version").get<std::uint64_t>());
-  }
-  tl::expected<relay::EngineRecord, std::string> engine(
-      const store::StoredObject& object) const override {
-    relay::EngineRecord record;
-    record.id = EngineId(object.name);
-    record.service = ServiceName("plain");
-    record.address = object.content.at("address").get<std::string>();
-    return record;
-  }
-};
-
 std::string free_address() {
   asio::io_context loop;
   const asio::ip::tcp::acceptor chosen(loop, {asio::ip::make_address("127.0.0.1"), 0});
--- a/tests/relay/support/fakes.cpp
+++ b/tests/relay/support/fakes.cpp
@@ -298,6 +298,20 @@
   reply<store::StoredObject>(std::move(handler), result);
 }
 
+tl::expected<relay::RouteConfiguration, std::string> TestCodec::configuration(
+    const nlohmann::json& content) const {
+  return RelayFixture::configuration(content.at("version").get<std::uint64_t>());
+}
+
+tl::expected<relay::EngineRecord, std::string> TestCodec::engine(
+    const store::StoredObject& object) const {
+  relay::EngineRecord record;
+  record.id = EngineId(object.name);
+  record.service = ServiceName("plain");
+  record.address = object.content.at("address").get<std::string>();
+  return record;
+}
+
 relay::RouteConfiguration RelayFixture::configuration(std::uint64_t version) {
   using namespace std::chrono_literals;
   relay::RouteConfiguration configuration;
--- a/tests/relay/support/fakes.hpp
+++ b/tests/relay/support/fakes.hpp
@@ -15,6 +15,7 @@
 #include "common/runtime.hpp"
 #include "net/http1_server.hpp"
 #include "net/http_client.hpp"
+#include "relay/catalog.hpp"
 #include "relay/engine_dialect.hpp"
 #include "relay/relay_node.hpp"
 #include "store/object_store.hpp"
@@ -206,6 +207,18 @@
   std::uint64_t oldest_ = 0;
 };
 
+/// Objects as the tests' store holds them.
+class TestCodec : public relay::CatalogCodec {
+ public:
+  std::string configuration_kind() const override { return "routes"; }
+  std::string configuration_name() const override { return "main"; }
+  std::string engine_kind() const override { return "engines"; }
+  tl::expected<relay::RouteConfiguration, std::string> configuration(
+      const nlohmann::json& content) const override;
+  tl::expected<relay::EngineRecord, std::string> engine(
+      const store::StoredObject& object) const override;
+};
+
 /// A relay node with two services, `plain` and `model`, and what it runs on.
 class RelayFixture {
  public:
--- a/tests/store/kind_watch_test.cpp
+++ b/tests/store/kind_watch_test.cpp
@@ -40,6 +40,17 @@
     store.put("k", name, {});
     store.deaf = false;
   }
+  /// Starts with one object and a long wait on answers that may lag, which then stand still while
+  /// the store changes.
+  void start_behind_a_replica(const std::string& name) {
+    store.put("k", "a", {});
+    settings.freshness = store::Freshness::kMayLag;
+    settings.wait = 30s;
+    start();
+    runtime.advance(1ms);
+    store.replica_revision = store.revision();
+    store.put("k", name, {});
+  }
   store::KindWatchSettings settings;
   ManualRuntime runtime;
   MemoryStore store{runtime};
@@ -182,10 +193,7 @@
   watched.store.put("k", "a", {});
   watched.settings.freshness = store::Freshness::kMayLag;
   bool listed = false;
-  watched.handlers.on_list = [&](const auto&) {
-    listed = true;
-    watched.store.down = false;
-  };
+  watched.handlers.on_list = [&](const auto&) { listed = true; };
   watched.start();
   watched.store.down = true;  // The list is on its way, and the next call fails.
   watched.runtime.advance(1ms);
@@ -197,13 +205,7 @@
 
 Test(kind_watch, asks_for_the_latest_when_others_have_seen_more_than_a_lagging_answer_tells) {
   Watched watched;
-  watched.store.put("k", "a", {});
-  watched.settings.freshness = store::Freshness::kMayLag;
-  watched.settings.wait = 30s;
-  watched.start();
-  watched.runtime.advance(1ms);
-  watched.store.replica_revision = watched.store.revision();
-  watched.store.put("k", "b", {});
+  watched.start_behind_a_replica("b");
   watched.runtime.advance(3s);
   cr_assert_eq(watched.names.count("b"), 0, "the replica lags");
   watched.watch->hint(watched.store.revision());
@@ -231,13 +233,7 @@
 
 Test(kind_watch, asks_anew_when_nobody_reads_the_latest_any_more) {
   Watched watched;
-  watched.store.put("k", "a", {});
-  watched.settings.freshness = store::Freshness::kMayLag;
-  watched.settings.wait = 30s;
-  watched.start();
-  watched.runtime.advance(1ms);
-  watched.store.replica_revision = watched.store.revision();
-  watched.store.put("k", "b", {});
+  watched.start_behind_a_replica("b");
   watched.watch->set_freshness(store::Freshness::kLatest);
   watched.runtime.advance(1ms);
   cr_assert_eq(watched.names.count("b"), 1);
