Show what the retry budget pays for and what it forbids

Cause: the hypotheses on the overspent budget could not be told apart. The logs name the budget that is left, but not which sends were charged, which requests ended for want of it, or which share of the slack a node believes to be its own.

--- a/src/relay/relay_metrics.cpp
+++ b/src/relay/relay_metrics.cpp
@@ -32,6 +32,16 @@
           .Name("shuntbank_relay_attempt_failures_total")
           .Help("Attempts that brought no answer to pass on")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& extra_sends =
+      prometheus::BuildCounter()
+          .Name("shuntbank_relay_extra_sends_total")
+          .Help("Sends charged to the retry budget")
+          .Register(registry);
+  prometheus::Family<prometheus::Counter>& budget_exhausted =
+      prometheus::BuildCounter()
+          .Name("shuntbank_relay_retry_budget_exhausted_total")
+          .Help("Failed attempts that the retry budget did not let be made again")
+          .Register(registry);
   prometheus::Family<prometheus::Histogram>& duration =
       prometheus::BuildHistogram()
           .Name("shuntbank_relay_request_seconds")
@@ -65,6 +75,14 @@
   impl_->failures.Add({{"service", service}, {"reason", reason}}).Increment();
 }
 
+void RelayMetrics::count_extra_send(const std::string& service, const std::string& reason) {
+  impl_->extra_sends.Add({{"service", service}, {"reason", reason}}).Increment();
+}
+
+void RelayMetrics::count_budget_exhausted(const std::string& service) {
+  impl_->budget_exhausted.Add({{"service", service}}).Increment();
+}
+
 void RelayMetrics::observe_first_event(const std::string& service, Duration took) {
   impl_->first_event.Add({{"service", service}}, kSecondsBuckets).Observe(to_seconds(took));
 }
--- a/src/relay/relay_metrics.hpp
+++ b/src/relay/relay_metrics.hpp
@@ -26,6 +26,12 @@
   /// An attempt failed. @param reason from a fixed set.
   void count_failure(const std::string& service, const std::string& reason);
 
+  /// A send was charged to the retry budget. @param reason `sent_again` or `prompt_refused`.
+  void count_extra_send(const std::string& service, const std::string& reason);
+
+  /// An attempt failed that could have been made again elsewhere, but for the retry budget.
+  void count_budget_exhausted(const std::string& service);
+
   /// The first event of a stream was passed on.
   void observe_first_event(const std::string& service, Duration took);
 
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -81,6 +81,7 @@
 }
 
 void RelayNode::set_fleet(const Fleet& fleet) {
+  const bool changed = !(fleet == fleet_);
   fleet_ = fleet;
   const std::size_t nodes = fleet.nodes;
   // One more than known: a process that starts again has forgotten what it spent.
@@ -88,6 +89,11 @@
   settings_.retry_budget.assumed_nodes = std::max(settings_.retry_budget.assumed_nodes, assumed);
   settings_.expected_nodes = std::max(settings_.expected_nodes, static_cast<double>(nodes));
   for (auto& [service, budget] : budgets_) budget.set_nodes(settings_.retry_budget.assumed_nodes);
+  const double share = settings_.retry_budget.slack / settings_.retry_budget.assumed_nodes;
+  if (changed) {
+    log_event(LogArea::kControl, LogLevel::kInfo, "fleet_known",
+              {{"nodes", nodes}, {"rank", fleet.rank}, {"slack_share", share}});
+  }
   if (fleet_changed_) fleet_changed_(fleet_);
 }
 
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -431,12 +431,16 @@
 }
 
 void RelaySession::count_send(bool only_read) {
-  if (is_extra_send(history_, only_read)) {
-    context_.budget_of(service_name_).charge(context_.runtime.now());
-  }
+  extra_ = is_extra_send(history_, only_read);
+  if (extra_) charge("sent_again");
   (only_read ? history_.prompt_sent : history_.answer_sent) = true;
 }
 
+void RelaySession::charge(const char* reason) {
+  context_.budget_of(service_name_).charge(context_.runtime.now());
+  context_.metrics.count_extra_send(service_name_.value(), reason);
+}
+
 void RelaySession::attempt_failed(AttemptOutcome outcome, const std::string& why) {
   context_.metrics.count_failure(service_name_.value(),
                                  outcome == AttemptOutcome::kNotSent   ? "not_sent"
@@ -458,8 +462,14 @@
   const AttemptVerdict verdict = after_failure(route_, history_);
   const bool counted = outcome != AttemptOutcome::kNotSent;
   // The first prompt read apart belongs to the request only when an engine took it up.
-  if (only_read && counted) context_.budget_of(service_name_).charge(context_.runtime.now());
-  if (verdict == AttemptVerdict::kTryElsewhere && may_send_again()) return dispatch();
+  if (only_read && counted) charge("prompt_refused");
+  if (verdict != AttemptVerdict::kTryElsewhere) return end_unserved(why);
+  if (may_send_again()) return dispatch();
+  context_.metrics.count_budget_exhausted(service_name_.value());
+  end_unserved(why + ", and the retry budget is spent");
+}
+
+void RelaySession::end_unserved(const std::string& why) {
   if (may_promise_not_run(history_) && !history_.head_forwarded) return refuse(why);
   fail(http_status::kBadGateway, why);
 }
@@ -588,6 +598,7 @@
              {"load_age_ms", load_known ? to_milliseconds(now - view->load_at) : -1},
              {"sends", history_.sends},
              {"may_have_run", history_.may_have_run},
+             {"extra", extra_},
              {"budget", budget_left()},
              {"left_ms", to_milliseconds(expires_ - now)},
              {"age_ms", to_milliseconds(now - arrived_)}},
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -70,6 +70,8 @@
   bool may_send_again();
   double budget_left() const;
   void count_send(bool only_read);
+  void charge(const char* reason);
+  void end_unserved(const std::string& why);
   void refuse(const std::string& why);
   void fail(int status, const std::string& why);
   void on_timeout();
@@ -115,6 +117,7 @@
   double expected_ms_ = 0;  ///< Until the first token, when the engine was chosen.
   bool unread_released_ = false;
   bool engine_held_ = false;
+  bool extra_ = false;            ///< Was charged to the retry budget when it was sent.
   bool alone_when_sent_ = false;  ///< The engine had no other work that this node knew of.
   std::optional<TransferId> transfer_;
   MonotonicTime sent_at_{};
--- a/tests/relay/relay_session_test.cpp
+++ b/tests/relay/relay_session_test.cpp
@@ -282,6 +282,22 @@
   cr_assert_gt(site.http.count(), 30, "one is known to have failed, and goes on");
 }
 
+Test(relay_session, counts_what_the_retry_budget_paid_for_and_what_it_forbade) {
+  RelayFixture site;
+  for (const char* id : {"a", "b", "c", "d"}) site.add_engine(id, "plain", EngineStage::kNone);
+  for (std::size_t i = 0; i < 30; ++i) {
+    const std::size_t next = site.http.count();
+    site.request("/safe/a");
+    site.http.fail(next, TransferFailure::kUncertain);
+  }
+  const std::string text = site.node->metrics().to_text();
+  const std::string service = "service=\"plain\"";
+  // The share of one of 8 nodes: 80 / 8, and a fifth of the requests that had come by then.
+  cr_assert(text.find("extra_sends_total{reason=\"sent_again\"," + service + "} 16") !=
+            std::string::npos);
+  cr_assert(text.find("budget_exhausted_total{" + service + "} 14") != std::string::npos);
+}
+
 Test(relay_session, gives_what_cannot_be_in_time_the_least_urgency) {
   RelayFixture site;
   site.add_engine("p", "model", EngineStage::kPrefill);
