--- a/tests/relay/relay_node_test.cpp
+++ b/tests/relay/relay_node_test.cpp
@@ -6,6 +6,7 @@
 #include "relay/support/fakes.hpp"
 
 using namespace shuntbank;
+using namespace shuntbank::relay;
 using namespace shuntbank::testing;
 using namespace std::chrono_literals;
 
@@ -93,3 +94,43 @@
   site.http.answer(0, 200, RelayFixture::sealed(), "whole");
   cr_assert_eq(seen->status, 200);
 }
+
+Test(relay_node, spends_no_part_of_the_slack_before_it_knows_the_fleet) {
+  // A process took a fleet of 66 for one of 8 until it had read the list of nodes, and with it 21
+  // extra sends in ten seconds for its own where 2 are. Sixty that start at once have 1,100 too
+  // many.
+  RelayFixture site;
+  site.node =
+      std::make_unique<RelayNode>(RelayIo{site.runtime, site.http, site.dialect}, site.settings);
+  site.node->adopt(RelayFixture::configuration(1));
+  site.node->set_engines({});
+  for (const char* id : {"a", "b"}) site.add_engine(id, "plain");
+  const auto seen = site.request("/safe/a");
+  site.http.fail(0, TransferFailure::kUncertain);
+  cr_assert_eq(site.http.count(), 1);
+  cr_assert_eq(seen->status, 502);
+  site.node->set_fleet({7, 0});
+  site.request("/safe/a");
+  site.http.fail(1, TransferFailure::kUncertain);
+  cr_assert_eq(site.http.count(), 3);
+}
+
+Test(relay_node, spends_no_part_of_the_slack_in_its_first_window_after_a_restart) {
+  // A process that starts again has forgotten what it spent. On a day like the incident's, with 33
+  // nodes and then 40 killed, the fleet sent 3,177 extra requests where 3,113 were allowed.
+  RelayFixture site;
+  site.settings.first_start = false;
+  site.node =
+      std::make_unique<RelayNode>(RelayIo{site.runtime, site.http, site.dialect}, site.settings);
+  site.node->adopt(RelayFixture::configuration(1));
+  site.node->set_engines({});
+  site.node->set_fleet({7, 0});
+  for (const char* id : {"a", "b"}) site.add_engine(id, "plain");
+  site.request("/safe/a");
+  site.http.fail(0, TransferFailure::kUncertain);
+  cr_assert_eq(site.http.count(), 1);
+  site.runtime.advance(site.settings.retry_budget.window * 2);
+  site.request("/safe/a");
+  site.http.fail(1, TransferFailure::kUncertain);
+  cr_assert_eq(site.http.count(), 3);
+}
--- a/tests/relay/support/fakes.cpp
+++ b/tests/relay/support/fakes.cpp
@@ -349,6 +349,7 @@
   node = std::make_unique<relay::RelayNode>(relay::RelayIo{runtime, http, dialect}, settings);
   node->adopt(configuration(1));
   node->set_engines({});
+  node->set_fleet({7, 0});
 }
 
 void RelayFixture::add_engine(const std::string& id, const std::string& service,
