Let the soak count refused prompts and misdirected sends as arrivals

Cause: the soak's ledger left out each request's first prompt that is read apart, also one that the engine refuses, and every send to an engine that is not the expected one. The rule counts both as arrivals, so that the soak saw fewer extra sends than there are and could not have found the overspent budget. Change: the engine stand-in decides first whether it takes a request up and then tells of the arrival; a refused prompt arrives like any other send.

--- a/tests/platform/ledger_test.cpp
+++ b/tests/platform/ledger_test.cpp
@@ -122,3 +122,12 @@
   played.ledger.arrived("s", "model", false);
   cr_assert(played.broke("BUDGET"));
 }
+
+Test(ledger, leaves_out_the_first_prompt_that_is_read_apart) {
+  Played played;
+  played.ledger.arrived("s", "model", true);
+  for (int i = 0; i < 4; ++i) played.ledger.arrived("s", "model", false);
+  cr_assert(played.ledger.broken().empty(), "three repeats of one request");
+  played.ledger.arrived("s", "model", true);
+  cr_assert(played.broke("BUDGET"), "a second prompt");
+}
--- a/tests/platform/support/engine_standin.cpp
+++ b/tests/platform/support/engine_standin.cpp
@@ -110,7 +110,10 @@
 
 void EngineStandin::handle(const HttpRequest& request, const Responder& responder) {
   const std::string expected(request.headers.get("X-Expect-Instance"));
-  if (!expected.empty() && expected != this->id) return this->refuse(request, responder, 421);
+  if (!expected.empty() && expected != this->id) {
+    if (request.headers.count("X-Request-Id") > 0) this->count_arrival(request, false);
+    return this->refuse(request, responder, 421);
+  }
   if (request.path == "/v1/report") return this->report(responder);
   if (request.path == "/v1/order") return this->order(request, responder);
   constexpr std::string_view kHandle = "/v1/kv-handle/";
@@ -151,16 +154,24 @@
   });
 }
 
-void EngineStandin::take(const HttpRequest& request, const Responder& responder) {
-  const bool only_read = request.headers.get("X-Stage") == "prefill";
+void EngineStandin::count_arrival(const HttpRequest& request, bool reads_apart) {
   this->ledger.arrived(std::string(request.headers.get("X-Request-Id")), this->shape.service,
-                       only_read);
+                       reads_apart);
+}
+
+std::optional<int> EngineStandin::refusal(EngineFault drawn, bool only_read) const {
   const bool full = this->runs.size() >= this->shape.slots || this->changing;
+  if (full || drawn == EngineFault::kSheds) return 503;
+  if (this->shape.model && only_read != (this->stage == "prefill")) return 421;
+  return std::nullopt;
+}
+
+void EngineStandin::take(const HttpRequest& request, const Responder& responder) {
+  const bool only_read = request.headers.get("X-Stage") == "prefill";
   const EngineFault drawn = this->draw_fault();
-  if (full || drawn == EngineFault::kSheds) return this->refuse(request, responder, 503);
-  if (this->shape.model && only_read != (this->stage == "prefill")) {
-    return this->refuse(request, responder, 421);
-  }
+  const std::optional<int> refused = this->refusal(drawn, only_read);
+  this->count_arrival(request, only_read && !refused);
+  if (refused) return this->refuse(request, responder, *refused);
   if (drawn == EngineFault::kResets) return responder->abort();
   if (only_read) return this->read_prompt(request, responder);
   const std::string source(request.headers.get("X-Kv-Source"));
--- a/tests/platform/support/engine_standin.hpp
+++ b/tests/platform/support/engine_standin.hpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -73,6 +74,9 @@
 
   void handle(const HttpRequest& request, const Responder& responder);
   void take(const HttpRequest& request, const Responder& responder);
+  void count_arrival(const HttpRequest& request, bool reads_apart);
+  /// @return the status that the request is refused with, or nothing.
+  std::optional<int> refusal(EngineFault drawn, bool only_read) const;
   void read_prompt(const HttpRequest& request, const Responder& responder);
   void report(const Responder& responder);
   void order(const HttpRequest& request, const Responder& responder);
--- a/tests/platform/support/ledger.cpp
+++ b/tests/platform/support/ledger.cpp
@@ -79,11 +79,11 @@
                            std::to_string(request->pieces));
 }
 
-void Ledger::arrived(const std::string& id, const std::string& service, bool only_read) {
+void Ledger::arrived(const std::string& id, const std::string& service, bool reads_apart) {
   if (this->find(id) == nullptr) return this->broke("UNASKED", id + " was never sent");
-  // The first call that only has the prompt read is not extra.
-  if (only_read && !std::exchange(this->seen_reads[id], true)) return;
-  if (this->seen_arrivals[id]++ == 0 && !only_read) return;
+  // The first prompt that is taken up to be read apart is not extra.
+  if (reads_apart && !std::exchange(this->seen_reads[id], true)) return;
+  if (this->seen_arrivals[id]++ == 0 && !reads_apart) return;
   const SteadyTime now = std::chrono::steady_clock::now();
   this->arrivals[service].repeats.push_back(now);
   this->check_budget(service, now);
--- a/tests/platform/support/ledger.hpp
+++ b/tests/platform/support/ledger.hpp
@@ -64,7 +64,9 @@
   void got_stream_end(const std::string& id, std::uint64_t last);
 
   // Engines.
-  void arrived(const std::string& id, const std::string& service, bool only_read);
+  /// @param reads_apart whether the engine takes the request up only to read its prompt; one that
+  /// it refuses has arrived like any other.
+  void arrived(const std::string& id, const std::string& service, bool reads_apart);
   void runs(const std::string& id, const std::string& service, const std::string& method,
             const std::string& target, const std::string& body);
   /// @return the seal to send with the answer.
