Show that a node which starts again admits a tenant's limit a second time

A limiter begins with full buckets, ten seconds of each limit, and takes itself for the only node until it first counts them, after four seconds: a rolling restart of N nodes admits up to N times ten seconds of a tenant's whole limit.

--- a/src/core/admission/tenant_limiter.hpp
+++ b/src/core/admission/tenant_limiter.hpp
@@ -25,6 +25,9 @@
 /// Limits of all tenants on this node.
 class TenantLimiter {
  public:
+  /// @param started when the process began to admit.
+  explicit TenantLimiter(MonotonicTime started) : started_(started) {}
+
   /// Sets the share of every limit that this node enforces, such as one in the count of nodes.
   void set_share(double share) { share_ = share; }
 
@@ -48,6 +51,7 @@
 
   void refill(MonotonicTime now, Account& account, const TenantLimits& limits) const;
 
+  MonotonicTime started_;
   double share_ = 1.0;
   std::unordered_map<TenantName, Account> accounts_;
 };
--- a/src/node/request_queue.cpp
+++ b/src/node/request_queue.cpp
@@ -30,7 +30,9 @@
 }  // namespace
 
 RequestQueue::RequestQueue(ServingContext& context)
-    : context_(context), ticker_(context.runtime, kTick, [this] { expire(); }) {}
+    : context_(context),
+      limiter_(context.runtime.now()),
+      ticker_(context.runtime, kTick, [this] { expire(); }) {}
 
 void RequestQueue::set_nodes(std::size_t nodes) {
   nodes_ = std::max<std::size_t>(1, nodes);
--- a/tests/core/admission/admission_test.cpp
+++ b/tests/core/admission/admission_test.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// The process has run for long when the test begins.
+constexpr MonotonicTime kLongAgo = MonotonicTime{} - 1h;
+
 QueueItem item(std::uint64_t id, const std::string& tenant, double weight, double cost,
                std::int32_t priority = 0) {
   QueueItem item;
@@ -84,7 +87,7 @@
 }
 
 Test(tenant_limiter, admits_the_rate_over_a_minute_and_says_when_to_come_back) {
-  TenantLimiter limiter;
+  TenantLimiter limiter(kLongAgo);
   TenantLimits limits;
   limits.requests_per_minute = 60;
   const TenantName tenant("t");
@@ -100,7 +103,7 @@
 }
 
 Test(tenant_limiter, settles_estimates) {
-  TenantLimiter limiter;
+  TenantLimiter limiter(kLongAgo);
   TenantLimits limits;
   limits.tokens_per_minute = 600;
   const TenantName tenant("t");
@@ -111,7 +114,7 @@
 }
 
 Test(tenant_limiter, bounds_requests_in_flight) {
-  TenantLimiter limiter;
+  TenantLimiter limiter(kLongAgo);
   TenantLimits limits;
   limits.concurrent_requests = 2;
   const TenantName tenant("t");
@@ -123,10 +126,28 @@
 }
 
 Test(tenant_limiter, a_limit_set_later_does_not_inherit_a_debt) {
-  TenantLimiter limiter;
+  TenantLimiter limiter(kLongAgo);
   TenantLimits limits;
   const TenantName tenant("t");
   for (int i = 0; i < 1000; ++i) limiter.admit({}, tenant, limits, 1000);
   limits.tokens_per_minute = 600;
   cr_assert(!limiter.admit(MonotonicTime{} + 10s, tenant, limits, 1));
 }
+
+Test(tenant_limiter, gives_a_process_that_has_just_started_no_burst) {
+  // What an earlier life of the process admitted is forgotten; a full bucket would admit it again.
+  const MonotonicTime start = MonotonicTime{} + 1h;
+  TenantLimiter limiter(start);
+  TenantLimits limits;
+  limits.requests_per_minute = 600;
+  const TenantName tenant("t");
+  const auto admitted_at = [&](MonotonicTime now) {
+    int admitted = 0;
+    while (!limiter.admit(now, tenant, limits, 1)) ++admitted;
+    return admitted;
+  };
+  cr_assert_eq(admitted_at(start), 1,
+               "a caller is not turned away by a node that has just started");
+  cr_assert_leq(admitted_at(start + 5s), 50);
+  cr_assert_eq(admitted_at(start + 60s), 100);
+}
