Admit nothing for the time before a process started

Weighed: empty buckets (a node that has just started turns the first caller of each tenant away), buckets that fill from the start of the process with one request let in. Change: the latter; and the nodes that share a limit are counted each 500 ms in place of 4 s, so that a node takes itself for the only one for half a second at most.

--- a/src/core/admission/tenant_limiter.cpp
+++ b/src/core/admission/tenant_limiter.cpp
@@ -33,8 +33,15 @@
   const double token_rate = rate_per_second(static_cast<double>(limits.tokens_per_minute), share_);
   const double request_bucket = bucket_size(request_rate, 1.0);
   const double token_bucket = bucket_size(token_rate, 0.0);
-  const double elapsed = account.started ? to_seconds(now - account.filled_at) : kBurstSeconds;
-  account.started = true;
+  if (!account.started) {
+    // What an earlier life of the process admitted is not known: a bucket fills from the start of
+    // the process. One request is let in, so that a node which has just started turns nobody away.
+    account.started = true;
+    account.filled_at = started_;
+    account.requests = 1;
+    account.tokens = 1;
+  }
+  const double elapsed = to_seconds(now - account.filled_at);
   account.filled_at = now;
   account.requests = std::min(request_bucket, account.requests + elapsed * request_rate);
   account.tokens = std::min(token_bucket, account.tokens + elapsed * token_rate);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -18,6 +18,9 @@
 namespace {
 
 constexpr Duration kDemandEvery = std::chrono::seconds(4);
+/// Between two counts of the nodes that share limits and engines: until the first, a node that has
+/// just started takes itself for the only one.
+constexpr Duration kShareEvery = std::chrono::milliseconds(500);
 constexpr Duration kMachinesEvery = std::chrono::seconds(3);
 constexpr Duration kLinger = std::chrono::milliseconds(500);
 constexpr Duration kLeaveTick = std::chrono::milliseconds(50);
@@ -64,6 +67,7 @@
         operator_api_(
             config_, cluster_, control_, claims_, metrics_, [this] { return reasons(); },
             [this] { leave(); }),
+        share_timer_(io.runtime, kShareEvery, [this] { share_limits(); }),
         demand_timer_(io.runtime, kDemandEvery, [this] { report_demand(); }),
         machines_timer_(io.runtime, kMachinesEvery, [this] { read_machines(); }) {
     config_.attach(cluster_);
@@ -123,12 +127,15 @@
     control_.configure(snapshot);
   }
 
-  void report_demand() {
-    const auto usable = cluster_.usable();
+  void share_limits() {
+    const auto& usable = cluster_.usable();
     const auto in_region = std::count_if(usable.begin(), usable.end(), [this](const auto& member) {
       return member.region.value() == settings_.region;
     });
     queue_.set_nodes(static_cast<std::size_t>(in_region));
+  }
+
+  void report_demand() {
     const auto demand = queue_.take_demand();
     const SnapshotPointer& snapshot = config_.replica().snapshot();
     if (!snapshot) return;
@@ -196,6 +203,7 @@
   RequestQueue queue_;
   CallerApi caller_api_;
   OperatorApi operator_api_;
+  Periodic share_timer_;
   Periodic demand_timer_;
   Periodic machines_timer_;
   bool leaving_ = false;
