--- a/src/core/relay/retry_budget.hpp
+++ b/src/core/relay/retry_budget.hpp
@@ -20,12 +20,13 @@
   double slack = 0;  ///< Extra dispatches a window, of all nodes together.
 };
 
-/// A dispatch arrives later than the node counts it, up to a second on a full link: of a window.
-constexpr std::int64_t kLateArrivalsShare = 10;
+/// An extra dispatch counts for a window and one part in so many more: it arrives later than the
+/// node counts it, by up to a second of ten where the node's link is full.
+constexpr std::int64_t kPartForArrival = 10;
 
 /// @return how long an extra dispatch counts.
 inline Duration counted_for(const RetryBudgetSettings& settings) {
-  return settings.window + settings.window / kLateArrivalsShare;
+  return settings.window + settings.window / kPartForArrival;
 }
 
 /// What one node may spend of the slack.
@@ -65,7 +66,7 @@
  private:
   /// Counts are kept by slots of time: 50 a window round it by 2 in 100 to the safe side, in 1 KB.
   static constexpr std::int64_t kSlotsAWindow = 50;
-  static constexpr std::int64_t kSlotsHeld = kSlotsAWindow + kSlotsAWindow / kLateArrivalsShare;
+  static constexpr std::int64_t kSlotsHeld = kSlotsAWindow + kSlotsAWindow / kPartForArrival;
 
   struct Slot {
     std::uint32_t requests = 0;
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -124,11 +124,13 @@
 /// Sends the request where the choice says. @return false when no engine can be chosen.
 bool RelaySession::choose() {
   if (service_ == nullptr) return false;
-  const double budget = budget_left() - (history_.arrived ? 1 : 0);
-  const DispatchQuery query{
-      placement_query(), history_.prompt_sent,
-      history_.arrived,  budget,
-      route_.gap_target, arrived_ + route_.objective - context_.runtime.now()};
+  DispatchQuery query;
+  query.placement = placement_query();
+  query.prompt_sent = history_.prompt_sent;
+  query.extra = history_.arrived;
+  query.budget = budget_left() - (history_.arrived ? 1 : 0);
+  query.gap_target = route_.gap_target;
+  query.time_to_objective = arrived_ + route_.objective - context_.runtime.now();
   const auto choice = choose_dispatch(context_.runtime.now(), context_.engines, query,
                                       context_.settings.placement, context_.settings.prefill);
   if (!choice) return false;
--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -36,6 +36,14 @@
   cr_assert_eq(relay.node, "n-1");
 }
 
+Test(platform_settings, refuses_a_budget_without_a_window) {
+  const auto settings = parse_settings(std::string(kWhole) + "bounds.budget_window_s=0\n");
+  cr_assert_not(settings.has_value());
+  const std::string text = settings.error().to_text();
+  cr_assert_neq(text.find("bounds.budget_window_s: '0' is not a number above 0"), std::string::npos,
+                "%s", text.c_str());
+}
+
 Test(platform_settings, reports_all_bad_values_with_their_lines) {
   const auto settings =
       parse_settings("node=n\nlisten.front=nowhere\nbounds.grace_s=soon\nbootstrap=perhaps\n");
