--- a/src/core/relay/retry_budget.hpp
+++ b/src/core/relay/retry_budget.hpp
@@ -42,8 +42,10 @@
 ///
 /// The mean of the two windows is never more than the larger one, and it adds up: what all nodes
 /// spend in a window is within the mean of all, whenever each of them spends, joins or ends. The
-/// larger of the two does not add up, as each node may reach it at a moment of its own; with shares
-/// like that 66 nodes went 12 in 100 over the bound while the load swung.
+/// larger of the two does not add up, as each node may reach it at a moment of its own: with shares
+/// like that 66 nodes sent 12 in 100 more than the bound allows while their load rose and fell by a
+/// factor of three. In a burst a node has half as much at hand as it had then, which costs callers
+/// nothing that could be measured.
 class RetryBudget {
  public:
   RetryBudget(const RetryBudgetSettings& settings, const SlackShare& share)
