Let the test of refused prompts also meet prompts that fail

The test that was replaced answered each prompt with a failure, the new one only with refusals; both now, by turns.

--- a/tests/relay/relay_session_test.cpp
+++ b/tests/relay/relay_session_test.cpp
@@ -254,7 +254,9 @@
     const std::size_t first = site.http.count();
     const auto seen = site.request("/stream/a", {{"tokens", "20000"}});
     const bool apart = !site.http.at(first).request.headers.get("stage").empty();
-    if (apart) site.http.answer(first, 503, {{"id", "r1"}, {"refused", "1"}}, "");
+    const bool fails = i % 2 == 0;  // The others are refused.
+    if (apart && fails) site.http.answer(first, 500, {{"id", "r1"}}, "");
+    if (apart && !fails) site.http.answer(first, 503, {{"id", "r1"}, {"refused", "1"}}, "");
     const bool again = site.http.count() > first + 1;
     sent_again += again ? 1 : 0;
     read_directly += apart ? 0 : 1;
