Make tries of one request and the end of an engine visible in the logs

Cause: the incident's hypotheses cannot be told apart from the logs: each try has an id of its own, neither caller nor content is told, and a closed connection may be the engine's end or not.

--- a/src/common/hash.cpp
+++ b/src/common/hash.cpp
@@ -6,6 +6,10 @@
 #include <xxhash.h>
 
 #include <array>
+#include <charconv>
+#include <cstdio>
+#include <cstring>
+#include <memory>
 #include <stdexcept>
 #include <vector>
 
@@ -43,6 +47,46 @@
   return to_hex(digest.data(), size);
 }
 
+Digest128 sha256_128(std::initializer_list<std::string_view> texts) {
+  const std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)> context(EVP_MD_CTX_new(),
+                                                                        &EVP_MD_CTX_free);
+  bool sound = context && EVP_DigestInit_ex(context.get(), EVP_sha256(), nullptr) == 1;
+  for (const std::string_view text : texts) {
+    const auto size = static_cast<std::uint64_t>(text.size());
+    sound = sound && EVP_DigestUpdate(context.get(), &size, sizeof(size)) == 1;
+    sound = sound && EVP_DigestUpdate(context.get(), text.data(), text.size()) == 1;
+  }
+  std::array<unsigned char, EVP_MAX_MD_SIZE> bytes{};
+  sound = sound && EVP_DigestFinal_ex(context.get(), bytes.data(), nullptr) == 1;
+  if (!sound) throw std::runtime_error("SHA-256 is not available");
+  Digest128 digest;
+  std::memcpy(&digest.high, bytes.data(), sizeof(digest.high));
+  std::memcpy(&digest.low, bytes.data() + sizeof(digest.high), sizeof(digest.low));
+  return digest;
+}
+
+std::string to_text(const Digest128& digest) {
+  std::array<char, 33> text{};
+  std::snprintf(text.data(), text.size(), "%016llx%016llx",
+                static_cast<unsigned long long>(digest.high),
+                static_cast<unsigned long long>(digest.low));
+  return text.data();
+}
+
+std::optional<Digest128> parse_digest(std::string_view text) {
+  constexpr std::size_t kHalf = 16;
+  constexpr int kHexadecimal = 16;
+  if (text.size() != 2 * kHalf) return std::nullopt;
+  const auto half = [text](std::size_t from, std::uint64_t& value) {
+    const char* first = text.data() + from;
+    const auto parsed = std::from_chars(first, first + kHalf, value, kHexadecimal);
+    return parsed.ec == std::errc() && parsed.ptr == first + kHalf;
+  };
+  Digest128 digest;
+  if (!half(0, digest.high) || !half(kHalf, digest.low)) return std::nullopt;
+  return digest;
+}
+
 bool equal_in_constant_time(std::string_view left, std::string_view right) {
   return left.size() == right.size() && CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
 }
--- a/src/common/hash.hpp
+++ b/src/common/hash.hpp
@@ -1,8 +1,12 @@
 /// @file
-/// Hashing by library: xxHash for placement, SHA-256 for tenant keys, random identifiers.
+/// Hashing by library: xxHash for placement, SHA-256 for tenant keys and the identity of requests,
+/// random identifiers.
 #pragma once
 
+#include <compare>
 #include <cstdint>
+#include <initializer_list>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -17,6 +21,24 @@
 /// @return the SHA-256 of `text` as 64 lower-case hexadecimal digits.
 std::string sha256_hex(std::string_view text);
 
+/// The first 128 bits of a SHA-256.
+struct Digest128 {
+  std::uint64_t high = 0;
+  std::uint64_t low = 0;
+
+  auto operator<=>(const Digest128&) const = default;
+};
+
+/// @return the digest of several texts. Each goes in with its length, so that no text can be moved
+/// from one to the next without changing it.
+Digest128 sha256_128(std::initializer_list<std::string_view> texts);
+
+/// @return the digest as 32 lower-case hexadecimal digits.
+std::string to_text(const Digest128& digest);
+
+/// @return the digest that `to_text` wrote, or nothing.
+std::optional<Digest128> parse_digest(std::string_view text);
+
 /// Compares in time that depends on the lengths only.
 bool equal_in_constant_time(std::string_view left, std::string_view right);
 
--- a/src/core/relay/engine_directory.hpp
+++ b/src/core/relay/engine_directory.hpp
@@ -119,6 +119,7 @@
   std::uint32_t failures_in_a_row = 0;
   std::uint32_t refusals_in_a_row = 0;
   MonotonicTime avoided_until{};  ///< Not chosen before, while others can be.
+  bool ended = false;             ///< Nobody listens at its address any more.
   MonotonicTime last_good{};      ///< The last attempt that ended well.
   double failure_share = 0;       ///< Moving average over ended attempts, 0 to 1.
   double latency_ms = 0;          ///< Moving average of the time to an answer; 0: unknown.
--- a/src/net/http1_client.cpp
+++ b/src/net/http1_client.cpp
@@ -162,7 +162,9 @@
     arm(exchange_->request.connect_timeout, "the connection could not be made in time");
     socket_.async_connect(*endpoint, [self = shared_from_this()](const std::error_code& error) {
       if (self->closed_) return;
-      if (error) return self->fail(error.message());
+      if (error) {
+        return self->fail(error.message(), error == asio::error::connection_refused);
+      }
       self->connected_ = true;
       std::error_code ignored;
       self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -328,14 +330,15 @@
     fail(clean ? "the peer closed the connection" : error.message());
   }
 
-  void fail(const std::string& message) {
+  void fail(const std::string& message, bool connection_refused = false) {
     if (!exchange_) return close();
     const std::unique_ptr<Exchange> exchange = std::move(exchange_);
     client_->busy.erase(exchange->id);
     const auto failure =
         exchange->bytes_sent ? TransferFailure::kUncertain : TransferFailure::kNothingSent;
     close();
-    exchange->handlers.on_done(tl::make_unexpected(TransferError{failure, message}));
+    exchange->handlers.on_done(
+        tl::make_unexpected(TransferError{failure, message, connection_refused}));
   }
 
   std::shared_ptr<Impl> client_;
--- a/src/net/http1_server.cpp
+++ b/src/net/http1_server.cpp
@@ -84,6 +84,8 @@
         parser_(HttpMessageKind::kRequest, server_->limits.max_header_bytes, handlers()) {
     std::error_code ignored;
     socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    const auto caller = socket_.remote_endpoint(ignored);
+    if (!ignored) caller_ = caller.address().to_string();
   }
 
   void start() {
@@ -192,6 +194,7 @@
     request_.path = request_.target.substr(0, mark);
     if (mark != std::string::npos) request_.query = request_.target.substr(mark + 1);
     request_.headers = std::move(head.headers);
+    request_.caller = caller_;
     keep_alive_ = head.keep_alive;
     head_request_ = request_.method == "HEAD";
     wait_for(server_->limits.idle_timeout);
@@ -342,6 +345,7 @@
 
   std::shared_ptr<Impl> server_;
   asio::ip::tcp::socket socket_;
+  std::string caller_;  ///< Address of the other end, without its port.
   asio::steady_timer timer_;
   std::uint64_t timer_generation_ = 0;
   Http1Parser parser_;
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -44,6 +44,8 @@
 struct TransferError {
   TransferFailure failure = TransferFailure::kUncertain;
   std::string message;
+  /// The peer's machine answered that nobody listens at the address.
+  bool connection_refused = false;
 };
 
 /// What a transfer tells its owner. All are called on the loop; none after `cancel`.
--- a/src/net/http_message.hpp
+++ b/src/net/http_message.hpp
@@ -46,6 +46,7 @@
   std::string target;  ///< Path and query as they were sent, byte for byte.
   HttpHeaders headers;
   std::string body;
+  std::string caller;  ///< Address of the other end, without its port; empty where it is not known.
 
   /// @return the value of a query parameter as sent, or empty text.
   std::string query_value(std::string_view name) const;
--- a/src/relay/relay_context.cpp
+++ b/src/relay/relay_context.cpp
@@ -1,5 +1,9 @@
 #include "relay/relay_context.hpp"
 
+#include <utility>
+
+#include "common/log.hpp"
+
 namespace shuntbank::relay {
 
 void RelayContext::note_read(const EngineId& engine, const std::vector<PromptPart>& parts) {
@@ -8,6 +12,16 @@
   view->cache.on_read(parts, view->memory_tokens, runtime.now());
 }
 
+void RelayContext::note_engine_ended(const EngineId& engine) {
+  EngineView* view = engines.find(engine);
+  if (view == nullptr || std::exchange(view->ended, true)) return;
+  metrics.count_engine_ended(view->record.service.value());
+  log_event(LogArea::kControl, LogLevel::kInfo, "engine_ended",
+            {{"engine", engine.value()},
+             {"address", view->record.address},
+             {"service", view->record.service.value()}});
+}
+
 void RelayContext::note_trouble(const EngineTrouble& trouble) {
   if (!load_changed) return;
   troubles.push_back(trouble);
--- a/src/relay/relay_context.hpp
+++ b/src/relay/relay_context.hpp
@@ -35,6 +35,9 @@
   /// Other nodes need not find out for themselves.
   void note_trouble(const EngineTrouble& trouble);
 
+  /// Nobody listens at the engine's address any more: it has ended, not just a connection to it.
+  void note_engine_ended(const EngineId& engine);
+
   /// The work under way at an engine has changed.
   void note_load() const {
     if (load_changed) load_changed();
--- a/src/relay/relay_metrics.cpp
+++ b/src/relay/relay_metrics.cpp
@@ -42,6 +42,11 @@
           .Name("shuntbank_relay_retry_budget_exhausted_total")
           .Help("Failed attempts that the retry budget did not let be made again")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& engines_ended =
+      prometheus::BuildCounter()
+          .Name("shuntbank_relay_engines_ended_total")
+          .Help("Engines at whose address nobody listened any more")
+          .Register(registry);
   prometheus::Family<prometheus::Histogram>& duration =
       prometheus::BuildHistogram()
           .Name("shuntbank_relay_request_seconds")
@@ -83,6 +88,10 @@
   impl_->budget_exhausted.Add({{"service", service}}).Increment();
 }
 
+void RelayMetrics::count_engine_ended(const std::string& service) {
+  impl_->engines_ended.Add({{"service", service}}).Increment();
+}
+
 void RelayMetrics::observe_first_event(const std::string& service, Duration took) {
   impl_->first_event.Add({{"service", service}}, kSecondsBuckets).Observe(to_seconds(took));
 }
--- a/src/relay/relay_metrics.hpp
+++ b/src/relay/relay_metrics.hpp
@@ -32,6 +32,9 @@
   /// An attempt failed that could have been made again elsewhere, but for the retry budget.
   void count_budget_exhausted(const std::string& service);
 
+  /// An engine was found ended: nobody listens at its address.
+  void count_engine_ended(const std::string& service);
+
   /// The first event of a stream was passed on.
   void observe_first_event(const std::string& service, Duration took);
 
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -6,6 +6,7 @@
 
 #include "common/log.hpp"
 #include "net/http_status.hpp"
+#include "relay/request_identity.hpp"
 
 namespace shuntbank::relay {
 namespace {
@@ -219,6 +220,19 @@
   transfer_ = context_.http.start(outgoing(view->record, step), std::move(handlers));
 }
 
+/// The engine broke off what it had of the request. Tries of one request bear the same identity, so
+/// that what they met can be put together from the logs of all nodes.
+void RelaySession::note_broken() {
+  if (!identity_) identity_ = identity_of(request_);
+  log_event(LogArea::kCallers, LogLevel::kInfo, "broken_by_engine",
+            {{"request", id_},
+             {"identity", to_text(*identity_)},
+             {"caller", request_.caller},
+             {"engine", engine_.value()},
+             {"step", step_name()},
+             {"after_ms", to_milliseconds(context_.runtime.now() - sent_at_)}});
+}
+
 bool RelaySession::may_send_again() const {
   return !history_.arrived || budget_left() >= 1;
 }
@@ -361,6 +375,7 @@
              {"engine", engine_.value()},
              {"events", stream_.events()},
              {"sends", history_.sends},
+             {"identity", identity_ ? to_text(*identity_) : std::string()},
              {"first_ms", to_milliseconds(stream_.first_event_after(arrived_))},
              {"gap_ms", to_milliseconds(stream_.longest_pause())},
              {"took_ms", to_milliseconds(now - arrived_)}});
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -12,6 +12,7 @@
 #include "core/relay/attempt_outcome.hpp"
 #include "core/relay/dispatch_choice.hpp"
 #include "core/relay/engine_directory.hpp"
+#include "core/relay/request_identity.hpp"
 #include "core/relay/routes.hpp"
 #include "net/http1_server.hpp"
 #include "relay/event_cutter.hpp"
@@ -66,6 +67,7 @@
 
   // Failures.
   void attempt_failed(AttemptOutcome outcome, const std::string& why);
+  void note_broken();
   void keep_failure_answer();
   bool may_send_again() const;
   double budget_left() const;
@@ -101,6 +103,8 @@
   std::shared_ptr<ConnectionResponder> responder_;
   EndHandler on_end_;
   std::string id_;
+  /// Set once an attempt has ended uncertain: most requests never need it.
+  std::optional<RequestIdentity> identity_;
   std::optional<PromptShape> prompt_;
   MonotonicTime arrived_{};
   MonotonicTime expires_{};
--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -130,6 +130,8 @@
   if (!result) {
     const bool not_sent = result.error().failure == TransferFailure::kNothingSent;
     note_health(not_sent ? AttemptHealth::kUnreachable : AttemptHealth::kFailed);
+    if (result.error().connection_refused) context_.note_engine_ended(engine_);
+    if (!not_sent) note_broken();
     return attempt_failed(not_sent ? AttemptOutcome::kNotSent : AttemptOutcome::kUncertain,
                           result.error().message);
   }
--- a/tests/common/hash_test.cpp
+++ b/tests/common/hash_test.cpp
@@ -15,3 +15,19 @@
     RC_ASSERT(equal_in_constant_time(a, a));
   });
 }
+
+Test(hash, keeps_several_texts_apart) {
+  cr_assert(sha256_128({"ab", "c"}) != sha256_128({"a", "bc"}));
+  cr_assert(sha256_128({"ab", "c"}) == sha256_128({"ab", "c"}));
+  cr_assert(sha256_128({}) != sha256_128({""}));
+}
+
+Test(hash, reads_the_digest_that_it_writes) {
+  SHUNTBANK_PROPERTY("text and back", [](std::uint64_t high, std::uint64_t low) {
+    const Digest128 digest{high, low};
+    RC_ASSERT(to_text(digest).size() == 32U);
+    RC_ASSERT(parse_digest(to_text(digest)) == digest);
+  });
+  cr_assert_not(parse_digest("xyz"));
+  cr_assert_not(parse_digest(std::string(31, '0') + "g"));
+}
--- a/tests/net/http1_edges_test.cpp
+++ b/tests/net/http1_edges_test.cpp
@@ -132,6 +132,7 @@
   int status = 0;
   std::string body;
   std::optional<TransferFailure> failure;
+  bool connection_refused = false;
 };
 
 Fetched fetch(asio::io_context& loop, PooledHttpClient& client, OutgoingRequest request) {
@@ -145,6 +146,7 @@
       fetched.body = reply->body;
     } else {
       fetched.failure = reply.error().failure;
+      fetched.connection_refused = reply.error().connection_refused;
     }
   });
   while (!over) loop.run_one();
@@ -177,6 +179,17 @@
   cr_assert_neq(reply.find("POST /a%2F?x=%20&&y abcde"), std::string::npos, "%s", reply.c_str());
 }
 
+Test(http1_server, tells_where_a_request_comes_from) {
+  asio::io_context loop;
+  std::string caller;
+  Http1Server server(loop, any_port(), [&](const HttpRequest& request, const auto& responder) {
+    caller = request.caller;
+    responder->respond({200, {}, ""});
+  });
+  talk(loop, server.local_endpoint(), "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  cr_assert_eq(caller, "127.0.0.1");
+}
+
 Test(http1_server, answers_requests_sent_at_once_in_their_order) {
   asio::io_context loop;
   EchoServer echo(loop);
@@ -306,7 +319,9 @@
   const std::string url = "http://" + format_endpoint(unused.local_endpoint()) + "/";
   unused.close();
   PooledHttpClient client(loop, {});
-  cr_assert(fetch(loop, client, asking(url, "1")).failure == TransferFailure::kNothingSent);
+  const Fetched fetched = fetch(loop, client, asking(url, "1"));
+  cr_assert(fetched.failure == TransferFailure::kNothingSent);
+  cr_assert(fetched.connection_refused, "nobody listens there");
 }
 
 Test(http1_client, skips_an_answer_that_belongs_to_another_request) {
