--- a/tests/relay/load_exchange_test.cpp
+++ b/tests/relay/load_exchange_test.cpp
@@ -4,7 +4,7 @@
 
 #include <set>
 
-#include "relay/support/fakes.hpp"
+#include "relay/support/exchanging_fleet.hpp"
 
 using namespace shuntbank;
 using namespace shuntbank::testing;
@@ -13,118 +13,6 @@
 
 namespace {
 
-class MockNetwork;
-
-/// One node's end of a network in memory.
-class MockTransport : public PeerTransport {
- public:
-  MockTransport(MockNetwork& network, std::string address);
-
-  void set_handlers(DatagramHandler on_datagram, CallHandler on_call) override {
-    this->datagram_handler = std::move(on_datagram);
-    this->call_handler = std::move(on_call);
-  }
-  void send(const std::string& to, std::string_view text) override;
-  void call(const std::string& to, std::string text, Duration, AnswerHandler handler) override;
-  std::string local_address() const override { return this->address; }
-  std::uint64_t bytes_sent() const override { return 0; }
-  std::uint64_t bytes_received() const override { return 0; }
-
-  std::string address;
-  std::string zone;
-  DatagramHandler datagram_handler;
-  CallHandler call_handler;
-  int sent = 0;
-
- private:
-  MockNetwork& network;
-};
-
-class MockNetwork {
- public:
-  std::map<std::string, MockTransport*> ends;
-  int between_zones = 0;  ///< Messages.
-};
-
-MockTransport::MockTransport(MockNetwork& shared, std::string own)
-    : address(std::move(own)), network(shared) {
-  this->network.ends[this->address] = this;
-}
-
-void MockTransport::send(const std::string& to, std::string_view text) {
-  ++this->sent;
-  const auto end = this->network.ends.find(to);
-  if (end == this->network.ends.end()) return;
-  if (end->second->zone != this->zone) ++this->network.between_zones;
-  end->second->datagram_handler(text, this->address);
-}
-
-void MockTransport::call(const std::string& to, std::string text, Duration, AnswerHandler handler) {
-  const auto end = this->network.ends.find(to);
-  if (end == this->network.ends.end()) return handler(tl::make_unexpected(std::string("silent")));
-  end->second->call_handler(std::move(text), [&](std::string answer) { handler(answer); });
-}
-
-/// Relay nodes on one clock, store and network.
-struct ExchangingFleet {
-  explicit ExchangingFleet(std::size_t nodes, std::size_t zones = 1) {
-    for (std::size_t i = 0; i < nodes; ++i) {
-      relay::LoadExchangeSettings settings;
-      settings.zone = ZoneName("z" + std::to_string(i % zones));
-      this->add(settings);
-    }
-  }
-
-  void add(const relay::LoadExchangeSettings& settings) {
-    this->sites.push_back(std::make_unique<RelayFixture>());
-    const std::string name = "n" + std::to_string(this->sites.size());
-    this->transports.push_back(std::make_unique<MockTransport>(this->network, name + ":1"));
-    this->transports.back()->zone = settings.zone.value();
-    RelayFixture& site = *this->sites.back();
-    site.add_engine("p1", "model", EngineStage::kPrefill);
-    this->exchanges.push_back(std::make_unique<relay::LoadExchange>(
-        this->runtime, this->store, *this->transports.back(), *site.node, name, settings));
-  }
-
-  /// A node sends a prompt of ten tokens to the engine.
-  void send_one(std::size_t node) {
-    this->sites[node]->node->engines().on_sent(EngineId("p1"), {10, false});
-    this->sites[node]->node->note_load_changed();
-  }
-
-  /// @return the nodes that collect now.
-  std::set<std::size_t> collectors() const {
-    std::set<std::size_t> nodes;
-    for (std::size_t i = 0; i < this->exchanges.size(); ++i) {
-      if (this->exchanges[i]->zones().collecting()) nodes.insert(i);
-    }
-    return nodes;
-  }
-
-  /// From now on nothing reaches the node, and nothing leaves it.
-  void cut(std::size_t node) {
-    this->network.ends.erase(this->transports[node]->address);
-    this->exchanges[node].reset();
-  }
-
-  static std::size_t first_but(const std::set<std::size_t>& others) {
-    std::size_t node = 0;
-    while (others.count(node) > 0) ++node;
-    return node;
-  }
-
-  const relay::EngineView& engine(std::size_t node) {
-    return *this->sites[node]->node->engines().find(EngineId("p1"));
-  }
-
-  ManualRuntime runtime;
-  MemoryStore store{runtime};
-  MockNetwork network;
-  std::vector<std::unique_ptr<RelayFixture>> sites;
-  std::vector<std::unique_ptr<MockTransport>> transports;
-  std::vector<std::unique_ptr<relay::LoadExchange>> exchanges;
-};
-
 const std::vector<relay::PromptPart> kParts{{11, 900}, {12, 80}};
 
 }  // namespace
--- /dev/null
+++ b/tests/relay/support/exchanging_fleet.hpp
@@ -0,0 +1,119 @@
+/// @file
+/// Relay nodes that tell each other what they know, over a network in memory.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "relay/load_exchange.hpp"
+#include "relay/support/fakes.hpp"
+
+namespace shuntbank::testing {
+
+class MockNetwork;
+
+/// One node's end of a network in memory.
+class MockTransport : public PeerTransport {
+ public:
+  MockTransport(MockNetwork& network, std::string address);
+
+  void set_handlers(DatagramHandler on_datagram, CallHandler on_call) override {
+    this->datagram_handler = std::move(on_datagram);
+    this->call_handler = std::move(on_call);
+  }
+  void send(const std::string& to, std::string_view text) override;
+  void call(const std::string& to, std::string text, Duration, AnswerHandler handler) override;
+  std::string local_address() const override { return this->address; }
+  std::uint64_t bytes_sent() const override { return 0; }
+  std::uint64_t bytes_received() const override { return 0; }
+
+  std::string address;
+  std::string zone;
+  DatagramHandler datagram_handler;
+  CallHandler call_handler;
+  int sent = 0;
+
+ private:
+  MockNetwork& network;
+};
+
+class MockNetwork {
+ public:
+  std::map<std::string, MockTransport*> ends;
+  int between_zones = 0;  ///< Messages.
+};
+
+/// Relay nodes on one clock, store and network.
+struct ExchangingFleet {
+  explicit ExchangingFleet(std::size_t nodes, std::size_t zones = 1) {
+    for (std::size_t i = 0; i < nodes; ++i) {
+      relay::LoadExchangeSettings settings;
+      settings.zone = ZoneName("z" + std::to_string(i % zones));
+      this->add(settings);
+    }
+  }
+
+  void add(const relay::LoadExchangeSettings& settings) {
+    this->sites.push_back(std::make_unique<RelayFixture>());
+    const std::string name = "n" + std::to_string(this->sites.size());
+    this->transports.push_back(std::make_unique<MockTransport>(this->network, name + ":1"));
+    this->transports.back()->zone = settings.zone.value();
+    RelayFixture& site = *this->sites.back();
+    site.add_engine("p1", "model", relay::EngineStage::kPrefill);
+    this->exchanges.push_back(std::make_unique<relay::LoadExchange>(
+        this->runtime, this->store, *this->transports.back(), *site.node, name, settings));
+  }
+
+  /// A node sends a prompt of ten tokens to the engine.
+  void send_one(std::size_t node) {
+    this->sites[node]->node->engines().on_sent(EngineId("p1"), {10, false});
+    this->sites[node]->node->note_load_changed();
+  }
+
+  /// @return the nodes that collect now.
+  std::set<std::size_t> collectors() const {
+    std::set<std::size_t> nodes;
+    for (std::size_t i = 0; i < this->exchanges.size(); ++i) {
+      if (this->exchanges[i]->zones().collecting()) nodes.insert(i);
+    }
+    return nodes;
+  }
+
+  /// From now on nothing reaches the node, and nothing leaves it.
+  void cut(std::size_t node) {
+    this->network.ends.erase(this->transports[node]->address);
+    this->exchanges[node].reset();
+  }
+
+  /// All nodes are killed and start again; what lasts is in the store.
+  void start_all_anew(const std::vector<relay::LoadExchangeSettings>& settings) {
+    this->exchanges.clear();
+    this->network.ends.clear();
+    this->transports.clear();
+    this->sites.clear();
+    for (const auto& own : settings) this->add(own);
+  }
+
+  static std::size_t first_but(const std::set<std::size_t>& others) {
+    std::size_t node = 0;
+    while (others.count(node) > 0) ++node;
+    return node;
+  }
+
+  const relay::EngineView& engine(std::size_t node) {
+    return *this->sites[node]->node->engines().find(EngineId("p1"));
+  }
+
+  ManualRuntime runtime;
+  MemoryStore store{runtime};
+  MockNetwork network;
+  std::vector<std::unique_ptr<RelayFixture>> sites;
+  std::vector<std::unique_ptr<MockTransport>> transports;
+  std::vector<std::unique_ptr<relay::LoadExchange>> exchanges;
+};
+
+}  // namespace shuntbank::testing
--- a/tests/relay/support/fakes.cpp
+++ b/tests/relay/support/fakes.cpp
@@ -86,6 +86,14 @@
   }
 }
 
+void ScriptedHttpClient::refuse_connection(std::size_t index) {
+  const auto entry = sent.at(index);
+  entry->done = true;
+  if (entry->cancelled) return;
+  entry->handlers.on_done(tl::make_unexpected(
+      TransferError{TransferFailure::kNothingSent, "Connection refused", true}));
+}
+
 void RecordingResponder::respond(HttpReply reply) {
   seen_->status = reply.status;
   seen_->headers = reply.headers;
@@ -393,6 +401,7 @@
   if (more.count("id") == 0) request.headers.add("id", "r1");
   for (const HttpHeader& field : more.fields()) request.headers.add(field.name, field.value);
   request.body = body;
+  request.caller = caller_address;
   auto seen = std::make_shared<SeenReply>();
   caller = std::make_shared<RecordingResponder>(seen);
   node->handle(std::move(request), caller);
--- a/tests/relay/support/fakes.hpp
+++ b/tests/relay/support/fakes.hpp
@@ -73,6 +73,8 @@
   void piece(std::size_t index, const std::string& bytes);
   void finish(std::size_t index);
   void fail(std::size_t index, TransferFailure failure);
+  /// Nobody listens at the address any more.
+  void refuse_connection(std::size_t index);
 
   SentRequest& at(std::size_t index) { return *sent.at(index); }
   std::size_t count() const { return sent.size(); }
@@ -249,6 +251,7 @@
   TestDialect dialect;
   relay::RelaySettings settings;
   std::unique_ptr<relay::RelayNode> node;
+  std::string caller_address = "10.0.0.1";
   std::shared_ptr<RecordingResponder> caller;  ///< Of the last request.
 };
 
