Hold back requests under which engines end one after the other

Cause: what a request has met was remembered by its try; the next one, at whatever node, began anew and might end as many engines again. A bound on the whole fleet, kept by each life of each session for itself. Ruled out: the store alone (it may be down, and is slower than callers come again), the exchange alone (all nodes may be killed at once), counting broken connections (grey engines reset them, and neighbours of the guilty request meet two as well). Change: CrashLedger, without I/O, holds which requests ran at engines that ended, whatever their ids: three ended engines hold a request back, unless another that is held back accounts for them; running to the end clears. Quarantine asks engines whether they live, tells the other nodes (each piece of news four times), and says so in the logs; QuarantineStore keeps it beyond the processes. Suspects run apart from each other; what is held back gets 429 at once, with the time and words to change the request.

--- a/src/core/relay/engine_news.cpp
+++ b/src/core/relay/engine_news.cpp
@@ -5,6 +5,7 @@
 void EngineNews::append(const EngineNews& more) {
   reads.insert(reads.end(), more.reads.begin(), more.reads.end());
   troubles.insert(troubles.end(), more.troubles.begin(), more.troubles.end());
+  crashes.insert(crashes.end(), more.crashes.begin(), more.crashes.end());
 }
 
 }  // namespace shuntbank::relay
--- a/src/core/relay/engine_news.hpp
+++ b/src/core/relay/engine_news.hpp
@@ -4,6 +4,7 @@
 
 #include <vector>
 
+#include "core/relay/crash_report.hpp"
 #include "core/relay/engine_directory.hpp"
 #include "core/relay/engine_key.hpp"
 
@@ -30,8 +31,9 @@
 struct EngineNews {
   std::vector<KeyedRead> reads;
   std::vector<KeyedTrouble> troubles;
+  std::vector<CrashReport> crashes;
 
-  bool empty() const { return reads.empty() && troubles.empty(); }
+  bool empty() const { return reads.empty() && troubles.empty() && crashes.empty(); }
   void append(const EngineNews& more);
   bool operator==(const EngineNews&) const = default;
 };
--- a/src/core/relay/placement.cpp
+++ b/src/core/relay/placement.cpp
@@ -17,6 +17,7 @@
   const EngineRecord& record = engine.record;
   if (record.draining || record.stage != query.stage) return false;
   if (listed(query.avoid, record.id)) return false;
+  if (query.apart_from != nullptr && query.apart_from->count(engine.key) > 0) return false;
   return query.max_connections_here == 0 || engine.in_flight < query.max_connections_here;
 }
 
@@ -208,6 +209,9 @@
     }
     placement.cost_ms += engine->failure_share * settings.failure_cost_ms;
     if (engine->record.zone != query.zone) placement.cost_ms += settings.other_zone_ms;
+    if (query.may_end_engine) {
+      placement.cost_ms += settings.bystander_ms * engine->requests_there(now);
+    }
     if (!best || placement.cost_ms < best->cost_ms) best = placement;
   }
   return best;
--- a/src/core/relay/placement.hpp
+++ b/src/core/relay/placement.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "core/relay/engine_directory.hpp"
@@ -21,6 +22,8 @@
   double home_share = 2;
   double other_zone_ms = 2;      ///< Added for an engine in another zone.
   double failure_cost_ms = 400;  ///< Added times the share of attempts that failed.
+  /// Added for each request that would be lost with an engine: more than waiting there costs.
+  double bystander_ms = 200;
   double plain_request_ms = 15;  ///< Of a plain engine whose latency is not known.
 };
 
@@ -34,7 +37,10 @@
   /// no engine is known to keep most likely keeps it. Taken of prefill engines only.
   bool engines_may_keep_more = true;
   const std::vector<EngineId>* avoid = nullptr;  ///< Engines that this request has met.
-  bool deferred = false;  ///< Waits behind all prompts that can be answered in time.
+  /// Engines at which requests are under way that may end them; null: it may meet those.
+  const std::set<EngineKey>* apart_from = nullptr;
+  bool may_end_engine = false;  ///< Where few others run, few are lost with the engine.
+  bool deferred = false;        ///< Waits behind all prompts that can be answered in time.
   std::uint32_t max_connections_here = 0;  ///< This node's part of an engine's bound; 0: unbounded.
 };
 
--- a/src/protocol/load_digest.cpp
+++ b/src/protocol/load_digest.cpp
@@ -4,6 +4,7 @@
 #include <iterator>
 #include <nlohmann/json.hpp>
 
+#include "protocol/crash_report_codec.hpp"
 #include "protocol/load_message.hpp"
 
 namespace shuntbank {
@@ -117,7 +118,8 @@
                          digest.nodes,
                          {digest.part.first, digest.part.last},
                          load_to_json(digest.part.load),
-                         {reads_to_json(digest.news.reads), troubles_to_json(digest.news.troubles)},
+                         {reads_to_json(digest.news.reads), troubles_to_json(digest.news.troubles),
+                          to_json(digest.news.crashes)},
                          {digest.seen.configuration, digest.seen.engines},
                          digest.store_age_ms};
   std::string bytes;
@@ -135,6 +137,7 @@
     this->part.part.last = this->whole.part.last;
     for (const relay::KeyedRead& read : this->whole.news.reads) this->add_read(read);
     for (const relay::KeyedTrouble& trouble : this->whole.news.troubles) this->add_trouble(trouble);
+    for (const relay::CrashReport& crash : this->whole.news.crashes) this->add_crash(crash);
     this->parts.push_back(encode(this->part));
     return std::move(this->parts);
   }
@@ -182,6 +185,11 @@
     this->part.news.troubles.push_back(trouble);
   }
 
+  void add_crash(const relay::CrashReport& crash) {
+    if (this->full(kCrashReportBytes)) this->begin_news();
+    this->part.news.crashes.push_back(crash);
+  }
+
   const LoadDigest& whole;
   LoadDigest part;
   std::size_t bytes = 0;
@@ -234,6 +242,7 @@
     digest.part.load = load_from_json(document.at(6));
     digest.news.reads = reads_from_json(document.at(7).at(0));
     digest.news.troubles = troubles_from_json(document.at(7).at(1));
+    digest.news.crashes = crash_reports(document.at(7).at(2));
     digest.seen = {document.at(8).at(0).get<std::uint64_t>(),
                    document.at(8).at(1).get<std::uint64_t>()};
     digest.store_age_ms = document.at(9).get<std::uint32_t>();
--- a/src/protocol/load_message.cpp
+++ b/src/protocol/load_message.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "protocol/crash_report_codec.hpp"
+
 namespace shuntbank {
 namespace {
 
@@ -66,6 +68,7 @@
   if (message.to_collector) document["sum"] = message.wants_view;
   if (!message.reads.empty()) document["reads"] = reads_to_json(message.reads);
   if (!message.troubles.empty()) document["troubles"] = troubles_to_json(message.troubles);
+  if (!message.crashes.empty()) document["crashes"] = to_json(message.crashes);
   std::string bytes;
   json::to_msgpack(document, bytes);
   return bytes;
@@ -111,6 +114,7 @@
     if (document.contains("troubles")) {
       message.troubles = troubles_from_json(document["troubles"]);
     }
+    if (document.contains("crashes")) message.crashes = crash_reports(document["crashes"]);
     if (document.contains("reads")) message.reads = reads_from_json(document["reads"]);
     return message;
   } catch (const json::exception& error) {
--- a/src/protocol/load_message.hpp
+++ b/src/protocol/load_message.hpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "core/relay/catalog_revisions.hpp"
+#include "core/relay/crash_report.hpp"
 #include "core/relay/engine_directory.hpp"
 
 namespace shuntbank {
@@ -25,6 +26,7 @@
   std::map<EngineId, relay::PeerLoad> load;
   std::vector<relay::PromptRead> reads;        ///< Since the last message.
   std::vector<relay::EngineTrouble> troubles;  ///< The same.
+  std::vector<relay::CrashReport> crashes;     ///< What is to be told now.
   relay::CatalogRevisions seen;  ///< How far the node has come in the store's changes.
   /// How long ago the store confirmed them, in milliseconds, where the node reads it for others.
   std::optional<std::uint32_t> store_age_ms;
--- a/src/relay/load_exchange.cpp
+++ b/src/relay/load_exchange.cpp
@@ -160,6 +160,7 @@
   message.load = node_.engines().own_load();
   message.reads = node_.take_prompt_reads();
   message.troubles = node_.take_troubles();
+  message.crashes = node_.quarantine().take_reports();
   if (!own_progress_) return message;
   const StoreProgress progress = own_progress_();
   message.seen = progress.seen;
@@ -224,6 +225,7 @@
   for (const EngineTrouble& trouble : message.troubles) {
     node_.engines().on_peer_trouble(now, trouble);
   }
+  node_.quarantine().learn(message.crashes);
   if (on_revisions_) on_revisions_(message.seen);
   for (const PromptRead& read : message.reads) node_.learn_prompt_read(read);
 }
--- a/src/relay/relay_context.cpp
+++ b/src/relay/relay_context.cpp
@@ -13,6 +13,7 @@
 }
 
 void RelayContext::note_engine_ended(const EngineId& engine) {
+  quarantine.on_engine_ended(engine);
   EngineView* view = engines.find(engine);
   if (view == nullptr || std::exchange(view->ended, true)) return;
   metrics.count_engine_ended(view->record.service.value());
@@ -22,6 +23,12 @@
              {"service", view->record.service.value()}});
 }
 
+void RelayContext::note_engine_answered(const EngineId& engine, MonotonicTime sent_at) {
+  quarantine.on_engine_answered(engine, sent_at);
+  EngineView* view = engines.find(engine);
+  if (view != nullptr) view->ended = false;
+}
+
 void RelayContext::note_trouble(const EngineTrouble& trouble) {
   if (!load_changed) return;
   troubles.push_back(trouble);
--- a/src/relay/relay_context.hpp
+++ b/src/relay/relay_context.hpp
@@ -10,6 +10,7 @@
 #include "core/relay/retry_budget.hpp"
 #include "net/http_client.hpp"
 #include "relay/engine_dialect.hpp"
+#include "relay/quarantine.hpp"
 #include "relay/relay_metrics.hpp"
 #include "relay/relay_settings.hpp"
 
@@ -24,6 +25,7 @@
   EngineDirectory& engines;
   RelayMetrics& metrics;
   RetryBudgets& budgets;
+  Quarantine& quarantine;
 
   std::function<void()> load_changed;   ///< May be empty.
   std::vector<PromptRead> reads;        ///< Not yet told to other nodes; empty where none listens.
@@ -38,6 +40,9 @@
   /// Nobody listens at the engine's address any more: it has ended, not just a connection to it.
   void note_engine_ended(const EngineId& engine);
 
+  /// An engine has answered what it was sent at `sent_at`.
+  void note_engine_answered(const EngineId& engine, MonotonicTime sent_at);
+
   /// The work under way at an engine has changed.
   void note_load() const {
     if (load_changed) load_changed();
--- a/src/relay/relay_metrics.cpp
+++ b/src/relay/relay_metrics.cpp
@@ -47,6 +47,11 @@
           .Name("shuntbank_relay_engines_ended_total")
           .Help("Engines at whose address nobody listened any more")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& held_back =
+      prometheus::BuildCounter()
+          .Name("shuntbank_relay_requests_held_back_total")
+          .Help("Requests that this node came to hold back, by where it knew of them from")
+          .Register(registry);
   prometheus::Family<prometheus::Histogram>& duration =
       prometheus::BuildHistogram()
           .Name("shuntbank_relay_request_seconds")
@@ -92,6 +97,10 @@
   impl_->engines_ended.Add({{"service", service}}).Increment();
 }
 
+void RelayMetrics::count_held_back(const std::string& source) {
+  impl_->held_back.Add({{"source", source}}).Increment();
+}
+
 void RelayMetrics::observe_first_event(const std::string& service, Duration took) {
   impl_->first_event.Add({{"service", service}}, kSecondsBuckets).Observe(to_seconds(took));
 }
--- a/src/relay/relay_metrics.hpp
+++ b/src/relay/relay_metrics.hpp
@@ -35,6 +35,9 @@
   /// An engine was found ended: nobody listens at its address.
   void count_engine_ended(const std::string& service);
 
+  /// A request is held back from now on. @param source `seen`, `heard` or `store`.
+  void count_held_back(const std::string& source);
+
   /// The first event of a stream was passed on.
   void observe_first_event(const std::string& service, Duration took);
 
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -1,6 +1,7 @@
 #include "relay/relay_node.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "common/log.hpp"
@@ -25,10 +26,13 @@
       settings_(settings),
       engines_(random_number(io.runtime)),
       budgets_(settings.retry_budget),
-      context_{io.runtime, io.http,  io.dialect, settings_, engines_,
-               metrics_,   budgets_, {},         {},        {}},
+      quarantine_({io.runtime, io.http, io.dialect, engines_, metrics_}),
+      context_{io.runtime, io.http,     io.dialect, settings_, engines_, metrics_,
+               budgets_,   quarantine_, {},         {},        {}},
       splits_(random_fraction(io.runtime)),
-      slack_from_(io.runtime.now() + counted_for(settings.retry_budget)) {}
+      slack_from_(io.runtime.now() + counted_for(settings.retry_budget)) {
+  quarantine_.on_news([this] { context_.note_load(); });
+}
 
 RelayNode::~RelayNode() {
   const auto open = std::exchange(sessions_, {});
@@ -56,6 +60,11 @@
 
 void RelayNode::set_engines(const std::vector<EngineRecord>& records) {
   engines_known_ = true;
+  std::set<EngineId> listed;
+  for (const EngineRecord& record : records) listed.insert(record.id);
+  for (const auto& [id, engine] : engines_.all()) {
+    if (listed.count(id) == 0) note_unlisted(id);
+  }
   for (const std::string& address : engines_.replace_all(records)) {
     if (address_free_) address_free_(address);
   }
@@ -63,13 +72,35 @@
   metrics_.set_gauge("engines", static_cast<double>(engines_.size()));
 }
 
+/// Another start of an engine has the address: the one before has ended.
+void RelayNode::note_replaced(const EngineRecord& record) {
+  if (quarantine_.idle()) return;
+  for (const auto& [id, engine] : engines_.all()) {
+    if (id != record.id && engine.record.address == record.address) {
+      quarantine_.on_engine_ended(id);
+    }
+  }
+}
+
+/// An engine that has not said that it leaves has ended when the list lacks it.
+void RelayNode::note_unlisted(const EngineId& engine) {
+  const EngineView* view = engines_.find(engine);
+  if (view != nullptr && !view->record.draining) quarantine_.on_engine_ended(engine);
+}
+
 void RelayNode::set_engine(const EngineRecord& record) {
+  note_replaced(record);
+  // It may have been missing from the list only since the store was away.
+  if (engines_.find(record.id) == nullptr) {
+    quarantine_.on_engine_answered(record.id, io_.runtime.now());
+  }
   engines_.upsert(record);
   log_engine("engine_changed", record);
   metrics_.set_gauge("engines", static_cast<double>(engines_.size()));
 }
 
 void RelayNode::remove_engine(const EngineId& id) {
+  note_unlisted(id);
   const std::string address = engines_.remove(id);
   if (address.empty()) return;
   log_event(LogArea::kControl, LogLevel::kInfo, "engine_gone",
@@ -113,7 +144,7 @@
   reply.status = status;
   if (!id.empty()) reply.headers.add(names.request_id, id);
   if (status == http_status::kServiceUnavailable) {
-    reply.headers.add(names.retry_after, retry_after_text(settings_));
+    reply.headers.add(names.retry_after, retry_after_text(settings_.retry_after));
   }
   responder.respond(std::move(reply));
 }
--- a/src/relay/relay_node.hpp
+++ b/src/relay/relay_node.hpp
@@ -14,6 +14,7 @@
 #include "core/relay/routes.hpp"
 #include "net/http1_server.hpp"
 #include "relay/engine_dialect.hpp"
+#include "relay/quarantine.hpp"
 #include "relay/relay_metrics.hpp"
 #include "relay/relay_session.hpp"
 #include "relay/relay_settings.hpp"
@@ -74,6 +75,7 @@
   const RouteTable* table() const { return table_.get(); }
   EngineDirectory& engines() { return engines_; }
   RelayMetrics& metrics() { return metrics_; }
+  Quarantine& quarantine() { return quarantine_; }
 
   /// Sets what is called when the work under way at engines has changed.
   void on_load_changed(std::function<void()> handler) {
@@ -113,6 +115,8 @@
 
  private:
   void share_slack();
+  void note_replaced(const EngineRecord& record);
+  void note_unlisted(const EngineId& engine);
   void refuse(const HttpRequest& request, ConnectionResponder& responder, int status,
               const char* why);
 
@@ -121,6 +125,7 @@
   EngineDirectory engines_;
   RelayMetrics metrics_;
   RetryBudgets budgets_;
+  Quarantine quarantine_;
   RelayContext context_;
   std::shared_ptr<const RouteTable> table_;
   SplitChooser splits_;
--- a/src/relay/relay_process.cpp
+++ b/src/relay/relay_process.cpp
@@ -10,6 +10,7 @@
 #include "net/http1_server.hpp"
 #include "net/http_status.hpp"
 #include "relay/load_exchange.hpp"
+#include "relay/quarantine_store.hpp"
 #include "relay/relay_node.hpp"
 #include "relay/role_coordinator.hpp"
 
@@ -62,6 +63,7 @@
               node_.handle(std::move(request), responder);
             }),
         catalog_(runtime, store, codec, node_, catalog_settings(settings)),
+        quarantine_store_(runtime, store, node_),
         roles_({runtime, http_, dialect}, store, node_, settings.node, settings.roles,
                settings.stages) {
     if (addresses.peers.empty()) {
@@ -183,6 +185,7 @@
   RelayNode node_;
   Http1Server callers_;
   Catalog catalog_;
+  QuarantineStore quarantine_store_;
   RoleCoordinator roles_;
   std::unique_ptr<PeerTransport> peers_;
   std::unique_ptr<LoadExchange> exchange_;
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -18,6 +18,18 @@
 constexpr int kMostUrgent = 0;
 constexpr int kLeastUrgent = 9;
 
+/// Engines that may have ended under a request, from which on it is given to none that has another
+/// such request. With fewer, neighbours of the guilty one would be refused where engines are few.
+constexpr std::size_t kRunApartFrom = 2;
+
+/// Engines that may have ended under a request, from which on it is sent to no further one until
+/// that is known: as many as are enough to hold it back.
+constexpr std::size_t kStopFrom = CrashLedgerSettings().enough;
+
+/// An engine that has said nothing for so long when it is given up may have gone dark: many times
+/// the pause between the tokens of a busy batch.
+constexpr Duration kSilence = std::chrono::milliseconds(500);
+
 constexpr Duration kReleaseTimeout = std::chrono::seconds(1);
 
 std::int64_t to_milliseconds(Duration duration) {
@@ -50,7 +62,7 @@
   responder_->on_closed([weak = weak_from_this()] {
     if (const auto self = weak.lock()) self->caller_gone();
   });
-  if (!read_fields()) return;
+  if (!read_fields() || held_back()) return;
   context_.budgets.of(service_name_).on_request(arrived_);
   timer_ = context_.runtime.after(expires_ - arrived_, [weak = weak_from_this()] {
     if (const auto self = weak.lock()) self->on_timeout();
@@ -81,6 +93,46 @@
   return true;
 }
 
+CrashStanding RelaySession::crash_standing() const {
+  return identity_ ? context_.quarantine.standing(*identity_) : CrashStanding();
+}
+
+/// A request under which engines have ended one after the other gets its final answer at once. It
+/// protects all that runs at the next engine: in an incident ten streams at a time, 49 times a day.
+bool RelaySession::held_back() {
+  if (context_.quarantine.idle()) return false;
+  identity_ = identity_of(request_);
+  const CrashStanding standing = crash_standing();
+  if (standing.held_for) {
+    context_.quarantine.on_held_again(*identity_);
+    const std::string why =
+        std::to_string(standing.ended) + " engines have ended under this request";
+    log_attempt("held_back", why);
+    HttpHeaders headers;
+    headers.add(context_.dialect.names().retry_after, retry_after_text(*standing.held_for));
+    respond(http_status::kTooManyRequests, headers,
+            why +
+                ", and it was not run. Do not send it again as it is: change it, or ask the "
+                "operators to let it go.\n",
+            "held_back");
+    return true;
+  }
+  if (!standing.suspect()) return false;
+  // One broken connection is no reason to hold up what a caller sends again and again.
+  if (standing.under_way && (standing.ended > 0 || standing.broken >= kRunApartFrom)) {
+    refuse("another try is under way, and engines may have ended under it");
+    return true;
+  }
+  if (standing.broken < kStopFrom) return false;
+  refuse("it is being found out whether engines have ended under it");
+  return true;
+}
+
+bool RelaySession::ends_engines() const {
+  const CrashStanding standing = crash_standing();
+  return standing.held_for.has_value() || standing.broken >= kStopFrom;
+}
+
 Duration RelaySession::time_left() const {
   return expires_ - context_.runtime.now();
 }
@@ -99,11 +151,20 @@
   query.engines_may_keep_more = !context_.settings.first_start;
   query.avoid = &met_;
   query.max_connections_here = connections_per_engine();
+  query.apart_from = apart_from_.empty() ? nullptr : &apart_from_;
+  query.may_end_engine = crash_standing().broken >= kRunApartFrom;
   return query;
 }
 
+/// Suspects that run apart from each other are told apart by the next engine that ends.
+void RelaySession::keep_apart() {
+  apart_from_.clear();
+  if (crash_standing().suspect()) apart_from_ = context_.quarantine.engines_on_trial(*identity_);
+}
+
 /// @return the engine that takes a prompt up which was read elsewhere.
-std::optional<Placement> RelaySession::place_taker() const {
+std::optional<Placement> RelaySession::place_taker() {
+  keep_apart();
   PlacementQuery query = placement_query();
   query.stage = EngineStage::kDecode;
   return place(context_.runtime.now(), context_.engines, query, context_.settings.placement);
@@ -112,6 +173,21 @@
 /// Sends the request where the choice says. @return false when no engine can be chosen.
 bool RelaySession::choose() {
   if (service_ == nullptr) return false;
+  keep_apart();
+  auto choice = choice_now();
+  if (!choice && !apart_from_.empty() && crash_standing().broken < kRunApartFrom) {
+    apart_from_.clear();
+    choice = choice_now();
+  }
+  if (!choice) return false;
+  deferred_ = choice->deferred;
+  expected_ms_ = choice->expected_ms;
+  take(choice->placement);
+  send(choice->placement.engine, choice->read_first ? Step::kPrefill : Step::kPlain);
+  return true;
+}
+
+std::optional<DispatchChoice> RelaySession::choice_now() {
   DispatchQuery query;
   query.placement = placement_query();
   query.prompt_sent = history_.prompt_sent;
@@ -119,14 +195,8 @@
   query.budget = budget_left() - (history_.arrived ? 1 : 0);
   query.gap_target = route_.gap_target;
   query.time_to_objective = arrived_ + route_.objective - context_.runtime.now();
-  const auto choice = choose_dispatch(context_.runtime.now(), context_.engines, query,
-                                      context_.settings.placement, context_.settings.prefill);
-  if (!choice) return false;
-  deferred_ = choice->deferred;
-  expected_ms_ = choice->expected_ms;
-  take(choice->placement);
-  send(choice->placement.engine, choice->read_first ? Step::kPrefill : Step::kPlain);
-  return true;
+  return choose_dispatch(context_.runtime.now(), context_.engines, query,
+                         context_.settings.placement, context_.settings.prefill);
 }
 
 void RelaySession::take(const Placement& placement) {
@@ -200,6 +270,11 @@
   unread_released_ = false;
   engine_held_ = true;
   sent_at_ = context_.runtime.now();
+  heard_at_ = sent_at_;
+  if (crash_standing().suspect()) {
+    on_trial_ = true;
+    context_.quarantine.begin_trial(*identity_, engine);
+  }
   if (step == Step::kDecodeFromHandle) unread_ = 0;
   if (service_->model) context_.engines.set_memory(engine, service_->model->kv_tokens);
   count_send(step == Step::kPrefill);
@@ -231,6 +306,13 @@
              {"engine", engine_.value()},
              {"step", step_name()},
              {"after_ms", to_milliseconds(context_.runtime.now() - sent_at_)}});
+  context_.quarantine.on_broken(*identity_, engine_);
+}
+
+void RelaySession::note_silence() {
+  if (context_.runtime.now() - heard_at_ < kSilence) return;
+  if (!identity_) identity_ = identity_of(request_);
+  context_.quarantine.on_silent(*identity_, engine_);
 }
 
 bool RelaySession::may_send_again() const {
@@ -270,6 +352,7 @@
   } else {
     met_.push_back(engine_);
   }
+  if (ends_engines()) return end_unserved(why + ", as engines have before, which may have ended");
   const AttemptVerdict verdict = after_failure(route_, history_);
   if (verdict != AttemptVerdict::kTryElsewhere) return end_unserved(why);
   if (!may_send_again()) return end_for_budget(why);
@@ -288,7 +371,8 @@
 
 void RelaySession::refuse(const std::string& why) {
   HttpHeaders headers;
-  headers.add(context_.dialect.names().retry_after, retry_after_text(context_.settings));
+  headers.add(context_.dialect.names().retry_after,
+              retry_after_text(context_.settings.retry_after));
   log_attempt("refused", why);
   respond(http_status::kServiceUnavailable, headers, "", "refused");
 }
@@ -328,6 +412,7 @@
 
 void RelaySession::drop_transfer() {
   if (!transfer_) return;
+  note_silence();
   context_.http.cancel(*transfer_);
   transfer_.reset();
   release_engine();
@@ -336,6 +421,7 @@
 void RelaySession::release_engine() {
   if (!std::exchange(engine_held_, false)) return;
   context_.engines.on_ended(engine_);
+  if (std::exchange(on_trial_, false)) context_.quarantine.end_trial(*identity_, engine_);
   if (prompt_) context_.note_load();
   if (!unread_released_) context_.engines.on_read(engine_, {unread_, deferred_});
   unread_released_ = true;
@@ -364,6 +450,7 @@
   timer_.reset();
   release_engine();
   release_handle();
+  if (identity_ && result != kAnswered) context_.quarantine.on_failed(*identity_);
   const MonotonicTime now = context_.runtime.now();
   context_.metrics.count_request(service_name_.value(), result, now - arrived_);
   log_event(LogArea::kCallers, LogLevel::kInfo, "request_ended",
@@ -375,7 +462,7 @@
              {"engine", engine_.value()},
              {"events", stream_.events()},
              {"sends", history_.sends},
-             {"identity", identity_ ? to_text(*identity_) : std::string()},
+             {"identity", crash_standing().suspect() ? to_text(*identity_) : std::string()},
              {"first_ms", to_milliseconds(stream_.first_event_after(arrived_))},
              {"gap_ms", to_milliseconds(stream_.longest_pause())},
              {"took_ms", to_milliseconds(now - arrived_)}});
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,9 @@
 
 namespace shuntbank::relay {
 
+/// The result of a request whose caller got an engine's whole answer.
+constexpr const char* kAnswered = "answered";
+
 /// One relayed request. Keeps itself alive until it has ended.
 class RelaySession : public std::enable_shared_from_this<RelaySession> {
  public:
@@ -44,9 +48,12 @@
 
   // Setting out.
   bool read_fields();
+  bool held_back();
   void dispatch();
   PlacementQuery placement_query() const;
-  std::optional<Placement> place_taker() const;
+  void keep_apart();
+  std::optional<Placement> place_taker();
+  std::optional<DispatchChoice> choice_now();
   bool choose();
   void take(const Placement& placement);
   void send(const EngineId& engine, Step step);
@@ -68,6 +75,9 @@
   // Failures.
   void attempt_failed(AttemptOutcome outcome, const std::string& why);
   void note_broken();
+  void note_silence();
+  CrashStanding crash_standing() const;
+  bool ends_engines() const;
   void keep_failure_answer();
   bool may_send_again() const;
   double budget_left() const;
@@ -103,7 +113,8 @@
   std::shared_ptr<ConnectionResponder> responder_;
   EndHandler on_end_;
   std::string id_;
-  /// Set once an attempt has ended uncertain: most requests never need it.
+  /// Set once it is needed: while something is known against any request, or when an engine has
+  /// broken this one off.
   std::optional<RequestIdentity> identity_;
   std::optional<PromptShape> prompt_;
   MonotonicTime arrived_{};
@@ -111,7 +122,9 @@
   std::unique_ptr<Timer> timer_;
 
   AttemptHistory history_;
-  std::vector<EngineId> met_;  ///< Engines that failed or refused this request.
+  std::vector<EngineId> met_;       ///< Engines that failed or refused this request.
+  std::set<EngineKey> apart_from_;  ///< Engines that other suspects have; see `Quarantine`.
+  bool on_trial_ = false;           ///< The engine may end under it, and others were told.
 
   // The attempt under way.
   Step step_ = Step::kPlain;
@@ -125,6 +138,7 @@
   bool alone_when_sent_ = false;  ///< The engine had no other work that this node knew of.
   std::optional<TransferId> transfer_;
   MonotonicTime sent_at_{};
+  MonotonicTime heard_at_{};  ///< The engine's last sign of life, or when it was sent.
   int status_ = 0;
   HttpHeaders headers_;
   bool refused_ = false;
--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -31,6 +31,8 @@
   status_ = status;
   headers_ = headers;
   const MonotonicTime now = context_.runtime.now();
+  heard_at_ = now;
+  context_.note_engine_answered(engine_, sent_at_);
   if (const auto load = context_.dialect.load(headers)) {
     context_.engines.on_load(now, engine_, *load);
   }
@@ -44,6 +46,7 @@
 }
 
 bool RelaySession::on_data(std::string_view piece) {
+  heard_at_ = context_.runtime.now();
   if (!streaming_) {
     overflow_ = overflow_ || collected_.size() + piece.size() > kMaxWholeAnswer;
     if (!overflow_) collected_ += piece;
@@ -191,10 +194,11 @@
   if (const auto pause = stream_.mean_pause()) {
     context_.engines.model_of(service_name_).on_stream_pace(*pause);
   }
+  if (identity_) context_.quarantine.on_answered(*identity_);
   handle_.clear();
   if (!history_.head_forwarded) begin_stream();
   responder_->finish();
-  end("answered");
+  end(kAnswered);
 }
 
 void RelaySession::on_whole_answer() {
@@ -202,11 +206,12 @@
   const bool own_failure = status_ >= http_status::kInternalError;
   note_health(own_failure ? AttemptHealth::kFailed : AttemptHealth::kGood);
   context_.engines.on_latency(engine_, now - sent_at_);
+  if (identity_) context_.quarantine.on_answered(*identity_);
   if (own_failure && (route_.idempotent() || history_.head_forwarded)) {
     keep_failure_answer();
     return attempt_failed(AttemptOutcome::kUncertain, "status " + std::to_string(status_));
   }
-  respond(status_, forwarded_answer_fields(), std::move(collected_), "answered");
+  respond(status_, forwarded_answer_fields(), std::move(collected_), kAnswered);
 }
 
 void RelaySession::keep_failure_answer() {
--- a/src/relay/relay_settings.cpp
+++ b/src/relay/relay_settings.cpp
@@ -4,8 +4,8 @@
 
 namespace shuntbank::relay {
 
-std::string retry_after_text(const RelaySettings& settings) {
-  return fmt::format("{:.2f}", to_seconds(settings.retry_after));
+std::string retry_after_text(Duration wait) {
+  return fmt::format("{:.2f}", to_seconds(wait));
 }
 
 }  // namespace shuntbank::relay
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -73,6 +73,6 @@
 };
 
 /// @return the seconds after which a refused caller may come again, as refusals tell them.
-std::string retry_after_text(const RelaySettings& settings);
+std::string retry_after_text(Duration wait);
 
 }  // namespace shuntbank::relay
--- a/src/relay/zone_exchange.cpp
+++ b/src/relay/zone_exchange.cpp
@@ -26,6 +26,7 @@
   for (const EngineTrouble& trouble : message.troubles) {
     news.troubles.push_back({engine_key(trouble.engine), trouble.stage, trouble.misdirected});
   }
+  news.crashes = message.crashes;
   return news;
 }
 
@@ -189,6 +190,7 @@
 }
 
 void ZoneExchange::take_news(const EngineNews& news) {
+  this->node.quarantine().learn(news.crashes);
   EngineDirectory& engines = this->node.engines();
   for (const KeyedRead& read : news.reads) {
     const EngineView* engine = engines.find_by_key(read.engine);
--- a/tests/relay/support/exchanging_fleet.hpp
+++ b/tests/relay/support/exchanging_fleet.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "relay/load_exchange.hpp"
+#include "relay/quarantine_store.hpp"
 #include "relay/support/fakes.hpp"
 
 namespace shuntbank::testing {
@@ -66,6 +67,8 @@
     site.add_engine("p1", "model", relay::EngineStage::kPrefill);
     this->exchanges.push_back(std::make_unique<relay::LoadExchange>(
         this->runtime, this->store, *this->transports.back(), *site.node, name, settings));
+    this->quarantines.push_back(
+        std::make_unique<relay::QuarantineStore>(this->runtime, this->store, *site.node));
   }
 
   /// A node sends a prompt of ten tokens to the engine.
@@ -91,6 +94,7 @@
 
   /// All nodes are killed and start again; what lasts is in the store.
   void start_all_anew(const std::vector<relay::LoadExchangeSettings>& settings) {
+    this->quarantines.clear();
     this->exchanges.clear();
     this->network.ends.clear();
     this->transports.clear();
@@ -114,6 +118,7 @@
   std::vector<std::unique_ptr<RelayFixture>> sites;
   std::vector<std::unique_ptr<MockTransport>> transports;
   std::vector<std::unique_ptr<relay::LoadExchange>> exchanges;
+  std::vector<std::unique_ptr<relay::QuarantineStore>> quarantines;
 };
 
 }  // namespace shuntbank::testing
