Blame no request for an engine that was known to have ended before it was sent

Cause: what stands before an engine may take connections after it is gone and break them off; each request sent there then would count the engine against itself.

--- a/src/core/relay/crash_ledger.cpp
+++ b/src/core/relay/crash_ledger.cpp
@@ -59,8 +59,13 @@
   this->judge(at, request, suspect);
 }
 
+bool CrashLedger::ended_before(MonotonicTime at, EngineKey engine) const {
+  const auto end = this->ends.find(engine);
+  return end != this->ends.end() && end->second < at;
+}
+
 void CrashLedger::on_engine_ended(MonotonicTime now, EngineKey engine) {
-  this->ends[engine] = now;
+  this->ends.try_emplace(engine, now);
   for (auto& [request, suspect] : this->suspects) {
     const auto broken = suspect.engines.find(engine);
     if (broken == suspect.engines.end() || std::exchange(broken->second.ended, true)) continue;
--- a/src/core/relay/crash_ledger.hpp
+++ b/src/core/relay/crash_ledger.hpp
@@ -86,6 +86,10 @@
   /// connection; then it counts only once the engine is known to have ended.
   void on_broken(MonotonicTime at, const RequestIdentity& request, EngineKey engine, bool silent);
 
+  /// @return whether the engine was known to have ended before: what is sent there then and breaks
+  /// is not what ended it.
+  bool ended_before(MonotonicTime at, EngineKey engine) const;
+
   /// An engine is known to have ended.
   void on_engine_ended(MonotonicTime now, EngineKey engine);
 
--- a/src/relay/quarantine.cpp
+++ b/src/relay/quarantine.cpp
@@ -71,18 +71,25 @@
   this->tell(CrashNews::kOffTrial, request, key, this->io.runtime.now());
 }
 
-void Quarantine::on_broken(const RequestIdentity& request, const EngineId& engine) {
+/// @return whether what was sent to the engine then may have ended it. One that has said that it
+/// leaves ends whatever it is sent.
+bool Quarantine::may_have_ended_it(const EngineId& engine, MonotonicTime sent_at) const {
   const EngineView* view = this->io.engines.find(engine);
-  // One that has said that it leaves ends whatever it is sent.
-  if (view == nullptr || view->record.draining) return;
+  if (view == nullptr || view->record.draining) return false;
+  return !this->ledger.ended_before(sent_at, engine_key(engine));
+}
+
+void Quarantine::on_broken(const RequestIdentity& request, const EngineId& engine,
+                           MonotonicTime sent_at) {
+  if (!this->may_have_ended_it(engine, sent_at)) return;
   this->ledger.on_broken(this->io.runtime.now(), request, engine_key(engine), false);
   if (this->standing(request).broken > 1) this->tell_all(request);
   this->settle();
 }
 
-void Quarantine::on_silent(const RequestIdentity& request, const EngineId& engine) {
-  const EngineView* view = this->io.engines.find(engine);
-  if (view == nullptr || view->record.draining) return;
+void Quarantine::on_silent(const RequestIdentity& request, const EngineId& engine,
+                           MonotonicTime sent_at) {
+  if (!this->may_have_ended_it(engine, sent_at)) return;
   this->ledger.on_broken(this->io.runtime.now(), request, engine_key(engine), true);
 }
 
--- a/src/relay/quarantine.hpp
+++ b/src/relay/quarantine.hpp
@@ -48,9 +48,10 @@
   void begin_trial(const RequestIdentity& request, const EngineId& engine);
   void end_trial(const RequestIdentity& request, const EngineId& engine);
 
-  /// An engine broke a request off; or was given up, having said nothing for a while.
-  void on_broken(const RequestIdentity& request, const EngineId& engine);
-  void on_silent(const RequestIdentity& request, const EngineId& engine);
+  /// An engine broke a request off that it was sent at `sent_at`; or was given up, having said
+  /// nothing for a while.
+  void on_broken(const RequestIdentity& request, const EngineId& engine, MonotonicTime sent_at);
+  void on_silent(const RequestIdentity& request, const EngineId& engine, MonotonicTime sent_at);
 
   /// An engine gave a whole answer: nothing is wrong with the request.
   void on_answered(const RequestIdentity& request);
@@ -100,6 +101,7 @@
     int told = 0;
     MonotonicTime next{};
   };
+  bool may_have_ended_it(const EngineId& engine, MonotonicTime sent_at) const;
   void tell(CrashNews what, const RequestIdentity& request, EngineKey engine, MonotonicTime at);
   void tell_all(const RequestIdentity& request);
   void learn_one(MonotonicTime now, const CrashReport& report);
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -306,13 +306,13 @@
              {"engine", engine_.value()},
              {"step", step_name()},
              {"after_ms", to_milliseconds(context_.runtime.now() - sent_at_)}});
-  context_.quarantine.on_broken(*identity_, engine_);
+  context_.quarantine.on_broken(*identity_, engine_, sent_at_);
 }
 
 void RelaySession::note_silence() {
   if (context_.runtime.now() - heard_at_ < kSilence) return;
   if (!identity_) identity_ = identity_of(request_);
-  context_.quarantine.on_silent(*identity_, engine_);
+  context_.quarantine.on_silent(*identity_, engine_, sent_at_);
 }
 
 bool RelaySession::may_send_again() const {
--- a/tests/relay/quarantine_test.cpp
+++ b/tests/relay/quarantine_test.cpp
@@ -23,8 +23,9 @@
 
   relay::Quarantine& quarantine() { return this->site.node->quarantine(); }
 
+  /// An engine breaks off what it was sent just now.
   void break_off(const std::string& engine) {
-    this->quarantine().on_broken(kRequest, EngineId(engine));
+    this->quarantine().on_broken(kRequest, EngineId(engine), this->site.runtime.now());
   }
 
   /// Lets all questions to engines be answered, or find nobody.
@@ -79,6 +80,15 @@
   cr_assert_not(scene.quarantine().standing(kRequest).suspect());
 }
 
+Test(quarantine, does_not_blame_what_was_sent_after_the_engine_had_ended) {
+  // A connection may still be taken on behalf of an engine that is gone.
+  Scene scene;
+  for (const char* engine : {"a", "b", "c"}) scene.quarantine().on_engine_ended(EngineId(engine));
+  scene.site.runtime.advance(1ms);
+  for (const char* engine : {"a", "b", "c"}) scene.break_off(engine);
+  cr_assert_not(scene.quarantine().standing(kRequest).suspect());
+}
+
 Test(quarantine, learns_of_an_end_from_the_list_and_from_who_has_the_address) {
   Scene scene;
   for (const char* engine : {"a", "b"}) scene.break_off(engine);
