Know a request by what it says, and its caller apart from that

Change: the identity holds credential, method, host, target and body; evidence bears the address. Ended engines from one address hold back what comes from there, so that nobody gets another's request refused by sending the same; from two on, all. A caller against whom nothing is known gets one engine. Operators list what is held back and let it go (quarantine_api).

--- a/src/core/relay/crash_ledger.cpp
+++ b/src/core/relay/crash_ledger.cpp
@@ -1,6 +1,7 @@
 #include "core/relay/crash_ledger.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace shuntbank::relay {
@@ -31,34 +32,54 @@
   return suspect.trial && now - suspect.trial->since <= this->settings.longest_trial;
 }
 
-CrashStanding CrashLedger::standing(MonotonicTime now, const RequestIdentity& request) const {
-  const auto found = this->suspects.find(request);
+std::set<CallerKey> CrashLedger::callers_of(const Suspect& suspect) {
+  std::set<CallerKey> callers;
+  for (const auto& [engine, broken] : suspect.engines) {
+    if (broken.ended) callers.insert(broken.caller);
+  }
+  return callers;
+}
+
+CrashStanding CrashLedger::standing(MonotonicTime now, const TriedRequest& tried) const {
+  const auto found = this->suspects.find(tried.request);
   if (found == this->suspects.end()) return {};
   const Suspect& suspect = found->second;
   CrashStanding standing;
   standing.broken = count_broken(suspect);
   standing.ended = count_ended(suspect);
   standing.under_way = this->on_trial(now, suspect);
-  if (suspect.held_until && *suspect.held_until > now)
+  if (!suspect.held_until || *suspect.held_until <= now) return standing;
+  const auto callers = callers_of(suspect);
+  if (callers.size() > 1 || callers.count(tried.caller) > 0) {
     standing.held_for = *suspect.held_until - now;
+  }
   return standing;
 }
 
-void CrashLedger::on_broken(MonotonicTime at, const RequestIdentity& request, EngineKey engine,
-                            bool silent) {
+void CrashLedger::on_broken(MonotonicTime at, const BrokenRequest& broken) {
   // Overloads end in silence by the thousand, and hardly ever because an engine has gone.
-  if (silent && this->suspects.size() >= this->settings.most_suspects / 2) return;
+  if (broken.silent && this->suspects.size() >= this->settings.most_suspects / 2) return;
+  const RequestIdentity& request = broken.tried.request;
   if (this->suspects.count(request) == 0) this->make_room();
   Suspect& suspect = this->suspects[request];
   if (at <= suspect.cleared_at) return;
-  if (suspect.trial && suspect.trial->engine == engine) suspect.trial.reset();
+  if (suspect.trial && suspect.trial->engine == broken.engine) suspect.trial.reset();
   suspect.last = std::max(suspect.last, at);
-  const auto [entry, added] = suspect.engines.try_emplace(engine, Broken{at, silent, false});
-  if (!added) entry->second.silent = entry->second.silent && silent;
-  if (this->ends.count(engine) == 0 || std::exchange(entry->second.ended, true)) return;
+  const auto [entry, added] = suspect.engines.try_emplace(
+      broken.engine, Broken{at, broken.tried.caller, broken.silent, false});
+  if (!added) entry->second.silent = entry->second.silent && broken.silent;
+  if (this->ends.count(broken.engine) == 0 || std::exchange(entry->second.ended, true)) return;
   this->judge(at, request, suspect);
 }
 
+std::vector<RequestIdentity> CrashLedger::broken_by(EngineKey engine) const {
+  std::vector<RequestIdentity> requests;
+  for (const auto& [request, suspect] : this->suspects) {
+    if (suspect.engines.count(engine) > 0) requests.push_back(request);
+  }
+  return requests;
+}
+
 bool CrashLedger::ended_before(MonotonicTime at, EngineKey engine) const {
   const auto end = this->ends.find(engine);
   return end != this->ends.end() && end->second < at;
@@ -127,7 +148,13 @@
   if (this->suspects.count(held.request) == 0) this->make_room();
   Suspect& suspect = this->suspects[held.request];
   if (suspect.let_go) return;
-  for (const EngineKey engine : held.ended) suspect.engines[engine] = Broken{now, false, true};
+  // Under which caller which engine ended matters no more.
+  auto caller = held.callers.begin();
+  for (const EngineKey engine : held.ended) {
+    suspect.engines[engine] = Broken{now, *caller, false, true};
+    if (std::next(caller) != held.callers.end()) ++caller;
+  }
+  suspect.held_callers = held.callers.size();
   suspect.last = now;
   suspect.held_until = now + std::clamp(held.left, Duration::zero(), this->settings.hold);
   this->held_back.insert(held.request);
@@ -138,7 +165,8 @@
   const auto found = this->suspects.find(request);
   if (found == this->suspects.end()) return evidence;
   for (const auto& [engine, broken] : found->second.engines) {
-    if (broken.ended || !broken.silent) evidence.push_back({engine, broken.at, broken.ended});
+    if (broken.ended || !broken.silent)
+      evidence.push_back({engine, broken.caller, broken.at, broken.ended});
   }
   return evidence;
 }
@@ -172,7 +200,6 @@
 }
 
 void CrashLedger::judge(MonotonicTime now, const RequestIdentity& request, Suspect& suspect) {
-  if (suspect.held_until) return;
   std::size_t ended = 0;
   std::size_t own = 0;
   for (const auto& [engine, broken] : suspect.engines) {
@@ -180,8 +207,12 @@
     ++ended;
     if (!this->accounted_for(engine, request)) ++own;
   }
-  if (own < this->settings.enough && ended < this->settings.enough_in_any_case) return;
+  const bool enough = own >= this->settings.enough || ended >= this->settings.enough_in_any_case;
+  if (!suspect.held_until && !enough) return;
+  const std::size_t callers = callers_of(suspect).size();
+  if (suspect.held_until && callers <= suspect.held_callers) return;
   suspect.held_until = now + this->settings.hold;
+  suspect.held_callers = callers;
   this->held_back.insert(request);
   this->verdicts.push_back(request);
 }
@@ -200,7 +231,7 @@
   for (const RequestIdentity& request : this->held_back) {
     const Suspect& suspect = this->suspects.at(request);
     if (!suspect.held_until || *suspect.held_until <= now) continue;
-    HeldRequest entry{request, {}, *suspect.held_until - now};
+    HeldRequest entry{request, {}, callers_of(suspect), *suspect.held_until - now};
     for (const auto& [engine, broken] : suspect.engines) {
       if (broken.ended) entry.ended.push_back(engine);
     }
--- a/src/core/relay/crash_ledger.hpp
+++ b/src/core/relay/crash_ledger.hpp
@@ -58,14 +58,31 @@
 struct HeldRequest {
   RequestIdentity request;
   std::vector<EngineKey> ended;
+  /// Whence it came as engines ended. From one address alone: only that one is held back, so that
+  /// nobody gets another's request refused by sending the same; from several: all are.
+  std::set<CallerKey> callers;
   Duration left = Duration::zero();
 
+  /// @return whether it is held back from wherever it comes.
+  bool for_all() const { return this->callers.size() > 1; }
   bool operator==(const HeldRequest&) const = default;
 };
 
+/// One engine's doing with one request.
+struct BrokenRequest {
+  TriedRequest tried;
+  EngineKey engine = 0;
+  /// The engine said nothing, rather than close the connection; counts only once it is known to
+  /// have ended.
+  bool silent = false;
+
+  bool operator==(const BrokenRequest&) const = default;
+};
+
 /// What one engine's end says against one request.
 struct CrashEvidence {
   EngineKey engine = 0;
+  CallerKey caller = 0;
   MonotonicTime at{};
   bool ended = false;
 
@@ -80,11 +97,20 @@
   /// @return whether nothing is known against any request.
   bool empty() const { return this->suspects.empty(); }
 
-  CrashStanding standing(MonotonicTime now, const RequestIdentity& request) const;
+  /// @return what is known against a request, for a try that comes from where it does.
+  CrashStanding standing(MonotonicTime now, const TriedRequest& tried) const;
+
+  /// @return whether a request is held back, from wherever.
+  bool holds(const RequestIdentity& request) const { return this->held_back.count(request) > 0; }
+
+  /// @return whether anything is remembered of a request.
+  bool knows(const RequestIdentity& request) const { return this->suspects.count(request) > 0; }
+
+  /// @return the requests that an engine broke off.
+  std::vector<RequestIdentity> broken_by(EngineKey engine) const;
 
-  /// An engine broke a request off. @param silent it said nothing, rather than close the
-  /// connection; then it counts only once the engine is known to have ended.
-  void on_broken(MonotonicTime at, const RequestIdentity& request, EngineKey engine, bool silent);
+  /// An engine broke a request off.
+  void on_broken(MonotonicTime at, const BrokenRequest& broken);
 
   /// @return whether the engine was known to have ended before: what is sent there then and breaks
   /// is not what ended it.
@@ -119,7 +145,7 @@
   /// @return the engines of which it matters whether they have ended, each once in a while.
   std::vector<EngineKey> take_questions(MonotonicTime now);
 
-  /// @return requests that are held back since the last call.
+  /// @return requests that are held back, or from more callers than before, since the last call.
   std::vector<HeldRequest> take_verdicts(MonotonicTime now);
 
   /// @return all requests that are held back.
@@ -131,6 +157,7 @@
  private:
   struct Broken {
     MonotonicTime at{};
+    CallerKey caller = 0;
     bool silent = false;
     bool ended = false;
   };
@@ -142,6 +169,7 @@
     std::map<EngineKey, Broken> engines;
     std::optional<Trial> trial;
     std::optional<MonotonicTime> held_until;
+    std::size_t held_callers = 0;  ///< When it was last said that it is held back.
     MonotonicTime cleared_at{};
     bool let_go = false;  ///< Was held back when it was cleared; old word of it is not taken.
     MonotonicTime last{};
@@ -154,6 +182,7 @@
   void make_room();
   static std::size_t count_broken(const Suspect& suspect);
   static std::size_t count_ended(const Suspect& suspect);
+  static std::set<CallerKey> callers_of(const Suspect& suspect);
 
   CrashLedgerSettings settings;
   Suspects suspects;
--- a/src/core/relay/request_identity.hpp
+++ b/src/core/relay/request_identity.hpp
@@ -1,14 +1,28 @@
 /// @file
-/// What two tries of one caller's request have in common, whatever id, deadline and node each has.
+/// What two tries of one request have in common, whatever id, deadline and node each has.
 #pragma once
 
+#include <cstdint>
+
 #include "common/hash.hpp"
 
 namespace shuntbank::relay {
 
-/// Equal for two requests of the same caller with the same method, host, target and body, of any
-/// size. Holds the caller, so that nobody can bring another's request into disrepute by sending the
-/// same; a cryptographic hash, so that nobody can make up a request that looks like another's.
+/// Equal for two requests with the same credential, method, host, target and body, of any size. A
+/// cryptographic hash, so that nobody can make up a request that looks like another's.
 using RequestIdentity = Digest128;
 
+/// A short name for the address that a request comes from. It is no part of the identity: one
+/// caller has many addresses (in an incident each coming had another one). What engines end under
+/// from one address alone speaks against that address only; see `CrashLedger`.
+using CallerKey = std::uint32_t;
+
+/// A request, and whence the try came that is spoken of.
+struct TriedRequest {
+  RequestIdentity request;
+  CallerKey caller = 0;
+
+  bool operator==(const TriedRequest&) const = default;
+};
+
 }  // namespace shuntbank::relay
--- a/src/protocol/crash_report_codec.cpp
+++ b/src/protocol/crash_report_codec.cpp
@@ -6,7 +6,7 @@
   nlohmann::json list = nlohmann::json::array();
   for (const relay::CrashReport& report : reports) {
     list.push_back({static_cast<unsigned>(report.news), report.request.high, report.request.low,
-                    report.engine, report.age_ms});
+                    report.engine, report.caller, report.age_ms});
   }
   return list;
 }
@@ -19,7 +19,8 @@
     reports.push_back({static_cast<relay::CrashNews>(news),
                        {entry.at(1).get<std::uint64_t>(), entry.at(2).get<std::uint64_t>()},
                        entry.at(3).get<relay::EngineKey>(),
-                       entry.at(4).get<std::uint32_t>()});
+                       entry.at(4).get<relay::CallerKey>(),
+                       entry.at(5).get<std::uint32_t>()});
   }
   return reports;
 }
--- a/src/protocol/crash_report_codec.hpp
+++ b/src/protocol/crash_report_codec.hpp
@@ -11,7 +11,7 @@
 namespace shuntbank {
 
 /// Bytes of one report in MessagePack, at most.
-constexpr std::size_t kCrashReportBytes = 30;
+constexpr std::size_t kCrashReportBytes = 36;
 
 nlohmann::json to_json(const std::vector<relay::CrashReport>& reports);
 
--- a/src/protocol/load_digest.cpp
+++ b/src/protocol/load_digest.cpp
@@ -242,7 +242,8 @@
     digest.part.load = load_from_json(document.at(6));
     digest.news.reads = reads_from_json(document.at(7).at(0));
     digest.news.troubles = troubles_from_json(document.at(7).at(1));
-    digest.news.crashes = crash_reports(document.at(7).at(2));
+    // A node that runs the version before tells of none.
+    if (document.at(7).size() > 2) digest.news.crashes = crash_reports(document.at(7).at(2));
     digest.seen = {document.at(8).at(0).get<std::uint64_t>(),
                    document.at(8).at(1).get<std::uint64_t>()};
     digest.store_age_ms = document.at(9).get<std::uint32_t>();
--- a/src/relay/quarantine.cpp
+++ b/src/relay/quarantine.cpp
@@ -45,8 +45,12 @@
   *this->alive = false;
 }
 
-CrashStanding Quarantine::standing(const RequestIdentity& request) const {
-  return this->ledger.standing(this->io.runtime.now(), request);
+CrashStanding Quarantine::standing(const TriedRequest& tried) const {
+  return this->ledger.standing(this->io.runtime.now(), tried);
+}
+
+bool Quarantine::suspects(const RequestIdentity& request) const {
+  return this->standing({request, 0}).suspect();
 }
 
 std::set<EngineKey> Quarantine::engines_on_trial(const RequestIdentity& request) const {
@@ -57,18 +61,18 @@
   const MonotonicTime now = this->io.runtime.now();
   this->ledger.begin_trial(now, request, engine_key(engine));
   if (this->told.count(request) == 0) return;
-  this->tell(CrashNews::kOnTrial, request, engine_key(engine), now);
+  this->tell(CrashNews::kOnTrial, {request, 0}, engine_key(engine), now);
 }
 
 void Quarantine::end_trial(const RequestIdentity& request, const EngineId& engine) {
-  if (!this->standing(request).under_way) return;
+  if (!this->standing({request, 0}).under_way) return;
   this->ledger.end_trial(request);
   const EngineKey key = engine_key(engine);
   const auto told_begin = std::erase_if(this->tellings, [&](const Telling& telling) {
     return telling.news == CrashNews::kOnTrial && telling.request == request;
   });
   if (told_begin == 0 && this->told.count(request) == 0) return;
-  this->tell(CrashNews::kOffTrial, request, key, this->io.runtime.now());
+  this->tell(CrashNews::kOffTrial, {request, 0}, key, this->io.runtime.now());
 }
 
 /// @return whether what was sent to the engine then may have ended it. One that has said that it
@@ -79,31 +83,31 @@
   return !this->ledger.ended_before(sent_at, engine_key(engine));
 }
 
-void Quarantine::on_broken(const RequestIdentity& request, const EngineId& engine,
+void Quarantine::on_broken(const TriedRequest& tried, const EngineId& engine,
                            MonotonicTime sent_at) {
   if (!this->may_have_ended_it(engine, sent_at)) return;
-  this->ledger.on_broken(this->io.runtime.now(), request, engine_key(engine), false);
-  if (this->standing(request).broken > 1) this->tell_all(request);
+  this->ledger.on_broken(this->io.runtime.now(), {tried, engine_key(engine), false});
+  if (this->standing(tried).broken > 1) this->tell_all(tried.request);
   this->settle();
 }
 
-void Quarantine::on_silent(const RequestIdentity& request, const EngineId& engine,
+void Quarantine::on_silent(const TriedRequest& tried, const EngineId& engine,
                            MonotonicTime sent_at) {
   if (!this->may_have_ended_it(engine, sent_at)) return;
-  this->ledger.on_broken(this->io.runtime.now(), request, engine_key(engine), true);
+  this->ledger.on_broken(this->io.runtime.now(), {tried, engine_key(engine), true});
 }
 
 void Quarantine::on_answered(const RequestIdentity& request) {
-  if (!this->standing(request).suspect()) return;
+  if (!this->suspects(request)) return;
   const MonotonicTime now = this->io.runtime.now();
-  const bool was_held = this->standing(request).held_for.has_value();
+  const bool was_held = this->ledger.holds(request);
   this->ledger.clear(now, request);
-  if (this->told.erase(request) > 0) this->tell(CrashNews::kCleared, request, 0, now);
+  if (this->told.erase(request) > 0) this->tell(CrashNews::kCleared, {request, 0}, 0, now);
   if (was_held) this->note_held_changed(true);
 }
 
 void Quarantine::on_failed(const RequestIdentity& request) {
-  if (this->standing(request).suspect()) this->tell_all(request);
+  if (this->ledger.knows(request)) this->tell_all(request);
 }
 
 void Quarantine::on_held_again(const RequestIdentity& request) {
@@ -115,6 +119,10 @@
 void Quarantine::on_engine_ended(const EngineId& engine) {
   const EngineKey key = engine_key(engine);
   this->ledger.on_engine_ended(this->io.runtime.now(), key);
+  // What was told as broken off, or kept back as silence, can now be told for certain.
+  for (const RequestIdentity& request : this->ledger.broken_by(key)) {
+    if (this->told.count(request) > 0) this->tell_all(request);
+  }
   this->settle();
 }
 
@@ -123,11 +131,11 @@
 }
 
 bool Quarantine::lift(const RequestIdentity& request) {
-  if (!this->standing(request).held_for) return false;
+  if (!this->ledger.holds(request)) return false;
   const MonotonicTime now = this->io.runtime.now();
   this->ledger.clear(now, request);
   this->told.erase(request);
-  this->tell(CrashNews::kCleared, request, 0, now);
+  this->tell(CrashNews::kCleared, {request, 0}, 0, now);
   log_event(LogArea::kControl, LogLevel::kWarning, "request_let_go",
             {{"identity", to_text(request)}, {"why", "an operator speaks for it"}});
   this->note_held_changed(true);
@@ -140,28 +148,29 @@
 
 void Quarantine::restore(const std::vector<HeldRequest>& held) {
   for (const HeldRequest& entry : held) {
-    if (this->standing(entry.request).held_for) continue;
+    if (this->ledger.holds(entry.request)) continue;
     this->ledger.restore(this->io.runtime.now(), entry);
     this->log_verdict(entry, "store");
   }
 }
 
-void Quarantine::tell(CrashNews what, const RequestIdentity& request, EngineKey engine,
+void Quarantine::tell(CrashNews what, const TriedRequest& tried, EngineKey engine,
                       MonotonicTime at) {
   const auto known = [&](const Telling& other) {
-    return other.request == request && other.engine == engine && other.news == what;
+    return other.request == tried.request && other.engine == engine && other.news == what;
   };
   std::erase_if(this->tellings, known);
   if (this->tellings.size() >= kMostTellings) this->tellings.erase(this->tellings.begin());
-  this->tellings.push_back({what, request, engine, at, 0, this->io.runtime.now()});
+  this->tellings.push_back(
+      {what, tried.request, engine, tried.caller, at, 0, this->io.runtime.now()});
   if (this->news) this->news();
 }
 
 void Quarantine::tell_all(const RequestIdentity& request) {
   this->told.insert(request);
   for (const CrashEvidence& evidence : this->ledger.evidence(request)) {
-    this->tell(evidence.ended ? CrashNews::kEnded : CrashNews::kBroken, request, evidence.engine,
-               evidence.at);
+    this->tell(evidence.ended ? CrashNews::kEnded : CrashNews::kBroken, {request, evidence.caller},
+               evidence.engine, evidence.at);
   }
 }
 
@@ -174,7 +183,8 @@
       if (this->news) this->news();
       break;
     }
-    reports.push_back({telling.news, telling.request, telling.engine, age_ms(now, telling.at)});
+    reports.push_back(
+        {telling.news, telling.request, telling.engine, telling.caller, age_ms(now, telling.at)});
     ++telling.told;
     telling.next = now + kTellAgain;
   }
@@ -191,14 +201,15 @@
 
 void Quarantine::learn_one(MonotonicTime now, const CrashReport& report) {
   const MonotonicTime at = now - std::chrono::milliseconds(report.age_ms);
+  const BrokenRequest broken{{report.request, report.caller}, report.engine, false};
   switch (report.news) {
     case CrashNews::kBroken:
-      return this->ledger.on_broken(at, report.request, report.engine, false);
+      return this->ledger.on_broken(at, broken);
     case CrashNews::kEnded:
-      this->ledger.on_broken(at, report.request, report.engine, false);
+      this->ledger.on_broken(at, broken);
       return this->ledger.on_engine_ended(now, report.engine);
     case CrashNews::kCleared: {
-      const bool was_held = this->standing(report.request).held_for.has_value();
+      const bool was_held = this->ledger.holds(report.request);
       this->ledger.clear(at, report.request);
       if (was_held) this->note_held_changed(false);
       return;
@@ -267,6 +278,7 @@
             {{"identity", to_text(held.request)},
              {"engines_ended", held.ended.size()},
              {"engines", engines},
+             {"callers", held.callers.size()},
              {"source", source},
              {"for_s", to_seconds(held.left)}});
 }
@@ -275,10 +287,8 @@
   if (this->idle()) return;
   this->ledger.expire(this->io.runtime.now());
   this->settle();
-  std::erase_if(this->told, [this](const RequestIdentity& request) {
-    const CrashStanding standing = this->standing(request);
-    return !standing.suspect() && !standing.held_for;
-  });
+  std::erase_if(this->told,
+                [this](const RequestIdentity& request) { return !this->ledger.knows(request); });
   this->io.metrics.set_gauge("requests_held_back", static_cast<double>(this->held().size()));
 }
 
--- a/src/relay/quarantine_store.cpp
+++ b/src/relay/quarantine_store.cpp
@@ -23,6 +23,7 @@
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(held.left).count();
   return {{"request", to_text(held.request)},
           {"engines_ended", held.ended},
+          {"callers", held.callers},
           {"until_unix_ms", now_unix_ms + static_cast<std::uint64_t>(left)}};
 }
 
@@ -32,8 +33,10 @@
     for (const json& entry : content.at("held")) {
       const auto request = parse_digest(entry.at("request").get<std::string>());
       const Duration left = left_until(entry.at("until_unix_ms").get<std::uint64_t>(), now_unix_ms);
-      if (!request || left == Duration::zero()) continue;
-      all.push_back({*request, entry.at("engines_ended").get<std::vector<EngineKey>>(), left});
+      auto callers = entry.at("callers").get<std::set<CallerKey>>();
+      if (!request || callers.empty() || left == Duration::zero()) continue;
+      all.push_back({*request, entry.at("engines_ended").get<std::vector<EngineKey>>(),
+                     std::move(callers), left});
     }
   } catch (const json::exception& error) {
     log_event(LogArea::kPlatform, LogLevel::kError, "object_malformed",
--- a/src/relay/relay_process.cpp
+++ b/src/relay/relay_process.cpp
@@ -10,6 +10,7 @@
 #include "net/http1_server.hpp"
 #include "net/http_status.hpp"
 #include "relay/load_exchange.hpp"
+#include "relay/quarantine_api.hpp"
 #include "relay/quarantine_store.hpp"
 #include "relay/relay_node.hpp"
 #include "relay/role_coordinator.hpp"
@@ -75,7 +76,7 @@
     node_.on_adopted([this](const RouteTable& table) { take_limits(table); });
     node_.on_address_free([this](const std::string& address) { http_.forget_peer(address); });
     for (const std::string& address : {addresses.ready, addresses.control, addresses.metrics}) {
-      if (!address.empty()) serve_state(loop, address);
+      if (!address.empty()) serve_state(loop, address, address == addresses.control);
     }
     log_event(LogArea::kProcess, LogLevel::kInfo, "started",
               {{"node", settings.node},
@@ -125,11 +126,14 @@
         runtime_, kReadersTick, [this] { catalog_.set_readers(exchange_->readers()); });
   }
 
-  void serve_state(asio::io_context& loop, const std::string& address) {
+  void serve_state(asio::io_context& loop, const std::string& address, bool operators) {
     servers_.push_back(std::make_unique<Http1Server>(
         loop, listen_on(address, kMaxWatchers),
-        [this](const HttpRequest& request, const auto& responder) {
+        [this, operators](const HttpRequest& request, const auto& responder) {
           if (request.path == kMetricsPath) return responder->respond(metrics());
+          if (operators && is_quarantine_path(request.path)) {
+            return responder->respond(answer_quarantine(request, node_.quarantine()));
+          }
           const bool ready = node_.ready();
           responder->respond({ready ? http_status::kOk : http_status::kServiceUnavailable, {}, ""});
         }));
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -104,7 +104,7 @@
   identity_ = identity_of(request_);
   const CrashStanding standing = crash_standing();
   if (standing.held_for) {
-    context_.quarantine.on_held_again(*identity_);
+    context_.quarantine.on_held_again(identity_->request);
     const std::string why =
         std::to_string(standing.ended) + " engines have ended under this request";
     log_attempt("held_back", why);
@@ -123,7 +123,10 @@
     refuse("another try is under way, and engines may have ended under it");
     return true;
   }
-  if (standing.broken < kStopFrom) return false;
+  // Others have ended engines with it. That is no reason to refuse whom nothing is known against;
+  // but its own try tells, and goes no further than one engine.
+  const bool known = standing.ended == standing.broken;
+  if (standing.broken < kStopFrom || known) return false;
   refuse("it is being found out whether engines have ended under it");
   return true;
 }
@@ -159,7 +162,8 @@
 /// Suspects that run apart from each other are told apart by the next engine that ends.
 void RelaySession::keep_apart() {
   apart_from_.clear();
-  if (crash_standing().suspect()) apart_from_ = context_.quarantine.engines_on_trial(*identity_);
+  if (crash_standing().suspect())
+    apart_from_ = context_.quarantine.engines_on_trial(identity_->request);
 }
 
 /// @return the engine that takes a prompt up which was read elsewhere.
@@ -190,7 +194,8 @@
 std::optional<DispatchChoice> RelaySession::choice_now() {
   DispatchQuery query;
   query.placement = placement_query();
-  query.prompt_sent = history_.prompt_sent;
+  // The fewer engines have to do with it the better.
+  query.prompt_sent = history_.prompt_sent || query.placement.may_end_engine;
   query.extra = history_.arrived;
   query.budget = budget_left() - (history_.arrived ? 1 : 0);
   query.gap_target = route_.gap_target;
@@ -273,7 +278,7 @@
   heard_at_ = sent_at_;
   if (crash_standing().suspect()) {
     on_trial_ = true;
-    context_.quarantine.begin_trial(*identity_, engine);
+    context_.quarantine.begin_trial(identity_->request, engine);
   }
   if (step == Step::kDecodeFromHandle) unread_ = 0;
   if (service_->model) context_.engines.set_memory(engine, service_->model->kv_tokens);
@@ -301,7 +306,7 @@
   if (!identity_) identity_ = identity_of(request_);
   log_event(LogArea::kCallers, LogLevel::kInfo, "broken_by_engine",
             {{"request", id_},
-             {"identity", to_text(*identity_)},
+             {"identity", to_text(identity_->request)},
              {"caller", request_.caller},
              {"engine", engine_.value()},
              {"step", step_name()},
@@ -421,7 +426,7 @@
 void RelaySession::release_engine() {
   if (!std::exchange(engine_held_, false)) return;
   context_.engines.on_ended(engine_);
-  if (std::exchange(on_trial_, false)) context_.quarantine.end_trial(*identity_, engine_);
+  if (std::exchange(on_trial_, false)) context_.quarantine.end_trial(identity_->request, engine_);
   if (prompt_) context_.note_load();
   if (!unread_released_) context_.engines.on_read(engine_, {unread_, deferred_});
   unread_released_ = true;
@@ -450,7 +455,7 @@
   timer_.reset();
   release_engine();
   release_handle();
-  if (identity_ && result != kAnswered) context_.quarantine.on_failed(*identity_);
+  if (identity_ && result != kAnswered) context_.quarantine.on_failed(identity_->request);
   const MonotonicTime now = context_.runtime.now();
   context_.metrics.count_request(service_name_.value(), result, now - arrived_);
   log_event(LogArea::kCallers, LogLevel::kInfo, "request_ended",
@@ -462,7 +467,7 @@
              {"engine", engine_.value()},
              {"events", stream_.events()},
              {"sends", history_.sends},
-             {"identity", crash_standing().suspect() ? to_text(*identity_) : std::string()},
+             {"identity", crash_standing().suspect() ? to_text(identity_->request) : std::string()},
              {"first_ms", to_milliseconds(stream_.first_event_after(arrived_))},
              {"gap_ms", to_milliseconds(stream_.longest_pause())},
              {"took_ms", to_milliseconds(now - arrived_)}});
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -115,7 +115,7 @@
   std::string id_;
   /// Set once it is needed: while something is known against any request, or when an engine has
   /// broken this one off.
-  std::optional<RequestIdentity> identity_;
+  std::optional<TriedRequest> identity_;
   std::optional<PromptShape> prompt_;
   MonotonicTime arrived_{};
   MonotonicTime expires_{};
--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -194,7 +194,7 @@
   if (const auto pause = stream_.mean_pause()) {
     context_.engines.model_of(service_name_).on_stream_pace(*pause);
   }
-  if (identity_) context_.quarantine.on_answered(*identity_);
+  if (identity_) context_.quarantine.on_answered(identity_->request);
   handle_.clear();
   if (!history_.head_forwarded) begin_stream();
   responder_->finish();
@@ -206,7 +206,7 @@
   const bool own_failure = status_ >= http_status::kInternalError;
   note_health(own_failure ? AttemptHealth::kFailed : AttemptHealth::kGood);
   context_.engines.on_latency(engine_, now - sent_at_);
-  if (identity_) context_.quarantine.on_answered(*identity_);
+  if (identity_) context_.quarantine.on_answered(identity_->request);
   if (own_failure && (route_.idempotent() || history_.head_forwarded)) {
     keep_failure_answer();
     return attempt_failed(AttemptOutcome::kUncertain, "status " + std::to_string(status_));
--- a/src/relay/request_identity.cpp
+++ b/src/relay/request_identity.cpp
@@ -2,9 +2,11 @@
 
 namespace shuntbank::relay {
 
-RequestIdentity identity_of(const HttpRequest& request) {
-  return sha256_128({request.caller, request.headers.get("Authorization"), request.method,
-                     request.headers.get("Host"), request.target, request.body});
+TriedRequest identity_of(const HttpRequest& request) {
+  const RequestIdentity identity =
+      sha256_128({request.headers.get("Authorization"), request.method, request.headers.get("Host"),
+                  request.target, request.body});
+  return {identity, static_cast<CallerKey>(hash64(request.caller))};
 }
 
 }  // namespace shuntbank::relay
--- a/src/relay/request_identity.hpp
+++ b/src/relay/request_identity.hpp
@@ -7,8 +7,7 @@
 
 namespace shuntbank::relay {
 
-/// @return the identity of a request. The caller is the address that it comes from and, where it
-/// sends one, its credential.
-RequestIdentity identity_of(const HttpRequest& request);
+/// @return the identity of a request, and the short name of the address that it comes from.
+TriedRequest identity_of(const HttpRequest& request);
 
 }  // namespace shuntbank::relay
--- a/tests/protocol/load_digest_test.cpp
+++ b/tests/protocol/load_digest_test.cpp
@@ -62,6 +62,13 @@
                                   {{*rc::gen::arbitrary<std::uint64_t>(), 800}, {2, 30}}});
     }
     whole.news.troubles = {{3, relay::EngineStage::kPrefill, true}};
+    for (int i = *rc::gen::inRange(0, 60); i > 0; --i) {
+      whole.news.crashes.push_back({relay::CrashNews::kEnded,
+                                    {~0ULL, *rc::gen::arbitrary<std::uint64_t>()},
+                                    ~0U,
+                                    ~0U,
+                                    *rc::gen::arbitrary<std::uint32_t>()});
+    }
     const Joined joined = join(encode_parts(whole));
     RC_ASSERT(joined.load == whole.part.load);
     RC_ASSERT(joined.news == whole.news);
--- a/tests/relay/crashing_request_test.cpp
+++ b/tests/relay/crashing_request_test.cpp
@@ -136,6 +136,20 @@
   }
 }
 
+Test(crashing_request, ends_one_engine_more_at_most_when_it_comes_from_everywhere) {
+  // Seen: each coming was from another address, and only the caller's own retry from the same one.
+  RelayFixture site;
+  add_engines(site);
+  EndingEngines engines(site);
+  for (int i = 0; i < kTries; ++i) {
+    site.caller_address = "10.0.0." + std::to_string(i / 2);
+    site.request(kPath, {{"id", "t" + std::to_string(i)}}, "GET", "");
+    engines.end_all();
+    site.runtime.advance(100ms);
+  }
+  cr_assert_leq(engines.ended.size(), kMostEnded + 1, "%zu engines ended", engines.ended.size());
+}
+
 Test(crashing_request, stays_held_back_when_all_nodes_start_again) {
   ExchangingFleet fleet(8);
   for (auto& site : fleet.sites) add_engines(*site);
