--- a/src/core/relay/crash_ledger.cpp
+++ b/src/core/relay/crash_ledger.cpp
@@ -59,6 +59,8 @@
 void CrashLedger::on_broken(MonotonicTime at, const BrokenRequest& broken) {
   // Overloads end in silence by the thousand, and hardly ever because an engine has gone.
   if (broken.silent && this->suspects.size() >= this->settings.most_suspects / 2) return;
+  const auto answered = this->lived.find(broken.engine);
+  if (answered != this->lived.end() && at < answered->second) return;
   const RequestIdentity& request = broken.tried.request;
   if (this->suspects.count(request) == 0) this->make_room();
   Suspect& suspect = this->suspects[request];
@@ -66,8 +68,11 @@
   if (suspect.trial && suspect.trial->engine == broken.engine) suspect.trial.reset();
   suspect.last = std::max(suspect.last, at);
   const auto [entry, added] = suspect.engines.try_emplace(
-      broken.engine, Broken{at, broken.tried.caller, broken.silent, false});
-  if (!added) entry->second.silent = entry->second.silent && broken.silent;
+      broken.engine, Broken{at, broken.tried.caller, broken.silent, broken.heard, false});
+  if (!added) {
+    entry->second.silent = entry->second.silent && broken.silent;
+    entry->second.heard = entry->second.heard && broken.heard;
+  }
   if (this->ends.count(broken.engine) == 0 || std::exchange(entry->second.ended, true)) return;
   this->judge(at, request, suspect);
 }
@@ -96,6 +101,8 @@
 
 void CrashLedger::on_engine_answered(MonotonicTime sent_at, EngineKey engine) {
   this->ends.erase(engine);
+  MonotonicTime& last = this->lived[engine];
+  last = std::max(last, sent_at);
   for (auto& [request, suspect] : this->suspects) {
     const auto broken = suspect.engines.find(engine);
     if (broken == suspect.engines.end() || broken->second.at >= sent_at) continue;
@@ -151,7 +158,7 @@
   // Under which caller which engine ended matters no more.
   auto caller = held.callers.begin();
   for (const EngineKey engine : held.ended) {
-    suspect.engines[engine] = Broken{now, *caller, false, true};
+    suspect.engines[engine] = Broken{now, *caller, false, true, true};
     if (std::next(caller) != held.callers.end()) ++caller;
   }
   suspect.held_callers = held.callers.size();
@@ -176,7 +183,7 @@
   for (const auto& [request, suspect] : this->suspects) {
     if (count_broken(suspect) < kAskFrom) continue;
     for (const auto& [engine, broken] : suspect.engines) {
-      if (!broken.ended && !broken.silent) open.insert(engine);
+      if (!broken.ended && !broken.silent && !broken.heard) open.insert(engine);
     }
   }
   std::erase_if(this->asked, [&](const auto& entry) { return open.count(entry.first) == 0; });
@@ -241,9 +248,11 @@
 }
 
 void CrashLedger::expire(MonotonicTime now) {
-  std::erase_if(this->ends, [&](const auto& entry) {
+  const auto long_ago = [&](const auto& entry) {
     return now - entry.second > this->settings.ends_remembered;
-  });
+  };
+  std::erase_if(this->ends, long_ago);
+  std::erase_if(this->lived, long_ago);
   for (auto& [request, suspect] : this->suspects) {
     std::erase_if(suspect.engines, [&](const auto& entry) {
       return !entry.second.ended && now - entry.second.at > this->settings.proof_within;
--- a/src/core/relay/crash_ledger.hpp
+++ b/src/core/relay/crash_ledger.hpp
@@ -75,6 +75,7 @@
   /// The engine said nothing, rather than close the connection; counts only once it is known to
   /// have ended.
   bool silent = false;
+  bool heard = false;  ///< Another node saw it, which is also the one that asks the engine.
 
   bool operator==(const BrokenRequest&) const = default;
 };
@@ -142,7 +143,8 @@
   /// @return what speaks against a request.
   std::vector<CrashEvidence> evidence(const RequestIdentity& request) const;
 
-  /// @return the engines of which it matters whether they have ended, each once in a while.
+  /// @return the engines of which it matters whether they have ended, each once in a while; those
+  /// that broke off what this node had sent.
   std::vector<EngineKey> take_questions(MonotonicTime now);
 
   /// @return requests that are held back, or from more callers than before, since the last call.
@@ -159,6 +161,7 @@
     MonotonicTime at{};
     CallerKey caller = 0;
     bool silent = false;
+    bool heard = false;
     bool ended = false;
   };
   struct Trial {
@@ -189,7 +192,9 @@
   std::set<RequestIdentity> held_back;
   std::vector<RequestIdentity> verdicts;  ///< Not yet taken.
   std::map<EngineKey, MonotonicTime> asked;
-  std::map<EngineKey, MonotonicTime> ends;  ///< Engines known to have ended, and since when.
+  std::map<EngineKey, MonotonicTime> lived;  ///< Engines that have answered, and what they answered
+                                             ///< was sent when.
+  std::map<EngineKey, MonotonicTime> ends;   ///< Engines known to have ended, and since when.
 };
 
 }  // namespace shuntbank::relay
--- a/src/core/relay/crash_report.hpp
+++ b/src/core/relay/crash_report.hpp
@@ -14,6 +14,7 @@
   kEnded,     ///< The same, and it has ended.
   kCleared,   ///< The request ran to its end, or an operator speaks for it.
   kOnTrial,   ///< The engine is given the request, under which others may have ended.
+  kLives,     ///< The engine has answered since: what broke there before was not its end.
   kOffTrial,  ///< The engine has it no more, and nothing is to be learned from how it ended.
 };
 
--- a/src/relay/quarantine.cpp
+++ b/src/relay/quarantine.cpp
@@ -86,7 +86,7 @@
 void Quarantine::on_broken(const TriedRequest& tried, const EngineId& engine,
                            MonotonicTime sent_at) {
   if (!this->may_have_ended_it(engine, sent_at)) return;
-  this->ledger.on_broken(this->io.runtime.now(), {tried, engine_key(engine), false});
+  this->ledger.on_broken(this->io.runtime.now(), {tried, engine_key(engine), false, false});
   if (this->standing(tried).broken > 1) this->tell_all(tried.request);
   this->settle();
 }
@@ -94,7 +94,7 @@
 void Quarantine::on_silent(const TriedRequest& tried, const EngineId& engine,
                            MonotonicTime sent_at) {
   if (!this->may_have_ended_it(engine, sent_at)) return;
-  this->ledger.on_broken(this->io.runtime.now(), {tried, engine_key(engine), true});
+  this->ledger.on_broken(this->io.runtime.now(), {tried, engine_key(engine), true, false});
 }
 
 void Quarantine::on_answered(const RequestIdentity& request) {
@@ -201,7 +201,7 @@
 
 void Quarantine::learn_one(MonotonicTime now, const CrashReport& report) {
   const MonotonicTime at = now - std::chrono::milliseconds(report.age_ms);
-  const BrokenRequest broken{{report.request, report.caller}, report.engine, false};
+  const BrokenRequest broken{{report.request, report.caller}, report.engine, false, true};
   switch (report.news) {
     case CrashNews::kBroken:
       return this->ledger.on_broken(at, broken);
@@ -216,6 +216,8 @@
     }
     case CrashNews::kOnTrial:
       return this->ledger.begin_trial(at, report.request, report.engine);
+    case CrashNews::kLives:
+      return this->ledger.on_engine_answered(at, report.engine);
     case CrashNews::kOffTrial:
       return this->ledger.end_trial(report.request);
   }
@@ -263,7 +265,9 @@
             {{"engine", engine.value()}, {"found", found}});
   if (refused || replaced) return this->on_engine_ended(engine);
   // It was asked behind all that is known by then, also where the clock shows the same time.
-  if (reply) this->on_engine_answered(engine, asked_at + Duration(1));
+  if (!reply) return;
+  this->on_engine_answered(engine, asked_at + Duration(1));
+  this->tell(CrashNews::kLives, {}, engine_key(engine), asked_at);
 }
 
 void Quarantine::log_verdict(const HeldRequest& held, const char* source) const {
--- a/tests/core/relay/crash_ledger_test.cpp
+++ b/tests/core/relay/crash_ledger_test.cpp
@@ -23,7 +23,7 @@
 constexpr CallerKey kOtherCaller = 71;
 
 BrokenRequest broken(const RequestIdentity& request, EngineKey engine, bool silent = false) {
-  return {{request, kCaller}, engine, silent};
+  return {{request, kCaller}, engine, silent, false};
 }
 
 CrashStanding standing(const CrashLedger& ledger, MonotonicTime now,
@@ -90,6 +90,25 @@
   cr_assert_not(standing(scene.ledger, scene.now, kOther).suspect());
 }
 
+Test(crash_ledger, does_not_take_again_what_an_answer_has_refuted) {
+  // News is told a few times.
+  Scene scene;
+  const BrokenRequest heard{{kOther, kCaller}, 1, false, true};
+  scene.ledger.on_broken(scene.now, heard);
+  scene.ledger.on_engine_answered(scene.now + 1ms, 1);
+  scene.ledger.on_broken(scene.now, heard);
+  cr_assert_not(standing(scene.ledger, scene.now, kOther).suspect());
+}
+
+Test(crash_ledger, leaves_it_to_the_node_that_saw_it_to_ask_the_engine) {
+  Scene scene;
+  scene.ledger.on_broken(scene.now, {{kOther, kCaller}, 1, false, true});
+  scene.ledger.on_broken(scene.now, broken(kOther, 2));
+  const auto questions = scene.ledger.take_questions(scene.now);
+  cr_assert_eq(questions.size(), 1U);
+  cr_assert_eq(questions.front(), 2U);
+}
+
 Test(crash_ledger, takes_no_answer_for_a_sign_of_life_that_was_asked_for_before_the_end) {
   Scene scene;
   const MonotonicTime sent = scene.now;
@@ -187,7 +206,7 @@
   cr_assert(scene.held(kGuilty));
   cr_assert_not(other().held_for);
   cr_assert_not(scene.ledger.take_verdicts(scene.now).front().for_all());
-  scene.ledger.on_broken(scene.now, {{kGuilty, kOtherCaller}, 4, false});
+  scene.ledger.on_broken(scene.now, {{kGuilty, kOtherCaller}, 4, false, false});
   scene.ledger.on_engine_ended(scene.now, 4);
   cr_assert(other().held_for.has_value());
   cr_assert(scene.ledger.take_verdicts(scene.now).front().for_all());
@@ -197,7 +216,7 @@
 Test(crash_ledger, holds_back_at_the_third_end_what_comes_from_several_callers) {
   Scene scene;
   for (const EngineKey engine : {1, 2, 3}) {
-    scene.ledger.on_broken(scene.now, {{kGuilty, kCaller + engine}, engine, false});
+    scene.ledger.on_broken(scene.now, {{kGuilty, kCaller + engine}, engine, false, false});
     scene.ledger.on_engine_ended(scene.now, engine);
   }
   cr_assert(scene.ledger.standing(scene.now, {kGuilty, 99}).held_for.has_value());
