Count the time for which a machine is suspended, everywhere

Cause: std::chrono::steady_clock stands still while a machine is suspended, so that leases, deadlines, windows of budgets and all that is believed by age were taken for younger. Ruled out: mending each place that looks at an age (they all take their time from one function). Change: MonotonicClock reads the clock of the time since boot; timers of the loop are MonotonicTimer. The loop sleeps by the other clock: after a wake overdue timers come with the next one, within a second.

--- a/src/bench/load_generator.cpp
+++ b/src/bench/load_generator.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <asio/steady_timer.hpp>
 #include <charconv>
 #include <cmath>
 #include <nlohmann/json.hpp>
@@ -12,6 +11,7 @@
 #include "common/hash.hpp"
 #include "common/units.hpp"
 #include "engine/event_stream.hpp"
+#include "net/monotonic_timer.hpp"
 #include "standin/answer.hpp"
 
 namespace shuntbank {
@@ -217,7 +217,7 @@
   const LoadSettings& settings_;
   asio::io_context loop_;
   CurlHttpClient http_;
-  asio::steady_timer timer_;
+  MonotonicTimer timer_;
   std::mt19937_64 random_;
   LoadReportCard card_;
   MonotonicTime started_{};
--- a/src/bench/overhead_command.cpp
+++ b/src/bench/overhead_command.cpp
@@ -2,7 +2,6 @@
 
 #include <unistd.h>
 
-#include <asio/steady_timer.hpp>
 #include <fstream>
 #include <iomanip>
 #include <nlohmann/json.hpp>
@@ -12,6 +11,7 @@
 #include "bench/load_generator.hpp"
 #include "ctl/table.hpp"
 #include "net/http_client.hpp"
+#include "net/monotonic_timer.hpp"
 
 namespace shuntbank {
 namespace {
@@ -183,7 +183,7 @@
   const OverheadSettings& settings_;
   asio::io_context loop_;
   CurlHttpClient http_;
-  asio::steady_timer timer_;
+  MonotonicTimer timer_;
   std::size_t streams_begun_ = 0;
   std::size_t streams_ended_ = 0;
   std::uint64_t chunks_ = 0;
--- a/src/common/time.hpp
+++ b/src/common/time.hpp
@@ -2,16 +2,38 @@
 /// Time as it is passed into the core: a point on a monotonic clock and durations.
 #pragma once
 
+#include <time.h>
+
 #include <chrono>
 
 namespace shuntbank {
 
 using Duration = std::chrono::microseconds;
-using MonotonicTime = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+/// A clock that never goes back and goes on while the machine is suspended, unlike
+/// `std::chrono::steady_clock`. Whoever wakes must know how old a lease, a deadline or what was
+/// heard of others has become; with a clock that stood still, a holder of a lease that has passed
+/// to another would go on giving orders for as long as it slept.
+struct MonotonicClock {
+  using duration = std::chrono::nanoseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<MonotonicClock>;
+  static constexpr bool is_steady = true;
+
+  static time_point now() noexcept {
+    timespec since_boot{};
+    clock_gettime(CLOCK_BOOTTIME, &since_boot);
+    return time_point(std::chrono::seconds(since_boot.tv_sec) +
+                      std::chrono::nanoseconds(since_boot.tv_nsec));
+  }
+};
+
+using MonotonicTime = std::chrono::time_point<MonotonicClock, Duration>;
 
 /// @return the current time of the process's monotonic clock. Only drivers call it, never the core.
 inline MonotonicTime monotonic_now() {
-  return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+  return std::chrono::time_point_cast<Duration>(MonotonicClock::now());
 }
 
 /// @return `duration` in seconds.
--- a/src/net/asio_runtime.cpp
+++ b/src/net/asio_runtime.cpp
@@ -1,11 +1,11 @@
 #include "net/asio_runtime.hpp"
 
 #include <asio/post.hpp>
-#include <asio/steady_timer.hpp>
 #include <chrono>
 #include <utility>
 
 #include "common/hash.hpp"
+#include "net/monotonic_timer.hpp"
 
 namespace shuntbank {
 namespace {
@@ -13,7 +13,7 @@
 class AsioTimer : public Timer {
  public:
   AsioTimer(asio::io_context& loop, Duration delay, std::function<void()> function)
-      : timer_(loop, std::chrono::duration_cast<std::chrono::steady_clock::duration>(delay)) {
+      : timer_(loop, delay) {
     // The flag outlives the timer: a call that is already queued when the timer is destroyed must
     // not happen either.
     timer_.async_wait(
@@ -27,7 +27,7 @@
 
  private:
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
-  asio::steady_timer timer_;
+  MonotonicTimer timer_;
 };
 
 }  // namespace
--- a/src/net/frame_channel.cpp
+++ b/src/net/frame_channel.cpp
@@ -3,11 +3,12 @@
 #include <array>
 #include <asio/connect.hpp>
 #include <asio/read.hpp>
-#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 #include <utility>
 #include <vector>
 
+#include "net/monotonic_timer.hpp"
+
 namespace shuntbank {
 namespace {
 
@@ -81,7 +82,7 @@
   }
 
   asio::ip::tcp::socket socket_;
-  asio::steady_timer timer_;
+  MonotonicTimer timer_;
   std::size_t max_frame_;
   std::array<unsigned char, kHeaderSize> header_{};
   std::array<unsigned char, kHeaderSize> outgoing_header_{};
--- a/src/net/http1_client.cpp
+++ b/src/net/http1_client.cpp
@@ -7,7 +7,6 @@
 #include <asio/buffer.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
-#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 #include <charconv>
 #include <optional>
@@ -17,6 +16,7 @@
 
 #include "net/address.hpp"
 #include "net/http1_parser.hpp"
+#include "net/monotonic_timer.hpp"
 
 namespace shuntbank {
 namespace {
@@ -114,7 +114,7 @@
     exchange_ = std::move(exchange);
     answered_ = false;
     parser_.set_without_body(exchange_->request.method == "HEAD");
-    started_at_ = std::chrono::steady_clock::now();
+    started_at_ = monotonic_now();
     if (!connected_) return connect();
     write();
   }
@@ -206,8 +206,8 @@
       ++timer_generation_;
       return;
     }
-    const auto elapsed = std::chrono::steady_clock::now() - started_at_;
-    const auto left = total - std::chrono::duration_cast<Duration>(elapsed);
+    const Duration elapsed = monotonic_now() - started_at_;
+    const auto left = total - elapsed;
     arm(std::max(left, Duration::zero()), "no whole answer in time");
   }
 
@@ -344,9 +344,9 @@
   std::shared_ptr<Impl> client_;
   std::string address_;
   asio::ip::tcp::socket socket_;
-  asio::steady_timer timer_;
+  MonotonicTimer timer_;
   std::uint64_t timer_generation_ = 0;
-  std::chrono::steady_clock::time_point started_at_;
+  MonotonicTime started_at_;
   Http1Parser parser_;
   std::array<char, kReadSize> buffer_{};
   std::string writing_;
--- a/src/net/http1_server.cpp
+++ b/src/net/http1_server.cpp
@@ -2,7 +2,6 @@
 
 #include <array>
 #include <asio/buffer.hpp>
-#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 #include <optional>
 #include <unordered_set>
@@ -10,6 +9,7 @@
 
 #include "net/http1_parser.hpp"
 #include "net/http_status.hpp"
+#include "net/monotonic_timer.hpp"
 
 namespace shuntbank {
 namespace {
@@ -66,7 +66,7 @@
   ConnectionHandler handler;
   CallerLimits limits;
   asio::ip::tcp::acceptor acceptor;
-  asio::steady_timer accept_pause;
+  MonotonicTimer accept_pause;
   std::unordered_set<std::shared_ptr<Connection>> connections;
   std::size_t buffered_bytes = 0;  ///< Of all request bodies.
   bool accepting = false;
@@ -346,7 +346,7 @@
   std::shared_ptr<Impl> server_;
   asio::ip::tcp::socket socket_;
   std::string caller_;  ///< Address of the other end, without its port.
-  asio::steady_timer timer_;
+  MonotonicTimer timer_;
   std::uint64_t timer_generation_ = 0;
   Http1Parser parser_;
   std::array<char, kReadSize> buffer_{};
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -5,10 +5,11 @@
 
 #include <asio/posix/stream_descriptor.hpp>
 #include <asio/post.hpp>
-#include <asio/steady_timer.hpp>
 #include <unordered_map>
 #include <utility>
 
+#include "net/monotonic_timer.hpp"
+
 namespace shuntbank {
 namespace {
 
@@ -305,7 +306,7 @@
   }
 
   asio::io_context& loop_;
-  asio::steady_timer timer_;
+  MonotonicTimer timer_;
   CURLM* multi_ = nullptr;
   bool closed_ = false;
   TransferId last_id_ = 0;
