Let the soak bring a request that ends each engine that runs it

Cause: no test ran real processes against such a request. The other faults of a seed stay as they are.

--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -63,6 +63,8 @@
       "folder", options::value(&shape.folder)->required(), "for settings and logs")(
       "seeds", options::value(&seeds)->default_value("1"), "one seed, or FIRST..LAST")(
       "seconds", options::value(&seconds)->default_value(30), "of faults, for each seed")(
+      "deadly", options::bool_switch(&shape.deadly),
+      "a request comes again and again that ends each engine that runs it")(
       "relays", options::value(&shape.relays)->default_value(5), "processes");
   options::variables_map given;
   try {
--- a/tests/platform/support/callers.cpp
+++ b/tests/platform/support/callers.cpp
@@ -32,6 +32,7 @@
   std::uint64_t last = 0;
   TransferId transfer = 0;
   std::unique_ptr<asio::steady_timer> leave;
+  std::function<void(bool failed)> on_end;  ///< Set for a request that counts with no others.
 };
 
 Callers::Callers(asio::io_context& own_loop, Ledger& own_ledger, std::vector<EntryNode> nodes,
@@ -111,9 +112,28 @@
 }
 
 void Callers::send() {
+  this->call(this->draw_request(), nullptr);
+}
+
+void Callers::send_deadly(const std::string& name, bool again) {
+  SentByCaller request;
+  request.id = "d" + std::to_string(++this->drawn) + "-" + name;
+  request.method = "POST";
+  request.target = Ledger::kDeadlyPath;
+  request.body = name;
+  request.service = "model";
+  request.repeatable = true;
+  request.pieces = 2;
+  this->call(request, [this, name, again](bool failed) {
+    if (failed && again && !this->stopped) this->send_deadly(name, false);
+  });
+}
+
+void Callers::call(const SentByCaller& request, std::function<void(bool failed)> on_end) {
   const EntryNode* node = this->choose();
   const auto call = std::make_shared<Call>();
-  call->request = this->draw_request();
+  call->request = request;
+  call->on_end = std::move(on_end);
   this->ledger.sent(call->request);
   OutgoingRequest outgoing;
   outgoing.method = call->request.method;
@@ -144,6 +164,7 @@
   handlers.on_done = [this, call](const auto& result) { this->on_done(call, result.has_value()); };
   ++this->open;
   call->transfer = this->http.start(std::move(outgoing), std::move(handlers));
+  if (call->on_end) return;
   const double drawn_share = std::uniform_real_distribution<double>(0, 1)(this->random);
   if (drawn_share >= this->leaving) return;
   call->leave = std::make_unique<asio::steady_timer>(
@@ -183,7 +204,7 @@
   this->ledger.got_answer(call->request.id, call->status, call->seal, call->body);
   const bool stream = call->request.pieces > 0 && call->status == 200;
   if (stream) this->ledger.got_stream_end(call->request.id, call->last);
-  if (call->status == 503 && !call->may_come_back) {
+  if ((call->status == 503 || call->status == 429) && !call->may_come_back) {
     this->ledger.broke("COME BACK", call->request.id + ": a refusal without a time");
   }
 }
@@ -194,6 +215,7 @@
   --this->open;
   if (whole) this->check_answer(call);
   const bool good = whole && call->status == 200;
+  if (call->on_end) return call->on_end(!whole || call->status >= 500);
   const bool refused = whole && call->status == 503;
   ++(good ? this->totals.whole : refused ? this->totals.refused : this->totals.failed);
   this->next_after(std::chrono::milliseconds(refused ? 250 : this->random() % 40));
--- a/tests/platform/support/callers.hpp
+++ b/tests/platform/support/callers.hpp
@@ -43,6 +43,10 @@
   /// Begins to send with so many callers.
   void start(std::size_t callers);
 
+  /// Sends a request that ends each engine that runs it; once more when that has failed. Counts
+  /// with no others. @param name the same for all its tries.
+  void send_deadly(const std::string& name, bool again = true);
+
   /// Sends no more; what is under way ends.
   void stop() { this->stopped = true; }
 
@@ -67,6 +71,7 @@
   const EntryNode* choose();
   void next_after(std::chrono::milliseconds pause);
   void send();
+  void call(const SentByCaller& request, std::function<void(bool failed)> on_end);
   SentByCaller draw_request();
   void on_data(const CallPointer& call, std::string_view piece);
   void on_event(const CallPointer& call, const std::string& event);
--- a/tests/platform/support/engine_standin.cpp
+++ b/tests/platform/support/engine_standin.cpp
@@ -18,6 +18,10 @@
   return text;
 }
 
+bool is_deadly(const HttpRequest& request) {
+  return request.path == Ledger::kDeadlyPath;
+}
+
 }  // namespace
 
 EngineStandin::EngineStandin(asio::io_context& own_loop, StoreStandin& own_store,
@@ -52,6 +56,8 @@
   this->server->close();
   this->server.reset();
   this->proxy->reset_all();
+  // The kernel may give the port to another server, also to one of another soak.
+  this->proxy->set_target(asio::ip::tcp::endpoint());
   this->later = std::make_unique<asio::steady_timer>(this->loop, lag);
   this->later->async_wait([this, gone = this->id](const std::error_code& error) {
     if (!error) this->store.remove("servers", gone);
@@ -157,6 +163,7 @@
 void EngineStandin::count_arrival(const HttpRequest& request, bool reads_apart) {
   this->ledger.arrived(std::string(request.headers.get("X-Request-Id")), this->shape.service,
                        reads_apart);
+  if (is_deadly(request)) this->ledger.deadly_arrived(request.body, this->all_calm());
 }
 
 std::optional<int> EngineStandin::refusal(EngineFault drawn, bool only_read) const {
@@ -203,12 +210,24 @@
   run->fault = this->draw_fault();
   this->ledger.runs(run->id, this->shape.service, request.method, request.target, request.body);
   this->runs.insert(run);
+  if (is_deadly(request)) return this->end_under(request, run);
   responder->on_closed([this, run] { this->end(run); });
   if (this->shape.model) this->begin_stream(run, request);
   if (run->fault == EngineFault::kHangs) return;
   this->step(run);
 }
 
+/// Ends with all that it runs, a moment after it has begun to answer.
+void EngineStandin::end_under(const HttpRequest& request, const RunPointer& run) {
+  this->begin_stream(run, request);
+  run->timer->expires_after(this->pace());
+  run->timer->async_wait([this, run, name = request.body](const std::error_code& error) {
+    if (error || this->runs.count(run) == 0) return;
+    this->ledger.deadly_ended_engine(name);
+    this->end_engine();
+  });
+}
+
 void EngineStandin::begin_stream(const RunPointer& run, const HttpRequest& request) {
   const SentByCaller* sent = this->ledger.find(run->id);
   run->last = sent == nullptr ? 1 : sent->pieces;
--- a/tests/platform/support/engine_standin.hpp
+++ b/tests/platform/support/engine_standin.hpp
@@ -5,6 +5,7 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 #include <chrono>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -55,6 +56,13 @@
   /// Works `times` as long for each step.
   void set_slowness(int times) { this->slowness = times; }
 
+  /// Sets what is called when a request has come that ends the engine, and whether all else is
+  /// calm.
+  void on_deadly(std::function<void()> end, std::function<bool()> calm) {
+    this->end_engine = std::move(end);
+    this->all_calm = std::move(calm);
+  }
+
   bool running() const { return this->server != nullptr; }
   FaultProxy& link() { return *this->proxy; }
 
@@ -84,6 +92,7 @@
   void begin(const HttpRequest& request, const Responder& responder);
   void step(const RunPointer& run);
   void answer_plain(const RunPointer& run);
+  void end_under(const HttpRequest& request, const RunPointer& run);
   void begin_stream(const RunPointer& run, const HttpRequest& request);
   void end(const RunPointer& run);
   void refuse(const HttpRequest& request, const Responder& responder, int status);
@@ -108,6 +117,8 @@
   bool changing = false;
   std::set<RunPointer> runs;
   EngineFault fault = EngineFault::kNone;
+  std::function<void()> end_engine;
+  std::function<bool()> all_calm;
   double fault_share = 0;
   int slowness = 1;
 };
--- a/tests/platform/support/ledger.cpp
+++ b/tests/platform/support/ledger.cpp
@@ -16,6 +16,11 @@
   return holder.substr(0, holder.find('/'));
 }
 
+/// Engines that a request may end, and how often it may reach one once that is known everywhere.
+constexpr std::size_t kEnoughEnded = 3;
+constexpr std::size_t kMostLateSends = 3;
+constexpr std::chrono::seconds kKnownEverywhere{3};
+
 }  // namespace
 
 std::string Ledger::event_text(const std::string& id, std::uint64_t number) {
@@ -138,6 +143,25 @@
   }
 }
 
+void Ledger::deadly_arrived(const std::string& name, bool calm) {
+  Deadly& request = this->deadly[name];
+  const bool late = request.ended >= kEnoughEnded &&
+                    std::chrono::steady_clock::now() - request.third > kKnownEverywhere;
+  if (!late || !calm || ++request.late != kMostLateSends + 1) return;
+  this->broke("CRASHING", name + " is sent on, after it has ended " +
+                              std::to_string(request.ended) + " engines");
+}
+
+void Ledger::deadly_ended_engine(const std::string& name) {
+  Deadly& request = this->deadly[name];
+  if (++request.ended == kEnoughEnded) request.third = std::chrono::steady_clock::now();
+}
+
+std::size_t Ledger::ended_under(const std::string& name) const {
+  const auto found = this->deadly.find(name);
+  return found == this->deadly.end() ? 0 : found->second.ended;
+}
+
 void Ledger::ordered(const std::string& engine, const std::string& holder, std::uint64_t fence) {
   const std::string machine = machine_of(holder);
   const auto [known, first] = this->holders[engine].try_emplace(fence, machine);
--- a/tests/platform/support/ledger.hpp
+++ b/tests/platform/support/ledger.hpp
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace shuntbank::testing {
@@ -53,6 +54,9 @@
 /// The record of one run. Not thread safe.
 class Ledger {
  public:
+  /// Of the requests that end engines.
+  static constexpr std::string_view kDeadlyPath = "/stream/deadly";
+
   explicit Ledger(const RetryBound& retry_bound) : bound(retry_bound) {}
 
   // Callers.
@@ -73,6 +77,13 @@
   std::string answers(const AnswerOfEngine& answer);
   void made_handle(const std::string& handle, const std::string& id);
   void took_handle(const std::string& handle, const std::string& id);
+  /// A request that ends each engine that runs it has reached one, or has ended one.
+  /// @param name of the request, whatever ids its tries have. @param calm all relays and the store
+  /// have been undisturbed for as long as knowledge may take to be everywhere.
+  void deadly_arrived(const std::string& name, bool calm);
+  void deadly_ended_engine(const std::string& name);
+  std::size_t ended_under(const std::string& name) const;
+
   void ordered(const std::string& engine, const std::string& holder, std::uint64_t fence);
 
   void broke(const std::string& rule, const std::string& what);
@@ -89,6 +100,11 @@
     std::deque<SteadyTime> requests;
     std::deque<SteadyTime> repeats;
   };
+  struct Deadly {
+    std::size_t ended = 0;
+    SteadyTime third{};  ///< When the third engine ended.
+    std::size_t late = 0;
+  };
   void check_budget(const std::string& service, SteadyTime now);
 
   RetryBound bound;
@@ -101,6 +117,7 @@
   std::map<std::string, std::uint64_t> seen_arrivals;
   std::map<std::string, bool> seen_reads;
   std::map<std::string, Arrivals> arrivals;
+  std::map<std::string, Deadly> deadly;
   std::vector<BrokenPromise> promises;
   std::uint64_t seals = 0;
 };
--- a/tests/platform/support/soak_site.cpp
+++ b/tests/platform/support/soak_site.cpp
@@ -21,6 +21,16 @@
 /// Of each piece on a link that is slow.
 constexpr std::chrono::milliseconds kDelay{40};
 
+/// Of a relay or the store, with the time that is left to learn what was missed.
+constexpr std::chrono::seconds kLongestDisturbance{9};
+
+/// Engines that the deadly request may end with all else calm: three, and one more in case that two
+/// tries are under way as the third ends.
+constexpr std::size_t kMostEndedWhenCalm = 4;
+
+/// The request that ends engines; the same at each of its comings.
+const std::string kDeadly = "the deadly one";
+
 /// Until a site that was healed must serve again; far longer than it takes.
 constexpr std::chrono::seconds kLongestRecovery{30};
 
@@ -55,7 +65,8 @@
       random(wanted.seed),
       ledger({kRetryRatio, kRetrySlack, 10s}),
       store(this->loop),
-      watchdog(this->loop) {
+      watchdog(this->loop),
+      deadly_random(wanted.seed) {
   this->build_engines();
   this->put_configuration();
   this->build_relays();
@@ -71,7 +82,9 @@
   for (const EngineShape& engine : shapes) {
     this->engines.push_back(std::make_unique<EngineStandin>(this->loop, this->store, this->ledger,
                                                             engine, this->random()));
-    this->engines.back()->start();
+    EngineStandin& made = *this->engines.back();
+    made.on_deadly([this, &made] { this->end_engine(made); }, [this] { return this->calm(); });
+    made.start();
   }
 }
 
@@ -152,6 +165,7 @@
   if (!this->wait_until([this] { return this->all_ready(); }, kLongestRecovery)) {
     this->ledger.broke("RECOVER", "not all relays became ready at the start");
   }
+  if (this->shape.deadly) this->deadly_comes();
   this->wait(2s);
   const auto end = std::chrono::steady_clock::now() + this->shape.faults_for;
   while (std::chrono::steady_clock::now() < end) {
@@ -159,6 +173,7 @@
     this->wait(std::chrono::milliseconds(300 + this->draw(1500)));
   }
   this->heal();
+  if (this->shape.deadly) this->check_deadly();
   this->check_recovery();
   this->callers->stop();
   this->wait_until([this] { return this->callers->under_way() == 0; }, 6s);
@@ -166,6 +181,8 @@
 
 void SoakSite::do_fault() {
   const std::uint64_t kind = this->draw(24);
+  // Relays and the store are disturbed by the first kinds, for at most so long.
+  if (kind < 15) this->disturbed_until = std::chrono::steady_clock::now() + kLongestDisturbance;
   if (kind < 8) return this->relay_fault(kind);
   if (kind < 15) return this->store_fault(kind - 8);
   if (kind < 23) return this->engine_fault(kind - 15);
@@ -288,7 +305,44 @@
   }
 }
 
+void SoakSite::deadly_comes() {
+  if (this->healed) return;
+  this->note("the deadly request comes");
+  this->callers->send_deadly(kDeadly);
+  this->later(std::chrono::milliseconds(300 + this->deadly_random() % 3000),
+              [this] { this->deadly_comes(); });
+}
+
+/// Its entry goes after a while, and it is back within two seconds at the same address.
+void SoakSite::end_engine(EngineStandin& engine) {
+  engine.crash(std::chrono::milliseconds(this->deadly_random() % 3000));
+  this->later(std::chrono::milliseconds(800 + this->deadly_random() % 1200), [&engine] {
+    if (!engine.running()) engine.start();
+  });
+}
+
+bool SoakSite::calm() const {
+  return std::chrono::steady_clock::now() >= this->disturbed_until;
+}
+
+/// With all healed it comes often, at any node. Engines may end until it is known; from then on it
+/// reaches none.
+void SoakSite::check_deadly() {
+  constexpr int kComings = 30;
+  const std::size_t before = this->ledger.ended_under(kDeadly);
+  this->disturbed_until = {};
+  for (int i = 0; i < kComings; ++i) {
+    this->callers->send_deadly(kDeadly);
+    this->wait(250ms);
+  }
+  const std::size_t ended = this->ledger.ended_under(kDeadly) - before;
+  if (ended > kMostEndedWhenCalm) {
+    this->ledger.broke("CRASHING", std::to_string(ended) + " engines ended with all else calm");
+  }
+}
+
 void SoakSite::heal() {
+  this->healed = true;
   this->timers.clear();
   // Timers that are still due run; what they undo is undone here as well.
   this->store.set_fault(StoreFault::kNone);
--- a/tests/platform/support/soak_site.hpp
+++ b/tests/platform/support/soak_site.hpp
@@ -27,6 +27,7 @@
   std::chrono::seconds faults_for{30};
   std::size_t relays = 5;
   std::size_t callers = 40;
+  bool deadly = false;  ///< A request comes again and again that ends each engine that runs it.
 
   bool operator==(const SoakShape&) const = default;
 };
@@ -58,6 +59,10 @@
   void relay_fault(std::uint64_t kind);
   void store_fault(std::uint64_t kind);
   void engine_fault(std::uint64_t kind);
+  void deadly_comes();
+  void end_engine(EngineStandin& engine);
+  bool calm() const;
+  void check_deadly();
   void heal();
   void check_recovery();
   bool served_in_a_stretch();
@@ -79,6 +84,9 @@
   std::vector<std::string> done;
   std::uint64_t version = 0;
   bool first = true;
+  std::mt19937_64 deadly_random;  ///< Of its own: the other faults of a seed stay as they are.
+  std::chrono::steady_clock::time_point disturbed_until{};  ///< A relay or the store.
+  bool healed = false;
 };
 
 }  // namespace shuntbank::testing
