Show that an engine's next start clears who ended the one before

Cause: an engine is back at its address within 3 s under another id, and refuses what is meant for the one before (421). That head counts as an answer of the engine that has ended, so that what speaks against the request is dropped, and a request that is held back is let go.

--- a/tests/relay/crashing_request_test.cpp
+++ b/tests/relay/crashing_request_test.cpp
@@ -120,6 +120,25 @@
   cr_assert_not(seen->body.empty(), "the caller is told what to do");
 }
 
+Test(crashing_request, is_not_cleared_by_the_next_start_of_an_engine) {
+  // The next start has the address of the one that ended, and refuses what is meant for that one.
+  RelayFixture site;
+  for (const char* id : {"first", "second"}) site.add_engine(id, "plain");
+  EndingEngines engines(site);
+  site.request(kPath, {{"id", "t1"}}, "GET", "");
+  engines.end_all();
+  cr_assert_eq(engines.ended.size(), 2U);
+  site.runtime.advance(100ms);
+  const std::size_t sent = site.http.count();
+  site.request("/safe/other", {}, "GET", "");
+  site.http.answer(sent, 421, {{"refused", "1"}}, "");
+  site.http.answer(sent + 1, 421, {{"refused", "1"}}, "");
+  add_engines(site);
+  site.runtime.advance(100ms);
+  try_again_and_again(site, engines);
+  cr_assert_leq(engines.ended.size(), kMostEnded, "%zu engines ended", engines.ended.size());
+}
+
 Test(crashing_request, is_held_back_by_nodes_that_never_saw_it) {
   for (const auto& [nodes, zones] : {std::pair{8, 1}, std::pair{30, 3}}) {
     ExchangingFleet fleet(static_cast<std::size_t>(nodes), static_cast<std::size_t>(zones));
