--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -32,7 +32,9 @@
   headers_ = headers;
   const MonotonicTime now = context_.runtime.now();
   heard_at_ = now;
-  context_.note_engine_answered(engine_, sent_at_);
+  // The next start of an engine, at the same address, refuses what is meant for the one before:
+  // that is no sign of life of that one.
+  if (status != http_status::kMisdirected) context_.note_engine_answered(engine_, sent_at_);
   if (const auto load = context_.dialect.load(headers)) {
     context_.engines.on_load(now, engine_, *load);
   }
