--- a/src/common/time.hpp
+++ b/src/common/time.hpp
@@ -19,6 +19,7 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<MonotonicClock>;
+  // The standard asks this name of a clock. NOLINTNEXTLINE(readability-identifier-naming)
   static constexpr bool is_steady = true;
 
   static time_point now() noexcept {
--- a/src/core/relay/crash_ledger.cpp
+++ b/src/core/relay/crash_ledger.cpp
@@ -109,6 +109,7 @@
     suspect.engines.erase(broken);
     if (!suspect.held_until || count_ended(suspect) >= this->settings.enough) continue;
     suspect.held_until.reset();
+    suspect.let_go = true;
     this->held_back.erase(request);
   }
 }
--- a/src/core/relay/crash_ledger.hpp
+++ b/src/core/relay/crash_ledger.hpp
@@ -174,7 +174,9 @@
     std::optional<MonotonicTime> held_until;
     std::size_t held_callers = 0;  ///< When it was last said that it is held back.
     MonotonicTime cleared_at{};
-    bool let_go = false;  ///< Was held back when it was cleared; old word of it is not taken.
+    /// Was held back, and then cleared or shown to have ended fewer engines: what the store still
+    /// says of it is not taken.
+    bool let_go = false;
     MonotonicTime last{};
   };
   using Suspects = std::map<RequestIdentity, Suspect>;
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -6,7 +6,6 @@
 
 #include "common/log.hpp"
 #include "net/http_status.hpp"
-#include "relay/request_identity.hpp"
 
 namespace shuntbank::relay {
 namespace {
@@ -18,18 +17,6 @@
 constexpr int kMostUrgent = 0;
 constexpr int kLeastUrgent = 9;
 
-/// Engines that may have ended under a request, from which on it is given to none that has another
-/// such request. With fewer, neighbours of the guilty one would be refused where engines are few.
-constexpr std::size_t kRunApartFrom = 2;
-
-/// Engines that may have ended under a request, from which on it is sent to no further one until
-/// that is known: as many as are enough to hold it back.
-constexpr std::size_t kStopFrom = CrashLedgerSettings().enough;
-
-/// An engine that has said nothing for so long when it is given up may have gone dark: many times
-/// the pause between the tokens of a busy batch.
-constexpr Duration kSilence = std::chrono::milliseconds(500);
-
 constexpr Duration kReleaseTimeout = std::chrono::seconds(1);
 
 std::int64_t to_milliseconds(Duration duration) {
@@ -93,49 +80,6 @@
   return true;
 }
 
-CrashStanding RelaySession::crash_standing() const {
-  return identity_ ? context_.quarantine.standing(*identity_) : CrashStanding();
-}
-
-/// A request under which engines have ended one after the other gets its final answer at once. It
-/// protects all that runs at the next engine: in an incident ten streams at a time, 49 times a day.
-bool RelaySession::held_back() {
-  if (context_.quarantine.idle()) return false;
-  identity_ = identity_of(request_);
-  const CrashStanding standing = crash_standing();
-  if (standing.held_for) {
-    context_.quarantine.on_held_again(identity_->request);
-    const std::string why =
-        std::to_string(standing.ended) + " engines have ended under this request";
-    log_attempt("held_back", why);
-    HttpHeaders headers;
-    headers.add(context_.dialect.names().retry_after, retry_after_text(*standing.held_for));
-    respond(http_status::kTooManyRequests, headers,
-            why +
-                ", and it was not run. Do not send it again as it is: change it, or ask the "
-                "operators to let it go.\n",
-            "held_back");
-    return true;
-  }
-  if (!standing.suspect()) return false;
-  // One broken connection is no reason to hold up what a caller sends again and again.
-  if (standing.under_way && (standing.ended > 0 || standing.broken >= kRunApartFrom)) {
-    refuse("another try is under way, and engines may have ended under it");
-    return true;
-  }
-  // Others have ended engines with it. That is no reason to refuse whom nothing is known against;
-  // but its own try tells, and goes no further than one engine.
-  const bool known = standing.ended == standing.broken;
-  if (standing.broken < kStopFrom || known) return false;
-  refuse("it is being found out whether engines have ended under it");
-  return true;
-}
-
-bool RelaySession::ends_engines() const {
-  const CrashStanding standing = crash_standing();
-  return standing.held_for.has_value() || standing.broken >= kStopFrom;
-}
-
 Duration RelaySession::time_left() const {
   return expires_ - context_.runtime.now();
 }
@@ -155,17 +99,10 @@
   query.avoid = &met_;
   query.max_connections_here = connections_per_engine();
   query.apart_from = apart_from_.empty() ? nullptr : &apart_from_;
-  query.may_end_engine = crash_standing().broken >= kRunApartFrom;
+  query.may_end_engine = runs_apart();
   return query;
 }
 
-/// Suspects that run apart from each other are told apart by the next engine that ends.
-void RelaySession::keep_apart() {
-  apart_from_.clear();
-  if (crash_standing().suspect())
-    apart_from_ = context_.quarantine.engines_on_trial(identity_->request);
-}
-
 /// @return the engine that takes a prompt up which was read elsewhere.
 std::optional<Placement> RelaySession::place_taker() {
   keep_apart();
@@ -179,7 +116,7 @@
   if (service_ == nullptr) return false;
   keep_apart();
   auto choice = choice_now();
-  if (!choice && !apart_from_.empty() && crash_standing().broken < kRunApartFrom) {
+  if (!choice && !apart_from_.empty() && !runs_apart()) {
     apart_from_.clear();
     choice = choice_now();
   }
@@ -300,26 +237,6 @@
   transfer_ = context_.http.start(outgoing(view->record, step), std::move(handlers));
 }
 
-/// The engine broke off what it had of the request. Tries of one request bear the same identity, so
-/// that what they met can be put together from the logs of all nodes.
-void RelaySession::note_broken() {
-  if (!identity_) identity_ = identity_of(request_);
-  log_event(LogArea::kCallers, LogLevel::kInfo, "broken_by_engine",
-            {{"request", id_},
-             {"identity", to_text(identity_->request)},
-             {"caller", request_.caller},
-             {"engine", engine_.value()},
-             {"step", step_name()},
-             {"after_ms", to_milliseconds(context_.runtime.now() - sent_at_)}});
-  context_.quarantine.on_broken(*identity_, engine_, sent_at_);
-}
-
-void RelaySession::note_silence() {
-  if (context_.runtime.now() - heard_at_ < kSilence) return;
-  if (!identity_) identity_ = identity_of(request_);
-  context_.quarantine.on_silent(*identity_, engine_, sent_at_);
-}
-
 bool RelaySession::may_send_again() const {
   return !history_.arrived || budget_left() >= 1;
 }
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -48,10 +48,8 @@
 
   // Setting out.
   bool read_fields();
-  bool held_back();
   void dispatch();
   PlacementQuery placement_query() const;
-  void keep_apart();
   std::optional<Placement> place_taker();
   std::optional<DispatchChoice> choice_now();
   bool choose();
@@ -72,12 +70,20 @@
   void on_stream_end();
   void on_whole_answer();
 
-  // Failures.
-  void attempt_failed(AttemptOutcome outcome, const std::string& why);
-  void note_broken();
-  void note_silence();
+  // Engines that end under it.
   CrashStanding crash_standing() const;
+  bool runs_apart() const;
   bool ends_engines() const;
+  bool held_back();
+  void answer_held_back(const CrashStanding& standing);
+  /// @return why it is not sent now, or null.
+  static const char* reason_to_wait(const CrashStanding& standing);
+  void keep_apart();
+  void note_broken();
+  void note_silence();
+
+  // Failures.
+  void attempt_failed(AttemptOutcome outcome, const std::string& why);
   void keep_failure_answer();
   bool may_send_again() const;
   double budget_left() const;
--- a/tests/relay/crashing_request_test.cpp
+++ b/tests/relay/crashing_request_test.cpp
@@ -169,6 +169,22 @@
   cr_assert_leq(engines.ended.size(), kMostEnded + 1, "%zu engines ended", engines.ended.size());
 }
 
+Test(crashing_request, does_not_get_the_same_of_another_caller_refused) {
+  RelayFixture site;
+  add_engines(site);
+  EndingEngines engines(site);
+  try_again_and_again(site, engines);
+  site.caller_address = "10.0.0.2";
+  const std::size_t sent = site.http.count();
+  const auto seen = site.request(kPath, {}, "GET", "");
+  cr_assert_eq(site.http.count(), sent + 1, "nothing is known against this one");
+  site.http.answer(sent, 200, RelayFixture::sealed(), "whole");
+  cr_assert_eq(seen->status, 200);
+  site.caller_address = "10.0.0.1";
+  site.request(kPath, {}, "GET", "");
+  cr_assert_eq(site.http.count(), sent + 2, "what runs to its end is cleared, whoever sent it");
+}
+
 Test(crashing_request, stays_held_back_when_all_nodes_start_again) {
   ExchangingFleet fleet(8);
   for (auto& site : fleet.sites) add_engines(*site);
