Tell all nodes when a request they suspect has run to its end

Cause: read in the diff. A node that knew of a suspect only from others, and then had it run to its end, told nobody, so that the others went on suspecting it for up to ten minutes.

--- a/src/core/relay/crash_ledger.cpp
+++ b/src/core/relay/crash_ledger.cpp
@@ -77,6 +77,14 @@
   this->judge(at, request, suspect);
 }
 
+bool CrashLedger::heard_of(const RequestIdentity& request) const {
+  const auto found = this->suspects.find(request);
+  if (found == this->suspects.end()) return false;
+  const auto& engines = found->second.engines;
+  return std::any_of(engines.begin(), engines.end(),
+                     [](const auto& entry) { return entry.second.heard; });
+}
+
 std::vector<RequestIdentity> CrashLedger::broken_by(EngineKey engine) const {
   std::vector<RequestIdentity> requests;
   for (const auto& [request, suspect] : this->suspects) {
--- a/src/core/relay/crash_ledger.hpp
+++ b/src/core/relay/crash_ledger.hpp
@@ -107,6 +107,9 @@
   /// @return whether anything is remembered of a request.
   bool knows(const RequestIdentity& request) const { return this->suspects.count(request) > 0; }
 
+  /// @return whether other nodes have told of a request.
+  bool heard_of(const RequestIdentity& request) const;
+
   /// @return the requests that an engine broke off.
   std::vector<RequestIdentity> broken_by(EngineKey engine) const;
 
--- a/src/relay/quarantine.cpp
+++ b/src/relay/quarantine.cpp
@@ -1,7 +1,6 @@
 #include "relay/quarantine.hpp"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 #include "common/log.hpp"
@@ -101,8 +100,9 @@
   if (!this->suspects(request)) return;
   const MonotonicTime now = this->io.runtime.now();
   const bool was_held = this->ledger.holds(request);
+  const bool others_know = this->told.erase(request) > 0 || this->ledger.heard_of(request);
   this->ledger.clear(now, request);
-  if (this->told.erase(request) > 0) this->tell(CrashNews::kCleared, {request, 0}, 0, now);
+  if (others_know) this->tell(CrashNews::kCleared, {request, 0}, 0, now);
   if (was_held) this->note_held_changed(true);
 }
 
--- a/tests/relay/quarantine_test.cpp
+++ b/tests/relay/quarantine_test.cpp
@@ -154,6 +154,16 @@
   cr_assert(reports.back().news == CrashNews::kCleared);
 }
 
+Test(quarantine, tells_whoever_it_heard_it_from_that_a_request_ran_to_its_end) {
+  Scene scene;
+  scene.quarantine().learn({{CrashNews::kEnded, kRequest, 1, 5, 100}});
+  cr_assert(scene.reports().empty(), "those who have seen it tell");
+  scene.quarantine().on_answered(kRequest);
+  const auto reports = scene.reports();
+  cr_assert_eq(reports.size(), 1U);
+  cr_assert(reports.front().news == CrashNews::kCleared);
+}
+
 Test(quarantine, lets_go_what_an_operator_speaks_for) {
   Scene scene;
   for (const char* engine : {"a", "b", "c"}) scene.break_off(engine);
