Draw the ports of a relay in the soak so that they differ

Traced in its settings: the callers' address and that of the other nodes were one port, 38961, which the kernel had found free twice. Ruled out: load (from the first start on, while its four neighbours started).

--- a/tests/platform/support/soak_site.cpp
+++ b/tests/platform/support/soak_site.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <utility>
 
 #include "net/address.hpp"
@@ -97,8 +98,12 @@
     place.ip = "127.0.1." + std::to_string(i + 1);
     place.zone = "z" + std::to_string(i % 3);
     place.store = this->store_links.back()->address();
+    // The kernel may find the same port free twice, and two of a relay's addresses would clash.
+    std::set<std::uint16_t> drawn;
     for (std::uint16_t* port : {&place.callers, &place.ready, &place.control, &place.peers}) {
-      *port = free_port(place.ip);
+      do {
+        *port = free_port(place.ip);
+      } while (!drawn.insert(*port).second);
     }
     this->relays.push_back(
         std::make_unique<RelayChild>(this->shape.program, place, this->shape.folder));
