Read tenants and their keys; show that they are not heeded

A configuration with a tenant that has lost all its keys, or a key that two hold, is taken over: serving on by the older version would keep in force what was taken away. Such findings are logged; an ambiguous key is good for nobody.

--- a/src/config/snapshot.cpp
+++ b/src/config/snapshot.cpp
@@ -2,15 +2,11 @@
 
 #include <algorithm>
 
-#include "common/hash.hpp"
 #include "config/object_codec.hpp"
 
 namespace shuntbank {
 namespace {
 
-/// Digits of a key's hash that find its bucket. They are public; the rest is compared.
-constexpr std::size_t kBucketDigits = 8;
-
 const std::vector<EngineId> kNoEngines;
 const Policy kDefaultPolicy;
 
@@ -95,12 +91,8 @@
 void Snapshot::index_keys(Findings& findings) {
   for (const auto& [name, tenant] : tenants_) {
     for (const TenantKey& key : tenant.keys) {
-      const std::string bucket = key.sha256.substr(0, kBucketDigits);
-      const auto [first, last] = keys_.equal_range(bucket);
-      const bool taken = std::any_of(
-          first, last, [&key](const auto& entry) { return entry.second.key.sha256 == key.sha256; });
-      if (taken) findings.add("Tenant/" + name.value() + "/keys", "holds a key that is in use");
-      keys_.emplace(bucket, KeyOwner{name, key});
+      if (keys_.add(name, key)) continue;
+      findings.add("Tenant/" + name.value() + "/keys", "holds a key that is in use");
     }
   }
 }
@@ -126,16 +118,8 @@
 }
 
 const Tenant* Snapshot::authenticate(const std::string& key, std::int64_t unix_seconds) const {
-  const std::string hash = sha256_hex(key);
-  const auto [first, last] = keys_.equal_range(hash.substr(0, kBucketDigits));
-  const Tenant* owner = nullptr;
-  for (auto entry = first; entry != last; ++entry) {
-    const TenantKey& candidate = entry->second.key;
-    if (!equal_in_constant_time(candidate.sha256, hash)) continue;
-    if (candidate.expires_at && *candidate.expires_at <= unix_seconds) continue;
-    owner = &tenants_.at(entry->second.tenant);
-  }
-  return owner;
+  const TenantName* owner = keys_.find(key, unix_seconds);
+  return owner == nullptr ? nullptr : &tenants_.at(*owner);
 }
 
 const Policy& Snapshot::policy_for(const Tenant& tenant, const ServiceName& service) const {
--- a/src/config/snapshot.hpp
+++ b/src/config/snapshot.hpp
@@ -7,12 +7,12 @@
 #include <memory>
 #include <string>
 #include <tl/expected.hpp>
-#include <unordered_map>
 #include <vector>
 
 #include "common/findings.hpp"
 #include "common/identifiers.hpp"
 #include "config/document.hpp"
+#include "config/key_index.hpp"
 #include "config/objects.hpp"
 
 namespace shuntbank {
@@ -65,11 +65,6 @@
   void index_models(const Service& service, Findings& findings);
   void index_keys(Findings& findings);
 
-  struct KeyOwner {
-    TenantName tenant;
-    TenantKey key;
-  };
-
   Revision revision_ = 0;
   std::map<EngineId, Engine> engines_;
   std::map<ServiceName, Service> services_;
@@ -77,7 +72,7 @@
   std::vector<Policy> policies_;
   std::map<ServiceName, std::vector<EngineId>> engines_of_;
   std::map<std::string, ModelRoute> models_;
-  std::unordered_multimap<std::string, KeyOwner> keys_;  ///< By the first digits of the hash.
+  KeyIndex keys_;
 };
 
 using SnapshotPointer = std::shared_ptr<const Snapshot>;
--- a/src/core/relay/routes.cpp
+++ b/src/core/relay/routes.cpp
@@ -74,6 +74,27 @@
   return findings;
 }
 
+Findings questionable(const RouteConfiguration& configuration) {
+  Findings findings;
+  if (!configuration.tenants) return findings;
+  KeyIndex keys;
+  std::set<TenantName> names;
+  const auto& tenants = *configuration.tenants;
+  for (std::size_t i = 0; i < tenants.size(); ++i) {
+    const DeclaredTenant& tenant = tenants[i];
+    const std::string place = "tenants/" + std::to_string(i);
+    if (!names.insert(tenant.name).second) {
+      findings.add(place + "/name", "'" + tenant.name.value() + "' is declared twice");
+    }
+    if (tenant.keys.empty()) findings.add(place + "/keys", "is empty: nobody can call for it");
+    for (std::size_t k = 0; k < tenant.keys.size(); ++k) {
+      if (keys.add(tenant.name, tenant.keys[k])) continue;
+      findings.add(place + "/keys/" + std::to_string(k), "is held twice: it is good for nobody");
+    }
+  }
+  return findings;
+}
+
 RouteTable::RouteTable(RouteConfiguration configuration)
     : configuration_(std::move(configuration)) {
   for (const Route& route : configuration_.routes) {
@@ -84,6 +105,19 @@
       return left->path_prefix.size() > right->path_prefix.size();
     });
   }
+  if (!configuration_.tenants) return;
+  for (const DeclaredTenant& tenant : *configuration_.tenants) {
+    tenants_.emplace(tenant.name, &tenant);
+    for (const TenantKey& key : tenant.keys) keys_.add(tenant.name, key);
+  }
+}
+
+KeyVerdict RouteTable::admit(const Route& route, std::string_view key,
+                             std::int64_t unix_seconds) const {
+  if (!configuration_.tenants) return {true, nullptr};
+  const TenantName* owner = key.empty() ? nullptr : keys_.find(key, unix_seconds);
+  if (owner == nullptr) return {route.open, nullptr};
+  return {true, tenants_.at(*owner)};
 }
 
 const Route* RouteTable::find(std::string_view host, std::string_view path) const {
--- a/src/core/relay/routes.hpp
+++ b/src/core/relay/routes.hpp
@@ -14,6 +14,7 @@
 #include "common/findings.hpp"
 #include "common/identifiers.hpp"
 #include "common/time.hpp"
+#include "config/key_index.hpp"
 
 namespace shuntbank::relay {
 
@@ -44,6 +45,7 @@
   int priority = 0;                              ///< 0 is the most urgent.
   bool affinity = false;                         ///< Requests carry the parts of their prompt.
   bool resumable = false;  ///< A broken stream may be taken up at another engine.
+  bool open = false;       ///< Takes requests without a tenant's key.
 
   /// @return whether a request may run more than once.
   bool idempotent() const {
@@ -79,17 +81,36 @@
   Duration idle_timeout = std::chrono::seconds(15);
 };
 
+/// A tenant as the operator declares it. One without keys has lost them all: nobody speaks for it.
+struct DeclaredTenant {
+  TenantName name;
+  std::vector<TenantKey> keys;
+  std::optional<int> priority;  ///< In place of that of the routes; 0 is the most urgent.
+};
+
 /// All that the operator declares for the relay.
 struct RouteConfiguration {
   std::uint64_t version = 0;
   std::vector<Route> routes;
   std::vector<RelayedService> services;
   RequestLimits limits;
+  /// Unset where there are no tenants: then no request needs a key.
+  std::optional<std::vector<DeclaredTenant>> tenants;
 };
 
 /// Checks a configuration as a whole. @return every problem with its place.
 Findings check(const RouteConfiguration& configuration);
 
+/// Looks for what an operator hardly means, and which is no reason to serve on by an older version:
+/// that would keep keys in force which were taken away. @return every finding with its place.
+Findings questionable(const RouteConfiguration& configuration);
+
+/// What a presented key says of a request.
+struct KeyVerdict {
+  bool admitted = false;
+  const DeclaredTenant* tenant = nullptr;  ///< Null: the request is nobody's.
+};
+
 /// A configuration made ready for look-up. Immutable.
 class RouteTable {
  public:
@@ -104,10 +125,17 @@
   /// @return the declared service, or null.
   const RelayedService* find_service(const ServiceName& name) const;
 
+  /// Decides whether a request of the route is let in.
+  /// @param key that the caller presents; empty: none, or more than one.
+  /// @param unix_seconds the wall clock, for keys that expire.
+  KeyVerdict admit(const Route& route, std::string_view key, std::int64_t unix_seconds) const;
+
  private:
   RouteConfiguration configuration_;
   /// Routes of each host, longest prefix first.
   std::unordered_map<std::string, std::vector<const Route*>> by_host_;
+  KeyIndex keys_;
+  std::unordered_map<TenantName, const DeclaredTenant*> tenants_;
 };
 
 /// Chooses the part of a split so that over time each gets its weight's share (smooth weighted
--- a/src/net/http_status.cpp
+++ b/src/net/http_status.cpp
@@ -8,7 +8,7 @@
       return "OK";
     case kBadRequest:
       return "Bad Request";
-    case 401:
+    case kUnauthorized:
       return "Unauthorized";
     case kNotFound:
       return "Not Found";
--- a/src/net/http_status.hpp
+++ b/src/net/http_status.hpp
@@ -6,6 +6,7 @@
 
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
 constexpr int kRequestTimeout = 408;
 constexpr int kContentTooLarge = 413;
--- a/src/relay/engine_dialect.hpp
+++ b/src/relay/engine_dialect.hpp
@@ -27,6 +27,8 @@
   std::string stage;            ///< Set when the prompt is only to be read.
   std::string prompt_source;    ///< Engine and handle of a prompt that was read ahead.
   std::string fetch_from;       ///< Engine that keeps parts of the prompt.
+  std::string tenant_key;       ///< The caller's secret; engines never see it.
+  std::string tenant;           ///< The name of the tenant whose request an engine gets.
   std::vector<std::string> from_callers_removed;  ///< Fields that only the system may set.
   std::vector<std::string> from_engines_removed;  ///< Fields that concern only the system.
 };
--- a/src/relay/relay_metrics.cpp
+++ b/src/relay/relay_metrics.cpp
@@ -52,6 +52,11 @@
           .Name("shuntbank_relay_requests_held_back_total")
           .Help("Requests that this node came to hold back, by where it knew of them from")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& keys_refused =
+      prometheus::BuildCounter()
+          .Name("shuntbank_relay_keys_refused_total")
+          .Help("Requests refused for want of a tenant's key in force")
+          .Register(registry);
   prometheus::Family<prometheus::Histogram>& duration =
       prometheus::BuildHistogram()
           .Name("shuntbank_relay_request_seconds")
@@ -101,6 +106,10 @@
   impl_->held_back.Add({{"source", source}}).Increment();
 }
 
+void RelayMetrics::count_key_refused() {
+  impl_->keys_refused.Add({}).Increment();
+}
+
 void RelayMetrics::observe_first_event(const std::string& service, Duration took) {
   impl_->first_event.Add({{"service", service}}, kSecondsBuckets).Observe(to_seconds(took));
 }
--- a/src/relay/relay_metrics.hpp
+++ b/src/relay/relay_metrics.hpp
@@ -38,6 +38,9 @@
   /// A request is held back from now on. @param source `seen`, `heard` or `store`.
   void count_held_back(const std::string& source);
 
+  /// A request without a tenant's key in force was refused.
+  void count_key_refused();
+
   /// The first event of a stream was passed on.
   void observe_first_event(const std::string& service, Duration took);
 
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -47,6 +47,11 @@
               {{"version", configuration.version}, {"findings", findings.to_text()}});
     return false;
   }
+  const Findings doubts = questionable(configuration);
+  if (!doubts.empty()) {
+    log_event(LogArea::kConfig, LogLevel::kWarning, "config_questionable",
+              {{"version", configuration.version}, {"findings", doubts.to_text()}});
+  }
   const std::uint64_t before = table_ ? table_->version() : 0;
   table_ = std::make_shared<const RouteTable>(std::move(configuration));
   log_event(LogArea::kConfig, LogLevel::kInfo, "config_adopted",
@@ -149,6 +154,13 @@
   responder.respond(std::move(reply));
 }
 
+/// A request with several keys has none: which of them speaks for it cannot be told.
+KeyVerdict RelayNode::admit(const Route& route, const HttpRequest& request) const {
+  (void)route;
+  (void)request;
+  return {true, nullptr};
+}
+
 void RelayNode::handle(HttpRequest request, const std::shared_ptr<ConnectionResponder>& responder) {
   if (!table_) {
     return refuse(request, *responder, http_status::kServiceUnavailable, "no configuration yet");
@@ -158,10 +170,15 @@
   }
   const Route* route = table_->find(request.headers.get("Host"), request.path);
   if (route == nullptr) return refuse(request, *responder, http_status::kNotFound, "no route");
+  const KeyVerdict verdict = admit(*route, request);
+  if (!verdict.admitted) {
+    metrics_.count_key_refused();
+    return refuse(request, *responder, http_status::kUnauthorized, "no known key");
+  }
   const ServiceName& service = splits_.choose(*route);
   // The end handler needs the session that it belongs to, which does not exist yet.
   auto own = std::make_shared<std::weak_ptr<RelaySession>>();
-  auto session = std::make_shared<RelaySession>(context_, table_, *route, service,
+  auto session = std::make_shared<RelaySession>(context_, table_, *route, verdict.tenant, service,
                                                 std::move(request), responder, [this, own] {
                                                   if (const auto ended = own->lock()) {
                                                     sessions_.erase(ended);
--- a/src/relay/relay_node.hpp
+++ b/src/relay/relay_node.hpp
@@ -115,6 +115,7 @@
 
  private:
   void share_slack();
+  KeyVerdict admit(const Route& route, const HttpRequest& request) const;
   void note_replaced(const EngineRecord& record);
   void note_unlisted(const EngineId& engine);
   void refuse(const HttpRequest& request, ConnectionResponder& responder, int status,
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -33,11 +33,13 @@
 }  // namespace
 
 RelaySession::RelaySession(RelayContext& context, std::shared_ptr<const RouteTable> table,
-                           const Route& route, ServiceName service, HttpRequest request,
-                           std::shared_ptr<ConnectionResponder> responder, EndHandler on_end)
+                           const Route& route, const DeclaredTenant* tenant, ServiceName service,
+                           HttpRequest request, std::shared_ptr<ConnectionResponder> responder,
+                           EndHandler on_end)
     : context_(context),
       table_(std::move(table)),
       route_(route),
+      tenant_(tenant),
       service_name_(std::move(service)),
       service_(table_->find_service(service_name_)),
       request_(std::move(request)),
@@ -168,6 +170,7 @@
   outgoing.headers.add(names.deadline_ms,
                        std::to_string(std::max<std::int64_t>(1, to_milliseconds(time_left()))));
   outgoing.headers.add(names.expected_engine, record.id.value());
+  if (tenant_ != nullptr) outgoing.headers.add(names.tenant, tenant_->name.value());
   if (prompt_) {
     outgoing.headers.add(names.urgency, std::to_string(urgency()));
   }
@@ -192,9 +195,15 @@
   return outgoing;
 }
 
+std::string_view RelaySession::tenant_name() const {
+  return tenant_ == nullptr ? std::string_view() : std::string_view(tenant_->name.value());
+}
+
 /// Requests that cannot be in time any more hold up none that can.
 int RelaySession::urgency() const {
-  return deferred_ ? kLeastUrgent : std::clamp(route_.priority, kMostUrgent, kLeastUrgent - 1);
+  const int own =
+      tenant_ == nullptr ? route_.priority : tenant_->priority.value_or(route_.priority);
+  return deferred_ ? kLeastUrgent : std::clamp(own, kMostUrgent, kLeastUrgent - 1);
 }
 
 void RelaySession::send(const EngineId& engine, Step step) {
@@ -380,6 +389,7 @@
              {"result", result},
              {"status", status_},
              {"route", route_.name},
+             {"tenant", std::string(tenant_name())},
              {"config", table_->version()},
              {"engine", engine_.value()},
              {"events", stream_.events()},
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -31,9 +31,9 @@
   using EndHandler = std::function<void()>;
 
   /// @param table the configuration that the request is served under; kept until the end.
-  /// @param route of `table`.
+  /// @param route of `table`. @param tenant of `table` whose request it is, or null.
   RelaySession(RelayContext& context, std::shared_ptr<const RouteTable> table, const Route& route,
-               ServiceName service, HttpRequest request,
+               const DeclaredTenant* tenant, ServiceName service, HttpRequest request,
                std::shared_ptr<ConnectionResponder> responder, EndHandler on_end);
 
   /// Takes the request up. Call once.
@@ -57,6 +57,7 @@
   void send(const EngineId& engine, Step step);
   OutgoingRequest outgoing(const EngineRecord& record, Step step) const;
   int urgency() const;
+  std::string_view tenant_name() const;
   Duration time_left() const;
   std::uint32_t connections_per_engine() const;
 
@@ -113,6 +114,7 @@
   RelayContext& context_;
   std::shared_ptr<const RouteTable> table_;
   const Route& route_;
+  const DeclaredTenant* tenant_;
   ServiceName service_name_;
   const RelayedService* service_ = nullptr;
   HttpRequest request_;
--- a/src/relay/relay_session_quarantine.cpp
+++ b/src/relay/relay_session_quarantine.cpp
@@ -43,7 +43,7 @@
 /// protects all that runs at the next engine: in an incident up to ten streams each, at 49 engines.
 bool RelaySession::held_back() {
   if (context_.quarantine.idle()) return false;
-  identity_ = identity_of(request_);
+  identity_ = identity_of(request_, tenant_name());
   const CrashStanding standing = crash_standing();
   if (standing.held_for) {
     answer_held_back(standing);
@@ -90,7 +90,7 @@
 /// The engine broke off what it had of the request. Tries of one request bear the same identity, so
 /// that what they met can be put together from the logs of all nodes.
 void RelaySession::note_broken() {
-  if (!identity_) identity_ = identity_of(request_);
+  if (!identity_) identity_ = identity_of(request_, tenant_name());
   log_event(LogArea::kCallers, LogLevel::kInfo, "broken_by_engine",
             {{"request", id_},
              {"identity", to_text(identity_->request)},
@@ -103,7 +103,7 @@
 
 void RelaySession::note_silence() {
   if (context_.runtime.now() - heard_at_ < kSilence) return;
-  if (!identity_) identity_ = identity_of(request_);
+  if (!identity_) identity_ = identity_of(request_, tenant_name());
   context_.quarantine.on_silent(*identity_, engine_, sent_at_);
 }
 
--- a/src/relay/request_identity.cpp
+++ b/src/relay/request_identity.cpp
@@ -2,10 +2,10 @@
 
 namespace shuntbank::relay {
 
-TriedRequest identity_of(const HttpRequest& request) {
+TriedRequest identity_of(const HttpRequest& request, std::string_view tenant) {
   const RequestIdentity identity =
-      sha256_128({request.headers.get("Authorization"), request.method, request.headers.get("Host"),
-                  request.target, request.body});
+      sha256_128({request.headers.get("Authorization"), tenant, request.method,
+                  request.headers.get("Host"), request.target, request.body});
   return {identity, static_cast<CallerKey>(hash64(request.caller))};
 }
 
--- a/src/relay/request_identity.hpp
+++ b/src/relay/request_identity.hpp
@@ -7,7 +7,8 @@
 
 namespace shuntbank::relay {
 
+/// @param tenant whose request it is; empty where there are none.
 /// @return the identity of a request, and the short name of the address that it comes from.
-TriedRequest identity_of(const HttpRequest& request);
+TriedRequest identity_of(const HttpRequest& request, std::string_view tenant);
 
 }  // namespace shuntbank::relay
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -1,7 +1,9 @@
 #include "platform/codec.hpp"
 
+#include <algorithm>
 #include <random>
 
+#include "common/hash.hpp"
 #include "platform/dialect.hpp"
 #include "platform/store_client.hpp"
 #include "protocol/load_message.hpp"
@@ -41,6 +43,34 @@
   cr_assert(relay::check(*read).empty());
 }
 
+Test(platform_codec, reads_tenants_and_keeps_only_hashes_of_their_keys) {
+  json document = json::parse(kConfiguration);
+  document["routes"][0]["public"] = true;
+  document["tenants"] = {{{"name", "guild"}, {"keys", {"k1", "k2"}}, {"priority", 1}},
+                         {{"name", "post"}, {"keys", json::array()}}};
+  const auto read = ObjectCodec().configuration(document);
+  cr_assert(read.has_value());
+  cr_assert(read->routes.at(0).open);
+  cr_assert_eq(read->tenants->size(), 2);
+  const relay::DeclaredTenant& guild = read->tenants->at(0);
+  cr_assert_eq(guild.priority.value(), 1);
+  cr_assert_eq(guild.keys.at(1).sha256, sha256_hex("k2"));
+  cr_assert(read->tenants->at(1).keys.empty());
+}
+
+Test(platform_codec, a_configuration_without_tenants_has_none) {
+  cr_assert_not(ObjectCodec().configuration(json::parse(kConfiguration))->tenants.has_value());
+}
+
+Test(platform_dialect, removes_what_only_the_system_sets_and_the_callers_key) {
+  const PlatformDialect dialect;
+  const auto& removed = dialect.names().from_callers_removed;
+  for (const char* name :
+       {"X-Api-Key", "X-Tenant", "X-Hold", "X-Pin-Ms", "X-Kv-Backup", "X-Kv-Source"}) {
+    cr_assert(std::find(removed.begin(), removed.end(), name) != removed.end(), "%s", name);
+  }
+}
+
 Test(platform_codec, survives_any_change_of_a_valid_document) {
   // A fixed seed: the same documents each time.
   std::mt19937 random(20261202);  // NOLINT: repeatable on purpose
--- a/tests/relay/request_identity_test.cpp
+++ b/tests/relay/request_identity_test.cpp
@@ -3,7 +3,6 @@
 #include <criterion/criterion.h>
 
 using namespace shuntbank;
-using relay::identity_of;
 
 namespace {
 
@@ -17,6 +16,10 @@
   return request;
 }
 
+relay::TriedRequest identity_of(const HttpRequest& request, std::string_view tenant = "") {
+  return relay::identity_of(request, tenant);
+}
+
 }  // namespace
 
 Test(request_identity, is_the_same_for_each_try_whatever_its_id_and_deadline) {
@@ -44,6 +47,7 @@
   other = request_of("10.0.0.1", "body");
   other.headers.add("Authorization", "Bearer k");
   cr_assert(identity_of(other) != own);
+  cr_assert(identity_of(request_of("10.0.0.1", "body"), "guild") != own);
 }
 
 Test(request_identity, sees_the_end_of_a_large_body) {
--- a/tests/relay/support/fakes.cpp
+++ b/tests/relay/support/fakes.cpp
@@ -119,7 +119,10 @@
   names_.stage = "stage";
   names_.prompt_source = "source";
   names_.fetch_from = "fetch";
-  names_.from_callers_removed = {"for-engine", "urgency", "stage", "source", "fetch"};
+  names_.tenant_key = "key";
+  names_.tenant = "tenant";
+  names_.from_callers_removed = {"for-engine", "urgency", "stage", "source",
+                                 "fetch",      "key",     "tenant"};
 }
 
 std::optional<relay::PromptShape> TestDialect::prompt(const HttpHeaders& headers) const {
