--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -10,6 +10,8 @@
 namespace shuntbank::relay {
 namespace {
 
+constexpr std::uint64_t kMillisecondsASecond = 1000;
+
 void log_engine(const char* event, const EngineRecord& record) {
   log_event(LogArea::kControl, LogLevel::kInfo, event,
             {{"engine", record.id.value()},
@@ -156,9 +158,11 @@
 
 /// A request with several keys has none: which of them speaks for it cannot be told.
 KeyVerdict RelayNode::admit(const Route& route, const HttpRequest& request) const {
-  (void)route;
-  (void)request;
-  return {true, nullptr};
+  const std::string& field = io_.dialect.names().tenant_key;
+  const bool one = request.headers.count(field) == 1;
+  const auto unix_seconds =
+      static_cast<std::int64_t>(io_.runtime.unix_milliseconds() / kMillisecondsASecond);
+  return table_->admit(route, one ? request.headers.get(field) : std::string_view(), unix_seconds);
 }
 
 void RelayNode::handle(HttpRequest request, const std::shared_ptr<ConnectionResponder>& responder) {
