Tell the starts of an engine apart, and read records of other writers strictly

All that is believed of an engine (cache, load, model, stage, orders, troubles, what peers tell, the crash ledger, a drain) hung on the id alone; a record without `state` counted as ready; one entry that could not be read spoilt the whole page of the store.

Change: EngineId names one start (name and time of start), so that everything that hangs on it goes with it, in this node and in what nodes tell each other; a later start displaces the earlier one, whose late news (a lagging list, an old record) is not taken, also after the later one is gone. An order, and a question whether an engine lives, look at the start that answers. Records are read field by field with their types; one that is spoilt names no engine until the engine has written again. Pages and changes are read entry by entry, bytes that are no text replaced first.

Ruled out: requiring the time of start. Not covered: an engine that started again and answers before its record has come here counts as a sign of life of the start before.

Tests failed before their mends: a new start inherits nothing, late news of an earlier one, entries of other writers, one entry that hides no other.

--- a/src/core/relay/engine_directory.cpp
+++ b/src/core/relay/engine_directory.cpp
@@ -1,6 +1,7 @@
 #include "core/relay/engine_directory.hpp"
 
 #include <algorithm>
+#include <charconv>
 #include <cmath>
 #include <set>
 
@@ -12,6 +13,10 @@
 /// A report older than this says nothing of the load now.
 constexpr Duration kReportLife = std::chrono::seconds(2);
 
+/// Engines whose latest start is remembered after they are gone, so that late news of an earlier
+/// one does not bring that back: ten times as many as a large fleet has.
+constexpr std::size_t kMostNames = 8192;
+
 /// Engines that drain and are remembered as such.
 constexpr std::size_t kMostLeaving = 4096;
 
@@ -66,6 +71,15 @@
   return "none";
 }
 
+EngineId start_id(const std::string& name, std::uint64_t started_unix_ms) {
+  if (started_unix_ms == 0) return EngineId(name);
+  constexpr int kShortest = 36;
+  char digits[16];
+  const auto written =
+      std::to_chars(std::begin(digits), std::end(digits), started_unix_ms, kShortest);
+  return EngineId(name + "." + std::string(std::begin(digits), written.ptr));
+}
+
 std::optional<std::uint64_t> PromptShape::shared_part() const {
   if (parts.size() < 2) return std::nullopt;
   return parts[parts.size() - 2].id;
@@ -135,7 +149,9 @@
 std::vector<std::string> EngineDirectory::replace_all(const std::vector<EngineRecord>& records) {
   std::set<EngineId> present;
   for (const EngineRecord& record : records) {
-    present.insert(record.id);
+    // An old list names the engine, if not the start of it that is known.
+    const auto latest = latest_.find(record.own_name());
+    present.insert(outdated(record) ? latest->second : record.id);
     upsert(record);
   }
   std::vector<std::string> gone;
@@ -151,7 +167,35 @@
   return gone;
 }
 
+bool EngineDirectory::outdated(const EngineRecord& record) const {
+  const auto latest = latest_started_.find(record.own_name());
+  return latest != latest_started_.end() && record.started_unix_ms < latest->second;
+}
+
+const EngineView* EngineDirectory::find_named(const std::string& name) const {
+  const auto latest = latest_.find(name);
+  return latest == latest_.end() ? nullptr : find(latest->second);
+}
+
+void EngineDirectory::note_start(const EngineRecord& record) {
+  const auto [latest, added] = latest_.try_emplace(record.own_name(), record.id);
+  latest_started_[record.own_name()] = record.started_unix_ms;
+  if (added) {
+    latest_order_.push_back(record.own_name());
+    if (latest_order_.size() <= kMostNames) return;
+    latest_.erase(latest_order_.front());
+    latest_started_.erase(latest_order_.front());
+    latest_order_.pop_front();
+    return;
+  }
+  if (latest->second == record.id) return;
+  remove(latest->second);
+  latest->second = record.id;
+}
+
 void EngineDirectory::upsert(const EngineRecord& record) {
+  if (outdated(record)) return;
+  note_start(record);
   if (record.draining && leaving_.insert(record.id).second) {
     leaving_order_.push_back(record.id);
     if (leaving_order_.size() > kMostLeaving) {
--- a/src/core/relay/engine_directory.hpp
+++ b/src/core/relay/engine_directory.hpp
@@ -29,9 +29,12 @@
 /// @return `none`, `prefill` or `decode`.
 const char* to_text(EngineStage stage);
 
-/// An engine as it is registered. One record is one start of an engine.
+/// An engine as it is registered. One record is one start of an engine: all that is believed of an
+/// engine hangs on `id`, so that nothing of one start is taken for the next.
 struct EngineRecord {
-  EngineId id;
+  EngineId id;       ///< Of this start; see `start_id`.
+  std::string name;  ///< What the engine calls itself, at each start; empty: as `id`.
+  std::uint64_t started_unix_ms = 0;  ///< By the engine's clock; a later start has a later time.
   ServiceName service;
   std::string address;  ///< IP:PORT
   ZoneName zone;
@@ -39,9 +42,15 @@
   bool draining = false;
   EngineStage stage = EngineStage::kNone;
 
+  /// @return what the engine is told that it should be.
+  const std::string& own_name() const { return this->name.empty() ? this->id.value() : this->name; }
+
   bool operator==(const EngineRecord&) const = default;
 };
 
+/// @return the id of one start of an engine: its name alone where it does not tell when it started.
+EngineId start_id(const std::string& name, std::uint64_t started_unix_ms);
+
 /// A part of a prompt that requests may share.
 struct PromptPart {
   std::uint64_t id = 0;
@@ -169,9 +178,16 @@
   /// @return addresses of engines that are gone.
   std::vector<std::string> replace_all(const std::vector<EngineRecord>& records);
 
-  /// Takes one record. @return the address that the engine had before, when it changed.
+  /// Takes one record, unless a later start of the engine has been known. Forgets what was known of
+  /// an earlier start.
   void upsert(const EngineRecord& record);
 
+  /// @return whether the record is of an earlier start than one that has been known.
+  bool outdated(const EngineRecord& record) const;
+
+  /// @return the start that is known of the engine which calls itself so, or null.
+  const EngineView* find_named(const std::string& name) const;
+
   /// Forgets an engine. @return its address, or empty text.
   std::string remove(const EngineId& id);
 
@@ -249,6 +265,7 @@
     MonotonicTime heard_at{};
     std::map<EngineId, PeerLoad> load;
   };
+  void note_start(const EngineRecord& record);
   void add_to_peers(const std::map<EngineId, PeerLoad>& load, bool subtract);
   void show_peers(EngineView& engine) const;
   void forget_key(const EngineView& engine);
@@ -260,6 +277,10 @@
   Duration shared_view_age_ = Duration::zero();
   std::map<EngineId, EngineView> engines_;
   std::multimap<EngineKey, EngineView*> by_key_;  ///< In order, as the parts of sums are.
+  /// The latest start of each engine that was known, by name, also of those that are gone.
+  std::unordered_map<std::string, EngineId> latest_;
+  std::unordered_map<std::string, std::uint64_t> latest_started_;
+  std::deque<std::string> latest_order_;
   std::set<EngineId> leaving_;  ///< Have said that they drain, whether still known or not.
   std::deque<EngineId> leaving_order_;
   std::map<NodeId, Peer> peers_;
--- a/src/relay/catalog.cpp
+++ b/src/relay/catalog.cpp
@@ -102,9 +102,12 @@
 }
 
 void Catalog::take_engine_change(const store::ObjectChange& change) {
-  if (change.gone) return node_.remove_engine(EngineId(change.object.name));
+  if (change.gone) return node_.remove_engine(change.object.name);
   const auto record = codec_.engine(change.object);
-  if (!record) return log_malformed(change.object, record.error());
+  if (!record) {
+    log_malformed(change.object, record.error());
+    return node_.distrust_engine(change.object.name);
+  }
   node_.set_engine(*record);
 }
 
--- a/src/relay/engine_dialect.hpp
+++ b/src/relay/engine_dialect.hpp
@@ -43,12 +43,13 @@
 struct EngineReport {
   EngineStage stage = EngineStage::kNone;
   std::uint64_t orders_taken = 0;
-  bool changing = false;  ///< An order is under way.
+  bool changing = false;                         ///< An order is under way.
+  std::optional<std::uint64_t> started_unix_ms;  ///< Of the start that tells; unset: not told.
 };
 
 /// An order to an engine to change its stage.
 struct StageOrder {
-  EngineId engine;
+  std::string engine;  ///< What it calls itself.
   std::string address;
   EngineStage stage = EngineStage::kDecode;
   std::string holder;                 ///< The node that gives the order.
@@ -90,7 +91,8 @@
                                          const std::string& handle) const = 0;
 
   /// @return the call that asks an engine for its report.
-  virtual OutgoingRequest ask_report(const std::string& address, const EngineId& engine) const = 0;
+  virtual OutgoingRequest ask_report(const std::string& address,
+                                     const std::string& engine) const = 0;
 
   /// Reads the answer to `ask_report`.
   virtual tl::expected<EngineReport, std::string> report(const std::string& body) const = 0;
--- a/src/relay/quarantine.cpp
+++ b/src/relay/quarantine.cpp
@@ -245,21 +245,31 @@
   const EngineView* view = this->io.engines.find_by_key(key);
   if (view == nullptr) return;
   const EngineId engine = view->record.id;
-  OutgoingRequest call = this->io.dialect.ask_report(view->record.address, engine);
+  OutgoingRequest call = this->io.dialect.ask_report(view->record.address, view->record.own_name());
   call.connect_timeout = kAskTimeout;
   call.total_timeout = kAskTimeout;
   const MonotonicTime asked_at = this->io.runtime.now();
-  this->io.http.fetch(std::move(call), [this, living = this->alive, engine, asked_at](
+  const AskedEngine asked{engine, view->record.started_unix_ms, asked_at};
+  this->io.http.fetch(std::move(call), [this, living = this->alive, asked](
                                            const tl::expected<HttpReply, TransferError>& reply) {
-    if (*living) this->on_reply(engine, asked_at, reply);
+    if (*living) this->on_reply(asked, reply);
   });
 }
 
-void Quarantine::on_reply(const EngineId& engine, MonotonicTime asked_at,
+/// Another start of the engine, or of another one, answers at the address.
+bool Quarantine::replaced(const AskedEngine& asked, const HttpReply& reply) const {
+  if (reply.status == http_status::kMisdirected) return true;
+  if (reply.status != http_status::kOk) return false;
+  const auto report = this->io.dialect.report(reply.body);
+  if (!report || !report->started_unix_ms) return false;
+  return *report->started_unix_ms != asked.started_unix_ms;
+}
+
+void Quarantine::on_reply(const AskedEngine& asked,
                           const tl::expected<HttpReply, TransferError>& reply) {
+  const auto& [engine, started, asked_at] = asked;
   const bool refused = !reply && reply.error().connection_refused;
-  // Another start of an engine answers at the address.
-  const bool replaced = reply && reply->status == http_status::kMisdirected;
+  const bool replaced = reply && this->replaced(asked, *reply);
   const char* found = refused || replaced ? "ended" : (reply ? "lives" : "silent");
   log_event(LogArea::kControl, LogLevel::kInfo, "engine_asked",
             {{"engine", engine.value()}, {"found", found}});
--- a/src/relay/quarantine.hpp
+++ b/src/relay/quarantine.hpp
@@ -110,8 +110,14 @@
   void learn_one(MonotonicTime now, const CrashReport& report);
   void settle();
   void ask(EngineKey key);
-  void on_reply(const EngineId& engine, MonotonicTime asked_at,
-                const tl::expected<HttpReply, TransferError>& reply);
+  /// An engine that was asked whether it lives.
+  struct AskedEngine {
+    EngineId engine;
+    std::uint64_t started_unix_ms = 0;
+    MonotonicTime at{};
+  };
+  bool replaced(const AskedEngine& asked, const HttpReply& reply) const;
+  void on_reply(const AskedEngine& asked, const tl::expected<HttpReply, TransferError>& reply);
   void note_held_changed(bool own);
   void log_verdict(const HeldRequest& held, const char* source) const;
   void tick();
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -15,6 +15,7 @@
 void log_engine(const char* event, const EngineRecord& record) {
   log_event(LogArea::kControl, LogLevel::kInfo, event,
             {{"engine", record.id.value()},
+             {"started_unix_ms", record.started_unix_ms},
              {"service", record.service.value()},
              {"address", record.address},
              {"stage", to_text(record.stage)},
@@ -68,7 +69,11 @@
 void RelayNode::set_engines(const std::vector<EngineRecord>& records) {
   engines_known_ = true;
   std::set<EngineId> listed;
-  for (const EngineRecord& record : records) listed.insert(record.id);
+  for (const EngineRecord& record : records) {
+    const EngineView* known = engines_.find_named(record.own_name());
+    const bool old = engines_.outdated(record) && known != nullptr;
+    listed.insert(old ? known->record.id : record.id);
+  }
   for (const auto& [id, engine] : engines_.all()) {
     if (listed.count(id) == 0) note_unlisted(id);
   }
@@ -79,13 +84,16 @@
   metrics_.set_gauge("engines", static_cast<double>(engines_.size()));
 }
 
-/// Another start of an engine has the address: the one before has ended.
+/// Another start of an engine has the address or the name: the one before has ended.
 void RelayNode::note_replaced(const EngineRecord& record) {
+  const EngineView* before = engines_.find_named(record.own_name());
+  const bool moved = before != nullptr && before->record.address != record.address;
+  if (moved && address_free_) address_free_(before->record.address);
   if (quarantine_.idle()) return;
   for (const auto& [id, engine] : engines_.all()) {
-    if (id != record.id && engine.record.address == record.address) {
-      quarantine_.on_engine_ended(id);
-    }
+    const bool same =
+        engine.record.address == record.address || engine.record.own_name() == record.own_name();
+    if (id != record.id && same) quarantine_.on_engine_ended(id);
   }
 }
 
@@ -96,6 +104,7 @@
 }
 
 void RelayNode::set_engine(const EngineRecord& record) {
+  if (engines_.outdated(record)) return log_engine("engine_outdated", record);
   note_replaced(record);
   // It may have been missing from the list only since the store was away.
   if (engines_.find(record.id) == nullptr) {
@@ -106,8 +115,20 @@
   metrics_.set_gauge("engines", static_cast<double>(engines_.size()));
 }
 
-void RelayNode::remove_engine(const EngineId& id) {
+void RelayNode::remove_engine(const std::string& name) {
+  const EngineView* known = engines_.find_named(name);
+  if (known == nullptr) return;
+  const EngineId id = known->record.id;
   note_unlisted(id);
+  forget_engine(id);
+}
+
+void RelayNode::distrust_engine(const std::string& name) {
+  const EngineView* known = engines_.find_named(name);
+  if (known != nullptr) forget_engine(EngineId(known->record.id));
+}
+
+void RelayNode::forget_engine(const EngineId& id) {
   const std::string address = engines_.remove(id);
   if (address.empty()) return;
   log_event(LogArea::kControl, LogLevel::kInfo, "engine_gone",
--- a/src/relay/relay_node.hpp
+++ b/src/relay/relay_node.hpp
@@ -54,8 +54,12 @@
   /// Takes one engine's record.
   void set_engine(const EngineRecord& record);
 
-  /// Forgets an engine; what runs there goes on.
-  void remove_engine(const EngineId& id);
+  /// Forgets the engine that calls itself so; what runs there goes on.
+  void remove_engine(const std::string& name);
+
+  /// Somebody else has written over an engine's record: it is not used until the engine has written
+  /// again. That says nothing of its end.
+  void distrust_engine(const std::string& name);
 
   /// Handles a request of a caller.
   void handle(HttpRequest request, const std::shared_ptr<ConnectionResponder>& responder);
@@ -118,6 +122,7 @@
   KeyVerdict admit(const Route& route, const HttpRequest& request) const;
   void note_replaced(const EngineRecord& record);
   void note_unlisted(const EngineId& engine);
+  void forget_engine(const EngineId& id);
   void refuse(const HttpRequest& request, ConnectionResponder& responder, int status,
               const char* why);
 
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -169,7 +169,7 @@
   outgoing.headers = request_.headers;
   outgoing.headers.add(names.deadline_ms,
                        std::to_string(std::max<std::int64_t>(1, to_milliseconds(time_left()))));
-  outgoing.headers.add(names.expected_engine, record.id.value());
+  outgoing.headers.add(names.expected_engine, record.own_name());
   if (tenant_ != nullptr) outgoing.headers.add(names.tenant, tenant_->name.value());
   if (prompt_) {
     outgoing.headers.add(names.urgency, std::to_string(urgency()));
--- a/src/relay/role_coordinator.cpp
+++ b/src/relay/role_coordinator.cpp
@@ -120,7 +120,7 @@
 /// Asks how many orders the engine has taken, so that the order which follows is refused if another
 /// one, such as a late one of an earlier holder, comes between.
 void RoleCoordinator::ask(const EngineRecord& record, EngineStage stage) {
-  OutgoingRequest call = io_.dialect.ask_report(record.address, record.id);
+  OutgoingRequest call = io_.dialect.ask_report(record.address, record.own_name());
   call.total_timeout = settings_.order_timeout;
   call.connect_timeout = settings_.order_timeout;
   ++orders_under_way_;
@@ -131,6 +131,9 @@
     if (!reply || reply->status != http_status::kOk) return;
     const auto report = io_.dialect.report(reply->body);
     if (!report || report->changing || report->stage == stage) return;
+    // Another start of the engine answers: the order was meant for the one before.
+    const std::uint64_t started = report->started_unix_ms.value_or(record.started_unix_ms);
+    if (started != record.started_unix_ms) return;
     order(record, stage, *report);
   });
 }
@@ -141,7 +144,7 @@
   const auto fence = lease_.authority(io_.runtime.now());
   if (!fence) return;
   StageOrder order;
-  order.engine = record.id;
+  order.engine = record.own_name();
   order.address = record.address;
   order.stage = stage;
   order.holder = self_;
--- a/tests/core/relay/engine_directory_test.cpp
+++ b/tests/core/relay/engine_directory_test.cpp
@@ -188,3 +188,61 @@
   cr_assert_not(planner.next(kNow + settings.between_batches - 1ms, engines, table).has_value());
   cr_assert(planner.next(kNow + settings.between_batches, engines, table).has_value());
 }
+
+namespace {
+
+relay::EngineRecord start_of(const std::string& name, std::uint64_t started) {
+  relay::EngineRecord record;
+  record.name = name;
+  record.started_unix_ms = started;
+  record.id = relay::start_id(name, started);
+  record.service = ServiceName("s");
+  record.address = "10.0.0.1:80";
+  return record;
+}
+
+}  // namespace
+
+Test(engine_directory, a_new_start_under_the_same_name_inherits_nothing) {
+  relay::EngineDirectory engines;
+  const relay::EngineRecord first = start_of("e", 1000);
+  engines.upsert(first);
+  engines.on_sent(first.id, {500, false});
+  engines.find(first.id)->cache.on_read({{7, 100}}, 0, kNow);
+  const relay::EngineRecord second = start_of("e", 2000);
+  engines.upsert(second);
+  cr_assert_null(engines.find(first.id));
+  const relay::EngineView* view = engines.find(second.id);
+  cr_assert_not_null(view);
+  cr_assert_eq(view->in_flight, 0);
+  cr_assert(view->cache.kept().empty());
+  // What was still under way at the first ends without a trace at the second.
+  engines.on_ended(first.id);
+  engines.on_read(first.id, {500, false});
+  cr_assert_eq(engines.find(second.id)->in_flight, 0);
+}
+
+Test(engine_directory, late_news_of_an_earlier_start_do_not_touch_the_later_one) {
+  relay::EngineDirectory engines;
+  const relay::EngineRecord later = start_of("e", 2000);
+  engines.upsert(later);
+  relay::EngineRecord old = start_of("e", 1000);
+  old.draining = true;
+  engines.upsert(old);
+  cr_assert_null(engines.find(old.id));
+  cr_assert_not(engines.find(later.id)->record.draining);
+  engines.replace_all({old});
+  cr_assert_not_null(engines.find(later.id), "an old list names the engine");
+  engines.remove(later.id);
+  engines.upsert(old);
+  cr_assert_eq(engines.size(), 0, "also after the later one is gone");
+}
+
+Test(engine_directory, a_start_that_drains_does_not_keep_the_next_one_from_serving) {
+  relay::EngineDirectory engines;
+  relay::EngineRecord first = start_of("e", 1000);
+  first.draining = true;
+  engines.upsert(first);
+  engines.upsert(start_of("e", 2000));
+  cr_assert_not(engines.find_named("e")->record.draining);
+}
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -27,6 +27,12 @@
  "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,
   "idle_timeout_ms":15000}})";
 
+/// Parsed, as entries are: a number that is made in a program would count as signed.
+json engine_entry() {
+  return json::parse(R"({"service":"m","addr":"10.1.1.1:80","zone":"z","slots":64,"state":"ready",
+    "sequence":3,"version":"v","cold_left_ms":0,"born":1796000000123})");
+}
+
 }  // namespace
 
 Test(platform_codec, reads_a_configuration) {
@@ -87,15 +93,87 @@
 }
 
 Test(platform_codec, reads_an_engine) {
-  const json content = {{"service", "m"}, {"addr", "10.1.1.1:80"}, {"zone", "z"},
-                        {"slots", 64},    {"state", "draining"},   {"stage", "prefill"}};
+  json content = engine_entry();
+  content["state"] = "draining";
+  content["stage"] = "prefill";
   const auto record = ObjectCodec().engine({"i-1", 5, content});
   cr_assert(record.has_value());
   cr_assert(record->draining);
+  cr_assert_eq(record->own_name(), "i-1");
+  cr_assert_eq(record->started_unix_ms, 1796000000123);
   cr_assert_eq(static_cast<int>(record->stage), static_cast<int>(relay::EngineStage::kPrefill));
   cr_assert_not(ObjectCodec().engine({"i-1", 5, json::array()}).has_value());
 }
 
+Test(platform_codec, two_starts_of_one_engine_have_different_ids) {
+  json later = engine_entry();
+  later["born"] = std::uint64_t{1796000000124};
+  cr_assert_neq(ObjectCodec().engine({"i-1", 5, engine_entry()})->id.value(),
+                ObjectCodec().engine({"i-1", 6, later})->id.value());
+}
+
+Test(platform_codec, an_entry_of_another_writer_names_no_engine) {
+  const ObjectCodec codec;
+  cr_assert(codec.engine({"i-1", 5, engine_entry()}).has_value());
+  json never_told = engine_entry();
+  never_told.erase("born");
+  cr_assert_eq(codec.engine({"i-1", 5, never_told})->started_unix_ms, 0);
+  for (const char* key : {"service", "addr", "zone", "slots", "state", "born"}) {
+    json without = engine_entry();
+    without.erase(key);
+    const bool needed = key != std::string("born");
+    cr_assert_eq(codec.engine({"i-1", 5, without}).has_value(), !needed, "without %s", key);
+    for (const json& other :
+         {json(), json("x"), json(-1), json(1.5), json(true), json::array({1}), json::object()}) {
+      json changed = engine_entry();
+      changed[key] = other;
+      const bool is_text =
+          other.is_string() && (key == std::string("service") || key == std::string("zone"));
+      cr_assert_eq(codec.engine({"i-1", 5, changed}).has_value(), is_text, "%s=%s", key,
+                   other.dump().c_str());
+    }
+  }
+}
+
+Test(platform_codec, survives_any_entry) {
+  std::mt19937 random(20261203);  // NOLINT: repeatable on purpose
+  const std::string whole = engine_entry().dump();
+  for (int i = 0; i < 3000; ++i) {
+    std::string changed = whole;
+    for (int k = 0; k < 2; ++k)
+      changed[random() % changed.size()] = static_cast<char>(random() % 256);
+    const json document = json::parse(changed, nullptr, false);
+    if (document.is_discarded()) continue;
+    const auto record = ObjectCodec().engine({"i-1", 5, document});
+    if (!record) continue;
+    cr_assert_gt(record->slots, 0);
+    cr_assert_not(record->service.empty());
+  }
+}
+
+Test(platform_store, one_entry_that_cannot_be_read_hides_no_other) {
+  ScriptedHttpClient http;
+  StoreClient client(http, "10.0.0.1:1");
+  tl::expected<store::ObjectList, store::StoreError> listed;
+  client.list("servers", store::Freshness::kLatest, 1s,
+              [&](auto result) { listed = std::move(result); });
+  http.answer(0, 200, {},
+              "{\"items\":[{\"meta\":{\"name\":\"a\",\"revision\":3},\"spec\":\"\xff\xfe\"},17,"
+              "{\"meta\":{\"name\":4,\"revision\":3}},"
+              "{\"meta\":{\"name\":\"b\",\"revision\":4},\"spec\":{}}],\"more\":false,\"at\":11}");
+  cr_assert(listed.has_value());
+  cr_assert_eq(listed->objects.size(), 2);
+  cr_assert_eq(listed->objects.at(1).name, "b");
+  tl::expected<store::ChangeBatch, store::StoreError> batch;
+  client.watch("servers", 9, store::Freshness::kLatest, 1s, 2s,
+               [&](auto result) { batch = std::move(result); });
+  http.answer(
+      1, 200, {},
+      R"({"events":[{"gone":false},{"object":{"meta":{"name":"b","revision":4}}}],"at":12})");
+  cr_assert_eq(batch->changes.size(), 1);
+  cr_assert_eq(batch->revision, 12);
+}
+
 Test(platform_dialect, reads_prompts_and_load) {
   const PlatformDialect dialect;
   const auto prompt =
--- a/tests/relay/quarantine_test.cpp
+++ b/tests/relay/quarantine_test.cpp
@@ -93,7 +93,7 @@
 Test(quarantine, learns_of_an_end_from_the_list_and_from_who_has_the_address) {
   Scene scene;
   for (const char* engine : {"a", "b"}) scene.break_off(engine);
-  scene.site.node->remove_engine(EngineId("a"));
+  scene.site.node->remove_engine("a");
   cr_assert_eq(scene.quarantine().standing(kTried).ended, 1U);
   relay::EngineRecord next;
   next.id = EngineId("b2");
@@ -107,7 +107,7 @@
   // The store was away for a while, and with it the engine's entry.
   Scene scene;
   scene.break_off("a");
-  scene.site.node->remove_engine(EngineId("a"));
+  scene.site.node->remove_engine("a");
   scene.site.runtime.advance(1s);
   scene.site.add_engine("a", "plain");
   cr_assert_not(scene.quarantine().standing(kTried).suspect());
@@ -134,7 +134,7 @@
   scene.quarantine().on_silent(kTried, EngineId("a"), scene.site.runtime.now());
   scene.quarantine().on_failed(kRequest);
   cr_assert(scene.reports().empty(), "silence alone says nothing");
-  scene.site.node->remove_engine(EngineId("a"));
+  scene.site.node->remove_engine("a");
   const auto reports = scene.reports();
   cr_assert_eq(reports.size(), 1U);
   cr_assert(reports.front().news == CrashNews::kEnded);
--- a/tests/relay/relay_node_test.cpp
+++ b/tests/relay/relay_node_test.cpp
@@ -63,7 +63,7 @@
   const auto seen = site.request("/once/a");
   site.add_engine("e1", "plain", relay::EngineStage::kNone, true);
   cr_assert_eq(site.request("/once/b")->status, 503);
-  site.node->remove_engine(EngineId("e1"));
+  site.node->remove_engine("e1");
   site.http.answer(0, 200, RelayFixture::sealed(), "whole");
   cr_assert_eq(seen->status, 200);
 }
@@ -80,7 +80,7 @@
   std::string freed;
   site.node->on_address_free([&](const std::string& address) { freed = address; });
   site.add_engine("e1", "plain");
-  site.node->remove_engine(EngineId("e1"));
+  site.node->remove_engine("e1");
   cr_assert_eq(freed, "e1:80");
 }
 
--- a/tests/relay/support/fakes.cpp
+++ b/tests/relay/support/fakes.cpp
@@ -147,7 +147,7 @@
   return call;
 }
 
-OutgoingRequest TestDialect::ask_report(const std::string& address, const EngineId&) const {
+OutgoingRequest TestDialect::ask_report(const std::string& address, const std::string&) const {
   OutgoingRequest call;
   call.url = "http://" + address + "/report";
   return call;
@@ -167,7 +167,7 @@
   call.url = "http://" + order.address + "/order";
   call.headers.add("fence", std::to_string(order.fence));
   call.headers.add("expected", std::to_string(order.expected_orders));
-  call.headers.add("for-engine", order.engine.value());
+  call.headers.add("for-engine", order.engine);
   call.body = relay::to_text(order.stage);
   return call;
 }
--- a/tests/relay/support/fakes.hpp
+++ b/tests/relay/support/fakes.hpp
@@ -133,7 +133,7 @@
       const std::string& body) const override;
   OutgoingRequest release_handle(const std::string& address,
                                  const std::string& handle) const override;
-  OutgoingRequest ask_report(const std::string& address, const EngineId& engine) const override;
+  OutgoingRequest ask_report(const std::string& address, const std::string& engine) const override;
   tl::expected<relay::EngineReport, std::string> report(const std::string& body) const override;
   OutgoingRequest stage_order(const relay::StageOrder& order) const override;
 
