Report the tenants' usage: one node, one lease, one body a window

Each node counts the requests that began to run, by the monotonic clock. The holder of the lease asks all nodes each second; they answer it and the two that stand by, window by window, whole each time (UsageCounter, UsageLedger, UsageExchange). True time is the median of the nodes' own clocks, each without its jumps (TrueTime). A window is closed when all that are heard have counted to its end, or after six tenths of the time in which it is due. Its body is then written to the store under the revision of what was there before, and only what stands there is sent; a lost answer and a new holder repeat it to the letter (UsageReporter). A window that fewer than half of the nodes have counted through is left out: a wrong report could not be put right. The lease is one machinery for all duties now (LeaseKeeper, split from RoleCoordinator) and shorter: a holder's death is met within 6.2 s, not 11.

Nothing written before it is sent, a window left out by each new holder instead: a holder cannot know whether the one before was heard, so that each change costs two windows.

Shown before the mend, by tests that then failed: a node whose clock is an hour ahead displaced all true windows from the ledger; a write whose answer is lost let the shorter lease lapse at a renewal of 1.5 s.

--- a/src/relay/load_exchange.cpp
+++ b/src/relay/load_exchange.cpp
@@ -5,6 +5,7 @@
 
 #include "common/hash.hpp"
 #include "common/log.hpp"
+#include "protocol/usage_message.hpp"
 
 namespace shuntbank::relay {
 namespace {
@@ -205,6 +206,10 @@
 void LoadExchange::on_message(std::string_view bytes) {
   if (is_view(bytes)) return zones_.on_view(bytes);
   if (is_digest(bytes)) return zones_.on_digest(bytes);
+  if (is_usage_call(bytes) || is_told_usage(bytes)) {
+    if (on_usage_message_) on_usage_message_(bytes);
+    return;
+  }
   auto message = decode_load_message(bytes);
   if (!message || message->node == self_) return;
   if (message->to_collector) return zones_.on_report(*message);
--- a/src/relay/load_exchange.hpp
+++ b/src/relay/load_exchange.hpp
@@ -38,6 +38,15 @@
   /// @return who reads the store, this node or others.
   StoreReaders readers() const;
 
+  /// Sets who is told of messages about usage.
+  void on_usage_message(std::function<void(std::string_view)> handler) {
+    on_usage_message_ = std::move(handler);
+  }
+
+  /// @return the nodes, and the number that was drawn at the start of this process.
+  const PeerDirectory& peers() const { return peers_; }
+  std::uint64_t boot() const { return boot_; }
+
   /// @return nodes known, this one included.
   std::size_t nodes() const { return peers_.nodes().size(); }
 
@@ -84,6 +93,7 @@
   int pulls_left_ = 0;
   std::function<StoreProgress()> own_progress_;
   std::function<void(const CatalogRevisions&)> on_revisions_;
+  std::function<void(std::string_view)> on_usage_message_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/relay/relay_context.hpp
+++ b/src/relay/relay_context.hpp
@@ -27,7 +27,8 @@
   RetryBudgets& budgets;
   Quarantine& quarantine;
 
-  std::function<void()> load_changed;   ///< May be empty.
+  std::function<void()> load_changed;            ///< May be empty.
+  std::function<void(const TenantName&)> began;  ///< The same; a tenant's request runs.
   std::vector<PromptRead> reads;        ///< Not yet told to other nodes; empty where none listens.
   std::vector<EngineTrouble> troubles;  ///< The same.
 
--- a/src/relay/relay_metrics.cpp
+++ b/src/relay/relay_metrics.cpp
@@ -57,6 +57,16 @@
           .Name("shuntbank_relay_keys_refused_total")
           .Help("Requests refused for want of a tenant's key in force")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& duty_calls =
+      prometheus::BuildCounter()
+          .Name("shuntbank_relay_duty_calls_total")
+          .Help("Calls that this node made for the whole fleet")
+          .Register(registry);
+  prometheus::Family<prometheus::Counter>& usage_windows =
+      prometheus::BuildCounter()
+          .Name("shuntbank_relay_usage_windows_total")
+          .Help("Windows of usage that this node has dealt with")
+          .Register(registry);
   prometheus::Family<prometheus::Histogram>& duration =
       prometheus::BuildHistogram()
           .Name("shuntbank_relay_request_seconds")
@@ -110,6 +120,14 @@
   impl_->keys_refused.Add({}).Increment();
 }
 
+void RelayMetrics::count_duty_call(const std::string& duty, const std::string& outcome) {
+  impl_->duty_calls.Add({{"duty", duty}, {"outcome", outcome}}).Increment();
+}
+
+void RelayMetrics::count_usage_window(const std::string& result) {
+  impl_->usage_windows.Add({{"result", result}}).Increment();
+}
+
 void RelayMetrics::observe_first_event(const std::string& service, Duration took) {
   impl_->first_event.Add({{"service", service}}, kSecondsBuckets).Observe(to_seconds(took));
 }
--- a/src/relay/relay_metrics.hpp
+++ b/src/relay/relay_metrics.hpp
@@ -41,6 +41,12 @@
   /// A request without a tenant's key in force was refused.
   void count_key_refused();
 
+  /// A call was made for the whole fleet. @param duty `usage` or `engines`. @param outcome of it.
+  void count_duty_call(const std::string& duty, const std::string& outcome);
+
+  /// A window of usage was dealt with. @param result such as `reported` or `not_covered`.
+  void count_usage_window(const std::string& result);
+
   /// The first event of a stream was passed on.
   void observe_first_event(const std::string& service, Duration took);
 
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -31,7 +31,7 @@
       budgets_(settings.retry_budget),
       quarantine_({io.runtime, io.http, io.dialect, engines_, metrics_}),
       context_{io.runtime, io.http,     io.dialect, settings_, engines_, metrics_,
-               budgets_,   quarantine_, {},         {},        {}},
+               budgets_,   quarantine_, {},         {},        {},       {}},
       splits_(random_fraction(io.runtime)),
       slack_from_(io.runtime.now() + counted_for(settings.retry_budget)) {
   quarantine_.on_news([this] { context_.note_load(); });
--- a/src/relay/relay_node.hpp
+++ b/src/relay/relay_node.hpp
@@ -86,6 +86,11 @@
     context_.load_changed = std::move(handler);
   }
 
+  /// Sets what is called when a tenant's request has begun to run at an engine.
+  void on_began(std::function<void(const TenantName&)> handler) {
+    context_.began = std::move(handler);
+  }
+
   /// The work under way at engines has changed.
   void note_load_changed() const { context_.note_load(); }
 
--- a/src/relay/relay_process.cpp
+++ b/src/relay/relay_process.cpp
@@ -14,6 +14,8 @@
 #include "relay/quarantine_store.hpp"
 #include "relay/relay_node.hpp"
 #include "relay/role_coordinator.hpp"
+#include "relay/usage_exchange.hpp"
+#include "relay/usage_reporter.hpp"
 
 namespace shuntbank::relay {
 namespace {
@@ -51,27 +53,29 @@
 
 class RelayProcess::Impl {
  public:
-  Impl(asio::io_context& loop, Runtime& runtime, store::ObjectStore& store,
-       const CatalogCodec& codec, const EngineDialect& dialect, const RelaySettings& settings,
-       const RelayAddresses& addresses)
+  Impl(asio::io_context& loop, Runtime& runtime, const PlatformPorts& platform,
+       const RelaySettings& settings, const RelayAddresses& addresses)
       : runtime_(runtime),
+        store_(platform.store),
+        duties_(platform.duties),
         settings_(settings),
         http_(loop, {}),
-        node_({runtime, http_, dialect}, settings),
+        node_({runtime, http_, platform.dialect}, settings),
         callers_(
             loop, listen_on(addresses.callers, kMaxCallers),
             [this](HttpRequest request, const std::shared_ptr<ConnectionResponder>& responder) {
               node_.handle(std::move(request), responder);
             }),
-        catalog_(runtime, store, codec, node_, catalog_settings(settings)),
-        quarantine_store_(runtime, store, node_),
-        roles_({runtime, http_, dialect}, store, node_, settings.node, settings.roles,
-               settings.stages) {
+        catalog_(runtime, store_, platform.codec, node_, catalog_settings(settings)),
+        quarantine_store_(runtime, store_, node_),
+        lease_(runtime, store_, node_, settings.node, settings.lease),
+        roles_({runtime, http_, platform.dialect}, lease_, node_, settings.roles, settings.stages) {
     if (addresses.peers.empty()) {
       // Nobody will ever give hints.
       catalog_.set_readers({true, runtime.now()});
     } else {
-      exchange_load(loop, store, addresses.peers);
+      exchange_load(loop, addresses.peers);
+      report_usage();
     }
     node_.on_adopted([this](const RouteTable& table) { take_limits(table); });
     node_.on_address_free([this](const std::string& address) { http_.forget_peer(address); });
@@ -96,7 +100,7 @@
     stopped_ = std::move(on_stopped);
     stop_began_ = runtime_.now();
     node_.begin_stop();
-    roles_.stop();
+    lease_.stop();
     callers_.close_after_answers();
     log_event(LogArea::kProcess, LogLevel::kInfo, "stopping", {{"under_way", node_.under_way()}});
     stop_timer_ = std::make_unique<Periodic>(runtime_, kStopTick, [this] { stop_tick(); });
@@ -109,8 +113,7 @@
                          limits.idle_timeout});
   }
 
-  void exchange_load(asio::io_context& loop, store::ObjectStore& store,
-                     const std::string& address) {
+  void exchange_load(asio::io_context& loop, const std::string& address) {
     const auto endpoint = parse_endpoint(address);
     if (!endpoint) throw std::invalid_argument(address + ": " + endpoint.error());
     peers_ = make_peer_transport(loop, *endpoint, kMaxCacheSnapshot);
@@ -118,7 +121,7 @@
     exchange.zone = settings_.zone;
     exchange.joins = !settings_.first_start;
     exchange_ =
-        std::make_unique<LoadExchange>(runtime_, store, *peers_, node_, settings_.node, exchange);
+        std::make_unique<LoadExchange>(runtime_, store_, *peers_, node_, settings_.node, exchange);
     exchange_->connect_revisions(
         [this] { return catalog_.progress(); },
         [this](const CatalogRevisions& revisions) { catalog_.hint(revisions); });
@@ -126,6 +129,18 @@
         runtime_, kReadersTick, [this] { catalog_.set_readers(exchange_->readers()); });
   }
 
+  void report_usage() {
+    if (duties_ == nullptr || settings_.usage.window == Duration::zero()) return;
+    usage_ =
+        std::make_unique<UsageExchange>(runtime_, *peers_, exchange_->peers(), exchange_->boot(),
+                                        settings_.first_start, settings_.usage);
+    exchange_->on_usage_message([this](std::string_view bytes) { usage_->on_message(bytes); });
+    node_.on_began([this](const TenantName& tenant) { usage_->on_began(tenant); });
+    usage_reporter_ =
+        std::make_unique<UsageReporter>(runtime_, store_, lease_, *duties_, *usage_,
+                                        node_.metrics(), settings_.node, settings_.usage);
+  }
+
   void serve_state(asio::io_context& loop, const std::string& address, bool operators) {
     servers_.push_back(std::make_unique<Http1Server>(
         loop, listen_on(address, kMaxWatchers),
@@ -177,6 +192,7 @@
     if (!idle && elapsed < last) return;
     const auto stopped = std::exchange(stopped_, nullptr);
     if (!stopped) return;
+    if (usage_) usage_->tell_last();
     log_event(LogArea::kProcess, LogLevel::kInfo, "stopped",
               {{"under_way", node_.under_way()}, {"after_s", to_seconds(elapsed)}});
     // The last answers are still on their way to the kernel.
@@ -184,16 +200,21 @@
   }
 
   Runtime& runtime_;
+  store::ObjectStore& store_;
+  DutyService* duties_;
   RelaySettings settings_;
   PooledHttpClient http_;
   RelayNode node_;
   Http1Server callers_;
   Catalog catalog_;
   QuarantineStore quarantine_store_;
+  LeaseKeeper lease_;
   RoleCoordinator roles_;
   std::unique_ptr<PeerTransport> peers_;
   std::unique_ptr<LoadExchange> exchange_;
   std::unique_ptr<Periodic> readers_tick_;
+  std::unique_ptr<UsageExchange> usage_;
+  std::unique_ptr<UsageReporter> usage_reporter_;
   std::vector<std::unique_ptr<Http1Server>> servers_;
   bool stopping_ = false;
   bool drained_ = false;
@@ -202,10 +223,9 @@
   std::unique_ptr<Periodic> stop_timer_;
 };
 
-RelayProcess::RelayProcess(asio::io_context& loop, Runtime& runtime, store::ObjectStore& store,
-                           const CatalogCodec& codec, const EngineDialect& dialect,
+RelayProcess::RelayProcess(asio::io_context& loop, Runtime& runtime, const PlatformPorts& platform,
                            const RelaySettings& settings, const RelayAddresses& addresses)
-    : impl_(std::make_unique<Impl>(loop, runtime, store, codec, dialect, settings, addresses)) {}
+    : impl_(std::make_unique<Impl>(loop, runtime, platform, settings, addresses)) {}
 
 RelayProcess::~RelayProcess() = default;
 
--- a/src/relay/relay_process.hpp
+++ b/src/relay/relay_process.hpp
@@ -10,6 +10,7 @@
 
 #include "common/runtime.hpp"
 #include "relay/catalog.hpp"
+#include "relay/duty_service.hpp"
 #include "relay/engine_dialect.hpp"
 #include "relay/relay_settings.hpp"
 #include "store/object_store.hpp"
@@ -25,13 +26,20 @@
   std::string peers;  ///< Where other nodes of the system reach this one.
 };
 
+/// What stands around the system, as the adapter brings it. All of it outlives the process.
+struct PlatformPorts {
+  store::ObjectStore& store;
+  const CatalogCodec& codec;
+  const EngineDialect& dialect;
+  DutyService* duties = nullptr;  ///< Null where the platform takes no calls for the whole fleet.
+};
+
 /// One relay process. All of it runs on the loop.
 class RelayProcess {
  public:
   /// Listens at once. All references outlive this. @throw std::system_error when an address cannot
   /// be had.
-  RelayProcess(asio::io_context& loop, Runtime& runtime, store::ObjectStore& store,
-               const CatalogCodec& codec, const EngineDialect& dialect,
+  RelayProcess(asio::io_context& loop, Runtime& runtime, const PlatformPorts& platform,
                const RelaySettings& settings, const RelayAddresses& addresses);
   ~RelayProcess();
   RelayProcess(const RelayProcess&) = delete;
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -104,6 +104,7 @@
   HttpHeaders forwarded_answer_fields() const;
   void learn_reading(bool alone);
   void note_prompt_read();
+  void note_began();
   AttemptHealth refusal_health() const;
   void note_health(AttemptHealth health);
   void begin_stream();
@@ -164,6 +165,8 @@
 
   StreamProgress stream_;  ///< What the caller has of it.
 
+  bool began_ = false;  ///< An engine has begun to run it.
+
   std::optional<HttpReply> failure_answer_;  ///< An engine's own failure, kept while trying on.
   bool ended_ = false;
 };
--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -45,6 +45,7 @@
   if (step_ == Step::kPrefill) return;
   if (is_success(status) && headers.get(names.seal).empty()) broken_ = true;
   streaming_ = !broken_ && route_.kind == RouteKind::kStream && is_success(status);
+  if (!streaming_ && !refused_) note_began();
 }
 
 bool RelaySession::on_data(std::string_view piece) {
@@ -66,8 +67,15 @@
   return true;
 }
 
+/// Counted once, however many engines begin to run it.
+void RelaySession::note_began() {
+  if (tenant_ == nullptr || std::exchange(began_, true)) return;
+  if (context_.began) context_.began(tenant_->name);
+}
+
 void RelaySession::on_event(const RawEvent& event) {
   if (broken_ || ended_) return;
+  note_began();
   if (!unread_released_) {
     unread_released_ = true;
     context_.engines.on_read(engine_, {unread_, deferred_});
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -12,19 +12,29 @@
 #include "core/relay/retry_budget.hpp"
 #include "core/relay/stage_planner.hpp"
 #include "relay/exchange_settings.hpp"
+#include "relay/usage_settings.hpp"
 
 namespace shuntbank::relay {
 
-/// The lease of the role planner, and the orders given under it.
+/// The lease of the node that acts for the whole fleet.
+struct LeaseKeeperSettings {
+  /// A holder that dies is replaced within its length and one reading of a standby, 6.2 s; then what
+  /// the fleet has counted is gathered in 2 s, and reports are due after 10 s. Three renewals fit in,
+  /// since one whose answer was lost takes a reading more to settle.
+  LeaseSettings lease{std::chrono::seconds(5), std::chrono::milliseconds(1100),
+                      std::chrono::milliseconds(700)};
+  std::size_t standbys = 3;  ///< Nodes that read the lease as often as its holder renews it.
+  /// Times the number of nodes: how often the others read it, so that their calls do not grow.
+  Duration others_read_every = std::chrono::milliseconds(400);
+  Duration tick = std::chrono::milliseconds(400);
+  Duration call_timeout = std::chrono::milliseconds(1500);
+};
+
+/// The orders of stages given under the lease.
 struct RoleCoordinatorSettings {
-  LeaseSettings lease{std::chrono::seconds(8), std::chrono::seconds(3), std::chrono::seconds(1)};
   /// A new holder waits so long before its first order, so that orders of two holders never stand
   /// closer together than this.
   Duration settle = std::chrono::seconds(3);
-  std::size_t standbys = 3;  ///< Nodes that read the lease as often as its holder renews it.
-  /// Times the number of nodes: how often the others read it, so that their calls do not grow.
-  Duration others_read_every = std::chrono::milliseconds(400);
-  Duration tick = std::chrono::milliseconds(500);
   Duration order_timeout = std::chrono::milliseconds(1500);
 };
 
@@ -60,8 +70,10 @@
   PlacementSettings placement;
   PrefillSettings prefill;
   RetryBudgetSettings retry_budget;
+  LeaseKeeperSettings lease;
   RoleCoordinatorSettings roles;
   StagePlannerSettings stages;
+  UsageSettings usage;
   CatalogSettings catalog;
   double expected_nodes = 7;  ///< For this node's part of an engine's bound on connections.
   Duration connect_timeout = std::chrono::milliseconds(600);
--- /dev/null
+++ b/src/relay/usage_reporter.hpp
@@ -0,0 +1,77 @@
+/// @file
+/// Reports the tenants' usage, window by window, while this node holds the lease. What is reported
+/// of a window is written to the store before it is sent and sent only as it stands there: whoever
+/// comes next, or gets no answer, repeats it to the letter.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "common/runtime.hpp"
+#include "relay/duty_service.hpp"
+#include "relay/lease_keeper.hpp"
+#include "relay/relay_metrics.hpp"
+#include "relay/usage_exchange.hpp"
+#include "relay/usage_settings.hpp"
+#include "store/object_store.hpp"
+
+namespace shuntbank::relay {
+
+/// The part of one node.
+class UsageReporter {
+ public:
+  /// All references outlive this. @param machine the name that the reports bear.
+  UsageReporter(Runtime& runtime, store::ObjectStore& store, LeaseKeeper& lease,
+                DutyService& service, UsageExchange& exchange, RelayMetrics& metrics,
+                const std::string& machine, const UsageSettings& settings);
+  ~UsageReporter();
+  UsageReporter(const UsageReporter&) = delete;
+  UsageReporter& operator=(const UsageReporter&) = delete;
+
+ private:
+  /// How far a window has come.
+  enum class Step { kCounting, kRecording, kSending, kEnded };
+  struct Window {
+    Step step = Step::kCounting;
+    bool busy = false;  ///< A call is under way.
+    UsageReport report;
+  };
+  /// What a slot of the store holds.
+  struct Slot {
+    std::uint64_t revision = 0;  ///< 0: no object yet.
+    usage::WindowNumber window = 0;
+    usage::TenantCounts counts;
+  };
+
+  void tick();
+  void take_up_windows();
+  void advance(usage::WindowNumber number, Window& window);
+  void close(usage::WindowNumber number, Window& window);
+  void record(usage::WindowNumber number, Window& window);
+  void read_slot(usage::WindowNumber number);
+  void write_slot(usage::WindowNumber number, const Window& window);
+  void on_slot(usage::WindowNumber number, const store::StoredObject& object);
+  void send(usage::WindowNumber number, Window& window);
+  void on_sent(usage::WindowNumber number, DutyOutcome outcome);
+  void end(usage::WindowNumber number, const char* result);
+  void set_idle(usage::WindowNumber number);
+  usage::UnixMs since_end(usage::WindowNumber number) const;
+  std::string slot_name(usage::WindowNumber number) const;
+
+  Runtime& runtime;
+  store::ObjectStore& store;
+  LeaseKeeper& lease;
+  DutyService& service;
+  UsageExchange& exchange;
+  RelayMetrics& metrics;
+  std::string machine;
+  UsageSettings settings;
+  std::map<usage::WindowNumber, Window> windows;
+  std::map<std::string, Slot> slots;
+  std::optional<MonotonicTime> called_at;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace shuntbank::relay
--- a/tests/relay/relay_process_test.cpp
+++ b/tests/relay/relay_process_test.cpp
@@ -40,8 +40,8 @@
     addresses.ready = free_address();
     store.put("routes", "main", {{"version", 1}});
     store.put("engines", "e1", {{"address", format_endpoint(engine.local_endpoint())}});
-    process = std::make_unique<relay::RelayProcess>(loop, runtime, store, codec, dialect, settings,
-                                                    addresses);
+    const relay::PlatformPorts platform{store, codec, dialect};
+    process = std::make_unique<relay::RelayProcess>(loop, runtime, platform, settings, addresses);
     while (ask(addresses.ready, "/").status != 200) continue;
   }
 
--- a/tests/relay/role_coordinator_test.cpp
+++ b/tests/relay/role_coordinator_test.cpp
@@ -28,13 +28,26 @@
   MemoryStore store;
 };
 
-std::unique_ptr<relay::RoleCoordinator> coordinator(RelayFixture& site, MemoryStore& store,
-                                                    const std::string& name) {
+relay::StagePlannerSettings half_of_them() {
   relay::StagePlannerSettings planner;
   planner.prefill_share = 0.5;
-  return std::make_unique<relay::RoleCoordinator>(
-      relay::RelayIo{site.runtime, site.http, site.dialect}, store, *site.node, name,
-      site.settings.roles, planner);
+  return planner;
+}
+
+/// One node's part: the lease, and what is done under it.
+struct Coordinator {
+  Coordinator(RelayFixture& site, MemoryStore& store, const std::string& name)
+      : lease(site.runtime, store, *site.node, name, site.settings.lease),
+        roles(relay::RelayIo{site.runtime, site.http, site.dialect}, lease, *site.node,
+              site.settings.roles, half_of_them()) {}
+
+  relay::LeaseKeeper lease;
+  relay::RoleCoordinator roles;
+};
+
+std::unique_ptr<Coordinator> coordinator(RelayFixture& site, MemoryStore& store,
+                                         const std::string& name) {
+  return std::make_unique<Coordinator>(site, store, name);
 }
 
 std::size_t count_of(const RelayFixture& site, const std::string& path) {
@@ -71,7 +84,9 @@
   Planners planners(1);
   RelayFixture& site = *planners.sites[0];
   const auto one = coordinator(site, planners.store, "n1");
-  site.runtime.advance(6s);
+  site.runtime.advance(4300ms);
+  cr_assert_gt(one->lease.held_for().count(), Duration(2s).count());
+  cr_assert_lt(one->lease.held_for().count(), Duration(site.settings.roles.settle).count());
   cr_assert_eq(count_of(site, "/report"), 0);
 }
 
