Order engines: cheap ones with a zone to spare over half at full price

CapacityPlanner (no I/O): half of what a service needs stays at full price, in the cheapest zones; spot engines so many that, with any one zone's taken back, the service still has what it needs; what is lost beyond that is filled up at full price at once and given back when spot engines serve again. Never fewer than needed while it changes over, limits over both kinds together, a zone that has none is asked again after 3 s. What is needed is what the operator had sized the service for before the first order: written to the store once, so that no later holder takes what was bought for it. The coordinator orders under the lease, right after looking at its clock. StagePlanner: engines that came after planning began and hold nothing need not wait for a batch.

--- /dev/null
+++ b/src/core/capacity/capacity_planner.hpp
@@ -0,0 +1,107 @@
+/// @file
+/// Decides how many engines of each price a service is to have in each zone. It answers one
+/// pattern: cheap engines (spot) that the provider may take back, a whole zone's worth at once,
+/// before engines at full price that stay.
+#pragma once
+
+#include <cstdint>
+#include <iosfwd>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "common/identifiers.hpp"
+#include "common/time.hpp"
+
+namespace shuntbank::capacity {
+
+/// What the operator allows and pays for the engines of one service.
+struct EngineScale {
+  std::uint32_t least = 1;                 ///< In each zone, of both prices together.
+  std::uint32_t most = 1;                  ///< The same.
+  Duration startup = Duration::zero();     ///< From an order until a new engine serves.
+  std::optional<double> spot_price;        ///< Of the full price; unset: there are no such engines.
+  std::map<ZoneName, double> zone_prices;  ///< Of an engine at full price, for each second.
+
+  bool operator==(const EngineScale&) const = default;
+};
+
+/// Engines of one service in one zone that serve now and have not been told to leave.
+struct ZoneEngines {
+  std::uint32_t full = 0;
+  std::uint32_t spot = 0;
+
+  bool operator==(const ZoneEngines&) const = default;
+};
+
+using EnginesByZone = std::map<ZoneName, ZoneEngines>;
+
+/// Engines of one price in one zone.
+struct Purchase {
+  ZoneName zone;
+  bool spot = false;
+
+  auto operator<=>(const Purchase&) const = default;
+};
+
+/// How many of each there are to be.
+using Purchases = std::map<Purchase, std::uint32_t>;
+
+/// How engines are bought.
+enum class BuyingWay {
+  kNone,       ///< Nothing is ordered.
+  kSpotSwap,   ///< As many spot engines as the service needs, without regard to their loss.
+  kSpotSpare,  ///< So many that the service has what it needs while any one zone's are lost.
+};
+
+/// Reads and writes the names `none`, `spot-swap` and `spot-spare`.
+std::istream& operator>>(std::istream& in, BuyingWay& way);
+std::ostream& operator<<(std::ostream& out, BuyingWay way);
+
+/// Tunables of the planner.
+struct CapacitySettings {
+  BuyingWay way = BuyingWay::kSpotSpare;
+  /// Spot engines at no less than this part of the full price do not pay for their risk: of three
+  /// zones one is spare, so that they cost one and a half times as much as they say.
+  double dearest_spot = 0.6;
+  /// Of what is needed, the part that is kept at full price whatever spot engines there are: when
+  /// these are taken back, what they kept in their caches goes with them.
+  double full_floor = 0.5;
+  /// Nobody is asked again for engines of which there are none, within this.
+  Duration asked_again = std::chrono::seconds(3);
+  /// Engines at full price are given back once they were too many for so long: those that start are
+  /// counted a moment too early, and what is given back cannot be had again at once.
+  Duration surplus_stands = std::chrono::milliseconds(1200);
+};
+
+/// Plans for one service. Knows no clock: callers pass the time in.
+class CapacityPlanner {
+ public:
+  explicit CapacityPlanner(const CapacitySettings& own_settings) : settings(own_settings) {}
+
+  /// @param needed engines that the service is to have at any time.
+  /// @return what there should be now.
+  Purchases plan(MonotonicTime now, const EngineScale& scale, std::uint32_t needed,
+                 const EnginesByZone& present);
+
+  /// There were none of these to be had.
+  void on_none_there(MonotonicTime now, const Purchase& purchase);
+
+  /// @return whether it makes sense to ask for these now.
+  bool may_ask(MonotonicTime now, const Purchase& purchase) const;
+
+ private:
+  std::uint32_t floor(const EngineScale& scale, std::uint32_t needed) const;
+  std::uint32_t spot_wanted(const EngineScale& scale, std::uint32_t needed,
+                            std::size_t zones) const;
+  std::uint32_t full_wanted(MonotonicTime now, const EngineScale& scale, std::uint32_t needed,
+                            const EnginesByZone& present);
+  void spread_full(MonotonicTime now, const EngineScale& scale, std::uint32_t wanted,
+                   const EnginesByZone& present, Purchases& plan) const;
+
+  CapacitySettings settings;
+  std::map<Purchase, MonotonicTime> none_until;
+  std::optional<MonotonicTime> surplus_since;
+};
+
+}  // namespace shuntbank::capacity
--- a/src/core/relay/engine_directory.hpp
+++ b/src/core/relay/engine_directory.hpp
@@ -40,6 +40,7 @@
   ZoneName zone;
   std::uint32_t slots = 1;
   bool draining = false;
+  bool spot = false;  ///< Cheap, and may be taken back at any time.
   EngineStage stage = EngineStage::kNone;
 
   /// @return what the engine is told that it should be.
@@ -85,6 +86,8 @@
   /// The engine has read the prompt. @param capacity of the engine's memory, in tokens.
   void on_read(const std::vector<PromptPart>& parts, std::uint64_t capacity, MonotonicTime now);
 
+  bool empty() const { return parts_.empty(); }
+
   /// @return the parts, least recently used first.
   std::vector<PromptPart> kept() const;
 
--- a/src/core/relay/routes.cpp
+++ b/src/core/relay/routes.cpp
@@ -76,6 +76,12 @@
 
 Findings questionable(const RouteConfiguration& configuration) {
   Findings findings;
+  for (std::size_t i = 0; i < configuration.services.size(); ++i) {
+    const auto& scale = configuration.services[i].scale;
+    if (!scale || scale->least <= scale->most) continue;
+    findings.add("services/" + std::to_string(i) + "/scale",
+                 "the least count passes the most: no engines are ordered");
+  }
   if (!configuration.tenants) return findings;
   KeyIndex keys;
   std::set<TenantName> names;
--- a/src/core/relay/routes.hpp
+++ b/src/core/relay/routes.hpp
@@ -15,6 +15,7 @@
 #include "common/identifiers.hpp"
 #include "common/time.hpp"
 #include "config/key_index.hpp"
+#include "core/capacity/capacity_planner.hpp"
 
 namespace shuntbank::relay {
 
@@ -71,6 +72,7 @@
   ServiceName name;
   std::uint32_t max_connections = 0;  ///< An engine takes so many from all callers; 0: unbounded.
   std::optional<ModelServing> model;  ///< Set for engines that read prompts and make tokens.
+  std::optional<capacity::EngineScale> scale = std::nullopt;  ///< Set where engines may be ordered.
 };
 
 /// Bounds on what callers may send.
--- a/src/core/relay/stage_planner.cpp
+++ b/src/core/relay/stage_planner.cpp
@@ -7,23 +7,37 @@
 
 std::optional<StageChange> StagePlanner::next(MonotonicTime now, EngineDirectory& engines,
                                               const RouteTable& table) {
+  if (!first_engines_) note_first_engines(engines);
   const bool new_batch = !batch_began_ || now - *batch_began_ >= settings_.between_batches;
-  if (!new_batch && batch_left_ == 0) return std::nullopt;
+  const bool batch_open = new_batch || batch_left_ > 0;
   for (const RelayedService& service : table.configuration().services) {
     if (!service.model) continue;
-    auto change = next_for(now, engines, service);
+    auto change = next_for(now, engines, service, batch_open);
     if (!change) continue;
+    given_[change->engine] = {change->stage, now};
+    if (newcomer(now, *engines.find(change->engine))) return change;
     if (new_batch) {
       batch_began_ = now;
       batch_left_ = batch_size(engines, service);
     }
     --batch_left_;
-    given_[change->engine] = {change->stage, now};
     return change;
   }
   return std::nullopt;
 }
 
+void StagePlanner::note_first_engines(const EngineDirectory& engines) {
+  if (engines.size() == 0) return;
+  first_engines_.emplace();
+  for (const auto& [id, engine] : engines.all()) first_engines_->insert(id);
+}
+
+/// @return whether the engine has come since planning began and nobody has a use for it yet.
+bool StagePlanner::newcomer(MonotonicTime now, const EngineView& engine) const {
+  const bool first = !first_engines_ || first_engines_->count(engine.record.id) > 0;
+  return !first && engine.requests_there(now) < 0.5 && engine.cache.empty();
+}
+
 std::size_t StagePlanner::batch_size(EngineDirectory& engines,
                                      const RelayedService& service) const {
   const auto all = static_cast<double>(engines.of_service(service.name).size());
@@ -38,7 +52,7 @@
 }
 
 std::optional<StageChange> StagePlanner::next_for(MonotonicTime now, EngineDirectory& engines,
-                                                  const RelayedService& service) {
+                                                  const RelayedService& service, bool batch_open) {
   std::vector<EngineView*> prefill;
   std::vector<EngineView*> decode;
   for (EngineView* engine : engines.of_service(service.name)) {
@@ -54,11 +68,14 @@
   if (more_prefill && decode.size() <= settings_.least_decode) return std::nullopt;
   auto& from = more_prefill ? decode : prefill;
   std::erase_if(from, [&](const EngineView* engine) {
+    if (!batch_open && !newcomer(now, *engine)) return true;
     const auto given = given_.find(engine->record.id);
     return given != given_.end() && now - given->second.at < settings_.not_again_within;
   });
   if (from.empty()) return std::nullopt;
   const auto least = std::min_element(from.begin(), from.end(), [&](auto* left, auto* right) {
+    const bool left_newcomer = newcomer(now, *left);
+    if (left_newcomer != newcomer(now, *right)) return left_newcomer;
     return left->requests_there(now) < right->requests_there(now);
   });
   return StageChange{(*least)->record.id,
--- a/src/core/relay/stage_planner.hpp
+++ b/src/core/relay/stage_planner.hpp
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 
 #include "core/relay/engine_directory.hpp"
 #include "core/relay/routes.hpp"
@@ -16,7 +17,9 @@
   double prefill_share = 0.56;  ///< Of a service's engines.
   std::uint32_t least_decode = 2;
   Duration between_batches = std::chrono::seconds(3);  ///< From one batch's begin to the next.
-  double share_at_once = 0.1;  ///< Of a service's engines, ordered in one batch; one at least.
+  /// Of a service's engines, ordered in one batch; one at least. Engines that have come since and
+  /// hold nothing yet need not wait for a batch: nobody misses them.
+  double share_at_once = 0.1;
   Duration not_again_within = std::chrono::seconds(12);  ///< For one engine.
 };
 
@@ -37,7 +40,9 @@
 
  private:
   std::optional<StageChange> next_for(MonotonicTime now, EngineDirectory& engines,
-                                      const RelayedService& service);
+                                      const RelayedService& service, bool batch_open);
+  bool newcomer(MonotonicTime now, const EngineView& engine) const;
+  void note_first_engines(const EngineDirectory& engines);
   std::size_t batch_size(EngineDirectory& engines, const RelayedService& service) const;
 
   /// An order that was given, whether or not its effect shows yet.
@@ -53,6 +58,7 @@
   std::optional<MonotonicTime> batch_began_;
   std::size_t batch_left_ = 0;  ///< Orders that the batch may still hold.
   std::map<EngineId, GivenOrder> given_;
+  std::optional<std::set<EngineId>> first_engines_;  ///< That were there when planning began.
 };
 
 }  // namespace shuntbank::relay
--- a/src/relay/policy_options.cpp
+++ b/src/relay/policy_options.cpp
@@ -38,6 +38,12 @@
       "peers up to which each node tells all others; with more, load is gathered by zones");
   add("collect-ms", milliseconds_into(settings.exchange.zones.collect_every),
       "between two sums of a zone's collector");
+  add("stages-at-once", into(settings.stages.share_at_once),
+      "of a service's engines that change their stage in one batch");
+  add("buy", into(settings.capacity.planner.way),
+      "how engines are ordered: none, spot-swap or spot-spare");
+  add("full-floor", into(settings.capacity.planner.full_floor),
+      "of the engines that a service needs: kept at full price");
   add("prefill-share", into(settings.stages.prefill_share),
       "of a service's engines that read prompts");
   return known;
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -19,7 +19,8 @@
              {"service", record.service.value()},
              {"address", record.address},
              {"stage", to_text(record.stage)},
-             {"draining", record.draining}});
+             {"draining", record.draining},
+             {"spot", record.spot}});
 }
 
 }  // namespace
--- a/src/relay/relay_process.cpp
+++ b/src/relay/relay_process.cpp
@@ -9,6 +9,7 @@
 #include "net/http1_client.hpp"
 #include "net/http1_server.hpp"
 #include "net/http_status.hpp"
+#include "relay/capacity_coordinator.hpp"
 #include "relay/load_exchange.hpp"
 #include "relay/quarantine_api.hpp"
 #include "relay/quarantine_store.hpp"
@@ -70,6 +71,10 @@
         quarantine_store_(runtime, store_, node_),
         lease_(runtime, store_, node_, settings.node, settings.lease),
         roles_({runtime, http_, platform.dialect}, lease_, node_, settings.roles, settings.stages) {
+    if (duties_ != nullptr && settings.orders_engines) {
+      capacity_ = std::make_unique<CapacityCoordinator>(runtime, store_, lease_, *duties_, node_,
+                                                        settings.node, settings.capacity);
+    }
     if (addresses.peers.empty()) {
       // Nobody will ever give hints.
       catalog_.set_readers({true, runtime.now()});
@@ -213,6 +218,7 @@
   std::unique_ptr<PeerTransport> peers_;
   std::unique_ptr<LoadExchange> exchange_;
   std::unique_ptr<Periodic> readers_tick_;
+  std::unique_ptr<CapacityCoordinator> capacity_;
   std::unique_ptr<UsageExchange> usage_;
   std::unique_ptr<UsageReporter> usage_reporter_;
   std::vector<std::unique_ptr<Http1Server>> servers_;
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -11,6 +11,7 @@
 #include "core/relay/placement.hpp"
 #include "core/relay/retry_budget.hpp"
 #include "core/relay/stage_planner.hpp"
+#include "relay/capacity_settings.hpp"
 #include "relay/exchange_settings.hpp"
 #include "relay/usage_settings.hpp"
 
@@ -18,9 +19,9 @@
 
 /// The lease of the node that acts for the whole fleet.
 struct LeaseKeeperSettings {
-  /// A holder that dies is replaced within its length and one reading of a standby, 6.2 s; then what
-  /// the fleet has counted is gathered in 2 s, and reports are due after 10 s. Three renewals fit in,
-  /// since one whose answer was lost takes a reading more to settle.
+  /// A holder that dies is replaced within its length and one reading of a standby, 6.2 s; then
+  /// what the fleet has counted is gathered in 2 s, and reports are due after 10 s. Three renewals
+  /// fit in, since one whose answer was lost takes a reading more to settle.
   LeaseSettings lease{std::chrono::seconds(5), std::chrono::milliseconds(1100),
                       std::chrono::milliseconds(700)};
   std::size_t standbys = 3;  ///< Nodes that read the lease as often as its holder renews it.
@@ -74,6 +75,8 @@
   RoleCoordinatorSettings roles;
   StagePlannerSettings stages;
   UsageSettings usage;
+  CapacityCoordinatorSettings capacity;
+  bool orders_engines = false;  ///< Whether it is for this system to order engines.
   CatalogSettings catalog;
   double expected_nodes = 7;  ///< For this node's part of an engine's bound on connections.
   Duration connect_timeout = std::chrono::milliseconds(600);
--- a/tests/core/relay/engine_directory_test.cpp
+++ b/tests/core/relay/engine_directory_test.cpp
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include <set>
+
 #include "core/relay/stage_planner.hpp"
 
 using namespace shuntbank;
@@ -189,6 +191,30 @@
   cr_assert(planner.next(kNow + settings.between_batches, engines, table).has_value());
 }
 
+Test(stage_planner, engines_that_come_later_and_hold_nothing_wait_for_no_batch) {
+  EngineDirectory engines;
+  for (int i = 0; i < 20; ++i) engines.upsert(record("e" + std::to_string(i)));
+  RouteConfiguration configuration;
+  RelayedService service;
+  service.name = ServiceName("model");
+  service.model.emplace();
+  configuration.services = {service};
+  const RouteTable table(configuration);
+  StagePlannerSettings settings;
+  settings.prefill_share = 0.5;
+  StagePlanner planner(settings);
+  while (planner.next(kNow, engines, table)) continue;  // The first batch: two.
+  for (int i = 0; i < 20; ++i) engines.upsert(record("n" + std::to_string(i)));
+  engines.find(EngineId("n0"))->cache.on_read({{7, 100}}, 0, kNow);
+  std::set<std::string> changed;
+  while (const auto change = planner.next(kNow + 1s, engines, table)) {
+    changed.insert(change->engine.value());
+  }
+  cr_assert_eq(changed.size(), 18, "half of forty, with the two before");
+  for (const std::string& id : changed) cr_assert_eq(id.front(), 'n');
+  cr_assert_eq(changed.count("n0"), 0);
+}
+
 namespace {
 
 relay::EngineRecord start_of(const std::string& name, std::uint64_t started) {
