Let the specification of the usage report be checked

Options of a choice that begin with an else of their own ended the checker with an error; each begins with a step of its own now.

--- a/spec/usage_report.pml
+++ b/spec/usage_report.pml
@@ -61,10 +61,10 @@
     fi;
 #endif
     if
-    :: take(own_fence, body); break     /* Answered. */
-    :: take(own_fence, body)            /* The answer is lost. */
+    :: true -> take(own_fence, body); break  /* Answered. */
+    :: true -> take(own_fence, body)         /* The answer is lost. */
     :: nfull(late) -> late!own_fence, body
-    :: skip                             /* The call is lost. */
+    :: true -> skip                          /* The call is lost. */
     fi
   :: tries >= 2 -> break
   :: break                              /* Killed. */
