Ask another node for a configuration that the store does not give

Cause: a key that was taken away stayed in force at a node which the store turned away for as long as it did so, and in the answer of a silent call until its time was up: the node knew from the others that something newer existed, and asked nobody but the store.

Change: a node that still lacks, 700 ms after it heard of it, a configuration which others have seen asks one node of its zone after the other for theirs, until one has it. It goes as the typed configuration with hashes of keys (ConfigurationMessage), counts as seen at its revision, and is handed on. An older or a wrong one has no say.

Ruled out: the store's own bytes handed on as they are. They hold the keys themselves. Asking at once: the store's answer after a hint takes 500 ms at most where the store serves, and then nobody need be asked.

Tests failed before: asks another node..., takes no older configuration from another node.

--- a/src/core/usage/usage_ledger.cpp
+++ b/src/core/usage/usage_ledger.cpp
@@ -20,7 +20,7 @@
     account.arriving.clear();
   }
   if (!account.parts.insert(told.part).second) return false;
-  account.arriving += told.counts;
+  add(account.arriving, told.counts);
   if (account.parts.size() >= told.parts) {
     account.counts = std::move(account.arriving);
     account.arriving.clear();
@@ -75,7 +75,7 @@
   TenantCounts sum;
   const auto told = this->accounts.find(window);
   if (told == this->accounts.end()) return sum;
-  for (const auto& [start, account] : told->second) sum += account.counts;
+  for (const auto& [start, account] : told->second) add(sum, account.counts);
   return sum;
 }
 
--- a/src/core/usage/usage_window.cpp
+++ b/src/core/usage/usage_window.cpp
@@ -2,9 +2,8 @@
 
 namespace shuntbank::usage {
 
-TenantCounts& operator+=(TenantCounts& sum, const TenantCounts& more) {
+void add(TenantCounts& sum, const TenantCounts& more) {
   for (const auto& [tenant, count] : more) sum[tenant] += count;
-  return sum;
 }
 
 std::uint64_t total(const TenantCounts& counts) {
--- a/src/core/usage/usage_window.hpp
+++ b/src/core/usage/usage_window.hpp
@@ -20,7 +20,7 @@
 using TenantCounts = std::map<TenantName, std::uint64_t>;
 
 /// Adds counts up.
-TenantCounts& operator+=(TenantCounts& sum, const TenantCounts& more);
+void add(TenantCounts& sum, const TenantCounts& more);
 
 /// @return the requests of all tenants.
 std::uint64_t total(const TenantCounts& counts);
--- /dev/null
+++ b/src/protocol/configuration_message.cpp
@@ -0,0 +1,221 @@
+#include "protocol/configuration_message.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace shuntbank {
+namespace {
+
+using nlohmann::json;
+using relay::DeclaredTenant;
+using relay::ModelServing;
+using relay::RelayedService;
+using relay::RequestLimits;
+using relay::Route;
+using relay::RouteConfiguration;
+using relay::RouteKind;
+
+json micros(Duration duration) {
+  return duration.count();
+}
+
+Duration duration_of(const json& object, const char* key) {
+  return Duration(object.at(key).get<std::int64_t>());
+}
+
+json to_json(const Route& route) {
+  json split = json::array();
+  for (const relay::SplitPart& part : route.split) {
+    split.push_back({part.service.value(), part.weight});
+  }
+  return {{"name", route.name},
+          {"host", route.host},
+          {"path", route.path_prefix},
+          {"kind", static_cast<int>(route.kind)},
+          {"split", std::move(split)},
+          {"attempts", route.max_attempts},
+          {"timeout", micros(route.timeout)},
+          {"objective", micros(route.objective)},
+          {"gap", micros(route.gap_target)},
+          {"priority", route.priority},
+          {"affinity", route.affinity},
+          {"resumable", route.resumable},
+          {"open", route.open}};
+}
+
+RouteKind kind_of(int number) {
+  if (number == static_cast<int>(RouteKind::kSafe)) return RouteKind::kSafe;
+  if (number == static_cast<int>(RouteKind::kStream)) return RouteKind::kStream;
+  return RouteKind::kUnsafe;
+}
+
+Route route_of(const json& object) {
+  Route route;
+  route.name = object.at("name").get<std::string>();
+  route.host = object.at("host").get<std::string>();
+  route.path_prefix = object.at("path").get<std::string>();
+  route.kind = kind_of(object.at("kind").get<int>());
+  for (const json& part : object.at("split")) {
+    route.split.push_back({ServiceName(part.at(0).get<std::string>()), part.at(1).get<double>()});
+  }
+  route.max_attempts = object.at("attempts").get<std::uint32_t>();
+  route.timeout = duration_of(object, "timeout");
+  route.objective = duration_of(object, "objective");
+  route.gap_target = duration_of(object, "gap");
+  route.priority = object.at("priority").get<int>();
+  route.affinity = object.at("affinity").get<bool>();
+  route.resumable = object.at("resumable").get<bool>();
+  route.open = object.at("open").get<bool>();
+  return route;
+}
+
+json to_json(const ModelServing& model) {
+  return {{"slots", model.slots},
+          {"kv_tokens", model.kv_tokens},
+          {"token_bytes", model.kv_token_bytes},
+          {"link", model.link_megabits_per_second},
+          {"handle", micros(model.handle_lifetime)},
+          {"change", micros(model.role_change_time)}};
+}
+
+ModelServing model_of(const json& object) {
+  ModelServing model;
+  model.slots = object.at("slots").get<std::uint32_t>();
+  model.kv_tokens = object.at("kv_tokens").get<std::uint64_t>();
+  model.kv_token_bytes = object.at("token_bytes").get<std::uint64_t>();
+  model.link_megabits_per_second = object.at("link").get<double>();
+  model.handle_lifetime = duration_of(object, "handle");
+  model.role_change_time = duration_of(object, "change");
+  return model;
+}
+
+json to_json(const capacity::EngineScale& scale) {
+  json prices = json::object();
+  for (const auto& [zone, price] : scale.zone_prices) prices[zone.value()] = price;
+  json object = {{"least", scale.least},
+                 {"most", scale.most},
+                 {"startup", micros(scale.startup)},
+                 {"prices", std::move(prices)}};
+  if (scale.spot_price) object["spot"] = *scale.spot_price;
+  return object;
+}
+
+capacity::EngineScale scale_of(const json& object) {
+  capacity::EngineScale scale;
+  scale.least = object.at("least").get<std::uint32_t>();
+  scale.most = object.at("most").get<std::uint32_t>();
+  scale.startup = duration_of(object, "startup");
+  if (object.contains("spot")) scale.spot_price = object["spot"].get<double>();
+  for (const auto& [zone, price] : object.at("prices").items()) {
+    scale.zone_prices[ZoneName(zone)] = price.get<double>();
+  }
+  return scale;
+}
+
+json to_json(const RelayedService& service) {
+  json object = {{"name", service.name.value()}, {"connections", service.max_connections}};
+  if (service.model) object["model"] = to_json(*service.model);
+  if (service.scale) object["scale"] = to_json(*service.scale);
+  return object;
+}
+
+RelayedService service_of(const json& object) {
+  RelayedService service;
+  service.name = ServiceName(object.at("name").get<std::string>());
+  service.max_connections = object.at("connections").get<std::uint32_t>();
+  if (object.contains("model")) service.model = model_of(object["model"]);
+  if (object.contains("scale")) service.scale = scale_of(object["scale"]);
+  return service;
+}
+
+json to_json(const DeclaredTenant& tenant) {
+  json keys = json::array();
+  for (const TenantKey& key : tenant.keys) {
+    json entry = {key.sha256};
+    if (key.expires_at) entry.push_back(*key.expires_at);
+    keys.push_back(std::move(entry));
+  }
+  json object = {{"name", tenant.name.value()}, {"keys", std::move(keys)}};
+  if (tenant.priority) object["priority"] = *tenant.priority;
+  return object;
+}
+
+DeclaredTenant tenant_of(const json& object) {
+  DeclaredTenant tenant;
+  tenant.name = TenantName(object.at("name").get<std::string>());
+  for (const json& entry : object.at("keys")) {
+    TenantKey key;
+    key.sha256 = entry.at(0).get<std::string>();
+    if (entry.size() > 1) key.expires_at = entry.at(1).get<std::int64_t>();
+    tenant.keys.push_back(std::move(key));
+  }
+  if (object.contains("priority")) tenant.priority = object["priority"].get<int>();
+  return tenant;
+}
+
+RequestLimits limits_of(const json& object) {
+  RequestLimits limits;
+  limits.max_header_bytes = object.at("header").get<std::size_t>();
+  limits.max_body_bytes = object.at("body").get<std::size_t>();
+  limits.header_timeout = duration_of(object, "header_timeout");
+  limits.idle_timeout = duration_of(object, "idle_timeout");
+  return limits;
+}
+
+RouteConfiguration configuration_of(const json& document) {
+  RouteConfiguration configuration;
+  configuration.version = document.at("version").get<std::uint64_t>();
+  for (const json& route : document.at("routes")) {
+    configuration.routes.push_back(route_of(route));
+  }
+  for (const json& service : document.at("services")) {
+    configuration.services.push_back(service_of(service));
+  }
+  configuration.limits = limits_of(document.at("limits"));
+  if (!document.contains("tenants")) return configuration;
+  configuration.tenants.emplace();
+  for (const json& tenant : document["tenants"]) {
+    configuration.tenants->push_back(tenant_of(tenant));
+  }
+  return configuration;
+}
+
+}  // namespace
+
+std::string encode(const ConfigurationMessage& message) {
+  const RouteConfiguration& configuration = message.configuration;
+  const RequestLimits& limits = configuration.limits;
+  json document = {{"revision", message.revision},
+                   {"version", configuration.version},
+                   {"routes", json::array()},
+                   {"services", json::array()},
+                   {"limits",
+                    {{"header", limits.max_header_bytes},
+                     {"body", limits.max_body_bytes},
+                     {"header_timeout", micros(limits.header_timeout)},
+                     {"idle_timeout", micros(limits.idle_timeout)}}}};
+  for (const Route& route : configuration.routes) document["routes"].push_back(to_json(route));
+  for (const RelayedService& service : configuration.services) {
+    document["services"].push_back(to_json(service));
+  }
+  if (configuration.tenants) {
+    document["tenants"] = json::array();
+    for (const DeclaredTenant& tenant : *configuration.tenants) {
+      document["tenants"].push_back(to_json(tenant));
+    }
+  }
+  std::string bytes;
+  json::to_msgpack(document, bytes);
+  return bytes;
+}
+
+tl::expected<ConfigurationMessage, std::string> decode_configuration(std::string_view bytes) {
+  try {
+    const json document = json::from_msgpack(bytes.begin(), bytes.end());
+    return ConfigurationMessage{document.at("revision").get<std::uint64_t>(),
+                                configuration_of(document)};
+  } catch (const json::exception& error) {
+    return tl::make_unexpected(std::string(error.what()));
+  }
+}
+
+}  // namespace shuntbank
--- a/src/relay/catalog.cpp
+++ b/src/relay/catalog.cpp
@@ -59,7 +59,8 @@
 }
 
 StoreProgress Catalog::progress() const {
-  return {{configuration_->newest_change(), engines_->newest_change()},
+  const std::uint64_t configuration = std::max(configuration_->newest_change(), in_force_revision_);
+  return {{configuration, engines_->newest_change()},
           std::min(configuration_->confirmed_latest_at(), engines_->confirmed_latest_at())};
 }
 
@@ -79,13 +80,51 @@
 void Catalog::hint(const CatalogRevisions& revisions) {
   configuration_->hint(revisions.configuration);
   engines_->hint(revisions.engines);
+  hinted_ = std::max(hinted_, revisions.configuration);
+  if (hinted_ > in_force_revision_ && !hinted_timer_) watch_for_hinted();
+}
+
+/// The store gets the time for its own answer first; after that one node after the other is asked.
+void Catalog::watch_for_hinted() {
+  hinted_timer_ = runtime_.after(settings_.ask_peer_after, [this] { look_for_hinted(); });
+}
+
+void Catalog::look_for_hinted() {
+  hinted_timer_.reset();
+  if (hinted_ <= in_force_revision_) return;
+  if (ask_peer_) ask_peer_();
+  watch_for_hinted();
+}
+
+void Catalog::take_from_peer(ConfigurationMessage message) {
+  if (message.revision <= in_force_revision_) return;
+  log_event(LogArea::kConfig, LogLevel::kInfo, "config_from_peer",
+            {{"version", message.configuration.version},
+             {"revision", message.revision},
+             {"hinted", hinted_}});
+  const std::uint64_t version = message.configuration.version;
+  node_.adopt(std::move(message.configuration));
+  note_in_force(version, message.revision);
+}
+
+/// A configuration that was refused, or is older than the one in force, has no say.
+void Catalog::note_in_force(std::uint64_t version, std::uint64_t revision) {
+  if (node_.table() == nullptr || node_.table()->version() != version) return;
+  in_force_revision_ = std::max(in_force_revision_, revision);
+}
+
+std::string Catalog::configuration_for_peer() const {
+  if (node_.table() == nullptr || in_force_revision_ == 0) return "";
+  return encode(ConfigurationMessage{in_force_revision_, node_.table()->configuration()});
 }
 
 void Catalog::take_configuration(const store::StoredObject& object) {
   if (object.name != codec_.configuration_name()) return;
   auto configuration = codec_.configuration(object.content);
   if (!configuration) return log_malformed(object, configuration.error());
+  const std::uint64_t version = configuration->version;
   node_.adopt(std::move(*configuration));
+  note_in_force(version, object.revision);
 }
 
 void Catalog::take_engines(const store::ObjectList& list) {
--- a/src/relay/catalog.hpp
+++ b/src/relay/catalog.hpp
@@ -2,6 +2,7 @@
 /// Feeds a relay node from the store: the operator's configuration and the engines' records.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <tl/expected.hpp>
@@ -9,6 +10,7 @@
 #include "core/relay/catalog_revisions.hpp"
 #include "core/relay/engine_directory.hpp"
 #include "core/relay/routes.hpp"
+#include "protocol/configuration_message.hpp"
 #include "relay/relay_node.hpp"
 #include "relay/relay_settings.hpp"
 #include "store/kind_watch.hpp"
@@ -54,6 +56,16 @@
   /// Another node has seen changes up to these.
   void hint(const CatalogRevisions& revisions);
 
+  /// Sets how another node is asked for its configuration: the store may turn this node away while
+  /// it serves the others, and a key that was taken away must not stay in force here.
+  void set_asking(std::function<void()> ask_peer) { ask_peer_ = std::move(ask_peer); }
+
+  /// Another node has answered what `asking` asked.
+  void take_from_peer(ConfigurationMessage message);
+
+  /// @return the configuration in force with its revision, as another node is told; empty: none.
+  std::string configuration_for_peer() const;
+
   /// @return how long ago the store last confirmed the configuration.
   Duration configuration_age() const;
 
@@ -66,6 +78,9 @@
   void take_engine_change(const store::ObjectChange& change);
   void pace(const Fleet& fleet);
   void read_with(store::Freshness freshness);
+  void note_in_force(std::uint64_t version, std::uint64_t revision);
+  void watch_for_hinted();
+  void look_for_hinted();
 
   Runtime& runtime_;
   const CatalogCodec& codec_;
@@ -75,6 +90,10 @@
   CatalogSettings settings_;
   MonotonicTime started_at_;
   bool reads_for_others_ = false;
+  std::uint64_t in_force_revision_ = 0;  ///< Of the store, at which it holds what is in force.
+  std::uint64_t hinted_ = 0;             ///< Newest revision that others have told of.
+  std::function<void()> ask_peer_;
+  std::unique_ptr<Timer> hinted_timer_;
 };
 
 }  // namespace shuntbank::relay
--- a/src/relay/load_exchange.cpp
+++ b/src/relay/load_exchange.cpp
@@ -38,7 +38,7 @@
   transport_.set_handlers(
       [this](std::string_view bytes, const std::string&) { on_message(bytes); },
       [this](const std::string& call, const std::function<void(std::string)>& reply) {
-        reply(call == kSnapshotCall ? snapshot() : std::string());
+        reply(answer(call));
       });
   node_.on_load_changed([this] { schedule_flush(); });
   zones_.connect(
@@ -128,6 +128,27 @@
             {{"engines", snapshot->kept.size()}, {"bytes", answer->size()}});
 }
 
+std::string LoadExchange::answer(const std::string& call) const {
+  if (call == kSnapshotCall) return snapshot();
+  if (call == kConfigurationCall && on_configuration_asked_) return on_configuration_asked_();
+  return "";
+}
+
+void LoadExchange::ask_configuration(std::function<void(ConfigurationMessage)> handler) {
+  const auto askable = peers_to_ask();
+  if (askable.empty()) return;
+  const std::size_t drawn = random_number(runtime_) % askable.size();
+  transport_.call(askable[drawn], std::string(kConfigurationCall), settings_.pull_timeout,
+                  [alive = alive_, handler = std::move(handler)](
+                      const tl::expected<std::string, std::string>& answer) {
+                    if (!*alive || !answer || answer->empty()) return;
+                    auto message = decode_configuration(*answer);
+                    if (message) return handler(std::move(*message));
+                    log_event(LogArea::kControl, LogLevel::kWarning, "message_malformed",
+                              {{"what", "configuration"}, {"why", message.error()}});
+                  });
+}
+
 std::string LoadExchange::snapshot() const {
   CacheSnapshot snapshot;
   for (const auto& [id, engine] : node_.engines().all()) {
--- a/src/relay/load_exchange.hpp
+++ b/src/relay/load_exchange.hpp
@@ -11,6 +11,7 @@
 #include "common/periodic.hpp"
 #include "common/runtime.hpp"
 #include "net/peer_transport.hpp"
+#include "protocol/configuration_message.hpp"
 #include "protocol/load_message.hpp"
 #include "relay/exchange_settings.hpp"
 #include "relay/peer_directory.hpp"
@@ -43,6 +44,14 @@
     on_usage_message_ = std::move(handler);
   }
 
+  /// Sets what is told to a node that asks for the configuration.
+  void on_configuration_asked(std::function<std::string()> handler) {
+    on_configuration_asked_ = std::move(handler);
+  }
+
+  /// Asks one of the other nodes, of this zone where there are any, for its configuration.
+  void ask_configuration(std::function<void(ConfigurationMessage)> handler);
+
   /// @return the nodes, and the number that was drawn at the start of this process.
   const PeerDirectory& peers() const { return peers_; }
   std::uint64_t boot() const { return boot_; }
@@ -67,6 +76,7 @@
   std::vector<std::string> peers_to_ask() const;
   void take_caches(const tl::expected<std::string, std::string>& answer);
   std::string snapshot() const;
+  std::string answer(const std::string& call) const;
   void update_fleet();
 
   Runtime& runtime_;
@@ -94,6 +104,7 @@
   std::function<StoreProgress()> own_progress_;
   std::function<void(const CatalogRevisions&)> on_revisions_;
   std::function<void(std::string_view)> on_usage_message_;
+  std::function<std::string()> on_configuration_asked_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/relay/relay_process.cpp
+++ b/src/relay/relay_process.cpp
@@ -130,6 +130,11 @@
     exchange_->connect_revisions(
         [this] { return catalog_.progress(); },
         [this](const CatalogRevisions& revisions) { catalog_.hint(revisions); });
+    exchange_->on_configuration_asked([this] { return catalog_.configuration_for_peer(); });
+    catalog_.set_asking([this] {
+      exchange_->ask_configuration(
+          [this](ConfigurationMessage message) { catalog_.take_from_peer(std::move(message)); });
+    });
     readers_tick_ = std::make_unique<Periodic>(
         runtime_, kReadersTick, [this] { catalog_.set_readers(exchange_->readers()); });
   }
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -46,6 +46,9 @@
   /// When the store has confirmed its state to no reader for so long, a node reads the latest
   /// itself. Longer than a reader's wait; with a call after it, well below the time to drain.
   Duration readers_silent = std::chrono::milliseconds(4500);
+  /// A node that still lacks a configuration which others have seen asks one of them, so often:
+  /// later than the store's own answer after a hint, well below the time to have it in force.
+  Duration ask_peer_after = std::chrono::milliseconds(700);
   Duration wait_a_node = std::chrono::milliseconds(200);
   Duration shortest_wait = std::chrono::seconds(3);
   Duration longest_wait = std::chrono::seconds(12);  ///< Below the history that stores keep.
--- /dev/null
+++ b/tests/protocol/configuration_message_test.cpp
@@ -0,0 +1,84 @@
+#include "protocol/configuration_message.hpp"
+
+#include <criterion/criterion.h>
+
+#include <random>
+
+using namespace shuntbank;
+using namespace std::chrono_literals;
+
+namespace {
+
+relay::RouteConfiguration full_configuration() {
+  relay::RouteConfiguration configuration;
+  configuration.version = 7;
+  relay::Route route;
+  route.name = "r";
+  route.host = "h";
+  route.path_prefix = "/a/";
+  route.kind = relay::RouteKind::kStream;
+  route.split = {{ServiceName("m"), 90}, {ServiceName("p"), 10}};
+  route.max_attempts = 2;
+  route.timeout = 6s;
+  route.objective = 800ms;
+  route.gap_target = 400ms;
+  route.priority = 2;
+  route.affinity = true;
+  route.resumable = true;
+  route.open = true;
+  configuration.routes = {route};
+  relay::RelayedService service;
+  service.name = ServiceName("m");
+  service.max_connections = 800;
+  service.model.emplace();
+  service.model->slots = 64;
+  service.model->kv_tokens = 399523;
+  service.scale.emplace();
+  service.scale->most = 94;
+  service.scale->spot_price = 0.18;
+  service.scale->zone_prices = {{ZoneName("z"), 0.85}};
+  relay::RelayedService plain;
+  plain.name = ServiceName("p");
+  configuration.services = {service, plain};
+  configuration.limits.idle_timeout = 12s;
+  relay::DeclaredTenant tenant;
+  tenant.name = TenantName("guild");
+  tenant.keys = {{"ab12", std::nullopt}, {"cd34", 1796000000}};
+  tenant.priority = 1;
+  configuration.tenants = {tenant, {TenantName("post"), {}, std::nullopt}};
+  return configuration;
+}
+
+}  // namespace
+
+Test(configuration_message, comes_back_as_it_was) {
+  const std::string bytes = encode(ConfigurationMessage{42, full_configuration()});
+  const auto read = decode_configuration(bytes);
+  cr_assert(read.has_value());
+  cr_assert_eq(read->revision, 42);
+  // Every field is in the bytes: what was read is encoded to the same ones.
+  cr_assert_eq(encode(*read), bytes);
+  cr_assert_eq(read->configuration.tenants->at(0).keys.at(1).expires_at.value(), 1796000000);
+  cr_assert_eq(read->configuration.routes.at(0).split.at(1).weight, 10);
+  cr_assert(read->configuration.services.at(0).scale == full_configuration().services[0].scale);
+}
+
+Test(configuration_message, a_configuration_without_tenants_has_none) {
+  auto configuration = full_configuration();
+  configuration.tenants.reset();
+  const auto read = decode_configuration(encode(ConfigurationMessage{1, configuration}));
+  cr_assert_not(read->configuration.tenants.has_value());
+}
+
+Test(configuration_message, survives_any_bytes) {
+  std::mt19937 random(20261204);  // NOLINT: repeatable on purpose
+  const std::string whole = encode(ConfigurationMessage{42, full_configuration()});
+  int refused = 0;
+  for (int i = 0; i < 5000; ++i) {
+    std::string changed = whole;
+    changed[random() % changed.size()] = static_cast<char>(random() % 256);
+    if (i % 3 == 0) changed.resize(random() % changed.size());
+    if (!decode_configuration(changed)) ++refused;
+  }
+  cr_assert_gt(refused, 0);
+}
--- a/tests/relay/catalog_test.cpp
+++ b/tests/relay/catalog_test.cpp
@@ -72,3 +72,41 @@
   read.runtime.advance(1ms);
   cr_assert_eq(read.version(), 4);
 }
+
+Test(catalog, asks_another_node_for_a_configuration_that_the_store_does_not_give) {
+  Read read;
+  read.catalog->set_readers({false, read.runtime.now()});
+  int asked = 0;
+  read.catalog->set_asking([&] { ++asked; });
+  read.store.down = true;
+  relay::CatalogRevisions seen;
+  seen.configuration = read.store.revision() + 5;
+  read.catalog->hint(seen);
+  read.runtime.advance(500ms);
+  cr_assert_eq(asked, 0, "the store is asked first");
+  read.runtime.advance(3s);
+  cr_assert_geq(asked, 3, "until somebody has it");
+  ConfigurationMessage message{seen.configuration, RelayFixture::configuration(9)};
+  message.configuration.tenants.emplace();
+  read.catalog->take_from_peer(message);
+  cr_assert_eq(read.version(), 9);
+  cr_assert_eq(read.catalog->progress().seen.configuration, seen.configuration);
+  const int before = asked;
+  read.runtime.advance(3s);
+  cr_assert_eq(asked, before);
+  cr_assert_not(read.catalog->configuration_for_peer().empty(), "it can hand it on");
+}
+
+Test(catalog, takes_no_older_configuration_from_another_node) {
+  Read read;
+  read.catalog->take_from_peer({1000, RelayFixture::configuration(9)});
+  read.catalog->take_from_peer({900, RelayFixture::configuration(10)});
+  cr_assert_eq(read.version(), 9);
+  read.catalog->take_from_peer({1100, RelayFixture::configuration(8)});
+  cr_assert_eq(read.version(), 9);
+  auto wrong = RelayFixture::configuration(12);
+  wrong.routes.front().path_prefix = "no-slash";
+  read.catalog->take_from_peer({1200, wrong});
+  cr_assert_eq(read.version(), 9);
+  cr_assert_eq(read.catalog->progress().seen.configuration, 1000);
+}
