Remove engines by name however old they are; let no lapse hold a window up

Both found by reading. Names of engines are remembered after these are gone, up to 8,192, oldest first out: an engine that outlives as many others lost its name while it served, and could not be removed any more. With spot engines taken back and bought again that is some weeks. Now only names of engines that are gone go; the test failed before. A report whose lease had lapsed between its record and its call stayed marked as under way; it was taken up again only because a lapse mostly shows at the next tick, which clears all windows. The test of lapses at any step passed before too.

--- a/src/core/relay/engine_directory.cpp
+++ b/src/core/relay/engine_directory.cpp
@@ -182,17 +182,28 @@
   latest_started_[record.own_name()] = record.started_unix_ms;
   if (added) {
     latest_order_.push_back(record.own_name());
-    if (latest_order_.size() <= kMostNames) return;
-    latest_.erase(latest_order_.front());
-    latest_started_.erase(latest_order_.front());
-    latest_order_.pop_front();
-    return;
+    return forget_oldest_names();
   }
   if (latest->second == record.id) return;
   remove(latest->second);
   latest->second = record.id;
 }
 
+/// Names of engines that are still known stay, however old: they are asked for by name.
+void EngineDirectory::forget_oldest_names() {
+  for (std::size_t looked = latest_order_.size(); looked > 0 && latest_order_.size() > kMostNames;
+       --looked) {
+    std::string name = std::move(latest_order_.front());
+    latest_order_.pop_front();
+    if (find_named(name) != nullptr) {
+      latest_order_.push_back(std::move(name));
+      continue;
+    }
+    latest_.erase(name);
+    latest_started_.erase(name);
+  }
+}
+
 void EngineDirectory::upsert(const EngineRecord& record) {
   if (outdated(record)) return;
   note_start(record);
--- a/src/core/relay/engine_directory.hpp
+++ b/src/core/relay/engine_directory.hpp
@@ -269,6 +269,7 @@
     std::map<EngineId, PeerLoad> load;
   };
   void note_start(const EngineRecord& record);
+  void forget_oldest_names();
   void add_to_peers(const std::map<EngineId, PeerLoad>& load, bool subtract);
   void show_peers(EngineView& engine) const;
   void forget_key(const EngineView& engine);
--- a/src/relay/usage_reporter.cpp
+++ b/src/relay/usage_reporter.cpp
@@ -191,8 +191,8 @@
 
 void UsageReporter::send(usage::WindowNumber number, Window& window) {
   const auto fence = this->lease.authority();
+  window.busy = fence.has_value();
   if (!fence) return;
-  window.busy = true;
   this->service.report_usage({this->machine, *fence}, window.report, this->settings.call_timeout,
                              [this, living = this->alive, number](DutyOutcome outcome) {
                                if (*living) this->on_sent(number, outcome);
--- a/tests/core/relay/engine_directory_test.cpp
+++ b/tests/core/relay/engine_directory_test.cpp
@@ -272,3 +272,15 @@
   engines.upsert(start_of("e", 2000));
   cr_assert_not(engines.find_named("e")->record.draining);
 }
+
+Test(engine_directory, an_engine_that_outlives_thousands_of_others_can_still_be_removed_by_name) {
+  relay::EngineDirectory engines;
+  engines.upsert(start_of("old", 1));
+  for (int i = 0; i < 20000; ++i) {
+    const relay::EngineRecord record = start_of("n" + std::to_string(i), 1);
+    engines.upsert(record);
+    engines.remove(record.id);
+  }
+  cr_assert_not_null(engines.find_named("old"));
+  cr_assert_eq(engines.size(), 1);
+}
--- a/tests/relay/usage_reporter_test.cpp
+++ b/tests/relay/usage_reporter_test.cpp
@@ -279,3 +279,21 @@
   cr_assert_lt(fleet.error(began), 0.03);
   cr_assert_lt(fleet.error(began + 1), 0.03);
 }
+
+Test(usage_reporter, a_lease_that_lapses_between_the_record_and_the_call_costs_no_window) {
+  ReportingFleet fleet(2);
+  fleet.serve(15s);
+  // Renewals are lost for as long as the lease lasts, so that it lapses at any step of a report.
+  for (int i = 0; i < 4; ++i) {
+    fleet.store.down = true;
+    fleet.serve(4500ms);
+    fleet.store.down = false;
+    fleet.serve(1500ms);
+  }
+  fleet.serve(20s);
+  const std::int64_t last = fleet.truth() / 5000 - 2;
+  for (std::int64_t window = last - 3; window <= last; ++window) {
+    cr_assert_lt(fleet.error(window), 0.03, "%f", fleet.error(window));
+  }
+  fleet.assert_one_report_a_window();
+}
