--- a/src/bench/commands.cpp
+++ b/src/bench/commands.cpp
@@ -5,6 +5,7 @@
 #include <ostream>
 
 #include "bench/hollow_command.hpp"
+#include "bench/keys_command.hpp"
 #include "bench/load_command.hpp"
 #include "bench/overhead_command.hpp"
 #include "bench/simulate_command.hpp"
@@ -26,6 +27,7 @@
       {"overhead",
        {"What a node adds to a request, against the engine alone.", run_overhead_command}},
       {"hollow", {"Many nodes in one process: what control costs at a size.", run_hollow_command}},
+      {"keys", {"What tenants' keys cost a node, in time and memory.", run_keys_command}},
       {"simulate", {"Seeded schedules of faults with the promises checked.", run_simulate_command}},
   };
   return table;
