--- a/src/relay/capacity_coordinator.cpp
+++ b/src/relay/capacity_coordinator.cpp
@@ -1,6 +1,5 @@
 #include "relay/capacity_coordinator.hpp"
 
-#include <set>
 #include <utility>
 
 #include "common/log.hpp"
