Say once what the shifted work said twice

Found on reading the whole change again; behaviour stays as it is, but for one gauge more.

- A configuration's tenants were indexed twice, once to look for what is questionable and once for the table: RouteTable finds its doubts while it indexes.
A test of their places, of which there was none.
- The latest start of an engine stood in two maps by the same name, and which start a record in a list stands for was worked out in two places: one map, EngineDirectory::start_named_by.
- Drawing a node to ask (caches, configuration): LoadExchange::ask_a_peer.
- Sums of engines over zones: capacity::in_all.
Whole milliseconds: whole_ms, in place of three copies. 409: http_status::kConflict, in place of two.
- Times of the lease have names and say where they come from.
- Beginnings that the usage counter had to leave out were counted and shown nowhere: gauge usage_left_out.
KeyIndex::size was unused.
The tests of the stage planner share their service.

--- a/src/common/time.hpp
+++ b/src/common/time.hpp
@@ -5,6 +5,7 @@
 #include <time.h>
 
 #include <chrono>
+#include <cstdint>
 
 namespace shuntbank {
 
@@ -47,6 +48,11 @@
   return std::chrono::duration<double, std::milli>(duration).count();
 }
 
+/// @return `duration` in whole milliseconds, rounded towards zero.
+inline std::int64_t whole_ms(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 /// @return `seconds` as a duration, rounded down to a microsecond.
 inline Duration from_seconds(double seconds) {
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
--- a/src/config/key_index.hpp
+++ b/src/config/key_index.hpp
@@ -25,8 +25,6 @@
   /// @return the tenant, or null.
   const TenantName* find(std::string_view presented, std::int64_t unix_seconds) const;
 
-  std::size_t size() const { return keys_.size(); }
-
  private:
   struct Entry {
     TenantName tenant;
--- a/src/core/capacity/capacity_planner.cpp
+++ b/src/core/capacity/capacity_planner.cpp
@@ -10,18 +10,6 @@
 namespace shuntbank::capacity {
 namespace {
 
-std::uint32_t full_in_all(const EnginesByZone& present) {
-  std::uint32_t sum = 0;
-  for (const auto& [zone, engines] : present) sum += engines.full;
-  return sum;
-}
-
-std::uint32_t spot_in_all(const EnginesByZone& present) {
-  std::uint32_t sum = 0;
-  for (const auto& [zone, engines] : present) sum += engines.spot;
-  return sum;
-}
-
 std::uint32_t rounded_up(std::uint32_t all, std::size_t parts) {
   const auto divisor = static_cast<std::uint32_t>(std::max<std::size_t>(parts, 1));
   return (all + divisor - 1) / divisor;
@@ -48,6 +36,15 @@
 
 }  // namespace
 
+ZoneEngines in_all(const EnginesByZone& present) {
+  ZoneEngines sum;
+  for (const auto& [zone, engines] : present) {
+    sum.full += engines.full;
+    sum.spot += engines.spot;
+  }
+  return sum;
+}
+
 std::istream& operator>>(std::istream& in, BuyingWay& way) {
   std::string name;
   in >> name;
@@ -95,9 +92,9 @@
 /// only once it has stood for a while.
 std::uint32_t CapacityPlanner::full_wanted(MonotonicTime now, const EngineScale& scale,
                                            std::uint32_t needed, const EnginesByZone& present) {
-  const std::uint32_t full = full_in_all(present);
+  const auto [full, spot] = in_all(present);
   const std::uint32_t wanted =
-      std::max(this->floor(scale, needed), needed - std::min(needed, spot_in_all(present)));
+      std::max(this->floor(scale, needed), needed - std::min(needed, spot));
   if (wanted >= full) {
     this->surplus_since.reset();
     return wanted;
--- a/src/core/capacity/capacity_planner.hpp
+++ b/src/core/capacity/capacity_planner.hpp
@@ -36,6 +36,9 @@
 
 using EnginesByZone = std::map<ZoneName, ZoneEngines>;
 
+/// @return the engines of all zones together.
+ZoneEngines in_all(const EnginesByZone& present);
+
 /// Engines of one price in one zone.
 struct Purchase {
   ZoneName zone;
--- a/src/core/relay/engine_directory.cpp
+++ b/src/core/relay/engine_directory.cpp
@@ -95,9 +95,7 @@
 std::vector<std::string> EngineDirectory::replace_all(const std::vector<EngineRecord>& records) {
   std::set<EngineId> present;
   for (const EngineRecord& record : records) {
-    // An old list names the engine, if not the start of it that is known.
-    const auto latest = latest_.find(record.own_name());
-    present.insert(outdated(record) ? latest->second : record.id);
+    present.insert(start_named_by(record));
     upsert(record);
   }
   std::vector<std::string> gone;
@@ -114,25 +112,28 @@
 }
 
 bool EngineDirectory::outdated(const EngineRecord& record) const {
-  const auto latest = latest_started_.find(record.own_name());
-  return latest != latest_started_.end() && record.started_unix_ms < latest->second;
+  const auto latest = latest_.find(record.own_name());
+  return latest != latest_.end() && record.started_unix_ms < latest->second.started_unix_ms;
+}
+
+const EngineId& EngineDirectory::start_named_by(const EngineRecord& record) const {
+  return outdated(record) ? latest_.at(record.own_name()).id : record.id;
 }
 
 const EngineView* EngineDirectory::find_named(const std::string& name) const {
   const auto latest = latest_.find(name);
-  return latest == latest_.end() ? nullptr : find(latest->second);
+  return latest == latest_.end() ? nullptr : find(latest->second.id);
 }
 
 void EngineDirectory::note_start(const EngineRecord& record) {
-  const auto [latest, added] = latest_.try_emplace(record.own_name(), record.id);
-  latest_started_[record.own_name()] = record.started_unix_ms;
+  const LatestStart start{record.id, record.started_unix_ms};
+  const auto [latest, added] = latest_.try_emplace(record.own_name(), start);
   if (added) {
     latest_order_.push_back(record.own_name());
     return forget_oldest_names();
   }
-  if (latest->second == record.id) return;
-  remove(latest->second);
-  latest->second = record.id;
+  if (latest->second.id != record.id) remove(latest->second.id);
+  latest->second = start;
 }
 
 /// Names of engines that are still known stay, however old: they are asked for by name.
@@ -146,7 +147,6 @@
       continue;
     }
     latest_.erase(name);
-    latest_started_.erase(name);
   }
 }
 
--- a/src/core/relay/engine_directory.hpp
+++ b/src/core/relay/engine_directory.hpp
@@ -146,6 +146,10 @@
   /// @return whether the record is of an earlier start than one that has been known.
   bool outdated(const EngineRecord& record) const;
 
+  /// @return the start that a record in a list stands for: an old list names the engine, if not the
+  /// start of it that is known.
+  const EngineId& start_named_by(const EngineRecord& record) const;
+
   /// @return the start that is known of the engine which calls itself so, or null.
   const EngineView* find_named(const std::string& name) const;
 
@@ -226,6 +230,11 @@
     MonotonicTime heard_at{};
     std::map<EngineId, PeerLoad> load;
   };
+  /// The latest start that was known of one engine.
+  struct LatestStart {
+    EngineId id;
+    std::uint64_t started_unix_ms = 0;
+  };
   void note_start(const EngineRecord& record);
   void forget_oldest_names();
   void add_to_peers(const std::map<EngineId, PeerLoad>& load, bool subtract);
@@ -240,8 +249,7 @@
   std::map<EngineId, EngineView> engines_;
   std::multimap<EngineKey, EngineView*> by_key_;  ///< In order, as the parts of sums are.
   /// The latest start of each engine that was known, by name, also of those that are gone.
-  std::unordered_map<std::string, EngineId> latest_;
-  std::unordered_map<std::string, std::uint64_t> latest_started_;
+  std::unordered_map<std::string, LatestStart> latest_;
   std::deque<std::string> latest_order_;
   std::set<EngineId> leaving_;  ///< Have said that they drain, whether still known or not.
   std::deque<EngineId> leaving_order_;
--- a/src/core/relay/routes.cpp
+++ b/src/core/relay/routes.cpp
@@ -74,33 +74,6 @@
   return findings;
 }
 
-Findings questionable(const RouteConfiguration& configuration) {
-  Findings findings;
-  for (std::size_t i = 0; i < configuration.services.size(); ++i) {
-    const auto& scale = configuration.services[i].scale;
-    if (!scale || scale->least <= scale->most) continue;
-    findings.add("services/" + std::to_string(i) + "/scale",
-                 "the least count passes the most: no engines are ordered");
-  }
-  if (!configuration.tenants) return findings;
-  KeyIndex keys;
-  std::set<TenantName> names;
-  const auto& tenants = *configuration.tenants;
-  for (std::size_t i = 0; i < tenants.size(); ++i) {
-    const DeclaredTenant& tenant = tenants[i];
-    const std::string place = "tenants/" + std::to_string(i);
-    if (!names.insert(tenant.name).second) {
-      findings.add(place + "/name", "'" + tenant.name.value() + "' is declared twice");
-    }
-    if (tenant.keys.empty()) findings.add(place + "/keys", "is empty: nobody can call for it");
-    for (std::size_t k = 0; k < tenant.keys.size(); ++k) {
-      if (keys.add(tenant.name, tenant.keys[k])) continue;
-      findings.add(place + "/keys/" + std::to_string(k), "is held twice: it is good for nobody");
-    }
-  }
-  return findings;
-}
-
 RouteTable::RouteTable(RouteConfiguration configuration)
     : configuration_(std::move(configuration)) {
   for (const Route& route : configuration_.routes) {
@@ -111,10 +84,31 @@
       return left->path_prefix.size() > right->path_prefix.size();
     });
   }
-  if (!configuration_.tenants) return;
-  for (const DeclaredTenant& tenant : *configuration_.tenants) {
-    tenants_.emplace(tenant.name, &tenant);
-    for (const TenantKey& key : tenant.keys) keys_.add(tenant.name, key);
+  check_scales();
+  if (configuration_.tenants) index_tenants(*configuration_.tenants);
+}
+
+void RouteTable::check_scales() {
+  for (std::size_t i = 0; i < configuration_.services.size(); ++i) {
+    const auto& scale = configuration_.services[i].scale;
+    if (!scale || scale->least <= scale->most) continue;
+    doubts_.add("services/" + std::to_string(i) + "/scale",
+                "the least count passes the most: no engines are ordered");
+  }
+}
+
+void RouteTable::index_tenants(const std::vector<DeclaredTenant>& tenants) {
+  for (std::size_t i = 0; i < tenants.size(); ++i) {
+    const DeclaredTenant& tenant = tenants[i];
+    const std::string place = "tenants/" + std::to_string(i);
+    if (!tenants_.emplace(tenant.name, &tenant).second) {
+      doubts_.add(place + "/name", "'" + tenant.name.value() + "' is declared twice");
+    }
+    if (tenant.keys.empty()) doubts_.add(place + "/keys", "is empty: nobody can call for it");
+    for (std::size_t k = 0; k < tenant.keys.size(); ++k) {
+      if (keys_.add(tenant.name, tenant.keys[k])) continue;
+      doubts_.add(place + "/keys/" + std::to_string(k), "is held twice: it is good for nobody");
+    }
   }
 }
 
--- a/src/core/relay/routes.hpp
+++ b/src/core/relay/routes.hpp
@@ -103,10 +103,6 @@
 /// Checks a configuration as a whole. @return every problem with its place.
 Findings check(const RouteConfiguration& configuration);
 
-/// Looks for what an operator hardly means, and which is no reason to serve on by an older version:
-/// that would keep keys in force which were taken away. @return every finding with its place.
-Findings questionable(const RouteConfiguration& configuration);
-
 /// What a presented key says of a request.
 struct KeyVerdict {
   bool admitted = false;
@@ -121,6 +117,10 @@
   std::uint64_t version() const { return configuration_.version; }
   const RouteConfiguration& configuration() const { return configuration_; }
 
+  /// @return what an operator hardly means, with its place. It is no reason to serve on by an older
+  /// version: that would keep keys in force which were taken away.
+  const Findings& doubts() const { return doubts_; }
+
   /// @return the route of that host with the longest prefix that begins the path, or null.
   const Route* find(std::string_view host, std::string_view path) const;
 
@@ -133,7 +133,11 @@
   KeyVerdict admit(const Route& route, std::string_view key, std::int64_t unix_seconds) const;
 
  private:
+  void check_scales();
+  void index_tenants(const std::vector<DeclaredTenant>& tenants);
+
   RouteConfiguration configuration_;
+  Findings doubts_;
   /// Routes of each host, longest prefix first.
   std::unordered_map<std::string, std::vector<const Route*>> by_host_;
   KeyIndex keys_;
--- a/src/core/usage/true_time.cpp
+++ b/src/core/usage/true_time.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 UnixMs monotonic_ms(MonotonicTime now) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
+  return whole_ms(now.time_since_epoch());
 }
 
 }  // namespace
--- a/src/net/http_status.cpp
+++ b/src/net/http_status.cpp
@@ -14,7 +14,7 @@
       return "Not Found";
     case kRequestTimeout:
       return "Request Timeout";
-    case 409:
+    case kConflict:
       return "Conflict";
     case kContentTooLarge:
       return "Content Too Large";
--- a/src/net/http_status.hpp
+++ b/src/net/http_status.hpp
@@ -9,6 +9,7 @@
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
 constexpr int kRequestTimeout = 408;
+constexpr int kConflict = 409;
 constexpr int kContentTooLarge = 413;
 constexpr int kMisdirected = 421;
 constexpr int kTooManyRequests = 429;
--- a/src/relay/capacity_coordinator.cpp
+++ b/src/relay/capacity_coordinator.cpp
@@ -111,8 +111,7 @@
 void CapacityCoordinator::learn_need(const ServiceName& name, Service& known,
                                      const EnginesByZone& engines) {
   const MonotonicTime now = this->runtime.now();
-  std::uint32_t seen = 0;
-  for (const auto& [zone, there] : engines) seen += there.full;
+  const std::uint32_t seen = capacity::in_all(engines).full;
   if (seen > known.needed) {
     known.needed = seen;
     known.grown_at = now;
--- a/src/relay/load_exchange.cpp
+++ b/src/relay/load_exchange.cpp
@@ -93,18 +93,24 @@
 void LoadExchange::pull_caches() {
   if (pulls_left_-- <= 0) return;
   pull_timer_ = runtime_.after(settings_.pull_interval, [this] { pull_caches(); });
+  if (!node_.ready()) return;
+  const bool asked = ask_a_peer(
+      kSnapshotCall, [this, alive = alive_](const tl::expected<std::string, std::string>& answer) {
+        if (*alive) take_caches(answer);
+      });
+  if (asked) pull_timer_.reset();
+}
+
+/// One of those of the node's own zone where there are any: answers are large, and bytes between
+/// zones are dear. @return whether there was any.
+bool LoadExchange::ask_a_peer(std::string_view call, PeerTransport::AnswerHandler handler) {
   const auto askable = peers_to_ask();
-  if (askable.empty() || !node_.ready()) return;
-  pull_timer_.reset();
+  if (askable.empty()) return false;
   const std::size_t drawn = random_number(runtime_) % askable.size();
-  transport_.call(askable[drawn], std::string(kSnapshotCall), settings_.pull_timeout,
-                  [this, alive = alive_](const tl::expected<std::string, std::string>& answer) {
-                    if (*alive) take_caches(answer);
-                  });
+  transport_.call(askable[drawn], std::string(call), settings_.pull_timeout, std::move(handler));
+  return true;
 }
 
-/// Those of the node's own zone where there are any: a snapshot is large, and bytes between zones
-/// are dear.
 std::vector<std::string> LoadExchange::peers_to_ask() const {
   std::vector<std::string> near;
   std::vector<std::string> all;
@@ -135,18 +141,14 @@
 }
 
 void LoadExchange::ask_configuration(std::function<void(ConfigurationMessage)> handler) {
-  const auto askable = peers_to_ask();
-  if (askable.empty()) return;
-  const std::size_t drawn = random_number(runtime_) % askable.size();
-  transport_.call(askable[drawn], std::string(kConfigurationCall), settings_.pull_timeout,
-                  [alive = alive_, handler = std::move(handler)](
-                      const tl::expected<std::string, std::string>& answer) {
-                    if (!*alive || !answer || answer->empty()) return;
-                    auto message = decode_configuration(*answer);
-                    if (message) return handler(std::move(*message));
-                    log_event(LogArea::kControl, LogLevel::kWarning, "message_malformed",
-                              {{"what", "configuration"}, {"why", message.error()}});
-                  });
+  ask_a_peer(kConfigurationCall, [alive = alive_, handler = std::move(handler)](
+                                     const tl::expected<std::string, std::string>& answer) {
+    if (!*alive || !answer || answer->empty()) return;
+    auto message = decode_configuration(*answer);
+    if (message) return handler(std::move(*message));
+    log_event(LogArea::kControl, LogLevel::kWarning, "message_malformed",
+              {{"what", "configuration"}, {"why", message.error()}});
+  });
 }
 
 std::string LoadExchange::snapshot() const {
--- a/src/relay/load_exchange.hpp
+++ b/src/relay/load_exchange.hpp
@@ -73,6 +73,7 @@
   void on_message(std::string_view bytes);
   void take(LoadMessage message);
   void pull_caches();
+  bool ask_a_peer(std::string_view call, PeerTransport::AnswerHandler handler);
   std::vector<std::string> peers_to_ask() const;
   void take_caches(const tl::expected<std::string, std::string>& answer);
   std::string snapshot() const;
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -51,13 +51,12 @@
               {{"version", configuration.version}, {"findings", findings.to_text()}});
     return false;
   }
-  const Findings doubts = questionable(configuration);
-  if (!doubts.empty()) {
-    log_event(LogArea::kConfig, LogLevel::kWarning, "config_questionable",
-              {{"version", configuration.version}, {"findings", doubts.to_text()}});
-  }
   const std::uint64_t before = table_ ? table_->version() : 0;
   table_ = std::make_shared<const RouteTable>(std::move(configuration));
+  if (!table_->doubts().empty()) {
+    log_event(LogArea::kConfig, LogLevel::kWarning, "config_questionable",
+              {{"version", table_->version()}, {"findings", table_->doubts().to_text()}});
+  }
   log_event(LogArea::kConfig, LogLevel::kInfo, "config_adopted",
             {{"version", table_->version()},
              {"before", before},
@@ -70,11 +69,7 @@
 void RelayNode::set_engines(const std::vector<EngineRecord>& records) {
   engines_known_ = true;
   std::set<EngineId> listed;
-  for (const EngineRecord& record : records) {
-    const EngineView* known = engines_.find_named(record.own_name());
-    const bool old = engines_.outdated(record) && known != nullptr;
-    listed.insert(old ? known->record.id : record.id);
-  }
+  for (const EngineRecord& record : records) listed.insert(engines_.start_named_by(record));
   for (const auto& [id, engine] : engines_.all()) {
     if (listed.count(id) == 0) note_unlisted(id);
   }
--- a/src/relay/relay_process.cpp
+++ b/src/relay/relay_process.cpp
@@ -175,6 +175,7 @@
     metrics.set_gauge("configuration_age_seconds", to_seconds(catalog_.configuration_age()));
     metrics.set_gauge("engines_age_seconds", to_seconds(catalog_.engines_age()));
     if (exchange_) show_exchange(metrics);
+    if (usage_) metrics.set_gauge("usage_left_out", static_cast<double>(usage_->left_out()));
     HttpReply reply;
     reply.status = http_status::kOk;
     reply.headers.add("Content-Type", "text/plain; version=0.0.4");
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -19,10 +19,6 @@
 
 constexpr Duration kReleaseTimeout = std::chrono::seconds(1);
 
-std::int64_t to_milliseconds(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 std::optional<std::int64_t> whole_number(std::string_view text) {
   std::int64_t value = 0;
   const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
@@ -168,7 +164,7 @@
   outgoing.url = "http://" + record.address + request_.target;
   outgoing.headers = request_.headers;
   outgoing.headers.add(names.deadline_ms,
-                       std::to_string(std::max<std::int64_t>(1, to_milliseconds(time_left()))));
+                       std::to_string(std::max<std::int64_t>(1, whole_ms(time_left()))));
   outgoing.headers.add(names.expected_engine, record.own_name());
   if (tenant_ != nullptr) outgoing.headers.add(names.tenant, tenant_->name.value());
   if (prompt_) {
@@ -395,57 +391,11 @@
              {"events", stream_.events()},
              {"sends", history_.sends},
              {"identity", crash_standing().suspect() ? to_text(identity_->request) : std::string()},
-             {"first_ms", to_milliseconds(stream_.first_event_after(arrived_))},
-             {"gap_ms", to_milliseconds(stream_.longest_pause())},
-             {"took_ms", to_milliseconds(now - arrived_)}});
+             {"first_ms", whole_ms(stream_.first_event_after(arrived_))},
+             {"gap_ms", whole_ms(stream_.longest_pause())},
+             {"took_ms", whole_ms(now - arrived_)}});
   const auto handler = std::exchange(on_end_, nullptr);
   if (handler) handler();
 }
 
-void RelaySession::log_attempt(const char* event, const std::string& why) const {
-  const MonotonicTime now = context_.runtime.now();
-  const EngineView* view = context_.engines.find(engine_);
-  const EngineModel& model = std::as_const(context_.engines).model_of(service_name_);
-  const bool load_known = view != nullptr && view->load.has_value();
-  const bool peers_known = view != nullptr && view->peers.has_value();
-  log_event(LogArea::kCallers, LogLevel::kInfo, event,
-            {{"request", id_},
-             {"route", route_.name},
-             {"config", table_->version()},
-             {"engine", engine_.value()},
-             {"service", service_name_.value()},
-             {"step", step_name()},
-             {"why", why},
-             {"cost_ms", chosen_.cost_ms},
-             {"expected_ms", expected_ms_},
-             {"deferred", deferred_},
-             {"reading_ms", model.reading().read_ms(static_cast<double>(unread_))},
-             {"handover_ms", model.handover_ms()},
-             {"candidates", chosen_.candidates},
-             {"unread", unread_},
-             {"fetch_from", fetch_address_},
-             {"in_flight", view == nullptr ? 0 : view->in_flight},
-             {"peers_in_flight", peers_known ? view->peers->in_flight : 0},
-             {"load_age_ms", load_known ? to_milliseconds(now - view->load_at) : -1},
-             {"sends", history_.sends},
-             {"may_have_run", history_.may_have_run},
-             {"extra", extra_},
-             {"budget", budget_left()},
-             {"left_ms", to_milliseconds(expires_ - now)},
-             {"age_ms", to_milliseconds(now - arrived_)}},
-            LogImportance::kStep);
-}
-
-const char* RelaySession::step_name() const {
-  switch (step_) {
-    case Step::kPlain:
-      return "whole";
-    case Step::kPrefill:
-      return "prefill";
-    case Step::kDecodeFromHandle:
-      return "decode";
-  }
-  return "whole";
-}
-
 }  // namespace shuntbank::relay
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -17,13 +17,21 @@
 
 namespace shuntbank::relay {
 
+/// A holder that dies is replaced within this and one reading of a standby, 6.2 s; then what the
+/// fleet has counted is gathered in 2 s, and reports of usage are due after 10 s.
+constexpr Duration kLeaseLength = std::chrono::seconds(5);
+
+/// With the tick of 400 ms a renewal each 1.2 s. Three fit into what a lease lasts, since one whose
+/// answer was lost takes a reading more to settle.
+constexpr Duration kLeaseRenewal = std::chrono::milliseconds(1100);
+
+/// A holder stops so long before its lease ends: more than half a renewal, for clocks that run at
+/// different speeds and a call that is on its way.
+constexpr Duration kLeaseMargin = std::chrono::milliseconds(700);
+
 /// The lease of the node that acts for the whole fleet.
 struct LeaseKeeperSettings {
-  /// A holder that dies is replaced within its length and one reading of a standby, 6.2 s; then
-  /// what the fleet has counted is gathered in 2 s, and reports are due after 10 s. Three renewals
-  /// fit in, since one whose answer was lost takes a reading more to settle.
-  LeaseSettings lease{std::chrono::seconds(5), std::chrono::milliseconds(1100),
-                      std::chrono::milliseconds(700)};
+  LeaseSettings lease{kLeaseLength, kLeaseRenewal, kLeaseMargin};
   std::size_t standbys = 3;  ///< Nodes that read the lease as often as its holder renews it.
   /// Times the number of nodes: how often the others read it, so that their calls do not grow.
   Duration others_read_every = std::chrono::milliseconds(400);
--- a/src/relay/usage_exchange.cpp
+++ b/src/relay/usage_exchange.cpp
@@ -10,10 +10,6 @@
 
 constexpr Duration kClockTick = std::chrono::seconds(1);
 
-usage::UnixMs to_ms_count(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 usage::UnixMs time_of_day(const Runtime& runtime) {
   return static_cast<usage::UnixMs>(runtime.unix_milliseconds());
 }
@@ -23,7 +19,7 @@
   usage::UsageLedgerSettings ledger;
   ledger.windows = clock;
   ledger.kept_windows =
-      static_cast<usage::WindowNumber>(to_ms_count(settings.kept) / clock.length_ms) + 2;
+      static_cast<usage::WindowNumber>(whole_ms(settings.kept) / clock.length_ms) + 2;
   return ledger;
 }
 
@@ -43,7 +39,7 @@
       boot(own_boot),
       first_start(system_starts),
       settings(own_settings),
-      clock{to_ms_count(own_settings.window)},
+      clock{whole_ms(own_settings.window)},
       started_at(own_runtime.now()),
       time(own_settings.time, own_runtime.now(), time_of_day(own_runtime)),
       counter(own_settings.kept),
@@ -129,8 +125,7 @@
 
 usage::WindowNumber UsageExchange::oldest_told(bool all) const {
   const Duration back = all ? this->settings.kept : this->settings.told_after_end;
-  const usage::UnixMs since =
-      std::max(this->agreed_now() - to_ms_count(back), this->counting_since());
+  const usage::UnixMs since = std::max(this->agreed_now() - whole_ms(back), this->counting_since());
   return this->clock.at(since);
 }
 
@@ -150,7 +145,7 @@
   own.boot = this->boot;
   own.sequence = this->tellings;
   own.clock = this->time.own(now);
-  own.counted_until = this->agreed_now() - to_ms_count(this->settings.counted_late);
+  own.counted_until = this->agreed_now() - whole_ms(this->settings.counted_late);
   own.counting_since = this->counting_since();
   own.window = window;
   own.counts = this->counter.counts(this->clock, window,
--- a/src/relay/usage_exchange.hpp
+++ b/src/relay/usage_exchange.hpp
@@ -42,6 +42,9 @@
   void tell_last();
 
   const usage::UsageLedger& ledger() const { return this->told; }
+
+  /// @return requests that could not be counted, since too many began at once.
+  std::uint64_t left_out() const { return this->counter.left_out(); }
   const usage::WindowClock& windows() const { return this->clock; }
 
   /// @return true time as far as this node knows, in milliseconds since the start of 1970.
--- a/src/relay/usage_reporter.cpp
+++ b/src/relay/usage_reporter.cpp
@@ -10,10 +10,6 @@
 
 using nlohmann::json;
 
-usage::UnixMs to_ms_count(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 json to_json(const UsageReport& report) {
   json counts = json::object();
   for (const auto& [tenant, count] : report.counts) counts[tenant.value()] = count;
@@ -84,7 +80,7 @@
   const usage::WindowClock& clock = this->exchange.windows();
   const usage::UnixMs now = this->exchange.agreed_now();
   const usage::WindowNumber current = clock.at(now);
-  const usage::WindowNumber oldest = clock.at(now - to_ms_count(this->settings.kept)) + 1;
+  const usage::WindowNumber oldest = clock.at(now - whole_ms(this->settings.kept)) + 1;
   this->windows.erase(this->windows.begin(), this->windows.lower_bound(oldest));
   for (auto number = oldest; number < current; ++number) this->windows.try_emplace(number);
 }
--- a/tests/core/relay/engine_directory_test.cpp
+++ b/tests/core/relay/engine_directory_test.cpp
@@ -172,17 +172,30 @@
   cr_assert_gt(late, 10);
 }
 
-Test(stage_planner, orders_a_tenth_of_a_large_fleet_at_once) {
-  EngineDirectory engines;
-  for (int i = 0; i < 90; ++i) engines.upsert(record("e" + std::to_string(i)));
+namespace {
+
+RouteTable one_model_service() {
   RouteConfiguration configuration;
   RelayedService service;
   service.name = ServiceName("model");
   service.model.emplace();
   configuration.services = {service};
-  const RouteTable table(configuration);
+  return RouteTable(configuration);
+}
+
+StagePlannerSettings half_of_them_read() {
   StagePlannerSettings settings;
   settings.prefill_share = 0.5;
+  return settings;
+}
+
+}  // namespace
+
+Test(stage_planner, orders_a_tenth_of_a_large_fleet_at_once) {
+  EngineDirectory engines;
+  for (int i = 0; i < 90; ++i) engines.upsert(record("e" + std::to_string(i)));
+  const RouteTable table = one_model_service();
+  const StagePlannerSettings settings = half_of_them_read();
   StagePlanner planner(settings);
   int at_once = 0;
   while (planner.next(kNow, engines, table)) ++at_once;
@@ -194,14 +207,8 @@
 Test(stage_planner, engines_that_come_later_and_hold_nothing_wait_for_no_batch) {
   EngineDirectory engines;
   for (int i = 0; i < 20; ++i) engines.upsert(record("e" + std::to_string(i)));
-  RouteConfiguration configuration;
-  RelayedService service;
-  service.name = ServiceName("model");
-  service.model.emplace();
-  configuration.services = {service};
-  const RouteTable table(configuration);
-  StagePlannerSettings settings;
-  settings.prefill_share = 0.5;
+  const RouteTable table = one_model_service();
+  const StagePlannerSettings settings = half_of_them_read();
   StagePlanner planner(settings);
   while (planner.next(kNow, engines, table)) continue;  // The first batch: two.
   for (int i = 0; i < 20; ++i) engines.upsert(record("n" + std::to_string(i)));
--- a/tests/core/relay/routes_test.cpp
+++ b/tests/core/relay/routes_test.cpp
@@ -71,3 +71,23 @@
     }
   });
 }
+
+Test(routes, tells_what_an_operator_hardly_means_with_its_place_and_serves_it) {
+  RouteConfiguration configuration;
+  RelayedService service;
+  service.name = ServiceName("s");
+  service.scale.emplace();
+  service.scale->least = 5;
+  service.scale->most = 4;
+  configuration.services = {service};
+  const TenantKey key{"ab12", std::nullopt};
+  configuration.tenants = {{TenantName("guild"), {key}, std::nullopt},
+                           {TenantName("post"), {key}, std::nullopt},
+                           {TenantName("guild"), {}, std::nullopt}};
+  cr_assert(check(configuration).empty());
+  const std::string doubts = RouteTable(configuration).doubts().to_text();
+  for (const char* place :
+       {"services/0/scale", "tenants/1/keys/0", "tenants/2/name", "tenants/2/keys"}) {
+    cr_assert(doubts.find(place) != std::string::npos, "%s is not in %s", place, doubts.c_str());
+  }
+}
