Tell how far an answer of the store had come when it was given up

Cause of this change: of the four hypotheses on the configuration that some nodes did not have in force, logs and metrics could not tell the first (answers are given up before they are through) from the fourth (nodes ask their peers over and over).

A watch that is taken for deaf now says how many bytes of its answer had come and how long it was under way; an answer that comes after it was given up is logged with the changes that it held; so is each configuration asked of a peer, with bytes and time. The port to the store names its lists and watches for that. Tests get a link over which answers take time by their size. No decision is changed.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -335,7 +335,8 @@
   impl_->resume(id);
 }
 
-TransferId HttpClient::fetch(OutgoingRequest request, FetchHandler handler) {
+TransferId HttpClient::fetch(OutgoingRequest request, FetchHandler handler,
+                             ProgressHandler on_progress) {
   auto reply = std::make_shared<HttpReply>();
   auto overflow = std::make_shared<bool>(false);
   TransferHandlers handlers;
@@ -343,9 +344,11 @@
     reply->status = status;
     reply->headers = headers;
   };
-  handlers.on_data = [reply, overflow](std::string_view piece) {
+  handlers.on_data = [reply, overflow,
+                      on_progress = std::move(on_progress)](std::string_view piece) {
     *overflow = *overflow || reply->body.size() + piece.size() > kMaxWholeReply;
     if (!*overflow) reply->body += piece;
+    if (on_progress) on_progress(reply->body.size());
     return true;
   };
   handlers.on_done = [reply, overflow,
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -78,8 +78,10 @@
   virtual void resume(TransferId id) = 0;
 
   /// Sends a request and collects a whole reply of at most `kMaxWholeReply` bytes.
+  /// @param on_progress told the bytes of the body so far whenever some have come; may be empty.
   using FetchHandler = std::function<void(tl::expected<HttpReply, TransferError>)>;
-  TransferId fetch(OutgoingRequest request, FetchHandler handler);
+  using ProgressHandler = std::function<void(std::size_t received)>;
+  TransferId fetch(OutgoingRequest request, FetchHandler handler, ProgressHandler on_progress = {});
 };
 
 /// The client of real processes.
--- a/src/relay/load_exchange.cpp
+++ b/src/relay/load_exchange.cpp
@@ -141,14 +141,20 @@
 }
 
 void LoadExchange::ask_configuration(std::function<void(ConfigurationMessage)> handler) {
-  ask_a_peer(kConfigurationCall, [alive = alive_, handler = std::move(handler)](
-                                     const tl::expected<std::string, std::string>& answer) {
-    if (!*alive || !answer || answer->empty()) return;
-    auto message = decode_configuration(*answer);
-    if (message) return handler(std::move(*message));
-    log_event(LogArea::kControl, LogLevel::kWarning, "message_malformed",
-              {{"what", "configuration"}, {"why", message.error()}});
-  });
+  ask_a_peer(kConfigurationCall,
+             [this, alive = alive_, asked_at = runtime_.now(),
+              handler = std::move(handler)](const tl::expected<std::string, std::string>& answer) {
+               if (!*alive) return;
+               log_event(LogArea::kControl, LogLevel::kInfo, "peer_configuration",
+                         {{"bytes", answer ? answer->size() : 0},
+                          {"why", answer ? "" : answer.error()},
+                          {"took_ms", whole_ms(runtime_.now() - asked_at)}});
+               if (!answer || answer->empty()) return;
+               auto message = decode_configuration(*answer);
+               if (message) return handler(std::move(*message));
+               log_event(LogArea::kControl, LogLevel::kWarning, "message_malformed",
+                         {{"what", "configuration"}, {"why", message.error()}});
+             });
 }
 
 std::string LoadExchange::snapshot() const {
--- a/src/store/kind_watch.cpp
+++ b/src/store/kind_watch.cpp
@@ -127,15 +127,27 @@
     if (hinted_ > revision_ && !hint_timer_) await_hinted();
     const std::uint64_t revision = unconfirmed_ ? unconfirmed_->revision : revision_;
     const Duration wait = unconfirmed_ ? kNoWait : jittered(wait_, kWaitSpread);
-    store_.watch(
+    asked_at_ = runtime_.now();
+    call_ = store_.watch(
         kind_, revision, asked_, wait, wait + settings_.wait_slack,
         [weak = weak_from_this(), call](const tl::expected<ChangeBatch, StoreError>& batch) {
           const auto self = weak.lock();
+          if (!self || self->stopped_) return;
           // An answer to a call that was given up is not in the order of the others.
-          if (self && self->watching_ && call == self->calls_) self->on_batch(batch);
+          if (!self->watching_ || call != self->calls_) return self->log_thrown_away(batch);
+          self->on_batch(batch);
         });
   }
 
+  /// What came for nothing has filled the link all the same.
+  void log_thrown_away(const tl::expected<ChangeBatch, StoreError>& batch) const {
+    log_event(LogArea::kPlatform, LogLevel::kWarning, "answer_thrown_away",
+              {{"kind", kind_},
+               {"changes", batch ? batch->changes.size() : 0},
+               {"up_to", batch ? batch->revision : 0},
+               {"revision", revision_}});
+  }
+
   /// The store answers others: there is no reason to wait any longer.
   void hurry() {
     if (std::exchange(hurried_, true)) return;
@@ -153,7 +165,11 @@
     hint_timer_.reset();
     if (stopped_ || !watching_ || hinted_ <= revision_) return;
     log_event(LogArea::kPlatform, LogLevel::kWarning, "watch_deaf",
-              {{"kind", kind_}, {"revision", revision_}, {"others_have", hinted_}});
+              {{"kind", kind_},
+               {"revision", revision_},
+               {"others_have", hinted_},
+               {"received", store_.received(call_)},
+               {"under_way_ms", whole_ms(runtime_.now() - asked_at_)}});
     watch(Freshness::kLatest);
   }
 
@@ -240,6 +256,8 @@
   std::uint64_t revision_ = 0;
   std::uint64_t hinted_ = 0;  ///< Newest change that others have told of.
   std::uint64_t calls_ = 0;   ///< Watches so far.
+  CallId call_ = 0;           ///< The watch under way, as the store names it.
+  MonotonicTime asked_at_{};  ///< When it was begun.
   bool watching_ = false;     ///< A watch is under way.
   bool hurried_ = false;      ///< The next call after a failure was brought forward.
   bool listed_ = false;
--- a/src/store/object_store.hpp
+++ b/src/store/object_store.hpp
@@ -60,6 +60,9 @@
 /// @return a short name for logs.
 const char* to_text(Freshness freshness);
 
+/// Names a call that is under way.
+using CallId = std::uint64_t;
+
 template <typename Value>
 using StoreHandler = std::function<void(tl::expected<Value, StoreError>)>;
 
@@ -72,12 +75,16 @@
   ObjectStore& operator=(const ObjectStore&) = delete;
 
   /// Reads all objects of a kind.
-  virtual void list(const std::string& kind, Freshness freshness, Duration timeout,
-                    StoreHandler<ObjectList> handler) = 0;
+  virtual CallId list(const std::string& kind, Freshness freshness, Duration timeout,
+                      StoreHandler<ObjectList> handler) = 0;
 
   /// Waits up to `wait` for changes behind `revision`.
-  virtual void watch(const std::string& kind, std::uint64_t revision, Freshness freshness,
-                     Duration wait, Duration timeout, StoreHandler<ChangeBatch> handler) = 0;
+  virtual CallId watch(const std::string& kind, std::uint64_t revision, Freshness freshness,
+                       Duration wait, Duration timeout, StoreHandler<ChangeBatch> handler) = 0;
+
+  /// @return bytes of the answer to a list or a watch that have come so far; 0: none, or the call
+  /// has ended.
+  virtual std::size_t received(CallId call) const = 0;
 
   /// Reads one object.
   virtual void read(const std::string& kind, const std::string& name, Duration timeout,
--- a/tests/relay/support/fakes.cpp
+++ b/tests/relay/support/fakes.cpp
@@ -177,13 +177,15 @@
   return lags ? std::min(revision_, replica_revision) : revision_;
 }
 
-void MemoryStore::list(const std::string& kind, store::Freshness freshness, Duration,
-                       store::StoreHandler<store::ObjectList> handler) {
+store::CallId MemoryStore::list(const std::string& kind, store::Freshness freshness, Duration,
+                                store::StoreHandler<store::ObjectList> handler) {
+  const store::CallId call = ++last_call_;
   ++lists;
   if (freshness == store::Freshness::kLatest) ++latest_calls;
-  if (down)
-    return reply<store::ObjectList>(std::move(handler),
-                                    tl::make_unexpected(store::StoreError::kNotDone));
+  if (down) {
+    reply<store::ObjectList>(std::move(handler), tl::make_unexpected(store::StoreError::kNotDone));
+    return call;
+  }
   store::ObjectList list;
   list.revision = known(freshness);
   std::map<std::string, store::StoredObject> objects;
@@ -193,7 +195,12 @@
     if (change.change.gone) objects.erase(change.change.object.name);
   }
   for (const auto& [name, object] : objects) list.objects.push_back(object);
-  reply<store::ObjectList>(std::move(handler), list);
+  send<store::ObjectList>(call, objects.size(), std::move(handler), list);
+  return call;
+}
+
+std::size_t MemoryStore::received(store::CallId call) const {
+  return link == nullptr ? 0 : link->carried(call);
 }
 
 store::ChangeBatch MemoryStore::changes_after(const std::string& kind, std::uint64_t revision,
@@ -207,25 +214,30 @@
   return batch;
 }
 
-void MemoryStore::watch(const std::string& kind, std::uint64_t revision, store::Freshness freshness,
-                        Duration wait, Duration, store::StoreHandler<store::ChangeBatch> handler) {
+store::CallId MemoryStore::watch(const std::string& kind, std::uint64_t revision,
+                                 store::Freshness freshness, Duration wait, Duration,
+                                 store::StoreHandler<store::ChangeBatch> handler) {
+  const store::CallId call = ++last_call_;
   ++watches;
   if (freshness == store::Freshness::kLatest) ++latest_calls;
-  if (down)
-    return reply<store::ChangeBatch>(std::move(handler),
-                                     tl::make_unexpected(store::StoreError::kNotDone));
-  if (revision < oldest_) {
-    return reply<store::ChangeBatch>(std::move(handler),
-                                     tl::make_unexpected(store::StoreError::kHistoryGone));
+  if (down || revision < oldest_) {
+    reply<store::ChangeBatch>(
+        std::move(handler),
+        tl::make_unexpected(down ? store::StoreError::kNotDone : store::StoreError::kHistoryGone));
+    return call;
   }
   const auto batch = changes_after(kind, revision, freshness);
-  if (!batch.changes.empty()) return reply<store::ChangeBatch>(std::move(handler), batch);
+  if (!batch.changes.empty()) {
+    send<store::ChangeBatch>(call, batch.changes.size(), std::move(handler), batch);
+    return call;
+  }
   auto open = std::make_shared<bool>(true);
   std::shared_ptr<Timer> timer =
       runtime_.after(wait, [this, open, handler, kind, revision, freshness] {
         if (std::exchange(*open, false)) handler(changes_after(kind, revision, freshness));
       });
-  waiting_.push_back({kind, revision, freshness, std::move(handler), open, std::move(timer)});
+  waiting_.push_back({call, kind, revision, freshness, std::move(handler), open, std::move(timer)});
+  return call;
 }
 
 void MemoryStore::wake() {
@@ -234,7 +246,7 @@
     const auto batch = changes_after(waiting.kind, waiting.revision, waiting.freshness);
     if (!*waiting.open || batch.changes.empty()) continue;
     *waiting.open = false;
-    reply<store::ChangeBatch>(waiting.handler, batch);
+    send<store::ChangeBatch>(waiting.call, batch.changes.size(), waiting.handler, batch);
   }
   std::erase_if(waiting_, [](const Waiting& waiting) { return !*waiting.open; });
 }
--- a/tests/relay/support/fakes.hpp
+++ b/tests/relay/support/fakes.hpp
@@ -18,6 +18,7 @@
 #include "relay/catalog.hpp"
 #include "relay/engine_dialect.hpp"
 #include "relay/relay_node.hpp"
+#include "relay/support/slow_link.hpp"
 #include "store/object_store.hpp"
 
 namespace shuntbank::testing {
@@ -146,11 +147,12 @@
  public:
   explicit MemoryStore(Runtime& runtime) : runtime_(runtime) {}
 
-  void list(const std::string& kind, store::Freshness freshness, Duration timeout,
-            store::StoreHandler<store::ObjectList> handler) override;
-  void watch(const std::string& kind, std::uint64_t revision, store::Freshness freshness,
-             Duration wait, Duration timeout,
-             store::StoreHandler<store::ChangeBatch> handler) override;
+  store::CallId list(const std::string& kind, store::Freshness freshness, Duration timeout,
+                     store::StoreHandler<store::ObjectList> handler) override;
+  store::CallId watch(const std::string& kind, std::uint64_t revision, store::Freshness freshness,
+                      Duration wait, Duration timeout,
+                      store::StoreHandler<store::ChangeBatch> handler) override;
+  std::size_t received(store::CallId call) const override;
   void read(const std::string& kind, const std::string& name, Duration timeout,
             store::StoreHandler<store::StoredObject> handler) override;
   void create(const std::string& kind, const std::string& name, const nlohmann::json& content,
@@ -172,6 +174,9 @@
   bool deaf = false;          ///< Watches under way do not hear of changes.
   /// Answers that may lag know nothing newer than this revision.
   std::uint64_t replica_revision = std::numeric_limits<std::uint64_t>::max();
+  /// What lists and watches are answered over; null: answers take no time.
+  SlowLink* link = nullptr;
+  std::size_t object_bytes = 0;  ///< Of each object in an answer.
   int lists = 0;
   int watches = 0;
   int latest_calls = 0;  ///< Of the lists and watches: those that may not lag.
@@ -184,6 +189,7 @@
     std::uint64_t revision;
   };
   struct Waiting {
+    store::CallId call;
     std::string kind;
     std::uint64_t revision;
     store::Freshness freshness;
@@ -195,6 +201,14 @@
   store::ChangeBatch changes_after(const std::string& kind, std::uint64_t revision,
                                    store::Freshness freshness) const;
   void wake();
+  /// Answers a list or a watch, over the link where there is one.
+  template <typename Value>
+  void send(store::CallId call, std::size_t objects, store::StoreHandler<Value> handler,
+            tl::expected<Value, store::StoreError> value) {
+    if (link == nullptr) return reply<Value>(std::move(handler), std::move(value));
+    link->carry(call, objects * object_bytes,
+                [handler = std::move(handler), value = std::move(value)] { handler(value); });
+  }
   template <typename Value>
   void reply(store::StoreHandler<Value> handler, tl::expected<Value, store::StoreError> value) {
     runtime_.post([handler = std::move(handler), value = std::move(value)] { handler(value); });
@@ -207,6 +221,7 @@
   std::vector<Waiting> waiting_;
   std::uint64_t revision_ = 1;
   std::uint64_t oldest_ = 0;
+  store::CallId last_call_ = 0;
 };
 
 /// Objects as the tests' store holds them.
--- /dev/null
+++ b/tests/relay/support/slow_link.hpp
@@ -0,0 +1,45 @@
+/// @file
+/// A link for tests, over which answers take time by their size.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "common/runtime.hpp"
+
+namespace shuntbank::testing {
+
+/// Carries transfers, which share the link in equal parts.
+class SlowLink {
+ public:
+  SlowLink(Runtime& runtime, std::size_t bytes_per_second)
+      : runtime_(runtime), bytes_per_second_(bytes_per_second) {}
+
+  /// Begins a transfer. @param on_whole called once all bytes have come, never before this returns.
+  void carry(std::uint64_t id, std::size_t bytes, std::function<void()> on_whole);
+
+  /// @return bytes of a transfer under way that have come.
+  std::size_t carried(std::uint64_t id) const;
+
+  /// @return bytes that the link has carried in all.
+  std::size_t total() const { return total_; }
+
+ private:
+  struct Transfer {
+    std::size_t bytes = 0;
+    std::size_t carried = 0;
+    std::function<void()> on_whole;
+  };
+  void schedule();
+  void tick();
+
+  Runtime& runtime_;
+  std::size_t bytes_per_second_;
+  std::size_t total_ = 0;
+  std::map<std::uint64_t, Transfer> transfers_;
+  std::unique_ptr<Timer> timer_;
+};
+
+}  // namespace shuntbank::testing
