--- /dev/null
+++ b/tests/relay/catalog_slow_link_test.cpp
@@ -0,0 +1,104 @@
+/// Seen: for 24 seconds, to the end of the day, nodes served by a configuration that had been
+/// replaced; they answered 404 on routes that were there, and their calls to engines came too late.
+/// How it came about: a configuration of half a megabyte, 0.4 s on a link of 10 Mbit/s, and a new
+/// version about each second. Other nodes told of each version at once.
+/// Cause: a node that had missed two versions asked for all that came after its own. That answer
+/// took longer than a node waits for what others have seen, so that it was given up on its way and
+/// asked for again, with one version more. Nothing ended this, and the answers that were given up
+/// went on filling the link that callers use.
+/// Proof: the links of just these nodes were full to the last byte while their processors were idle
+/// and their calls to the store succeeded; and their revision never moved, on the links of this
+/// test as there.
+#include <criterion/criterion.h>
+
+#include "relay/catalog.hpp"
+#include "relay/support/fakes.hpp"
+
+using namespace shuntbank;
+using namespace shuntbank::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t kLinkBytesPerSecond = 1'250'000;
+
+/// A node with a slow link among others that read the store at once and tell it of each change.
+struct Storm {
+  explicit Storm(std::size_t configuration_bytes = 500'000) {
+    store.object_bytes = configuration_bytes;
+    store.link = &link;
+    change();
+    catalog = std::make_unique<relay::Catalog>(runtime, store, codec, *site.node, settings);
+    pass(3s);
+  }
+
+  /// The operator writes a new version.
+  void change() { store.put("routes", "main", {{"version", ++newest}}); }
+
+  /// Lets time pass; the others tell how far they are ten times a second.
+  void pass(Duration duration) {
+    const MonotonicTime until = runtime.now() + duration;
+    while (runtime.now() < until) {
+      if (others_tell) catalog->hint({store.revision(), 0});
+      catalog->set_readers({!others_tell, runtime.now()});
+      runtime.advance(100ms);
+    }
+  }
+
+  /// New versions, one each `gap`.
+  void changes(int count, Duration gap) {
+    for (int i = 0; i < count; ++i) {
+      change();
+      pass(gap);
+    }
+  }
+
+  /// New versions that the store's answers to this node do not tell of.
+  void miss(int count) {
+    others_tell = false;
+    store.deaf = true;
+    for (int i = 0; i < count; ++i) change();
+    store.deaf = false;
+    others_tell = true;
+  }
+
+  std::uint64_t version() const { return site.node->table()->version(); }
+
+  ManualRuntime runtime;
+  MemoryStore store{runtime};
+  SlowLink link{runtime, kLinkBytesPerSecond};
+  TestCodec codec;
+  RelayFixture site;
+  relay::CatalogSettings settings;
+  std::unique_ptr<relay::Catalog> catalog;
+  std::uint64_t newest = 0;
+  bool others_tell = true;
+};
+
+}  // namespace
+
+Test(catalog_slow_link, takes_an_answer_that_is_longer_on_its_way_than_a_hint_waits) {
+  Storm storm(1'200'000);
+  storm.miss(1);
+  storm.pass(3s);
+  cr_assert_eq(storm.version(), storm.newest);
+}
+
+Test(catalog_slow_link, has_the_newest_in_force_soon_after_it_missed_some) {
+  Storm storm;
+  storm.miss(6);
+  storm.changes(6, 1s);
+  storm.pass(2s);
+  cr_assert_eq(storm.version(), storm.newest);
+}
+
+Test(catalog_slow_link, asks_the_store_for_nothing_that_another_node_has_given) {
+  Storm storm;
+  storm.miss(4);
+  storm.catalog->take_from_peer(
+      {storm.store.revision(), RelayFixture::configuration(storm.newest)});
+  const std::size_t before = storm.link.total();
+  storm.pass(5s);
+  cr_assert_eq(storm.version(), storm.newest);
+  cr_assert_eq(storm.link.total(), before);
+}
--- a/tests/relay/support/fakes.cpp
+++ b/tests/relay/support/fakes.cpp
@@ -233,8 +233,10 @@
   }
   auto open = std::make_shared<bool>(true);
   std::shared_ptr<Timer> timer =
-      runtime_.after(wait, [this, open, handler, kind, revision, freshness] {
-        if (std::exchange(*open, false)) handler(changes_after(kind, revision, freshness));
+      runtime_.after(wait, [this, call, open, handler, kind, revision, freshness] {
+        if (!std::exchange(*open, false)) return;
+        const auto later = changes_after(kind, revision, freshness);
+        send<store::ChangeBatch>(call, later.changes.size(), handler, later);
       });
   waiting_.push_back({call, kind, revision, freshness, std::move(handler), open, std::move(timer)});
   return call;
