Give up no answer that is receiving, and read the newest configuration, not its history

Cause: a watch from an old revision returns every version since, 0.4 s of a slow link for each; it was given up after 0.5 s for what others had seen and made again from the same revision, while the answer went on filling the link. Ruled out: the processor (idle) and refusals of the store (none on these nodes).

Change: a list or a watch ends by silence, not by a time for the whole, once its answer has begun; a hint gives up only a call without a byte, later each time, and its transfer is cancelled; a watch that is behind reads the state in place of all changes; what a peer brings moves the watch; two thirds of the link stay with callers while changes keep coming.

Better, not whole: calls of peers still end by a time for the whole.

--- a/src/net/http1_client.cpp
+++ b/src/net/http1_client.cpp
@@ -211,6 +211,12 @@
     arm(std::max(left, Duration::zero()), "no whole answer in time");
   }
 
+  /// Bytes have come: the answer is under way.
+  void arm_silence() {
+    const Duration silence = exchange_->request.answer_silence;
+    if (silence > Duration::zero()) arm(silence, "the answer broke off");
+  }
+
   void arm(Duration delay, const char* message) {
     const std::uint64_t generation = ++timer_generation_;
     timer_.expires_after(delay);
@@ -236,6 +242,7 @@
             ++self->client_->stats.surplus_answers;
             return self->close();
           }
+          self->arm_silence();
           self->parse();
           if (!self->closed_ && !self->paused_) self->read();
         });
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -26,6 +26,10 @@
   Duration total_timeout = Duration::zero();  ///< Zero means no bound.
   Duration idle_timeout =
       Duration::zero();  ///< Longest silence after the dispatch; zero: no bound.
+  /// Longest silence inside an answer that has begun, where `total_timeout` then ends no more: an
+  /// answer may take as long as its size needs on the link. Zero: `total_timeout` bounds it all.
+  /// Only `PooledHttpClient` heeds it.
+  Duration answer_silence = Duration::zero();
   /// Never send on a reused connection. libcurl sends a request again by itself when a reused
   /// connection turns out to be dead; a request that may run only once must not risk that.
   bool fresh_connection = false;
--- a/src/relay/catalog.cpp
+++ b/src/relay/catalog.cpp
@@ -36,8 +36,10 @@
   store::KindWatchSettings watch;
   watch.freshness = store::Freshness::kMayLag;
   watch.confirm_first_list = settings.joins;
+  store::KindWatchSettings whole = watch;
+  whole.newest_only = true;
   configuration_ = std::make_unique<store::KindWatch>(runtime, store, codec.configuration_kind(),
-                                                      watch, std::move(configuration));
+                                                      whole, std::move(configuration));
   engines_ = std::make_unique<store::KindWatch>(runtime, store, codec.engine_kind(), watch,
                                                 std::move(engines));
   node.on_fleet_changed([this](const Fleet& fleet) { pace(fleet); });
@@ -92,7 +94,8 @@
 void Catalog::look_for_hinted() {
   hinted_timer_.reset();
   if (hinted_ <= in_force_revision_) return;
-  if (ask_peer_) ask_peer_();
+  // What comes already needs no second copy on the same link.
+  if (ask_peer_ && !configuration_->receiving()) ask_peer_();
   watch_for_hinted();
 }
 
@@ -105,6 +108,7 @@
   const std::uint64_t version = message.configuration.version;
   node_.adopt(std::move(message.configuration));
   note_in_force(version, message.revision);
+  configuration_->advance(in_force_revision_);
 }
 
 /// A configuration that was refused, or is older than the one in force, has no say.
--- a/src/store/kind_watch.cpp
+++ b/src/store/kind_watch.cpp
@@ -50,6 +50,7 @@
         settings_(settings),
         handlers_(std::move(handlers)),
         backoff_(settings.first_backoff),
+        hint_grace_(settings.hint_grace),
         wait_(settings.wait),
         freshness_(settings.freshness),
         confirm_lists_(settings.confirm_first_list) {}
@@ -58,21 +59,35 @@
 
   void list(Freshness freshness) {
     listing_ = freshness;
-    store_.list(kind_, listing_, settings_.list_timeout,
-                [weak = weak_from_this()](tl::expected<ObjectList, StoreError> list) {
-                  if (const auto self = weak.lock()) self->on_list(std::move(list));
-                });
+    const std::uint64_t number = begin_call(CallKind::kList);
+    call_ = store_.list(kind_, listing_, settings_.list_timeout,
+                        [weak = weak_from_this(), number](const auto& list) {
+                          const auto self = weak.lock();
+                          if (self && self->is_under_way(number)) self->on_list(list);
+                        });
   }
 
   void stop() { stopped_ = true; }
 
   void hint(std::uint64_t revision) {
     hinted_ = std::max(hinted_, revision);
-    if (hint_timer_ || !listed_ || hinted_ <= revision_) return;
-    if (watching_) return await_hinted();
+    if (hint_timer_ || !listed_ || !behind_others()) return;
+    if (under_way_ == CallKind::kWatch) return await_hinted();
     if (lost) hurry();
   }
 
+  void advance(std::uint64_t revision) {
+    if (revision <= revision_ || !listed_) return;
+    revision_ = revision;
+    newest_change = std::max(newest_change, revision);
+    // The watch under way would bring all that led here.
+    if (under_way_ != CallKind::kWatch || receiving()) return;
+    give_up();
+    call_after(settings_.gather, [](Impl& self) { self.next(); });
+  }
+
+  bool receiving() const { return under_way_ != CallKind::kNone && store_.received(call_) > 0; }
+
   void set_wait(Duration wait) { wait_ = wait; }
   void set_gather(Duration gather) { settings_.gather = gather; }
   void set_longest_backoff(Duration backoff) { settings_.longest_backoff = backoff; }
@@ -81,8 +96,10 @@
     if (std::exchange(freshness_, freshness) == freshness) return;
     log_event(LogArea::kPlatform, LogLevel::kInfo, "store_reading",
               {{"kind", kind_}, {"freshness", to_text(freshness)}});
+    if (freshness != Freshness::kLatest || under_way_ != CallKind::kWatch || receiving()) return;
     // Nobody else looks any more: what the call under way may miss is asked for now.
-    if (freshness == Freshness::kLatest && watching_) watch();
+    give_up();
+    watch();
   }
 
   MonotonicTime confirmed_at{};
@@ -91,28 +108,65 @@
   bool lost = false;
 
  private:
-  void on_list(tl::expected<ObjectList, StoreError> list) {
-    if (stopped_) return;
+  enum class CallKind { kNone, kList, kWatch };
+
+  /// @return the number by which the call that is begun now is known to its handler.
+  std::uint64_t begin_call(CallKind kind) {
+    under_way_ = kind;
+    hurried_ = false;
+    asked_at_ = runtime_.now();
+    return ++calls_;
+  }
+
+  bool is_under_way(std::uint64_t number) const {
+    return !stopped_ && under_way_ != CallKind::kNone && number == calls_;
+  }
+
+  /// The link carries nothing more of an answer that nobody waits for.
+  void give_up() {
+    store_.cancel(call_);
+    under_way_ = CallKind::kNone;
+  }
+
+  bool behind_others() const { return hinted_ > revision_; }
+
+  /// The call that suits what is known.
+  void next() {
+    if (!listed_) return list();
+    // All changes since would come one by one, each as large as the state that is asked for.
+    if (settings_.newest_only && (behind_others() || missed_some_)) {
+      return list(Freshness::kLatest);
+    }
+    watch();
+  }
+
+  void on_list(const tl::expected<ObjectList, StoreError>& list) {
+    under_way_ = CallKind::kNone;
     if (!list) return retry("list", list.error());
     regained(listing_);
-    listed_ = true;
+    const bool catches_up = std::exchange(listed_, true);
     const bool confirm = listing_ == Freshness::kMayLag && confirm_lists_;
     confirm_lists_ = true;
     if (confirm) {
       // The list may be older than what is known here. It is taken once the store has said what
       // came after it.
-      unconfirmed_ = std::move(*list);
-    } else {
-      take_list(*list);
+      unconfirmed_ = *list;
+      return watch();
     }
-    watch();
+    take_list(*list);
+    if (!catches_up) return watch();
+    pause_after(list->transfer);
   }
 
   void take_list(const ObjectList& list) {
-    revision_ = list.revision;
+    missed_some_ = false;
+    revision_ = std::max(revision_, list.revision);
     for (const StoredObject& object : list.objects) note_change(object);
     log_event(LogArea::kPlatform, LogLevel::kInfo, "kind_listed",
-              {{"kind", kind_}, {"objects", list.objects.size()}, {"revision", revision_}});
+              {{"kind", kind_},
+               {"objects", list.objects.size()},
+               {"revision", revision_},
+               {"transfer_ms", whole_ms(list.transfer)}});
     handlers_.on_list(list);
   }
 
@@ -120,56 +174,45 @@
 
   void watch(Freshness freshness) {
     if (stopped_) return;
-    watching_ = true;
-    hurried_ = false;
-    const std::uint64_t call = ++calls_;
+    const std::uint64_t number = begin_call(CallKind::kWatch);
     asked_ = unconfirmed_ ? Freshness::kLatest : freshness;
-    if (hinted_ > revision_ && !hint_timer_) await_hinted();
+    if (behind_others() && !hint_timer_) await_hinted();
     const std::uint64_t revision = unconfirmed_ ? unconfirmed_->revision : revision_;
     const Duration wait = unconfirmed_ ? kNoWait : jittered(wait_, kWaitSpread);
-    asked_at_ = runtime_.now();
-    call_ = store_.watch(
-        kind_, revision, asked_, wait, wait + settings_.wait_slack,
-        [weak = weak_from_this(), call](const tl::expected<ChangeBatch, StoreError>& batch) {
-          const auto self = weak.lock();
-          if (!self || self->stopped_) return;
-          // An answer to a call that was given up is not in the order of the others.
-          if (!self->watching_ || call != self->calls_) return self->log_thrown_away(batch);
-          self->on_batch(batch);
-        });
-  }
-
-  /// What came for nothing has filled the link all the same.
-  void log_thrown_away(const tl::expected<ChangeBatch, StoreError>& batch) const {
-    log_event(LogArea::kPlatform, LogLevel::kWarning, "answer_thrown_away",
-              {{"kind", kind_},
-               {"changes", batch ? batch->changes.size() : 0},
-               {"up_to", batch ? batch->revision : 0},
-               {"revision", revision_}});
+    call_ = store_.watch(kind_, revision, asked_, wait, wait + settings_.wait_slack,
+                         [weak = weak_from_this(), number](const auto& batch) {
+                           const auto self = weak.lock();
+                           if (self && self->is_under_way(number)) self->on_batch(batch);
+                         });
   }
 
   /// The store answers others: there is no reason to wait any longer.
   void hurry() {
     if (std::exchange(hurried_, true)) return;
-    call_after(settings_.first_backoff, [](Impl& self) { self.watch(); });
+    call_after(settings_.first_backoff, [](Impl& self) { self.next(); });
   }
 
   /// What others have seen should come here soon as well.
   void await_hinted() {
-    hint_timer_ = runtime_.after(settings_.hint_grace, [weak = weak_from_this()] {
+    hint_timer_ = runtime_.after(hint_grace_, [weak = weak_from_this()] {
       if (const auto self = weak.lock()) self->check_hint();
     });
   }
 
   void check_hint() {
     hint_timer_.reset();
-    if (stopped_ || !watching_ || hinted_ <= revision_) return;
+    if (stopped_ || under_way_ != CallKind::kWatch || !behind_others()) return;
+    // What is on its way fills the link whether it is taken or not. Giving it up for what is newer
+    // could go on for ever, each answer being longer than the one before.
+    if (receiving()) return;
     log_event(LogArea::kPlatform, LogLevel::kWarning, "watch_deaf",
               {{"kind", kind_},
                {"revision", revision_},
                {"others_have", hinted_},
-               {"received", store_.received(call_)},
                {"under_way_ms", whole_ms(runtime_.now() - asked_at_)}});
+    give_up();
+    hint_grace_ = std::min(2 * hint_grace_, settings_.longest_hint_grace);
+    if (settings_.newest_only && !unconfirmed_) return next();
     watch(Freshness::kLatest);
   }
 
@@ -178,8 +221,7 @@
   }
 
   void on_batch(const tl::expected<ChangeBatch, StoreError>& batch) {
-    if (stopped_) return;
-    watching_ = false;
+    under_way_ = CallKind::kNone;
     if (!batch && batch.error() == StoreError::kHistoryGone) {
       log_event(LogArea::kPlatform, LogLevel::kWarning, "history_gone",
                 {{"kind", kind_}, {"revision", revision_}});
@@ -197,8 +239,17 @@
       handlers_.on_change(change);
     }
     revision_ = std::max(revision_, batch->revision);
-    if (batch->changes.empty()) return watch();
-    call_after(settings_.gather, [](Impl& self) { self.watch(); });
+    if (batch->changes.empty()) return next();
+    // Changes come faster than they are read: there are more by now.
+    missed_some_ = batch->changes.size() > 1;
+    pause_after(batch->transfer);
+  }
+
+  /// Changes that come close together share a call, and callers get their part of the link.
+  void pause_after(Duration transfer) {
+    const Duration wanted = from_seconds(settings_.pause_a_transfer * to_seconds(transfer));
+    const Duration pause = std::max(settings_.gather, std::min(wanted, settings_.longest_pause));
+    call_after(pause, [](Impl& self) { self.next(); });
   }
 
   void call_after(Duration delay, void (*step)(Impl&)) {
@@ -212,6 +263,7 @@
     confirmed_at = runtime_.now();
     if (answered == Freshness::kLatest) confirmed_latest_at = confirmed_at;
     backoff_ = settings_.first_backoff;
+    hint_grace_ = settings_.hint_grace;
     if (!std::exchange(lost, false)) return;
     log_event(LogArea::kPlatform, LogLevel::kInfo, "store_regained", {{"kind", kind_}});
   }
@@ -224,13 +276,7 @@
     // Jitter keeps the nodes apart after an outage that met all of them.
     const Duration delay = jittered(backoff_, kBackoffSpread);
     backoff_ = std::min(backoff_ * 2, settings_.longest_backoff);
-    call_after(delay, [](Impl& self) {
-      if (self.listed_) {
-        self.watch();
-      } else {
-        self.list();
-      }
-    });
+    call_after(delay, [](Impl& self) { self.next(); });
   }
 
   /// @return `duration` times a random factor from 1 - spread to 1 + spread.
@@ -245,6 +291,7 @@
   KindWatchSettings settings_;
   KindWatchHandlers handlers_;
   Duration backoff_;
+  Duration hint_grace_;  ///< Of the next hint.
   std::unique_ptr<Timer> timer_;
   std::unique_ptr<Timer> hint_timer_;
   Duration wait_;
@@ -255,10 +302,11 @@
   std::optional<ObjectList> unconfirmed_;  ///< Waits for the store to say what came after it.
   std::uint64_t revision_ = 0;
   std::uint64_t hinted_ = 0;  ///< Newest change that others have told of.
-  std::uint64_t calls_ = 0;   ///< Watches so far.
-  CallId call_ = 0;           ///< The watch under way, as the store names it.
+  std::uint64_t calls_ = 0;   ///< Lists and watches so far.
+  CallKind under_way_ = CallKind::kNone;
+  CallId call_ = 0;           ///< The call under way, as the store names it.
   MonotonicTime asked_at_{};  ///< When it was begun.
-  bool watching_ = false;     ///< A watch is under way.
+  bool missed_some_ = false;  ///< Changes come faster than they are read.
   bool hurried_ = false;      ///< The next call after a failure was brought forward.
   bool listed_ = false;
   bool stopped_ = false;
@@ -311,4 +359,12 @@
   impl_->hint(revision);
 }
 
+void KindWatch::advance(std::uint64_t revision) {
+  impl_->advance(revision);
+}
+
+bool KindWatch::receiving() const {
+  return impl_->receiving();
+}
+
 }  // namespace shuntbank::store
--- a/src/store/kind_watch.hpp
+++ b/src/store/kind_watch.hpp
@@ -18,9 +18,19 @@
   Duration wait_slack = std::chrono::milliseconds(700);  ///< Behind `wait`, until the call fails.
   /// Behind a batch with changes, until the next call: changes that come close together share one.
   Duration gather = std::chrono::milliseconds(300);
-  /// A change that somebody else has seen must have come here within this time, or else the call
-  /// under way is taken for lost.
+  /// The answer to a call must have begun within this time after somebody else has seen a change,
+  /// or else the call is taken for lost. Twice as long after each call that was given up, so that a
+  /// store which answers later than this is heard as well.
   Duration hint_grace = std::chrono::milliseconds(500);
+  Duration longest_hint_grace = std::chrono::seconds(4);
+  /// Only the newest state matters, and it is no larger than a change: a watch that is behind reads
+  /// the state instead of all that led to it.
+  bool newest_only = false;
+  /// Behind an answer, times what its bytes took: with the answer itself, a third of a link is the
+  /// most that a watch takes from callers while changes keep coming.
+  double pause_a_transfer = 2;
+  /// At most so long behind an answer, or else changes would come into force too late.
+  Duration longest_pause = std::chrono::milliseconds(800);
   Duration list_timeout = std::chrono::milliseconds(1500);
   Duration first_backoff = std::chrono::milliseconds(50);
   Duration longest_backoff = std::chrono::milliseconds(800);
@@ -71,10 +81,18 @@
   /// @return the revision of the newest change that this watch has seen; 0: none.
   std::uint64_t newest_change() const;
 
-  /// Somebody else has seen a change at `revision`. Where it does not arrive here soon, the call
-  /// under way is given up and made again: the store answers others, and this call is deaf.
+  /// Somebody else has seen a change at `revision`. Where no answer begins here soon, the call
+  /// under way is given up and made again: the store answers others, and this call is deaf. One
+  /// that is receiving goes on: what it brings is at most a change older, and asking again would
+  /// make the link carry it twice.
   void hint(std::uint64_t revision);
 
+  /// Somebody else has brought the state as of `revision`: changes up to there are not asked for.
+  void advance(std::uint64_t revision);
+
+  /// @return whether bytes of an answer have come that is not whole yet.
+  bool receiving() const;
+
  private:
   class Impl;
   std::shared_ptr<Impl> impl_;
--- a/src/store/object_store.hpp
+++ b/src/store/object_store.hpp
@@ -24,6 +24,7 @@
 struct ObjectList {
   std::vector<StoredObject> objects;
   std::uint64_t revision = 0;
+  Duration transfer{};  ///< From its first byte to its last.
 };
 
 /// One change of an object.
@@ -36,6 +37,7 @@
 struct ChangeBatch {
   std::vector<ObjectChange> changes;
   std::uint64_t revision = 0;
+  Duration transfer{};  ///< From its first byte to its last.
 };
 
 /// Why a call brought nothing.
@@ -66,7 +68,9 @@
 template <typename Value>
 using StoreHandler = std::function<void(tl::expected<Value, StoreError>)>;
 
-/// Calls to the store. Handlers are called on the loop, never before the call returns.
+/// Calls to the store. Handlers are called on the loop, never before the call returns. The time
+/// limit of a list or a watch holds until its answer begins; how long that may take is for its size
+/// and the link to say, so that from there on only silence ends it.
 class ObjectStore {
  public:
   ObjectStore() = default;
@@ -86,6 +90,10 @@
   /// has ended.
   virtual std::size_t received(CallId call) const = 0;
 
+  /// Gives a list or a watch up: its handler is not called, and what the store still sends of the
+  /// answer no longer fills the link.
+  virtual void cancel(CallId call) = 0;
+
   /// Reads one object.
   virtual void read(const std::string& kind, const std::string& name, Duration timeout,
                     StoreHandler<StoredObject> handler) = 0;
--- a/tests/relay/support/fakes.cpp
+++ b/tests/relay/support/fakes.cpp
@@ -203,6 +203,11 @@
   return link == nullptr ? 0 : link->carried(call);
 }
 
+void MemoryStore::cancel(store::CallId call) {
+  if (link != nullptr) link->drop(call);
+  std::erase_if(waiting_, [call](const Waiting& waiting) { return waiting.call == call; });
+}
+
 store::ChangeBatch MemoryStore::changes_after(const std::string& kind, std::uint64_t revision,
                                               store::Freshness freshness) const {
   store::ChangeBatch batch;
--- a/tests/relay/support/fakes.hpp
+++ b/tests/relay/support/fakes.hpp
@@ -153,6 +153,7 @@
                       Duration wait, Duration timeout,
                       store::StoreHandler<store::ChangeBatch> handler) override;
   std::size_t received(store::CallId call) const override;
+  void cancel(store::CallId call) override;
   void read(const std::string& kind, const std::string& name, Duration timeout,
             store::StoreHandler<store::StoredObject> handler) override;
   void create(const std::string& kind, const std::string& name, const nlohmann::json& content,
@@ -206,8 +207,12 @@
   void send(store::CallId call, std::size_t objects, store::StoreHandler<Value> handler,
             tl::expected<Value, store::StoreError> value) {
     if (link == nullptr) return reply<Value>(std::move(handler), std::move(value));
+    const MonotonicTime begun = runtime_.now();
     link->carry(call, objects * object_bytes,
-                [handler = std::move(handler), value = std::move(value)] { handler(value); });
+                [this, begun, handler = std::move(handler), value = std::move(value)]() mutable {
+                  if (value) value->transfer = runtime_.now() - begun;
+                  handler(std::move(value));
+                });
   }
   template <typename Value>
   void reply(store::StoreHandler<Value> handler, tl::expected<Value, store::StoreError> value) {
--- a/tests/relay/support/slow_link.cpp
+++ b/tests/relay/support/slow_link.cpp
@@ -29,6 +29,7 @@
 
 void SlowLink::tick() {
   timer_.reset();
+  if (transfers_.empty()) return;
   const std::size_t share = bytes_per_second_ / kStepsPerSecond / transfers_.size();
   std::vector<std::function<void()>> whole;
   for (auto it = transfers_.begin(); it != transfers_.end();) {
--- a/tests/relay/support/slow_link.hpp
+++ b/tests/relay/support/slow_link.hpp
@@ -20,6 +20,9 @@
   /// Begins a transfer. @param on_whole called once all bytes have come, never before this returns.
   void carry(std::uint64_t id, std::size_t bytes, std::function<void()> on_whole);
 
+  /// Ends a transfer before it is whole.
+  void drop(std::uint64_t id) { transfers_.erase(id); }
+
   /// @return bytes of a transfer under way that have come.
   std::size_t carried(std::uint64_t id) const;
 
