Read the state again while each reading brings another one; test the parts of the mend

Cause: a reader with nobody to tell it of changes went back to watching after one reading of the newest state. With versions that come faster than the link carries them, the watch then brought all that had come meanwhile: up to 4 s behind in the test, 2 s after the last version not yet there.

Change: it reads the state again until a reading brings nothing new.

--- a/src/store/kind_watch.cpp
+++ b/src/store/kind_watch.cpp
@@ -159,9 +159,11 @@
   }
 
   void take_list(const ObjectList& list) {
-    missed_some_ = false;
+    const std::uint64_t before = newest_change;
     revision_ = std::max(revision_, list.revision);
     for (const StoredObject& object : list.objects) note_change(object);
+    // As long as each state is another one, there is a newer one by now.
+    missed_some_ = missed_some_ && newest_change > before;
     log_event(LogArea::kPlatform, LogLevel::kInfo, "kind_listed",
               {{"kind", kind_},
                {"objects", list.objects.size()},
--- a/tests/net/http1_edges_test.cpp
+++ b/tests/net/http1_edges_test.cpp
@@ -398,3 +398,86 @@
   while (!over) loop.run_one();
   cr_assert_eq(taken, "piece");
 }
+
+namespace {
+
+/// A peer that answers each request with a head for `kPieces` pieces and sends one each `gap`.
+class TricklingServer {
+ public:
+  static constexpr int kPieces = 6;
+
+  /// @param sent pieces after which it falls silent.
+  TricklingServer(asio::io_context& own_loop, Duration gap, int sent)
+      : acceptor_(own_loop, kAnyPort), gap_(gap), left_(sent), timer_(own_loop) {
+    acceptor_.async_accept([this](const std::error_code& error, asio::ip::tcp::socket socket) {
+      if (error) return;
+      socket_ = std::move(socket);
+      asio::async_read_until(*socket_, request_, "\r\n\r\n",
+                             [this](const std::error_code&, std::size_t) { begin(); });
+    });
+  }
+  std::string address() const { return format_endpoint(acceptor_.local_endpoint()); }
+
+ private:
+  void begin() {
+    out_ = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kPieces) + "\r\n\r\n";
+    asio::async_write(*socket_, asio::buffer(out_),
+                      [this](const std::error_code&, std::size_t) { wait(); });
+  }
+  void wait() {
+    if (left_-- <= 0) return;
+    timer_.expires_after(gap_);
+    timer_.async_wait([this](const std::error_code& error) {
+      if (error) return;
+      asio::async_write(*socket_, asio::buffer("x", 1),
+                        [this](const std::error_code&, std::size_t) { wait(); });
+    });
+  }
+
+  asio::ip::tcp::acceptor acceptor_;
+  std::optional<asio::ip::tcp::socket> socket_;
+  asio::streambuf request_;
+  std::string out_;
+  Duration gap_;
+  int left_;
+  asio::steady_timer timer_;
+};
+
+/// Fetches from a peer that sends its pieces apart. @return the body, or what went wrong.
+tl::expected<std::string, std::string> fetch_trickling(Duration gap, int sent, Duration silence) {
+  asio::io_context loop;
+  TricklingServer server(loop, gap, sent);
+  PooledHttpClient client(loop, {});
+  OutgoingRequest request;
+  request.url = "http://" + server.address() + "/";
+  request.total_timeout = 1s;
+  request.answer_silence = silence;
+  tl::expected<std::string, std::string> result;
+  client.fetch(std::move(request), [&](const auto& reply) {
+    if (reply) {
+      result = reply->body;
+    } else {
+      result = tl::make_unexpected(reply.error().message);
+    }
+    loop.stop();
+  });
+  loop.run();
+  return result;
+}
+
+}  // namespace
+
+Test(http1_client, gives_up_no_answer_that_keeps_coming) {
+  // 1.5 s in all, where an answer had 1: one that is large or on a slow link never came.
+  const auto whole = fetch_trickling(250ms, TricklingServer::kPieces, 10s);
+  cr_assert(whole.has_value(), "%s", whole ? "" : whole.error().c_str());
+  cr_assert_eq(*whole, "xxxxxx");
+}
+
+Test(http1_client, gives_up_an_answer_that_falls_silent) {
+  cr_assert_not(fetch_trickling(1ms, 3, 50ms).has_value());
+}
+
+Test(http1_client, bounds_the_whole_answer_where_no_silence_is_set) {
+  cr_assert_not(fetch_trickling(250ms, TricklingServer::kPieces, Duration::zero()).has_value());
+}
--- a/tests/relay/catalog_slow_link_test.cpp
+++ b/tests/relay/catalog_slow_link_test.cpp
@@ -102,3 +102,28 @@
   cr_assert_eq(storm.version(), storm.newest);
   cr_assert_eq(storm.link.total(), before);
 }
+
+Test(catalog_slow_link, has_the_newest_in_force_in_time_though_versions_come_faster_than_the_link) {
+  // Versions that take 0.4 s each, one each 0.2 s: all of them would take twice the time they come.
+  for (const bool others_tell : {true, false}) {
+    Storm storm;
+    storm.others_tell = others_tell;
+    const std::size_t before = storm.link.total();
+    storm.changes(25, 200ms);
+    const std::size_t carried = storm.link.total() - before;
+    cr_assert_leq(carried, 5 * kLinkBytesPerSecond * 6 / 10, "callers share the link: %zu",
+                  carried);
+    storm.pass(2s);
+    cr_assert_eq(storm.version(), storm.newest, "others tell: %d", others_tell);
+  }
+}
+
+Test(catalog_slow_link, hears_a_store_that_answers_later_than_a_hint_waits) {
+  // Its calls were given up after 0.5 s each time, and it answers after 2.
+  Storm storm;
+  storm.others_tell = true;
+  storm.store.answer_delay = 2s;
+  storm.miss(1);
+  storm.pass(6s);
+  cr_assert_eq(storm.version(), storm.newest);
+}
--- a/tests/relay/support/fakes.hpp
+++ b/tests/relay/support/fakes.hpp
@@ -178,6 +178,7 @@
   /// What lists and watches are answered over; null: answers take no time.
   SlowLink* link = nullptr;
   std::size_t object_bytes = 0;  ///< Of each object in an answer.
+  Duration answer_delay{};       ///< Until an answer over the link begins.
   int lists = 0;
   int watches = 0;
   int latest_calls = 0;  ///< Of the lists and watches: those that may not lag.
@@ -207,8 +208,8 @@
   void send(store::CallId call, std::size_t objects, store::StoreHandler<Value> handler,
             tl::expected<Value, store::StoreError> value) {
     if (link == nullptr) return reply<Value>(std::move(handler), std::move(value));
-    const MonotonicTime begun = runtime_.now();
-    link->carry(call, objects * object_bytes,
+    const MonotonicTime begun = runtime_.now() + answer_delay;
+    link->carry(call, objects * object_bytes, answer_delay,
                 [this, begun, handler = std::move(handler), value = std::move(value)]() mutable {
                   if (value) value->transfer = runtime_.now() - begun;
                   handler(std::move(value));
--- a/tests/relay/support/slow_link.cpp
+++ b/tests/relay/support/slow_link.cpp
@@ -13,8 +13,9 @@
 
 }  // namespace
 
-void SlowLink::carry(std::uint64_t id, std::size_t bytes, std::function<void()> on_whole) {
-  transfers_[id] = {bytes, 0, std::move(on_whole)};
+void SlowLink::carry(std::uint64_t id, std::size_t bytes, Duration delay,
+                     std::function<void()> on_whole) {
+  transfers_[id] = {bytes, 0, runtime_.now() + delay, std::move(on_whole)};
   if (!timer_) schedule();
 }
 
@@ -34,6 +35,10 @@
   std::vector<std::function<void()>> whole;
   for (auto it = transfers_.begin(); it != transfers_.end();) {
     Transfer& transfer = it->second;
+    if (runtime_.now() < transfer.begins) {
+      ++it;
+      continue;
+    }
     const std::size_t carried = std::min(share, transfer.bytes - transfer.carried);
     transfer.carried += carried;
     total_ += carried;
--- a/tests/relay/support/slow_link.hpp
+++ b/tests/relay/support/slow_link.hpp
@@ -17,8 +17,9 @@
   SlowLink(Runtime& runtime, std::size_t bytes_per_second)
       : runtime_(runtime), bytes_per_second_(bytes_per_second) {}
 
-  /// Begins a transfer. @param on_whole called once all bytes have come, never before this returns.
-  void carry(std::uint64_t id, std::size_t bytes, std::function<void()> on_whole);
+  /// Begins a transfer after `delay`.
+  /// @param on_whole called once all bytes have come, never before this returns.
+  void carry(std::uint64_t id, std::size_t bytes, Duration delay, std::function<void()> on_whole);
 
   /// Ends a transfer before it is whole.
   void drop(std::uint64_t id) { transfers_.erase(id); }
@@ -33,6 +34,7 @@
   struct Transfer {
     std::size_t bytes = 0;
     std::size_t carried = 0;
+    MonotonicTime begins{};
     std::function<void()> on_whole;
   };
   void schedule();
