--- a/tests/relay/catalog_slow_link_test.cpp
+++ b/tests/relay/catalog_slow_link_test.cpp
@@ -127,3 +127,36 @@
   storm.pass(6s);
   cr_assert_eq(storm.version(), storm.newest);
 }
+
+Test(catalog_slow_link, leaves_the_link_to_callers_when_another_node_was_faster_than_the_store) {
+  Storm storm;
+  const std::size_t before = storm.link.total();
+  storm.change();
+  storm.pass(100ms);
+  cr_assert_gt(storm.link.total(), before, "the store's answer is on its way");
+  storm.catalog->take_from_peer(
+      {storm.store.revision(), RelayFixture::configuration(storm.newest)});
+  storm.pass(3s);
+  cr_assert_leq(storm.link.total() - before, storm.store.object_bytes / 3);
+  storm.change();
+  storm.pass(2s);
+  cr_assert_eq(storm.version(), storm.newest, "it goes on watching");
+}
+
+Test(catalog_slow_link, asks_a_store_that_is_back_once_and_waits_for_the_answer) {
+  // Seen: a node that the store had turned away asked it for the whole configuration each 60 ms
+  // once it was back, since others told of changes, and took none of the answers: the link was full
+  // to the end of the day. Cause: a hint found the list that was under way to be no call.
+  Storm storm;
+  storm.store.down = true;
+  storm.miss(1);
+  storm.pass(6s);
+  storm.store.down = false;
+  const int before = storm.store.lists;
+  for (int i = 0; i < 150; ++i) {
+    storm.catalog->hint({storm.store.revision(), 0});
+    storm.runtime.advance(20ms);
+  }
+  cr_assert_eq(storm.version(), storm.newest);
+  cr_assert_leq(storm.store.lists - before, 2, "%d", storm.store.lists - before);
+}
