--- a/tests/relay/catalog_slow_link_test.cpp
+++ b/tests/relay/catalog_slow_link_test.cpp
@@ -149,8 +149,9 @@
   // to the end of the day. Cause: a hint found the list that was under way to be no call.
   Storm storm;
   storm.store.down = true;
-  storm.miss(1);
   storm.pass(6s);
+  storm.miss(1);
+  storm.pass(1s);
   storm.store.down = false;
   const int before = storm.store.lists;
   for (int i = 0; i < 150; ++i) {
