Have one call under way, whoever asks for it

Cause: a hint looked for a watch under way and took a list under way for none. A node that had lost the store began its list of the newest configuration anew 50 ms after each hint, and took only the answer to the last.

Change: a hint begins nothing while a call is under way, and a call that is begun ends the one before it.

--- a/src/store/kind_watch.cpp
+++ b/src/store/kind_watch.cpp
@@ -73,7 +73,8 @@
     hinted_ = std::max(hinted_, revision);
     if (hint_timer_ || !listed_ || !behind_others()) return;
     if (under_way_ == CallKind::kWatch) return await_hinted();
-    if (lost) hurry();
+    // A list under way brings what is new.
+    if (under_way_ == CallKind::kNone && lost) hurry();
   }
 
   void advance(std::uint64_t revision) {
@@ -112,6 +113,8 @@
 
   /// @return the number by which the call that is begun now is known to its handler.
   std::uint64_t begin_call(CallKind kind) {
+    // Two answers on one link come later than one, and the first would be thrown away.
+    if (under_way_ != CallKind::kNone) give_up();
     under_way_ = kind;
     hurried_ = false;
     asked_at_ = runtime_.now();
