End the store's answer that another node has made needless

Cause: each version comes to every node twice, whole from the store and in part from a peer, mostly sooner; on a 10 Mbit/s link the whole takes callers' part of it for 0.2 to 0.4 s.

Change: what a peer brings ends the call under way also when it is receiving, if nobody has told of anything newer. That is no return to giving answers up for hints: each time the state has moved on.

--- a/src/store/kind_watch.cpp
+++ b/src/store/kind_watch.cpp
@@ -81,8 +81,8 @@
     if (revision <= revision_ || !listed_) return;
     revision_ = revision;
     newest_change = std::max(newest_change, revision);
-    // The watch under way would bring all that led here.
-    if (under_way_ != CallKind::kWatch || receiving()) return;
+    if (under_way_ == CallKind::kNone || behind_others()) return;
+    // It would bring what is here already: half a megabyte that callers can have the link for.
     give_up();
     call_after(settings_.gather, [](Impl& self) { self.next(); });
   }
