--- a/spec/store_readers.pml
+++ b/spec/store_readers.pml
@@ -4,7 +4,9 @@
  *
  * -DTAKE_OLD_LIST    broken variant: a list that may lag is taken without asking what came after it.
  * -DTAKE_LATE_ANSWER broken variant: the answer to a call that was given up is taken.
- * -DTRUST_HINT       broken variant: a hint is taken for the changes that it tells of. */
+ * -DTRUST_HINT       broken variant: a hint is taken for the changes that it tells of.
+ * -DKEEP_CALL        broken variant: the call under way goes on when another node has brought the
+ *                    state, and its answer is taken after it. */
 
 #define CHANGES 4
 #define CALLS 3
@@ -90,6 +92,18 @@
       fi
     }
 
+  /* Another node hands its state on. It holds what some answer of the store held. */
+  :: listed && hint > newest ->
+    atomic {
+      revision = hint;
+      held = ALL_UP_TO(hint);
+      newest = hint;
+#ifndef KEEP_CALL
+      asked = false;
+      call++
+#endif
+    }
+
   /* Answers may come in any order. */
   :: answers ?? id, from, known ->
     atomic {
