Ask the whole fleet for a configuration where a zone has it not

Cause: in a large fleet only the own zone's nodes were asked. Where the store turns a whole zone away, none of them has it. Change: by turns the collector, a node of the zone, any node. The choice of whom to ask stands in functions of its own, with tests for large and small fleets.

--- a/src/relay/load_exchange.cpp
+++ b/src/relay/load_exchange.cpp
@@ -14,6 +14,9 @@
   return {transport.local_address(), settings.zone, settings.capacity};
 }
 
+/// Kinds of nodes that are asked for a configuration in turn.
+constexpr std::uint64_t kTurns = 3;
+
 /// A node that joins looks at once.
 PeerDirectorySettings directory_settings(const LoadExchangeSettings& settings) {
   PeerDirectorySettings peers = settings.peers;
@@ -115,16 +118,18 @@
   return true;
 }
 
-/// In a small fleet those that told of the newest one. In a large one the collector, which reads
-/// the store and has the largest machine of the zone, and any node by turns: the collector may lack
-/// it, and so may a node drawn at random until it has spread.
+/// In a small fleet those that told of the newest one. In a large one by turns the collector, which
+/// reads the store and has the largest machine of the zone; any node of the zone, since the
+/// collector may lack it; and any node at all, since the store may turn the whole zone away.
 std::vector<std::string> LoadExchange::peers_with_configuration() {
-  if (by_zones()) {
-    asked_collector_ = !asked_collector_;
-    const PeerRecord* collector = asked_collector_ ? zones_.source() : nullptr;
-    if (collector != nullptr) return {collector->address};
-    return peers_to_ask();
-  }
+  if (!by_zones()) return peers_that_have_the_newest();
+  const std::uint64_t turn = configurations_asked_++ % kTurns;
+  const PeerRecord* collector = zones_.source();
+  if (turn == 0 && collector != nullptr) return {collector->address};
+  return turn == kTurns - 1 ? all_peers() : peers_to_ask();
+}
+
+std::vector<std::string> LoadExchange::peers_that_have_the_newest() const {
   std::uint64_t newest = 0;
   for (const auto& [name, heard] : heard_) newest = std::max(newest, heard.configuration);
   std::vector<std::string> having;
@@ -135,15 +140,20 @@
   return having.empty() ? peers_to_ask() : having;
 }
 
+std::vector<std::string> LoadExchange::all_peers() const {
+  std::vector<std::string> all;
+  for (const auto& [name, record] : peers_.nodes()) {
+    if (name != self_) all.push_back(record.address);
+  }
+  return all;
+}
+
 std::vector<std::string> LoadExchange::peers_to_ask() const {
   std::vector<std::string> near;
-  std::vector<std::string> all;
   for (const auto& [name, record] : peers_.nodes()) {
-    if (name == self_) continue;
-    all.push_back(record.address);
-    if (record.zone == settings_.zone) near.push_back(record.address);
+    if (name != self_ && record.zone == settings_.zone) near.push_back(record.address);
   }
-  return near.empty() ? all : near;
+  return near.empty() ? all_peers() : near;
 }
 
 void LoadExchange::take_caches(const tl::expected<std::string, std::string>& answer) {
--- a/src/relay/load_exchange.hpp
+++ b/src/relay/load_exchange.hpp
@@ -79,7 +79,9 @@
   bool ask_one_of(const std::vector<std::string>& addresses, std::string_view call,
                   PeerTransport::AnswerHandler handler);
   std::vector<std::string> peers_with_configuration();
+  std::vector<std::string> peers_that_have_the_newest() const;
   std::vector<std::string> peers_to_ask() const;
+  std::vector<std::string> all_peers() const;
   void take_caches(const tl::expected<std::string, std::string>& answer);
   std::string snapshot() const;
   std::string answer(const std::string& call) const;
@@ -113,7 +115,7 @@
   std::function<void(std::string_view)> on_usage_message_;
   std::function<std::string(const ConfigurationCall&)> on_configuration_asked_;
   bool asking_configuration_ = false;  ///< The answer is still to come.
-  bool asked_collector_ = false;       ///< The last time that a configuration was asked for.
+  std::uint64_t configurations_asked_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/tests/relay/load_exchange_test.cpp
+++ b/tests/relay/load_exchange_test.cpp
@@ -158,3 +158,58 @@
   cr_assert_gt(fleet.engine(1).avoided_until, fleet.runtime.now());
   cr_assert(heard == (relay::CatalogRevisions{5, 6}));
 }
+
+Test(load_exchange, asks_its_collector_its_zone_and_the_others_for_a_configuration) {
+  // A zone that the store turns away as a whole has it from nobody of its own.
+  ExchangingFleet fleet(60, 5);
+  fleet.runtime.advance(4s);
+  std::set<std::size_t> asked;
+  for (std::size_t i = 0; i < 60; ++i) {
+    fleet.exchanges[i]->on_configuration_asked([&asked, i](const ConfigurationCall&) {
+      asked.insert(i);
+      return std::string();
+    });
+  }
+  const auto collectors = fleet.collectors();
+  const std::size_t asks = fleet.first_but(collectors);
+  for (int i = 0; i < 30; ++i) {
+    fleet.exchanges[asks]->ask_configuration({}, [](const ConfigurationMessage&) {});
+    fleet.runtime.advance(10ms);
+  }
+  int collector = 0;
+  int near = 0;
+  int far = 0;
+  for (const std::size_t i : asked) {
+    const bool own_zone = i % 5 == asks % 5;
+    if (own_zone && collectors.count(i) > 0) ++collector;
+    if (own_zone && collectors.count(i) == 0) ++near;
+    if (!own_zone) ++far;
+  }
+  cr_assert_geq(collector, 1);
+  cr_assert_geq(near, 2);
+  cr_assert_geq(far, 2);
+}
+
+Test(load_exchange, asks_those_that_have_it_in_a_small_fleet) {
+  ExchangingFleet fleet(6);
+  fleet.runtime.advance(3s);
+  std::set<std::size_t> asked;
+  for (std::size_t i = 0; i < 6; ++i) {
+    fleet.exchanges[i]->on_configuration_asked([&asked, i](const ConfigurationCall&) {
+      asked.insert(i);
+      return std::string();
+    });
+    const std::uint64_t revision = i == 4 ? 9 : 7;
+    fleet.exchanges[i]->connect_revisions(
+        [revision] {
+          return relay::StoreProgress{{revision, 0}, {}};
+        },
+        [](const auto&) {});
+  }
+  fleet.runtime.advance(3s);
+  for (int i = 0; i < 10; ++i) {
+    fleet.exchanges[0]->ask_configuration({}, [](const ConfigurationMessage&) {});
+    fleet.runtime.advance(10ms);
+  }
+  cr_assert_eq(asked, std::set<std::size_t>{4});
+}
