Say once how long an answer may be silent, and where a machine's link is told

The bound on silence stood in the store's client and in the frames of peers; the machine's link in two settings, of which one was copied into the other. No behaviour changes. relay 126, net 23, store 16, platform 27, protocol 26 tests pass.

--- a/src/net/frame_channel.cpp
+++ b/src/net/frame_channel.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "net/answer_silence.hpp"
 #include "net/monotonic_timer.hpp"
 
 namespace shuntbank {
@@ -15,10 +16,6 @@
 constexpr std::size_t kHeaderSize = 4;
 constexpr Duration kServerTimeout = std::chrono::seconds(30);
 
-/// Inside a frame that has begun to come. A full link holds packets back for half a second, and a
-/// lost one is sent again within as long.
-constexpr Duration kLongestSilence = std::chrono::milliseconds(1500);
-
 std::array<unsigned char, kHeaderSize> encode_length(std::size_t length) {
   return {static_cast<unsigned char>(length >> 24U), static_cast<unsigned char>(length >> 16U),
           static_cast<unsigned char>(length >> 8U), static_cast<unsigned char>(length)};
@@ -93,7 +90,7 @@
   /// one that is given up on its way and asked for again may never come.
   std::size_t left_to_read(const std::error_code& error, std::size_t received) {
     if (error) return 0;
-    limit_time(kLongestSilence);
+    limit_time(kAnswerSilence);
     return incoming_.size() - received;
   }
 
--- a/src/relay/relay_process.cpp
+++ b/src/relay/relay_process.cpp
@@ -44,7 +44,6 @@
 CatalogSettings catalog_settings(const RelaySettings& settings) {
   CatalogSettings catalog = settings.catalog;
   catalog.joins = !settings.first_start;
-  catalog.link_megabits_per_second = settings.link_megabits_per_second;
   return catalog;
 }
 
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -67,7 +67,7 @@
   /// Longer answers are given to peers one after the other, so far apart that they take this part
   /// of the node's link: callers come before them.
   double link_share_for_peers = 0.33;
-  double link_megabits_per_second = 1000;  ///< Of this machine; set from the node's settings.
+  double link_megabits_per_second = 1000;  ///< Of this machine.
   std::size_t long_answer = 64UL << 10U;   ///< In bytes; shorter ones are given at any time.
   Duration wait_a_node = std::chrono::milliseconds(200);
   Duration shortest_wait = std::chrono::seconds(3);
@@ -99,8 +99,7 @@
   StagePlannerSettings stages;
   UsageSettings usage;
   CapacityCoordinatorSettings capacity;
-  double link_megabits_per_second = 1000;  ///< Of this machine.
-  bool orders_engines = false;             ///< Whether it is for this system to order engines.
+  bool orders_engines = false;  ///< Whether it is for this system to order engines.
   CatalogSettings catalog;
   double expected_nodes = 7;  ///< For this node's part of an engine's bound on connections.
   Duration connect_timeout = std::chrono::milliseconds(600);
