Part the handing on of configurations from the exchange of load

The exchange of load had taken it on: whom to ask, the answer, one call at a time. ConfigurationExchange does it now; the addresses of peers come from PeerDirectory. Found on the way, by reading, with a test: in a small fleet a node that had told of the newest configuration and died was the only one to be asked, as long as nobody else had it. Nodes that are silent for 2.5 s are left out.

--- a/src/relay/exchange_settings.hpp
+++ b/src/relay/exchange_settings.hpp
@@ -34,10 +34,20 @@
   std::size_t most_reads = 1000;
 };
 
+/// Tunables of handing configurations on.
+struct ConfigurationExchangeSettings {
+  /// Until a peer's answer begins: a new connection over a full link takes half of it.
+  Duration answer_begins = std::chrono::seconds(1);
+  /// A node that was not heard for so long is not asked: it may be dead, and a connection to it
+  /// hang. Idle nodes speak each second.
+  Duration peer_life = std::chrono::milliseconds(2500);
+};
+
 /// Tunables of the exchange.
 struct LoadExchangeSettings {
   PeerDirectorySettings peers;
   ZoneExchangeSettings zones;
+  ConfigurationExchangeSettings configurations;
   ZoneName zone;                                         ///< This node's own.
   double capacity = 1;                                   ///< Of this machine, in cores.
   Duration flush_delay = std::chrono::milliseconds(15);  ///< Changes within it share a message.
--- a/src/relay/load_exchange.cpp
+++ b/src/relay/load_exchange.cpp
@@ -14,9 +14,6 @@
   return {transport.local_address(), settings.zone, settings.capacity};
 }
 
-/// Kinds of nodes that are asked for a configuration in turn.
-constexpr std::uint64_t kTurns = 3;
-
 /// A node that joins looks at once.
 PeerDirectorySettings directory_settings(const LoadExchangeSettings& settings) {
   PeerDirectorySettings peers = settings.peers;
@@ -37,7 +34,8 @@
       boot_(random_number(runtime)),
       peers_(runtime, store, self_, own_record(transport, settings), directory_settings(settings),
              [this] { update_fleet(); }),
-      zones_(runtime, transport, node, peers_, boot_, settings.zones) {
+      zones_(runtime, transport, node, peers_, boot_, settings.zones),
+      configurations_(runtime, transport, peers_, zones_, settings.configurations) {
   transport_.set_handlers(
       [this](std::string_view bytes, const std::string&) { on_message(bytes); },
       [this](const std::string& call, const std::function<void(std::string)>& reply) {
@@ -91,6 +89,11 @@
   on_revisions_ = std::move(on_heard);
 }
 
+void LoadExchange::ask_configuration(const ConfigurationCall& call,
+                                     std::function<void(ConfigurationMessage)> handler) {
+  configurations_.ask(call, by_zones(), std::move(handler));
+}
+
 /// Asks one peer after the other until one answers. Parts are kept only for engines that are known,
 /// so this waits for their list.
 void LoadExchange::pull_caches() {
@@ -104,58 +107,15 @@
   if (asked) pull_timer_.reset();
 }
 
-/// One of those of the node's own zone where there are any: answers are large, and bytes between
-/// zones are dear. @return whether there was any.
+/// @return whether there was anybody to ask.
 bool LoadExchange::ask_a_peer(std::string_view call, PeerTransport::AnswerHandler handler) {
-  return ask_one_of(peers_to_ask(), call, std::move(handler));
-}
-
-bool LoadExchange::ask_one_of(const std::vector<std::string>& addresses, std::string_view call,
-                              PeerTransport::AnswerHandler handler) {
-  if (addresses.empty()) return false;
-  const std::size_t drawn = random_number(runtime_) % addresses.size();
-  transport_.call(addresses[drawn], std::string(call), settings_.pull_timeout, std::move(handler));
+  const auto askable = peers_.near_addresses();
+  if (askable.empty()) return false;
+  const std::size_t drawn = random_number(runtime_) % askable.size();
+  transport_.call(askable[drawn], std::string(call), settings_.pull_timeout, std::move(handler));
   return true;
 }
 
-/// In a small fleet those that told of the newest one. In a large one by turns the collector, which
-/// reads the store and has the largest machine of the zone; any node of the zone, since the
-/// collector may lack it; and any node at all, since the store may turn the whole zone away.
-std::vector<std::string> LoadExchange::peers_with_configuration() {
-  if (!by_zones()) return peers_that_have_the_newest();
-  const std::uint64_t turn = configurations_asked_++ % kTurns;
-  const PeerRecord* collector = zones_.source();
-  if (turn == 0 && collector != nullptr) return {collector->address};
-  return turn == kTurns - 1 ? all_peers() : peers_to_ask();
-}
-
-std::vector<std::string> LoadExchange::peers_that_have_the_newest() const {
-  std::uint64_t newest = 0;
-  for (const auto& [name, heard] : heard_) newest = std::max(newest, heard.configuration);
-  std::vector<std::string> having;
-  for (const auto& [name, heard] : heard_) {
-    const PeerRecord* record = peers_.find(name);
-    if (record != nullptr && heard.configuration == newest) having.push_back(record->address);
-  }
-  return having.empty() ? peers_to_ask() : having;
-}
-
-std::vector<std::string> LoadExchange::all_peers() const {
-  std::vector<std::string> all;
-  for (const auto& [name, record] : peers_.nodes()) {
-    if (name != self_) all.push_back(record.address);
-  }
-  return all;
-}
-
-std::vector<std::string> LoadExchange::peers_to_ask() const {
-  std::vector<std::string> near;
-  for (const auto& [name, record] : peers_.nodes()) {
-    if (name != self_ && record.zone == settings_.zone) near.push_back(record.address);
-  }
-  return near.empty() ? all_peers() : near;
-}
-
 void LoadExchange::take_caches(const tl::expected<std::string, std::string>& answer) {
   const auto snapshot =
       answer ? decode_cache_snapshot(*answer) : tl::make_unexpected(answer.error());
@@ -170,35 +130,7 @@
 
 std::string LoadExchange::answer(const std::string& call) const {
   if (call == kSnapshotCall) return snapshot();
-  if (!is_configuration_call(call) || !on_configuration_asked_) return "";
-  const auto asked = decode_configuration_call(call);
-  if (asked) return on_configuration_asked_(*asked);
-  log_event(LogArea::kControl, LogLevel::kWarning, "message_malformed",
-            {{"what", "configuration_call"}, {"why", asked.error()}});
-  return "";
-}
-
-void LoadExchange::ask_configuration(const ConfigurationCall& call,
-                                     std::function<void(ConfigurationMessage)> handler) {
-  if (asking_configuration_) return;
-  asking_configuration_ = true;
-  const bool asked =
-      ask_one_of(peers_with_configuration(), encode(call),
-                 [this, alive = alive_, asked_at = runtime_.now(), handler = std::move(handler)](
-                     const tl::expected<std::string, std::string>& answer) {
-                   if (!*alive) return;
-                   asking_configuration_ = false;
-                   log_event(LogArea::kControl, LogLevel::kInfo, "peer_configuration",
-                             {{"bytes", answer ? answer->size() : 0},
-                              {"why", answer ? "" : answer.error()},
-                              {"took_ms", whole_ms(runtime_.now() - asked_at)}});
-                   if (!answer || answer->empty()) return;
-                   auto message = decode_configuration(*answer);
-                   if (message) return handler(std::move(*message));
-                   log_event(LogArea::kControl, LogLevel::kWarning, "message_malformed",
-                             {{"what", "configuration"}, {"why", message.error()}});
-                 });
-  if (!asked) asking_configuration_ = false;
+  return is_configuration_call(call) ? configurations_.answer(call) : "";
 }
 
 std::string LoadExchange::snapshot() const {
@@ -295,7 +227,8 @@
   Heard& last = heard_[message.node];
   const MessageNumber number{message.boot, message.sequence};
   if (!number.follows(last.number)) return;
-  last = {number, now, message.seen.configuration};
+  last = {number, now};
+  configurations_.note_peer(message.node, message.seen.configuration);
   if (message.store_age_ms) {
     readers_heard_at_ = std::max(readers_heard_at_, from_age_ms(now, *message.store_age_ms));
   }
--- a/src/relay/load_exchange.hpp
+++ b/src/relay/load_exchange.hpp
@@ -13,6 +13,7 @@
 #include "net/peer_transport.hpp"
 #include "protocol/configuration_message.hpp"
 #include "protocol/load_message.hpp"
+#include "relay/configuration_exchange.hpp"
 #include "relay/exchange_settings.hpp"
 #include "relay/peer_directory.hpp"
 #include "relay/relay_node.hpp"
@@ -46,11 +47,10 @@
 
   /// Sets what is told to a node that asks for the configuration; empty: nothing that it lacks.
   void on_configuration_asked(std::function<std::string(const ConfigurationCall&)> handler) {
-    on_configuration_asked_ = std::move(handler);
+    configurations_.on_asked(std::move(handler));
   }
 
-  /// Asks one of the other nodes, of this zone where there are any, for its configuration. Asks
-  /// nobody while an answer is still to come: two on one link come later than one.
+  /// Asks another node for what is newer than the configuration that the call summarizes.
   void ask_configuration(const ConfigurationCall& call,
                          std::function<void(ConfigurationMessage)> handler);
 
@@ -76,12 +76,6 @@
   void take(LoadMessage message);
   void pull_caches();
   bool ask_a_peer(std::string_view call, PeerTransport::AnswerHandler handler);
-  bool ask_one_of(const std::vector<std::string>& addresses, std::string_view call,
-                  PeerTransport::AnswerHandler handler);
-  std::vector<std::string> peers_with_configuration();
-  std::vector<std::string> peers_that_have_the_newest() const;
-  std::vector<std::string> peers_to_ask() const;
-  std::vector<std::string> all_peers() const;
   void take_caches(const tl::expected<std::string, std::string>& answer);
   std::string snapshot() const;
   std::string answer(const std::string& call) const;
@@ -96,11 +90,11 @@
   std::uint64_t sequence_ = 0;
   PeerDirectory peers_;
   ZoneExchange zones_;
+  ConfigurationExchange configurations_;
   /// The last message of a peer that tells this node directly.
   struct Heard {
     MessageNumber number;
     MonotonicTime at{};
-    std::uint64_t configuration = 0;  ///< The revision that it has.
   };
   bool reads_for_others() const;
 
@@ -113,9 +107,6 @@
   std::function<StoreProgress()> own_progress_;
   std::function<void(const CatalogRevisions&)> on_revisions_;
   std::function<void(std::string_view)> on_usage_message_;
-  std::function<std::string(const ConfigurationCall&)> on_configuration_asked_;
-  bool asking_configuration_ = false;  ///< The answer is still to come.
-  std::uint64_t configurations_asked_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/relay/peer_directory.cpp
+++ b/src/relay/peer_directory.cpp
@@ -53,6 +53,23 @@
   return found == this->records.end() ? nullptr : &found->second;
 }
 
+std::vector<std::string> PeerDirectory::addresses() const {
+  std::vector<std::string> all;
+  for (const auto& [name, record] : this->records) {
+    if (name != this->self) all.push_back(record.address);
+  }
+  return all;
+}
+
+std::vector<std::string> PeerDirectory::near_addresses() const {
+  std::vector<std::string> near;
+  for (const auto& [name, record] : this->records) {
+    const bool own_zone = record.zone == this->own_record().zone;
+    if (name != this->self && own_zone) near.push_back(record.address);
+  }
+  return near.empty() ? this->addresses() : near;
+}
+
 void PeerDirectory::register_self() {
   this->store.create(
       this->settings.kind, this->self.value(), to_json(this->own_record()), kRegisterTimeout,
--- a/src/relay/peer_directory.hpp
+++ b/src/relay/peer_directory.hpp
@@ -41,6 +41,13 @@
   /// @return a node's record, or null.
   const PeerRecord* find(const NodeId& node) const;
 
+  /// @return the addresses of all other nodes.
+  std::vector<std::string> addresses() const;
+
+  /// @return those of the own zone; of all others where the zone has none. Large answers are asked
+  /// of them: bytes between zones are dear.
+  std::vector<std::string> near_addresses() const;
+
   /// @return whether another node of that name is listed.
   bool is_peer(const NodeId& node) const { return node != this->self && this->find(node); }
 
--- a/tests/relay/load_exchange_test.cpp
+++ b/tests/relay/load_exchange_test.cpp
@@ -213,3 +213,32 @@
   }
   cr_assert_eq(asked, std::set<std::size_t>{4});
 }
+
+Test(load_exchange, asks_no_node_that_is_no_longer_heard_for_a_configuration) {
+  // The first to have it may lose power at once; a connection to it would hang.
+  ExchangingFleet fleet(6);
+  for (std::size_t i = 0; i < 6; ++i) {
+    const std::uint64_t revision = i == 4 ? 9 : 7;
+    fleet.exchanges[i]->connect_revisions(
+        [revision] {
+          return relay::StoreProgress{{revision, 0}, {}};
+        },
+        [](const auto&) {});
+  }
+  fleet.runtime.advance(5s);
+  fleet.cut(4);
+  fleet.runtime.advance(5s);
+  int answered = 0;
+  for (int i = 0; i < 6; ++i) {
+    if (i == 4) continue;
+    fleet.exchanges[i]->on_configuration_asked([&answered](const ConfigurationCall&) {
+      ++answered;
+      return std::string();
+    });
+  }
+  for (int i = 0; i < 10; ++i) {
+    fleet.exchanges[0]->ask_configuration({}, [](const ConfigurationMessage&) {});
+    fleet.runtime.advance(10ms);
+  }
+  cr_assert_eq(answered, 10);
+}
