Let the soak bring storms of large configurations over slow links

--storms: 1,400 routes more, a change each 350 ms in storms that a generator of its own draws, links from the store of 1 MB/s to each relay; the other faults of a seed stay as they are. Storms go on after all is healed, so that a relay which is behind must catch up while changes come. FaultProxy carries bytes at a rate. No source of the product is changed.

--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -65,6 +65,8 @@
       "seconds", options::value(&seconds)->default_value(30), "of faults, for each seed")(
       "deadly", options::bool_switch(&shape.deadly),
       "a request comes again and again that ends each engine that runs it")(
+      "storms", options::bool_switch(&shape.storms),
+      "large configurations in quick succession, over slow links to the store")(
       "relays", options::value(&shape.relays)->default_value(5), "processes");
   options::variables_map given;
   try {
--- a/tests/platform/support/fault_proxy.cpp
+++ b/tests/platform/support/fault_proxy.cpp
@@ -1,5 +1,6 @@
 #include "platform/support/fault_proxy.hpp"
 
+#include <algorithm>
 #include <array>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
@@ -12,6 +13,7 @@
 namespace {
 
 using Tcp = asio::ip::tcp;
+using namespace std::chrono_literals;
 
 /// How often a pump that holds bytes back looks whether it may go on.
 constexpr std::chrono::milliseconds kLook{20};
@@ -64,7 +66,8 @@
             if (error == asio::error::eof) return self->end(to);
             if (error) return self->abort();
             direction.size = size;
-            self->hold(from, to, direction, upward, self->owner->state.delay);
+            const auto carried = upward ? 0ms : self->owner->time_on_link(size);
+            self->hold(from, to, direction, upward, self->owner->state.delay + carried);
           });
     }
 
@@ -127,9 +130,20 @@
     });
   }
 
+  /// @return when the link will have carried so many bytes, after all that it has taken before.
+  std::chrono::milliseconds time_on_link(std::size_t bytes) {
+    if (this->rate_down == 0) return 0ms;
+    const auto now = std::chrono::steady_clock::now();
+    const std::chrono::microseconds taken(1'000'000 * bytes / this->rate_down);
+    this->free_at = std::max(now, this->free_at) + taken;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(this->free_at - now);
+  }
+
   asio::io_context& loop;
   Tcp::endpoint target;
   Tcp::acceptor acceptor;
+  std::size_t rate_down = 0;  ///< Bytes a second.
+  std::chrono::steady_clock::time_point free_at{};
   LinkState state;
   std::set<std::shared_ptr<Link>> links;
 };
@@ -153,6 +167,10 @@
   this->impl->state = state;
 }
 
+void FaultProxy::set_rate_down(std::size_t bytes_per_second) {
+  this->impl->rate_down = bytes_per_second;
+}
+
 void FaultProxy::reset_all() {
   const auto open = this->impl->links;
   for (const auto& link : open) link->abort();
--- a/tests/platform/support/fault_proxy.hpp
+++ b/tests/platform/support/fault_proxy.hpp
@@ -33,6 +33,9 @@
 
   void set(const LinkState& state);
 
+  /// Bounds what all connections together get from the target; 0: no bound.
+  void set_rate_down(std::size_t bytes_per_second);
+
   /// Resets all connections that are open.
   void reset_all();
 
--- a/tests/platform/support/soak_site.cpp
+++ b/tests/platform/support/soak_site.cpp
@@ -32,6 +32,16 @@
 /// The request that ends engines; the same at each of its comings.
 const std::string kDeadly = "the deadly one";
 
+/// Routes more in a configuration of storms: with them it takes half a second on a link of that
+/// rate, longer than the pause between two changes.
+constexpr int kRoutesInStorms = 1400;
+constexpr std::size_t kStormLinkBytesPerSecond = 1'000'000;
+constexpr std::chrono::milliseconds kStormGap{350};
+
+/// Routes that were added stay for so many versions of a storm, to be looked for while it goes on:
+/// for longer than a healed site has to recover.
+constexpr std::uint64_t kAddedKeptInStorms = 120;
+
 /// Until a site that was healed must serve again; far longer than it takes.
 constexpr std::chrono::seconds kLongestRecovery{30};
 
@@ -67,7 +77,8 @@
       ledger({kRetryRatio, kRetrySlack, 10s}),
       store(this->loop),
       watchdog(this->loop),
-      deadly_random(wanted.seed) {
+      deadly_random(wanted.seed),
+      storm_random(wanted.seed) {
   this->build_engines();
   this->put_configuration();
   this->build_relays();
@@ -93,6 +104,7 @@
   std::vector<EntryNode> entry;
   for (std::size_t i = 0; i < this->shape.relays; ++i) {
     this->store_links.push_back(std::make_unique<FaultProxy>(this->loop, this->store.endpoint()));
+    if (this->shape.storms) this->store_links.back()->set_rate_down(kStormLinkBytesPerSecond);
     RelayPlace place;
     place.name = "relay-" + std::to_string(i + 1);
     place.ip = "127.0.1." + std::to_string(i + 1);
@@ -117,8 +129,15 @@
   json routes = json::array(
       {route("/stream/", "stream", "model", true), route("/ask/", "stream", "model", false),
        route("/once/", "unsafe", "plain", false), route("/safe/", "safe", "plain", false)});
-  const std::string added = "/added" + std::to_string(this->version) + "/";
-  routes.push_back(route(added.c_str(), "safe", "plain", false));
+  for (int i = 0; this->shape.storms && i < kRoutesInStorms; ++i) {
+    const std::string filler = "/filler" + std::to_string(i) + "/";
+    routes.push_back(route(filler.c_str(), "safe", "plain", false));
+  }
+  const std::uint64_t kept = this->shape.storms ? kAddedKeptInStorms : 1;
+  for (std::uint64_t at = this->version; at > 0 && at + kept > this->version; --at) {
+    const std::string added = "/added" + std::to_string(at) + "/";
+    routes.push_back(route(added.c_str(), "safe", "plain", false));
+  }
   this->store.put("config", "main",
                   {{"version", this->version}, {"routes", routes}, {"services", services()}});
 }
@@ -171,6 +190,7 @@
     this->ledger.broke("RECOVER", "not all relays became ready at the start");
   }
   if (this->shape.deadly) this->deadly_comes();
+  if (this->shape.storms) this->storm_comes();
   this->wait(2s);
   const auto end = std::chrono::steady_clock::now() + this->shape.faults_for;
   while (std::chrono::steady_clock::now() < end) {
@@ -318,6 +338,20 @@
               [this] { this->deadly_comes(); });
 }
 
+/// Goes on when all is healed: a node that is behind must catch up while changes come.
+void SoakSite::storm_comes() {
+  const std::uint64_t changes = 3 + this->storm_random() % 10;
+  this->note("a storm of " + std::to_string(changes) + " configurations");
+  this->change_in_storm(changes);
+}
+
+void SoakSite::change_in_storm(std::uint64_t left) {
+  this->put_configuration();
+  if (left > 1) return this->later(kStormGap, [this, left] { this->change_in_storm(left - 1); });
+  const std::chrono::milliseconds pause(200 + this->storm_random() % 3000);
+  this->later(pause, [this] { this->storm_comes(); });
+}
+
 /// Its entry goes after a while, and it is back within two seconds at the same address.
 void SoakSite::end_engine(EngineStandin& engine) {
   engine.crash(std::chrono::milliseconds(this->deadly_random() % 3000));
--- a/tests/platform/support/soak_site.hpp
+++ b/tests/platform/support/soak_site.hpp
@@ -28,6 +28,7 @@
   std::size_t relays = 5;
   std::size_t callers = 40;
   bool deadly = false;  ///< A request comes again and again that ends each engine that runs it.
+  bool storms = false;  ///< Large configurations in quick succession, over slow links to the store.
 
   bool operator==(const SoakShape&) const = default;
 };
@@ -60,6 +61,8 @@
   void store_fault(std::uint64_t kind);
   void engine_fault(std::uint64_t kind);
   void deadly_comes();
+  void storm_comes();
+  void change_in_storm(std::uint64_t left);
   void end_engine(EngineStandin& engine);
   bool calm() const;
   void check_deadly();
@@ -85,6 +88,7 @@
   std::uint64_t version = 0;
   bool first = true;
   std::mt19937_64 deadly_random;  ///< Of its own: the other faults of a seed stay as they are.
+  std::mt19937_64 storm_random;   ///< The same.
   std::chrono::steady_clock::time_point disturbed_until{};  ///< A relay or the store.
   bool healed = false;
 };
