End the stand-in's server while its runs are there

Cause: the engine stand-in's runs were destroyed before its server, whose connections end their runs as they close. Ruled out: the relay (its log holds nothing, and it was the soak's own process that ended).

--- a/tests/platform/support/engine_standin.cpp
+++ b/tests/platform/support/engine_standin.cpp
@@ -30,7 +30,10 @@
   this->proxy = std::make_unique<FaultProxy>(this->loop, asio::ip::tcp::endpoint());
 }
 
-EngineStandin::~EngineStandin() = default;
+EngineStandin::~EngineStandin() {
+  // Its connections end their runs as they close, for which the runs must still be there.
+  this->server.reset();
+}
 
 void EngineStandin::start() {
   this->id = "i-" + hexadecimal(this->random());
