--- a/src/bench/commands.cpp
+++ b/src/bench/commands.cpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <ostream>
 
+#include "bench/configuration_command.hpp"
 #include "bench/hollow_command.hpp"
 #include "bench/keys_command.hpp"
 #include "bench/load_command.hpp"
@@ -23,6 +24,9 @@
 
 const std::map<std::string, Command>& commands() {
   static const std::map<std::string, Command> table{
+      {"configuration",
+       {"What it costs nodes to hand a configuration on, in bytes and time.",
+        run_configuration_command}},
       {"load", {"Open-loop load on a running site, with every answer checked.", run_load_command}},
       {"overhead",
        {"What a node adds to a request, against the engine alone.", run_overhead_command}},
--- /dev/null
+++ b/src/bench/configuration_command.hpp
@@ -0,0 +1,17 @@
+/// @file
+/// `shuntbank-bench configuration`: what it costs nodes to hand a configuration on, at a size.
+#pragma once
+
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+#include "config/option_set.hpp"
+
+namespace shuntbank {
+
+/// Runs `shuntbank-bench configuration`.
+ExitCode run_configuration_command(const std::vector<std::string>& arguments, std::ostream& output,
+                                   std::ostream& errors);
+
+}  // namespace shuntbank
