Show that a store which begins its lists late is never heard

Their logs: each list of the newest configuration was given up after 1.5 s without a byte, and asked for again. The tests' store heeds the time limits of calls now, and fails the test of a late store as well.

--- a/tests/relay/catalog_slow_link_test.cpp
+++ b/tests/relay/catalog_slow_link_test.cpp
@@ -161,3 +161,15 @@
   cr_assert_eq(storm.version(), storm.newest);
   cr_assert_leq(storm.store.lists - before, 2, "%d", storm.store.lists - before);
 }
+
+Test(catalog_slow_link, hears_a_store_whose_lists_begin_later_than_they_may) {
+  // Seen in a soak: relays stayed at one version for a minute, while each list of the newest was
+  // given up after 1.5 s without a byte, and asked for again. Cause: the same as with hints, at the
+  // time limit of a list; the store was busy with large answers, and later than that.
+  Storm storm;
+  storm.store.answer_delay = 2s;
+  storm.miss(1);
+  storm.changes(20, 500ms);
+  storm.pass(4s);
+  cr_assert_eq(storm.version(), storm.newest);
+}
--- a/tests/relay/support/fakes.cpp
+++ b/tests/relay/support/fakes.cpp
@@ -177,8 +177,8 @@
   return lags ? std::min(revision_, replica_revision) : revision_;
 }
 
-store::CallId MemoryStore::list(const std::string& kind, store::Freshness freshness, Duration,
-                                store::StoreHandler<store::ObjectList> handler) {
+store::CallId MemoryStore::list(const std::string& kind, store::Freshness freshness,
+                                Duration timeout, store::StoreHandler<store::ObjectList> handler) {
   const store::CallId call = ++last_call_;
   ++lists;
   if (freshness == store::Freshness::kLatest) ++latest_calls;
@@ -195,7 +195,7 @@
     if (change.change.gone) objects.erase(change.change.object.name);
   }
   for (const auto& [name, object] : objects) list.objects.push_back(object);
-  send<store::ObjectList>(call, objects.size(), std::move(handler), list);
+  send<store::ObjectList>(call, objects.size(), timeout, std::move(handler), list);
   return call;
 }
 
@@ -220,7 +220,7 @@
 }
 
 store::CallId MemoryStore::watch(const std::string& kind, std::uint64_t revision,
-                                 store::Freshness freshness, Duration wait, Duration,
+                                 store::Freshness freshness, Duration wait, Duration timeout,
                                  store::StoreHandler<store::ChangeBatch> handler) {
   const store::CallId call = ++last_call_;
   ++watches;
@@ -233,17 +233,18 @@
   }
   const auto batch = changes_after(kind, revision, freshness);
   if (!batch.changes.empty()) {
-    send<store::ChangeBatch>(call, batch.changes.size(), std::move(handler), batch);
+    send<store::ChangeBatch>(call, batch.changes.size(), timeout, std::move(handler), batch);
     return call;
   }
   auto open = std::make_shared<bool>(true);
   std::shared_ptr<Timer> timer =
-      runtime_.after(wait, [this, call, open, handler, kind, revision, freshness] {
+      runtime_.after(wait, [this, call, open, handler, kind, revision, freshness, timeout] {
         if (!std::exchange(*open, false)) return;
         const auto later = changes_after(kind, revision, freshness);
-        send<store::ChangeBatch>(call, later.changes.size(), handler, later);
+        send<store::ChangeBatch>(call, later.changes.size(), timeout, handler, later);
       });
-  waiting_.push_back({call, kind, revision, freshness, std::move(handler), open, std::move(timer)});
+  waiting_.push_back(
+      {call, kind, revision, freshness, timeout, std::move(handler), open, std::move(timer)});
   return call;
 }
 
@@ -253,7 +254,8 @@
     const auto batch = changes_after(waiting.kind, waiting.revision, waiting.freshness);
     if (!*waiting.open || batch.changes.empty()) continue;
     *waiting.open = false;
-    send<store::ChangeBatch>(waiting.call, batch.changes.size(), waiting.handler, batch);
+    send<store::ChangeBatch>(waiting.call, batch.changes.size(), waiting.timeout, waiting.handler,
+                             batch);
   }
   std::erase_if(waiting_, [](const Waiting& waiting) { return !*waiting.open; });
 }
--- a/tests/relay/support/fakes.hpp
+++ b/tests/relay/support/fakes.hpp
@@ -195,6 +195,7 @@
     std::string kind;
     std::uint64_t revision;
     store::Freshness freshness;
+    Duration timeout;
     store::StoreHandler<store::ChangeBatch> handler;
     std::shared_ptr<bool> open;
     std::shared_ptr<Timer> timer;
@@ -205,9 +206,14 @@
   void wake();
   /// Answers a list or a watch, over the link where there is one.
   template <typename Value>
-  void send(store::CallId call, std::size_t objects, store::StoreHandler<Value> handler,
-            tl::expected<Value, store::StoreError> value) {
+  void send(store::CallId call, std::size_t objects, Duration timeout,
+            store::StoreHandler<Value> handler, tl::expected<Value, store::StoreError> value) {
     if (link == nullptr) return reply<Value>(std::move(handler), std::move(value));
+    if (answer_delay >= timeout) {
+      const auto late = tl::make_unexpected(store::StoreError::kUncertain);
+      link->carry(call, 0, timeout, [handler = std::move(handler), late] { handler(late); });
+      return;
+    }
     const MonotonicTime begun = runtime_.now() + answer_delay;
     link->carry(call, objects * object_bytes, answer_delay,
                 [this, begun, handler = std::move(handler), value = std::move(value)]() mutable {
