Wait longer for a list whose answer begins late

Change: the limit doubles after each list that begins too late, up to 3 s, and is what it was after an answer. Above 3 s a store is as good as down for a bound of 2 to 4 s.

--- a/src/store/kind_watch.cpp
+++ b/src/store/kind_watch.cpp
@@ -51,6 +51,7 @@
         handlers_(std::move(handlers)),
         backoff_(settings.first_backoff),
         hint_grace_(settings.hint_grace),
+        list_timeout_(settings.list_timeout),
         wait_(settings.wait),
         freshness_(settings.freshness),
         confirm_lists_(settings.confirm_first_list) {}
@@ -60,7 +61,7 @@
   void list(Freshness freshness) {
     listing_ = freshness;
     const std::uint64_t number = begin_call(CallKind::kList);
-    call_ = store_.list(kind_, listing_, settings_.list_timeout,
+    call_ = store_.list(kind_, listing_, list_timeout_,
                         [weak = weak_from_this(), number](const auto& list) {
                           const auto self = weak.lock();
                           if (self && self->is_under_way(number)) self->on_list(list);
@@ -145,7 +146,11 @@
 
   void on_list(const tl::expected<ObjectList, StoreError>& list) {
     under_way_ = CallKind::kNone;
-    if (!list) return retry("list", list.error());
+    if (!list) {
+      const bool late = list.error() == StoreError::kUncertain;
+      if (late) list_timeout_ = std::min(2 * list_timeout_, settings_.longest_list_timeout);
+      return retry("list", list.error());
+    }
     regained(listing_);
     const bool catches_up = std::exchange(listed_, true);
     const bool confirm = listing_ == Freshness::kMayLag && confirm_lists_;
@@ -269,6 +274,7 @@
     if (answered == Freshness::kLatest) confirmed_latest_at = confirmed_at;
     backoff_ = settings_.first_backoff;
     hint_grace_ = settings_.hint_grace;
+    list_timeout_ = settings_.list_timeout;
     if (!std::exchange(lost, false)) return;
     log_event(LogArea::kPlatform, LogLevel::kInfo, "store_regained", {{"kind", kind_}});
   }
@@ -296,7 +302,8 @@
   KindWatchSettings settings_;
   KindWatchHandlers handlers_;
   Duration backoff_;
-  Duration hint_grace_;  ///< Of the next hint.
+  Duration hint_grace_;    ///< Of the next hint.
+  Duration list_timeout_;  ///< Of the next list.
   std::unique_ptr<Timer> timer_;
   std::unique_ptr<Timer> hint_timer_;
   Duration wait_;
--- a/src/store/kind_watch.hpp
+++ b/src/store/kind_watch.hpp
@@ -31,7 +31,11 @@
   double pause_a_transfer = 2;
   /// At most so long behind an answer, or else changes would come into force too late.
   Duration longest_pause = std::chrono::milliseconds(800);
+  /// A list must have begun within this time. Twice as long after each that had not, up to the
+  /// longest: a store that is slower for the work of such lists must not do it for nothing. The
+  /// longest is what is lost where a store was silent and never answers the calls of that time.
   Duration list_timeout = std::chrono::milliseconds(1500);
+  Duration longest_list_timeout = std::chrono::seconds(3);
   Duration first_backoff = std::chrono::milliseconds(50);
   Duration longest_backoff = std::chrono::milliseconds(800);
   Freshness freshness = Freshness::kLatest;  ///< Of lists and watches until told otherwise.
