--- a/tests/relay/load_exchange_test.cpp
+++ b/tests/relay/load_exchange_test.cpp
@@ -15,6 +15,16 @@
 
 const std::vector<relay::PromptPart> kParts{{11, 900}, {12, 80}};
 
+/// Nobody has a configuration; who is asked for one is noted.
+void note_who_is_asked(ExchangingFleet& fleet, std::set<std::size_t>& asked) {
+  for (std::size_t i = 0; i < fleet.exchanges.size(); ++i) {
+    fleet.exchanges[i]->on_configuration_asked([&asked, i](const ConfigurationCall&) {
+      asked.insert(i);
+      return std::string();
+    });
+  }
+}
+
 }  // namespace
 
 Test(load_exchange, tells_every_node_of_a_fleet_of_sixty) {
@@ -164,12 +174,7 @@
   ExchangingFleet fleet(60, 5);
   fleet.runtime.advance(4s);
   std::set<std::size_t> asked;
-  for (std::size_t i = 0; i < 60; ++i) {
-    fleet.exchanges[i]->on_configuration_asked([&asked, i](const ConfigurationCall&) {
-      asked.insert(i);
-      return std::string();
-    });
-  }
+  note_who_is_asked(fleet, asked);
   const auto collectors = fleet.collectors();
   const std::size_t asks = fleet.first_but(collectors);
   for (int i = 0; i < 30; ++i) {
@@ -194,11 +199,8 @@
   ExchangingFleet fleet(6);
   fleet.runtime.advance(3s);
   std::set<std::size_t> asked;
+  note_who_is_asked(fleet, asked);
   for (std::size_t i = 0; i < 6; ++i) {
-    fleet.exchanges[i]->on_configuration_asked([&asked, i](const ConfigurationCall&) {
-      asked.insert(i);
-      return std::string();
-    });
     const std::uint64_t revision = i == 4 ? 9 : 7;
     fleet.exchanges[i]->connect_revisions(
         [revision] {
