Tell in logs and metrics what engines say of themselves beside their answers

Neither logs nor metrics could tell which answers carried the word that an engine leaves or the wait that it asks for, so that the three hypotheses could not be told apart. Now each such head is a line (engine_notice: engine, request, leaving, rest_ms) and a count; what cannot be read is a warning. The words are read once, in the adapter. Nothing is decided by them yet.

--- a/src/relay/engine_dialect.hpp
+++ b/src/relay/engine_dialect.hpp
@@ -9,6 +9,7 @@
 #include <tl/expected.hpp>
 
 #include "core/relay/engine_directory.hpp"
+#include "core/relay/engine_notice.hpp"
 #include "core/relay/routes.hpp"
 #include "net/http_client.hpp"
 #include "net/http_message.hpp"
@@ -47,6 +48,12 @@
   std::optional<std::uint64_t> started_unix_ms;  ///< Of the start that tells; unset: not told.
 };
 
+/// What could be read of an engine's words in the head of an answer, and what could not.
+struct ReadNotice {
+  EngineNotice notice;
+  std::vector<std::string> unreadable;  ///< Fields as they came, for the log.
+};
+
 /// An order to an engine to change its stage.
 struct StageOrder {
   std::string engine;  ///< What it calls itself.
@@ -73,6 +80,9 @@
   /// @return the load that came with an answer.
   virtual std::optional<ReportedLoad> load(const HttpHeaders& headers) const = 0;
 
+  /// @return what the engine says of itself beside its answer.
+  virtual ReadNotice notice(int status, const HttpHeaders& headers) const = 0;
+
   /// @return whether the engine says that it did not run the request and never will.
   virtual bool refused(int status, const HttpHeaders& headers) const = 0;
 
--- /dev/null
+++ b/src/relay/engine_listener.hpp
@@ -0,0 +1,36 @@
+/// @file
+/// Hears what engines say of themselves in the heads of their answers, whatever was asked of them.
+#pragma once
+
+#include <string_view>
+
+#include "common/runtime.hpp"
+#include "core/relay/engine_directory.hpp"
+#include "relay/engine_dialect.hpp"
+#include "relay/relay_metrics.hpp"
+
+namespace shuntbank::relay {
+
+/// What it works with. All of it outlives it.
+struct EngineListenerIo {
+  Runtime& runtime;
+  const EngineDialect& dialect;
+  EngineDirectory& engines;
+  RelayMetrics& metrics;
+};
+
+/// The listener of one node.
+class EngineListener {
+ public:
+  explicit EngineListener(const EngineListenerIo& own_io) : io(own_io) {}
+
+  /// The head of an answer has come that is known to be this engine's.
+  /// @param request whose answer it is, for the log; empty for a call of the node's own.
+  void on_head(const EngineId& engine, int status, const HttpHeaders& headers,
+               std::string_view request = {});
+
+ private:
+  EngineListenerIo io;
+};
+
+}  // namespace shuntbank::relay
--- a/src/relay/relay_context.hpp
+++ b/src/relay/relay_context.hpp
@@ -10,6 +10,7 @@
 #include "core/relay/retry_budget.hpp"
 #include "net/http_client.hpp"
 #include "relay/engine_dialect.hpp"
+#include "relay/engine_listener.hpp"
 #include "relay/quarantine.hpp"
 #include "relay/relay_metrics.hpp"
 #include "relay/relay_settings.hpp"
@@ -26,6 +27,7 @@
   RelayMetrics& metrics;
   RetryBudgets& budgets;
   Quarantine& quarantine;
+  EngineListener& listener;
 
   std::function<void()> load_changed;            ///< May be empty.
   std::function<void(const TenantName&)> began;  ///< The same; a tenant's request runs.
--- a/src/relay/relay_metrics.cpp
+++ b/src/relay/relay_metrics.cpp
@@ -57,6 +57,11 @@
           .Name("shuntbank_relay_keys_refused_total")
           .Help("Requests refused for want of a tenant's key in force")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& engine_notices =
+      prometheus::BuildCounter()
+          .Name("shuntbank_relay_engine_notices_total")
+          .Help("Words of engines about themselves in the heads of their answers")
+          .Register(registry);
   prometheus::Family<prometheus::Counter>& duty_calls =
       prometheus::BuildCounter()
           .Name("shuntbank_relay_duty_calls_total")
@@ -112,6 +117,10 @@
   impl_->engines_ended.Add({{"service", service}}).Increment();
 }
 
+void RelayMetrics::count_engine_notice(const std::string& word) {
+  impl_->engine_notices.Add({{"word", word}}).Increment();
+}
+
 void RelayMetrics::count_held_back(const std::string& source) {
   impl_->held_back.Add({{"source", source}}).Increment();
 }
--- a/src/relay/relay_metrics.hpp
+++ b/src/relay/relay_metrics.hpp
@@ -35,6 +35,10 @@
   /// An engine was found ended: nobody listens at its address.
   void count_engine_ended(const std::string& service);
 
+  /// An engine has said something of itself beside an answer. @param word `leaving`, `rest` or
+  /// `unreadable`.
+  void count_engine_notice(const std::string& word);
+
   /// A request is held back from now on. @param source `seen`, `heard` or `store`.
   void count_held_back(const std::string& source);
 
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -30,9 +30,10 @@
       settings_(settings),
       engines_(random_number(io.runtime)),
       budgets_(settings.retry_budget),
+      listener_({io.runtime, io.dialect, engines_, metrics_}),
       quarantine_({io.runtime, io.http, io.dialect, engines_, metrics_}),
-      context_{io.runtime, io.http,     io.dialect, settings_, engines_, metrics_,
-               budgets_,   quarantine_, {},         {},        {},       {}},
+      context_{io.runtime,  io.http,   io.dialect, settings_, engines_, metrics_, budgets_,
+               quarantine_, listener_, {},         {},        {},       {}},
       splits_(random_fraction(io.runtime)),
       slack_from_(io.runtime.now() + counted_for(settings.retry_budget)) {
   quarantine_.on_news([this] { context_.note_load(); });
--- a/src/relay/relay_node.hpp
+++ b/src/relay/relay_node.hpp
@@ -14,6 +14,7 @@
 #include "core/relay/routes.hpp"
 #include "net/http1_server.hpp"
 #include "relay/engine_dialect.hpp"
+#include "relay/engine_listener.hpp"
 #include "relay/quarantine.hpp"
 #include "relay/relay_metrics.hpp"
 #include "relay/relay_session.hpp"
@@ -136,6 +137,7 @@
   EngineDirectory engines_;
   RelayMetrics metrics_;
   RetryBudgets budgets_;
+  EngineListener listener_;
   Quarantine quarantine_;
   RelayContext context_;
   std::shared_ptr<const RouteTable> table_;
--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -42,6 +42,10 @@
   const HeaderNames& names = context_.dialect.names();
   const bool echoed = headers.get(names.request_id) == id_;
   if (!echoed && !refused_) broken_ = true;
+  // Another engine may answer at the address, and what is no answer to this is nobody's word.
+  if (!broken_ && status != http_status::kMisdirected) {
+    context_.listener.on_head(engine_, status, headers, id_);
+  }
   if (step_ == Step::kPrefill) return;
   if (is_success(status) && headers.get(names.seal).empty()) broken_ = true;
   streaming_ = !broken_ && route_.kind == RouteKind::kStream && is_success(status);
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -174,6 +174,39 @@
   cr_assert_eq(batch->revision, 12);
 }
 
+Test(platform_dialect, reads_what_an_engine_says_of_itself) {
+  using namespace std::chrono_literals;
+  const PlatformDialect dialect;
+  cr_assert(dialect.notice(200, {{"server-leaving", "1"}}).notice.leaving);
+  cr_assert_eq(dialect.notice(503, {{"Retry-After", "3"}}).notice.rest, Duration(3s));
+  cr_assert_eq(dialect.notice(429, {{"Retry-After", "0.25"}}).notice.rest, Duration(250ms));
+  const auto both = dialect.notice(503, {{"Server-Leaving", "1"}, {"Retry-After", "2"}});
+  cr_assert(both.notice.leaving);
+  cr_assert_eq(both.notice.rest, Duration(2s));
+  cr_assert_eq(dialect.notice(200, {{"Retry-After", "3"}}).notice, relay::EngineNotice(),
+               "only who is turned away is asked to wait");
+}
+
+Test(platform_dialect, takes_the_longest_of_two_waits_and_says_what_it_cannot_read) {
+  using namespace std::chrono_literals;
+  const PlatformDialect dialect;
+  cr_assert_eq(dialect.notice(503, {{"Retry-After", "1"}, {"Retry-After", "4"}}).notice.rest,
+               Duration(4s));
+  for (const char* value : {"-1", "soon", "", "1e3", "nan", "inf", "2, 3", "0x10", "3s",
+                            "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+    const auto read = dialect.notice(503, {{"Retry-After", value}});
+    cr_assert_not(read.notice.rest.has_value(), "%s", value);
+    cr_assert_eq(read.unreadable.size(), 1, "%s", value);
+  }
+  const auto huge = dialect.notice(503, {{"Retry-After", std::string(300, '9')}}).notice.rest;
+  cr_assert(!huge || *huge > 24h, "not a short wait, nor a negative one");
+  for (const char* value : {"0", "yes", ""}) {
+    const auto read = dialect.notice(200, {{"Server-Leaving", value}});
+    cr_assert_not(read.notice.leaving);
+    cr_assert_eq(read.unreadable.size(), 1);
+  }
+}
+
 Test(platform_dialect, reads_prompts_and_load) {
   const PlatformDialect dialect;
   const auto prompt =
--- a/tests/relay/support/fakes.cpp
+++ b/tests/relay/support/fakes.cpp
@@ -133,6 +133,14 @@
   return shape;
 }
 
+relay::ReadNotice TestDialect::notice(int status, const HttpHeaders& headers) const {
+  relay::ReadNotice read;
+  read.notice.leaving = headers.count("leaving") > 0;
+  const std::string rest(headers.get("rest-seconds"));
+  if (status == 503 && !rest.empty()) read.notice.rest = std::chrono::seconds(std::stoll(rest));
+  return read;
+}
+
 tl::expected<relay::PromptHandle, std::string> TestDialect::prefill_answer(
     const std::string& body) const {
   if (body.empty()) return tl::make_unexpected(std::string("empty"));
--- a/tests/relay/support/fakes.hpp
+++ b/tests/relay/support/fakes.hpp
@@ -123,6 +123,7 @@
   const relay::HeaderNames& names() const override { return names_; }
   std::optional<relay::PromptShape> prompt(const HttpHeaders& headers) const override;
   std::optional<relay::ReportedLoad> load(const HttpHeaders&) const override { return {}; }
+  relay::ReadNotice notice(int status, const HttpHeaders& headers) const override;
   bool refused(int, const HttpHeaders& headers) const override {
     return headers.count("refused") > 0;
   }
