Take engines at their own word that they leave or want rest

Cause: one source for a belief. That an engine leaves was learned from its entry in the store alone, which was silent; how long it wants rest was guessed (0.4 s, doubled).

Change: EngineNotices keeps what each start of an engine has said, apart from what this node concludes from failures: it outlives entries that lapse, return or change, ends with the start or at its time, and is no preference, so that no fallback overrides it. That an engine leaves is told to all nodes with the troubles they exchange; a rest is a sign of load to them.

--- a/src/core/relay/engine_directory.cpp
+++ b/src/core/relay/engine_directory.cpp
@@ -17,9 +17,6 @@
 /// one does not bring that back: ten times as many as a large fleet has.
 constexpr std::size_t kMostNames = 8192;
 
-/// Engines that drain and are remembered as such.
-constexpr std::size_t kMostLeaving = 4096;
-
 /// A node that was not heard of for so long has nothing under way as far as others can tell.
 constexpr Duration kPeerLife = std::chrono::milliseconds(2500);
 
@@ -153,20 +150,16 @@
 void EngineDirectory::upsert(const EngineRecord& record) {
   if (outdated(record)) return;
   note_start(record);
-  if (record.draining && leaving_.insert(record.id).second) {
-    leaving_order_.push_back(record.id);
-    if (leaving_order_.size() > kMostLeaving) {
-      leaving_.erase(leaving_order_.front());
-      leaving_order_.pop_front();
-    }
-  }
+  if (record.draining) notices_.on_leaving(record.id);
   const auto [entry, added] = engines_.try_emplace(record.id);
   EngineView& engine = entry->second;
   // What was met before says nothing of an engine that has changed.
   if (!(engine.record == record)) engine.avoided_until = {};
   engine.record = record;
-  // A start of an engine that drains never takes work again; a record that says so is an old one.
-  engine.record.draining = leaving_.count(record.id) > 0;
+  // A start of an engine that leaves never takes work again; a record that says so is an old one,
+  // or one that the engine could not write while the store was away.
+  engine.record.draining = notices_.leaving(record.id);
+  engine.rests_until = notices_.rests_until(record.id);
   if (!added) return;
   engine.key = engine_key(record.id);
   by_key_.emplace(engine.key, &engine);
@@ -354,14 +347,43 @@
   }
 }
 
+bool EngineDirectory::on_leaving(const EngineId& id) {
+  EngineView* engine = find(id);
+  if (engine != nullptr) engine->record.draining = true;
+  return notices_.on_leaving(id);
+}
+
+void EngineDirectory::on_rest(MonotonicTime now, const EngineId& id, Duration rest) {
+  const MonotonicTime until = notices_.on_rest(now, id, rest);
+  EngineView* engine = find(id);
+  if (engine != nullptr) engine->rests_until = until;
+}
+
+std::optional<MonotonicTime> EngineDirectory::first_return(MonotonicTime now,
+                                                           const ServiceName& service) const {
+  std::optional<MonotonicTime> first;
+  for (const auto& [id, engine] : engines_) {
+    const EngineRecord& record = engine.record;
+    const bool answers = record.stage != EngineStage::kPrefill;
+    if (record.service != service || !answers || record.draining) continue;
+    if (engine.rests_until <= now) return std::nullopt;
+    if (!first || engine.rests_until < *first) first = engine.rests_until;
+  }
+  return first;
+}
+
 void EngineDirectory::on_peer_trouble(MonotonicTime now, const EngineTrouble& trouble) {
+  if (trouble.kind == TroubleKind::kLeaving) {
+    on_leaving(trouble.engine);
+    return;
+  }
   EngineView* engine = find(trouble.engine);
   // A node that knows a newer record of the engine would not have met this.
   if (engine == nullptr || engine->record.stage != trouble.stage) return;
-  if (!trouble.misdirected && now - engine->last_good < kTroubleAge) return;
-  const Duration avoidance = trouble.misdirected
-                                 ? kMisdirectedAvoidance
-                                 : longer_by_lot(kUnreachableAvoidance, trouble.engine);
+  const bool misdirected = trouble.kind == TroubleKind::kMisdirected;
+  if (!misdirected && now - engine->last_good < kTroubleAge) return;
+  const Duration avoidance =
+      misdirected ? kMisdirectedAvoidance : longer_by_lot(kUnreachableAvoidance, trouble.engine);
   engine->avoided_until = std::max(engine->avoided_until, now + avoidance);
 }
 
--- a/src/core/relay/engine_directory.hpp
+++ b/src/core/relay/engine_directory.hpp
@@ -15,18 +15,13 @@
 #include "common/identifiers.hpp"
 #include "common/time.hpp"
 #include "core/relay/engine_model.hpp"
+#include "core/relay/engine_notice.hpp"
+#include "core/relay/engine_trouble.hpp"
 #include "core/relay/peer_load.hpp"
 #include "core/relay/prompt_cache_view.hpp"
 
 namespace shuntbank::relay {
 
-/// What a model engine does.
-enum class EngineStage {
-  kNone,     ///< The engine of a plain service.
-  kPrefill,  ///< Reads prompts and hands them over.
-  kDecode,   ///< Makes tokens; may read prompts as well.
-};
-
 /// @return `none`, `prefill` or `decode`.
 const char* to_text(EngineStage stage);
 
@@ -89,15 +84,21 @@
   std::uint32_t failures_in_a_row = 0;
   std::uint32_t refusals_in_a_row = 0;
   MonotonicTime avoided_until{};  ///< Not chosen before, while others can be.
-  bool ended = false;             ///< Nobody listens at its address any more.
-  MonotonicTime last_good{};      ///< The last attempt that ended well.
-  double failure_share = 0;       ///< Moving average over ended attempts, 0 to 1.
-  double latency_ms = 0;          ///< Moving average of the time to an answer; 0: unknown.
+  /// It has asked this node for rest until then. Unlike `avoided_until` this is no guess, and holds
+  /// also where no other engine can be chosen.
+  MonotonicTime rests_until{};
+  bool ended = false;         ///< Nobody listens at its address any more.
+  MonotonicTime last_good{};  ///< The last attempt that ended well.
+  double failure_share = 0;   ///< Moving average over ended attempts, 0 to 1.
+  double latency_ms = 0;      ///< Moving average of the time to an answer; 0: unknown.
   PromptCacheView cache;
   std::uint64_t memory_tokens = 0;  ///< For running requests and cached parts; 0: unknown.
   double pace_ms = 0;               ///< Moving average of the time between events of its streams.
   MonotonicTime pace_at{};          ///< The last event that `pace_ms` counts.
 
+  /// @return whether it may be sent requests, as far as the engine itself has a say in it.
+  bool takes_requests(MonotonicTime now) const { return !record.draining && rests_until <= now; }
+
   /// @return requests of other nodes that run or wait there, as far as this node can tell: what
   /// they tell themselves, or else what the engine reported.
   double others_there(MonotonicTime now) const;
@@ -120,15 +121,6 @@
   kMisdirected,    ///< Another start of an engine has the address, or the engine has another stage.
 };
 
-/// What one node has met at an engine and others need not find out for themselves.
-struct EngineTrouble {
-  EngineId engine;
-  EngineStage stage = EngineStage::kNone;  ///< That the node took it to have.
-  bool misdirected = false;  ///< Otherwise it could not be reached, or refuses though it has room.
-
-  bool operator==(const EngineTrouble&) const = default;
-};
-
 /// All engines that this node knows.
 class EngineDirectory {
  public:
@@ -205,6 +197,19 @@
   /// Learns from the end of an attempt.
   void on_health(MonotonicTime now, const EngineId& id, AttemptHealth health);
 
+  /// An engine has said that it leaves, whether it is known by its entry now or not.
+  /// @return whether that is news.
+  bool on_leaving(const EngineId& id);
+
+  /// An engine wants no request of this node for so long.
+  void on_rest(MonotonicTime now, const EngineId& id, Duration rest);
+
+  const EngineNotices& notices() const { return notices_; }
+
+  /// @return when the first of the engines of a service that can answer takes requests again, where
+  /// all of them rest; nothing where one takes them now, or all leave.
+  std::optional<MonotonicTime> first_return(MonotonicTime now, const ServiceName& service) const;
+
   /// Another node has met trouble at an engine.
   void on_peer_trouble(MonotonicTime now, const EngineTrouble& trouble);
 
@@ -251,8 +256,7 @@
   /// The latest start of each engine that was known, by name, also of those that are gone.
   std::unordered_map<std::string, LatestStart> latest_;
   std::deque<std::string> latest_order_;
-  std::set<EngineId> leaving_;  ///< Have said that they drain, whether still known or not.
-  std::deque<EngineId> leaving_order_;
+  EngineNotices notices_;
   std::map<NodeId, Peer> peers_;
   std::optional<MonotonicTime> fleet_load_at_;  ///< The last sum of the fleet, while it is fresh.
   double usual_unread_tokens_ = 2000;
--- a/src/core/relay/engine_news.hpp
+++ b/src/core/relay/engine_news.hpp
@@ -22,7 +22,7 @@
 struct KeyedTrouble {
   EngineKey engine = 0;
   EngineStage stage = EngineStage::kNone;
-  bool misdirected = false;
+  TroubleKind kind = TroubleKind::kUnusable;
 
   bool operator==(const KeyedTrouble&) const = default;
 };
--- a/src/core/relay/placement.cpp
+++ b/src/core/relay/placement.cpp
@@ -13,9 +13,9 @@
   return engines != nullptr && std::find(engines->begin(), engines->end(), id) != engines->end();
 }
 
-bool is_candidate(const EngineView& engine, const PlacementQuery& query) {
+bool is_candidate(MonotonicTime now, const EngineView& engine, const PlacementQuery& query) {
   const EngineRecord& record = engine.record;
-  if (record.draining || record.stage != query.stage) return false;
+  if (!engine.takes_requests(now) || record.stage != query.stage) return false;
   if (listed(query.avoid, record.id)) return false;
   if (query.apart_from != nullptr && query.apart_from->count(engine.key) > 0) return false;
   return query.max_connections_here == 0 || engine.in_flight < query.max_connections_here;
@@ -28,7 +28,7 @@
   std::vector<EngineView*> sound;
   std::vector<EngineView*> avoided;
   for (EngineView* engine : engines.of_service(query.service->name)) {
-    if (!is_candidate(*engine, query)) continue;
+    if (!is_candidate(now, *engine, query)) continue;
     (engine->avoided_until > now ? avoided : sound).push_back(engine);
   }
   return sound.empty() ? avoided : sound;
--- a/src/protocol/load_digest.cpp
+++ b/src/protocol/load_digest.cpp
@@ -6,6 +6,7 @@
 
 #include "protocol/crash_report_codec.hpp"
 #include "protocol/load_message.hpp"
+#include "protocol/trouble_codec.hpp"
 
 namespace shuntbank {
 namespace {
@@ -44,7 +45,7 @@
   return bytes;
 }
 
-constexpr std::size_t kTroubleBytes = 8;
+constexpr std::size_t kTroubleBytes = 9;
 
 json load_to_json(const relay::LoadByKey& load) {
   json numbers = json::array();
@@ -95,7 +96,9 @@
 json troubles_to_json(const std::vector<relay::KeyedTrouble>& troubles) {
   json list = json::array();
   for (const relay::KeyedTrouble& trouble : troubles) {
-    list.push_back({trouble.engine, static_cast<int>(trouble.stage), trouble.misdirected});
+    json entry = {trouble.engine, static_cast<int>(trouble.stage)};
+    append_kind(entry, trouble.kind);
+    list.push_back(std::move(entry));
   }
   return list;
 }
@@ -105,7 +108,7 @@
   for (const json& entry : list) {
     troubles.push_back({entry.at(0).get<relay::EngineKey>(),
                         static_cast<relay::EngineStage>(entry.at(1).get<int>()),
-                        entry.at(2).get<bool>()});
+                        trouble_kind(entry)});
   }
   return troubles;
 }
--- a/src/protocol/load_message.cpp
+++ b/src/protocol/load_message.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "protocol/crash_report_codec.hpp"
+#include "protocol/trouble_codec.hpp"
 
 namespace shuntbank {
 namespace {
@@ -35,7 +36,9 @@
 json troubles_to_json(const std::vector<relay::EngineTrouble>& troubles) {
   json list = json::array();
   for (const relay::EngineTrouble& trouble : troubles) {
-    list.push_back({trouble.engine.value(), static_cast<int>(trouble.stage), trouble.misdirected});
+    json entry = {trouble.engine.value(), static_cast<int>(trouble.stage)};
+    append_kind(entry, trouble.kind);
+    list.push_back(std::move(entry));
   }
   return list;
 }
@@ -45,7 +48,7 @@
   for (const json& item : list) {
     troubles.push_back({EngineId(item.at(0).get<std::string>()),
                         static_cast<relay::EngineStage>(item.at(1).get<int>()),
-                        item.at(2).get<bool>()});
+                        trouble_kind(item)});
   }
   return troubles;
 }
--- a/src/relay/engine_listener.cpp
+++ b/src/relay/engine_listener.cpp
@@ -12,16 +12,32 @@
     log_event(LogArea::kControl, LogLevel::kWarning, "engine_notice_unreadable",
               {{"engine", engine.value()}, {"request", request}, {"field", field}});
   }
-  const EngineNotice& notice = read.notice;
-  if (notice == EngineNotice()) return;
-  if (notice.leaving) this->io.metrics.count_engine_notice("leaving");
-  if (notice.rest) this->io.metrics.count_engine_notice("rest");
-  log_event(LogArea::kControl, LogLevel::kInfo, "engine_notice",
+  if (read.notice.leaving) this->on_leaving(engine, request);
+  if (read.notice.rest) this->on_rest(engine, *read.notice.rest, request);
+}
+
+/// The other nodes would send the engine requests until each has an answer of its own, and streams
+/// that begin there now may be cut by its end. Told once: who misses it hears it from the engine.
+void EngineListener::on_leaving(const EngineId& engine, std::string_view request) {
+  if (!this->io.engines.on_leaving(engine)) return;
+  this->io.metrics.count_engine_notice("leaving");
+  log_event(LogArea::kControl, LogLevel::kInfo, "engine_leaves",
+            {{"engine", engine.value()}, {"request", request}});
+  if (this->tell_trouble) {
+    this->tell_trouble({engine, EngineStage::kNone, TroubleKind::kLeaving});
+  }
+}
+
+void EngineListener::on_rest(const EngineId& engine, Duration rest, std::string_view request) {
+  const MonotonicTime now = this->io.runtime.now();
+  this->io.engines.on_rest(now, engine, rest);
+  this->io.metrics.count_engine_notice("rest");
+  const Duration kept = this->io.engines.notices().rests_until(engine) - now;
+  log_event(LogArea::kControl, LogLevel::kInfo, "engine_rests",
             {{"engine", engine.value()},
              {"request", request},
-             {"status", status},
-             {"leaving", notice.leaving},
-             {"rest_ms", notice.rest ? whole_ms(*notice.rest) : 0}});
+             {"asked_ms", whole_ms(rest)},
+             {"for_ms", whole_ms(kept)}});
 }
 
 }  // namespace shuntbank::relay
--- a/src/relay/engine_listener.hpp
+++ b/src/relay/engine_listener.hpp
@@ -2,6 +2,7 @@
 /// Hears what engines say of themselves in the heads of their answers, whatever was asked of them.
 #pragma once
 
+#include <functional>
 #include <string_view>
 
 #include "common/runtime.hpp"
@@ -24,13 +25,24 @@
  public:
   explicit EngineListener(const EngineListenerIo& own_io) : io(own_io) {}
 
+  /// Sets who is told that an engine leaves, for the other nodes.
+  void on_trouble(std::function<void(const EngineTrouble&)> handler) {
+    this->tell_trouble = std::move(handler);
+  }
+
   /// The head of an answer has come that is known to be this engine's.
   /// @param request whose answer it is, for the log; empty for a call of the node's own.
   void on_head(const EngineId& engine, int status, const HttpHeaders& headers,
                std::string_view request = {});
 
+  /// An engine has said, in whatever way, that it leaves.
+  void on_leaving(const EngineId& engine, std::string_view request = {});
+
  private:
+  void on_rest(const EngineId& engine, Duration rest, std::string_view request);
+
   EngineListenerIo io;
+  std::function<void(const EngineTrouble&)> tell_trouble;
 };
 
 }  // namespace shuntbank::relay
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -37,6 +37,7 @@
       splits_(random_fraction(io.runtime)),
       slack_from_(io.runtime.now() + counted_for(settings.retry_budget)) {
   quarantine_.on_news([this] { context_.note_load(); });
+  listener_.on_trouble([this](const EngineTrouble& trouble) { context_.note_trouble(trouble); });
 }
 
 RelayNode::~RelayNode() {
@@ -108,7 +109,7 @@
     quarantine_.on_engine_answered(record.id, io_.runtime.now());
   }
   engines_.upsert(record);
-  log_engine("engine_changed", record);
+  log_engine("engine_changed", engines_.find(record.id)->record);
   metrics_.set_gauge("engines", static_cast<double>(engines_.size()));
 }
 
--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -124,9 +124,14 @@
   if (view == nullptr) return;
   const double there = view->requests_there(context_.runtime.now());
   const bool has_room = there < view->record.slots * kRoomShare;
-  const bool refuses = health == AttemptHealth::kBusy && has_room && view->refusals_in_a_row > 1;
+  // An engine that rests is sent nothing that could be refused in a row. Its wait is for this node;
+  // for the others it is a sign of load, which they may override.
+  const bool rests = view->rests_until > context_.runtime.now();
+  const bool again = view->refusals_in_a_row > 1;
+  const bool refuses = health == AttemptHealth::kBusy && has_room && (rests || again);
   if (!misdirected && !refuses && health != AttemptHealth::kUnreachable) return;
-  context_.note_trouble({engine_, view->record.stage, misdirected});
+  const TroubleKind kind = misdirected ? TroubleKind::kMisdirected : TroubleKind::kUnusable;
+  context_.note_trouble({engine_, view->record.stage, kind});
 }
 
 void RelaySession::begin_stream() {
--- a/src/relay/zone_exchange.cpp
+++ b/src/relay/zone_exchange.cpp
@@ -25,7 +25,7 @@
     news.reads.push_back({engine_key(read.engine), read.parts});
   }
   for (const EngineTrouble& trouble : message.troubles) {
-    news.troubles.push_back({engine_key(trouble.engine), trouble.stage, trouble.misdirected});
+    news.troubles.push_back({engine_key(trouble.engine), trouble.stage, trouble.kind});
   }
   news.crashes = message.crashes;
   return news;
@@ -195,8 +195,7 @@
   for (const KeyedTrouble& trouble : news.troubles) {
     const EngineView* engine = engines.find_by_key(trouble.engine);
     if (engine == nullptr) continue;
-    engines.on_peer_trouble(this->runtime.now(),
-                            {engine->record.id, trouble.stage, trouble.misdirected});
+    engines.on_peer_trouble(this->runtime.now(), {engine->record.id, trouble.stage, trouble.kind});
   }
 }
 
--- a/tests/core/relay/engine_directory_test.cpp
+++ b/tests/core/relay/engine_directory_test.cpp
@@ -46,16 +46,19 @@
   EngineDirectory engines;
   engines.upsert(record("e"));
   engines.on_health(kNow, EngineId("e"), AttemptHealth::kGood);
-  engines.on_peer_trouble(kNow, {EngineId("e"), EngineStage::kDecode, true});
+  engines.on_peer_trouble(kNow,
+                          {EngineId("e"), EngineStage::kDecode, relay::TroubleKind::kMisdirected});
   cr_assert_gt(view(engines, "e").avoided_until, kNow + 3s);
-  engines.on_peer_trouble(kNow, {EngineId("unknown"), EngineStage::kDecode, true});
+  engines.on_peer_trouble(
+      kNow, {EngineId("unknown"), EngineStage::kDecode, relay::TroubleKind::kMisdirected});
   cr_assert_eq(engines.size(), 1);
 }
 
 Test(engine_directory, knows_better_than_a_node_that_took_the_engine_for_another_stage) {
   EngineDirectory engines;
   engines.upsert(record("e", EngineStage::kPrefill));
-  engines.on_peer_trouble(kNow, {EngineId("e"), EngineStage::kDecode, true});
+  engines.on_peer_trouble(kNow,
+                          {EngineId("e"), EngineStage::kDecode, relay::TroubleKind::kMisdirected});
   cr_assert_leq(view(engines, "e").avoided_until, kNow);
 }
 
@@ -63,7 +66,8 @@
   EngineDirectory engines;
   engines.upsert(record("e"));
   engines.on_health(kNow, EngineId("e"), AttemptHealth::kGood);
-  const EngineTrouble unreachable{EngineId("e"), EngineStage::kDecode, false};
+  const EngineTrouble unreachable{EngineId("e"), EngineStage::kDecode,
+                                  relay::TroubleKind::kUnusable};
   engines.on_peer_trouble(kNow + 100ms, unreachable);
   cr_assert_leq(view(engines, "e").avoided_until, kNow);
   engines.on_peer_trouble(kNow + 2s, unreachable);
@@ -153,7 +157,7 @@
 Test(engine_directory, lets_few_of_many_nodes_try_a_dead_engine_again) {
   // Seen on a fleet of 295 nodes: all heard that an engine was dead within 200 ms, and a second
   // later all sent to it at once, since nobody had work there.
-  const EngineTrouble trouble{EngineId("a"), EngineStage::kDecode, false};
+  const EngineTrouble trouble{EngineId("a"), EngineStage::kDecode, relay::TroubleKind::kUnusable};
   int early = 0;
   int late = 0;
   for (std::uint64_t node = 1; node <= 300; ++node) {
--- a/tests/protocol/load_digest_test.cpp
+++ b/tests/protocol/load_digest_test.cpp
@@ -61,7 +61,8 @@
       whole.news.reads.push_back({*rc::gen::arbitrary<relay::EngineKey>(),
                                   {{*rc::gen::arbitrary<std::uint64_t>(), 800}, {2, 30}}});
     }
-    whole.news.troubles = {{3, relay::EngineStage::kPrefill, true}};
+    whole.news.troubles = {{3, relay::EngineStage::kPrefill, relay::TroubleKind::kMisdirected},
+                           {4, relay::EngineStage::kNone, relay::TroubleKind::kLeaving}};
     for (int i = *rc::gen::inRange(0, 60); i > 0; --i) {
       whole.news.crashes.push_back({relay::CrashNews::kEnded,
                                     {~0ULL, *rc::gen::arbitrary<std::uint64_t>()},
--- a/tests/protocol/load_message_test.cpp
+++ b/tests/protocol/load_message_test.cpp
@@ -14,7 +14,9 @@
   message.sequence = 9;
   message.load[EngineId("e1")] = {3, 4500, 700};
   message.reads = {{EngineId("e1"), {{0xabcdef0123456789, 800}, {2, 30}}}};
-  message.troubles = {{EngineId("e2"), EngineStage::kPrefill, true}};
+  message.troubles = {{EngineId("e2"), EngineStage::kPrefill, relay::TroubleKind::kMisdirected},
+                      {EngineId("e3"), EngineStage::kNone, relay::TroubleKind::kLeaving},
+                      {EngineId("e4"), EngineStage::kDecode, relay::TroubleKind::kUnusable}};
   message.crashes = {{relay::CrashNews::kEnded, {~0ULL, 5}, 77, 78, 1500}};
   message.seen = {41, 42};
   message.to_collector = true;
@@ -31,7 +33,7 @@
   cr_assert_eq(read->load.at(EngineId("e1")).unread_tokens, 4500);
   cr_assert_eq(read->load.at(EngineId("e1")).deferred_tokens, 700);
   cr_assert_eq(read->reads[0].parts[0].id, 0xabcdef0123456789);
-  cr_assert(read->troubles[0] == full_message().troubles[0]);
+  cr_assert(read->troubles == full_message().troubles);
   cr_assert(read->crashes == full_message().crashes);
   cr_assert(read->seen == full_message().seen);
   cr_assert(read->to_collector && read->wants_view);
--- a/tests/relay/engine_notice_test.cpp
+++ b/tests/relay/engine_notice_test.cpp
@@ -36,6 +36,15 @@
   return std::string(site.http.at(transfer).request.headers.get("for-engine"));
 }
 
+/// Sends a request; its prompt is read apart or not. @return the engine that is to answer it.
+std::string engine_that_answers(RelayFixture& site) {
+  const std::size_t next = site.http.count();
+  site.request("/stream/b", {{"tokens", "20000"}});
+  const bool apart = site.http.at(next).request.headers.count("stage") > 0;
+  if (apart) site.http.answer(next, 200, {{"id", "r1"}}, "h2");
+  return engine_of(site, site.http.count() - 1);
+}
+
 }  // namespace
 
 Test(engine_notice, sends_nothing_more_to_an_engine_whose_answer_says_that_it_leaves) {
@@ -46,14 +55,13 @@
   site.http.answer(0, 200, {{"id", "r1"}}, "h1");
   cr_assert_eq(engine_of(site, 1), "d1");
   site.add_engine("d2", "model", EngineStage::kDecode);
+  // By load alone all would go to the first.
+  for (int i = 0; i < 6; ++i) site.node->engines().on_sent(EngineId("d2"), {20000, false});
   // The head of a stream comes long before its end.
   site.http.begin(1, 200, sealed_and_leaving());
   for (int i = 0; i < 12; ++i) {
-    const std::size_t next = site.http.count();
-    site.request("/stream/b", {{"tokens", "20000"}});
-    site.http.answer(next, 200, {{"id", "r1"}}, "h2");
-    cr_assert_eq(engine_of(site, next + 1), "d2", "also whoever takes up a prompt read apart");
-    site.http.answer(next + 1, 200, RelayFixture::sealed(), "id: 1\ndata: a\n\n");
+    cr_assert_eq(engine_that_answers(site), "d2", "also whoever takes up a prompt read apart");
+    site.http.answer(site.http.count() - 1, 200, RelayFixture::sealed(), "id: 1\ndata: a\n\n");
     site.runtime.advance(500ms);
     // What the store says of it is older than what it says itself.
     site.add_engine("d1", "model", EngineStage::kDecode);
@@ -61,10 +69,9 @@
   site.http.piece(1, "id: 1\ndata: a\n\n");
   site.http.finish(1);
   const std::size_t next = site.http.count();
-  site.request("/stream/c", {{"tokens", "20000"}});
-  site.http.answer(next, 200, {{"id", "r1"}}, "h3");
-  site.http.answer(next + 1, 503, {{"id", "r1"}, {"refused", "1"}}, "");
-  for (std::size_t i = next + 1; i < site.http.count(); ++i) {
+  engine_that_answers(site);
+  site.http.answer(site.http.count() - 1, 503, {{"id", "r1"}, {"refused", "1"}}, "");
+  for (std::size_t i = next; i < site.http.count(); ++i) {
     cr_assert_neq(engine_of(site, i), "d1", "nor where no other is left");
   }
 }
--- a/tests/relay/load_exchange_test.cpp
+++ b/tests/relay/load_exchange_test.cpp
@@ -60,7 +60,8 @@
   ExchangingFleet fleet(60, 5);
   fleet.runtime.advance(4s);
   RelayFixture& site = *fleet.sites[3];
-  site.node->note_trouble({EngineId("p1"), EngineStage::kPrefill, true});
+  site.node->note_trouble(
+      {EngineId("p1"), EngineStage::kPrefill, relay::TroubleKind::kMisdirected});
   site.add_engine("d1", "model", EngineStage::kDecode);
   site.request("/stream/a", {{"tokens", "20000"}});
   site.http.answer(0, 200, {{"id", "r1"}}, "h1");
@@ -170,7 +171,8 @@
   fleet.exchanges[1]->connect_revisions([] { return relay::StoreProgress{}; },
                                         [&heard](const auto& seen) { heard = seen; });
   fleet.runtime.advance(3s);
-  fleet.sites[0]->node->note_trouble({EngineId("p1"), EngineStage::kPrefill, true});
+  fleet.sites[0]->node->note_trouble(
+      {EngineId("p1"), EngineStage::kPrefill, relay::TroubleKind::kMisdirected});
   fleet.runtime.advance(100ms);
   cr_assert_gt(fleet.engine(1).avoided_until, fleet.runtime.now());
   cr_assert(heard == (relay::CatalogRevisions{5, 6}));
