--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -36,12 +36,17 @@
   /// Whether an answer belongs to this request; one that does not is read and left out. Where it is
   /// not set, each answer belongs. Only `PooledHttpClient` heeds it.
   std::function<bool(int status, const HttpHeaders& headers)> belongs;
+  /// Asked right before the first byte leaves, where a connection had to be made first: whether the
+  /// request is still to be sent there. Where it is not set, it is. Only `PooledHttpClient` heeds
+  /// it.
+  std::function<bool()> still_wanted;
 };
 
 /// How far a failed transfer came.
 enum class TransferFailure {
   kNothingSent,  ///< No byte of the request can have reached the peer.
   kUncertain,    ///< Bytes may have reached the peer.
+  kWithdrawn,    ///< No byte was sent, since the owner no longer wanted it; see `still_wanted`.
 };
 
 /// Why a transfer ended without a whole reply.
--- a/tests/net/http1_edges_test.cpp
+++ b/tests/net/http1_edges_test.cpp
@@ -324,6 +324,17 @@
   cr_assert(fetched.connection_refused, "nobody listens there");
 }
 
+Test(http1_client, sends_nothing_that_is_no_longer_wanted_once_the_connection_stands) {
+  asio::io_context loop;
+  ScriptedPeer peer(loop, {{{sized("1", "one")}}});
+  PooledHttpClient client(loop, {});
+  OutgoingRequest request = asking(peer.url(), "1");
+  request.still_wanted = [] { return false; };
+  const Fetched fetched = fetch(loop, client, std::move(request));
+  cr_assert(fetched.failure == TransferFailure::kWithdrawn);
+  cr_assert_eq(peer.received, 0);
+}
+
 Test(http1_client, skips_an_answer_that_belongs_to_another_request) {
   asio::io_context loop;
   ScriptedPeer peer(loop, {{{sized("1", "one")}, {sized("1", "late") + sized("2", "two")}}});
--- a/tests/relay/engine_notice_test.cpp
+++ b/tests/relay/engine_notice_test.cpp
@@ -76,6 +76,27 @@
   }
 }
 
+// What waits for its connection when the word comes would reach the engine after it: at a slow link
+// up to 0.6 s, and as many requests as wait.
+Test(engine_notice, asks_again_before_the_first_byte_leaves) {
+  RelayFixture site;
+  site.add_engine("e1", "plain");
+  site.request("/once/a");
+  const auto waiting = site.request("/once/b");
+  cr_assert_eq(engine_of(site, 1), "e1");
+  cr_assert(site.http.at(1).request.still_wanted());
+  site.http.answer(0, 503, kAsksForRest, "");
+  cr_assert_not(site.http.at(1).request.still_wanted());
+  site.add_engine("e2", "plain");
+  site.http.fail(1, TransferFailure::kWithdrawn);
+  cr_assert_eq(engine_of(site, 2), "e2", "it may run once only, and has reached nobody");
+  site.http.answer(2, 200, RelayFixture::sealed(), "whole");
+  cr_assert_eq(waiting->status, 200);
+  site.runtime.advance(3s);
+  cr_assert_lt(site.node->engines().find(EngineId("e1"))->failure_share, 0.01,
+               "nothing was wrong with it");
+}
+
 Test(engine_notice, leaves_an_engine_alone_for_as_long_as_it_asks) {
   RelayFixture site;
   site.add_engine("e1", "plain");
