--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -67,6 +67,8 @@
       "a request comes again and again that ends each engine that runs it")(
       "storms", options::bool_switch(&shape.storms),
       "large configurations in quick succession, over slow links to the store")(
+      "words", options::bool_switch(&shape.words),
+      "engines leave while the store is silent, turn all away by halves, and lose their entries")(
       "relays", options::value(&shape.relays)->default_value(5), "processes");
   options::variables_map given;
   try {
--- a/tests/platform/support/callers.cpp
+++ b/tests/platform/support/callers.cpp
@@ -134,6 +134,8 @@
   const auto call = std::make_shared<Call>();
   call->request = request;
   call->on_end = std::move(on_end);
+  call->request.node = node->callers;
+  call->request.at = monotonic_now();
   this->ledger.sent(call->request);
   OutgoingRequest outgoing;
   outgoing.method = call->request.method;
@@ -152,10 +154,11 @@
                          "a" + shared + ":1600,f" + std::to_string(this->drawn) + ":800");
   }
   TransferHandlers handlers;
-  handlers.on_headers = [call](int status, const HttpHeaders& headers) {
+  handlers.on_headers = [this, call](int status, const HttpHeaders& headers) {
     call->status = status;
     call->seal = std::string(headers.get("X-Response-Seal"));
     call->may_come_back = headers.count("Retry-After") > 0;
+    if (headers.count("Server-Leaving") > 0) this->ledger.got_word_of_leaving(call->seal);
   };
   handlers.on_data = [this, call](std::string_view piece) {
     this->on_data(call, piece);
@@ -230,6 +233,8 @@
   sent.target = target;
   sent.service = "plain";
   sent.repeatable = true;
+  sent.node = node.callers;
+  sent.at = monotonic_now();
   this->ledger.sent(sent);
   request.headers.add("Host", "soak.example");
   request.headers.add("X-Request-Id", sent.id);
--- a/tests/platform/support/engine_standin.cpp
+++ b/tests/platform/support/engine_standin.cpp
@@ -1,5 +1,6 @@
 #include "platform/support/engine_standin.hpp"
 
+#include <cstdio>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -26,7 +27,12 @@
 
 EngineStandin::EngineStandin(asio::io_context& own_loop, StoreStandin& own_store,
                              Ledger& own_ledger, const EngineShape& own_shape, std::uint64_t seed)
-    : loop(own_loop), store(own_store), ledger(own_ledger), shape(own_shape), random(seed) {
+    : loop(own_loop),
+      store(own_store),
+      ledger(own_ledger),
+      shape(own_shape),
+      random(seed),
+      rest_random(seed) {
   this->proxy = std::make_unique<FaultProxy>(this->loop, asio::ip::tcp::endpoint());
 }
 
@@ -76,6 +82,14 @@
   });
 }
 
+void EngineStandin::lapse(std::chrono::milliseconds away) {
+  this->store.remove("servers", this->id);
+  this->back = std::make_unique<asio::steady_timer>(this->loop, away);
+  this->back->async_wait([this, lapsed = this->id](const std::error_code& error) {
+    if (!error && this->running() && lapsed == this->id) this->publish();
+  });
+}
+
 void EngineStandin::set_fault(EngineFault wanted, double share) {
   this->fault = wanted;
   this->fault_share = share;
@@ -105,13 +119,29 @@
   if (!seal.empty()) fields.add("X-Response-Seal", seal);
   fields.add("X-Server-Load",
              std::to_string(this->runs.size()) + ",0," + std::to_string(this->shape.slots));
+  if (this->state == "draining") fields.add("Server-Leaving", "1");
   return fields;
 }
 
-void EngineStandin::refuse(const HttpRequest& request, const Responder& responder, int status) {
+/// Of ten refusals seven ask for up to 3 s of rest, one for what cannot be read.
+void EngineStandin::ask_for_rest(const std::string& request, HttpHeaders& fields) {
+  const std::uint64_t drawn = this->rest_random();
+  if (drawn % 10 == 0) return fields.add("Retry-After", drawn % 20 == 0 ? "soon" : "-1");
+  if (drawn % 10 > 7) return;
+  const std::chrono::milliseconds rest(200 + drawn / 10 % 2800);
+  char seconds[16];
+  std::snprintf(seconds, sizeof(seconds), "%.3f", static_cast<double>(rest.count()) / 1000);
+  fields.add("Retry-After", seconds);
+  this->ledger.asked_for_rest(request, this->id, rest);
+}
+
+void EngineStandin::refuse(const HttpRequest& request, const Responder& responder, int status,
+                           bool sheds) {
   HttpReply reply;
   reply.status = status;
-  reply.headers = this->fields(std::string(request.headers.get("X-Request-Id")), "");
+  const std::string request_id(request.headers.get("X-Request-Id"));
+  reply.headers = this->fields(request_id, "");
+  if (sheds) this->ask_for_rest(request_id, reply.headers);
   reply.headers.add(status == 421 ? "X-Instance-Id" : "X-Not-Executed",
                     status == 421 ? this->id : "1");
   responder->respond(std::move(reply));
@@ -135,7 +165,7 @@
                      {"busy_slots", this->changing},
                      {"sequence", this->orders},
                      {"running", this->runs.size()}};
-  responder->respond({200, {}, body.dump()});
+  responder->respond({200, this->fields("", ""), body.dump()});
 }
 
 void EngineStandin::order(const HttpRequest& request, const Responder& responder) {
@@ -181,7 +211,9 @@
   const EngineFault drawn = this->draw_fault();
   const std::optional<int> refused = this->refusal(drawn, only_read);
   this->count_arrival(request, only_read && !refused);
-  if (refused) return this->refuse(request, responder, *refused);
+  this->ledger.reached(std::string(request.headers.get("X-Request-Id")), this->id);
+  const bool sheds = drawn == EngineFault::kSheds && refused == 503;
+  if (refused) return this->refuse(request, responder, *refused, sheds);
   if (drawn == EngineFault::kResets) return responder->abort();
   if (only_read) return this->read_prompt(request, responder);
   const std::string source(request.headers.get("X-Kv-Source"));
@@ -236,7 +268,7 @@
   run->last = sent == nullptr ? 1 : sent->pieces;
   const std::string last_event(request.headers.get("Last-Event-Id"));
   if (!last_event.empty()) run->next = std::stoull(last_event) + 1;
-  const std::string seal = this->ledger.answers({run->id, 200, ""});
+  const std::string seal = this->ledger.answers({run->id, 200, "", this->id});
   HttpHeaders fields = this->fields(run->id, seal);
   fields.add("Content-Type", "text/event-stream");
   run->responder->begin_stream(200, fields);
@@ -271,7 +303,7 @@
     return this->end(run);
   }
   AnswerOfEngine answer{run->id, run->fault == EngineFault::kErrors ? 500 : 200,
-                        "answer to " + run->id + " by " + this->id};
+                        "answer to " + run->id + " by " + this->id, this->id};
   const std::string seal = this->ledger.answers(answer);
   run->responder->respond({answer.status, this->fields(run->id, seal), answer.body});
   this->end(run);
--- a/tests/platform/support/engine_standin.hpp
+++ b/tests/platform/support/engine_standin.hpp
@@ -50,6 +50,9 @@
   /// Says that it drains, and ends after `serve_on`.
   void drain(std::chrono::milliseconds serve_on);
 
+  /// Its entry goes while it serves on, and comes back after a while.
+  void lapse(std::chrono::milliseconds away);
+
   /// Misbehaves in a share of its answers.
   void set_fault(EngineFault fault, double share);
 
@@ -63,6 +66,9 @@
     this->all_calm = std::move(calm);
   }
 
+  /// Its words may not have been heard.
+  void link_disturbed() { this->ledger.link_disturbed(this->id); }
+
   bool running() const { return this->server != nullptr; }
   FaultProxy& link() { return *this->proxy; }
 
@@ -95,7 +101,9 @@
   void end_under(const HttpRequest& request, const RunPointer& run);
   void begin_stream(const RunPointer& run, const HttpRequest& request);
   void end(const RunPointer& run);
-  void refuse(const HttpRequest& request, const Responder& responder, int status);
+  void refuse(const HttpRequest& request, const Responder& responder, int status,
+              bool sheds = false);
+  void ask_for_rest(const std::string& request, HttpHeaders& fields);
   HttpHeaders fields(const std::string& id, const std::string& seal) const;
   EngineFault draw_fault();
   void publish();
@@ -106,9 +114,11 @@
   Ledger& ledger;
   EngineShape shape;
   std::mt19937_64 random;
+  std::mt19937_64 rest_random;  ///< Of its own: all else of a seed stays as it is.
   std::unique_ptr<Http1Server> server;
   std::unique_ptr<FaultProxy> proxy;
   std::unique_ptr<asio::steady_timer> later;
+  std::unique_ptr<asio::steady_timer> back;  ///< Until a lapsed entry is back.
   std::string id;
   std::string stage;
   std::string state;
--- a/tests/platform/support/ledger.cpp
+++ b/tests/platform/support/ledger.cpp
@@ -71,6 +71,28 @@
   }
 }
 
+void Ledger::got_word_of_leaving(const std::string& seal) {
+  const auto answer = this->answers_by_seal.find(seal);
+  if (answer == this->answers_by_seal.end()) return;
+  const SentByCaller* request = this->find(answer->second.request);
+  if (request == nullptr) return;
+  this->notices.told_leaving(monotonic_now(), {request->node, answer->second.engine});
+}
+
+void Ledger::reached(const std::string& id, const std::string& engine) {
+  const SentByCaller* request = this->find(id);
+  if (request == nullptr) return;
+  const NodeAndStart pair{request->node, engine};
+  const std::string broken = this->notices.reaches(monotonic_now(), pair, request->at);
+  if (!broken.empty()) this->broke("NOTICE", id + " reaches an engine: " + broken);
+}
+
+void Ledger::asked_for_rest(const std::string& id, const std::string& engine, Duration rest) {
+  const SentByCaller* request = this->find(id);
+  if (request == nullptr) return;
+  this->notices.asked_for_rest(monotonic_now(), {request->node, engine}, rest);
+}
+
 bool Ledger::got_event(const std::string& id, std::uint64_t number, const std::string& text) {
   if (text == event_text(id, number)) return true;
   this->broke("ORDER", id + ": event " + std::to_string(number) + " is not its own: " + text);
--- a/tests/platform/support/ledger.hpp
+++ b/tests/platform/support/ledger.hpp
@@ -10,6 +10,8 @@
 #include <string_view>
 #include <vector>
 
+#include "support/notice_judge.hpp"
+
 namespace shuntbank::testing {
 
 using SteadyTime = std::chrono::steady_clock::time_point;
@@ -23,6 +25,8 @@
   std::string service;       ///< The only one that may run it.
   bool repeatable = false;   ///< May run more than once.
   std::uint64_t pieces = 0;  ///< Events of a whole stream; 0: a plain answer.
+  std::string node{};        ///< That it was sent to.
+  MonotonicTime at{};        ///< When.
 
   bool operator==(const SentByCaller&) const = default;
 };
@@ -32,6 +36,7 @@
   std::string request;
   int status = 0;
   std::string body;
+  std::string engine{};  ///< The start that gave it.
 
   bool operator==(const AnswerOfEngine&) const = default;
 };
@@ -59,10 +64,15 @@
 
   explicit Ledger(const RetryBound& retry_bound) : bound(retry_bound) {}
 
+  /// Until a node sends no request any more to an engine that has told it that it leaves.
+  static constexpr std::chrono::milliseconds kUntilNone{2000};
+
   // Callers.
   void sent(const SentByCaller& request);
   void got_answer(const std::string& id, int status, const std::string& seal,
                   const std::string& body);
+  /// The head of an answer has come that says that its engine leaves.
+  void got_word_of_leaving(const std::string& seal);
   /// One event of a stream, in its order. @return whether it was the one expected.
   bool got_event(const std::string& id, std::uint64_t number, const std::string& text);
   void got_stream_end(const std::string& id, std::uint64_t last);
@@ -71,6 +81,10 @@
   /// @param reads_apart whether the engine takes the request up only to read its prompt; one that
   /// it refuses has arrived like any other.
   void arrived(const std::string& id, const std::string& service, bool reads_apart);
+  /// A request is at an engine that it was meant for, whatever becomes of it.
+  void reached(const std::string& id, const std::string& engine);
+  /// An engine turns a request away and asks its node for rest.
+  void asked_for_rest(const std::string& id, const std::string& engine, Duration rest);
   void runs(const std::string& id, const std::string& service, const std::string& method,
             const std::string& target, const std::string& body);
   /// @return the seal to send with the answer.
@@ -86,6 +100,12 @@
 
   void ordered(const std::string& engine, const std::string& holder, std::uint64_t fence);
 
+  // Disturbances.
+  /// A node was restarted, stood still or woke.
+  void node_disturbed(const std::string& node) { this->notices.excuse_node(node); }
+  /// The way from an engine to the nodes was cut or harmed.
+  void link_disturbed(const std::string& engine) { this->notices.excuse_rests(engine); }
+
   void broke(const std::string& rule, const std::string& what);
 
   const SentByCaller* find(const std::string& id) const;
@@ -119,6 +139,7 @@
   std::map<std::string, Arrivals> arrivals;
   std::map<std::string, Deadly> deadly;
   std::vector<BrokenPromise> promises;
+  NoticeJudge notices{kUntilNone};
   std::uint64_t seals = 0;
 };
 
--- a/tests/platform/support/soak_site.cpp
+++ b/tests/platform/support/soak_site.cpp
@@ -78,7 +78,8 @@
       store(this->loop),
       watchdog(this->loop),
       deadly_random(wanted.seed),
-      storm_random(wanted.seed) {
+      storm_random(wanted.seed),
+      words_random(wanted.seed) {
   this->build_engines();
   this->put_configuration();
   this->build_relays();
@@ -166,7 +167,9 @@
 /// A process that has ended starts again after a short while, as on the platform.
 void SoakSite::keep_relays_running() {
   for (const auto& relay : this->relays) {
-    if (!relay->running()) relay->start(this->first);
+    if (relay->running()) continue;
+    this->ledger.node_disturbed(relay->callers_address());
+    relay->start(this->first);
   }
   this->first = false;
   this->watchdog.expires_after(300ms);
@@ -191,6 +194,7 @@
   }
   if (this->shape.deadly) this->deadly_comes();
   if (this->shape.storms) this->storm_comes();
+  if (this->shape.words) this->words_come();
   this->wait(2s);
   const auto end = std::chrono::steady_clock::now() + this->shape.faults_for;
   while (std::chrono::steady_clock::now() < end) {
@@ -223,21 +227,29 @@
     case 0:
     case 1:
       this->note("kill " + name);
+      this->ledger.node_disturbed(relay.callers_address());
       return relay.send_signal(SIGKILL);
     case 2:
     case 3:
       this->note("pause " + name + " for " + std::to_string(duration.count()) + " ms");
       relay.send_signal(SIGSTOP);
-      return this->later(duration, [&relay] { relay.send_signal(SIGCONT); });
+      return this->later(duration, [this, &relay] {
+        this->ledger.node_disturbed(relay.callers_address());
+        relay.send_signal(SIGCONT);
+      });
     case 4:
       this->note("stop " + name);
+      this->ledger.node_disturbed(relay.callers_address());
       return relay.send_signal(SIGTERM);
     case 5:
       this->note("reload " + name);
       return relay.send_signal(SIGHUP);
     case 6:
       this->note("kill all relays");
-      for (const auto& each : this->relays) each->send_signal(SIGKILL);
+      for (const auto& each : this->relays) {
+        this->ledger.node_disturbed(each->callers_address());
+        each->send_signal(SIGKILL);
+      }
       return;
     default:
       this->note("callers leave early");
@@ -317,6 +329,7 @@
     case 6:
       this->note(name + " slow, its link reset and delayed from then on");
       engine.set_slowness(6);
+      engine.link_disturbed();
       engine.link().reset_all();
       engine.link().set({false, false, false, kDelay});
       return this->later(duration, [&engine] {
@@ -326,7 +339,10 @@
     default:
       this->note(name + " silent");
       engine.link().set({true, this->draw(2) == 0, false, 0ms});
-      return this->later(duration, [&engine] { engine.link().set({}); });
+      return this->later(duration, [&engine] {
+        engine.link_disturbed();
+        engine.link().set({});
+      });
   }
 }
 
@@ -352,6 +368,47 @@
   this->later(pause, [this] { this->storm_comes(); });
 }
 
+void SoakSite::words_come() {
+  if (this->healed) return;
+  const std::chrono::milliseconds duration(1000 + this->words_random() % 4000);
+  const std::size_t index = this->words_random() % this->engines.size();
+  EngineStandin& engine = *this->engines[index];
+  const std::uint64_t kind = this->words_random() % 4;
+  if (kind == 0) this->half_turn_away(duration);
+  if (kind == 1 && engine.running()) {
+    this->note("the entry of engine " + std::to_string(index) + " lapses");
+    engine.lapse(duration);
+  }
+  if (kind > 1 && engine.running()) {
+    this->note("engine " + std::to_string(index) + " leaves while the store is silent");
+    this->leave_while_the_store_is_silent(engine);
+  }
+  this->later(duration, [this] { this->words_come(); });
+}
+
+/// It serves on for a while after the store has taken its word.
+void SoakSite::leave_while_the_store_is_silent(EngineStandin& engine) {
+  constexpr std::chrono::milliseconds kSilence{7000};
+  constexpr std::chrono::milliseconds kServesOn{2500};
+  this->disturbed_until = std::chrono::steady_clock::now() + kLongestDisturbance;
+  this->store.set_fault(StoreFault::kSilent);
+  this->later(kSilence, [this] { this->store.set_fault(StoreFault::kNone); });
+  engine.drain(kSilence + kServesOn);
+  this->later(kSilence + kServesOn + 1s, [&engine] {
+    if (!engine.running()) engine.start();
+  });
+}
+
+/// The second half of the engines stays: of each service some.
+void SoakSite::half_turn_away(std::chrono::milliseconds duration) {
+  this->note("half of the engines turn all away for " + std::to_string(duration.count()) + " ms");
+  for (std::size_t i = 0; i < this->engines.size(); i += 2) {
+    EngineStandin& engine = *this->engines[i];
+    engine.set_fault(EngineFault::kSheds, 1);
+    this->later(duration, [&engine] { engine.set_fault(EngineFault::kNone, 0); });
+  }
+}
+
 /// Its entry goes after a while, and it is back within two seconds at the same address.
 void SoakSite::end_engine(EngineStandin& engine) {
   engine.crash(std::chrono::milliseconds(this->deadly_random() % 3000));
@@ -386,8 +443,12 @@
   // Timers that are still due run; what they undo is undone here as well.
   this->store.set_fault(StoreFault::kNone);
   for (const auto& link : this->store_links) link->set({});
-  for (const auto& relay : this->relays) relay->send_signal(SIGCONT);
+  for (const auto& relay : this->relays) {
+    this->ledger.node_disturbed(relay->callers_address());
+    relay->send_signal(SIGCONT);
+  }
   for (const auto& engine : this->engines) {
+    engine->link_disturbed();
     engine->set_fault(EngineFault::kNone, 0);
     engine->set_slowness(1);
     engine->link().set({});
--- a/tests/platform/support/soak_site.hpp
+++ b/tests/platform/support/soak_site.hpp
@@ -29,6 +29,8 @@
   std::size_t callers = 40;
   bool deadly = false;  ///< A request comes again and again that ends each engine that runs it.
   bool storms = false;  ///< Large configurations in quick succession, over slow links to the store.
+  /// Engines leave while the store is silent, turn all away by halves, and lose their entries.
+  bool words = false;
 
   bool operator==(const SoakShape&) const = default;
 };
@@ -63,6 +65,9 @@
   void deadly_comes();
   void storm_comes();
   void change_in_storm(std::uint64_t left);
+  void words_come();
+  void leave_while_the_store_is_silent(EngineStandin& engine);
+  void half_turn_away(std::chrono::milliseconds duration);
   void end_engine(EngineStandin& engine);
   bool calm() const;
   void check_deadly();
@@ -89,6 +94,7 @@
   bool first = true;
   std::mt19937_64 deadly_random;  ///< Of its own: the other faults of a seed stay as they are.
   std::mt19937_64 storm_random;   ///< The same.
+  std::mt19937_64 words_random;   ///< The same.
   std::chrono::steady_clock::time_point disturbed_until{};  ///< A relay or the store.
   bool healed = false;
 };
--- a/tests/relay/engine_notice_test.cpp
+++ b/tests/relay/engine_notice_test.cpp
@@ -15,7 +15,7 @@
 #include <utility>
 
 #include "relay/support/fakes.hpp"
-#include "relay/support/notice_judge.hpp"
+#include "support/notice_judge.hpp"
 #include "support/property.hpp"
 
 using namespace shuntbank;
@@ -208,13 +208,13 @@
     const std::string& start = this->sent_to[transfer];
     if (drawn / 64 % 4 == 0) {
       headers.add("leaving", "1");
-      this->judge.said_leaving(start);
+      this->judge.told_leaving(this->site.runtime.now(), {"", start});
     }
     const std::uint64_t rest = drawn / 256 % 5;
     if (refused) headers.add("refused", "1");
     if (refused && rest > 0) {
       headers.add("rest-seconds", std::to_string(rest));
-      this->judge.asked_for_rest(this->site.runtime.now(), start, std::chrono::seconds(rest));
+      this->judge.asked_for_rest(this->site.runtime.now(), {"", start}, std::chrono::seconds(rest));
     }
     this->site.http.answer(transfer, refused ? 503 : 200, headers, "id: 1\ndata: a\n\n");
   }
@@ -236,8 +236,8 @@
   }
 
   void leave(std::size_t transfer) {
-    const std::string found =
-        this->judge.sent(this->site.runtime.now(), this->sent_to.at(transfer));
+    const MonotonicTime now = this->site.runtime.now();
+    const std::string found = this->judge.reaches(now, {"", this->sent_to.at(transfer)}, now);
     if (this->broken.empty()) this->broken = found;
   }
 
@@ -248,7 +248,7 @@
   }
 
   RelayFixture site;
-  NoticeJudge judge;
+  NoticeJudge judge{Duration::zero()};
   std::map<std::size_t, std::uint64_t> starts;
   std::map<std::size_t, bool> moved;
   std::map<std::size_t, std::string> sent_to;
