--- a/tests/relay/engine_notice_test.cpp
+++ b/tests/relay/engine_notice_test.cpp
@@ -123,6 +123,26 @@
   cr_assert_eq(engine_of(site, next), "e1", "it has had its rest");
 }
 
+Test(engine_notice, tells_callers_when_the_first_engine_takes_requests_again) {
+  RelayFixture site;
+  for (const char* id : {"e1", "e2"}) site.add_engine(id, "plain");
+  site.request("/once/a");
+  site.http.answer(0, 503, {{"id", "r1"}, {"refused", "1"}, {"rest-seconds", "3"}}, "");
+  site.http.answer(1, 503, {{"id", "r1"}, {"refused", "1"}, {"rest-seconds", "2"}}, "");
+  site.runtime.advance(400ms);
+  const auto seen = site.request("/once/b");
+  cr_assert_eq(site.http.count(), 2, "nothing is sent in vain");
+  cr_assert_eq(seen->status, 503);
+  cr_assert_eq(seen->headers.get("Retry-After"), "1.600");
+  // One of them leaves meanwhile, by the word of another node.
+  site.node->engines().on_leaving(EngineId("e2"));
+  cr_assert_eq(site.request("/once/c")->headers.get("Retry-After"), "2.600");
+  site.node->engines().on_leaving(EngineId("e1"));
+  const auto none = site.request("/once/d");
+  cr_assert_eq(none->status, 503);
+  cr_assert_eq(none->headers.get("Retry-After"), "0.250", "others may start at any time");
+}
+
 namespace {
 
 /// A node, its engines and a judge; what happens is drawn.
--- a/tests/relay/role_coordinator_test.cpp
+++ b/tests/relay/role_coordinator_test.cpp
@@ -80,6 +80,17 @@
   cr_assert_eq(site.http.at(1).request.body, "prefill");
 }
 
+Test(role_coordinator, hears_from_a_report_that_the_engine_leaves_and_gives_it_no_order) {
+  Planners planners(1);
+  RelayFixture& site = *planners.sites[0];
+  const auto one = coordinator(site, planners.store, "n1");
+  site.runtime.advance(7s);
+  const std::string engine = site.http.at(0).request.url.substr(7, 2);
+  site.http.answer(0, 200, {{"leaving", "1"}}, "decode");
+  cr_assert_eq(count_of(site, "/order"), 0);
+  cr_assert_not(site.node->engines().find(EngineId(engine))->takes_requests(site.runtime.now()));
+}
+
 Test(role_coordinator, waits_before_its_first_order) {
   Planners planners(1);
   RelayFixture& site = *planners.sites[0];
