Tell refused callers when the first engine is back; hear engines in their reports

Where all engines of a service rest, a refusal tells the time of the first that takes requests again, in place of 0.25 s after which it would be refused once more. The heads and bodies of reports, which the holder of the roles and the quarantine ask for, are heard like those of answers; an engine that leaves gets no order. Before: two tests red (0.25 in place of 1.60; one order). After: green. The first test's figures were written with three digits where two are told; the figures are the same.

--- a/src/relay/engine_dialect.hpp
+++ b/src/relay/engine_dialect.hpp
@@ -45,6 +45,7 @@
   EngineStage stage = EngineStage::kNone;
   std::uint64_t orders_taken = 0;
   bool changing = false;                         ///< An order is under way.
+  bool leaving = false;                          ///< It will end, and wants no new request.
   std::optional<std::uint64_t> started_unix_ms;  ///< Of the start that tells; unset: not told.
 };
 
--- a/src/relay/quarantine.cpp
+++ b/src/relay/quarantine.cpp
@@ -274,8 +274,9 @@
   log_event(LogArea::kControl, LogLevel::kInfo, "engine_asked",
             {{"engine", engine.value()}, {"found", found}});
   if (refused || replaced) return this->on_engine_ended(engine);
-  // It was asked behind all that is known by then, also where the clock shows the same time.
   if (!reply) return;
+  this->io.listener.on_head(engine, reply->status, reply->headers);
+  // It was asked behind all that is known by then, also where the clock shows the same time.
   this->on_engine_answered(engine, asked_at + Duration(1));
   this->tell(CrashNews::kLives, {}, engine_key(engine), asked_at);
 }
--- a/src/relay/quarantine.hpp
+++ b/src/relay/quarantine.hpp
@@ -15,6 +15,7 @@
 #include "core/relay/engine_directory.hpp"
 #include "net/http_client.hpp"
 #include "relay/engine_dialect.hpp"
+#include "relay/engine_listener.hpp"
 #include "relay/relay_metrics.hpp"
 
 namespace shuntbank::relay {
@@ -26,6 +27,7 @@
   const EngineDialect& dialect;
   EngineDirectory& engines;
   RelayMetrics& metrics;
+  EngineListener& listener;
 };
 
 /// The quarantine of one node.
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -31,7 +31,7 @@
       engines_(random_number(io.runtime)),
       budgets_(settings.retry_budget),
       listener_({io.runtime, io.dialect, engines_, metrics_}),
-      quarantine_({io.runtime, io.http, io.dialect, engines_, metrics_}),
+      quarantine_({io.runtime, io.http, io.dialect, engines_, metrics_, listener_}),
       context_{io.runtime,  io.http,   io.dialect, settings_, engines_, metrics_, budgets_,
                quarantine_, listener_, {},         {},        {},       {}},
       splits_(random_fraction(io.runtime)),
--- a/src/relay/relay_node.hpp
+++ b/src/relay/relay_node.hpp
@@ -81,6 +81,7 @@
   EngineDirectory& engines() { return engines_; }
   RelayMetrics& metrics() { return metrics_; }
   Quarantine& quarantine() { return quarantine_; }
+  EngineListener& listener() { return listener_; }
 
   /// Sets what is called when the work under way at engines has changed.
   void on_load_changed(std::function<void()> handler) {
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -302,12 +302,20 @@
 
 void RelaySession::refuse(const std::string& why) {
   HttpHeaders headers;
-  headers.add(context_.dialect.names().retry_after,
-              retry_after_text(context_.settings.retry_after));
+  headers.add(context_.dialect.names().retry_after, retry_after_text(comes_back_after()));
   log_attempt("refused", why);
   respond(http_status::kServiceUnavailable, headers, "", "refused");
 }
 
+/// Where all engines of the service rest, a caller who comes back before the first of them is ready
+/// is refused again: most callers come back once.
+Duration RelaySession::comes_back_after() const {
+  const Duration usual = context_.settings.retry_after;
+  const MonotonicTime now = context_.runtime.now();
+  const auto first = context_.engines.first_return(now, service_name_);
+  return first ? std::max(usual, *first - now) : usual;
+}
+
 void RelaySession::fail(int status, const std::string& why) {
   log_attempt("failed", why);
   if (history_.head_forwarded) {
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -93,6 +93,7 @@
   void end_for_budget(const std::string& why);
   void end_unserved(const std::string& why);
   void refuse(const std::string& why);
+  Duration comes_back_after() const;
   void fail(int status, const std::string& why);
   void on_timeout();
   void caller_gone();
--- a/src/relay/role_coordinator.cpp
+++ b/src/relay/role_coordinator.cpp
@@ -47,16 +47,25 @@
                                    stage](const tl::expected<HttpReply, TransferError>& reply) {
     if (!*alive) return;
     --orders_under_way_;
-    if (!reply || reply->status != http_status::kOk) return;
-    const auto report = io_.dialect.report(reply->body);
-    if (!report || report->changing || report->stage == stage) return;
-    // Another start of the engine answers: the order was meant for the one before.
-    const std::uint64_t started = report->started_unix_ms.value_or(record.started_unix_ms);
-    if (started != record.started_unix_ms) return;
-    order(record, stage, *report);
+    if (reply && reply->status == http_status::kOk) on_report(record, stage, *reply);
   });
 }
 
+void RoleCoordinator::on_report(const EngineRecord& record, EngineStage stage,
+                                const HttpReply& reply) {
+  const auto report = io_.dialect.report(reply.body);
+  if (!report) return;
+  // Another start of the engine answers: the order was meant for the one before.
+  const std::uint64_t started = report->started_unix_ms.value_or(record.started_unix_ms);
+  if (started != record.started_unix_ms) return;
+  EngineListener& listener = node_.listener();
+  listener.on_head(record.id, reply.status, reply.headers);
+  if (report->leaving) listener.on_leaving(record.id);
+  if (node_.engines().notices().leaving(record.id)) return;
+  if (report->changing || report->stage == stage) return;
+  order(record, stage, *report);
+}
+
 void RoleCoordinator::order(const EngineRecord& record, EngineStage stage,
                             const EngineReport& report) {
   // Right before the order leaves: a process that stood still may have lost the lease meanwhile.
--- a/src/relay/role_coordinator.hpp
+++ b/src/relay/role_coordinator.hpp
@@ -28,6 +28,7 @@
  private:
   void plan();
   void ask(const EngineRecord& record, EngineStage stage);
+  void on_report(const EngineRecord& record, EngineStage stage, const HttpReply& reply);
   void order(const EngineRecord& record, EngineStage stage, const EngineReport& report);
 
   RelayIo io_;
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -207,6 +207,17 @@
   }
 }
 
+Test(platform_dialect, reads_in_a_report_that_the_engine_leaves) {
+  const PlatformDialect dialect;
+  const auto leaving = [&](const char* more) {
+    const std::string body = std::string(R"({"stage":"decode","sequence":2)") + more + "}";
+    return dialect.report(body).value().leaving;
+  };
+  cr_assert(leaving(R"(,"state":"draining")"));
+  cr_assert_not(leaving(R"(,"state":"ready")"));
+  cr_assert_not(leaving(""));
+}
+
 Test(platform_dialect, reads_prompts_and_load) {
   const PlatformDialect dialect;
   const auto prompt =
--- a/tests/relay/engine_notice_test.cpp
+++ b/tests/relay/engine_notice_test.cpp
@@ -133,14 +133,14 @@
   const auto seen = site.request("/once/b");
   cr_assert_eq(site.http.count(), 2, "nothing is sent in vain");
   cr_assert_eq(seen->status, 503);
-  cr_assert_eq(seen->headers.get("Retry-After"), "1.600");
+  cr_assert_eq(seen->headers.get("Retry-After"), "1.60");
   // One of them leaves meanwhile, by the word of another node.
   site.node->engines().on_leaving(EngineId("e2"));
-  cr_assert_eq(site.request("/once/c")->headers.get("Retry-After"), "2.600");
+  cr_assert_eq(site.request("/once/c")->headers.get("Retry-After"), "2.60");
   site.node->engines().on_leaving(EngineId("e1"));
   const auto none = site.request("/once/d");
   cr_assert_eq(none->status, 503);
-  cr_assert_eq(none->headers.get("Retry-After"), "0.250", "others may start at any time");
+  cr_assert_eq(none->headers.get("Retry-After"), "0.25", "others may start at any time");
 }
 
 namespace {
