--- a/tests/relay/engine_notice_test.cpp
+++ b/tests/relay/engine_notice_test.cpp
@@ -143,6 +143,46 @@
   cr_assert_eq(none->headers.get("Retry-After"), "0.25", "others may start at any time");
 }
 
+// Where engines turn away four of ten requests and ask for up to 3 s of rest, all of them rest at
+// times. Refusing what could wait cost callers a quarter of the answers that they had before the
+// rest was kept.
+Test(engine_notice, keeps_a_request_until_the_first_engine_is_back_where_that_is_in_time) {
+  RelayFixture site;
+  for (const char* id : {"e1", "e2"}) site.add_engine(id, "plain");
+  site.request("/once/a");
+  site.http.answer(0, 503, {{"id", "r1"}, {"refused", "1"}, {"rest-seconds", "3"}}, "");
+  site.http.answer(1, 503, {{"id", "r1"}, {"refused", "1"}, {"rest-seconds", "2"}}, "");
+  site.runtime.advance(1700ms);
+  const auto kept = site.request("/once/b");
+  const auto left = site.request("/once/c");
+  cr_assert_eq(kept->status, 0, "the objective is 1 s");
+  site.caller->caller_leaves();
+  cr_assert_eq(site.node->under_way(), 1);
+  site.runtime.advance(299ms);
+  cr_assert_eq(site.http.count(), 2);
+  site.runtime.advance(1ms);
+  cr_assert_eq(site.http.count(), 3, "nobody waits any more for the other");
+  cr_assert_eq(engine_of(site, 2), "e2");
+  site.http.answer(2, 200, RelayFixture::sealed(), "whole");
+  cr_assert_eq(kept->status, 200);
+  cr_assert_eq(left->status, 0);
+}
+
+Test(engine_notice, keeps_no_request_that_would_be_late_or_has_met_them_all) {
+  RelayFixture site;
+  site.add_engine("e1", "plain");
+  const auto first = site.request("/once/a");
+  site.http.answer(0, 503, {{"id", "r1"}, {"refused", "1"}, {"rest-seconds", "2"}}, "");
+  cr_assert_eq(first->status, 503);
+  const auto late = site.request("/once/b");
+  cr_assert_eq(late->status, 503, "at once");
+  cr_assert_eq(late->headers.get("Retry-After"), "2.00");
+  // An engine that takes 0.9 s is back in 0.3 s: too late for an objective of 1 s.
+  site.node->engines().on_latency(EngineId("e1"), 900ms);
+  site.runtime.advance(1700ms);
+  cr_assert_eq(site.request("/once/c")->status, 503);
+}
+
 namespace {
 
 /// A node, its engines and a judge; what happens is drawn.
