Keep a request until the first resting engine is back, where that is in time

Cause: where all engines of a service rest, each request was refused, also one for which an engine is back within its objective; its caller comes back no sooner and mostly once only.

A plain service's expected time is told with its placement now (it was 0), which nothing but this and the log reads.

--- a/src/core/relay/dispatch_choice.cpp
+++ b/src/core/relay/dispatch_choice.cpp
@@ -108,4 +108,19 @@
   return deferred;
 }
 
+std::optional<MonotonicTime> worth_waiting_until(MonotonicTime now, EngineDirectory& engines,
+                                                 const DispatchQuery& query,
+                                                 const PlacementSettings& placement,
+                                                 const PrefillSettings& prefill) {
+  static const std::vector<EngineId> none;
+  const std::vector<EngineId>* met = query.placement.avoid;
+  const auto first = engines.first_return(now, query.placement.service->name, met ? *met : none);
+  if (!first) return std::nullopt;
+  const auto choice = choose_path(*first, engines, query, placement, prefill);
+  if (!choice) return std::nullopt;
+  const double left_then_ms = to_ms(query.time_to_objective - (*first - now));
+  if (choice->expected_ms > left_then_ms) return std::nullopt;
+  return first;
+}
+
 }  // namespace shuntbank::relay
--- a/src/core/relay/dispatch_choice.hpp
+++ b/src/core/relay/dispatch_choice.hpp
@@ -48,4 +48,13 @@
                                               const PlacementSettings& placement,
                                               const PrefillSettings& prefill);
 
+/// Where all engines that a request may go to rest: whether it is worth keeping until one of them
+/// takes requests again.
+/// @return when that is, if the request is then expected to be in time; nothing where it should be
+/// refused now, so that its caller loses no time.
+std::optional<MonotonicTime> worth_waiting_until(MonotonicTime now, EngineDirectory& engines,
+                                                 const DispatchQuery& query,
+                                                 const PlacementSettings& placement,
+                                                 const PrefillSettings& prefill);
+
 }  // namespace shuntbank::relay
--- a/src/core/relay/engine_directory.cpp
+++ b/src/core/relay/engine_directory.cpp
@@ -359,13 +359,14 @@
   if (engine != nullptr) engine->rests_until = until;
 }
 
-std::optional<MonotonicTime> EngineDirectory::first_return(MonotonicTime now,
-                                                           const ServiceName& service) const {
+std::optional<MonotonicTime> EngineDirectory::first_return(
+    MonotonicTime now, const ServiceName& service, const std::vector<EngineId>& except) const {
   std::optional<MonotonicTime> first;
   for (const auto& [id, engine] : engines_) {
     const EngineRecord& record = engine.record;
     const bool answers = record.stage != EngineStage::kPrefill;
     if (record.service != service || !answers || record.draining) continue;
+    if (std::find(except.begin(), except.end(), id) != except.end()) continue;
     if (engine.rests_until <= now) return std::nullopt;
     if (!first || engine.rests_until < *first) first = engine.rests_until;
   }
--- a/src/core/relay/engine_directory.hpp
+++ b/src/core/relay/engine_directory.hpp
@@ -207,8 +207,9 @@
   const EngineNotices& notices() const { return notices_; }
 
   /// @return when the first of the engines of a service that can answer takes requests again, where
-  /// all of them rest; nothing where one takes them now, or all leave.
-  std::optional<MonotonicTime> first_return(MonotonicTime now, const ServiceName& service) const;
+  /// all of them rest; nothing where one takes them now, or all leave. @param except these engines.
+  std::optional<MonotonicTime> first_return(MonotonicTime now, const ServiceName& service,
+                                            const std::vector<EngineId>& except = {}) const;
 
   /// Another node has met trouble at an engine.
   void on_peer_trouble(MonotonicTime now, const EngineTrouble& trouble);
--- a/src/core/relay/placement.cpp
+++ b/src/core/relay/placement.cpp
@@ -205,7 +205,8 @@
       place_prompt(costs, *engine, query, settings, engine == home, source, placement);
       placement.cost_ms += spread_ms * lot(*query.prompt, *engine);
     } else {
-      placement.cost_ms = plain_cost(now, *engine, settings);
+      placement.expected_ms = plain_cost(now, *engine, settings);
+      placement.cost_ms = placement.expected_ms;
     }
     placement.cost_ms += engine->failure_share * settings.failure_cost_ms;
     if (engine->record.zone != query.zone) placement.cost_ms += settings.other_zone_ms;
--- a/src/core/relay/placement.hpp
+++ b/src/core/relay/placement.hpp
@@ -48,7 +48,7 @@
 struct Placement {
   EngineId engine;
   double cost_ms = 0;      ///< What the choice goes by: the expected wait, and preferences.
-  double expected_ms = 0;  ///< Until the prompt will have been read.
+  double expected_ms = 0;  ///< Until the prompt will have been read; of a plain service, answered.
   std::uint64_t unread_tokens = 0;     ///< That the engine will have to read.
   std::optional<EngineId> fetch_from;  ///< Keeps parts of the prompt that the chosen one lacks.
   std::size_t candidates = 0;
--- a/src/relay/relay_metrics.cpp
+++ b/src/relay/relay_metrics.cpp
@@ -62,6 +62,11 @@
           .Name("shuntbank_relay_engine_notices_total")
           .Help("Words of engines about themselves in the heads of their answers")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& waits_for_return =
+      prometheus::BuildCounter()
+          .Name("shuntbank_relay_waits_for_return_total")
+          .Help("Requests kept until an engine that rests takes requests again")
+          .Register(registry);
   prometheus::Family<prometheus::Counter>& duty_calls =
       prometheus::BuildCounter()
           .Name("shuntbank_relay_duty_calls_total")
@@ -121,6 +126,10 @@
   impl_->engine_notices.Add({{"word", word}}).Increment();
 }
 
+void RelayMetrics::count_wait_for_return(const std::string& service) {
+  impl_->waits_for_return.Add({{"service", service}}).Increment();
+}
+
 void RelayMetrics::count_held_back(const std::string& source) {
   impl_->held_back.Add({{"source", source}}).Increment();
 }
--- a/src/relay/relay_metrics.hpp
+++ b/src/relay/relay_metrics.hpp
@@ -39,6 +39,9 @@
   /// `unreadable`.
   void count_engine_notice(const std::string& word);
 
+  /// A request is kept until an engine that rests takes requests again.
+  void count_wait_for_return(const std::string& service);
+
   /// A request is held back from now on. @param source `seen`, `heard` or `store`.
   void count_held_back(const std::string& source);
 
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -126,7 +126,7 @@
   return true;
 }
 
-std::optional<DispatchChoice> RelaySession::choice_now() {
+DispatchQuery RelaySession::dispatch_query() const {
   DispatchQuery query;
   query.placement = placement_query();
   // The fewer engines have to do with it the better.
@@ -135,7 +135,11 @@
   query.budget = budget_left() - (history_.arrived ? 1 : 0);
   query.gap_target = route_.gap_target;
   query.time_to_objective = arrived_ + route_.objective - context_.runtime.now();
-  return choose_dispatch(context_.runtime.now(), context_.engines, query,
+  return query;
+}
+
+std::optional<DispatchChoice> RelaySession::choice_now() {
+  return choose_dispatch(context_.runtime.now(), context_.engines, dispatch_query(),
                          context_.settings.placement, context_.settings.prefill);
 }
 
@@ -150,7 +154,7 @@
 
 void RelaySession::dispatch() {
   if (time_left() < kLeastUsefulTime) return on_timeout();
-  if (choose()) return;
+  if (choose() || waits_for_return()) return;
   if (failure_answer_ || history_.head_forwarded || !may_promise_not_run(history_)) {
     return fail(http_status::kBadGateway, "no other engine");
   }
@@ -307,15 +311,6 @@
   respond(http_status::kServiceUnavailable, headers, "", "refused");
 }
 
-/// Where all engines of the service rest, a caller who comes back before the first of them is ready
-/// is refused again: most callers come back once.
-Duration RelaySession::comes_back_after() const {
-  const Duration usual = context_.settings.retry_after;
-  const MonotonicTime now = context_.runtime.now();
-  const auto first = context_.engines.first_return(now, service_name_);
-  return first ? std::max(usual, *first - now) : usual;
-}
-
 void RelaySession::fail(int status, const std::string& why) {
   log_attempt("failed", why);
   if (history_.head_forwarded) {
@@ -387,6 +382,7 @@
 void RelaySession::end(const std::string& result) {
   if (std::exchange(ended_, true)) return;
   timer_.reset();
+  waiting_.reset();
   release_engine();
   release_handle();
   if (identity_ && result != kAnswered) context_.quarantine.on_failed(identity_->request);
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -51,6 +51,7 @@
   void dispatch();
   PlacementQuery placement_query() const;
   std::optional<Placement> place_taker();
+  DispatchQuery dispatch_query() const;
   std::optional<DispatchChoice> choice_now();
   bool choose();
   void take(const Placement& placement);
@@ -84,6 +85,11 @@
   void note_broken();
   void note_silence();
 
+  // Engines that rest.
+  bool waits_for_return();
+  void on_return();
+  Duration comes_back_after() const;
+
   // Failures.
   void attempt_failed(AttemptOutcome outcome, const std::string& why);
   void keep_failure_answer();
@@ -93,7 +99,6 @@
   void end_for_budget(const std::string& why);
   void end_unserved(const std::string& why);
   void refuse(const std::string& why);
-  Duration comes_back_after() const;
   void fail(int status, const std::string& why);
   void on_timeout();
   void caller_gone();
@@ -131,6 +136,7 @@
   MonotonicTime arrived_{};
   MonotonicTime expires_{};
   std::unique_ptr<Timer> timer_;
+  std::unique_ptr<Timer> waiting_;  ///< Until an engine that rests takes requests again.
 
   AttemptHistory history_;
   std::vector<EngineId> met_;       ///< Engines that failed or refused this request.
