--- a/tests/relay/engine_notice_test.cpp
+++ b/tests/relay/engine_notice_test.cpp
@@ -183,6 +183,22 @@
   cr_assert_eq(site.request("/once/c")->status, 503);
 }
 
+// A prompt that was read apart would be read a second time, at the engine that is back.
+Test(engine_notice, takes_a_prompt_up_that_was_read_before_the_wait) {
+  RelayFixture site;
+  site.add_engine("reader", "model", EngineStage::kPrefill);
+  site.add_engine("d", "model", EngineStage::kDecode);
+  site.request("/stream/a", {{"tokens", "20000"}});
+  cr_assert_eq(engine_of(site, 0), "reader");
+  site.node->engines().on_rest(site.runtime.now(), EngineId("d"), 100ms);
+  site.http.answer(0, 200, {{"id", "r1"}}, "h1");
+  cr_assert_eq(site.http.count(), 1);
+  site.runtime.advance(100ms);
+  cr_assert_eq(site.http.count(), 2);
+  cr_assert_eq(engine_of(site, 1), "d");
+  cr_assert_eq(site.http.at(1).request.headers.get("source"), "reader:80/h1");
+}
+
 namespace {
 
 /// A node, its engines and a judge; what happens is drawn.
