Take up a prompt that was read before the wait; say where it was heard that an engine leaves

That another node has heard an engine leave is a line and a count like the node's own (source=node); it had none.

--- a/src/relay/engine_listener.hpp
+++ b/src/relay/engine_listener.hpp
@@ -38,7 +38,11 @@
   /// An engine has said, in whatever way, that it leaves.
   void on_leaving(const EngineId& engine, std::string_view request = {});
 
+  /// Another node has met trouble at an engine.
+  void on_peer_trouble(const EngineTrouble& trouble);
+
  private:
+  bool learn_leaving(const EngineId& engine, const char* source, std::string_view request);
   void on_rest(const EngineId& engine, Duration rest, std::string_view request);
 
   EngineListenerIo io;
--- a/src/relay/load_exchange.cpp
+++ b/src/relay/load_exchange.cpp
@@ -234,7 +234,7 @@
   }
   node_.engines().on_peer_load(now, message.node, std::move(message.load));
   for (const EngineTrouble& trouble : message.troubles) {
-    node_.engines().on_peer_trouble(now, trouble);
+    node_.listener().on_peer_trouble(trouble);
   }
   node_.quarantine().learn(message.crashes);
   if (on_revisions_) on_revisions_(message.seen);
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -70,6 +70,7 @@
   void on_done(const tl::expected<void, TransferError>& result);
   void on_no_answer(const TransferError& error);
   void on_prefill_answer();
+  void take_up_prompt();
   void on_stream_end();
   void on_whole_answer();
 
--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -188,6 +188,11 @@
     handle_ = handle->handle;
   }
   if (!may_send_again()) return end_for_budget("the prompt was read");
+  take_up_prompt();
+}
+
+/// Sends the request to an engine that goes on from what was read.
+void RelaySession::take_up_prompt() {
   const auto decode = place_taker();
   if (!decode) return dispatch();
   if (handle_.empty()) {
--- a/src/relay/relay_session_rest.cpp
+++ b/src/relay/relay_session_rest.cpp
@@ -27,6 +27,7 @@
   if (ended_) return;
   // Others may have spent the budget meanwhile.
   if (!may_send_again()) return end_for_budget("an engine is back");
+  if (!handle_.empty()) return take_up_prompt();
   dispatch();
 }
 
--- a/src/relay/zone_exchange.cpp
+++ b/src/relay/zone_exchange.cpp
@@ -195,7 +195,7 @@
   for (const KeyedTrouble& trouble : news.troubles) {
     const EngineView* engine = engines.find_by_key(trouble.engine);
     if (engine == nullptr) continue;
-    engines.on_peer_trouble(this->runtime.now(), {engine->record.id, trouble.stage, trouble.kind});
+    this->node.listener().on_peer_trouble({engine->record.id, trouble.stage, trouble.kind});
   }
 }
 
--- a/tests/relay/load_exchange_test.cpp
+++ b/tests/relay/load_exchange_test.cpp
@@ -73,6 +73,22 @@
   }
 }
 
+Test(load_exchange, tells_all_nodes_that_an_engine_leaves_and_none_that_it_rests) {
+  for (const std::size_t nodes : {2, 60}) {
+    ExchangingFleet fleet(nodes, nodes == 2 ? 1 : 5);
+    fleet.runtime.advance(4s);
+    relay::EngineListener& listener = fleet.sites[1]->node->listener();
+    listener.on_head(EngineId("p1"), 503, {{"rest-seconds", "3"}});
+    fleet.runtime.advance(300ms);
+    cr_assert(fleet.engine(0).takes_requests(fleet.runtime.now()), "its wait is for one node");
+    listener.on_head(EngineId("p1"), 200, {{"leaving", "1"}});
+    fleet.runtime.advance(300ms);
+    for (std::size_t i = 0; i < nodes; ++i) {
+      cr_assert(fleet.engine(i).record.draining, "node %zu of %zu", i, nodes);
+    }
+  }
+}
+
 Test(load_exchange, goes_on_when_the_collectors_of_a_zone_die) {
   ExchangingFleet fleet(60, 5);
   fleet.runtime.advance(4s);
