Give each soak addresses of its own

Seen once: a relay of a soak never started ("Address already in use", each 0.3 s for 30 s), RECOVER broken at the start, with four soaks side by side. Cause: ports are drawn as free and listened on later; another soak at the same addresses had drawn the same one. Proved by the relay's log and the settings of the four. It only befalls soaks that run at the same time, as by hand.

--- a/tests/platform/support/soak_site.cpp
+++ b/tests/platform/support/soak_site.cpp
@@ -1,5 +1,7 @@
 #include "platform/support/soak_site.hpp"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <csignal>
 #include <map>
@@ -45,6 +47,16 @@
 /// Until a site that was healed must serve again; far longer than it takes.
 constexpr std::chrono::seconds kLongestRecovery{30};
 
+/// @return the first three parts of the relays' addresses, of this process alone. Ports are drawn
+/// before they are listened on: of two soaks at the same addresses one can draw what the other has
+/// drawn, and its relay never starts.
+std::string own_network() {
+  constexpr int kNetworks = 254;
+  const int process = getpid();
+  return "127." + std::to_string(1 + process % kNetworks) + "." +
+         std::to_string(process / kNetworks % kNetworks) + ".";
+}
+
 json route(const char* prefix, const char* kind, const char* service, bool resumable) {
   return {{"name", prefix},   {"host", "soak.example"}, {"path_prefix", prefix},
           {"kind", kind},     {"timeout_ms", 4000},     {"slo_ms", 500},
@@ -108,7 +120,7 @@
     if (this->shape.storms) this->store_links.back()->set_rate_down(kStormLinkBytesPerSecond);
     RelayPlace place;
     place.name = "relay-" + std::to_string(i + 1);
-    place.ip = "127.0.1." + std::to_string(i + 1);
+    place.ip = own_network() + std::to_string(i + 1);
     place.zone = "z" + std::to_string(i % 3);
     place.store = this->store_links.back()->address();
     // The kernel may find the same port free twice, and two of a relay's addresses would clash.
