Part the directory of engines by subject: records, load, health

Pure moves: what is under way, and what is concluded from failures, have files of their own, and the stage of an engine its own header. No behaviour changed.

--- a/src/core/relay/engine_directory.hpp
+++ b/src/core/relay/engine_directory.hpp
@@ -16,15 +16,13 @@
 #include "common/time.hpp"
 #include "core/relay/engine_model.hpp"
 #include "core/relay/engine_notice.hpp"
+#include "core/relay/engine_stage.hpp"
 #include "core/relay/engine_trouble.hpp"
 #include "core/relay/peer_load.hpp"
 #include "core/relay/prompt_cache_view.hpp"
 
 namespace shuntbank::relay {
 
-/// @return `none`, `prefill` or `decode`.
-const char* to_text(EngineStage stage);
-
 /// An engine as it is registered. One record is one start of an engine: all that is believed of an
 /// engine hangs on `id`, so that nothing of one start is taken for the next.
 struct EngineRecord {
--- a/src/core/relay/engine_trouble.hpp
+++ b/src/core/relay/engine_trouble.hpp
@@ -4,16 +4,10 @@
 #pragma once
 
 #include "common/identifiers.hpp"
+#include "core/relay/engine_stage.hpp"
 
 namespace shuntbank::relay {
 
-/// What a model engine does.
-enum class EngineStage {
-  kNone,     ///< The engine of a plain service.
-  kPrefill,  ///< Reads prompts and hands them over.
-  kDecode,   ///< Makes tokens; may read prompts as well.
-};
-
 /// What was met.
 enum class TroubleKind {
   kUnusable,     ///< It could not be reached, or refuses though it has room.
