--- a/src/relay/relay_session_rest.cpp
+++ b/src/relay/relay_session_rest.cpp
@@ -12,8 +12,11 @@
 bool RelaySession::waits_for_return() {
   if (service_ == nullptr) return false;
   const MonotonicTime now = context_.runtime.now();
-  const auto first = worth_waiting_until(now, context_.engines, dispatch_query(),
-                                         context_.settings.placement, context_.settings.prefill);
+  DispatchQuery query = dispatch_query();
+  // Some callers give up before the objective.
+  query.time_to_objective = std::min(query.time_to_objective, time_left());
+  const auto first = worth_waiting_until(now, context_.engines, query, context_.settings.placement,
+                                         context_.settings.prefill);
   if (!first) return false;
   log_attempt("waits_for_return", std::to_string(whole_ms(*first - now)) + " ms");
   context_.metrics.count_wait_for_return(service_name_.value());
