--- a/tests/relay/engine_notice_test.cpp
+++ b/tests/relay/engine_notice_test.cpp
@@ -1,5 +1,5 @@
 // Seen: requests still reached an engine 2.3 s after its answers had said that it leaves, and went
-// on for 6 s, from all six nodes; and an engine that had asked a node for 3 s of rest got four
+// on for 12 s, from all six nodes; and an engine that had asked a node for 3 s of rest got four
 // requests from it in that time, and 33 refusals of it were met in 6 s.
 // How it came about: the store was silent for 11 s, so that the entry of the engine that leaves
 // still said that it was ready. What turned requests away was left alone for 0.4 s, and tried again
