--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -42,7 +42,7 @@
   const HeaderNames& names = context_.dialect.names();
   const bool echoed = headers.get(names.request_id) == id_;
   if (!echoed && !refused_) broken_ = true;
-  // Another engine may answer at the address, and what is no answer to this is nobody's word.
+  // A misdirected request is answered by another engine; what does not echo the id is not trusted.
   if (!broken_ && status != http_status::kMisdirected) {
     context_.listener.on_head(engine_, status, headers, id_);
   }
