Say once which engines a request has met; take another node's word of leaving in one place

Cause: three places found by reading the whole change. first_return searched a list that placement already searches (listed), and needed an empty list of its own for none; the listener took in that an engine leaves and then had the directory take it in again; two tests set up the same fleet line by line.

No behaviour changed, no assertion touched.

--- a/src/core/relay/dispatch_choice.cpp
+++ b/src/core/relay/dispatch_choice.cpp
@@ -112,9 +112,8 @@
                                                  const DispatchQuery& query,
                                                  const PlacementSettings& placement,
                                                  const PrefillSettings& prefill) {
-  static const std::vector<EngineId> none;
-  const std::vector<EngineId>* met = query.placement.avoid;
-  const auto first = engines.first_return(now, query.placement.service->name, met ? *met : none);
+  const auto first =
+      engines.first_return(now, query.placement.service->name, query.placement.avoid);
   if (!first) return std::nullopt;
   const auto choice = choose_path(*first, engines, query, placement, prefill);
   if (!choice) return std::nullopt;
--- a/src/core/relay/engine_directory.cpp
+++ b/src/core/relay/engine_directory.cpp
@@ -22,6 +22,10 @@
   return EngineId(name + "." + std::string(std::begin(digits), written.ptr));
 }
 
+bool listed(const std::vector<EngineId>* engines, const EngineId& id) {
+  return engines != nullptr && std::find(engines->begin(), engines->end(), id) != engines->end();
+}
+
 std::vector<std::string> EngineDirectory::replace_all(const std::vector<EngineRecord>& records) {
   std::set<EngineId> present;
   for (const EngineRecord& record : records) {
@@ -156,13 +160,13 @@
 }
 
 std::optional<MonotonicTime> EngineDirectory::first_return(
-    MonotonicTime now, const ServiceName& service, const std::vector<EngineId>& except) const {
+    MonotonicTime now, const ServiceName& service, const std::vector<EngineId>* except) const {
   std::optional<MonotonicTime> first;
   for (const auto& [id, engine] : engines_) {
     const EngineRecord& record = engine.record;
     const bool answers = record.stage != EngineStage::kPrefill;
     if (record.service != service || !answers || record.draining) continue;
-    if (std::find(except.begin(), except.end(), id) != except.end()) continue;
+    if (listed(except, id)) continue;
     if (engine.rests_until <= now) return std::nullopt;
     if (!first || engine.rests_until < *first) first = engine.rests_until;
   }
--- a/src/core/relay/engine_directory.hpp
+++ b/src/core/relay/engine_directory.hpp
@@ -119,6 +119,9 @@
   kMisdirected,    ///< Another start of an engine has the address, or the engine has another stage.
 };
 
+/// @return whether an engine is one of these; null: of none.
+bool listed(const std::vector<EngineId>* engines, const EngineId& id);
+
 /// All engines that this node knows.
 class EngineDirectory {
  public:
@@ -207,7 +210,7 @@
   /// @return when the first of the engines of a service that can answer takes requests again, where
   /// all of them rest; nothing where one takes them now, or all leave. @param except these engines.
   std::optional<MonotonicTime> first_return(MonotonicTime now, const ServiceName& service,
-                                            const std::vector<EngineId>& except = {}) const;
+                                            const std::vector<EngineId>* except = nullptr) const;
 
   /// Another node has met trouble at an engine.
   void on_peer_trouble(MonotonicTime now, const EngineTrouble& trouble);
--- a/src/core/relay/placement.cpp
+++ b/src/core/relay/placement.cpp
@@ -9,10 +9,6 @@
 namespace shuntbank::relay {
 namespace {
 
-bool listed(const std::vector<EngineId>* engines, const EngineId& id) {
-  return engines != nullptr && std::find(engines->begin(), engines->end(), id) != engines->end();
-}
-
 bool is_candidate(MonotonicTime now, const EngineView& engine, const PlacementQuery& query) {
   const EngineRecord& record = engine.record;
   if (!engine.takes_requests(now) || record.stage != query.stage) return false;
--- a/src/relay/engine_listener.cpp
+++ b/src/relay/engine_listener.cpp
@@ -32,7 +32,10 @@
 }
 
 void EngineListener::on_peer_trouble(const EngineTrouble& trouble) {
-  if (trouble.kind == TroubleKind::kLeaving) this->learn_leaving(trouble.engine, "node", {});
+  if (trouble.kind == TroubleKind::kLeaving) {
+    this->learn_leaving(trouble.engine, "node", {});
+    return;
+  }
   this->io.engines.on_peer_trouble(this->io.runtime.now(), trouble);
 }
 
--- a/tests/relay/load_exchange_test.cpp
+++ b/tests/relay/load_exchange_test.cpp
@@ -32,6 +32,18 @@
   }
 }
 
+/// Of the six nodes of a fleet only the fifth has the newest configuration.
+void let_the_fifth_be_ahead(ExchangingFleet& fleet) {
+  for (std::size_t i = 0; i < 6; ++i) {
+    const std::uint64_t revision = i == 4 ? 9 : 7;
+    fleet.exchanges[i]->connect_revisions(
+        [revision] {
+          return relay::StoreProgress{{revision, 0}, {}};
+        },
+        [](const auto&) {});
+  }
+}
+
 }  // namespace
 
 Test(load_exchange, tells_every_node_of_a_fleet_of_sixty) {
@@ -222,14 +234,7 @@
   fleet.runtime.advance(3s);
   std::set<std::size_t> asked;
   note_who_is_asked(fleet, asked);
-  for (std::size_t i = 0; i < 6; ++i) {
-    const std::uint64_t revision = i == 4 ? 9 : 7;
-    fleet.exchanges[i]->connect_revisions(
-        [revision] {
-          return relay::StoreProgress{{revision, 0}, {}};
-        },
-        [](const auto&) {});
-  }
+  let_the_fifth_be_ahead(fleet);
   fleet.runtime.advance(3s);
   ask_for_configurations(fleet, 0, 10);
   cr_assert_eq(asked, std::set<std::size_t>{4});
@@ -238,14 +243,7 @@
 Test(load_exchange, asks_no_node_that_is_no_longer_heard_for_a_configuration) {
   // The first to have it may lose power at once; a connection to it would hang.
   ExchangingFleet fleet(6);
-  for (std::size_t i = 0; i < 6; ++i) {
-    const std::uint64_t revision = i == 4 ? 9 : 7;
-    fleet.exchanges[i]->connect_revisions(
-        [revision] {
-          return relay::StoreProgress{{revision, 0}, {}};
-        },
-        [](const auto&) {});
-  }
+  let_the_fifth_be_ahead(fleet);
   fleet.runtime.advance(5s);
   fleet.cut(4);
   fleet.runtime.advance(5s);
