Keep an engine's limit over all nodes: one keeper grants the sends

What callers and engines saw: an engine in need named 1.3 requests a second that it takes from all nodes together, and got 2 to 3 a second.

Cause: nothing read the word. Its class: a bound on the whole fleet that each node would keep for itself. Ruled out by arithmetic: equal shares with one send at hand give up to N + 4 L in 4 s (66 at 66 nodes, 12.8 allowed at 1.3 a second) and use 0.15 of L where one node has the callers.

Change: one node keeps each limited engine's schedule, the first in a rendezvous order that answers; the others ask it for each send and get a time at which it may leave, good for 400 ms. A node that comes to keep one grants nothing for 1.5 s and begins without a burst. The permit is asked for by every way to an engine, and looked at again before the first byte leaves. The wait for it is part of the placement's cost, of the time of return, and so of Retry-After.

Why it holds: in any 4 s the permits of 4.4 s, at most 4.4 L + 2, where 6 L + 5 are allowed; what is left covers a change of the keeper.

Neighbours of the landing before: they drop the new datagrams, ignore the new field of load messages and the fourth list of a digest's news, and are passed over as keepers that are silent.

--- a/src/core/relay/engine_directory.cpp
+++ b/src/core/relay/engine_directory.cpp
@@ -97,6 +97,7 @@
   // or one that the engine could not write while the store was away.
   engine.record.draining = notices_.leaving(record.id);
   engine.rests_until = notices_.rests_until(record.id);
+  engine.next_permit_at = limits_.next(record.id);
   if (!added) return;
   engine.key = engine_key(record.id);
   by_key_.emplace(engine.key, &engine);
@@ -159,6 +160,19 @@
   if (engine != nullptr) engine->rests_until = until;
 }
 
+bool EngineDirectory::on_limit(const EngineId& id, const HeardLimit& heard) {
+  const bool changed = limits_.hear(id, heard);
+  EngineView* engine = find(id);
+  if (engine != nullptr) engine->next_permit_at = limits_.next(id);
+  return changed;
+}
+
+void EngineDirectory::on_next_permit(const EngineId& id, MonotonicTime at) {
+  limits_.set_next(id, at);
+  EngineView* engine = find(id);
+  if (engine != nullptr) engine->next_permit_at = limits_.next(id);
+}
+
 std::optional<MonotonicTime> EngineDirectory::first_return(
     MonotonicTime now, const ServiceName& service, const std::vector<EngineId>* except) const {
   std::optional<MonotonicTime> first;
@@ -167,8 +181,9 @@
     const bool answers = record.stage != EngineStage::kPrefill;
     if (record.service != service || !answers || record.draining) continue;
     if (listed(except, id)) continue;
-    if (engine.rests_until <= now) return std::nullopt;
-    if (!first || engine.rests_until < *first) first = engine.rests_until;
+    const MonotonicTime back = std::max(engine.rests_until, now + engine.permit_wait(now));
+    if (back <= now) return std::nullopt;
+    if (!first || back < *first) first = back;
   }
   return first;
 }
--- a/src/core/relay/engine_directory.hpp
+++ b/src/core/relay/engine_directory.hpp
@@ -3,6 +3,7 @@
 /// answers, what this node has under way at each, and what their caches hold.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -14,6 +15,7 @@
 
 #include "common/identifiers.hpp"
 #include "common/time.hpp"
+#include "core/relay/engine_limit.hpp"
 #include "core/relay/engine_model.hpp"
 #include "core/relay/engine_notice.hpp"
 #include "core/relay/engine_stage.hpp"
@@ -85,6 +87,9 @@
   /// It has asked this node for rest until then. Unlike `avoided_until` this is no guess, and holds
   /// also where no other engine can be chosen.
   MonotonicTime rests_until{};
+  /// When it takes a request next, as far as this node knows, where it has named how many a second
+  /// it takes from all nodes together; unset where it takes what it gets.
+  std::optional<MonotonicTime> next_permit_at;
   bool ended = false;         ///< Nobody listens at its address any more.
   MonotonicTime last_good{};  ///< The last attempt that ended well.
   double failure_share = 0;   ///< Moving average over ended attempts, 0 to 1.
@@ -97,6 +102,12 @@
   /// @return whether it may be sent requests, as far as the engine itself has a say in it.
   bool takes_requests(MonotonicTime now) const { return !record.draining && rests_until <= now; }
 
+  /// @return how long a request that is sent there has to wait for its permit, as far as this node
+  /// knows.
+  Duration permit_wait(MonotonicTime now) const {
+    return next_permit_at ? std::max(Duration::zero(), *next_permit_at - now) : Duration::zero();
+  }
+
   /// @return requests of other nodes that run or wait there, as far as this node can tell: what
   /// they tell themselves, or else what the engine reported.
   double others_there(MonotonicTime now) const;
@@ -207,8 +218,18 @@
 
   const EngineNotices& notices() const { return notices_; }
 
+  /// An engine's word on how many requests a second it takes from all nodes together has come, from
+  /// itself or by another node. @return whether its limit has changed.
+  bool on_limit(const EngineId& id, const HeardLimit& heard);
+
+  /// Sets when a limited engine takes a request next.
+  void on_next_permit(const EngineId& id, MonotonicTime at);
+
+  const EngineLimits& limits() const { return limits_; }
+
   /// @return when the first of the engines of a service that can answer takes requests again, where
-  /// all of them rest; nothing where one takes them now, or all leave. @param except these engines.
+  /// all of them rest or wait for permits; nothing where one takes them now, or all leave. @param
+  /// except these engines.
   std::optional<MonotonicTime> first_return(MonotonicTime now, const ServiceName& service,
                                             const std::vector<EngineId>* except = nullptr) const;
 
@@ -259,6 +280,7 @@
   std::unordered_map<std::string, LatestStart> latest_;
   std::deque<std::string> latest_order_;
   EngineNotices notices_;
+  EngineLimits limits_;
   std::map<NodeId, Peer> peers_;
   std::optional<MonotonicTime> fleet_load_at_;  ///< The last sum of the fleet, while it is fresh.
   double usual_unread_tokens_ = 2000;
--- a/src/core/relay/engine_news.cpp
+++ b/src/core/relay/engine_news.cpp
@@ -6,6 +6,7 @@
   reads.insert(reads.end(), more.reads.begin(), more.reads.end());
   troubles.insert(troubles.end(), more.troubles.begin(), more.troubles.end());
   crashes.insert(crashes.end(), more.crashes.begin(), more.crashes.end());
+  limits.insert(limits.end(), more.limits.begin(), more.limits.end());
 }
 
 }  // namespace shuntbank::relay
--- a/src/core/relay/engine_news.hpp
+++ b/src/core/relay/engine_news.hpp
@@ -27,13 +27,24 @@
   bool operator==(const KeyedTrouble&) const = default;
 };
 
+/// A changed limit of an engine.
+struct KeyedLimit {
+  EngineKey engine = 0;
+  ToldLimit limit;
+
+  bool operator==(const KeyedLimit&) const = default;
+};
+
 /// What happened at engines since the last message.
 struct EngineNews {
   std::vector<KeyedRead> reads;
   std::vector<KeyedTrouble> troubles;
   std::vector<CrashReport> crashes;
+  std::vector<KeyedLimit> limits;
 
-  bool empty() const { return reads.empty() && troubles.empty() && crashes.empty(); }
+  bool empty() const {
+    return reads.empty() && troubles.empty() && crashes.empty() && limits.empty();
+  }
   void append(const EngineNews& more);
   bool operator==(const EngineNews&) const = default;
 };
--- a/src/core/relay/engine_notice.hpp
+++ b/src/core/relay/engine_notice.hpp
@@ -19,6 +19,9 @@
 struct EngineNotice {
   bool leaving = false;          ///< It will end, and wants no new request from anyone.
   std::optional<Duration> rest;  ///< It wants no request from this node for so long.
+  /// It takes so many requests a second from all nodes together, for as long as it says so.
+  std::optional<double> limit;
+  bool names_limit = false;  ///< Also where the limit cannot be read.
 
   bool operator==(const EngineNotice&) const = default;
 };
--- /dev/null
+++ b/src/core/relay/keeper_choice.hpp
@@ -0,0 +1,67 @@
+/// @file
+/// Which node keeps the limit of an engine: the first in an order of its own that answers.
+///
+/// No election and no lease: all nodes rank the nodes alike, and each goes by who answers it. The
+/// nodes before the one that keeps are asked for a sign of life again and again, so that all come
+/// back to the same one.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "common/identifiers.hpp"
+#include "common/time.hpp"
+
+namespace shuntbank::relay {
+
+/// A node that has been asked and has not answered for so long is passed over.
+constexpr Duration kKeeperSilence = std::chrono::milliseconds(300);
+
+/// A node that has not answered yet is asked again, so that one lost message does not matter.
+constexpr Duration kAskKeeperAgain = std::chrono::milliseconds(90);
+
+/// A node that is passed over is asked so often whether it is back.
+constexpr Duration kAskSilentAgain = std::chrono::seconds(1);
+
+/// The keepers as one node sees them.
+class KeeperChoice {
+ public:
+  explicit KeeperChoice(NodeId own_name) : self(std::move(own_name)) {}
+
+  /// Takes all nodes, this one among them.
+  void set_nodes(std::vector<NodeId> nodes);
+
+  /// @return the node that keeps an engine's limit, as far as this one can tell; nothing where none
+  /// of those that may answers.
+  std::optional<NodeId> keeper(MonotonicTime now, const EngineId& engine);
+
+  /// @return whether no other node comes before this one.
+  bool is_first(const EngineId& engine);
+
+  /// A node was sent what it answers at once.
+  void on_asked(MonotonicTime now, const NodeId& node);
+
+  /// Something has come from a node.
+  void on_heard(const NodeId& node) { this->contacts.erase(node); }
+
+  /// @return nodes that should be asked for a sign of life now.
+  std::vector<NodeId> to_ask(MonotonicTime now, const EngineId& engine);
+
+ private:
+  /// A node that has not answered yet.
+  struct Contact {
+    MonotonicTime unanswered_since{};
+    MonotonicTime asked_at{};
+  };
+  const std::vector<NodeId>& order(const EngineId& engine);
+  bool silent(MonotonicTime now, const NodeId& node) const;
+
+  NodeId self;
+  std::vector<NodeId> nodes;
+  std::unordered_map<EngineId, std::vector<NodeId>> orders;
+  std::map<NodeId, Contact> contacts;
+};
+
+}  // namespace shuntbank::relay
--- a/src/core/relay/placement.cpp
+++ b/src/core/relay/placement.cpp
@@ -204,6 +204,10 @@
       placement.expected_ms = plain_cost(now, *engine, settings);
       placement.cost_ms = placement.expected_ms;
     }
+    const double permit_ms = to_ms(engine->permit_wait(now));
+    placement.expected_ms += permit_ms;
+    placement.cost_ms += permit_ms;
+    if (permit_ms > 0 && placement.expected_ms > query.most_expected_ms) continue;
     placement.cost_ms += engine->failure_share * settings.failure_cost_ms;
     if (engine->record.zone != query.zone) placement.cost_ms += settings.other_zone_ms;
     if (query.may_end_engine) {
--- a/src/core/relay/placement.hpp
+++ b/src/core/relay/placement.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <set>
 #include <vector>
@@ -41,6 +42,9 @@
   const std::set<EngineKey>* apart_from = nullptr;
   bool may_end_engine = false;  ///< Where few others run, few are lost with the engine.
   bool deferred = false;        ///< Waits behind all prompts that can be answered in time.
+  /// Until the first token, or the answer of a plain service: an engine that takes the request only
+  /// after a wait for its permit, and then answers later than this, is no candidate.
+  double most_expected_ms = std::numeric_limits<double>::infinity();
   std::uint32_t max_connections_here = 0;  ///< This node's part of an engine's bound; 0: unbounded.
 };
 
--- a/src/protocol/load_digest.cpp
+++ b/src/protocol/load_digest.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "protocol/crash_report_codec.hpp"
+#include "protocol/limit_codec.hpp"
 #include "protocol/load_message.hpp"
 #include "protocol/trouble_codec.hpp"
 
@@ -46,6 +47,7 @@
 }
 
 constexpr std::size_t kTroubleBytes = 9;
+constexpr std::size_t kLimitBytes = 20;
 
 json load_to_json(const relay::LoadByKey& load) {
   json numbers = json::array();
@@ -113,6 +115,24 @@
   return troubles;
 }
 
+json limits_to_json(const std::vector<relay::KeyedLimit>& limits) {
+  json list = json::array();
+  for (const relay::KeyedLimit& keyed : limits) {
+    json entry = json::array({keyed.engine});
+    append_limit(entry, keyed.limit);
+    list.push_back(std::move(entry));
+  }
+  return list;
+}
+
+std::vector<relay::KeyedLimit> limits_from_json(const json& list) {
+  std::vector<relay::KeyedLimit> limits;
+  for (const json& entry : list) {
+    limits.push_back({entry.at(0).get<relay::EngineKey>(), limit_at(entry, 1)});
+  }
+  return limits;
+}
+
 std::string encode(const LoadDigest& digest) {
   const json document = {digest.collector.value(),
                          digest.number.boot,
@@ -122,7 +142,7 @@
                          {digest.part.first, digest.part.last},
                          load_to_json(digest.part.load),
                          {reads_to_json(digest.news.reads), troubles_to_json(digest.news.troubles),
-                          to_json(digest.news.crashes)},
+                          to_json(digest.news.crashes), limits_to_json(digest.news.limits)},
                          {digest.seen.configuration, digest.seen.engines},
                          digest.store_age_ms};
   std::string bytes;
@@ -141,6 +161,7 @@
     for (const relay::KeyedRead& read : this->whole.news.reads) this->add_read(read);
     for (const relay::KeyedTrouble& trouble : this->whole.news.troubles) this->add_trouble(trouble);
     for (const relay::CrashReport& crash : this->whole.news.crashes) this->add_crash(crash);
+    for (const relay::KeyedLimit& limit : this->whole.news.limits) this->add_limit(limit);
     this->parts.push_back(encode(this->part));
     return std::move(this->parts);
   }
@@ -193,6 +214,11 @@
     this->part.news.crashes.push_back(crash);
   }
 
+  void add_limit(const relay::KeyedLimit& limit) {
+    if (this->full(kLimitBytes)) this->begin_news();
+    this->part.news.limits.push_back(limit);
+  }
+
   const LoadDigest& whole;
   LoadDigest part;
   std::size_t bytes = 0;
@@ -245,8 +271,9 @@
     digest.part.load = load_from_json(document.at(6));
     digest.news.reads = reads_from_json(document.at(7).at(0));
     digest.news.troubles = troubles_from_json(document.at(7).at(1));
-    // A node that runs the version before tells of none.
+    // Nodes that run earlier versions tell of none.
     if (document.at(7).size() > 2) digest.news.crashes = crash_reports(document.at(7).at(2));
+    if (document.at(7).size() > 3) digest.news.limits = limits_from_json(document.at(7).at(3));
     digest.seen = {document.at(8).at(0).get<std::uint64_t>(),
                    document.at(8).at(1).get<std::uint64_t>()};
     digest.store_age_ms = document.at(9).get<std::uint32_t>();
--- a/src/protocol/load_message.cpp
+++ b/src/protocol/load_message.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "protocol/crash_report_codec.hpp"
+#include "protocol/limit_codec.hpp"
 #include "protocol/trouble_codec.hpp"
 
 namespace shuntbank {
@@ -53,6 +54,24 @@
   return troubles;
 }
 
+json limits_to_json(const std::vector<ToldLimitNews>& limits) {
+  json list = json::array();
+  for (const ToldLimitNews& news : limits) {
+    json entry = json::array({news.engine.value()});
+    append_limit(entry, news.limit);
+    list.push_back(std::move(entry));
+  }
+  return list;
+}
+
+std::vector<ToldLimitNews> limits_from_json(const json& list) {
+  std::vector<ToldLimitNews> limits;
+  for (const json& item : list) {
+    limits.push_back({EngineId(item.at(0).get<std::string>()), limit_at(item, 1)});
+  }
+  return limits;
+}
+
 }  // namespace
 
 std::string encode(const LoadMessage& message) {
@@ -71,6 +90,7 @@
   if (message.to_collector) document["sum"] = message.wants_view;
   if (!message.reads.empty()) document["reads"] = reads_to_json(message.reads);
   if (!message.troubles.empty()) document["troubles"] = troubles_to_json(message.troubles);
+  if (!message.limits.empty()) document["limits"] = limits_to_json(message.limits);
   if (!message.crashes.empty()) document["crashes"] = to_json(message.crashes);
   std::string bytes;
   json::to_msgpack(document, bytes);
@@ -117,6 +137,7 @@
     if (document.contains("troubles")) {
       message.troubles = troubles_from_json(document["troubles"]);
     }
+    if (document.contains("limits")) message.limits = limits_from_json(document["limits"]);
     if (document.contains("crashes")) message.crashes = crash_reports(document["crashes"]);
     if (document.contains("reads")) message.reads = reads_from_json(document["reads"]);
     return message;
--- a/src/protocol/load_message.hpp
+++ b/src/protocol/load_message.hpp
@@ -18,6 +18,14 @@
 
 namespace shuntbank {
 
+/// A changed limit of an engine.
+struct ToldLimitNews {
+  EngineId engine;
+  relay::ToldLimit limit;
+
+  bool operator==(const ToldLimitNews&) const = default;
+};
+
 /// One node's work. Whole each time, so that a lost message does not matter.
 struct LoadMessage {
   NodeId node;
@@ -26,6 +34,7 @@
   std::map<EngineId, relay::PeerLoad> load;
   std::vector<relay::PromptRead> reads;        ///< Since the last message.
   std::vector<relay::EngineTrouble> troubles;  ///< The same.
+  std::vector<ToldLimitNews> limits;           ///< The same.
   std::vector<relay::CrashReport> crashes;     ///< What is to be told now.
   relay::CatalogRevisions seen;  ///< How far the node has come in the store's changes.
   /// How long ago the store confirmed them, in milliseconds, where the node reads it for others.
--- /dev/null
+++ b/src/protocol/permit_message.cpp
@@ -0,0 +1,99 @@
+#include "protocol/permit_message.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include "protocol/limit_codec.hpp"
+
+namespace shuntbank {
+namespace {
+
+using nlohmann::json;
+
+/// First bytes that MessagePack never uses for a document of the other messages, which are maps or
+/// arrays.
+constexpr char kCallMark = 'P';
+constexpr char kAnswerMark = 'Q';
+
+std::string marked(char mark, const json& document) {
+  std::string bytes(1, mark);
+  json::to_msgpack(document, bytes);
+  return bytes;
+}
+
+json from_marked(std::string_view bytes) {
+  bytes.remove_prefix(1);
+  return json::from_msgpack(bytes.begin(), bytes.end());
+}
+
+/// A verdict of a later version grants nothing.
+PermitVerdict verdict_from(int told) {
+  if (told == static_cast<int>(PermitVerdict::kGranted)) return PermitVerdict::kGranted;
+  if (told == static_cast<int>(PermitVerdict::kLater)) return PermitVerdict::kLater;
+  return PermitVerdict::kNotTheKeeper;
+}
+
+}  // namespace
+
+std::string encode(const PermitCall& call) {
+  json document = {call.node.value(),   call.boot,         call.number,
+                   call.engine.value(), call.wants_permit, call.longest_wait_ms};
+  append_limit(document, call.limit);
+  return marked(kCallMark, document);
+}
+
+std::string encode(const PermitAnswer& answer) {
+  json document = {answer.node.value(),
+                   answer.boot,
+                   answer.number,
+                   answer.engine.value(),
+                   static_cast<int>(answer.verdict),
+                   answer.leaves_in_ms,
+                   answer.next_in_ms};
+  append_limit(document, answer.limit);
+  return marked(kAnswerMark, document);
+}
+
+bool is_permit_call(std::string_view bytes) {
+  return !bytes.empty() && bytes.front() == kCallMark;
+}
+
+bool is_permit_answer(std::string_view bytes) {
+  return !bytes.empty() && bytes.front() == kAnswerMark;
+}
+
+tl::expected<PermitCall, std::string> decode_permit_call(std::string_view bytes) {
+  try {
+    const json document = from_marked(bytes);
+    PermitCall call;
+    call.node = NodeId(document.at(0).get<std::string>());
+    call.boot = document.at(1).get<std::uint64_t>();
+    call.number = document.at(2).get<std::uint64_t>();
+    call.engine = EngineId(document.at(3).get<std::string>());
+    call.wants_permit = document.at(4).get<bool>();
+    call.longest_wait_ms = document.at(5).get<std::uint32_t>();
+    call.limit = limit_at(document, 6);
+    return call;
+  } catch (const json::exception& error) {
+    return tl::make_unexpected(std::string(error.what()));
+  }
+}
+
+tl::expected<PermitAnswer, std::string> decode_permit_answer(std::string_view bytes) {
+  try {
+    const json document = from_marked(bytes);
+    PermitAnswer answer;
+    answer.node = NodeId(document.at(0).get<std::string>());
+    answer.boot = document.at(1).get<std::uint64_t>();
+    answer.number = document.at(2).get<std::uint64_t>();
+    answer.engine = EngineId(document.at(3).get<std::string>());
+    answer.verdict = verdict_from(document.at(4).get<int>());
+    answer.leaves_in_ms = document.at(5).get<std::uint32_t>();
+    answer.next_in_ms = document.at(6).get<std::uint32_t>();
+    answer.limit = limit_at(document, 7);
+    return answer;
+  } catch (const json::exception& error) {
+    return tl::make_unexpected(std::string(error.what()));
+  }
+}
+
+}  // namespace shuntbank
--- a/src/relay/engine_listener.cpp
+++ b/src/relay/engine_listener.cpp
@@ -1,6 +1,7 @@
 #include "relay/engine_listener.hpp"
 
 #include "common/log.hpp"
+#include "net/http_status.hpp"
 
 namespace shuntbank::relay {
 namespace {
@@ -8,6 +9,19 @@
 /// Of a field that cannot be read, in a log line.
 constexpr std::size_t kMostLoggedBytes = 100;
 
+/// Of an answer.
+constexpr int kFirstNoSuccess = 300;
+
+void log_limit(const EngineId& engine, const HeardLimit& limit, MonotonicTime now,
+               const char* source, std::string_view request) {
+  log_event(LogArea::kControl, LogLevel::kInfo, "engine_limit",
+            {{"engine", engine.value()},
+             {"a_second", limit.a_second.value_or(-1)},
+             {"source", source},
+             {"age_ms", whole_ms(now - limit.heard_at)},
+             {"request", request}});
+}
+
 }  // namespace
 
 void EngineListener::on_head(const EngineId& engine, int status, const HttpHeaders& headers,
@@ -22,6 +36,12 @@
   }
   if (read.notice.leaving) this->on_leaving(engine, request);
   if (read.notice.rest) this->on_rest(engine, *read.notice.rest, request);
+  // Only an engine that has taken a request up and names no limit has none any more: others may
+  // leave the word out where they refuse, fail or report.
+  const bool done = !request.empty() && status >= http_status::kOk && status < kFirstNoSuccess;
+  if (read.notice.limit || (done && !read.notice.names_limit)) {
+    this->on_limit(engine, read.notice.limit, request);
+  }
 }
 
 /// The other nodes would send the engine requests until each has an answer of its own, and streams
@@ -61,4 +81,20 @@
              {"for_ms", whole_ms(kept)}});
 }
 
+/// The other nodes would send the engine some requests each until they have an answer of it.
+void EngineListener::on_limit(const EngineId& engine, std::optional<double> a_second,
+                              std::string_view request) {
+  const MonotonicTime now = this->io.runtime.now();
+  const HeardLimit heard{a_second, now};
+  if (!this->io.engines.on_limit(engine, heard)) return;
+  this->io.metrics.count_engine_notice(a_second ? "limit" : "limit_ended");
+  log_limit(engine, heard, now, "engine", request);
+  if (this->tell_limit) this->tell_limit({engine, heard});
+}
+
+void EngineListener::on_peer_limit(const LimitNews& news) {
+  if (!this->io.engines.on_limit(news.engine, news.limit)) return;
+  log_limit(news.engine, news.limit, this->io.runtime.now(), "node", {});
+}
+
 }  // namespace shuntbank::relay
--- a/src/relay/engine_listener.hpp
+++ b/src/relay/engine_listener.hpp
@@ -30,6 +30,11 @@
     this->tell_trouble = std::move(handler);
   }
 
+  /// Sets who is told that an engine has changed its limit, for the other nodes.
+  void on_limit_news(std::function<void(const LimitNews&)> handler) {
+    this->tell_limit = std::move(handler);
+  }
+
   /// The head of an answer has come that is known to be this engine's.
   /// @param request whose answer it is, for the log; empty for a call of the node's own.
   void on_head(const EngineId& engine, int status, const HttpHeaders& headers,
@@ -38,15 +43,20 @@
   /// An engine has said, in whatever way, that it leaves.
   void on_leaving(const EngineId& engine, std::string_view request = {});
 
+  /// Another node has heard a limit of an engine.
+  void on_peer_limit(const LimitNews& news);
+
   /// Another node has met trouble at an engine.
   void on_peer_trouble(const EngineTrouble& trouble);
 
  private:
   bool learn_leaving(const EngineId& engine, const char* source, std::string_view request);
   void on_rest(const EngineId& engine, Duration rest, std::string_view request);
+  void on_limit(const EngineId& engine, std::optional<double> a_second, std::string_view request);
 
   EngineListenerIo io;
   std::function<void(const EngineTrouble&)> tell_trouble;
+  std::function<void(const LimitNews&)> tell_limit;
 };
 
 }  // namespace shuntbank::relay
--- a/src/relay/load_exchange.cpp
+++ b/src/relay/load_exchange.cpp
@@ -35,7 +35,8 @@
       peers_(runtime, store, self_, own_record(transport, settings), directory_settings(settings),
              [this] { update_fleet(); }),
       zones_(runtime, transport, node, peers_, boot_, settings.zones),
-      configurations_(runtime, transport, peers_, zones_, settings.configurations) {
+      configurations_(runtime, transport, peers_, zones_, settings.configurations),
+      permits_(transport, peers_, node.permits(), [this] { return share_heard(); }) {
   transport_.set_handlers(
       [this](std::string_view bytes, const std::string&) { on_message(bytes); },
       [this](const std::string& call, const std::function<void(std::string)>& reply) {
@@ -58,6 +59,7 @@
   *alive_ = false;
   // The node outlives this, and still ends its requests.
   node_.on_load_changed(nullptr);
+  node_.permits().disconnect();
 }
 
 /// Idle nodes speak as well: who is silent is taken for dead.
@@ -73,6 +75,22 @@
     zones_.stop();
   }
   node_.set_fleet({nodes(), rank()});
+  permits_.update_nodes();
+}
+
+double LoadExchange::share_heard() const {
+  const MonotonicTime now = runtime_.now();
+  const Duration life = settings_.zones.collector.member_life;
+  std::size_t heard = 1;
+  if (by_zones()) {
+    if (now - zones_.view_at() <= life) heard = std::max(heard, zones_.nodes_seen());
+  } else {
+    heard +=
+        static_cast<std::size_t>(std::count_if(heard_.begin(), heard_.end(), [&](const auto& peer) {
+          return now - peer.second.at <= life;
+        }));
+  }
+  return std::min(1.0, static_cast<double>(heard) / static_cast<double>(nodes()));
 }
 
 std::size_t LoadExchange::rank() const {
@@ -166,6 +184,9 @@
   message.load = node_.engines().own_load();
   message.reads = node_.take_prompt_reads();
   message.troubles = node_.take_troubles();
+  for (const LimitNews& news : node_.take_limits()) {
+    message.limits.push_back({news.engine, to_told(news.limit, runtime_.now())});
+  }
   message.crashes = node_.quarantine().take_reports();
   if (!own_progress_) return message;
   const StoreProgress progress = own_progress_();
@@ -211,6 +232,7 @@
 void LoadExchange::on_message(std::string_view bytes) {
   if (is_view(bytes)) return zones_.on_view(bytes);
   if (is_digest(bytes)) return zones_.on_digest(bytes);
+  if (is_permit_call(bytes) || is_permit_answer(bytes)) return permits_.on_message(bytes);
   if (is_usage_call(bytes) || is_told_usage(bytes)) {
     if (on_usage_message_) on_usage_message_(bytes);
     return;
@@ -236,6 +258,7 @@
   for (const EngineTrouble& trouble : message.troubles) {
     node_.listener().on_peer_trouble(trouble);
   }
+  for (const ToldLimitNews& news : message.limits) node_.learn_limit(news.engine, news.limit);
   node_.quarantine().learn(message.crashes);
   if (on_revisions_) on_revisions_(message.seen);
   for (const PromptRead& read : message.reads) node_.learn_prompt_read(read);
--- a/src/relay/load_exchange.hpp
+++ b/src/relay/load_exchange.hpp
@@ -16,6 +16,7 @@
 #include "relay/configuration_exchange.hpp"
 #include "relay/exchange_settings.hpp"
 #include "relay/peer_directory.hpp"
+#include "relay/permit_exchange.hpp"
 #include "relay/relay_node.hpp"
 #include "relay/zone_exchange.hpp"
 #include "store/object_store.hpp"
@@ -80,6 +81,7 @@
   std::string snapshot() const;
   std::string answer(const std::string& call) const;
   void update_fleet();
+  double share_heard() const;
 
   Runtime& runtime_;
   PeerTransport& transport_;
@@ -91,6 +93,7 @@
   PeerDirectory peers_;
   ZoneExchange zones_;
   ConfigurationExchange configurations_;
+  PermitExchange permits_;
   /// The last message of a peer that tells this node directly.
   struct Heard {
     MessageNumber number;
--- /dev/null
+++ b/src/relay/permit_exchange.cpp
@@ -0,0 +1,40 @@
+#include "relay/permit_exchange.hpp"
+
+#include <utility>
+#include <vector>
+
+#include "relay/malformed_message.hpp"
+
+namespace shuntbank::relay {
+
+PermitExchange::PermitExchange(PeerTransport& own_transport, const PeerDirectory& own_peers,
+                               EnginePermits& own_permits, std::function<double()> share)
+    : transport(own_transport), peers(own_peers), permits(own_permits), heard(std::move(share)) {
+  this->permits.connect(own_peers.own_name(), *this);
+}
+
+void PermitExchange::update_nodes() {
+  std::vector<NodeId> nodes;
+  for (const auto& [name, record] : this->peers.nodes()) nodes.push_back(name);
+  this->permits.set_nodes(std::move(nodes));
+}
+
+void PermitExchange::send(const NodeId& node, const std::string& bytes) {
+  const PeerRecord* record = this->peers.find(node);
+  if (record != nullptr) this->transport.send(record->address, bytes);
+}
+
+/// Nodes that are not listed keep no limits and are granted nothing: their list may lack us, too.
+void PermitExchange::on_message(std::string_view bytes) {
+  if (is_permit_call(bytes)) {
+    const auto call = decode_permit_call(bytes);
+    if (!call) return log_malformed_message("permit call", call.error());
+    if (this->peers.is_peer(call->node)) this->permits.on_call(*call);
+    return;
+  }
+  const auto answer = decode_permit_answer(bytes);
+  if (!answer) return log_malformed_message("permit answer", answer.error());
+  if (this->peers.is_peer(answer->node)) this->permits.on_answer(*answer);
+}
+
+}  // namespace shuntbank::relay
--- a/src/relay/relay_context.cpp
+++ b/src/relay/relay_context.cpp
@@ -29,6 +29,12 @@
   if (view != nullptr) view->ended = false;
 }
 
+void RelayContext::note_limit(const LimitNews& news) {
+  if (!load_changed) return;
+  limits.push_back(news);
+  note_load();
+}
+
 void RelayContext::note_trouble(const EngineTrouble& trouble) {
   if (!load_changed) return;
   troubles.push_back(trouble);
--- a/src/relay/relay_context.hpp
+++ b/src/relay/relay_context.hpp
@@ -11,6 +11,7 @@
 #include "net/http_client.hpp"
 #include "relay/engine_dialect.hpp"
 #include "relay/engine_listener.hpp"
+#include "relay/engine_permits.hpp"
 #include "relay/quarantine.hpp"
 #include "relay/relay_metrics.hpp"
 #include "relay/relay_settings.hpp"
@@ -28,11 +29,13 @@
   RetryBudgets& budgets;
   Quarantine& quarantine;
   EngineListener& listener;
+  EnginePermits& permits;
 
   std::function<void()> load_changed;            ///< May be empty.
   std::function<void(const TenantName&)> began;  ///< The same; a tenant's request runs.
   std::vector<PromptRead> reads;        ///< Not yet told to other nodes; empty where none listens.
   std::vector<EngineTrouble> troubles;  ///< The same.
+  std::vector<LimitNews> limits;        ///< The same.
 
   /// An engine has read a prompt and keeps its parts.
   void note_read(const EngineId& engine, const std::vector<PromptPart>& parts);
@@ -40,6 +43,9 @@
   /// Other nodes need not find out for themselves.
   void note_trouble(const EngineTrouble& trouble);
 
+  /// An engine has changed its limit.
+  void note_limit(const LimitNews& news);
+
   /// Nobody listens at the engine's address any more: it has ended, not just a connection to it.
   void note_engine_ended(const EngineId& engine);
 
--- a/src/relay/relay_metrics.cpp
+++ b/src/relay/relay_metrics.cpp
@@ -62,6 +62,11 @@
           .Name("shuntbank_relay_engine_notices_total")
           .Help("Words of engines about themselves in the heads of their answers")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& permits =
+      prometheus::BuildCounter()
+          .Name("shuntbank_relay_permits_total")
+          .Help("Sends to limited engines that were asked for, by outcome")
+          .Register(registry);
   prometheus::Family<prometheus::Counter>& waits_for_return =
       prometheus::BuildCounter()
           .Name("shuntbank_relay_waits_for_return_total")
@@ -130,6 +135,10 @@
   impl_->waits_for_return.Add({{"service", service}}).Increment();
 }
 
+void RelayMetrics::count_permit(const std::string& outcome) {
+  impl_->permits.Add({{"outcome", outcome}}).Increment();
+}
+
 void RelayMetrics::count_held_back(const std::string& source) {
   impl_->held_back.Add({{"source", source}}).Increment();
 }
--- a/src/relay/relay_metrics.hpp
+++ b/src/relay/relay_metrics.hpp
@@ -35,13 +35,17 @@
   /// An engine was found ended: nobody listens at its address.
   void count_engine_ended(const std::string& service);
 
-  /// An engine has said something of itself beside an answer. @param word `leaving`, `rest` or
-  /// `unreadable`.
+  /// An engine has said something of itself beside an answer. @param word `leaving`, `rest`,
+  /// `limit`, `limit_ended` or `unreadable`.
   void count_engine_notice(const std::string& word);
 
   /// A request is kept until an engine that rests takes requests again.
   void count_wait_for_return(const std::string& service);
 
+  /// A send to a limited engine was asked for. @param outcome `granted`, `later`, `unanswered` or
+  /// `not_the_keeper`.
+  void count_permit(const std::string& outcome);
+
   /// A request is held back from now on. @param source `seen`, `heard` or `store`.
   void count_held_back(const std::string& source);
 
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -32,11 +32,14 @@
       budgets_(settings.retry_budget),
       listener_({io.runtime, io.dialect, engines_, metrics_}),
       quarantine_({io.runtime, io.http, io.dialect, engines_, metrics_, listener_}),
-      context_{io.runtime,  io.http,   io.dialect, settings_, engines_, metrics_, budgets_,
-               quarantine_, listener_, {},         {},        {},       {}},
+      permits_({io.runtime, engines_, metrics_, listener_}, random_number(io.runtime)),
+      context_{io.runtime, io.http,  io.dialect,  settings_, engines_,
+               metrics_,   budgets_, quarantine_, listener_, permits_,
+               {},         {},       {},          {},        {}},
       splits_(random_fraction(io.runtime)),
       slack_from_(io.runtime.now() + counted_for(settings.retry_budget)) {
   quarantine_.on_news([this] { context_.note_load(); });
+  listener_.on_limit_news([this](const LimitNews& news) { context_.note_limit(news); });
   listener_.on_trouble([this](const EngineTrouble& trouble) { context_.note_trouble(trouble); });
 }
 
@@ -135,6 +138,10 @@
   if (address_free_) address_free_(address);
 }
 
+void RelayNode::learn_limit(const EngineId& engine, const ToldLimit& told) {
+  listener_.on_peer_limit({engine, to_heard(told, io_.runtime.now())});
+}
+
 void RelayNode::learn_prompt_read(const PromptRead& read) {
   context_.note_read(read.engine, read.parts);
 }
--- a/src/relay/relay_node.hpp
+++ b/src/relay/relay_node.hpp
@@ -15,6 +15,7 @@
 #include "net/http1_server.hpp"
 #include "relay/engine_dialect.hpp"
 #include "relay/engine_listener.hpp"
+#include "relay/engine_permits.hpp"
 #include "relay/quarantine.hpp"
 #include "relay/relay_metrics.hpp"
 #include "relay/relay_session.hpp"
@@ -82,6 +83,7 @@
   RelayMetrics& metrics() { return metrics_; }
   Quarantine& quarantine() { return quarantine_; }
   EngineListener& listener() { return listener_; }
+  EnginePermits& permits() { return permits_; }
 
   /// Sets what is called when the work under way at engines has changed.
   void on_load_changed(std::function<void()> handler) {
@@ -105,9 +107,15 @@
   /// @return what was met at engines since the last call.
   std::vector<EngineTrouble> take_troubles() { return std::exchange(context_.troubles, {}); }
 
+  /// @return limits of engines that have changed since the last call.
+  std::vector<LimitNews> take_limits() { return std::exchange(context_.limits, {}); }
+
   /// An engine has read a prompt for another node.
   void learn_prompt_read(const PromptRead& read);
 
+  /// An engine has told another node its limit.
+  void learn_limit(const EngineId& engine, const ToldLimit& told);
+
   /// Learns of the other relay nodes, which share the budgets.
   void set_fleet(const Fleet& fleet);
 
@@ -140,6 +148,7 @@
   RetryBudgets budgets_;
   EngineListener listener_;
   Quarantine quarantine_;
+  EnginePermits permits_;
   RelayContext context_;
   std::shared_ptr<const RouteTable> table_;
   SplitChooser splits_;
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -98,6 +98,8 @@
   query.max_connections_here = connections_per_engine();
   query.apart_from = apart_from_.empty() ? nullptr : &apart_from_;
   query.may_end_engine = runs_apart();
+  const Duration to_objective = arrived_ + route_.objective - context_.runtime.now();
+  query.most_expected_ms = to_ms(std::min(to_objective, time_left()));
   return query;
 }
 
@@ -122,7 +124,7 @@
   deferred_ = choice->deferred;
   expected_ms_ = choice->expected_ms;
   take(choice->placement);
-  send(choice->placement.engine, choice->read_first ? Step::kPrefill : Step::kPlain);
+  send_permitted(choice->placement.engine, choice->read_first ? Step::kPrefill : Step::kPlain);
   return true;
 }
 
@@ -189,8 +191,10 @@
   outgoing.body = request_.body;
   outgoing.connect_timeout = std::min(context_.settings.connect_timeout, time_left());
   // The engine may say that it wants no more while the connection to it is made.
-  outgoing.still_wanted = [&context = context_, engine = record.id] {
-    return !context.engines.notices().wants_none(context.runtime.now(), engine);
+  outgoing.still_wanted = [&context = context_, engine = record.id, permit = permit_] {
+    const MonotonicTime now = context.runtime.now();
+    return !context.engines.notices().wants_none(now, engine) &&
+           context.permits.may_send(engine, permit);
   };
   outgoing.belongs = [weak = weak_from_this()](int, const HttpHeaders& headers) {
     const auto self = weak.lock();
@@ -383,6 +387,8 @@
   if (std::exchange(ended_, true)) return;
   timer_.reset();
   waiting_.reset();
+  // One that is under way may have reached its engine.
+  if (!transfer_) give_permit_back();
   release_engine();
   release_handle();
   if (identity_ && result != kAnswered) context_.quarantine.on_failed(identity_->request);
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -54,6 +55,7 @@
   DispatchQuery dispatch_query() const;
   std::optional<DispatchChoice> choice_now();
   bool choose();
+  void send_permitted(const EngineId& engine, Step step);
   void take(const Placement& placement);
   void send(const EngineId& engine, Step step);
   OutgoingRequest outgoing(const EngineRecord& record, Step step) const;
@@ -91,6 +93,12 @@
   void on_return();
   Duration comes_back_after() const;
 
+  // Engines that take so many a second.
+  void on_permit(const EngineId& engine, Step step, std::optional<SendPermit> permit);
+  void use_permit();
+  void give_permit_back();
+  void set_out_again(const EngineId& engine);
+
   // Failures.
   void attempt_failed(AttemptOutcome outcome, const std::string& why);
   void keep_failure_answer();
@@ -137,13 +145,16 @@
   MonotonicTime arrived_{};
   MonotonicTime expires_{};
   std::unique_ptr<Timer> timer_;
-  std::unique_ptr<Timer> waiting_;  ///< Until an engine that rests takes requests again.
+  std::unique_ptr<Timer> waiting_;  ///< Until an engine takes the request, or any again.
 
   AttemptHistory history_;
   std::vector<EngineId> met_;       ///< Engines that failed or refused this request.
   std::set<EngineKey> apart_from_;  ///< Engines that other suspects have; see `Quarantine`.
   bool on_trial_ = false;           ///< The engine may end under it, and others were told.
 
+  std::optional<SendPermit> permit_;         ///< For the next send, or the one under way.
+  std::map<EngineId, int> permits_refused_;  ///< How often none was to be had.
+
   // The attempt under way.
   Step step_ = Step::kPlain;
   EngineId engine_;
--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -42,12 +42,13 @@
   const HeaderNames& names = context_.dialect.names();
   const bool echoed = headers.get(names.request_id) == id_;
   if (!echoed && !refused_) broken_ = true;
+  const bool sealed = !headers.get(names.seal).empty();
+  if (step_ != Step::kPrefill && is_success(status) && !sealed) broken_ = true;
   // A misdirected request is answered by another engine; what does not echo the id is not trusted.
   if (!broken_ && status != http_status::kMisdirected) {
     context_.listener.on_head(engine_, status, headers, id_);
   }
   if (step_ == Step::kPrefill) return;
-  if (is_success(status) && headers.get(names.seal).empty()) broken_ = true;
   streaming_ = !broken_ && route_.kind == RouteKind::kStream && is_success(status);
   if (!streaming_ && !refused_) note_began();
 }
@@ -150,6 +151,7 @@
   transfer_.reset();
   release_engine();
   if (!result) return on_no_answer(result.error());
+  permit_.reset();
   if (refused_) {
     note_health(refusal_health());
     return attempt_failed(AttemptOutcome::kRefused, "status " + std::to_string(status_));
@@ -166,6 +168,8 @@
 void RelaySession::on_no_answer(const TransferError& error) {
   const bool withdrawn = error.failure == TransferFailure::kWithdrawn;
   const bool not_sent = error.failure == TransferFailure::kNothingSent;
+  if (withdrawn || not_sent) give_permit_back();
+  permit_.reset();
   if (!withdrawn) note_health(not_sent ? AttemptHealth::kUnreachable : AttemptHealth::kFailed);
   if (error.connection_refused) context_.note_engine_ended(engine_);
   if (withdrawn || not_sent) return attempt_failed(AttemptOutcome::kNotSent, error.message);
@@ -197,11 +201,11 @@
   if (!decode) return dispatch();
   if (handle_.empty()) {
     take(*decode);
-    return send(decode->engine, Step::kPlain);
+    return send_permitted(decode->engine, Step::kPlain);
   }
   chosen_ = *decode;
   fetch_address_.clear();
-  send(decode->engine, Step::kDecodeFromHandle);
+  send_permitted(decode->engine, Step::kDecodeFromHandle);
 }
 
 void RelaySession::learn_reading(bool alone) {
--- a/src/relay/zone_exchange.cpp
+++ b/src/relay/zone_exchange.cpp
@@ -28,6 +28,9 @@
     news.troubles.push_back({engine_key(trouble.engine), trouble.stage, trouble.kind});
   }
   news.crashes = message.crashes;
+  for (const ToldLimitNews& told : message.limits) {
+    news.limits.push_back({engine_key(told.engine), told.limit});
+  }
   return news;
 }
 
@@ -192,6 +195,10 @@
     const EngineView* engine = engines.find_by_key(read.engine);
     if (engine != nullptr) this->node.learn_prompt_read({engine->record.id, read.parts});
   }
+  for (const KeyedLimit& keyed : news.limits) {
+    const EngineView* engine = engines.find_by_key(keyed.engine);
+    if (engine != nullptr) this->node.learn_limit(engine->record.id, keyed.limit);
+  }
   for (const KeyedTrouble& trouble : news.troubles) {
     const EngineView* engine = engines.find_by_key(trouble.engine);
     if (engine == nullptr) continue;
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -209,6 +209,34 @@
   }
 }
 
+Test(platform_dialect, reads_how_many_requests_a_second_an_engine_takes) {
+  const PlatformDialect dialect;
+  const auto limit = [&](const char* value) {
+    return dialect.notice(200, {{"server-limit", value}}).notice.limit;
+  };
+  cr_assert_eq(limit("1.3"), 1.3);
+  for (const char* nothing : {"0", "0.0"}) cr_assert_eq(limit(nothing), 0.0);
+  cr_assert_eq(limit(".5"), 0.5);
+  cr_assert_eq(limit("20"), 20.0);
+  cr_assert_eq(limit(std::string(200, '9').c_str()).has_value(), true, "as good as none");
+  const auto twice = dialect.notice(503, {{"Server-Limit", "4"}, {"Server-Limit", "2"}});
+  cr_assert_eq(twice.notice.limit, 2.0, "the lower one holds");
+  cr_assert_not(dialect.notice(200, {}).notice.names_limit);
+}
+
+Test(platform_dialect, names_a_limit_that_it_cannot_read_and_takes_it_for_no_end) {
+  const PlatformDialect dialect;
+  for (const char* value :
+       {"", "-1", "-0", "+1", "1e3", "nan", "inf", "1,3", "1.3, 2", "two", "0x10", " 1", "1 "}) {
+    const auto read = dialect.notice(200, {{"Server-Limit", value}});
+    cr_assert_not(read.notice.limit.has_value(), "%s", value);
+    cr_assert(read.notice.names_limit, "%s", value);
+    cr_assert_eq(read.unreadable.size(), 1, "%s", value);
+  }
+  const auto mixed = dialect.notice(200, {{"Server-Limit", "soon"}, {"Server-Limit", "2"}});
+  cr_assert_eq(mixed.notice.limit, 2.0);
+}
+
 Test(platform_dialect, reads_in_a_report_that_the_engine_leaves) {
   const PlatformDialect dialect;
   const auto leaving = [&](const char* more) {
--- a/tests/relay/support/fakes.cpp
+++ b/tests/relay/support/fakes.cpp
@@ -137,6 +137,9 @@
   relay::ReadNotice read;
   read.notice.leaving = headers.count("leaving") > 0;
   const std::string rest(headers.get("rest-seconds"));
+  const std::string limit(headers.get("limit"));
+  read.notice.names_limit = !limit.empty();
+  if (!limit.empty()) read.notice.limit = std::stod(limit);
   if (status == 503 && !rest.empty()) read.notice.rest = std::chrono::seconds(std::stoll(rest));
   return read;
 }
