--- a/tests/platform/support/callers.cpp
+++ b/tests/platform/support/callers.cpp
@@ -159,6 +159,7 @@
     call->seal = std::string(headers.get("X-Response-Seal"));
     call->may_come_back = headers.count("Retry-After") > 0;
     if (headers.count("Server-Leaving") > 0) this->ledger.got_word_of_leaving(call->seal);
+    if (headers.count("Server-Limit") > 0) this->ledger.got_limit(call->seal);
   };
   handlers.on_data = [this, call](std::string_view piece) {
     this->on_data(call, piece);
--- a/tests/platform/support/engine_standin.hpp
+++ b/tests/platform/support/engine_standin.hpp
@@ -56,6 +56,9 @@
   /// Misbehaves in a share of its answers.
   void set_fault(EngineFault fault, double share);
 
+  /// Names how many requests a second it takes, or none any more.
+  void name_limit(std::optional<double> a_second);
+
   /// Works `times` as long for each step.
   void set_slowness(int times) { this->slowness = times; }
 
@@ -130,6 +133,7 @@
   std::function<void()> end_engine;
   std::function<bool()> all_calm;
   double fault_share = 0;
+  std::optional<double> limit;
   int slowness = 1;
 };
 
--- a/tests/platform/support/ledger.cpp
+++ b/tests/platform/support/ledger.cpp
@@ -85,6 +85,21 @@
   const NodeAndStart pair{request->node, engine};
   const std::string broken = this->notices.reaches(monotonic_now(), pair, request->at);
   if (!broken.empty()) this->broke("NOTICE", id + " reaches an engine: " + broken);
+  const std::string over = this->limits.reaches(monotonic_now(), pair);
+  if (!over.empty()) this->broke("LIMIT", id + " reaches an engine: " + over);
+}
+
+void Ledger::names_limit(const std::string& engine, std::optional<double> a_second) {
+  if (!a_second) return this->limits.names_none(engine);
+  this->limits.names(monotonic_now(), engine, *a_second);
+}
+
+void Ledger::got_limit(const std::string& seal) {
+  const auto answer = this->answers_by_seal.find(seal);
+  if (answer == this->answers_by_seal.end()) return;
+  const SentByCaller* request = this->find(answer->second.request);
+  if (request == nullptr) return;
+  this->limits.told(monotonic_now(), {request->node, answer->second.engine});
 }
 
 void Ledger::asked_for_rest(const std::string& id, const std::string& engine, Duration rest) {
--- a/tests/platform/support/relay_child.hpp
+++ b/tests/platform/support/relay_child.hpp
@@ -35,6 +35,10 @@
   RelayChild(const RelayChild&) = delete;
   RelayChild& operator=(const RelayChild&) = delete;
 
+  /// Runs another program from its next start on.
+  void set_program(const std::string& other) { this->program = other; }
+  const std::string& next_program() const { return this->program; }
+
   /// @param first whether the whole system starts for the first time.
   void start(bool first);
   void send_signal(int signal);
--- a/tests/platform/support/soak_site.hpp
+++ b/tests/platform/support/soak_site.hpp
@@ -31,6 +31,11 @@
   bool storms = false;  ///< Large configurations in quick succession, over slow links to the store.
   /// Engines leave while the store is silent, turn all away by halves, and lose their entries.
   bool words = false;
+  /// Engines name how many requests a second they take: steady, falling, rising, none, by halves.
+  bool limits = false;
+  /// Of an earlier version, for which nodes are replaced one after the other, and back; may be
+  /// empty. Its nodes are not held to limits.
+  std::string other_program;
 
   bool operator==(const SoakShape&) const = default;
 };
@@ -66,6 +71,9 @@
   void storm_comes();
   void change_in_storm(std::uint64_t left);
   void words_come();
+  void limits_come();
+  void change_limit(std::size_t index, double a_second, int steps, double factor);
+  void upgrade_next();
   void leave_while_the_store_is_silent(EngineStandin& engine);
   void half_turn_away(std::chrono::milliseconds duration);
   void end_engine(EngineStandin& engine);
@@ -95,6 +103,8 @@
   std::mt19937_64 deadly_random;  ///< Of its own: the other faults of a seed stay as they are.
   std::mt19937_64 storm_random;   ///< The same.
   std::mt19937_64 words_random;   ///< The same.
+  std::mt19937_64 limits_random;  ///< The same.
+  std::size_t upgrades = 0;
   std::chrono::steady_clock::time_point disturbed_until{};  ///< A relay or the store.
   bool healed = false;
 };
