Keep the first choice where no engine takes a request that is deferred

Callers could have been refused, or worse, as an empty choice was written to. The second choice went by longer waits, and limited engines whose wait is then too long are no candidates. The first choice holds where the second finds none: it is in time, if barely.

--- a/src/core/relay/dispatch_choice.cpp
+++ b/src/core/relay/dispatch_choice.cpp
@@ -104,6 +104,8 @@
   DispatchQuery behind = query;
   behind.placement.deferred = true;
   auto deferred = choose_path(now, engines, behind, placement, prefill);
+  // A limited engine may take it in time only ahead of what can wait.
+  if (!deferred) return choice;
   deferred->deferred = true;
   return deferred;
 }
