Ask the engine that takes a prompt up before the prompt is read

Cause: the choice to read apart rested on a taker that was asked for its permit only afterwards. Change: a limited taker is asked first, for a send at the expected end of the reading; the permit is kept until then, and given back where it is not used.

--- a/src/core/relay/dispatch_choice.cpp
+++ b/src/core/relay/dispatch_choice.cpp
@@ -1,5 +1,7 @@
 #include "core/relay/dispatch_choice.hpp"
 
+#include <algorithm>
+
 namespace shuntbank::relay {
 namespace {
 
@@ -60,11 +62,13 @@
 }
 
 DispatchChoice whole(const Placement& decode) {
-  return {false, decode, decode.expected_ms, false};
+  return {false, decode, {}, decode.expected_ms, false};
 }
 
-DispatchChoice apart(const Placement& reader, double handover) {
-  return {true, reader, reader.expected_ms + handover, false};
+/// The prompt is read while its taker's permit is waited for.
+DispatchChoice apart(const Placement& reader, const Placement& taker, double permit_ms,
+                     double handover) {
+  return {true, reader, taker, std::max(reader.expected_ms, permit_ms) + handover, false};
 }
 
 /// Chooses without regard to the objective.
@@ -80,10 +84,15 @@
   const auto reader = place_reader(now, engines, query, placement, prefill);
   if (!reader) return whole(*decode);
   const double handover = handover_ms(engines, query);
-  if (!streams_bear(now, engines, query, *decode, prefill)) return apart(*reader, handover);
+  const double permit_ms = to_ms(engines.find(decode->engine)->permit_wait(now));
+  const DispatchChoice read_apart = apart(*reader, *decode, permit_ms, handover);
+  const bool too_late = read_apart.expected_ms > query.placement.most_expected_ms;
+  if (permit_ms > 0 && too_late) return whole(*decode);
+  if (!streams_bear(now, engines, query, *decode, prefill)) return read_apart;
   const double direct_cost = direct_path_cost(now, engines, query, *decode, prefill);
-  const bool apart_is_less = reader->cost_ms + handover < direct_cost;
-  return apart_is_less ? apart(*reader, handover) : whole(*decode);
+  // The wait for the permit is in the cost of the direct way.
+  const double apart_cost = std::max(reader->cost_ms, permit_ms) + handover;
+  return apart_cost < direct_cost ? read_apart : whole(*decode);
 }
 
 bool in_time(const DispatchQuery& query, const DispatchChoice& choice,
--- a/src/core/relay/dispatch_choice.hpp
+++ b/src/core/relay/dispatch_choice.hpp
@@ -38,6 +38,7 @@
 struct DispatchChoice {
   bool read_first = false;  ///< The engine only reads the prompt; another one answers.
   Placement placement;
+  Placement taker;         ///< Where the prompt is read first: the engine that then answers.
   double expected_ms = 0;  ///< Until the first token.
   bool deferred = false;   ///< Cannot be in time, and so waits behind what can.
 };
--- a/src/core/relay/permit_schedule.cpp
+++ b/src/core/relay/permit_schedule.cpp
@@ -19,9 +19,9 @@
   return std::max(now, this->due - burst(a_second));
 }
 
-std::optional<MonotonicTime> PermitSchedule::take(MonotonicTime now, double a_second,
+std::optional<MonotonicTime> PermitSchedule::take(MonotonicTime earliest, double a_second,
                                                   MonotonicTime latest) {
-  const MonotonicTime leaves = this->next(now, a_second);
+  const MonotonicTime leaves = this->next(earliest, a_second);
   if (leaves > latest) return std::nullopt;
   this->due = std::max(this->due, leaves) + interval(a_second);
   return leaves;
--- a/src/core/relay/permit_schedule.hpp
+++ b/src/core/relay/permit_schedule.hpp
@@ -22,7 +22,7 @@
  public:
   /// Asks for one send, which may wait for its time. @return when it may leave, unless that is
   /// after `latest`.
-  std::optional<MonotonicTime> take(MonotonicTime now, double a_second, MonotonicTime latest);
+  std::optional<MonotonicTime> take(MonotonicTime earliest, double a_second, MonotonicTime latest);
 
   /// @return when the next send may leave.
   MonotonicTime next(MonotonicTime now, double a_second) const;
--- a/src/protocol/permit_message.cpp
+++ b/src/protocol/permit_message.cpp
@@ -35,8 +35,8 @@
 }  // namespace
 
 std::string encode(const PermitCall& call) {
-  json document = {call.node.value(),   call.boot,         call.number,
-                   call.engine.value(), call.wants_permit, call.longest_wait_ms};
+  json document = {call.node.value(), call.boot,        call.number,         call.engine.value(),
+                   call.wants_permit, call.earliest_ms, call.longest_wait_ms};
   append_limit(document, call.limit);
   return marked(kCallMark, document);
 }
@@ -70,8 +70,9 @@
     call.number = document.at(2).get<std::uint64_t>();
     call.engine = EngineId(document.at(3).get<std::string>());
     call.wants_permit = document.at(4).get<bool>();
-    call.longest_wait_ms = document.at(5).get<std::uint32_t>();
-    call.limit = limit_at(document, 6);
+    call.earliest_ms = document.at(5).get<std::uint32_t>();
+    call.longest_wait_ms = document.at(6).get<std::uint32_t>();
+    call.limit = limit_at(document, 7);
     return call;
   } catch (const json::exception& error) {
     return tl::make_unexpected(std::string(error.what()));
--- a/src/protocol/permit_message.hpp
+++ b/src/protocol/permit_message.hpp
@@ -20,7 +20,8 @@
   std::uint64_t number = 0;  ///< Comes back with the answer.
   EngineId engine;
   bool wants_permit = false;
-  std::uint32_t longest_wait_ms = 0;  ///< A send that may leave only later is of no use.
+  std::uint32_t earliest_ms = 0;      ///< Until the send can leave.
+  std::uint32_t longest_wait_ms = 0;  ///< From then on: a later send is of no use.
   relay::ToldLimit limit;             ///< As the asking node knows it.
 
   bool operator==(const PermitCall&) const = default;
--- a/src/relay/engine_permits.cpp
+++ b/src/relay/engine_permits.cpp
@@ -8,10 +8,6 @@
 namespace shuntbank::relay {
 namespace {
 
-/// A permit is good for so long from its time: as long as a connection over a slow link may take.
-/// The sends of a window are the permits of that much more.
-constexpr Duration kPermitLife = std::chrono::milliseconds(400);
-
 /// Until a call to a keeper is given up. Nodes of three regions answer each other within 100 ms.
 constexpr Duration kCallLife = std::chrono::milliseconds(250);
 
@@ -76,7 +72,7 @@
     if (!this->limited(engine)) continue;
     this->in_charge(engine, this->kept(engine));
     for (const NodeId& node : this->choice.to_ask(now, engine)) {
-      this->call(node, engine, 0, false, Duration::zero());
+      this->call(node, engine, 0, std::nullopt);
     }
   }
 }
@@ -84,9 +80,10 @@
 EnginePermits::Kept& EnginePermits::kept(const EngineId& engine) {
   Kept& kept = this->keeping[engine];
   const double named = this->io.engines.limits().limit(engine).value_or(0);
-  // What was granted at a higher limit is void, and a schedule made for it too long.
+  const MonotonicTime now = this->io.runtime.now();
+  // What was granted at a higher limit is void.
   if (!kept.a_second || named < *kept.a_second) {
-    kept.schedule.begin(this->io.runtime.now(), named);
+    kept.schedule.begin(now, named);
   }
   kept.a_second = named;
   return kept;
@@ -113,8 +110,8 @@
 }
 
 /// Decides as the keeper, if this node is it.
-EnginePermits::Grant EnginePermits::keep(const EngineId& engine, bool wants_permit,
-                                         Duration longest_wait) {
+EnginePermits::Grant EnginePermits::keep(const EngineId& engine,
+                                         const std::optional<PermitSpan>& span) {
   const MonotonicTime now = this->io.runtime.now();
   Kept& own = this->kept(engine);
   if (!this->in_charge(engine, own)) return {PermitVerdict::kNotTheKeeper, now, now};
@@ -123,22 +120,25 @@
   if (now < first) return {PermitVerdict::kLater, first, first};
   const double heard = this->alone ? 1 : this->peers->share_heard();
   const double rate = *own.a_second * (heard > kMostOfFleet ? 1 : heard);
-  if (!wants_permit) return {PermitVerdict::kLater, now, own.schedule.next(now, rate)};
-  const auto leaves = own.schedule.take(now, rate, now + longest_wait);
+  if (!span) return {PermitVerdict::kLater, now, own.schedule.next(now, rate)};
+  const MonotonicTime earliest = now + span->earliest;
+  const auto leaves = own.schedule.take(earliest, rate, earliest + span->longest_wait);
   const MonotonicTime next = own.schedule.next(now, rate);
   if (!leaves) return {PermitVerdict::kLater, next, next};
   return {PermitVerdict::kGranted, *leaves, next};
 }
 
-void EnginePermits::ask(const EngineId& engine, Duration longest_wait, Handler handler) {
-  if (auto permit = this->take_spare(engine)) return handler(std::move(permit));
+void EnginePermits::ask(const EngineId& engine, const PermitSpan& span, Handler handler) {
   const MonotonicTime now = this->io.runtime.now();
+  if (auto permit = this->take_spare(engine, now + span.earliest)) {
+    return handler(std::move(permit));
+  }
   const auto keeper = this->choice.keeper(now, engine);
   const bool reached = this->peers != nullptr && this->nodes_known;
   if (reached && keeper && *keeper != this->self) {
-    return this->ask_keeper(*keeper, engine, longest_wait, std::move(handler));
+    return this->ask_keeper(*keeper, engine, span, std::move(handler));
   }
-  const Grant grant = this->keep(engine, true, longest_wait);
+  const Grant grant = this->keep(engine, span);
   const bool granted = grant.verdict == PermitVerdict::kGranted;
   this->io.metrics.count_permit(granted ? "granted" : "later");
   this->io.engines.on_next_permit(
@@ -148,7 +148,7 @@
                      this->io.engines.limits().limit(engine).value_or(0)});
 }
 
-void EnginePermits::ask_keeper(const NodeId& keeper, const EngineId& engine, Duration longest_wait,
+void EnginePermits::ask_keeper(const NodeId& keeper, const EngineId& engine, const PermitSpan& span,
                                Handler handler) {
   const std::uint64_t number = ++this->numbers;
   Pending& waiting = this->pending[number];
@@ -157,20 +157,24 @@
   waiting.handler = std::move(handler);
   waiting.timer =
       this->io.runtime.after(kCallLife, [this, number] { this->on_unanswered(number); });
-  this->call(keeper, engine, number, true, longest_wait);
+  this->call(keeper, engine, number, span);
 }
 
 void EnginePermits::call(const NodeId& node, const EngineId& engine, std::uint64_t number,
-                         bool wants_permit, Duration longest_wait) {
+                         const std::optional<PermitSpan>& span) {
   if (this->peers == nullptr) return;
   this->choice.on_asked(this->io.runtime.now(), node);
-  const PermitCall call{this->self,
-                        this->boot,
-                        number,
-                        engine,
-                        wants_permit,
-                        to_message_ms(longest_wait),
-                        this->told_limit(engine)};
+  PermitCall call;
+  call.node = this->self;
+  call.boot = this->boot;
+  call.number = number;
+  call.engine = engine;
+  call.wants_permit = span.has_value();
+  if (span) {
+    call.earliest_ms = to_message_ms(span->earliest);
+    call.longest_wait_ms = to_message_ms(span->longest_wait);
+  }
+  call.limit = this->told_limit(engine);
   this->peers->send(node, encode(call));
 }
 
@@ -198,8 +202,10 @@
   answer.number = call.number;
   answer.engine = call.engine;
   if (this->limited(call.engine)) {
+    const PermitSpan span{std::chrono::milliseconds(call.earliest_ms),
+                          std::chrono::milliseconds(call.longest_wait_ms)};
     const Grant grant =
-        this->keep(call.engine, call.wants_permit, std::chrono::milliseconds(call.longest_wait_ms));
+        this->keep(call.engine, call.wants_permit ? std::optional(span) : std::nullopt);
     answer.verdict = grant.verdict;
     answer.leaves_in_ms = to_message_ms_up(grant.leaves - now);
     answer.next_in_ms = to_message_ms_up(grant.next - now);
@@ -247,10 +253,12 @@
   this->spare.push_back(permit);
 }
 
-std::optional<SendPermit> EnginePermits::take_spare(const EngineId& engine) {
+std::optional<SendPermit> EnginePermits::take_spare(const EngineId& engine,
+                                                    MonotonicTime needed_at) {
   std::erase_if(this->spare, [this](const SendPermit& permit) { return !this->usable(permit); });
-  const auto found = std::find_if(this->spare.begin(), this->spare.end(),
-                                  [&](const SendPermit& one) { return one.engine == engine; });
+  const auto found = std::find_if(
+      this->spare.begin(), this->spare.end(),
+      [&](const SendPermit& one) { return one.engine == engine && one.until >= needed_at; });
   if (found == this->spare.end()) return std::nullopt;
   SendPermit permit = std::move(*found);
   this->spare.erase(found);
--- a/src/relay/engine_permits.hpp
+++ b/src/relay/engine_permits.hpp
@@ -30,6 +30,10 @@
   EngineListener& listener;
 };
 
+/// A permit is good for so long from its time: as long as a connection over a slow link may take.
+/// The sends of a window are the permits of that much more.
+constexpr Duration kPermitLife = std::chrono::milliseconds(400);
+
 /// One send to an engine.
 struct SendPermit {
   EngineId engine;
@@ -40,6 +44,12 @@
   bool operator==(const SendPermit&) const = default;
 };
 
+/// When a send that is asked for can be of use.
+struct PermitSpan {
+  Duration earliest{};      ///< From now: it cannot leave before.
+  Duration longest_wait{};  ///< From then on.
+};
+
 /// The permits of one node: those that it asks for, and those that it grants as a keeper.
 class EnginePermits {
  public:
@@ -61,7 +71,7 @@
   }
 
   /// Asks for one send, which may have to wait for its time. The handler may be called at once.
-  void ask(const EngineId& engine, Duration longest_wait, Handler handler);
+  void ask(const EngineId& engine, const PermitSpan& span, Handler handler);
 
   /// The permit was not used: nothing has reached the engine.
   void give_back(const SendPermit& permit);
@@ -97,13 +107,14 @@
   void look_around();
   bool in_charge(const EngineId& engine, Kept& kept);
   Kept& kept(const EngineId& engine);
-  Grant keep(const EngineId& engine, bool wants_permit, Duration longest_wait);
-  void ask_keeper(const NodeId& keeper, const EngineId& engine, Duration longest_wait,
+  /// @param span unset where only a sign of life is asked for.
+  Grant keep(const EngineId& engine, const std::optional<PermitSpan>& span);
+  void ask_keeper(const NodeId& keeper, const EngineId& engine, const PermitSpan& span,
                   Handler handler);
-  void call(const NodeId& node, const EngineId& engine, std::uint64_t number, bool wants_permit,
-            Duration longest_wait);
+  void call(const NodeId& node, const EngineId& engine, std::uint64_t number,
+            const std::optional<PermitSpan>& span);
   void on_unanswered(std::uint64_t number);
-  std::optional<SendPermit> take_spare(const EngineId& engine);
+  std::optional<SendPermit> take_spare(const EngineId& engine, MonotonicTime needed_at);
   bool usable(const SendPermit& permit) const;
   void take_limit(const EngineId& engine, const ToldLimit& told);
   ToldLimit told_limit(const EngineId& engine) const;
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -124,7 +124,11 @@
   deferred_ = choice->deferred;
   expected_ms_ = choice->expected_ms;
   take(choice->placement);
-  send_permitted(choice->placement.engine, choice->read_first ? Step::kPrefill : Step::kPlain);
+  if (choice->read_first) {
+    read_first(*choice);
+  } else {
+    send_permitted(choice->placement.engine, Step::kPlain);
+  }
   return true;
 }
 
@@ -155,6 +159,7 @@
 }
 
 void RelaySession::dispatch() {
+  give_back(taker_permit_);
   if (time_left() < kLeastUsefulTime) return on_timeout();
   if (choose() || waits_for_return()) return;
   if (failure_answer_ || history_.head_forwarded || !may_promise_not_run(history_)) {
@@ -387,8 +392,9 @@
   if (std::exchange(ended_, true)) return;
   timer_.reset();
   waiting_.reset();
+  give_back(taker_permit_);
   // One that is under way may have reached its engine.
-  if (!transfer_) give_permit_back();
+  if (!transfer_) give_back(permit_);
   release_engine();
   release_handle();
   if (identity_ && result != kAnswered) context_.quarantine.on_failed(identity_->request);
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -55,6 +55,7 @@
   DispatchQuery dispatch_query() const;
   std::optional<DispatchChoice> choice_now();
   bool choose();
+  void read_first(const DispatchChoice& choice);
   void send_permitted(const EngineId& engine, Step step);
   void take(const Placement& placement);
   void send(const EngineId& engine, Step step);
@@ -94,9 +95,12 @@
   Duration comes_back_after() const;
 
   // Engines that take so many a second.
+  void on_taker_permit(const EngineId& reader, std::optional<SendPermit> permit);
   void on_permit(const EngineId& engine, Step step, std::optional<SendPermit> permit);
+  void wait_for_permit();
   void use_permit();
-  void give_permit_back();
+  bool take_up_as_planned();
+  void give_back(std::optional<SendPermit>& permit);
   void set_out_again(const EngineId& engine);
 
   // Failures.
@@ -153,6 +157,8 @@
   bool on_trial_ = false;           ///< The engine may end under it, and others were told.
 
   std::optional<SendPermit> permit_;         ///< For the next send, or the one under way.
+  std::optional<SendPermit> taker_permit_;   ///< For taking up the prompt that is being read.
+  Placement taker_;                          ///< The engine which that permit is for.
   std::map<EngineId, int> permits_refused_;  ///< How often none was to be had.
 
   // The attempt under way.
--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -168,7 +168,7 @@
 void RelaySession::on_no_answer(const TransferError& error) {
   const bool withdrawn = error.failure == TransferFailure::kWithdrawn;
   const bool not_sent = error.failure == TransferFailure::kNothingSent;
-  if (withdrawn || not_sent) give_permit_back();
+  if (withdrawn || not_sent) give_back(permit_);
   permit_.reset();
   if (!withdrawn) note_health(not_sent ? AttemptHealth::kUnreachable : AttemptHealth::kFailed);
   if (error.connection_refused) context_.note_engine_ended(engine_);
@@ -197,6 +197,7 @@
 
 /// Sends the request to an engine that goes on from what was read.
 void RelaySession::take_up_prompt() {
+  if (take_up_as_planned()) return;
   const auto decode = place_taker();
   if (!decode) return dispatch();
   if (handle_.empty()) {
--- a/tests/protocol/permit_message_test.cpp
+++ b/tests/protocol/permit_message_test.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 PermitCall call() {
-  return {NodeId("n1"), 7, 9, EngineId("e.1"), true, 250, {1.3, 40}};
+  return {NodeId("n1"), 7, 9, EngineId("e.1"), true, 30, 250, {1.3, 40}};
 }
 
 PermitAnswer answer() {
--- a/tests/relay/engine_limit_test.cpp
+++ b/tests/relay/engine_limit_test.cpp
@@ -39,6 +39,15 @@
   cr_assert_geq(used, kLeastUsed, "%.2f of the limit is used", used);
 }
 
+/// An engine names its limit in the answer to a request that it gets first.
+void name_limit(RelayFixture& site, const std::string& path, const char* a_second) {
+  const std::size_t next = site.http.count();
+  site.request(path);
+  HttpHeaders headers = RelayFixture::sealed();
+  headers.add("limit", a_second);
+  site.http.answer(next, 200, headers, path == "/stream/a" ? "id: 1\ndata: a\n\n" : "whole");
+}
+
 }  // namespace
 
 Test(engine_limit, holds_over_seven_nodes) {
@@ -52,3 +61,80 @@
 Test(engine_limit, holds_over_sixty_nodes) {
   keeps_within_the_limit(60, 5, 60);
 }
+
+Test(engine_limit, holds_while_the_nodes_that_keep_it_die) {
+  LimitedFleet site(7, 1);
+  for (const char* id : {"e1", "e2"}) site.add_engine(id);
+  for (std::size_t i = 0; i < 7; ++i) site.set_callers(i, 20);
+  site.run(5s);
+  site.name_limit("e1", 20);
+  site.run(4s);
+  // With fewer than half of them left, they keep to their own part.
+  for (std::size_t i = 0; i < 3; ++i) {
+    const int before = site.reached("e1");
+    site.kill(i);
+    site.run(8s);
+    cr_assert(site.broken.empty(), "%s", site.broken.front().c_str());
+    cr_assert_gt(site.reached("e1") - before, 0.5 * 20 * 8, "another node keeps it");
+  }
+}
+
+Test(engine_limit, keeps_a_request_for_its_turn_where_that_is_in_time) {
+  RelayFixture site;
+  site.add_engine("e1", "plain");
+  name_limit(site, "/safe/a", "5");
+  const auto first = site.request("/safe/b");
+  cr_assert_eq(site.http.count(), 1);
+  cr_assert_eq(first->status, 0, "not refused");
+  site.runtime.advance(250ms);
+  cr_assert_eq(site.http.count(), 2);
+  cr_assert(site.http.at(1).request.still_wanted());
+}
+
+Test(engine_limit, tells_callers_when_an_engine_takes_requests_again) {
+  RelayFixture site;
+  site.add_engine("e1", "plain");
+  name_limit(site, "/safe/a", "0.2");
+  const auto seen = site.request("/safe/b");
+  cr_assert_eq(site.http.count(), 1, "nothing is sent in vain");
+  cr_assert_eq(seen->status, 503);
+  cr_assert_eq(seen->headers.get("Retry-After"), "5.00");
+}
+
+Test(engine_limit, uses_a_permit_again_of_which_nothing_came) {
+  RelayFixture site;
+  site.add_engine("e1", "plain");
+  name_limit(site, "/safe/a", "5");
+  site.request("/once/a");
+  site.runtime.advance(1s);
+  for (const char* path : {"/once/b", "/once/c"}) site.request(path);
+  cr_assert_eq(site.http.count(), 4, "two at once after a pause");
+  site.http.fail(3, TransferFailure::kNothingSent);
+  site.request("/once/d");
+  cr_assert_eq(site.http.count(), 5);
+  site.http.fail(2, TransferFailure::kUncertain);
+  site.request("/once/e");
+  cr_assert_eq(site.http.count(), 5, "that one may have arrived");
+}
+
+// Seen: where all engines that take prompts up were limited, two of three prompts were read for
+// nothing. How it came about: the taker was asked for its permit once the prompt had been read, and
+// granted none in time. Cause: a choice that rested on the taker went ahead without it. Proved by
+// this test, and by prompts read on the rig: 665 to 829 before, 105 after, for as many answers.
+Test(engine_limit, reads_no_prompt_that_nobody_may_take_up) {
+  RelayFixture site;
+  site.add_engine("d1", "model", relay::EngineStage::kDecode);
+  name_limit(site, "/stream/a", "0.2");
+  site.add_engine("p1", "model", relay::EngineStage::kPrefill);
+  const auto seen = site.request("/stream/b", {{"tokens", "20000"}});
+  cr_assert_eq(site.http.count(), 1, "neither sent nor read");
+  cr_assert_eq(seen->status, 503);
+  site.runtime.advance(6s);
+  site.request("/stream/c", {{"tokens", "20000"}});
+  cr_assert_eq(site.http.count(), 2);
+  cr_assert_eq(site.http.at(1).request.headers.get("for-engine"), "p1");
+  site.http.answer(1, 200, {{"id", "r1"}}, "h1");
+  for (int i = 0; i < 100 && site.http.count() < 3; ++i) site.runtime.advance(10ms);
+  cr_assert_eq(site.http.count(), 3, "its permit was there");
+  cr_assert_eq(site.http.at(2).request.headers.get("source"), "p1:80/h1");
+}
