Keep an engine for a request whose permit lapsed on the way

Found by a test: a request that was withdrawn before its first byte, since the limit had come or its permit had lapsed, went on as if it had met the engine, and was refused where no other was left.

--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -170,6 +170,8 @@
   const bool not_sent = error.failure == TransferFailure::kNothingSent;
   if (withdrawn || not_sent) give_back(permit_);
   permit_.reset();
+  // It may have another turn there.
+  if (withdrawn && context_.permits.limited(engine_)) return set_out_again(engine_);
   if (!withdrawn) note_health(not_sent ? AttemptHealth::kUnreachable : AttemptHealth::kFailed);
   if (error.connection_refused) context_.note_engine_ended(engine_);
   if (withdrawn || not_sent) return attempt_failed(AttemptOutcome::kNotSent, error.message);
--- a/tests/relay/engine_limit_test.cpp
+++ b/tests/relay/engine_limit_test.cpp
@@ -101,6 +101,22 @@
   cr_assert_eq(seen->headers.get("Retry-After"), "5.00");
 }
 
+// What waits for its connection when the limit is heard, or for longer than its permit is good.
+Test(engine_limit, asks_again_before_the_first_byte_leaves) {
+  RelayFixture site;
+  site.add_engine("e1", "plain");
+  site.request("/once/a");
+  cr_assert(site.http.at(0).request.still_wanted());
+  name_limit(site, "/safe/a", "5");
+  cr_assert_not(site.http.at(0).request.still_wanted());
+  site.http.fail(0, TransferFailure::kWithdrawn);
+  site.runtime.advance(200ms);
+  cr_assert_eq(site.http.count(), 3, "it waits for its turn");
+  cr_assert(site.http.at(2).request.still_wanted());
+  site.runtime.advance(500ms);
+  cr_assert_not(site.http.at(2).request.still_wanted());
+}
+
 Test(engine_limit, uses_a_permit_again_of_which_nothing_came) {
   RelayFixture site;
   site.add_engine("e1", "plain");
