Shorten the schedule of an engine whose limit rises

Found by a test: an engine that had taken nothing and then took 5 a second got the first of them up to 10 s later, as its schedule was made for one in ten seconds. What was given ahead of time now counts at the new rate.

--- a/src/core/relay/permit_schedule.cpp
+++ b/src/core/relay/permit_schedule.cpp
@@ -27,6 +27,12 @@
   return leaves;
 }
 
+void PermitSchedule::speed_up(MonotonicTime now, double from_a_second, double to_a_second) {
+  if (this->due <= now) return;
+  const double ahead = to_seconds(this->due - now) * std::max(from_a_second, kLeastRate);
+  this->due = now + from_seconds(ahead / std::max(to_a_second, kLeastRate));
+}
+
 void PermitSchedule::begin(MonotonicTime now, double a_second) {
   this->due = now + burst(a_second) + interval(a_second);
 }
--- a/src/core/relay/permit_schedule.hpp
+++ b/src/core/relay/permit_schedule.hpp
@@ -27,6 +27,9 @@
   /// @return when the next send may leave.
   MonotonicTime next(MonotonicTime now, double a_second) const;
 
+  /// The engine takes more than before: what was given ahead of time takes that much less long.
+  void speed_up(MonotonicTime now, double from_a_second, double to_a_second);
+
   /// Begins anew without a burst: what was given before, by another keeper or at a higher rate,
   /// does not add up with what comes.
   void begin(MonotonicTime now, double a_second);
--- a/src/relay/engine_permits.cpp
+++ b/src/relay/engine_permits.cpp
@@ -84,6 +84,8 @@
   // What was granted at a higher limit is void.
   if (!kept.a_second || named < *kept.a_second) {
     kept.schedule.begin(now, named);
+  } else {
+    kept.schedule.speed_up(now, *kept.a_second, named);
   }
   kept.a_second = named;
   return kept;
--- a/tests/relay/engine_limit_test.cpp
+++ b/tests/relay/engine_limit_test.cpp
@@ -79,6 +79,27 @@
   }
 }
 
+Test(engine_limit, follows_a_figure_that_falls_rises_and_ends) {
+  LimitedFleet site(7, 1);
+  for (const char* id : {"e1", "e2"}) site.add_engine(id);
+  for (std::size_t i = 0; i < 7; ++i) site.set_callers(i, 20);
+  site.run(5s);
+  for (const double a_second : {50.0, 10.0, 1.0, 20.0, 0.0, 5.0}) {
+    site.name_limit("e1", a_second);
+    // Where it takes nothing, it is sent one in ten seconds, and may tell it then.
+    site.run(a_second == 5 ? 16s : 8s);
+    cr_assert(site.broken.empty(), "%s", site.broken.front().c_str());
+  }
+  const int before = site.reached("e1");
+  site.run(4s);
+  cr_assert_geq(site.reached("e1") - before, 4 * 5 * kLeastUsed);
+  site.name_limit("e1", -1);
+  site.run(2s);
+  const int limited = site.reached("e1");
+  site.run(4s);
+  cr_assert_gt(site.reached("e1") - limited, 4 * 20, "it takes what it gets again");
+}
+
 Test(engine_limit, keeps_a_request_for_its_turn_where_that_is_in_time) {
   RelayFixture site;
   site.add_engine("e1", "plain");
