--- a/tests/relay/engine_limit_test.cpp
+++ b/tests/relay/engine_limit_test.cpp
@@ -154,6 +154,22 @@
   cr_assert_eq(site.http.count(), 5, "that one may have arrived");
 }
 
+// Seen: by reading. A caller that left gave the permit of its request back, and the next request
+// used it again, though the first may have reached the engine. Cause: a request that was cancelled
+// was taken for one that was never sent. Proved by this test.
+Test(engine_limit, uses_no_permit_again_of_a_request_that_was_cancelled) {
+  RelayFixture site;
+  site.add_engine("e1", "plain");
+  name_limit(site, "/safe/a", "5");
+  site.request("/once/a");
+  site.runtime.advance(200ms);
+  cr_assert_eq(site.http.count(), 2);
+  site.caller->caller_leaves();
+  cr_assert(site.http.at(1).cancelled);
+  site.request("/once/b");
+  cr_assert_eq(site.http.count(), 2, "it waits for its turn");
+}
+
 // Seen: where all engines that take prompts up were limited, two of three prompts were read for
 // nothing. How it came about: the taker was asked for its permit once the prompt had been read, and
 // granted none in time. Cause: a choice that rested on the taker went ahead without it. Proved by
