Use no permit again of a request that was cancelled

A caller that leaves, or a deadline that passes, while the request is under way: its permit was given back and used a second time, so that the engine could get two requests for one permit. A cancelled request may have reached its engine, so its permit ends with it.

--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -358,6 +358,7 @@
   note_silence();
   context_.http.cancel(*transfer_);
   transfer_.reset();
+  permit_.reset();  // It may have reached the engine.
   release_engine();
 }
 
@@ -393,8 +394,7 @@
   timer_.reset();
   waiting_.reset();
   give_back(taker_permit_);
-  // One that is under way may have reached its engine.
-  if (!transfer_) give_back(permit_);
+  give_back(permit_);
   release_engine();
   release_handle();
   if (identity_ && result != kAnswered) context_.quarantine.on_failed(identity_->request);
