Let no keeper grant from before it stood still

By reading: calls that had waited for a keeper that stood still were granted before its next tick, while another node may keep the limit. It looks at the clock before it grants. The test fails without it. A schedule is made anew only where the figure has risen, so that rounding does not add up; the log names the engine whose permit was refused.

--- a/src/relay/engine_permits.cpp
+++ b/src/relay/engine_permits.cpp
@@ -55,15 +55,19 @@
 }
 
 void EnginePermits::tick() {
-  const MonotonicTime now = this->io.runtime.now();
-  if (now - this->looked_at > kStoodStill) {
-    this->calm_since = now;
-    for (auto& [engine, kept] : this->keeping) kept.in_charge_since.reset();
-  }
-  this->looked_at = now;
+  this->notice_standstill();
+  this->looked_at = this->io.runtime.now();
   if (this->io.engines.limits().any()) this->look_around();
 }
 
+/// Calls that have waited may be taken before the first tick.
+void EnginePermits::notice_standstill() {
+  const MonotonicTime now = this->io.runtime.now();
+  if (now - this->looked_at <= kStoodStill) return;
+  this->calm_since = now;
+  for (auto& [engine, kept] : this->keeping) kept.in_charge_since.reset();
+}
+
 /// Asks the nodes that come before this one, or before the one that it goes by.
 void EnginePermits::look_around() {
   const MonotonicTime now = this->io.runtime.now();
@@ -84,7 +88,7 @@
   // What was granted at a higher limit is void.
   if (!kept.a_second || named < *kept.a_second) {
     kept.schedule.begin(now, named);
-  } else {
+  } else if (named > *kept.a_second) {
     kept.schedule.speed_up(now, *kept.a_second, named);
   }
   kept.a_second = named;
@@ -94,6 +98,7 @@
 bool EnginePermits::in_charge(const EngineId& engine, Kept& kept) {
   const MonotonicTime now = this->io.runtime.now();
   if (this->alone) return true;
+  this->notice_standstill();
   if (this->peers == nullptr || !this->nodes_known ||
       this->choice.keeper(now, engine) != this->self) {
     kept.in_charge_since.reset();
--- a/src/relay/engine_permits.hpp
+++ b/src/relay/engine_permits.hpp
@@ -104,6 +104,7 @@
   };
 
   void tick();
+  void notice_standstill();
   void look_around();
   bool in_charge(const EngineId& engine, Kept& kept);
   Kept& kept(const EngineId& engine);
--- a/src/relay/relay_session_permit.cpp
+++ b/src/relay/relay_session_permit.cpp
@@ -115,6 +115,7 @@
 
 /// The engine takes requests only later than was known: perhaps another one is better now.
 void RelaySession::set_out_again(const EngineId& engine) {
+  engine_ = engine;
   log_attempt("no_permit", "");
   if (++permits_refused_[engine] >= kMostRefusals) met_.push_back(engine);
   if (!handle_.empty()) return take_up_prompt();
--- a/tests/relay/engine_limit_test.cpp
+++ b/tests/relay/engine_limit_test.cpp
@@ -154,6 +154,30 @@
   cr_assert_eq(site.http.count(), 5, "that one may have arrived");
 }
 
+// A keeper that has stood still may find others in its place: what it gets first after that are the
+// calls that have waited for it.
+Test(engine_limit, is_not_granted_by_a_node_that_has_just_stood_still) {
+  LimitedFleet site(2, 1);
+  site.add_engine("e1");
+  for (std::size_t i = 0; i < 2; ++i) site.set_callers(i, 1);
+  site.run(5s);
+  site.name_limit("e1", 5);
+  site.run(8s);
+  relay::KeeperChoice choice(NodeId("n1"));
+  choice.set_nodes({NodeId("n1"), NodeId("n2")});
+  const bool first = choice.is_first(EngineId("e1"));
+  RelayFixture& keeper = *site.fleet.sites[first ? 0 : 1];
+  const auto granted = [&] {
+    bool is_granted = false;
+    keeper.node->permits().ask(EngineId("e1"), {0s, 300ms},
+                               [&](const auto& permit) { is_granted = permit.has_value(); });
+    return is_granted;
+  };
+  cr_assert(granted());
+  keeper.runtime.stand_still(2s);
+  cr_assert_not(granted());
+}
+
 // Seen: by reading. A caller that left gave the permit of its request back, and the next request
 // used it again, though the first may have reached the engine. Cause: a request that was cancelled
 // was taken for one that was never sent. Proved by this test.
