--- a/tests/relay/support/limited_fleet.hpp
+++ b/tests/relay/support/limited_fleet.hpp
@@ -101,8 +101,7 @@
       }
       const std::string engine(http.at(transfer).request.headers.get("for-engine"));
       ++this->arrived[engine];
-      const std::string broke =
-          this->judge.reaches(this->now(), {std::to_string(node), engine});
+      const std::string broke = this->judge.reaches(this->now(), {std::to_string(node), engine});
       if (!broke.empty()) this->broken.push_back(broke);
       this->answers.push_back({this->now() + kAnswersAfter, node, transfer, engine});
     }
