Add a wait to the cost of reading apart, in place of taking the larger of the two

The cost of reading apart has preferences in it and is below zero at a prompt's home; the wait for a permit was compared with it, so that zero took its place.

--- a/src/core/relay/dispatch_choice.cpp
+++ b/src/core/relay/dispatch_choice.cpp
@@ -90,8 +90,9 @@
   if (permit_ms > 0 && too_late) return whole(*decode);
   if (!streams_bear(now, engines, query, *decode, prefill)) return read_apart;
   const double direct_cost = direct_path_cost(now, engines, query, *decode, prefill);
-  // The wait for the permit is in the cost of the direct way.
-  const double apart_cost = std::max(reader->cost_ms, permit_ms) + handover;
+  // The wait for the permit is in the cost of the direct way, and passes while the prompt is read.
+  const double waits_on_ms = std::max(0.0, permit_ms - reader->expected_ms);
+  const double apart_cost = reader->cost_ms + waits_on_ms + handover;
   return apart_cost < direct_cost ? read_apart : whole(*decode);
 }
 
