Read and write marked messages in one place

Both use marked_message.hpp now; the stored bytes of the landing before read and come out as they did.

--- a/src/protocol/permit_message.cpp
+++ b/src/protocol/permit_message.cpp
@@ -3,28 +3,16 @@
 #include <nlohmann/json.hpp>
 
 #include "protocol/limit_codec.hpp"
+#include "protocol/marked_message.hpp"
 
 namespace shuntbank {
 namespace {
 
 using nlohmann::json;
 
-/// First bytes that MessagePack never uses for a document of the other messages, which are maps or
-/// arrays.
 constexpr char kCallMark = 'P';
 constexpr char kAnswerMark = 'Q';
 
-std::string marked(char mark, const json& document) {
-  std::string bytes(1, mark);
-  json::to_msgpack(document, bytes);
-  return bytes;
-}
-
-json from_marked(std::string_view bytes) {
-  bytes.remove_prefix(1);
-  return json::from_msgpack(bytes.begin(), bytes.end());
-}
-
 /// A verdict of a later version grants nothing.
 PermitVerdict verdict_from(int told) {
   if (told == static_cast<int>(PermitVerdict::kGranted)) return PermitVerdict::kGranted;
@@ -54,11 +42,11 @@
 }
 
 bool is_permit_call(std::string_view bytes) {
-  return !bytes.empty() && bytes.front() == kCallMark;
+  return begins_with(bytes, kCallMark);
 }
 
 bool is_permit_answer(std::string_view bytes) {
-  return !bytes.empty() && bytes.front() == kAnswerMark;
+  return begins_with(bytes, kAnswerMark);
 }
 
 tl::expected<PermitCall, std::string> decode_permit_call(std::string_view bytes) {
--- a/src/protocol/usage_message.cpp
+++ b/src/protocol/usage_message.cpp
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "protocol/marked_message.hpp"
+
 namespace shuntbank {
 namespace {
 
@@ -11,29 +13,12 @@
 using usage::TenantCounts;
 using usage::ToldUsage;
 
-/// First bytes that MessagePack never uses for a document of the other messages, which are maps or
-/// arrays.
 constexpr char kCallMark = 'U';
 constexpr char kToldMark = 'V';
 
 /// Counts that one message holds: at 20 bytes each, a name of 16 among them, 1,200 bytes.
 constexpr std::size_t kCountsAMessage = 60;
 
-bool begins_with(std::string_view bytes, char mark) {
-  return !bytes.empty() && bytes.front() == mark;
-}
-
-std::string marked(char mark, const json& document) {
-  std::string bytes(1, mark);
-  json::to_msgpack(document, bytes);
-  return bytes;
-}
-
-json from_marked(std::string_view bytes) {
-  bytes.remove_prefix(1);
-  return json::from_msgpack(bytes.begin(), bytes.end());
-}
-
 std::string encode_part(const ToldUsage& told, const json& counts, std::size_t part,
                         std::size_t parts) {
   return marked(kToldMark,
--- a/src/relay/relay_session_permit.cpp
+++ b/src/relay/relay_session_permit.cpp
@@ -20,8 +20,8 @@
 }  // namespace
 
 /// A taker that is limited is asked before the prompt is read: where it permits nothing in time,
-/// the prompt would be read for nothing, as two of three were where all takers were limited. The
-/// permit is good for as long before the expected end of the reading as after it.
+/// the prompt would be read for nothing. The permit is good for as long before the expected end of
+/// the reading as after it.
 void RelaySession::read_first(const DispatchChoice& choice) {
   const EngineId& reader = choice.placement.engine;
   if (!context_.permits.limited(choice.taker.engine)) return send_permitted(reader, Step::kPrefill);
