Separate the ownership of limits from the permits of engines

Cause: tenants' quotas need the same owners, stalls and takeovers as engines' limits; they stood inside EnginePermits, keyed by engines, and the schedule knew one cost and one burst. Change: LimitOwnership holds which limits a node owns and since when; LimitOwnerSelector is keyed by the name of a limit; PermitSchedule takes a rate with its burst and a cost. No behaviour changes; the log line keeps_limit and the messages are as before.

--- a/src/core/relay/limit_owner_selector.cpp
+++ b/src/core/relay/limit_owner_selector.cpp
@@ -8,7 +8,7 @@
 namespace shuntbank::relay {
 namespace {
 
-/// Candidates per engine; bounds how many listed nodes may be down at once.
+/// Candidates per limit; bounds how many listed nodes may be down at once.
 constexpr std::size_t kMaxOwnerCandidates = 64;
 
 /// Cached rankings; recomputing one is cheap.
@@ -23,14 +23,14 @@
   this->rankings.clear();
 }
 
-const std::vector<NodeId>& LimitOwnerSelector::ranking(const EngineId& engine) {
+const std::vector<NodeId>& LimitOwnerSelector::ranking(const std::string& limit) {
   if (this->rankings.size() >= kMaxCachedRankings) this->rankings.clear();
-  const auto [entry, added] = this->rankings.try_emplace(engine);
+  const auto [entry, added] = this->rankings.try_emplace(limit);
   if (!added) return entry->second;
   std::vector<std::pair<std::uint64_t, NodeId>> ranked;
   ranked.reserve(this->nodes.size());
   for (const NodeId& node : this->nodes) {
-    ranked.emplace_back(hash64(node.value(), hash64(engine.value())), node);
+    ranked.emplace_back(hash64(node.value(), hash64(limit)), node);
   }
   std::sort(ranked.begin(), ranked.end());
   for (auto& [rank, node] : ranked) {
@@ -46,15 +46,15 @@
          now - found->second.unanswered_since > kOwnerTimeout;
 }
 
-std::optional<NodeId> LimitOwnerSelector::owner(MonotonicTime now, const EngineId& engine) {
-  for (const NodeId& node : this->ranking(engine)) {
+std::optional<NodeId> LimitOwnerSelector::owner(MonotonicTime now, const std::string& limit) {
+  for (const NodeId& node : this->ranking(limit)) {
     if (node == this->self || !this->is_unresponsive(now, node)) return node;
   }
   return std::nullopt;
 }
 
-bool LimitOwnerSelector::is_preferred_owner(const EngineId& engine) {
-  const std::vector<NodeId>& ranked = this->ranking(engine);
+bool LimitOwnerSelector::is_preferred_owner(const std::string& limit) {
+  const std::vector<NodeId>& ranked = this->ranking(limit);
   return ranked.empty() || ranked.front() == this->self;
 }
 
@@ -63,9 +63,10 @@
   pending->second.last_sent_at = now;
 }
 
-std::vector<NodeId> LimitOwnerSelector::nodes_to_probe(MonotonicTime now, const EngineId& engine) {
+std::vector<NodeId> LimitOwnerSelector::nodes_to_probe(MonotonicTime now,
+                                                       const std::string& limit) {
   std::vector<NodeId> due;
-  for (const NodeId& node : this->ranking(engine)) {
+  for (const NodeId& node : this->ranking(limit)) {
     if (node == this->self) break;
     const auto pending = this->pending_replies.find(node);
     const bool unresponsive = this->is_unresponsive(now, node);
--- a/src/core/relay/limit_owner_selector.hpp
+++ b/src/core/relay/limit_owner_selector.hpp
@@ -1,6 +1,6 @@
 /// @file
-/// Selects the node that owns the rate limit of an engine: the first responsive one in a ranking
-/// that depends on the engine.
+/// Selects the node that owns a rate limit which applies to all nodes together: the first
+/// responsive one in a ranking that depends on the name of the limit.
 ///
 /// There is no election and no lease: all nodes compute the same ranking, and each skips the nodes
 /// that do not answer it. Skipped nodes are probed periodically, so that all nodes converge on the
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <optional>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -34,12 +35,12 @@
   /// Sets the nodes of the fleet, including this one.
   void set_nodes(std::vector<NodeId> nodes);
 
-  /// @return the owner of the engine's limit as seen by this node, or nothing if no candidate
+  /// @return the owner of the limit as seen by this node, or nothing if no candidate
   /// responds.
-  std::optional<NodeId> owner(MonotonicTime now, const EngineId& engine);
+  std::optional<NodeId> owner(MonotonicTime now, const std::string& limit);
 
-  /// @return whether this node ranks first for the engine.
-  bool is_preferred_owner(const EngineId& engine);
+  /// @return whether this node ranks first for the limit.
+  bool is_preferred_owner(const std::string& limit);
 
   /// Records that a request was sent which the node answers at once.
   void on_request_sent(MonotonicTime now, const NodeId& node);
@@ -49,7 +50,7 @@
 
   /// @return the nodes to probe now. Candidates are the nodes ranked before this one, up to and
   /// including the first that responds; each is returned once its probe interval has passed.
-  std::vector<NodeId> nodes_to_probe(MonotonicTime now, const EngineId& engine);
+  std::vector<NodeId> nodes_to_probe(MonotonicTime now, const std::string& limit);
 
  private:
   /// An unanswered request to a node.
@@ -57,12 +58,12 @@
     MonotonicTime unanswered_since{};
     MonotonicTime last_sent_at{};
   };
-  const std::vector<NodeId>& ranking(const EngineId& engine);
+  const std::vector<NodeId>& ranking(const std::string& limit);
   bool is_unresponsive(MonotonicTime now, const NodeId& node) const;
 
   NodeId self;
   std::vector<NodeId> nodes;
-  std::unordered_map<EngineId, std::vector<NodeId>> rankings;
+  std::unordered_map<std::string, std::vector<NodeId>> rankings;
   std::map<NodeId, PendingReply> pending_replies;
 };
 
--- a/src/core/relay/permit_schedule.cpp
+++ b/src/core/relay/permit_schedule.cpp
@@ -5,37 +5,44 @@
 namespace shuntbank::relay {
 namespace {
 
-Duration interval(double per_second) {
-  return from_seconds(1 / std::max(per_second, kMinPermitRate));
+double effective_rate(const PermitRate& rate) {
+  return std::max(rate.per_second, kMinPermitRate);
 }
 
-Duration burst_tolerance(double per_second) {
-  return from_seconds((kPermitBurst - 1) / std::max(per_second, kMinPermitRate));
+Duration interval(const PermitRate& rate, double cost) {
+  return from_seconds(cost / effective_rate(rate));
+}
+
+Duration burst_tolerance(const PermitRate& rate) {
+  return from_seconds(std::max(rate.burst - 1, 0.0) / effective_rate(rate));
 }
 
 }  // namespace
 
-MonotonicTime PermitSchedule::next(MonotonicTime now, double per_second) const {
-  return std::max(now, this->next_due - burst_tolerance(per_second));
+MonotonicTime PermitSchedule::next(MonotonicTime now, const PermitRate& rate) const {
+  return std::max(now, this->next_due - burst_tolerance(rate));
 }
 
-std::optional<MonotonicTime> PermitSchedule::take(MonotonicTime earliest, double per_second,
-                                                  MonotonicTime latest) {
-  const MonotonicTime send_at = this->next(earliest, per_second);
+std::optional<MonotonicTime> PermitSchedule::take(MonotonicTime earliest, const PermitRate& rate,
+                                                  MonotonicTime latest, double cost) {
+  const MonotonicTime send_at = this->next(earliest, rate);
   if (send_at > latest) return std::nullopt;
-  this->next_due = std::max(this->next_due, send_at) + interval(per_second);
+  this->next_due = std::max(this->next_due, send_at) + interval(rate, cost);
   return send_at;
 }
 
-void PermitSchedule::raise_rate(MonotonicTime now, double from_per_second, double to_per_second) {
+void PermitSchedule::change_rate(MonotonicTime now, const PermitRate& from, const PermitRate& to) {
   if (this->next_due <= now) return;
-  const double permits_ahead =
-      to_seconds(this->next_due - now) * std::max(from_per_second, kMinPermitRate);
-  this->next_due = now + from_seconds(permits_ahead / std::max(to_per_second, kMinPermitRate));
+  const double permits_ahead = to_seconds(this->next_due - now) * effective_rate(from);
+  this->next_due = now + interval(to, permits_ahead);
+}
+
+void PermitSchedule::charge(MonotonicTime now, const PermitRate& rate, double cost) {
+  this->next_due = std::max(this->next_due, now) + interval(rate, cost);
 }
 
-void PermitSchedule::reset(MonotonicTime now, double per_second) {
-  this->next_due = now + burst_tolerance(per_second) + interval(per_second);
+void PermitSchedule::reset(MonotonicTime now, const PermitRate& rate) {
+  this->next_due = now + burst_tolerance(rate) + interval(rate, 1);
 }
 
 }  // namespace shuntbank::relay
--- a/src/relay/engine_permits.cpp
+++ b/src/relay/engine_permits.cpp
@@ -17,10 +17,6 @@
 
 constexpr Duration kTickInterval = std::chrono::milliseconds(100);
 
-/// After a gap this long between ticks, the process counts as stalled and another node may own its
-/// limits.
-constexpr Duration kStallThreshold = std::chrono::milliseconds(500);
-
 /// An owner that reaches at most this share of the nodes grants only that share of the limit, since
 /// the unreachable nodes may have another owner. Two partitions together grant at most 1.5 times
 /// the limit.
@@ -42,42 +38,27 @@
 }  // namespace
 
 void EnginePermits::connect(const NodeId& own_name, PermitPeers& others) {
-  this->standalone = false;
-  this->self = own_name;
-  this->owner_selector = LimitOwnerSelector(own_name);
-  this->peers = &others;
+  this->ownership.connect(own_name, others);
   this->ticker =
       std::make_unique<Periodic>(this->io.runtime, kTickInterval, [this] { this->tick(); });
 }
 
-void EnginePermits::set_nodes(std::vector<NodeId> nodes) {
-  if (!std::exchange(this->nodes_known, true)) this->stable_since = this->io.runtime.now();
-  this->owner_selector.set_nodes(std::move(nodes));
-}
-
 void EnginePermits::tick() {
-  this->detect_stall();
-  this->last_tick_at = this->io.runtime.now();
+  this->ownership.tick();
   if (this->io.engines.limits().any_limited()) this->update_ownership();
 }
 
-/// Also called before a tick, since queued calls may be processed first after a stall.
-void EnginePermits::detect_stall() {
-  const MonotonicTime now = this->io.runtime.now();
-  if (now - this->last_tick_at <= kStallThreshold) return;
-  this->stable_since = now;
-  for (auto& [engine, state] : this->limit_states) state.owner_since.reset();
-}
-
 /// Updates the ownership of limits and probes nodes that rank before this one as owners.
 void EnginePermits::update_ownership() {
-  const MonotonicTime now = this->io.runtime.now();
-  std::erase_if(this->limit_states,
-                [this](const auto& entry) { return !this->limited(entry.first); });
+  std::erase_if(this->limit_states, [this](const auto& entry) {
+    if (this->limited(entry.first)) return false;
+    this->ownership.forget(entry.first.value());
+    return true;
+  });
   for (const auto& [engine, view] : this->io.engines.all()) {
     if (!this->limited(engine)) continue;
-    this->is_owner(engine, this->limit_state(engine));
-    for (const NodeId& node : this->owner_selector.nodes_to_probe(now, engine)) {
+    this->tenure(engine, this->limit_state(engine));
+    for (const NodeId& node : this->ownership.nodes_to_probe(engine.value())) {
       this->send_call(node, engine, 0, std::nullopt);
     }
   }
@@ -89,33 +70,23 @@
   const MonotonicTime now = this->io.runtime.now();
   // A lower limit voids earlier permits.
   if (!state.per_second || limit < *state.per_second) {
-    state.schedule.reset(now, limit);
+    state.schedule.reset(now, {limit});
   } else if (limit > *state.per_second) {
-    state.schedule.raise_rate(now, *state.per_second, limit);
+    state.schedule.change_rate(now, {*state.per_second}, {limit});
   }
   state.per_second = limit;
   return state;
 }
 
-bool EnginePermits::is_owner(const EngineId& engine, LimitState& state) {
-  const MonotonicTime now = this->io.runtime.now();
-  if (this->standalone) return true;
-  this->detect_stall();
-  if (this->peers == nullptr || !this->nodes_known ||
-      this->owner_selector.owner(now, engine) != this->self) {
-    state.owner_since.reset();
-    return false;
-  }
-  if (!state.owner_since) {
-    // The preferred owner has been the owner for as long as it has run.
-    state.owner_since = this->owner_selector.is_preferred_owner(engine) ? this->stable_since : now;
-    state.schedule.reset(now, *state.per_second);
-    log_event(LogArea::kControl, LogLevel::kInfo, "keeps_limit",
-              {{"engine", engine.value()},
-               {"a_second", *state.per_second},
-               {"first", this->owner_selector.is_preferred_owner(engine)}});
-  }
-  return true;
+LimitTenure EnginePermits::tenure(const EngineId& engine, LimitState& state) {
+  const LimitTenure tenure = this->ownership.tenure(engine.value());
+  if (!tenure.is_new) return tenure;
+  state.schedule.reset(this->io.runtime.now(), {*state.per_second});
+  log_event(LogArea::kControl, LogLevel::kInfo, "keeps_limit",
+            {{"engine", engine.value()},
+             {"a_second", *state.per_second},
+             {"first", tenure.is_preferred}});
+  return tenure;
 }
 
 /// Decides on a request if this node owns the limit.
@@ -123,12 +94,14 @@
                                               const std::optional<SendWindow>& window) {
   const MonotonicTime now = this->io.runtime.now();
   LimitState& state = this->limit_state(engine);
-  if (!this->is_owner(engine, state)) return {PermitVerdict::kNotOwner, now, now};
+  const LimitTenure tenure = this->tenure(engine, state);
+  if (!tenure.held) return {PermitVerdict::kNotOwner, now, now};
   const MonotonicTime granting_from =
-      state.owner_since ? *state.owner_since + kTakeoverDelay : MonotonicTime{};
+      tenure.since ? *tenure.since + kTakeoverDelay : MonotonicTime{};
   if (now < granting_from) return {PermitVerdict::kWaitExceeded, granting_from, granting_from};
-  const double live_fraction = this->standalone ? 1 : this->peers->live_fraction();
-  const double rate = *state.per_second * (live_fraction > kMaxMinorityShare ? 1 : live_fraction);
+  const double live_fraction = this->ownership.live_fraction();
+  const double share = live_fraction > kMaxMinorityShare ? 1 : live_fraction;
+  const PermitRate rate{*state.per_second * share};
   if (!window) return {PermitVerdict::kWaitExceeded, now, state.schedule.next(now, rate)};
   const MonotonicTime earliest = now + window->earliest;
   const auto send_at = state.schedule.take(earliest, rate, earliest + window->max_wait);
@@ -142,9 +115,7 @@
   if (auto permit = this->take_returned(engine, now + window.earliest)) {
     return handler(std::move(permit));
   }
-  const auto owner = this->owner_selector.owner(now, engine);
-  const bool connected = this->peers != nullptr && this->nodes_known;
-  if (connected && owner && *owner != this->self) {
+  if (const auto owner = this->ownership.remote_owner(engine.value())) {
     return this->acquire_from_owner(*owner, engine, window, std::move(handler));
   }
   const Decision decision = this->decide(engine, window);
@@ -171,10 +142,8 @@
 
 void EnginePermits::send_call(const NodeId& node, const EngineId& engine, std::uint64_t number,
                               const std::optional<SendWindow>& window) {
-  if (this->peers == nullptr) return;
-  this->owner_selector.on_request_sent(this->io.runtime.now(), node);
   PermitCall call;
-  call.node = this->self;
+  call.node = this->ownership.own_name();
   call.boot = this->boot_id;
   call.number = number;
   call.engine = engine;
@@ -184,7 +153,7 @@
     call.max_wait_ms = to_message_ms(window->max_wait);
   }
   call.limit = this->limit_report(engine);
-  this->peers->send(node, encode(call));
+  this->ownership.send_call(node, encode(call));
 }
 
 /// The owner may be gone; the request tries other engines.
@@ -201,12 +170,11 @@
 }
 
 void EnginePermits::on_call(const PermitCall& call) {
-  if (this->peers == nullptr) return;
-  this->owner_selector.on_message_received(call.node);
+  this->ownership.on_message_received(call.node);
   this->on_limit_report(call.engine, call.limit);
   const MonotonicTime now = this->io.runtime.now();
   PermitAnswer answer;
-  answer.node = this->self;
+  answer.node = this->ownership.own_name();
   answer.boot = call.boot;
   answer.number = call.number;
   answer.engine = call.engine;
@@ -220,12 +188,12 @@
     answer.next_permit_in_ms = to_message_ms_ceil(decision.next_at - now);
   }
   answer.limit = this->limit_report(call.engine);
-  this->peers->send(call.node, encode(answer));
+  this->ownership.send_answer(call.node, encode(answer));
 }
 
 void EnginePermits::on_answer(const PermitAnswer& answer) {
   if (answer.boot != this->boot_id) return;
-  this->owner_selector.on_message_received(answer.node);
+  this->ownership.on_message_received(answer.node);
   this->on_limit_report(answer.engine, answer.limit);
   const auto found = this->pending_calls.find(answer.number);
   if (found == this->pending_calls.end()) return;
--- a/src/relay/engine_permits.hpp
+++ b/src/relay/engine_permits.hpp
@@ -14,9 +14,9 @@
 #include "common/periodic.hpp"
 #include "common/runtime.hpp"
 #include "core/relay/engine_directory.hpp"
-#include "core/relay/limit_owner_selector.hpp"
 #include "core/relay/permit_schedule.hpp"
 #include "relay/engine_listener.hpp"
+#include "relay/limit_ownership.hpp"
 #include "relay/permit_peers.hpp"
 #include "relay/relay_metrics.hpp"
 
@@ -57,14 +57,15 @@
   using Handler = std::function<void(std::optional<SendPermit>)>;
 
   /// @param seed distinguishes this process from earlier ones of the same node.
-  EnginePermits(const EnginePermitsIo& own_io, std::uint64_t seed) : io(own_io), boot_id(seed) {}
+  EnginePermits(const EnginePermitsIo& own_io, std::uint64_t seed)
+      : io(own_io), boot_id(seed), ownership(own_io.runtime) {}
 
   /// Connects to the other nodes. Grants nothing until `set_nodes`. A node that is never connected
   /// owns all limits.
   void connect(const NodeId& own_name, PermitPeers& others);
   /// Disconnects from the other nodes; no permits are granted from here on.
-  void disconnect() { this->peers = nullptr; }
-  void set_nodes(std::vector<NodeId> nodes);
+  void disconnect() { this->ownership.disconnect(); }
+  void set_nodes(std::vector<NodeId> nodes) { this->ownership.set_nodes(std::move(nodes)); }
 
   bool limited(const EngineId& engine) const {
     return this->io.engines.limits().limit(engine).has_value();
@@ -86,10 +87,9 @@
   void on_answer(const PermitAnswer& answer);
 
  private:
-  /// Ownership and grant schedule of one engine's limit.
+  /// Grant schedule of one engine's limit.
   struct LimitState {
     PermitSchedule schedule;
-    std::optional<MonotonicTime> owner_since;
     std::optional<double> per_second;  ///< Rate of the schedule.
   };
   struct PendingCall {
@@ -105,9 +105,9 @@
   };
 
   void tick();
-  void detect_stall();
   void update_ownership();
-  bool is_owner(const EngineId& engine, LimitState& state);
+  /// @return whether and since when this node owns the engine's limit.
+  LimitTenure tenure(const EngineId& engine, LimitState& state);
   LimitState& limit_state(const EngineId& engine);
   /// @param window unset to only probe the owner.
   Decision decide(const EngineId& engine, const std::optional<SendWindow>& window);
@@ -122,14 +122,8 @@
   LimitReport limit_report(const EngineId& engine) const;
 
   EnginePermitsIo io;
-  NodeId self;
   std::uint64_t boot_id;
-  bool standalone = true;
-  PermitPeers* peers = nullptr;
-  bool nodes_known = false;
-  LimitOwnerSelector owner_selector{NodeId()};
-  MonotonicTime stable_since{};  ///< Start of uninterrupted operation with a known node list.
-  MonotonicTime last_tick_at{};
+  LimitOwnership ownership;
   std::unordered_map<EngineId, LimitState> limit_states;
   std::map<std::uint64_t, PendingCall> pending_calls;
   std::vector<SendPermit> returned_permits;  ///< Unused and still valid.
--- a/tests/relay/engine_limit_test.cpp
+++ b/tests/relay/engine_limit_test.cpp
@@ -161,7 +161,7 @@
   site.run(8s);
   relay::LimitOwnerSelector selector(NodeId("n1"));
   selector.set_nodes({NodeId("n1"), NodeId("n2")});
-  const bool preferred = selector.is_preferred_owner(EngineId("e1"));
+  const bool preferred = selector.is_preferred_owner("e1");
   RelayFixture& owner = *site.fleet.sites[preferred ? 0 : 1];
   const auto acquire = [&] {
     bool granted = false;
