--- a/src/core/relay/routes.cpp
+++ b/src/core/relay/routes.cpp
@@ -53,6 +53,11 @@
   return bits / bits_per_ms;
 }
 
+double TenantQuota::cost(std::optional<std::uint64_t> tokens) const {
+  if (!counts_tokens) return 1;
+  return static_cast<double>(tokens.value_or(default_tokens));
+}
+
 Findings check(const RouteConfiguration& configuration) {
   Findings findings;
   std::set<std::string> services;
--- a/src/core/relay/routes.hpp
+++ b/src/core/relay/routes.hpp
@@ -83,11 +83,26 @@
   Duration idle_timeout = std::chrono::seconds(15);
 };
 
+/// How much a tenant may send over all nodes together.
+struct TenantQuota {
+  double per_second = 0;  ///< In requests or tokens.
+  double burst = 0;       ///< Beyond the rate, in the same unit.
+  bool counts_tokens = false;
+  std::uint64_t default_tokens = 0;  ///< Of a request that names no token counts.
+
+  /// @param tokens that the request names; unset: none.
+  /// @return the request's cost in the unit of the quota.
+  double cost(std::optional<std::uint64_t> tokens) const;
+
+  bool operator==(const TenantQuota&) const = default;
+};
+
 /// A declared tenant. Without keys, no request is admitted for it.
 struct DeclaredTenant {
   TenantName name;
   std::vector<TenantKey> keys;
   std::optional<int> priority;  ///< Overrides the priority of routes; 0 is the most urgent.
+  std::optional<TenantQuota> quota = std::nullopt;  ///< Unset: unlimited.
 };
 
 /// The operator's configuration of the relay.
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -64,6 +64,30 @@
   cr_assert(parsed->tenants->at(1).keys.empty());
 }
 
+Test(platform_codec, reads_quotas_in_requests_and_in_tokens) {
+  json document = json::parse(kConfiguration);
+  const json keys = json::array();
+  document["tenants"] = {{{"name", "none"}, {"keys", keys}},
+                         {{"name", "zero"}, {"keys", keys}, {"rate_per_s", 0}, {"burst", 5}},
+                         {{"name", "requests"}, {"keys", keys}, {"rate_per_s", 12.5}},
+                         {{"name", "tokens"},
+                          {"keys", keys},
+                          {"rate_per_s", 982686},
+                          {"burst", 491343},
+                          {"unit", "tokens"},
+                          {"uncached_tokens", 200}}};
+  const auto parsed = ObjectCodec().configuration(document);
+  cr_assert(parsed.has_value());
+  const auto& tenants = *parsed->tenants;
+  cr_assert_not(tenants.at(0).quota.has_value());
+  cr_assert_not(tenants.at(1).quota.has_value());
+  cr_assert((tenants.at(2).quota == relay::TenantQuota{12.5, 0, false, 0}));
+  cr_assert_eq(tenants.at(2).quota->cost(9000), 1);
+  cr_assert((tenants.at(3).quota == relay::TenantQuota{982686, 491343, true, 200}));
+  cr_assert_eq(tenants.at(3).quota->cost(9000), 9000);
+  cr_assert_eq(tenants.at(3).quota->cost(std::nullopt), 200);
+}
+
 Test(platform_codec, a_configuration_without_tenants_has_none) {
   cr_assert_not(ObjectCodec().configuration(json::parse(kConfiguration))->tenants.has_value());
 }
