Tests that nothing known of an engine is forgotten in a fleet of thousands

Cause: two bounds on numbers of things hold only while the fleet is small: names of engines (8,192) and draining engines (4,096; a release of 45 in 100 of 9,695 drains 4,363).

--- a/tests/core/relay/engine_directory_test.cpp
+++ b/tests/core/relay/engine_directory_test.cpp
@@ -297,3 +297,23 @@
   cr_assert_not_null(engines.find_by_name("old"));
   cr_assert_eq(engines.size(), 1);
 }
+
+// In a fleet of thousands, a release replaces more engines than a fixed number of names could
+// cover.
+Test(engine_directory, drops_a_late_update_of_a_replaced_engine_in_a_large_fleet) {
+  constexpr int kEngines = 12000;
+  EngineDirectory engines;
+  const auto record = [](int i, std::uint64_t started) {
+    EngineRecord made;
+    made.name = "e" + std::to_string(i);
+    made.started_unix_ms = started;
+    made.id = incarnation_id(made.name, started);
+    made.service = ServiceName("model");
+    return made;
+  };
+  for (int i = 0; i < kEngines; ++i) engines.upsert(record(i, 200));
+  for (int i = 0; i < kEngines; ++i) engines.remove(record(i, 200).id);
+  for (int i = 0; i < kEngines; ++i) {
+    cr_assert(engines.outdated(record(i, 100)), "engine %d is forgotten", i);
+  }
+}
--- a/tests/core/relay/engine_notice_test.cpp
+++ b/tests/core/relay/engine_notice_test.cpp
@@ -120,3 +120,20 @@
   engines.on_draining(EngineId("a"));
   cr_assert_not(engines.next_available_at(kNow, service).has_value(), "all are draining");
 }
+
+// A release that drains half of ten thousand engines must not forget any of them.
+Test(engine_notices, remember_all_draining_engines_of_a_large_fleet) {
+  constexpr int kEngines = 20000;
+  EngineDirectory engines;
+  const auto id = [](int i) { return EngineId("e" + std::to_string(i)); };
+  for (int i = 0; i < kEngines; ++i) {
+    EngineRecord record;
+    record.id = id(i);
+    record.service = ServiceName("model");
+    engines.upsert(record);
+  }
+  for (int i = 0; i < kEngines; ++i) engines.on_draining(id(i));
+  for (int i = 0; i < kEngines; ++i) {
+    cr_assert(engines.notices().draining(id(i)), "engine %d is forgotten", i);
+  }
+}
