Bound the draining engines remembered by the size of the fleet

Cause: 4,096 draining engines were remembered in all; a release in a fleet of 10,000 drains more at once, and what is forgotten gets requests again (a broken DRAIN while the store is silent). Change: twice as many as the engines that were ever listed, at least 1,024.

--- a/src/core/relay/engine_directory.cpp
+++ b/src/core/relay/engine_directory.cpp
@@ -74,6 +74,7 @@
   if (!added) return;
   engine.key = engine_key(record.id);
   by_key_.emplace(engine.key, &engine);
+  notices_.on_engine_count(engines_.size());
   // Other nodes may have reported load for it already.
   for (const auto& [node, peer] : peers_) {
     const auto load = peer.load.find(record.id);
--- a/src/core/relay/engine_notice.cpp
+++ b/src/core/relay/engine_notice.cpp
@@ -6,8 +6,11 @@
 namespace shuntbank::relay {
 namespace {
 
-/// Draining engines remembered: six times the size of a large fleet.
-constexpr std::size_t kMaxDrainingEngines = 4096;
+/// Draining engines remembered in a small fleet.
+constexpr std::size_t kMinRememberedEngines = 1024;
+
+/// Per engine of the fleet: all engines may drain, and their successors after them.
+constexpr std::size_t kRememberedPerEngine = 2;
 
 /// Cooldowns stored before expired ones are erased.
 constexpr std::size_t kExpiryThreshold = 1024;
@@ -17,7 +20,9 @@
 bool EngineNotices::on_draining(const EngineId& engine) {
   if (!this->draining_engines.insert(engine).second) return false;
   this->draining_order.push_back(engine);
-  if (this->draining_order.size() > kMaxDrainingEngines) {
+  const std::size_t max_remembered =
+      std::max(kMinRememberedEngines, kRememberedPerEngine * this->max_engine_count);
+  if (this->draining_order.size() > max_remembered) {
     this->draining_engines.erase(this->draining_order.front());
     this->draining_order.pop_front();
   }
--- a/src/core/relay/engine_notice.hpp
+++ b/src/core/relay/engine_notice.hpp
@@ -3,6 +3,7 @@
 /// while the store is unavailable or the engine's record is missing, and independently of failures.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <deque>
 #include <optional>
@@ -31,6 +32,11 @@
 /// The notices in force of all engines, by incarnation.
 class EngineNotices {
  public:
+  /// Sets the number of engines in the fleet, which bounds how many notices are remembered.
+  void on_engine_count(std::size_t count) {
+    this->max_engine_count = std::max(this->max_engine_count, count);
+  }
+
   /// Marks an engine as draining. @return whether it was not marked before.
   bool on_draining(const EngineId& engine);
 
@@ -51,6 +57,7 @@
  private:
   void erase_expired_cooldowns(MonotonicTime now);
 
+  std::size_t max_engine_count = 0;
   std::unordered_set<EngineId> draining_engines;
   std::deque<EngineId> draining_order;
   std::unordered_map<EngineId, MonotonicTime> cooldowns;
