Test that a load with further fields is read

Cause: engines that share their machines send a fourth figure; parse_load wants exactly three, so that no load of theirs is read at all. The test fails.

--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -291,6 +291,19 @@
   cr_assert_not(dialect.is_refusal(503, {}));
 }
 
+// Engines that share their machines add a field to their load, and later versions may add more.
+Test(platform_dialect, parses_load_with_additional_fields) {
+  const PlatformDialect dialect;
+  const auto load = dialect.parse_load({{"X-Server-Load", "3, 1, 8, 250"}});
+  cr_assert(load.has_value());
+  cr_assert_eq(load->running, 3);
+  cr_assert_eq(load->waiting, 1);
+  cr_assert_eq(load->slots, 8);
+  cr_assert(dialect.parse_load({{"X-Server-Load", "3,1,8,250,x"}}).has_value());
+  cr_assert(dialect.parse_load({{"X-Server-Load", "3,1,8,fast"}}).has_value());
+  cr_assert_not(dialect.parse_load({{"X-Server-Load", "3,1"}}).has_value());
+}
+
 Test(platform_store, lists_all_pages_and_maps_status_codes) {
   ScriptedHttpClient http;
   StoreClient client(http, "10.0.0.1:1");
