--- a/src/bench/commands.cpp
+++ b/src/bench/commands.cpp
@@ -9,6 +9,7 @@
 #include "bench/keys_command.hpp"
 #include "bench/load_command.hpp"
 #include "bench/overhead_command.hpp"
+#include "bench/placement_command.hpp"
 #include "bench/simulate_command.hpp"
 
 namespace shuntbank {
@@ -33,6 +34,8 @@
       {"hollow",
        {"Control-plane cost of many simulated nodes in one process.", run_hollow_command}},
       {"keys", {"Lookup time and memory of tenant keys on a node.", run_keys_command}},
+      {"placement",
+       {"Cost of choosing an engine and of reading a list of engines.", run_placement_command}},
       {"simulate", {"Seeded fault schedules with invariants checked.", run_simulate_command}},
   };
   return table;
