Look at the engines of a service only, and copy no ids while choosing

Cause: a placement went over the map of all engines twice and compared service names, and copied the id of each candidate; the home was found with two hashes a comparison. Change: an index of engines by service, kept at each change; estimates refer to engines.

--- a/src/core/relay/engine_directory.cpp
+++ b/src/core/relay/engine_directory.cpp
@@ -5,6 +5,13 @@
 #include <set>
 
 namespace shuntbank::relay {
+namespace {
+
+bool has_lower_id(const EngineView* left, const EngineView* right) {
+  return left->record.id < right->record.id;
+}
+
+}  // namespace
 EngineId incarnation_id(const std::string& name, std::uint64_t started_unix_ms) {
   if (started_unix_ms == 0) return EngineId(name);
   constexpr int kBase = 36;
@@ -30,8 +37,7 @@
       continue;
     }
     removed.push_back(it->second.record.address);
-    incarnations_.on_removed(it->second.record.own_name());
-    erase_key(it->second);
+    remove_from_indexes(it->second);
     it = engines_.erase(it);
   }
   return removed;
@@ -65,7 +71,10 @@
   EngineView& engine = entry->second;
   // Failures of the earlier record do not apply to a changed one.
   if (!(engine.record == record)) engine.backoff_until = {};
+  const bool moved = !added && engine.record.service != record.service;
+  if (moved) remove_from_service(engine);
   engine.record = record;
+  if (moved) add_to_service(engine);
   // Draining is irrevocable; a record that lacks it is outdated or could not be updated while the
   // store was unavailable.
   engine.record.draining = notices_.draining(record.id);
@@ -73,7 +82,7 @@
   engine.next_permit_at = limits_.next_permit(record.id);
   if (!added) return;
   engine.key = engine_key(record.id);
-  by_key_.emplace(engine.key, &engine);
+  add_to_indexes(engine);
   notices_.on_engine_count(engines_.size());
   // Other nodes may have reported load for it already.
   for (const auto& [node, peer] : peers_) {
@@ -87,19 +96,38 @@
   const auto found = engines_.find(id);
   if (found == engines_.end()) return "";
   std::string address = found->second.record.address;
-  incarnations_.on_removed(found->second.record.own_name());
-  erase_key(found->second);
+  remove_from_indexes(found->second);
   engines_.erase(found);
   return address;
 }
 
-void EngineDirectory::erase_key(const EngineView& engine) {
+void EngineDirectory::add_to_indexes(EngineView& engine) {
+  by_key_.emplace(engine.key, &engine);
+  add_to_service(engine);
+}
+
+void EngineDirectory::remove_from_indexes(EngineView& engine) {
+  incarnations_.on_removed(engine.record.own_name());
+  remove_from_service(engine);
   const auto [first, last] = by_key_.equal_range(engine.key);
   const auto found =
       std::find_if(first, last, [&](const auto& entry) { return entry.second == &engine; });
   if (found != last) by_key_.erase(found);
 }
 
+void EngineDirectory::add_to_service(EngineView& engine) {
+  std::vector<EngineView*>& engines = by_service_[engine.record.service];
+  const auto position = std::lower_bound(engines.begin(), engines.end(), &engine, has_lower_id);
+  engines.insert(position, &engine);
+}
+
+void EngineDirectory::remove_from_service(EngineView& engine) {
+  std::vector<EngineView*>& engines = by_service_[engine.record.service];
+  const auto position = std::lower_bound(engines.begin(), engines.end(), &engine, has_lower_id);
+  if (position != engines.end() && *position == &engine) engines.erase(position);
+  if (engines.empty()) by_service_.erase(engine.record.service);
+}
+
 EngineView* EngineDirectory::find_by_key(EngineKey key) {
   const auto found = by_key_.find(key);
   return found == by_key_.end() ? nullptr : found->second;
@@ -115,12 +143,10 @@
   return found == engines_.end() ? nullptr : &found->second;
 }
 
-std::vector<EngineView*> EngineDirectory::find_by_service(const ServiceName& service) {
-  std::vector<EngineView*> engines;
-  for (auto& [id, engine] : engines_) {
-    if (engine.record.service == service) engines.push_back(&engine);
-  }
-  return engines;
+const std::vector<EngineView*>& EngineDirectory::find_by_service(const ServiceName& service) const {
+  static const std::vector<EngineView*> kNone;
+  const auto found = by_service_.find(service);
+  return found == by_service_.end() ? kNone : found->second;
 }
 
 bool EngineDirectory::on_draining(const EngineId& id) {
@@ -151,13 +177,12 @@
 std::optional<MonotonicTime> EngineDirectory::next_available_at(
     MonotonicTime now, const ServiceName& service, const std::vector<EngineId>* except) const {
   std::optional<MonotonicTime> first;
-  for (const auto& [id, engine] : engines_) {
-    const EngineRecord& record = engine.record;
+  for (const EngineView* engine : find_by_service(service)) {
+    const EngineRecord& record = engine->record;
     const bool answers = record.stage != EngineStage::kPrefill;
-    if (record.service != service || !answers || record.draining) continue;
-    if (listed(except, id)) continue;
+    if (!answers || record.draining || listed(except, record.id)) continue;
     const MonotonicTime available_at =
-        std::max(engine.cooldown_until, now + engine.permit_wait(now));
+        std::max(engine->cooldown_until, now + engine->permit_wait(now));
     if (available_at <= now) return std::nullopt;
     if (!first || available_at < *first) first = available_at;
   }
--- a/src/core/relay/engine_directory.hpp
+++ b/src/core/relay/engine_directory.hpp
@@ -163,7 +163,7 @@
   const EngineView* find(const EngineId& id) const;
 
   /// @return the engines of a service, ordered by id. Valid until the next change.
-  std::vector<EngineView*> find_by_service(const ServiceName& service);
+  const std::vector<EngineView*>& find_by_service(const ServiceName& service) const;
 
   std::size_t size() const { return engines_.size(); }
   const std::map<EngineId, EngineView>& all() const { return engines_; }
@@ -259,7 +259,10 @@
   void record_incarnation(const EngineRecord& record);
   void apply_peer_load(const std::map<EngineId, PeerLoad>& load, bool subtract);
   void update_peer_load(EngineView& engine) const;
-  void erase_key(const EngineView& engine);
+  void add_to_indexes(EngineView& engine);
+  void remove_from_indexes(EngineView& engine);
+  void add_to_service(EngineView& engine);
+  void remove_from_service(EngineView& engine);
   Duration add_jitter(Duration base, const EngineId& engine);
   void update_all_peer_loads();
 
@@ -268,6 +271,7 @@
   Duration shared_view_age_ = Duration::zero();
   std::map<EngineId, EngineView> engines_;
   std::multimap<EngineKey, EngineView*> by_key_;  ///< Sorted, as load sums cover ranges of keys.
+  std::map<ServiceName, std::vector<EngineView*>> by_service_;  ///< Each ordered by engine id.
   IncarnationIndex incarnations_;
   EngineNotices notices_;
   EngineLimits limits_;
--- a/src/core/relay/placement.cpp
+++ b/src/core/relay/placement.cpp
@@ -23,6 +23,7 @@
                                     const PlacementQuery& query) {
   std::vector<EngineView*> healthy;
   std::vector<EngineView*> backed_off;
+  healthy.reserve(engines.find_by_service(query.service->name).size());
   for (EngineView* engine : engines.find_by_service(query.service->name)) {
     if (!is_candidate(now, *engine, query)) continue;
     (engine->backoff_until > now ? backed_off : healthy).push_back(engine);
@@ -37,12 +38,16 @@
 /// @return the home of the prompt's shared part by rendezvous hashing, or null.
 const EngineView* home_engine(const std::vector<EngineView*>& engines, const PromptShape& prompt) {
   const auto part = prompt.shared_part();
-  if (!part || engines.empty()) return nullptr;
-  return *std::max_element(engines.begin(), engines.end(),
-                           [&](const EngineView* left, const EngineView* right) {
-                             return rendezvous_weight(*part, left->record.id) <
-                                    rendezvous_weight(*part, right->record.id);
-                           });
+  if (!part) return nullptr;
+  const EngineView* home = nullptr;
+  double highest_weight = -1;
+  for (const EngineView* engine : engines) {
+    const double weight = rendezvous_weight(*part, engine->record.id);
+    if (weight <= highest_weight) continue;
+    home = engine;
+    highest_weight = weight;
+  }
+  return home;
 }
 
 /// @return tokens of the prompt that this node knows to be cached at an engine.
@@ -150,10 +155,20 @@
   return request_ms * (1 + running / slots + std::max(0.0, running + 1 - slots));
 }
 
+/// A placement under evaluation. Refers to engines, as copies of their ids would dominate the cost
+/// of evaluating thousands.
+struct Estimate {
+  const EngineView* engine = nullptr;
+  const EngineView* fetch_from = nullptr;
+  double cost_ms = 0;
+  double expected_ms = 0;
+  std::uint64_t prefill_tokens = 0;
+};
+
 /// Estimates a placement at a model engine, fetching cached parts if that is quicker.
 void place_prompt(const PromptCosts& costs, const EngineView& engine, const PlacementQuery& query,
                   const PlacementSettings& settings, bool home, const FetchSource& source,
-                  Placement& placement) {
+                  Estimate& placement) {
   const PromptShape& prompt = *query.prompt;
   const EngineModel& model = costs.model;
   const std::uint64_t cached = cached_tokens_at(engine, prompt);
@@ -180,7 +195,18 @@
   placement.prefill_tokens = prefill_tokens;
   placement.expected_ms += fetch_ms - reading_ms;
   placement.cost_ms += fetch_ms - reading_ms;
-  placement.fetch_from = source.engine->record.id;
+  placement.fetch_from = source.engine;
+}
+
+Placement to_placement(const Estimate& best, std::size_t candidates) {
+  Placement placement;
+  placement.engine = best.engine->record.id;
+  placement.cost_ms = best.cost_ms;
+  placement.expected_ms = best.expected_ms;
+  placement.prefill_tokens = best.prefill_tokens;
+  if (best.fetch_from != nullptr) placement.fetch_from = best.fetch_from->record.id;
+  placement.candidates = candidates;
+  return placement;
 }
 
 }  // namespace
@@ -195,11 +221,10 @@
                           engines.average_prefill_tokens(), query.deferred};
   const double max_jitter_ms =
       query.prompt != nullptr ? jitter_range_ms(costs, engines, usable) : 0;
-  std::optional<Placement> best;
+  std::optional<Estimate> best;
   for (const EngineView* engine : usable) {
-    Placement placement;
-    placement.engine = engine->record.id;
-    placement.candidates = usable.size();
+    Estimate placement;
+    placement.engine = engine;
     if (query.prompt != nullptr) {
       place_prompt(costs, *engine, query, settings, engine == home, source, placement);
       placement.cost_ms += max_jitter_ms * jitter_fraction(*query.prompt, *engine);
@@ -218,7 +243,8 @@
     }
     if (!best || placement.cost_ms < best->cost_ms) best = placement;
   }
-  return best;
+  if (!best) return std::nullopt;
+  return to_placement(*best, usable.size());
 }
 
 }  // namespace shuntbank::relay
