Play tenants' quotas in the soak

--quotas: every second caller is one of a tenant that asks for about three times its quota of 100,000 tokens a second, which falls to a tenth and rises again, beside the faults of the seed; the sum is judged from what engines run (8 s, a tenth and 70,000 tokens beyond, a lower quota from 12 s on: the longest fault of the store and the 3 s to apply it).

--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -41,7 +41,8 @@
   std::cout << "seed " << soak_options.seed << ": " << site.faults().size() << " faults, "
             << counts.completed << " whole, " << counts.refused << " refused, " << counts.failed
             << " failed, " << counts.cancelled << " left early, "
-            << site.result().max_limit_utilization() << " of a limit at most, "
+            << site.result().max_limit_utilization() << " of a limit at most, " << counts.over_quota
+            << " over quota, " << site.result().max_quota_utilization() << " of a quota at most, "
             << site.result().violations().size() << " promises broken" << std::endl;
   for (const Violation& violation : site.result().violations()) {
     std::cout << "  " << violation.rule << ": " << violation.what << std::endl;
@@ -73,6 +74,8 @@
       "engines drain during store outages, half of them shed all requests, and registrations "
       "lapse")("limits", options::bool_switch(&soak_options.engine_limits),
                "engines announce a request rate limit over all nodes")(
+      "quotas", options::bool_switch(&soak_options.tenant_quotas),
+      "a tenant asks for more than its quota, which changes")(
       "other-program", options::value(&soak_options.previous_program),
       "relay program of an earlier version, for a rolling downgrade and upgrade")(
       "relays", options::value(&soak_options.relay_count)->default_value(5),
--- a/tests/platform/support/callers.cpp
+++ b/tests/platform/support/callers.cpp
@@ -10,6 +10,8 @@
 constexpr std::chrono::milliseconds kReadyCheckInterval{1000};
 constexpr int kUnreadyThreshold = 2;
 constexpr std::size_t kSharedPrefixes = 12;  ///< Prompt parts that requests share.
+constexpr int kPromptTokens = 2400;
+constexpr int kMaxOutputTokens = 80;
 
 OutgoingRequest get(const std::string& address, const std::string& target) {
   OutgoingRequest request;
@@ -110,6 +112,10 @@
     request.repeatable = true;
   }
   if (request.service == "model") request.event_count = 2 + this->random() % 18;
+  if (!this->tenant || this->request_count % 2 == 0) return request;
+  const bool model = request.service == "model";
+  request.tenant = this->tenant->name;
+  request.cost = model ? kPromptTokens + kMaxOutputTokens : this->tenant->plain_cost;
   return request;
 }
 
@@ -150,11 +156,13 @@
   outgoing.headers.add("X-Deadline-Ms", std::to_string(kRequestTimeout.count()));
   if (call->request.event_count > 0) {
     outgoing.headers.add("X-Model", "m");
-    outgoing.headers.add("X-Token-Counts", "2400,80");
+    outgoing.headers.add("X-Token-Counts",
+                         std::to_string(kPromptTokens) + "," + std::to_string(kMaxOutputTokens));
     const std::string shared_prefix = std::to_string(1 + this->random() % kSharedPrefixes);
     outgoing.headers.add("X-Prompt-Prefix", "a" + shared_prefix + ":1600,f" +
                                                 std::to_string(this->request_count) + ":800");
   }
+  if (!call->request.tenant.empty()) outgoing.headers.add("X-Api-Key", this->tenant->key);
   TransferHandlers handlers;
   handlers.on_headers = [this, call](int status, const HttpHeaders& headers) {
     call->status = status;
@@ -222,9 +230,14 @@
   if (complete) this->check_answer(call);
   const bool good = complete && call->status == 200;
   if (call->on_finished) return call->on_finished(!complete || call->status >= 500);
+  const bool over_quota = complete && call->status == 429;
   const bool refused = complete && call->status == 503;
-  ++(good ? this->totals.completed : refused ? this->totals.refused : this->totals.failed);
-  this->send_after(std::chrono::milliseconds(refused ? 250 : this->random() % 40));
+  ++(good         ? this->totals.completed
+     : over_quota ? this->totals.over_quota
+     : refused    ? this->totals.refused
+                  : this->totals.failed);
+  const bool must_wait = refused || over_quota;
+  this->send_after(std::chrono::milliseconds(must_wait ? 250 : this->random() % 40));
 }
 
 void Callers::probe(const NodeEndpoints& node, const std::string& target,
--- a/tests/platform/support/callers.hpp
+++ b/tests/platform/support/callers.hpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -25,12 +26,22 @@
   bool operator==(const NodeEndpoints&) const = default;
 };
 
+/// A tenant, and what its requests cost under its quota.
+struct CallerTenant {
+  std::string name;
+  std::string key;
+  double plain_cost = 0;  ///< Of a request without token counts.
+
+  bool operator==(const CallerTenant&) const = default;
+};
+
 /// Requests by outcome.
 struct CallerCounts {
   std::uint64_t completed = 0;
   std::uint64_t refused = 0;
   std::uint64_t failed = 0;
-  std::uint64_t cancelled = 0;  ///< Cancelled early by the caller on purpose.
+  std::uint64_t over_quota = 0;  ///< Refused under a tenant's quota.
+  std::uint64_t cancelled = 0;   ///< Cancelled early by the caller on purpose.
 
   bool operator==(const CallerCounts&) const = default;
 };
@@ -41,6 +52,9 @@
   Callers(asio::io_context& loop, Ledger& ledger, std::vector<NodeEndpoints> nodes,
           std::uint64_t seed);
 
+  /// Sends every second request with a key of this tenant, from now on.
+  void set_tenant(const CallerTenant& wanted) { this->tenant = wanted; }
+
   /// Starts `callers` closed-loop callers.
   void start(std::size_t callers);
 
@@ -87,6 +101,7 @@
   asio::steady_timer readiness_check_timer;
   CallerCounts totals;
   double cancel_share = 0.02;
+  std::optional<CallerTenant> tenant;
   bool stopped = false;
   std::size_t open_calls = 0;
   std::uint64_t request_count = 0;
--- a/tests/platform/support/ledger.cpp
+++ b/tests/platform/support/ledger.cpp
@@ -164,6 +164,8 @@
   const std::uint64_t count = ++this->run_counts[id];
   if (count > 1 && !request->repeatable) this->add_violation("TWICE", id);
   if (this->refused.count(id) > 0) this->add_violation("REFUSED", id + " ran after refusal");
+  const std::string over = this->quotas.on_run(monotonic_now(), request->tenant, request->cost);
+  if (!over.empty()) this->add_violation("QUOTA", id + " runs: " + over);
 }
 
 std::string Ledger::seal_answer(const EngineAnswer& answer) {
--- a/tests/platform/support/ledger.hpp
+++ b/tests/platform/support/ledger.hpp
@@ -13,6 +13,7 @@
 
 #include "support/limit_checker.hpp"
 #include "support/notice_checker.hpp"
+#include "support/quota_checker.hpp"
 
 namespace shuntbank::testing {
 
@@ -29,6 +30,8 @@
   std::uint64_t event_count = 0;  ///< Events of the complete stream; 0: a plain answer.
   std::string node{};             ///< Node that it was sent to.
   MonotonicTime sent_at{};
+  std::string tenant{};  ///< Empty: none.
+  double cost = 0;       ///< Under the tenant's quota.
 
   bool operator==(const SentRequest&) const = default;
 };
@@ -69,6 +72,11 @@
   /// Within this time a node must stop sending to an engine that announced draining.
   static constexpr std::chrono::milliseconds kDrainingGrace{2000};
 
+  /// Tokens that a tenant may use beyond its quota in a window.
+  static constexpr double kQuotaSlack = 70'000;
+  /// Time until all nodes apply a lower quota: the longest fault of the store, and 3 s.
+  static constexpr std::chrono::seconds kQuotaApplyTime{12};
+
   // Callers.
   void on_sent(const SentRequest& request);
   void on_answer_received(const std::string& id, int status, const std::string& seal,
@@ -106,6 +114,11 @@
 
   void on_order(const std::string& engine, const std::string& holder, std::uint64_t fence);
 
+  /// Sets a tenant's quota.
+  void set_quota(const std::string& tenant, double per_second, double burst) {
+    this->quotas.set_quota(monotonic_now(), tenant, per_second, burst);
+  }
+
   // Faults.
   /// A node was restarted, stalled or resumed.
   void on_node_disturbed(const std::string& node) {
@@ -124,6 +137,9 @@
   /// @return the highest utilization of a limit in any window.
   double max_limit_utilization() const { return this->limits.max_utilization(); }
 
+  /// @return the highest utilization of a quota in any window.
+  double max_quota_utilization() const { return this->quotas.max_utilization(); }
+
   const SentRequest* find(const std::string& id) const;
   const std::vector<Violation>& violations() const { return this->recorded_violations; }
   std::uint64_t count_runs(const std::string& id) const;
@@ -157,6 +173,7 @@
   std::vector<Violation> recorded_violations;
   NoticeChecker notices{kDrainingGrace};
   LimitChecker limits;
+  QuotaChecker quotas{{std::chrono::seconds(8), 0.1, kQuotaSlack, kQuotaApplyTime}};
   std::uint64_t seal_count = 0;
 };
 
--- a/tests/platform/support/soak_site.cpp
+++ b/tests/platform/support/soak_site.cpp
@@ -76,6 +76,8 @@
                       {{"name", "plain"}, {"max_conns", 100}}});
 }
 
+const CallerTenant kTenant{"limited", "key-limited", 200};
+
 EngineShape model_shape(const char* stage) {
   return {"model", true, stage, 48, 10ms};
 }
@@ -91,7 +93,8 @@
       crash_random(own_options.seed),
       storm_random(own_options.seed),
       notice_random(own_options.seed),
-      limit_random(own_options.seed) {
+      limit_random(own_options.seed),
+      quota_random(own_options.seed) {
   this->build_engines();
   this->put_configuration();
   this->build_relays();
@@ -154,9 +157,31 @@
     const std::string added = "/added" + std::to_string(at) + "/";
     routes.push_back(route(added.c_str(), "safe", "plain", false));
   }
-  this->store.put(
-      "config", "main",
-      {{"version", this->configuration_version}, {"routes", routes}, {"services", services()}});
+  json configuration = {
+      {"version", this->configuration_version}, {"routes", routes}, {"services", services()}};
+  if (this->options.tenant_quotas) {
+    for (json& each : configuration["routes"]) each["public"] = true;
+    configuration["tenants"] = json::array({{{"name", kTenant.name},
+                                             {"keys", {kTenant.key}},
+                                             {"unit", "tokens"},
+                                             {"uncached_tokens", kTenant.plain_cost},
+                                             {"rate_per_s", this->quota_per_second},
+                                             {"burst", this->quota_per_second}}});
+    this->ledger.set_quota(kTenant.name, this->quota_per_second, this->quota_per_second);
+  }
+  this->store.put("config", "main", configuration);
+}
+
+/// Changes the quota by up to ten times and back.
+void SoakSite::inject_quota_changes() {
+  if (this->faults_cleared) return;
+  const bool lowered = this->quota_per_second < kQuotaTokensPerSecond;
+  const double factor = 0.1 + 0.9 * static_cast<double>(this->quota_random() % 100) / 100;
+  this->quota_per_second = lowered ? kQuotaTokensPerSecond : kQuotaTokensPerSecond * factor;
+  this->log_fault("quota of " + std::to_string(this->quota_per_second) + " tokens a second");
+  this->put_configuration();
+  this->schedule(std::chrono::milliseconds(3000 + this->quota_random() % 9000),
+                 [this] { this->inject_quota_changes(); });
 }
 
 void SoakSite::wait(std::chrono::milliseconds duration) {
@@ -206,6 +231,7 @@
 
 void SoakSite::run() {
   this->keep_relays_running();
+  if (this->options.tenant_quotas) this->callers->set_tenant(kTenant);
   this->callers->start(this->options.caller_count);
   if (!this->wait_until([this] { return this->all_ready(); }, kRecoveryTimeout)) {
     this->ledger.add_violation("RECOVER", "not all relays became ready at the start");
@@ -214,6 +240,9 @@
   if (this->options.storms) this->start_storm();
   if (this->options.engine_notices) this->inject_engine_notices();
   if (this->options.engine_limits) this->inject_limit_changes();
+  if (this->options.tenant_quotas) {
+    this->schedule(8s, [this] { this->inject_quota_changes(); });
+  }
   if (!this->options.previous_program.empty()) this->switch_next_program();
   this->wait(2s);
   const auto end = std::chrono::steady_clock::now() + this->options.fault_duration;
--- a/tests/platform/support/soak_site.hpp
+++ b/tests/platform/support/soak_site.hpp
@@ -35,6 +35,8 @@
   /// Engines announce request rate limits, which may be zero: either one engine a steady, falling
   /// or rising limit, or half of the engines the same steady limit at once.
   bool engine_limits = false;
+  /// A tenant asks for more than its quota, which also falls and rises.
+  bool tenant_quotas = false;
   /// Path of an earlier version for a rolling downgrade and upgrade; may be empty. Engine limits
   /// are not checked for its nodes.
   std::string previous_program;
@@ -42,6 +44,9 @@
   bool operator==(const SoakOptions&) const = default;
 };
 
+/// The tenant's quota at first; below half of what its callers ask for.
+constexpr double kQuotaTokensPerSecond = 100'000;
+
 /// One soak run. Everything but the relays runs on one event loop in one thread.
 class SoakSite {
  public:
@@ -74,6 +79,7 @@
   void run_storm(std::uint64_t left);
   void inject_engine_notices();
   void inject_limit_changes();
+  void inject_quota_changes();
   void change_limit(std::size_t index, double per_second, int steps, double factor);
   void switch_next_program();
   void drain_during_store_outage(EngineStandin& engine);
@@ -106,6 +112,8 @@
   std::mt19937_64 storm_random;
   std::mt19937_64 notice_random;
   std::mt19937_64 limit_random;
+  std::mt19937_64 quota_random;
+  double quota_per_second = kQuotaTokensPerSecond;
   std::size_t switch_count = 0;
   std::chrono::steady_clock::time_point disturbed_until{};  ///< Of relays or store.
   bool faults_cleared = false;
