Tests that a configuration handed on by a peer holds the quotas

A change of a quota alone is no change of the summary either, so that a delta keeps the earlier one.

--- a/tests/protocol/configuration_message_test.cpp
+++ b/tests/protocol/configuration_message_test.cpp
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 
+#include <nlohmann/json.hpp>
 #include <random>
 
 using namespace shuntbank;
@@ -70,6 +71,25 @@
   cr_assert_not(decoded->configuration.tenants.has_value());
 }
 
+// A node that gets a configuration from a peer would otherwise limit no tenant.
+Test(configuration_message, includes_the_quotas_of_tenants) {
+  relay::RouteConfiguration configuration = full_configuration();
+  configuration.tenants->at(0).quota = relay::TenantQuota{982686, 491343, true, 200};
+  const auto decoded = decode_configuration(encode(ConfigurationMessage{7, configuration}));
+  cr_assert(decoded->configuration.tenants->at(0).quota == configuration.tenants->at(0).quota);
+  cr_assert_not(decoded->configuration.tenants->at(1).quota.has_value());
+}
+
+// Earlier versions hand on configurations without the quotas that they do not know.
+Test(configuration_message, rejects_tenants_of_a_sender_without_quotas) {
+  nlohmann::json document =
+      nlohmann::json::from_msgpack(encode(ConfigurationMessage{7, full_configuration()}));
+  document.erase("quotas");
+  std::string bytes;
+  nlohmann::json::to_msgpack(document, bytes);
+  cr_assert_not(decode_configuration(bytes).has_value());
+}
+
 Test(configuration_message, tolerates_corrupted_bytes) {
   std::mt19937 random(20261204);  // NOLINT: repeatable on purpose
   const std::string whole = encode(ConfigurationMessage{42, full_configuration()});
--- a/tests/protocol/configuration_summary_test.cpp
+++ b/tests/protocol/configuration_summary_test.cpp
@@ -85,7 +85,8 @@
 
 Test(configuration_summary, covers_every_tenant_field) {
   RouteConfiguration before = with_routes(3);
-  before.tenants = {{TenantName("a"), {{"k1", 5}}, 1}, {TenantName("b"), {}, std::nullopt}};
+  const relay::TenantQuota quota{10, 20, true, 30};
+  before.tenants = {{TenantName("a"), {{"k1", 5}}, 1, quota}, {TenantName("b"), {}, std::nullopt}};
   const std::vector<std::function<void(std::vector<DeclaredTenant>&)>> changes = {
       [](auto& tenants) { tenants[0].name = TenantName("x"); },
       [](auto& tenants) { tenants[0].priority = 2; },
@@ -96,6 +97,11 @@
       [](auto& tenants) {
         tenants[1].keys.push_back({"k1", 5});
       },
+      [](auto& tenants) { tenants[0].quota.reset(); },
+      [](auto& tenants) { tenants[0].quota->per_second = 11; },
+      [](auto& tenants) { tenants[0].quota->burst = 21; },
+      [](auto& tenants) { tenants[0].quota->counts_tokens = false; },
+      [](auto& tenants) { tenants[0].quota->default_tokens = 31; },
       [](auto& tenants) { tenants.pop_back(); }};
   for (std::size_t i = 0; i < changes.size(); ++i) {
     RouteConfiguration after = before;
