Hand quotas on with the configuration

Cause: the message between nodes carried a tenant's name, keys and priority; its quota was lost, and a change of a quota alone did not change the summary. Nodes that took their configuration from a peer while the store was away limited nobody. Change: the message and the summary hold quotas. Hashes of tenants without a quota are as before, so that old and new nodes exchange differences there.

--- a/src/protocol/configuration_message.cpp
+++ b/src/protocol/configuration_message.cpp
@@ -15,6 +15,7 @@
 using relay::Route;
 using relay::RouteConfiguration;
 using relay::RouteKind;
+using relay::TenantQuota;
 
 json micros(Duration duration) {
   return duration.count();
@@ -129,6 +130,22 @@
   return service;
 }
 
+json to_json(const TenantQuota& quota) {
+  return {{"per_second", quota.per_second},
+          {"burst", quota.burst},
+          {"tokens", quota.counts_tokens},
+          {"default_tokens", quota.default_tokens}};
+}
+
+TenantQuota quota_from_json(const json& object) {
+  TenantQuota quota;
+  quota.per_second = object.at("per_second").get<double>();
+  quota.burst = object.at("burst").get<double>();
+  quota.counts_tokens = object.at("tokens").get<bool>();
+  quota.default_tokens = object.at("default_tokens").get<std::uint64_t>();
+  return quota;
+}
+
 json to_json(const DeclaredTenant& tenant) {
   json keys = json::array();
   for (const TenantKey& key : tenant.keys) {
@@ -138,6 +155,7 @@
   }
   json object = {{"name", tenant.name.value()}, {"keys", std::move(keys)}};
   if (tenant.priority) object["priority"] = *tenant.priority;
+  if (tenant.quota) object["quota"] = to_json(*tenant.quota);
   return object;
 }
 
@@ -151,6 +169,7 @@
     tenant.keys.push_back(std::move(key));
   }
   if (object.contains("priority")) tenant.priority = object["priority"].get<int>();
+  if (object.contains("quota")) tenant.quota = quota_from_json(object["quota"]);
   return tenant;
 }
 
@@ -213,6 +232,9 @@
   return std::find(groups.begin(), groups.end(), group) != groups.end();
 }
 
+/// Whether the sender knows the quotas of tenants. Earlier versions omit it.
+constexpr const char* kKnowsQuotas = "quotas";
+
 /// Distinguishes the call from others on the same port.
 constexpr std::string_view kCallPrefix = "configuration?";
 
@@ -287,6 +309,7 @@
   }
   if (configuration.tenants) {
     document["tenants"] = json::array();
+    document[kKnowsQuotas] = true;
     for (const DeclaredTenant& tenant : *configuration.tenants) {
       document["tenants"].push_back(to_json(tenant));
     }
@@ -300,6 +323,9 @@
 tl::expected<ConfigurationMessage, std::string> decode_configuration(std::string_view bytes) {
   try {
     const json document = json::from_msgpack(bytes.begin(), bytes.end());
+    if (document.contains("tenants") && !document.contains(kKnowsQuotas)) {
+      return tl::make_unexpected(std::string("the sender does not know the tenants' quotas"));
+    }
     ConfigurationMessage message{document.at("revision").get<std::uint64_t>(),
                                  configuration_from_json(document)};
     if (document.contains("part")) message.delta = delta_from_json(document["part"]);
--- a/src/protocol/configuration_summary.cpp
+++ b/src/protocol/configuration_summary.cpp
@@ -61,6 +61,13 @@
     fields.add(std::uint64_t{key.expires_at.has_value()});
     fields.add(static_cast<std::uint64_t>(key.expires_at.value_or(0)));
   }
+  // Earlier versions have the same hash if there is no quota.
+  if (tenant.quota) {
+    fields.add(tenant.quota->per_second);
+    fields.add(tenant.quota->burst);
+    fields.add(std::uint64_t{tenant.quota->counts_tokens});
+    fields.add(tenant.quota->default_tokens);
+  }
   return fields.hash();
 }
 
--- a/src/relay/limit_ownership.cpp
+++ b/src/relay/limit_ownership.cpp
@@ -16,6 +16,7 @@
   this->self = own_name;
   this->selector = LimitOwnerSelector(own_name);
   this->peers = &others;
+  this->last_tick_at = this->runtime.now();
 }
 
 void LimitOwnership::set_nodes(std::vector<NodeId> nodes) {
