--- a/src/relay/peer_directory.cpp
+++ b/src/relay/peer_directory.cpp
@@ -94,12 +94,22 @@
     } else if (change.object.name != this->self.value()) {
       this->records.erase(NodeId(change.object.name));
     }
-    this->change_handler();
+    this->notify_later();
   };
   this->watch = std::make_unique<store::KindWatch>(this->runtime, this->store, this->settings.kind,
                                                    watch_settings(), std::move(handlers));
 }
 
+/// Notifies once for all changes of a batch: the handler's cost grows with the number of nodes.
+void PeerDirectory::notify_later() {
+  if (std::exchange(this->notification_queued, true)) return;
+  this->runtime.post([this, living = this->alive] {
+    if (!*living) return;
+    this->notification_queued = false;
+    this->change_handler();
+  });
+}
+
 void PeerDirectory::apply_record(const store::StoredObject& object) {
   if (!object.content.is_object() || object.name == this->self.value()) return;
   try {
--- a/src/relay/peer_directory.hpp
+++ b/src/relay/peer_directory.hpp
@@ -20,7 +20,7 @@
  public:
   /// All references outlive this.
   /// @param name name of this node. @param record record of this node.
-  /// @param on_change called with the first list and after each change.
+  /// @param on_change called with the first list and after each batch of changes.
   PeerDirectory(Runtime& runtime, store::ObjectStore& store, const NodeId& name,
                 const PeerRecord& record, const PeerDirectorySettings& settings,
                 std::function<void()> on_change);
@@ -55,6 +55,7 @@
   void register_self();
   void watch_nodes();
   void apply_record(const store::StoredObject& object);
+  void notify_later();
 
   Runtime& runtime;
   store::ObjectStore& store;
@@ -62,6 +63,7 @@
   PeerDirectorySettings settings;
   std::function<void()> change_handler;
   PeerRecords records;
+  bool notification_queued = false;
   std::unique_ptr<store::KindWatch> watch;
   std::unique_ptr<Timer> start_timer;
   std::unique_ptr<Timer> register_timer;
