--- a/src/core/relay/engine_directory.cpp
+++ b/src/core/relay/engine_directory.cpp
@@ -144,9 +144,9 @@
 }
 
 const std::vector<EngineView*>& EngineDirectory::find_by_service(const ServiceName& service) const {
-  static const std::vector<EngineView*> kNone;
+  static const std::vector<EngineView*> none;
   const auto found = by_service_.find(service);
-  return found == by_service_.end() ? kNone : found->second;
+  return found == by_service_.end() ? none : found->second;
 }
 
 bool EngineDirectory::on_draining(const EngineId& id) {
