Test that the limit checker holds nothing unlimited against a limit

Trace: the engine removed its limit of 20 at 42.6 s and named 5 at 45.4; relays sent it 7 to 11 requests each 0.1 s until 45.49, all heard of 5 by 45.503, and sent exactly one each 0.2 s from 45.5 on. A response with the limit of 20 had been forwarded after its removal, so that the checker counted the requests of the time without a limit.

--- a/tests/platform/limit_checker_test.cpp
+++ b/tests/platform/limit_checker_test.cpp
@@ -64,6 +64,17 @@
   cr_assert_gt(count_violations(checker, kNow + 58s, 30, "n1"), 0);
 }
 
+// A response with the earlier limit may be forwarded after the engine has removed it.
+Test(limit_checker, holds_no_unlimited_request_against_the_next_limit) {
+  LimitChecker checker = checker_with_limit_one();
+  checker.clear_limit("e");
+  checker.on_limit_received(kNow + 10s, {"n1", "e"});
+  cr_assert_eq(count_violations(checker, kNow + 11s, 60, "n1"), 0);
+  checker.set_limit(kNow + 14s, "e", 1);
+  cr_assert_eq(count_violations(checker, kNow + 14s, 11, "n1"), 0);
+  cr_assert_gt(count_violations(checker, kNow + 20s, 13, "n1"), 0);
+}
+
 Test(limit_checker, ignores_reset_and_unaware_nodes) {
   LimitChecker checker = checker_with_limit_one();
   count_violations(checker, kNow + 10s, 11, "n1");
