Count no request of a time without a limit

Change: the checker counts arrivals only while a limit is in force; nodes, window, factor and slack as they were.

--- a/tests/support/limit_checker.hpp
+++ b/tests/support/limit_checker.hpp
@@ -64,11 +64,12 @@
     const auto found = this->engines.find(pair.incarnation);
     if (found == this->engines.end()) return "";
     Engine& engine = found->second;
+    if (engine.limits.empty()) return "";
     const auto received = engine.aware_since.find(pair.node);
     if (received == engine.aware_since.end() || now < received->second + kInFlightTime) return "";
     engine.arrivals.push_back({now, pair.node});
     while (engine.arrivals.front().at <= now - kWindow) engine.arrivals.pop_front();
-    if (engine.limits.empty() || now < *engine.first_limit_at + kConvergenceTime) return "";
+    if (now < *engine.first_limit_at + kConvergenceTime) return "";
     const auto received_count = static_cast<double>(engine.arrivals.size());
     const double allowed = kFactor * allowance_in_window(engine, now) + kSlack;
     this->peak_utilization = std::max(this->peak_utilization, received_count / allowed);
