Reword four comments of the quotas after a reader's pass

Cause: read as a newcomer, "added to that share" and "a sign of life" needed a second reading, and "the most of the answer" is no usual term. Ruled out: renaming, as no name needed it. Change: comments only; no line of code differs (checked on the diff). Format and names checked, tenant_quotas.cpp compiles.

--- a/src/relay/engine_dialect.hpp
+++ b/src/relay/engine_dialect.hpp
@@ -78,8 +78,8 @@
   /// @return the shape of the request's prompt, or nothing when it is missing or malformed.
   virtual std::optional<PromptShape> parse_prompt(const HttpHeaders& headers) const = 0;
 
-  /// @return the tokens of the prompt and the most of the answer, as the caller names them, or
-  /// nothing when they are missing or malformed.
+  /// @return the sum of the prompt's tokens and the maximum number of output tokens, or nothing
+  /// when they are missing or malformed.
   virtual std::optional<std::uint64_t> parse_token_count(const HttpHeaders& headers) const = 0;
 
   /// @return the load reported with an answer, or nothing.
--- a/src/relay/tenant_quotas.cpp
+++ b/src/relay/tenant_quotas.cpp
@@ -19,8 +19,8 @@
 
 constexpr Duration kTickInterval = std::chrono::milliseconds(100);
 
-/// An owner grants the share of the quota that corresponds to the nodes it reaches, as the others
-/// may have another owner. Added to that share, since some nodes are being restarted at any time.
+/// Added to the fraction of the nodes that an owner reaches; it grants that fraction of the quota,
+/// as the other nodes may have another owner. Covers nodes that are being restarted.
 constexpr double kReachTolerance = 0.02;
 
 /// Time until a node has noticed all nodes that it no longer reaches.
@@ -90,14 +90,14 @@
   });
 }
 
-/// Asks the owner for a sign of life.
+/// Sends the owner a call without a request, which it answers at once.
 void TenantQuotas::probe_owner(const TenantName& tenant, const Quota& quota) {
   const auto owner = this->ownership.remote_owner(limit_name(tenant));
   if (owner) this->send_call(*owner, 0, {tenant, quota.terms, 0}, 0);
 }
 
-/// Applies unsettled costs if this node owns the quota. Otherwise they are reported when the owner
-/// gives a sign of life, as a report to a node that is gone would be lost.
+/// Applies unsettled costs if this node owns the quota. Otherwise they are reported once the owner
+/// has answered, as a report to a node that is gone would be lost.
 void TenantQuotas::settle(const TenantName& tenant, Quota& quota) {
   if (quota.unsettled == 0) return;
   if (!this->is_owner(tenant, quota)) return this->probe_owner(tenant, quota);
