Carry stage notices and engine samples between nodes

Cause: a node learns of a stage order from refusals, and of an engine's speed from about one sample in ten seconds. Both need to travel with the load that nodes exchange anyway. Ruled out: a message of its own (another datagram per node and interval) and the store (a priced call for each change). Unknown lists are ignored by nodes of the previous release; its bytes are still decoded and encoded as before (earlier_messages_test). Nothing fills or reads the lists yet, so that behaviour is unchanged. docs/UNEVEN-LOAD.md says what they are for.

--- a/src/core/relay/engine_directory.cpp
+++ b/src/core/relay/engine_directory.cpp
@@ -174,6 +174,19 @@
   if (engine != nullptr) engine->next_permit_at = limits_.next_permit(id);
 }
 
+void EngineDirectory::on_stage_notice(MonotonicTime now, const EngineId& id,
+                                      const StageNotice& notice) {
+  EngineView* engine = find(id);
+  if (engine == nullptr) return;
+  if (engine->stage_notice && notice.fence < engine->stage_notice->fence) return;
+  engine->stage_notice = {notice.stage, notice.fence, now + notice.valid_for};
+}
+
+void EngineDirectory::on_samples(const EngineId& id, const EngineSamples& samples) {
+  EngineView* engine = find(id);
+  if (engine != nullptr) engine->samples += samples;
+}
+
 std::optional<MonotonicTime> EngineDirectory::next_available_at(
     MonotonicTime now, const ServiceName& service, const std::vector<EngineId>* except) const {
   std::optional<MonotonicTime> first;
--- a/src/core/relay/engine_directory.hpp
+++ b/src/core/relay/engine_directory.hpp
@@ -17,11 +17,13 @@
 #include "core/relay/engine_limit.hpp"
 #include "core/relay/engine_model.hpp"
 #include "core/relay/engine_notice.hpp"
+#include "core/relay/engine_samples.hpp"
 #include "core/relay/engine_stage.hpp"
 #include "core/relay/engine_trouble.hpp"
 #include "core/relay/incarnation_index.hpp"
 #include "core/relay/peer_load.hpp"
 #include "core/relay/prompt_cache_view.hpp"
+#include "core/relay/stage_notice.hpp"
 
 namespace shuntbank::relay {
 
@@ -98,6 +100,8 @@
   std::uint64_t memory_tokens = 0;    ///< For running requests and cached parts; 0: unknown.
   double event_interval_ms = 0;       ///< Moving average of the time between stream events.
   MonotonicTime event_interval_at{};  ///< When `event_interval_ms` was last updated.
+  EngineSamples samples;              ///< Of all nodes, since this node knows the engine.
+  std::optional<ReceivedStageNotice> stage_notice;  ///< The last one, possibly expired.
 
   /// @return whether it is neither draining nor in cooldown.
   bool accepts_requests(MonotonicTime now) const {
@@ -225,6 +229,12 @@
 
   const EngineLimits& limits() const { return limits_; }
 
+  /// Applies a notice of an upcoming stage change, unless it is of an earlier lease than the last.
+  void on_stage_notice(MonotonicTime now, const EngineId& id, const StageNotice& notice);
+
+  /// Adds observations of this node or another one.
+  void on_samples(const EngineId& id, const EngineSamples& samples);
+
   /// @return when the first engine of a service that can answer accepts requests again; unset if
   /// one accepts them now or all are draining. @param except engines to leave out.
   std::optional<MonotonicTime> next_available_at(
--- a/src/core/relay/engine_updates.cpp
+++ b/src/core/relay/engine_updates.cpp
@@ -7,6 +7,8 @@
   troubles.insert(troubles.end(), more.troubles.begin(), more.troubles.end());
   crashes.insert(crashes.end(), more.crashes.begin(), more.crashes.end());
   limits.insert(limits.end(), more.limits.begin(), more.limits.end());
+  stage_notices.insert(stage_notices.end(), more.stage_notices.begin(), more.stage_notices.end());
+  for (const auto& [engine, added] : more.samples) samples[engine] += added;
 }
 
 }  // namespace shuntbank::relay
--- a/src/core/relay/engine_updates.hpp
+++ b/src/core/relay/engine_updates.hpp
@@ -7,6 +7,8 @@
 #include "core/relay/crash_report.hpp"
 #include "core/relay/engine_directory.hpp"
 #include "core/relay/engine_key.hpp"
+#include "core/relay/engine_samples.hpp"
+#include "core/relay/stage_notice.hpp"
 
 namespace shuntbank::relay {
 
@@ -41,9 +43,12 @@
   std::vector<KeyedTrouble> troubles;
   std::vector<CrashReport> crashes;
   std::vector<KeyedLimit> limits;
+  std::vector<KeyedStageNotice> stage_notices;
+  SamplesByKey samples;
 
   bool empty() const {
-    return reads.empty() && troubles.empty() && crashes.empty() && limits.empty();
+    return reads.empty() && troubles.empty() && crashes.empty() && limits.empty() &&
+           stage_notices.empty() && samples.empty();
   }
   void append(const EngineUpdates& more);
   bool operator==(const EngineUpdates&) const = default;
--- /dev/null
+++ b/src/protocol/engine_facts_codec.cpp
@@ -0,0 +1,42 @@
+#include "protocol/engine_facts_codec.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace shuntbank {
+namespace {
+
+/// Longer validities are cut to this, so that a faulty value does not bar an engine for long.
+constexpr std::uint32_t kMaxNoticeMs = 60'000;
+
+}  // namespace
+
+void append_notice(nlohmann::json& entry, const relay::StageNotice& notice) {
+  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(notice.valid_for).count();
+  entry.push_back(static_cast<int>(notice.stage));
+  entry.push_back(notice.fence);
+  entry.push_back(static_cast<std::uint32_t>(std::clamp<std::int64_t>(ms, 0, kMaxNoticeMs)));
+}
+
+relay::StageNotice notice_in(const nlohmann::json& entry) {
+  const std::uint32_t ms = std::min(entry.at(3).get<std::uint32_t>(), kMaxNoticeMs);
+  return {static_cast<relay::EngineStage>(entry.at(1).get<int>()), entry.at(2).get<std::uint64_t>(),
+          std::chrono::milliseconds(ms)};
+}
+
+void append_samples(nlohmann::json& entry, const relay::EngineSamples& samples) {
+  entry.push_back(samples.prefills);
+  entry.push_back(samples.prefill_percent);
+  entry.push_back(samples.streams);
+  entry.push_back(samples.interval_ms);
+  entry.push_back(samples.longest_gap_ms);
+  entry.push_back(samples.late_streams);
+  entry.push_back(samples.slowdown_percent);
+}
+
+relay::EngineSamples samples_in(const nlohmann::json& entry) {
+  const auto number = [&](std::size_t index) { return entry.at(index).get<std::uint32_t>(); };
+  return {number(1), number(2), number(3), number(4), number(5), number(6), number(7)};
+}
+
+}  // namespace shuntbank
--- a/src/protocol/load_digest.cpp
+++ b/src/protocol/load_digest.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "protocol/crash_report_codec.hpp"
+#include "protocol/engine_facts_codec.hpp"
 #include "protocol/limit_codec.hpp"
 #include "protocol/load_message.hpp"
 #include "protocol/trouble_codec.hpp"
@@ -132,14 +133,65 @@
   return limits;
 }
 
+json notices_to_json(const std::vector<relay::KeyedStageNotice>& notices) {
+  json list = json::array();
+  for (const relay::KeyedStageNotice& keyed : notices) {
+    json entry = json::array({keyed.engine});
+    append_notice(entry, keyed.notice);
+    list.push_back(std::move(entry));
+  }
+  return list;
+}
+
+std::vector<relay::KeyedStageNotice> notices_from_json(const json& list) {
+  std::vector<relay::KeyedStageNotice> notices;
+  for (const json& entry : list) {
+    notices.push_back({entry.at(0).get<relay::EngineKey>(), notice_in(entry)});
+  }
+  return notices;
+}
+
+json samples_to_json(const relay::SamplesByKey& samples) {
+  json list = json::array();
+  for (const auto& [engine, sums] : samples) {
+    json entry = json::array({engine});
+    append_samples(entry, sums);
+    list.push_back(std::move(entry));
+  }
+  return list;
+}
+
+relay::SamplesByKey samples_from_json(const json& list) {
+  relay::SamplesByKey samples;
+  for (const json& entry : list) samples[entry.at(0).get<relay::EngineKey>()] += samples_in(entry);
+  return samples;
+}
+
 /// Lists that are usually empty come last, so that they can be omitted.
 json updates_to_json(const relay::EngineUpdates& updates) {
-  json lists = {reads_to_json(updates.reads), troubles_to_json(updates.troubles),
-                to_json(updates.crashes)};
-  if (!updates.limits.empty()) lists.push_back(limits_to_json(updates.limits));
+  constexpr std::size_t kRequiredLists = 3;
+  json lists = {reads_to_json(updates.reads),
+                troubles_to_json(updates.troubles),
+                to_json(updates.crashes),
+                limits_to_json(updates.limits),
+                notices_to_json(updates.stage_notices),
+                samples_to_json(updates.samples)};
+  while (lists.size() > kRequiredLists && lists.back().empty()) lists.erase(lists.size() - 1);
   return lists;
 }
 
+relay::EngineUpdates updates_from_json(const json& lists) {
+  relay::EngineUpdates updates;
+  updates.reads = reads_from_json(lists.at(0));
+  updates.troubles = troubles_from_json(lists.at(1));
+  // Earlier versions omit these lists.
+  if (lists.size() > 2) updates.crashes = crash_reports_from_json(lists.at(2));
+  if (lists.size() > 3) updates.limits = limits_from_json(lists.at(3));
+  if (lists.size() > 4) updates.stage_notices = notices_from_json(lists.at(4));
+  if (lists.size() > 5) updates.samples = samples_from_json(lists.at(5));
+  return updates;
+}
+
 std::string encode(const LoadDigest& digest) {
   const json document = {digest.collector.value(),
                          digest.number.boot,
@@ -171,6 +223,10 @@
       this->add_trouble(trouble);
     for (const relay::CrashReport& crash : this->whole.updates.crashes) this->add_crash(crash);
     for (const relay::KeyedLimit& limit : this->whole.updates.limits) this->add_limit(limit);
+    for (const relay::KeyedStageNotice& notice : this->whole.updates.stage_notices)
+      this->add_notice(notice);
+    for (const auto& [engine, samples] : this->whole.updates.samples)
+      this->add_samples(engine, samples);
     this->parts.push_back(encode(this->part));
     return std::move(this->parts);
   }
@@ -230,6 +286,16 @@
     this->part.updates.limits.push_back(limit);
   }
 
+  void add_notice(const relay::KeyedStageNotice& notice) {
+    if (this->overflows(kMaxStageNoticeBytes)) this->begin_updates_part();
+    this->part.updates.stage_notices.push_back(notice);
+  }
+
+  void add_samples(relay::EngineKey engine, const relay::EngineSamples& samples) {
+    if (this->overflows(kMaxSamplesBytes)) this->begin_updates_part();
+    this->part.updates.samples[engine] = samples;
+  }
+
   const LoadDigest& whole;
   LoadDigest part;
   std::size_t bytes = 0;
@@ -280,12 +346,7 @@
     digest.range.first = document.at(5).at(0).get<relay::EngineKey>();
     digest.range.last = document.at(5).at(1).get<relay::EngineKey>();
     digest.range.load = load_from_json(document.at(6));
-    digest.updates.reads = reads_from_json(document.at(7).at(0));
-    digest.updates.troubles = troubles_from_json(document.at(7).at(1));
-    // Earlier versions omit these lists.
-    if (document.at(7).size() > 2)
-      digest.updates.crashes = crash_reports_from_json(document.at(7).at(2));
-    if (document.at(7).size() > 3) digest.updates.limits = limits_from_json(document.at(7).at(3));
+    digest.updates = updates_from_json(document.at(7));
     digest.revisions = {document.at(8).at(0).get<std::uint64_t>(),
                         document.at(8).at(1).get<std::uint64_t>()};
     digest.store_age_ms = document.at(9).get<std::uint32_t>();
--- a/src/protocol/load_message.cpp
+++ b/src/protocol/load_message.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "protocol/crash_report_codec.hpp"
+#include "protocol/engine_facts_codec.hpp"
 #include "protocol/limit_codec.hpp"
 #include "protocol/trouble_codec.hpp"
 
@@ -72,6 +73,42 @@
   return limits;
 }
 
+json notices_to_json(const std::vector<relay::EngineStageNotice>& notices) {
+  json list = json::array();
+  for (const relay::EngineStageNotice& item : notices) {
+    json entry = json::array({item.engine.value()});
+    append_notice(entry, item.notice);
+    list.push_back(std::move(entry));
+  }
+  return list;
+}
+
+std::vector<relay::EngineStageNotice> notices_from_json(const json& list) {
+  std::vector<relay::EngineStageNotice> notices;
+  for (const json& entry : list) {
+    notices.push_back({EngineId(entry.at(0).get<std::string>()), notice_in(entry)});
+  }
+  return notices;
+}
+
+json samples_to_json(const relay::SamplesById& samples) {
+  json list = json::array();
+  for (const auto& [engine, sums] : samples) {
+    json entry = json::array({engine.value()});
+    append_samples(entry, sums);
+    list.push_back(std::move(entry));
+  }
+  return list;
+}
+
+relay::SamplesById samples_from_json(const json& list) {
+  relay::SamplesById samples;
+  for (const json& entry : list) {
+    samples[EngineId(entry.at(0).get<std::string>())] += samples_in(entry);
+  }
+  return samples;
+}
+
 }  // namespace
 
 std::string encode(const LoadMessage& message) {
@@ -92,6 +129,8 @@
   if (!message.troubles.empty()) document["troubles"] = troubles_to_json(message.troubles);
   if (!message.limits.empty()) document["limits"] = limits_to_json(message.limits);
   if (!message.crashes.empty()) document["crashes"] = to_json(message.crashes);
+  if (!message.stage_notices.empty()) document["stages"] = notices_to_json(message.stage_notices);
+  if (!message.samples.empty()) document["samples"] = samples_to_json(message.samples);
   std::string bytes;
   json::to_msgpack(document, bytes);
   return bytes;
@@ -99,14 +138,18 @@
 
 std::string encode(const CacheSnapshot& snapshot) {
   std::string bytes;
-  json::to_msgpack(json{{"kept", reads_to_json(snapshot.cached_prompts)}}, bytes);
+  json document = {{"kept", reads_to_json(snapshot.cached_prompts)}};
+  if (!snapshot.samples.empty()) document["samples"] = samples_to_json(snapshot.samples);
+  json::to_msgpack(document, bytes);
   return bytes;
 }
 
 tl::expected<CacheSnapshot, std::string> decode_cache_snapshot(std::string_view bytes) {
   try {
     const json document = json::from_msgpack(bytes.begin(), bytes.end());
-    return CacheSnapshot{reads_from_json(document.at("kept"))};
+    CacheSnapshot snapshot{reads_from_json(document.at("kept")), {}};
+    if (document.contains("samples")) snapshot.samples = samples_from_json(document["samples"]);
+    return snapshot;
   } catch (const json::exception& error) {
     return tl::make_unexpected(std::string(error.what()));
   }
@@ -140,6 +183,8 @@
     if (document.contains("limits")) message.limits = limits_from_json(document["limits"]);
     if (document.contains("crashes"))
       message.crashes = crash_reports_from_json(document["crashes"]);
+    if (document.contains("stages")) message.stage_notices = notices_from_json(document["stages"]);
+    if (document.contains("samples")) message.samples = samples_from_json(document["samples"]);
     if (document.contains("reads")) message.reads = reads_from_json(document["reads"]);
     return message;
   } catch (const json::exception& error) {
--- a/src/protocol/load_message.hpp
+++ b/src/protocol/load_message.hpp
@@ -14,6 +14,8 @@
 #include "core/relay/catalog_revisions.hpp"
 #include "core/relay/crash_report.hpp"
 #include "core/relay/engine_directory.hpp"
+#include "core/relay/engine_samples.hpp"
+#include "core/relay/stage_notice.hpp"
 
 namespace shuntbank {
 
@@ -31,11 +33,13 @@
   std::uint64_t boot = 0;      ///< Random number of the process.
   std::uint64_t sequence = 0;  ///< Increases with each message of a process.
   std::map<EngineId, relay::PeerLoad> load;
-  std::vector<relay::PromptRead> reads;        ///< Since the last message.
-  std::vector<relay::EngineTrouble> troubles;  ///< The same.
-  std::vector<EngineLimitReport> limits;       ///< The same.
-  std::vector<relay::CrashReport> crashes;     ///< Reports that are due.
-  relay::CatalogRevisions revisions;           ///< Newest store revisions that the node has seen.
+  std::vector<relay::PromptRead> reads;                 ///< Since the last message.
+  std::vector<relay::EngineTrouble> troubles;           ///< The same.
+  std::vector<EngineLimitReport> limits;                ///< The same.
+  std::vector<relay::EngineStageNotice> stage_notices;  ///< The same.
+  relay::SamplesById samples;                           ///< The same.
+  std::vector<relay::CrashReport> crashes;              ///< Reports that are due.
+  relay::CatalogRevisions revisions;  ///< Newest store revisions that the node has seen.
   /// Milliseconds since the store confirmed them; set by store readers only.
   std::optional<std::uint32_t> store_age_ms;
   bool to_collector = false;  ///< The receiver is to add this load to its load sum.
@@ -45,6 +49,7 @@
 /// Prompts cached at the engines, requested by a node that has just started.
 struct CacheSnapshot {
   std::vector<relay::PromptRead> cached_prompts;  ///< One per engine; least recently used first.
+  relay::SamplesById samples = {};                ///< All that the answering node has.
 };
 
 /// Largest message, in bytes; fits into one datagram on common links.
--- a/src/relay/load_exchange.cpp
+++ b/src/relay/load_exchange.cpp
@@ -145,6 +145,8 @@
     return;
   }
   for (const PromptRead& read : snapshot->cached_prompts) node_.on_peer_prompt_read(read);
+  for (const auto& [engine, samples] : snapshot->samples)
+    node_.engines().on_samples(engine, samples);
   log_event(LogArea::kControl, LogLevel::kInfo, "caches_learned",
             {{"engines", snapshot->cached_prompts.size()}, {"bytes", answer->size()}});
 }
@@ -159,6 +161,7 @@
   for (const auto& [id, engine] : node_.engines().all()) {
     auto parts = engine.cache.cached_parts();
     if (!parts.empty()) snapshot.cached_prompts.push_back({id, std::move(parts)});
+    if (!engine.samples.empty()) snapshot.samples[id] = engine.samples;
   }
   std::string bytes = encode(snapshot);
   return bytes.size() <= kMaxCacheSnapshot ? bytes : std::string();
@@ -192,6 +195,8 @@
     message.limits.push_back({update.engine, to_report(update.limit, runtime_.now())});
   }
   message.crashes = node_.quarantine().take_reports();
+  message.stage_notices = node_.take_stage_notices();
+  message.samples = node_.take_samples();
   if (!own_progress_) return message;
   const StoreProgress progress = own_progress_();
   message.revisions = progress.seen;
@@ -265,6 +270,9 @@
   }
   for (const EngineLimitReport& report : message.limits)
     node_.on_peer_limit(report.engine, report.limit);
+  for (const EngineStageNotice& item : message.stage_notices)
+    node_.engines().on_stage_notice(now, item.engine, item.notice);
+  for (const auto& [engine, samples] : message.samples) node_.engines().on_samples(engine, samples);
   node_.quarantine().on_peer_reports(message.crashes);
   if (on_revisions_) on_revisions_(message.revisions);
   for (const PromptRead& read : message.reads) node_.on_peer_prompt_read(read);
--- a/src/relay/relay_context.cpp
+++ b/src/relay/relay_context.cpp
@@ -35,6 +35,18 @@
   notify_load_changed();
 }
 
+void RelayContext::queue_stage_notice(const EngineStageNotice& notice) {
+  engines.on_stage_notice(runtime.now(), notice.engine, notice.notice);
+  if (!load_changed) return;
+  pending_stage_notices.push_back(notice);
+  notify_load_changed();
+}
+
+void RelayContext::queue_samples(const EngineId& engine, const EngineSamples& samples) {
+  engines.on_samples(engine, samples);
+  if (load_changed) pending_samples[engine] += samples;
+}
+
 void RelayContext::queue_trouble(const EngineTrouble& trouble) {
   if (!load_changed) return;
   pending_troubles.push_back(trouble);
--- a/src/relay/relay_context.hpp
+++ b/src/relay/relay_context.hpp
@@ -7,7 +7,9 @@
 
 #include "common/runtime.hpp"
 #include "core/relay/engine_directory.hpp"
+#include "core/relay/engine_samples.hpp"
 #include "core/relay/retry_budget.hpp"
+#include "core/relay/stage_notice.hpp"
 #include "net/http_client.hpp"
 #include "relay/engine_dialect.hpp"
 #include "relay/engine_listener.hpp"
@@ -38,6 +40,8 @@
   std::vector<PromptRead> pending_prompt_reads;    ///< Not yet sent; empty without a load exchange.
   std::vector<EngineTrouble> pending_troubles;     ///< Likewise.
   std::vector<LimitUpdate> pending_limit_updates;  ///< Likewise.
+  std::vector<EngineStageNotice> pending_stage_notices;  ///< Likewise.
+  SamplesById pending_samples;                           ///< Likewise.
 
   /// An engine has prefilled a prompt and caches its parts.
   void on_prompt_read(const EngineId& engine, const std::vector<PromptPart>& parts);
@@ -48,6 +52,12 @@
   /// Queues a changed engine limit for the other nodes.
   void queue_limit_update(const LimitUpdate& update);
 
+  /// Applies a notice of this node's planner and queues it for the other nodes.
+  void queue_stage_notice(const EngineStageNotice& notice);
+
+  /// Applies this node's observations of an engine and queues them for the other nodes.
+  void queue_samples(const EngineId& engine, const EngineSamples& samples);
+
   /// The engine's address refuses connections: the engine process has terminated.
   void on_engine_terminated(const EngineId& engine);
 
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -36,7 +36,7 @@
       quotas_(io.runtime, metrics_, random_number(io.runtime)),
       context_{io.runtime, io.http,     io.dialect, settings_, engines_, metrics_,
                budgets_,   quarantine_, listener_,  permits_,  quotas_,  {},
-               {},         {},          {},         {}},
+               {},         {},          {},         {},        {},       {}},
       splits_(random_fraction(io.runtime)),
       slack_available_from_(io.runtime.now() + charge_duration(settings.retry_budget)) {
   quarantine_.on_reports_pending([this] { context_.notify_load_changed(); });
--- a/src/relay/relay_node.hpp
+++ b/src/relay/relay_node.hpp
@@ -118,6 +118,17 @@
     return std::exchange(context_.pending_limit_updates, {});
   }
 
+  /// Applies a notice of this node's planner and queues it for the other nodes.
+  void queue_stage_notice(const EngineStageNotice& notice) { context_.queue_stage_notice(notice); }
+
+  /// @return stage notices queued since the last call.
+  std::vector<EngineStageNotice> take_stage_notices() {
+    return std::exchange(context_.pending_stage_notices, {});
+  }
+
+  /// @return engine samples queued since the last call.
+  SamplesById take_samples() { return std::exchange(context_.pending_samples, {}); }
+
   /// An engine has prefilled a prompt for another node.
   void on_peer_prompt_read(const PromptRead& read);
 
--- a/src/relay/zone_exchange.cpp
+++ b/src/relay/zone_exchange.cpp
@@ -31,6 +31,12 @@
   for (const EngineLimitReport& limit : message.limits) {
     updates.limits.push_back({engine_key(limit.engine), limit.limit});
   }
+  for (const EngineStageNotice& item : message.stage_notices) {
+    updates.stage_notices.push_back({engine_key(item.engine), item.notice});
+  }
+  for (const auto& [engine, samples] : message.samples) {
+    updates.samples[engine_key(engine)] += samples;
+  }
   return updates;
 }
 
@@ -201,6 +207,17 @@
     const EngineView* engine = engines.find_by_key(keyed.engine);
     if (engine != nullptr) this->node.on_peer_limit(engine->record.id, keyed.limit);
   }
+  for (const KeyedStageNotice& keyed : updates.stage_notices) {
+    const EngineView* engine = engines.find_by_key(keyed.engine);
+    if (engine != nullptr)
+      engines.on_stage_notice(this->runtime.now(), engine->record.id, keyed.notice);
+  }
+  // The sum includes this node's own samples, which therefore count twice here; one node's share of
+  // a fleet that uses collectors is small.
+  for (const auto& [key, samples] : updates.samples) {
+    const EngineView* engine = engines.find_by_key(key);
+    if (engine != nullptr) engines.on_samples(engine->record.id, samples);
+  }
   for (const KeyedTrouble& trouble : updates.troubles) {
     const EngineView* engine = engines.find_by_key(trouble.engine);
     if (engine == nullptr) continue;
--- a/tests/protocol/earlier_messages_test.cpp
+++ b/tests/protocol/earlier_messages_test.cpp
@@ -131,3 +131,43 @@
   lists[7].erase(3);
   cr_assert(lists == parsed(from_hexadecimal(kDigestHex)));
 }
+
+Test(earlier_messages, are_contained_in_messages_with_engine_facts) {
+  const relay::StageNotice notice{relay::EngineStage::kPrefill, 12, std::chrono::milliseconds(900)};
+  const relay::EngineSamples samples{1, 130, 2, 70, 400, 1, 250};
+  LoadMessage message = load_message();
+  message.stage_notices = {{EngineId("e1"), notice}};
+  message.samples[EngineId("e2")] = samples;
+  const auto decoded = decode_load_message(encode(message));
+  cr_assert(decoded->stage_notices == message.stage_notices);
+  cr_assert(decoded->samples == message.samples);
+  json document = parsed(encode(message));
+  document.erase("stages");
+  document.erase("samples");
+  cr_assert(document == parsed(from_hexadecimal(kLoadHex)));
+  LoadDigest sum = load_digest();
+  sum.updates.stage_notices = {{77, notice}};
+  sum.updates.samples[77] = samples;
+  const std::string bytes = encode_parts(sum).front();
+  cr_assert(is_digest(bytes));
+  cr_assert(decode_digest(bytes).value() == sum);
+  json lists = parsed(bytes);
+  for (int added = 0; added < 3; ++added) lists[7].erase(3);
+  cr_assert(lists == parsed(from_hexadecimal(kDigestHex)));
+}
+
+// A digest larger than one datagram must not lose the facts that do not fit into the first part.
+Test(earlier_messages, digests_with_many_engine_facts_are_split) {
+  constexpr relay::EngineKey kEngines = 200;
+  LoadDigest sum = load_digest();
+  for (relay::EngineKey key = 1; key <= kEngines; ++key) {
+    sum.updates.samples[key] = {1, 100, 1, 60, 90, 0, 100};
+    sum.updates.stage_notices.push_back({key, {relay::EngineStage::kDecode, 5, Duration::zero()}});
+  }
+  relay::EngineUpdates received;
+  for (const std::string& part : encode_parts(sum)) {
+    cr_assert_leq(part.size(), kMaxLoadMessage);
+    received.append(decode_digest(part)->updates);
+  }
+  cr_assert(received == sum.updates);
+}
