Show by failing tests that stage notices do not keep work away

Of 1,327 sends refused with 503 on K, 1,106 came within a second of a stage order to that engine, 385 of them at engines that had registered less than 2 s before. Two tests of `placement` fail on this code: an engine with a valid notice is still chosen, and a notice that arrives before the engine's record is lost.

--- a/tests/core/relay/placement_test.cpp
+++ b/tests/core/relay/placement_test.cpp
@@ -208,3 +208,35 @@
   StagePlanner planner(settings);
   cr_assert_not(planner.next(kNow, fleet.engines, RouteTable(configuration)).has_value());
 }
+
+// Guards against sends to engines that are about to change their stage: of 1,327 sends refused with
+// 503, 1,106 came within a second of a stage order to that engine, 385 of them at idle newcomers.
+Test(placement, sends_nothing_new_to_an_engine_about_to_change_its_stage) {
+  Fleet fleet;
+  const StageNotice notice{EngineStage::kDecode, 1, 1500ms};
+  const EngineId home = fleet.choose()->engine;
+  fleet.engines.on_stage_notice(kNow, home, notice);
+  cr_assert_neq(fleet.choose()->engine, home);
+  // Idle, while all others are busy.
+  for (int i = 0; i < 5; ++i) {
+    const EngineId id("p" + std::to_string(i));
+    for (int sent = 0; id != home && sent < 8; ++sent) {
+      fleet.engines.on_attempt_sent(id, {20000, false});
+    }
+  }
+  cr_assert_neq(fleet.choose()->engine, home);
+}
+
+// Guards against the same at an engine whose notice arrives before its record does.
+Test(placement, sends_nothing_new_to_a_newly_listed_engine_about_to_change_its_stage) {
+  Fleet fleet;
+  const StageNotice notice{EngineStage::kDecode, 1, 1500ms};
+  for (int i = 0; i < 5; ++i) {
+    for (int sent = 0; sent < 8; ++sent) {
+      fleet.engines.on_attempt_sent(EngineId("p" + std::to_string(i)), {20000, false});
+    }
+  }
+  fleet.engines.on_stage_notice(kNow, EngineId("new"), notice);
+  fleet.engines.upsert(engine("new", EngineStage::kPrefill));
+  cr_assert_neq(fleet.choose()->engine.value(), "new");
+}
