Place new work elsewhere while an engine has a stage notice

Placement chose an engine that was about to change its stage, most of all an idle one, and a notice for an engine without a record was dropped. Change: engines with a valid notice are chosen only when no other of the stage can be, not even one in backoff. A notice that arrives before the engine's record is kept by key until the record arrives or the notice expires, at most 1,024 of them. Ruled out: to treat a notice like draining or a cooldown.

--- a/src/core/relay/engine_directory.cpp
+++ b/src/core/relay/engine_directory.cpp
@@ -11,7 +11,18 @@
   return left->record.id < right->record.id;
 }
 
+/// Bounds the memory that notices of unknown engines take. More than the engines that join within
+/// the validity of a notice.
+constexpr std::size_t kMaxUnlistedNotices = 1024;
+
+void apply_notice(std::optional<ReceivedStageNotice>& kept, MonotonicTime now,
+                  const StageNotice& notice) {
+  if (kept && notice.fence < kept->fence) return;
+  kept = {notice.stage, notice.fence, now + notice.valid_for};
+}
+
 }  // namespace
+
 EngineId incarnation_id(const std::string& name, std::uint64_t started_unix_ms) {
   if (started_unix_ms == 0) return EngineId(name);
   constexpr int kBase = 36;
@@ -84,6 +95,12 @@
   engine.key = engine_key(record.id);
   add_to_indexes(engine);
   notices_.on_engine_count(engines_.size());
+  // Nodes learn of an engine at different times, so its notice may have arrived first.
+  const auto notice = unlisted_notices_.find(engine.key);
+  if (notice != unlisted_notices_.end()) {
+    engine.stage_notice = notice->second;
+    unlisted_notices_.erase(notice);
+  }
   // Other nodes may have reported load for it already.
   for (const auto& [node, peer] : peers_) {
     const auto load = peer.load.find(record.id);
@@ -177,9 +194,37 @@
 void EngineDirectory::on_stage_notice(MonotonicTime now, const EngineId& id,
                                       const StageNotice& notice) {
   EngineView* engine = find(id);
-  if (engine == nullptr) return;
-  if (engine->stage_notice && notice.fence < engine->stage_notice->fence) return;
-  engine->stage_notice = {notice.stage, notice.fence, now + notice.valid_for};
+  if (engine == nullptr) return keep_unlisted_notice(now, engine_key(id), notice);
+  apply_notice(engine->stage_notice, now, notice);
+}
+
+void EngineDirectory::on_stage_notice(MonotonicTime now, EngineKey key, const StageNotice& notice) {
+  EngineView* engine = find_by_key(key);
+  if (engine == nullptr) return keep_unlisted_notice(now, key, notice);
+  apply_notice(engine->stage_notice, now, notice);
+}
+
+void EngineDirectory::keep_unlisted_notice(MonotonicTime now, EngineKey key,
+                                           const StageNotice& notice) {
+  std::erase_if(unlisted_notices_,
+                [now](const auto& kept) { return kept.second.valid_until <= now; });
+  const auto found = unlisted_notices_.find(key);
+  std::optional<ReceivedStageNotice> kept;
+  if (found != unlisted_notices_.end()) kept = found->second;
+  apply_notice(kept, now, notice);
+  if (found == unlisted_notices_.end() && unlisted_notices_.size() >= kMaxUnlistedNotices) return;
+  if (kept->valid_until > now)
+    unlisted_notices_[key] = *kept;
+  else
+    unlisted_notices_.erase(key);
+}
+
+bool EngineDirectory::refusal_announced(MonotonicTime now, const EngineId& id,
+                                        EngineStage stage) const {
+  const EngineView* engine = find(id);
+  // The record may show the new stage by now, while the work was sent under the old one.
+  return engine != nullptr && engine->stage_notice && engine->stage_notice->valid_until > now &&
+         engine->stage_notice->stage != stage;
 }
 
 void EngineDirectory::on_samples(const EngineId& id, const EngineSamples& samples) {
--- a/src/core/relay/engine_directory.hpp
+++ b/src/core/relay/engine_directory.hpp
@@ -108,6 +108,12 @@
     return !record.draining && cooldown_until <= now;
   }
 
+  /// @return whether it is about to leave its stage, so that new work of this stage is likely to be
+  /// refused there.
+  bool leaves_stage(MonotonicTime now) const {
+    return stage_notice && stage_notice->valid_until > now && stage_notice->stage != record.stage;
+  }
+
   /// @return how long a request has to wait for a permit, as far as this node knows.
   Duration permit_wait(MonotonicTime now) const {
     return next_permit_at ? std::max(Duration::zero(), *next_permit_at - now) : Duration::zero();
@@ -230,7 +236,13 @@
   const EngineLimits& limits() const { return limits_; }
 
   /// Applies a notice of an upcoming stage change, unless it is of an earlier lease than the last.
+  /// A notice of an engine without a record is kept until the record arrives or it expires.
   void on_stage_notice(MonotonicTime now, const EngineId& id, const StageNotice& notice);
+  void on_stage_notice(MonotonicTime now, EngineKey key, const StageNotice& notice);
+
+  /// @return whether a refusal of work that was sent for `stage` is due to an announced stage
+  /// change, and thus no sign of poor health.
+  bool refusal_announced(MonotonicTime now, const EngineId& id, EngineStage stage) const;
 
   /// Adds observations of this node or another one.
   void on_samples(const EngineId& id, const EngineSamples& samples);
@@ -266,6 +278,7 @@
     MonotonicTime last_report_at{};
     std::map<EngineId, PeerLoad> load;
   };
+  void keep_unlisted_notice(MonotonicTime now, EngineKey key, const StageNotice& notice);
   void record_incarnation(const EngineRecord& record);
   void apply_peer_load(const std::map<EngineId, PeerLoad>& load, bool subtract);
   void update_peer_load(EngineView& engine) const;
@@ -285,6 +298,7 @@
   IncarnationIndex incarnations_;
   EngineNotices notices_;
   EngineLimits limits_;
+  std::map<EngineKey, ReceivedStageNotice> unlisted_notices_;  ///< Of engines without a record.
   std::map<NodeId, Peer> peers_;
   std::optional<MonotonicTime> fleet_load_at_;  ///< The last fleet sum; unset once expired.
   double average_prefill_tokens_ = 2000;
--- a/src/core/relay/placement.cpp
+++ b/src/core/relay/placement.cpp
@@ -18,17 +18,24 @@
   return query.max_connections_per_node == 0 || engine.in_flight < query.max_connections_per_node;
 }
 
-/// @return the engines to choose from; those in backoff only if no other is left.
+/// @return the engines to choose from; those in backoff only if no other is left, and those about
+/// to leave the stage only after these, as they are likely to refuse.
 std::vector<EngineView*> candidates(MonotonicTime now, EngineDirectory& engines,
                                     const PlacementQuery& query) {
   std::vector<EngineView*> healthy;
   std::vector<EngineView*> backed_off;
+  std::vector<EngineView*> leaving;
   healthy.reserve(engines.find_by_service(query.service->name).size());
   for (EngineView* engine : engines.find_by_service(query.service->name)) {
     if (!is_candidate(now, *engine, query)) continue;
-    (engine->backoff_until > now ? backed_off : healthy).push_back(engine);
+    if (engine->leaves_stage(now)) {
+      leaving.push_back(engine);
+    } else {
+      (engine->backoff_until > now ? backed_off : healthy).push_back(engine);
+    }
   }
-  return healthy.empty() ? backed_off : healthy;
+  if (!healthy.empty()) return healthy;
+  return backed_off.empty() ? leaving : backed_off;
 }
 
 double rendezvous_weight(std::uint64_t part, const EngineId& engine) {
--- a/src/relay/zone_exchange.cpp
+++ b/src/relay/zone_exchange.cpp
@@ -208,9 +208,7 @@
     if (engine != nullptr) this->node.on_peer_limit(engine->record.id, keyed.limit);
   }
   for (const KeyedStageNotice& keyed : updates.stage_notices) {
-    const EngineView* engine = engines.find_by_key(keyed.engine);
-    if (engine != nullptr)
-      engines.on_stage_notice(this->runtime.now(), engine->record.id, keyed.notice);
+    engines.on_stage_notice(this->runtime.now(), keyed.engine, keyed.notice);
   }
   // The sum includes this node's own samples, which therefore count twice here; one node's share of
   // a fleet that uses collectors is small.
