Do not hold an announced refusal against the engine

Cause: an engine that changes its stage refuses what has not begun. Each refusal put it into backoff and, from the second on, was reported to all nodes as trouble, which they then kept beyond the change. Change: a refusal of work that was sent for the old stage, while a notice of another stage is valid, changes neither health nor backoff and is not reported. The log says "announced stage change". The retry budget is charged as before. The stage is the one at the send: the record may show the new stage when the answer comes. Ruled out: to judge by the engine's present stage alone, which would overlook a full engine that refuses work of its new stage while the notice still stands.

--- a/src/relay/relay_metrics.cpp
+++ b/src/relay/relay_metrics.cpp
@@ -62,6 +62,11 @@
           .Name("shuntbank_relay_engine_notices_total")
           .Help("Words of engines about themselves in the heads of their answers")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& stage_notices =
+      prometheus::BuildCounter()
+          .Name("shuntbank_relay_stage_notices_total")
+          .Help("Announced stage changes of engines, by what became of them")
+          .Register(registry);
   prometheus::Family<prometheus::Counter>& permits =
       prometheus::BuildCounter()
           .Name("shuntbank_relay_permits_total")
@@ -136,6 +141,10 @@
   impl_->engine_notices.Add({{"word", kind}}).Increment();
 }
 
+void RelayMetrics::count_stage_notice(const std::string& outcome) {
+  impl_->stage_notices.Add({{"outcome", outcome}}).Increment();
+}
+
 void RelayMetrics::count_wait_for_return(const std::string& service) {
   impl_->waits_for_return.Add({{"service", service}}).Increment();
 }
--- a/src/relay/relay_metrics.hpp
+++ b/src/relay/relay_metrics.hpp
@@ -39,6 +39,10 @@
   /// or `unreadable`.
   void count_engine_notice(const std::string& kind);
 
+  /// A notice of a stage change has begun or ended at this node as the lease holder. @param outcome
+  /// `given`, `withdrawn`, `completed` or `expired`.
+  void count_stage_notice(const std::string& outcome);
+
   /// A request was queued until an engine's cooldown ends.
   void count_wait_for_return(const std::string& service);
 
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -241,6 +241,7 @@
   splitter_.clear();
   prefill_tokens_released_ = false;
   attempt_counted_ = true;
+  sent_stage_ = view->record.stage;
   sent_at_ = context_.runtime.now();
   last_activity_at_ = sent_at_;
   if (suspect_status().is_suspect()) {
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -183,6 +183,7 @@
   bool charged_to_budget_ = false;  ///< Sent as an extra dispatch.
   bool idle_when_sent_ = false;     ///< The engine had no other known work.
   std::optional<TransferId> transfer_;
+  EngineStage sent_stage_ = EngineStage::kNone;  ///< The engine's, as known when it was sent.
   MonotonicTime sent_at_{};
   MonotonicTime last_activity_at_{};  ///< Time of the send or the last data received.
   int status_ = 0;
--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -156,8 +156,13 @@
   if (!result) return on_transfer_failed(result.error());
   permit_.reset();
   if (refused_) {
+    const std::string status = "status " + std::to_string(status_);
+    // The notice already keeps new work away for as long as the engine needs.
+    if (context_.engines.refusal_announced(context_.runtime.now(), engine_, sent_stage_)) {
+      return on_attempt_failed(AttemptOutcome::kRefused, status + ", announced stage change");
+    }
     report_health(refusal_health());
-    return on_attempt_failed(AttemptOutcome::kRefused, "status " + std::to_string(status_));
+    return on_attempt_failed(AttemptOutcome::kRefused, status);
   }
   if (answer_invalid_ || overflow_) {
     report_health(AttemptHealth::kFailed);
