Announce stage changes before the orders go out

The lease holder gave the order first, and the other nodes learned of it from refusals or from the list of engines. Change: `StageChangeQueue` (core, no I/O) keeps the planner's changes between notice and new stage. The planner is asked again by planning as if the change were not planned, so that its target is not touched. A load message carries at most 12 notices, the rest follows with the next flush: more would push it over 1,400 bytes, and such messages are not sent at all. Ruled out: a fixed delay of all orders without notice (nodes would still place work meanwhile).

--- a/src/core/relay/stage_planner.cpp
+++ b/src/core/relay/stage_planner.cpp
@@ -26,6 +26,20 @@
   return std::nullopt;
 }
 
+bool StagePlanner::still_wanted(MonotonicTime now, EngineDirectory& engines,
+                                const RouteTable& table, const StageChange& change) {
+  const EngineView* engine = engines.find(change.engine);
+  if (engine == nullptr || engine->record.draining) return false;
+  const RelayedService* service = table.find_service(engine->record.service);
+  if (service == nullptr || !service->model) return false;
+  // Plans as if the change had not been planned. A change of another engine in the same direction
+  // confirms it too: the load differs from tick to tick, and the notice names this engine.
+  auto issued = issued_orders_.extract(change.engine);
+  const auto again = next_for_service(now, engines, *service, true);
+  issued_orders_.insert(std::move(issued));
+  return again && again->stage == change.stage;
+}
+
 void StagePlanner::record_initial_engines(const EngineDirectory& engines) {
   if (engines.size() == 0) return;
   initial_engines_.emplace();
--- a/src/core/relay/stage_planner.hpp
+++ b/src/core/relay/stage_planner.hpp
@@ -34,10 +34,22 @@
  public:
   explicit StagePlanner(const StagePlannerSettings& settings) : settings_(settings) {}
 
-  /// @return the next order, if one is due. It counts as issued.
+  /// @return the next change, if one is due. It counts as issued until it is withdrawn.
   std::optional<StageChange> next(MonotonicTime now, EngineDirectory& engines,
                                   const RouteTable& table);
 
+  /// @return whether a change returned by `next` would still be planned if it were not yet.
+  bool still_wanted(MonotonicTime now, EngineDirectory& engines, const RouteTable& table,
+                    const StageChange& change);
+
+  /// The order of a change goes out now; the engine's cooldown begins.
+  void on_ordered(MonotonicTime now, const StageChange& change) {
+    issued_orders_[change.engine] = {change.stage, now};
+  }
+
+  /// A change is not ordered.
+  void withdraw(const EngineId& engine) { issued_orders_.erase(engine); }
+
  private:
   std::optional<StageChange> next_for_service(MonotonicTime now, EngineDirectory& engines,
                                               const RelayedService& service, bool batch_open);
--- a/src/relay/exchange_settings.hpp
+++ b/src/relay/exchange_settings.hpp
@@ -66,4 +66,15 @@
   Duration pull_timeout = std::chrono::seconds(1);
 };
 
+/// Three datagrams (to the collector, to that of another zone, to the node) at under 1 ms each, and
+/// the time until small nodes get to read them.
+constexpr Duration kDatagramAllowance = std::chrono::milliseconds(20);
+
+/// @return an upper bound of the time in which an update reaches all nodes if no message is lost:
+/// the sender's flush and one that was due before it, the sums of the sender's and the receiver's
+/// zone, and the datagrams. Covers the direct exchange of small fleets too.
+inline Duration update_arrival_bound(const LoadExchangeSettings& settings) {
+  return 2 * settings.zones.max_collect_interval + 2 * settings.flush_delay + kDatagramAllowance;
+}
+
 }  // namespace shuntbank::relay
--- a/src/relay/load_exchange.cpp
+++ b/src/relay/load_exchange.cpp
@@ -10,6 +10,10 @@
 namespace shuntbank::relay {
 namespace {
 
+/// Stage notices in one message: about 400 bytes, which leaves room for the load. The others follow
+/// with the next flush.
+constexpr std::size_t kMaxStageNotices = 12;
+
 PeerRecord own_record(const PeerTransport& transport, const LoadExchangeSettings& settings) {
   return {transport.local_address(), settings.zone, settings.capacity};
 }
@@ -195,7 +199,8 @@
     message.limits.push_back({update.engine, to_report(update.limit, runtime_.now())});
   }
   message.crashes = node_.quarantine().take_reports();
-  message.stage_notices = node_.take_stage_notices();
+  message.stage_notices = node_.take_stage_notices(kMaxStageNotices);
+  if (message.stage_notices.size() == kMaxStageNotices) schedule_flush();
   message.samples = node_.take_samples();
   if (!own_progress_) return message;
   const StoreProgress progress = own_progress_();
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -227,6 +227,14 @@
   return table_ != nullptr && engines_known_ && !stopping_;
 }
 
+std::vector<EngineStageNotice> RelayNode::take_stage_notices(std::size_t max_count) {
+  std::vector<EngineStageNotice>& queued = context_.pending_stage_notices;
+  const auto end = queued.begin() + static_cast<std::ptrdiff_t>(std::min(max_count, queued.size()));
+  std::vector<EngineStageNotice> taken(queued.begin(), end);
+  queued.erase(queued.begin(), end);
+  return taken;
+}
+
 void RelayNode::begin_stop() {
   stopping_ = true;
 }
--- a/src/relay/relay_node.hpp
+++ b/src/relay/relay_node.hpp
@@ -121,10 +121,8 @@
   /// Applies a notice of this node's planner and queues it for the other nodes.
   void queue_stage_notice(const EngineStageNotice& notice) { context_.queue_stage_notice(notice); }
 
-  /// @return stage notices queued since the last call.
-  std::vector<EngineStageNotice> take_stage_notices() {
-    return std::exchange(context_.pending_stage_notices, {});
-  }
+  /// @return the oldest queued stage notices, at most `max_count`. The others stay queued.
+  std::vector<EngineStageNotice> take_stage_notices(std::size_t max_count);
 
   /// @return engine samples queued since the last call.
   SamplesById take_samples() { return std::exchange(context_.pending_samples, {}); }
--- a/src/relay/relay_process.cpp
+++ b/src/relay/relay_process.cpp
@@ -40,6 +40,12 @@
 /// Delays the detection of a silent store reader by up to this much.
 constexpr Duration kReadersCheckInterval = std::chrono::milliseconds(250);
 
+RoleCoordinatorSettings role_settings(const RelaySettings& settings) {
+  RoleCoordinatorSettings roles = settings.roles;
+  roles.changes.notice_lead = update_arrival_bound(settings.exchange);
+  return roles;
+}
+
 CatalogSettings catalog_settings(const RelaySettings& settings) {
   CatalogSettings catalog = settings.catalog;
   catalog.join_existing = !settings.bootstrap;
@@ -69,7 +75,8 @@
         catalog_(runtime, store_, platform.codec, node_, catalog_settings(settings)),
         quarantine_store_(runtime, store_, node_),
         lease_(runtime, store_, node_, settings.node, settings.lease),
-        roles_({runtime, http_, platform.dialect}, lease_, node_, settings.roles, settings.stages) {
+        roles_({runtime, http_, platform.dialect}, lease_, node_, role_settings(settings),
+               settings.stages) {
     if (duties_ != nullptr && settings.engine_ordering_enabled) {
       capacity_ = std::make_unique<CapacityCoordinator>(runtime, store_, lease_, *duties_, node_,
                                                         settings.node, settings.capacity);
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -10,6 +10,7 @@
 #include "core/relay/dispatch_plan.hpp"
 #include "core/relay/placement.hpp"
 #include "core/relay/retry_budget.hpp"
+#include "core/relay/stage_change_queue.hpp"
 #include "core/relay/stage_planner.hpp"
 #include "relay/capacity_settings.hpp"
 #include "relay/exchange_settings.hpp"
@@ -45,6 +46,7 @@
   /// holder.
   Duration takeover_delay = std::chrono::seconds(3);
   Duration order_timeout = std::chrono::milliseconds(1500);
+  StageChangeSettings changes;  ///< `notice_lead` is set from the exchange's settings.
 };
 
 /// Settings of the store watches. Waits grow with the fleet, so that its total call rate stays
--- a/src/relay/role_coordinator.hpp
+++ b/src/relay/role_coordinator.hpp
@@ -1,11 +1,13 @@
 /// @file
-/// Sends the stage planner's orders to engines while this node holds the lease.
+/// Announces the stage planner's changes to all nodes and sends the orders to the engines while
+/// this node holds the lease.
 #pragma once
 
 #include <memory>
 #include <string>
 
 #include "common/runtime.hpp"
+#include "core/relay/stage_change_queue.hpp"
 #include "core/relay/stage_planner.hpp"
 #include "net/http_client.hpp"
 #include "relay/engine_dialect.hpp"
@@ -27,15 +29,24 @@
 
  private:
   void plan();
-  void request_report(const EngineRecord& record, EngineStage stage);
-  void on_report(const EngineRecord& record, EngineStage stage, const HttpReply& reply);
-  void send_order(const EngineRecord& record, EngineStage stage, const EngineReport& report);
+  void announce_planned(MonotonicTime now, Fence fence);
+  void end_change(const StageChangeStep& step);
+  void cancel_change(const EngineId& engine, const char* why);
+  void repeat_notice(const StageChangeStep& step);
+  void request_report(const EngineRecord& record, EngineStage stage, Fence fence);
+  void on_report(const EngineRecord& record, EngineStage stage, Fence fence,
+                 const HttpReply& reply);
+  void send_order(const EngineRecord& record, EngineStage stage, Fence fence,
+                  const EngineReport& report);
+  void on_order_answered(const EngineId& engine,
+                         const tl::expected<HttpReply, TransferError>& reply);
 
   RelayIo io_;
   LeaseKeeper& lease_;
   RelayNode& node_;
   RoleCoordinatorSettings settings_;
   StagePlanner planner_;
+  StageChangeQueue changes_;
   std::size_t calls_in_flight_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
