Divide engines between stages by their measured work

Ruled out: a share for each service in the configuration, since the best one moves with every loss and mix; work from token counts, since the pending tokens of a heavy-tailed mix weigh long prompts by the square of their time. Change: the lease holder samples the work of both stages on each tick. Each change of the target is logged with its inputs (event stage_target).

--- a/src/core/relay/stage_planner.cpp
+++ b/src/core/relay/stage_planner.cpp
@@ -2,8 +2,42 @@
 
 #include <algorithm>
 #include <cmath>
+#include <istream>
+#include <ostream>
+#include <string>
+#include <tuple>
+#include <utility>
 
 namespace shuntbank::relay {
+namespace {
+
+/// Engines whose speeds differ by less than a tenth count as alike.
+constexpr double kSpeedSteps = 10;
+
+double total_speed(const std::vector<EngineView*>& engines) {
+  double sum = 0;
+  for (const EngineView* engine : engines) sum += relative_speed(*engine);
+  return sum;
+}
+
+}  // namespace
+
+std::istream& operator>>(std::istream& in, StageMode& mode) {
+  std::string name;
+  in >> name;
+  if (name == "fixed") {
+    mode = StageMode::kFixed;
+  } else if (name == "demand") {
+    mode = StageMode::kDemand;
+  } else {
+    in.setstate(std::ios::failbit);
+  }
+  return in;
+}
+
+std::ostream& operator<<(std::ostream& out, StageMode mode) {
+  return out << (mode == StageMode::kFixed ? "fixed" : "demand");
+}
 
 std::optional<StageChange> StagePlanner::next(MonotonicTime now, EngineDirectory& engines,
                                               const RouteTable& table) {
@@ -52,24 +86,74 @@
   return in_progress ? order->second.stage : record.stage;
 }
 
-std::optional<StageChange> StagePlanner::next_for_service(MonotonicTime now,
-                                                          EngineDirectory& engines,
-                                                          const RelayedService& service,
-                                                          bool batch_open) {
-  std::vector<EngineView*> prefill;
-  std::vector<EngineView*> decode;
+StagePlanner::EnginesByStage StagePlanner::divide(MonotonicTime now, const EngineDirectory& engines,
+                                                  const RelayedService& service) const {
+  EnginesByStage divided;
   for (EngineView* engine : engines.find_by_service(service.name)) {
     if (engine->record.draining) continue;
-    (expected_stage(now, engine->record) == EngineStage::kPrefill ? prefill : decode)
-        .push_back(engine);
+    const bool prefill = expected_stage(now, engine->record) == EngineStage::kPrefill;
+    (prefill ? divided.prefill : divided.decode).push_back(engine);
   }
-  const auto engine_count = prefill.size() + decode.size();
+  return divided;
+}
+
+void StagePlanner::update_demand(MonotonicTime now, const EngineDirectory& engines,
+                                 const RelayedService& service, const EnginesByStage& divided) {
+  ServiceState& state = services_[service.name];
+  state.demand.observe(now, measure_stage_load(now, engines.find_by_service(service.name),
+                                               engines.model_of(service.name)));
+  const StageAmounts capacity{total_speed(divided.prefill), total_speed(divided.decode)};
+  const auto cause = state.balance.update(now, state.demand, capacity);
+  if (!cause) return;
+  target_changes_.push_back({service.name, *cause, state.balance.target(), capacity,
+                             state.demand.heaviest(), state.demand.recent(),
+                             state.demand.history()});
+}
+
+std::vector<StageTargetChange> StagePlanner::take_target_changes() {
+  return std::exchange(target_changes_, {});
+}
+
+std::optional<EngineStage> StagePlanner::growing_by_share(const EnginesByStage& divided) const {
+  const auto engine_count = divided.prefill.size() + divided.decode.size();
   const auto wanted = static_cast<std::size_t>(
       std::lround(static_cast<double>(engine_count) * settings_.prefill_share));
-  if (prefill.size() == wanted) return std::nullopt;
-  const bool more_prefill = prefill.size() < wanted;
-  if (more_prefill && decode.size() <= settings_.min_decode_engines) return std::nullopt;
-  auto& sources = more_prefill ? decode : prefill;
+  if (divided.prefill.size() == wanted) return std::nullopt;
+  return divided.prefill.size() < wanted ? EngineStage::kPrefill : EngineStage::kDecode;
+}
+
+std::optional<EngineStage> StagePlanner::growing_by_demand(const ServiceState& state,
+                                                           const EnginesByStage& divided) const {
+  // Prompts without a prefill engine are prefilled by decode engines, so that no demand shows.
+  if (divided.prefill.empty()) return EngineStage::kPrefill;
+  if (!state.balance.target()) return std::nullopt;
+  const StageTarget& target = *state.balance.target();
+  const bool more_prefill = target.growing == EngineStage::kPrefill;
+  const double prefill = total_speed(divided.prefill);
+  const double decode = total_speed(divided.decode);
+  const double missing = target.prefill_share * (prefill + decode) - prefill;
+  // Up to half an engine too few or too many is as near as whole engines come.
+  if ((more_prefill ? missing : -missing) <= 0.5) return std::nullopt;
+  if (!more_prefill && divided.prefill.size() <= 1) return std::nullopt;
+  return target.growing;
+}
+
+std::optional<EngineStage> StagePlanner::growing_stage(const RelayedService& service,
+                                                       const EnginesByStage& divided) const {
+  const auto state = services_.find(service.name);
+  const bool by_demand = state != services_.end() && state->second.demand.any_request_seen();
+  const auto growing =
+      by_demand ? growing_by_demand(state->second, divided) : growing_by_share(divided);
+  const bool from_decode = growing == EngineStage::kPrefill;
+  if (from_decode && divided.decode.size() <= settings_.min_decode_engines) return std::nullopt;
+  return growing;
+}
+
+/// @return the engine that changes to the stage, if one may change now: newcomers first, then slow
+/// engines to prefill and fast ones to decode, then the least loaded.
+std::optional<EngineId> StagePlanner::choose_engine(MonotonicTime now,
+                                                    std::vector<EngineView*> sources,
+                                                    EngineStage stage, bool batch_open) const {
   std::erase_if(sources, [&](const EngineView* engine) {
     if (!batch_open && !is_idle_newcomer(now, *engine)) return true;
     const auto order = issued_orders_.find(engine->record.id);
@@ -77,14 +161,29 @@
            now - order->second.issued_at < settings_.engine_cooldown;
   });
   if (sources.empty()) return std::nullopt;
-  const auto least_loaded =
-      std::min_element(sources.begin(), sources.end(), [&](auto* left, auto* right) {
-        const bool left_newcomer = is_idle_newcomer(now, *left);
-        if (left_newcomer != is_idle_newcomer(now, *right)) return left_newcomer;
-        return left->total_requests(now) < right->total_requests(now);
-      });
-  return StageChange{(*least_loaded)->record.id,
-                     more_prefill ? EngineStage::kPrefill : EngineStage::kDecode};
+  const auto rank = [&](const EngineView* engine) {
+    const long speed = std::lround(relative_speed(*engine) * kSpeedSteps);
+    return std::tuple(!is_idle_newcomer(now, *engine),
+                      stage == EngineStage::kPrefill ? speed : -speed, engine->total_requests(now));
+  };
+  const auto best = std::min_element(sources.begin(), sources.end(), [&](auto* left, auto* right) {
+    return rank(left) < rank(right);
+  });
+  return (*best)->record.id;
+}
+
+std::optional<StageChange> StagePlanner::next_for_service(MonotonicTime now,
+                                                          EngineDirectory& engines,
+                                                          const RelayedService& service,
+                                                          bool batch_open) {
+  EnginesByStage divided = divide(now, engines, service);
+  if (settings_.mode == StageMode::kDemand) update_demand(now, engines, service, divided);
+  const auto growing = growing_stage(service, divided);
+  if (!growing) return std::nullopt;
+  const auto engine =
+      choose_engine(now, divided.of(opposite_stage(*growing)), *growing, batch_open);
+  if (!engine) return std::nullopt;
+  return StageChange{*engine, *growing};
 }
 
 }  // namespace shuntbank::relay
--- a/src/core/relay/stage_planner.hpp
+++ b/src/core/relay/stage_planner.hpp
@@ -3,18 +3,32 @@
 /// engine out of service for seconds, so changes are few and batched.
 #pragma once
 
+#include <iosfwd>
 #include <map>
 #include <optional>
 #include <set>
+#include <vector>
 
 #include "core/relay/engine_directory.hpp"
 #include "core/relay/routes.hpp"
+#include "core/relay/stage_demand.hpp"
 
 namespace shuntbank::relay {
 
+/// What decides how the engines of a service are divided between the stages.
+enum class StageMode {
+  kFixed,   ///< The configured share.
+  kDemand,  ///< The work of each stage; the configured share until a request has been seen.
+};
+
+/// Reads and writes the names `fixed` and `demand`.
+std::istream& operator>>(std::istream& in, StageMode& mode);
+std::ostream& operator<<(std::ostream& out, StageMode mode);
+
 /// Tunables of the planner.
 struct StagePlannerSettings {
-  double prefill_share = 0.56;  ///< Target share of prefill engines per service.
+  StageMode mode = StageMode::kDemand;
+  double prefill_share = 0.56;  ///< Configured share of prefill engines per service.
   std::uint32_t min_decode_engines = 2;
   Duration batch_interval = std::chrono::seconds(3);  ///< Between the starts of two batches.
   /// Share of a service's engines changed in one batch, at least one engine. Idle engines that
@@ -29,6 +43,17 @@
   EngineStage stage = EngineStage::kDecode;
 };
 
+/// A change of a service's target and its inputs, for the log.
+struct StageTargetChange {
+  ServiceName service;
+  StageTargetCause cause = StageTargetCause::kUnknown;
+  std::optional<StageTarget> target;  ///< Unset: none any more.
+  StageAmounts capacity;              ///< Once all orders in progress have completed.
+  StageAmounts heaviest;              ///< Work of the heaviest seconds in the history.
+  StageAmounts recent;                ///< Work of the last second.
+  Duration history = Duration::zero();
+};
+
 /// Plans stages from one node's view of the engines.
 class StagePlanner {
  public:
@@ -38,9 +63,37 @@
   std::optional<StageChange> next(MonotonicTime now, EngineDirectory& engines,
                                   const RouteTable& table);
 
+  /// @return the changes of targets since the last call.
+  std::vector<StageTargetChange> take_target_changes();
+
  private:
+  /// The demand of one service and what follows from it.
+  struct ServiceState {
+    StageDemand demand;
+    StageBalance balance;
+  };
+  /// The engines of one service by the stage that they have once orders in progress are done.
+  struct EnginesByStage {
+    std::vector<EngineView*> prefill;
+    std::vector<EngineView*> decode;
+    std::vector<EngineView*>& of(EngineStage stage) {
+      return stage == EngineStage::kPrefill ? prefill : decode;
+    }
+  };
+
   std::optional<StageChange> next_for_service(MonotonicTime now, EngineDirectory& engines,
                                               const RelayedService& service, bool batch_open);
+  EnginesByStage divide(MonotonicTime now, const EngineDirectory& engines,
+                        const RelayedService& service) const;
+  void update_demand(MonotonicTime now, const EngineDirectory& engines,
+                     const RelayedService& service, const EnginesByStage& divided);
+  std::optional<EngineStage> growing_stage(const RelayedService& service,
+                                           const EnginesByStage& divided) const;
+  std::optional<EngineStage> growing_by_share(const EnginesByStage& divided) const;
+  std::optional<EngineStage> growing_by_demand(const ServiceState& state,
+                                               const EnginesByStage& divided) const;
+  std::optional<EngineId> choose_engine(MonotonicTime now, std::vector<EngineView*> sources,
+                                        EngineStage stage, bool batch_open) const;
   bool is_idle_newcomer(MonotonicTime now, const EngineView& engine) const;
   void record_initial_engines(const EngineDirectory& engines);
   std::size_t batch_size(EngineDirectory& engines, const RelayedService& service) const;
@@ -59,6 +112,8 @@
   std::size_t batch_remaining_ = 0;  ///< Orders left in the batch.
   std::map<EngineId, IssuedOrder> issued_orders_;
   std::optional<std::set<EngineId>> initial_engines_;  ///< Known when planning started.
+  std::map<ServiceName, ServiceState> services_;
+  std::vector<StageTargetChange> target_changes_;
 };
 
 }  // namespace shuntbank::relay
--- a/src/relay/policy_options.cpp
+++ b/src/relay/policy_options.cpp
@@ -45,7 +45,9 @@
   add("full-floor", bind_option(settings.capacity.planner.min_full_price_share),
       "share of the needed engines that is kept at full price");
   add("prefill-share", bind_option(settings.stages.prefill_share),
-      "share of a service's engines used for prefill");
+      "share of a service's engines used for prefill, with --stages demand until demand is known");
+  add("stages", bind_option(settings.stages.mode),
+      "how engines are divided between prefill and decode: fixed (by prefill-share) or demand");
   return description;
 }
 
--- a/src/relay/role_coordinator.cpp
+++ b/src/relay/role_coordinator.cpp
@@ -29,12 +29,31 @@
   if (node_.table() == nullptr) return;
   while (calls_in_flight_ < kMaxCallsInFlight) {
     const auto change = planner_.next(io_.runtime.now(), node_.engines(), *node_.table());
+    log_target_changes();
     if (!change) return;
     const EngineView* engine = node_.engines().find(change->engine);
     if (engine != nullptr) request_report(engine->record, change->stage);
   }
 }
 
+void RoleCoordinator::log_target_changes() {
+  for (const StageTargetChange& change : planner_.take_target_changes()) {
+    const auto& target = change.target;
+    log_event(LogArea::kControl, LogLevel::kInfo, "stage_target",
+              {{"service", change.service.value()},
+               {"cause", to_text(change.cause)},
+               {"growing", target ? to_text(target->growing) : "none"},
+               {"prefill_share", target ? target->prefill_share : 0},
+               {"prefill_engines", change.capacity.prefill},
+               {"decode_engines", change.capacity.decode},
+               {"prefill_work", change.heaviest.prefill},
+               {"decode_work", change.heaviest.decode},
+               {"recent_prefill_work", change.recent.prefill},
+               {"recent_decode_work", change.recent.decode},
+               {"history_ms", whole_ms(change.history)}});
+  }
+}
+
 /// Requests the engine's order count, so that the following order is refused if another one, such
 /// as a late one of an earlier holder, arrives first.
 void RoleCoordinator::request_report(const EngineRecord& record, EngineStage stage) {
--- a/src/relay/role_coordinator.hpp
+++ b/src/relay/role_coordinator.hpp
@@ -27,6 +27,7 @@
 
  private:
   void plan();
+  void log_target_changes();
   void request_report(const EngineRecord& record, EngineStage stage);
   void on_report(const EngineRecord& record, EngineStage stage, const HttpReply& reply);
   void send_order(const EngineRecord& record, EngineStage stage, const EngineReport& report);
--- a/tests/relay/policy_options_test.cpp
+++ b/tests/relay/policy_options_test.cpp
@@ -34,6 +34,14 @@
   cr_assert(parsed->settings.catalog.max_batch_delay == 900ms);
 }
 
+Test(policy_options, reads_how_engines_are_divided_between_stages) {
+  // Guards against an ablation run that silently measures the default instead.
+  cr_assert(parse(std::array{"relay"})->settings.stages.mode == StageMode::kDemand);
+  const auto fixed = parse(std::array{"relay", "--stages", "fixed"});
+  cr_assert(fixed->settings.stages.mode == StageMode::kFixed);
+  cr_assert_not(parse(std::array{"relay", "--stages", "often"}).has_value());
+}
+
 Test(policy_options, reports_an_invalid_command_line) {
   const auto unknown = parse(std::array{"relay", "--no-such-policy", "1"});
   cr_assert_not(unknown.has_value());
