--- a/src/relay/role_coordinator.hpp
+++ b/src/relay/role_coordinator.hpp
@@ -40,6 +40,7 @@
                   const EngineReport& report);
   void on_order_answered(const EngineId& engine,
                          const tl::expected<HttpReply, TransferError>& reply);
+  void log_target_changes();
 
   RelayIo io_;
   LeaseKeeper& lease_;
