Test that a cache view is bounded where only other nodes use the engine

Fails: the capacity of an engine is set when this node sends to it, and one node meets one engine about once in ten seconds, so that most views never evict.

--- a/tests/relay/relay_node_test.cpp
+++ b/tests/relay/relay_node_test.cpp
@@ -117,3 +117,18 @@
   site.runtime.advance(charge_duration(site.settings.retry_budget));
   cr_assert(site.sends_retry());
 }
+
+// A node that never sent to an engine took its cache for unlimited and counted on parts that the
+// engine had evicted long ago.
+Test(relay_node, bounds_the_cache_view_of_an_engine_that_only_other_nodes_use) {
+  RelayFixture site;
+  site.add_engine("e1", "model", relay::EngineStage::kPrefill);
+  const relay::PromptShape older{{{1, 60000}}, 60000, 1};
+  const relay::PromptShape newer{{{2, 60000}}, 60000, 1};
+  site.node->on_peer_prompt_read({EngineId("e1"), older.parts});
+  site.runtime.advance(1s);
+  site.node->on_peer_prompt_read({EngineId("e1"), newer.parts});
+  const relay::PromptCacheView& cache = site.node->engines().find(EngineId("e1"))->cache;
+  cr_assert_eq(cache.cached_tokens(older), 0);
+  cr_assert_eq(cache.cached_tokens(newer), 60000);
+}
