Bound the cache view of engines by their memory and by unshared tokens

Cause: a node set the capacity of an engine's cache when it sent to it, and one node meets one engine about once in ten seconds, so most views never evicted; and of other nodes' prompts only the shared parts counted, about half of what fills an engine's memory. Nodes counted on parts that were gone, and engines prefilled them again. Change: the memory comes from the configuration for all engines of a service; reads carry the unshared tokens, which age with the parts. Nodes of the previous release ignore the added number.

--- a/src/core/relay/engine_directory.cpp
+++ b/src/core/relay/engine_directory.cpp
@@ -74,6 +74,8 @@
   const bool moved = !added && engine.record.service != record.service;
   if (moved) remove_from_service(engine);
   engine.record = record;
+  const auto memory = memory_tokens_.find(record.service);
+  engine.memory_tokens = memory == memory_tokens_.end() ? 0 : memory->second;
   if (moved) add_to_service(engine);
   // Draining is irrevocable; a record that lacks it is outdated or could not be updated while the
   // store was unavailable.
--- a/src/core/relay/engine_directory.hpp
+++ b/src/core/relay/engine_directory.hpp
@@ -69,6 +69,8 @@
 struct PromptRead {
   EngineId engine;
   std::vector<PromptPart> parts;
+  /// Tokens of the prompt that no other request shares; they take memory as well.
+  std::uint64_t unshared_tokens = 0;
 };
 
 /// One engine as this node sees it.
@@ -172,8 +174,8 @@
   std::size_t size() const { return engines_.size(); }
   const std::map<EngineId, EngineView>& all() const { return engines_; }
 
-  /// Sets the memory of an engine, in tokens.
-  void set_memory(const EngineId& id, std::uint64_t tokens);
+  /// Sets the memory of each engine of a service, in tokens, also of engines that join later.
+  void set_memory(const ServiceName& service, std::uint64_t tokens);
 
   /// An attempt was sent. @param work before the engine's first token.
   void on_attempt_sent(const EngineId& id, const PromptWork& work);
@@ -289,6 +291,7 @@
   std::optional<MonotonicTime> fleet_load_at_;  ///< The last fleet sum; unset once expired.
   double average_prefill_tokens_ = 2000;
   std::map<ServiceName, EngineModel> models_;
+  std::map<ServiceName, std::uint64_t> memory_tokens_;  ///< Of one engine, by service.
 };
 
 }  // namespace shuntbank::relay
--- a/src/core/relay/engine_directory_load.cpp
+++ b/src/core/relay/engine_directory_load.cpp
@@ -22,9 +22,9 @@
   return others * (1.0 - to_seconds(now - load_at) / to_seconds(kMaxReportAge));
 }
 
-void EngineDirectory::set_memory(const EngineId& id, std::uint64_t tokens) {
-  EngineView* engine = find(id);
-  if (engine != nullptr) engine->memory_tokens = tokens;
+void EngineDirectory::set_memory(const ServiceName& service, std::uint64_t tokens) {
+  memory_tokens_[service] = tokens;
+  for (EngineView* engine : find_by_service(service)) engine->memory_tokens = tokens;
 }
 
 void EngineDirectory::on_attempt_sent(const EngineId& id, const PromptWork& work) {
--- a/src/core/relay/engine_updates.hpp
+++ b/src/core/relay/engine_updates.hpp
@@ -16,6 +16,7 @@
 struct KeyedRead {
   EngineKey engine = 0;
   std::vector<PromptPart> parts;
+  std::uint64_t unshared_tokens = 0;
 
   bool operator==(const KeyedRead&) const = default;
 };
--- a/src/core/relay/prompt_cache_view.cpp
+++ b/src/core/relay/prompt_cache_view.cpp
@@ -4,6 +4,12 @@
 #include <utility>
 
 namespace shuntbank::relay {
+namespace {
+
+/// Unshared tokens of this interval are counted together, which bounds the number of entries.
+constexpr Duration kUnsharedInterval = std::chrono::milliseconds(100);
+
+}  // namespace
 
 std::optional<std::uint64_t> PromptShape::shared_part() const {
   if (parts.size() < 2) return std::nullopt;
@@ -22,7 +28,9 @@
 }
 
 void PromptCacheView::on_prompt_read(const std::vector<PromptPart>& parts, std::uint64_t capacity,
-                                     MonotonicTime now) {
+                                     MonotonicTime now, std::uint64_t unshared_tokens) {
+  // Without a capacity nothing would ever be evicted.
+  if (capacity > 0 && unshared_tokens > 0) add_unshared(now, unshared_tokens);
   for (const PromptPart& part : parts) {
     CachedPart& cached_part = parts_[part.id];
     total_tokens_ += std::max(part.tokens, cached_part.tokens) - cached_part.tokens;
@@ -45,6 +53,25 @@
   return parts;
 }
 
+void PromptCacheView::add_unshared(MonotonicTime now, std::uint64_t tokens) {
+  total_tokens_ += tokens;
+  const bool same_interval =
+      !unshared_.empty() && now - unshared_.back().prefilled_at < kUnsharedInterval;
+  if (same_interval) {
+    unshared_.back().tokens += tokens;
+  } else {
+    unshared_.push_back({tokens, now});
+  }
+}
+
+void PromptCacheView::evict_unshared_before(MonotonicTime time, std::uint64_t target_tokens) {
+  while (total_tokens_ > target_tokens && !unshared_.empty() &&
+         unshared_.front().prefilled_at <= time) {
+    total_tokens_ -= unshared_.front().tokens;
+    unshared_.pop_front();
+  }
+}
+
 void PromptCacheView::evict(std::uint64_t capacity) {
   std::vector<std::pair<MonotonicTime, std::uint64_t>> order;
   order.reserve(parts_.size());
@@ -53,10 +80,12 @@
   // Frees an eighth at once, so that not every request evicts.
   const std::uint64_t target_tokens = capacity - capacity / 8;
   for (const auto& [last_used, id] : order) {
+    evict_unshared_before(last_used, target_tokens);
     if (total_tokens_ <= target_tokens) return;
     total_tokens_ -= parts_[id].tokens;
     parts_.erase(id);
   }
+  evict_unshared_before(MonotonicTime::max(), target_tokens);
 }
 
 }  // namespace shuntbank::relay
--- a/src/core/relay/prompt_cache_view.hpp
+++ b/src/core/relay/prompt_cache_view.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -35,10 +36,12 @@
   /// @return tokens at the start of the prompt that need no prefill.
   std::uint64_t cached_tokens(const PromptShape& prompt) const;
 
-  /// Records that the engine prefilled the prompt. @param capacity of the engine's cache, in
-  /// tokens; 0: unknown.
+  /// Records that the engine prefilled the prompt.
+  /// @param capacity of the engine's cache, in tokens; 0: unknown.
+  /// @param unshared_tokens of the prompt besides `parts`: no request asks for them, but they evict
+  /// others.
   void on_prompt_read(const std::vector<PromptPart>& parts, std::uint64_t capacity,
-                      MonotonicTime now);
+                      MonotonicTime now, std::uint64_t unshared_tokens = 0);
 
   bool empty() const { return parts_.empty(); }
 
@@ -50,10 +53,18 @@
     std::uint64_t tokens = 0;
     MonotonicTime last_used{};
   };
+  /// Tokens that were prefilled at about the same time and that nobody asks for again.
+  struct UnsharedTokens {
+    std::uint64_t tokens = 0;
+    MonotonicTime prefilled_at{};
+  };
+  void add_unshared(MonotonicTime now, std::uint64_t tokens);
+  void evict_unshared_before(MonotonicTime time, std::uint64_t target_tokens);
   void evict(std::uint64_t capacity);
 
   std::unordered_map<std::uint64_t, CachedPart> parts_;
-  std::uint64_t total_tokens_ = 0;
+  std::deque<UnsharedTokens> unshared_;  ///< Oldest first.
+  std::uint64_t total_tokens_ = 0;       ///< Of `parts_` and `unshared_`.
 };
 
 }  // namespace shuntbank::relay
--- a/src/protocol/load_digest.cpp
+++ b/src/protocol/load_digest.cpp
@@ -39,7 +39,7 @@
 }
 
 std::size_t packed_size(const relay::KeyedRead& read) {
-  std::size_t bytes = 9;
+  std::size_t bytes = 9 + packed_size(read.unshared_tokens);
   for (const relay::PromptPart& part : read.parts) {
     bytes += packed_size(part.id) + packed_size(part.tokens);
   }
@@ -78,6 +78,8 @@
       entry.push_back(part.id);
       entry.push_back(part.tokens);
     }
+    // Pairs follow the engine, so that earlier versions ignore a single last number.
+    if (read.unshared_tokens > 0) entry.push_back(read.unshared_tokens);
     list.push_back(std::move(entry));
   }
   return list;
@@ -86,10 +88,11 @@
 std::vector<relay::KeyedRead> reads_from_json(const json& list) {
   std::vector<relay::KeyedRead> reads;
   for (const json& entry : list) {
-    relay::KeyedRead read{entry.at(0).get<relay::EngineKey>(), {}};
+    relay::KeyedRead read{entry.at(0).get<relay::EngineKey>(), {}, 0};
     for (std::size_t i = 1; i + 1 < entry.size(); i += 2) {
       read.parts.push_back({entry[i].get<std::uint64_t>(), entry[i + 1].get<std::uint64_t>()});
     }
+    if (entry.size() % 2 == 0) read.unshared_tokens = entry.back().get<std::uint64_t>();
     reads.push_back(std::move(read));
   }
   return reads;
--- a/src/protocol/load_message.cpp
+++ b/src/protocol/load_message.cpp
@@ -17,7 +17,9 @@
   for (const relay::PromptRead& read : reads) {
     json parts = json::array();
     for (const relay::PromptPart& part : read.parts) parts.push_back({part.id, part.tokens});
-    list.push_back({read.engine.value(), parts});
+    json entry = {read.engine.value(), std::move(parts)};
+    if (read.unshared_tokens > 0) entry.push_back(read.unshared_tokens);
+    list.push_back(std::move(entry));
   }
   return list;
 }
@@ -30,6 +32,7 @@
     for (const json& part : item.at(1)) {
       read.parts.push_back({part.at(0).get<std::uint64_t>(), part.at(1).get<std::uint64_t>()});
     }
+    if (item.size() > 2) read.unshared_tokens = item.at(2).get<std::uint64_t>();
     reads.push_back(std::move(read));
   }
   return reads;
--- a/src/relay/relay_context.cpp
+++ b/src/relay/relay_context.cpp
@@ -6,10 +6,10 @@
 
 namespace shuntbank::relay {
 
-void RelayContext::on_prompt_read(const EngineId& engine, const std::vector<PromptPart>& parts) {
-  EngineView* view = engines.find(engine);
+void RelayContext::on_prompt_read(const PromptRead& read) {
+  EngineView* view = engines.find(read.engine);
   if (view == nullptr) return;
-  view->cache.on_prompt_read(parts, view->memory_tokens, runtime.now());
+  view->cache.on_prompt_read(read.parts, view->memory_tokens, runtime.now(), read.unshared_tokens);
 }
 
 void RelayContext::on_engine_terminated(const EngineId& engine) {
--- a/src/relay/relay_context.hpp
+++ b/src/relay/relay_context.hpp
@@ -44,7 +44,7 @@
   SamplesById pending_samples;                           ///< Likewise.
 
   /// An engine has prefilled a prompt and caches its parts.
-  void on_prompt_read(const EngineId& engine, const std::vector<PromptPart>& parts);
+  void on_prompt_read(const PromptRead& read);
 
   /// Queues a trouble report for the other nodes.
   void queue_trouble(const EngineTrouble& trouble);
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -68,6 +68,9 @@
             {{"version", table_->version()},
              {"before", previous_version},
              {"routes", table_->configuration().routes.size()}});
+  for (const RelayedService& service : table_->configuration().services) {
+    if (service.model) engines_.set_memory(service.name, service.model->kv_tokens);
+  }
   metrics_.set_gauge("config_version", static_cast<double>(table_->version()));
   if (adopted_handler_) adopted_handler_(*table_);
   return true;
@@ -145,7 +148,7 @@
 }
 
 void RelayNode::on_peer_prompt_read(const PromptRead& read) {
-  context_.on_prompt_read(read.engine, read.parts);
+  context_.on_prompt_read(read);
 }
 
 void RelayNode::set_fleet(const Fleet& fleet) {
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -248,7 +248,6 @@
     context_.quarantine.begin_trial(identity_->request, engine);
   }
   if (step == Step::kDecodeFromHandle) prefill_tokens_ = 0;
-  if (service_->model) context_.engines.set_memory(engine, service_->model->kv_tokens);
   record_send(step == Step::kPrefill);
   idle_when_sent_ = view->total_requests(sent_at_) < 0.5;
   context_.engines.on_attempt_sent(engine, {prefill_tokens_, deferred_});
--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -106,11 +106,11 @@
 
 /// Reports the parts that other requests may share; the last part is specific to this request.
 void RelaySession::report_prompt_read() {
-  context_.on_prompt_read(engine_, prompt_->parts);
+  context_.on_prompt_read({engine_, prompt_->parts, 0});
   // Without a load exchange the queue would never be emptied.
   if (prompt_->parts.size() < 2 || !context_.load_changed) return;
   context_.pending_prompt_reads.push_back(
-      {engine_, {prompt_->parts.begin(), prompt_->parts.end() - 1}});
+      {engine_, {prompt_->parts.begin(), prompt_->parts.end() - 1}, prompt_->parts.back().tokens});
   context_.notify_load_changed();
 }
 
--- a/src/relay/zone_exchange.cpp
+++ b/src/relay/zone_exchange.cpp
@@ -22,7 +22,7 @@
 EngineUpdates updates_from(const LoadMessage& message) {
   EngineUpdates updates;
   for (const PromptRead& read : message.reads) {
-    updates.reads.push_back({engine_key(read.engine), read.parts});
+    updates.reads.push_back({engine_key(read.engine), read.parts, read.unshared_tokens});
   }
   for (const EngineTrouble& trouble : message.troubles) {
     updates.troubles.push_back({engine_key(trouble.engine), trouble.stage, trouble.kind});
@@ -201,7 +201,8 @@
   EngineDirectory& engines = this->node.engines();
   for (const KeyedRead& read : updates.reads) {
     const EngineView* engine = engines.find_by_key(read.engine);
-    if (engine != nullptr) this->node.on_peer_prompt_read({engine->record.id, read.parts});
+    if (engine != nullptr)
+      this->node.on_peer_prompt_read({engine->record.id, read.parts, read.unshared_tokens});
   }
   for (const KeyedLimit& keyed : updates.limits) {
     const EngineView* engine = engines.find_by_key(keyed.engine);
--- a/tests/protocol/earlier_messages_test.cpp
+++ b/tests/protocol/earlier_messages_test.cpp
@@ -171,3 +171,19 @@
   }
   cr_assert(received == sum.updates);
 }
+
+Test(earlier_messages, are_contained_in_messages_with_unshared_tokens) {
+  LoadMessage message = load_message();
+  message.reads.front().unshared_tokens = 6600;
+  cr_assert(decode_load_message(encode(message))->reads.front().unshared_tokens == 6600);
+  json document = parsed(encode(message));
+  document["reads"][0].erase(2);
+  cr_assert(document == parsed(from_hexadecimal(kLoadHex)));
+  LoadDigest sum = load_digest();
+  sum.updates.reads.front().unshared_tokens = 6600;
+  const std::string bytes = encode_parts(sum).front();
+  cr_assert(decode_digest(bytes).value() == sum);
+  json lists = parsed(bytes);
+  lists[7][0][0].erase(3);
+  cr_assert(lists == parsed(from_hexadecimal(kDigestHex)));
+}
