--- a/src/core/relay/engine_directory.cpp
+++ b/src/core/relay/engine_directory.cpp
@@ -182,7 +182,8 @@
   engine->stage_notice = {notice.stage, notice.fence, now + notice.valid_for};
 }
 
-void EngineDirectory::on_samples(const EngineId& id, const EngineSamples& samples) {
+void EngineDirectory::on_samples(MonotonicTime /*now*/, const EngineId& id,
+                                 const EngineSamples& samples) {
   EngineView* engine = find(id);
   if (engine != nullptr) engine->samples += samples;
 }
--- a/src/core/relay/engine_directory.hpp
+++ b/src/core/relay/engine_directory.hpp
@@ -233,7 +233,7 @@
   void on_stage_notice(MonotonicTime now, const EngineId& id, const StageNotice& notice);
 
   /// Adds observations of this node or another one.
-  void on_samples(const EngineId& id, const EngineSamples& samples);
+  void on_samples(MonotonicTime now, const EngineId& id, const EngineSamples& samples);
 
   /// @return when the first engine of a service that can answer accepts requests again; unset if
   /// one accepts them now or all are draining. @param except engines to leave out.
--- a/src/relay/load_exchange.cpp
+++ b/src/relay/load_exchange.cpp
@@ -146,7 +146,7 @@
   }
   for (const PromptRead& read : snapshot->cached_prompts) node_.on_peer_prompt_read(read);
   for (const auto& [engine, samples] : snapshot->samples)
-    node_.engines().on_samples(engine, samples);
+    node_.engines().on_samples(runtime_.now(), engine, samples);
   log_event(LogArea::kControl, LogLevel::kInfo, "caches_learned",
             {{"engines", snapshot->cached_prompts.size()}, {"bytes", answer->size()}});
 }
@@ -272,7 +272,8 @@
     node_.on_peer_limit(report.engine, report.limit);
   for (const EngineStageNotice& item : message.stage_notices)
     node_.engines().on_stage_notice(now, item.engine, item.notice);
-  for (const auto& [engine, samples] : message.samples) node_.engines().on_samples(engine, samples);
+  for (const auto& [engine, samples] : message.samples)
+    node_.engines().on_samples(now, engine, samples);
   node_.quarantine().on_peer_reports(message.crashes);
   if (on_revisions_) on_revisions_(message.revisions);
   for (const PromptRead& read : message.reads) node_.on_peer_prompt_read(read);
--- a/src/relay/relay_context.cpp
+++ b/src/relay/relay_context.cpp
@@ -43,7 +43,7 @@
 }
 
 void RelayContext::queue_samples(const EngineId& engine, const EngineSamples& samples) {
-  engines.on_samples(engine, samples);
+  engines.on_samples(runtime.now(), engine, samples);
   if (load_changed) pending_samples[engine] += samples;
 }
 
--- a/src/relay/zone_exchange.cpp
+++ b/src/relay/zone_exchange.cpp
@@ -216,7 +216,7 @@
   // a fleet that uses collectors is small.
   for (const auto& [key, samples] : updates.samples) {
     const EngineView* engine = engines.find_by_key(key);
-    if (engine != nullptr) engines.on_samples(engine->record.id, samples);
+    if (engine != nullptr) engines.on_samples(this->runtime.now(), engine->record.id, samples);
   }
   for (const KeyedTrouble& trouble : updates.troubles) {
     const EngineView* engine = engines.find_by_key(trouble.engine);
