Place prompts and streams by the profile of each engine

Also ruled out: factors computed in each placement (an exp2 for each engine); they are kept, and renewed with new samples and every two seconds. Change: EngineProfile in place of the raw sums in EngineView. Expected prefill times take the engine's factor and its present slowdown; streams take its pace where this node has no recent sample, and engines whose streams are expected to exceed the gap target only if no other has a free slot.

--- a/src/core/relay/engine_directory.cpp
+++ b/src/core/relay/engine_directory.cpp
@@ -182,10 +182,14 @@
   engine->stage_notice = {notice.stage, notice.fence, now + notice.valid_for};
 }
 
-void EngineDirectory::on_samples(MonotonicTime /*now*/, const EngineId& id,
+void EngineDirectory::on_samples(MonotonicTime now, const EngineId& id,
                                  const EngineSamples& samples) {
   EngineView* engine = find(id);
-  if (engine != nullptr) engine->samples += samples;
+  if (engine == nullptr) return;
+  EngineProfile& service = service_profiles_[engine->record.service];
+  service.observe(now, samples);
+  engine->profile.observe(now, samples);
+  engine->profile.compare_with(now, service);
 }
 
 std::optional<MonotonicTime> EngineDirectory::next_available_at(
--- a/src/core/relay/engine_directory.hpp
+++ b/src/core/relay/engine_directory.hpp
@@ -17,6 +17,7 @@
 #include "core/relay/engine_limit.hpp"
 #include "core/relay/engine_model.hpp"
 #include "core/relay/engine_notice.hpp"
+#include "core/relay/engine_profile.hpp"
 #include "core/relay/engine_samples.hpp"
 #include "core/relay/engine_stage.hpp"
 #include "core/relay/engine_trouble.hpp"
@@ -55,6 +56,8 @@
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
   std::uint32_t slots = 0;
+  /// How long work takes there at this moment, in percent of the usual; 0: not reported.
+  std::uint32_t slowdown = 0;
 };
 
 /// Prefill work that an attempt causes at an engine.
@@ -82,6 +85,7 @@
   MonotonicTime load_at{};
   std::uint32_t in_flight_at_report = 0;
   std::optional<PeerLoad> peer_load;  ///< Of all other nodes; unset while none reports.
+  EngineProfile profile;              ///< From the samples of all nodes.
   PeerLoad reported_peer_load;        ///< Sum of the other nodes' own reports.
   std::uint32_t consecutive_failures = 0;
   std::uint32_t consecutive_refusals = 0;
@@ -100,7 +104,6 @@
   std::uint64_t memory_tokens = 0;    ///< For running requests and cached parts; 0: unknown.
   double event_interval_ms = 0;       ///< Moving average of the time between stream events.
   MonotonicTime event_interval_at{};  ///< When `event_interval_ms` was last updated.
-  EngineSamples samples;              ///< Of all nodes, since this node knows the engine.
   std::optional<ReceivedStageNotice> stage_notice;  ///< The last one, possibly expired.
 
   /// @return whether it is neither draining nor in cooldown.
@@ -122,6 +125,18 @@
 
   /// @return milliseconds between stream events, or `fallback` if this node has no recent sample.
   double recent_event_interval_ms(MonotonicTime now, double fallback) const;
+
+  /// @return expected milliseconds between stream events: recent ones, or else by the profile.
+  /// @param service_ms of a usual engine of the service.
+  double expected_event_interval_ms(MonotonicTime now, double service_ms) const {
+    return recent_event_interval_ms(now,
+                                    service_ms * profile.pace_factor() * profile.slowdown(now));
+  }
+
+  /// @return prefill time at present relative to the service's model.
+  double present_prefill_factor(MonotonicTime now) const {
+    return profile.prefill_factor() * profile.slowdown(now);
+  }
 };
 
 /// Result of an attempt with regard to the engine's health.
@@ -199,7 +214,8 @@
   void set_shared_view_age(Duration age) { shared_view_age_ = age; }
   Duration shared_view_age() const { return shared_view_age_; }
 
-  /// Drops load reports and fleet sums that were not renewed in time.
+  /// Drops load reports and fleet sums that were not renewed in time, and lets engine profiles
+  /// forget. Call about once a second.
   void expire_peer_load(MonotonicTime now);
 
   /// @return the engine with this key, or null.
@@ -275,6 +291,7 @@
   void remove_from_service(EngineView& engine);
   Duration add_jitter(Duration base, const EngineId& engine);
   void update_all_peer_loads();
+  void update_profiles(MonotonicTime now);
 
   std::uint64_t seed_;
   std::uint64_t jitter_draws_ = 0;
@@ -289,6 +306,8 @@
   std::optional<MonotonicTime> fleet_load_at_;  ///< The last fleet sum; unset once expired.
   double average_prefill_tokens_ = 2000;
   std::map<ServiceName, EngineModel> models_;
+  std::map<ServiceName, EngineProfile> service_profiles_;  ///< Of all engines together.
+  MonotonicTime profiles_updated_at_{};
 };
 
 }  // namespace shuntbank::relay
--- a/src/core/relay/engine_directory_load.cpp
+++ b/src/core/relay/engine_directory_load.cpp
@@ -12,6 +12,9 @@
 /// A node that has not reported for this long counts as having no load.
 constexpr Duration kPeerTimeout = std::chrono::milliseconds(2500);
 
+/// Between two updates of all engine profiles; short compared with the time in which they forget.
+constexpr Duration kProfileUpdateInterval = std::chrono::seconds(2);
+
 }  // namespace
 
 double EngineView::peer_requests(MonotonicTime now) const {
@@ -54,6 +57,7 @@
   engine->load = load;
   engine->load_at = now;
   engine->in_flight_at_report = engine->in_flight;
+  if (load.slowdown > 0) engine->profile.on_slowdown(now, load.slowdown);
 }
 
 void EngineDirectory::on_peer_load(MonotonicTime now, const NodeId& peer,
@@ -80,7 +84,19 @@
   }
 }
 
+/// Includes engines without samples, for which the service's values count.
+void EngineDirectory::update_profiles(MonotonicTime now) {
+  if (now - profiles_updated_at_ < kProfileUpdateInterval) return;
+  profiles_updated_at_ = now;
+  for (const auto& [service, profile] : service_profiles_) {
+    for (EngineView* engine : find_by_service(service)) {
+      engine->profile.compare_with(now, profile);
+    }
+  }
+}
+
 void EngineDirectory::expire_peer_load(MonotonicTime now) {
+  update_profiles(now);
   if (fleet_load_at_ && now - *fleet_load_at_ > kPeerTimeout) {
     fleet_load_at_.reset();
     update_all_peer_loads();
--- a/src/core/relay/placement.cpp
+++ b/src/core/relay/placement.cpp
@@ -99,9 +99,11 @@
   }
   const double ahead = costs.deferred ? all : std::max(0.0, all - deferred_work);
   const PrefillModel& reading = costs.model.prefill();
-  if (!prefill) return costs.model.decode_prefill_ms(ahead) - reading.setup_ms();
+  const double factor = engine.present_prefill_factor(costs.now);
+  if (!prefill) return factor * (costs.model.decode_prefill_ms(ahead) - reading.setup_ms());
   const double share = all > 0 ? ahead / all : 1;
-  return engine.total_requests(costs.now) * share * reading.setup_ms() + ahead * reading.token_ms();
+  return factor * (engine.total_requests(costs.now) * share * reading.setup_ms() +
+                   ahead * reading.token_ms());
 }
 
 /// @return a pseudorandom number from 0 to 1 for the prompt and the engine.
@@ -136,7 +138,7 @@
   const bool prefill = engine.record.stage == EngineStage::kPrefill;
   const double reading_ms =
       prefill ? costs.model.prefill().prefill_ms(tokens) : costs.model.decode_prefill_ms(tokens);
-  return waiting_ms(costs, engine) + reading_ms;
+  return waiting_ms(costs, engine) + reading_ms * engine.present_prefill_factor(costs.now);
 }
 
 /// @return the penalty, in milliseconds, of an engine whose streams are many or slow.
@@ -144,7 +146,7 @@
   if (engine.record.stage == EngineStage::kPrefill) return 0;
   const double free_pace = costs.model.unloaded_event_interval_ms();
   return batch_fill_penalty_ms(costs, engine) +
-         engine.recent_event_interval_ms(costs.now, free_pace) - free_pace;
+         engine.expected_event_interval_ms(costs.now, free_pace) - free_pace;
 }
 
 double plain_cost_ms(MonotonicTime now, const EngineView& engine,
@@ -190,7 +192,8 @@
   const std::uint64_t saved = source.cached - cached;
   const std::uint64_t prefill_tokens = prompt.prompt_tokens - source.cached;
   const double fetch_ms = model.fetch_setup_ms() + query.service->model->transfer_ms(saved);
-  const double reading_ms = static_cast<double>(saved) * model.prefill().token_ms();
+  const double reading_ms = static_cast<double>(saved) * model.prefill().token_ms() *
+                            engine.present_prefill_factor(costs.now);
   if (fetch_ms >= reading_ms) return;
   placement.prefill_tokens = prefill_tokens;
   placement.expected_ms += fetch_ms - reading_ms;
@@ -219,9 +222,13 @@
       query.prompt != nullptr ? best_fetch_source(now, engines, query) : FetchSource{};
   const PromptCosts costs{now, std::as_const(engines).model_of(query.service->name),
                           engines.average_prefill_tokens(), query.deferred};
+  const bool watches_gaps = query.prompt != nullptr && query.stage == EngineStage::kDecode &&
+                            query.gap_target > Duration::zero();
   const double max_jitter_ms =
       query.prompt != nullptr ? jitter_range_ms(costs, engines, usable) : 0;
   std::optional<Estimate> best;
+  std::optional<Estimate> best_in_time;  ///< Of the engines that keep the gap target.
+  bool in_time_has_room = false;         ///< One of these has a free slot.
   for (const EngineView* engine : usable) {
     Estimate placement;
     placement.engine = engine;
@@ -242,7 +249,11 @@
       placement.cost_ms += settings.collateral_penalty_ms * engine->total_requests(now);
     }
     if (!best || placement.cost_ms < best->cost_ms) best = placement;
+    if (!watches_gaps || engine->profile.exceeds_gap(query.gap_target)) continue;
+    in_time_has_room |= permit_ms <= 0 && engine->total_requests(now) < engine->record.slots;
+    if (!best_in_time || placement.cost_ms < best_in_time->cost_ms) best_in_time = placement;
   }
+  if (in_time_has_room) best = best_in_time;
   if (!best) return std::nullopt;
   return to_placement(*best, usable.size());
 }
--- a/src/core/relay/placement.hpp
+++ b/src/core/relay/placement.hpp
@@ -46,7 +46,8 @@
   /// Excludes engines that require a wait for a permit and are then expected to deliver the first
   /// token, or a plain answer, later than this.
   double max_expected_ms = std::numeric_limits<double>::infinity();
-  /// Longest gap between the events of the request's stream; zero: unset or not a stream.
+  /// Longest gap between the events of the request's stream; zero: unset or not a stream. Engines
+  /// that are expected to exceed it are chosen only if no other has a free slot.
   Duration gap_target = Duration::zero();
   /// This node's share of an engine's connection limit; 0: unlimited.
   std::uint32_t max_connections_per_node = 0;
--- a/src/relay/load_exchange.cpp
+++ b/src/relay/load_exchange.cpp
@@ -161,7 +161,8 @@
   for (const auto& [id, engine] : node_.engines().all()) {
     auto parts = engine.cache.cached_parts();
     if (!parts.empty()) snapshot.cached_prompts.push_back({id, std::move(parts)});
-    if (!engine.samples.empty()) snapshot.samples[id] = engine.samples;
+    const EngineSamples samples = engine.profile.samples(runtime_.now());
+    if (!samples.empty()) snapshot.samples[id] = samples;
   }
   std::string bytes = encode(snapshot);
   return bytes.size() <= kMaxCacheSnapshot ? bytes : std::string();
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -105,6 +105,7 @@
   query.max_connections_per_node = connections_per_engine();
   query.crash_risk_engines = crash_risk_engines_.empty() ? nullptr : &crash_risk_engines_;
   query.may_crash_engine = needs_isolation();
+  if (route_.kind == RouteKind::kStream) query.gap_target = route_.gap_target;
   const Duration to_objective = arrived_ + route_.objective - context_.runtime.now();
   query.max_expected_ms = to_ms(std::min(to_objective, time_left()));
   return query;
