Learn engine profiles from prefills, streams and told slowdowns

Ruled out: samples of all prefills, as waiting behind other requests would make every engine look slow; only those with little known work ahead count, against the expected time that includes this work. Sending a sample when it is made: at 640 engines and 2,800 requests a second the views would take tens of KB a second at each node. Change: each remote prefill whose time is attributable and each stream that one engine served adds a sample. A load message that is too large leaves out its samples first.

--- a/src/core/relay/engine_profile.cpp
+++ b/src/core/relay/engine_profile.cpp
@@ -9,10 +9,6 @@
 
 constexpr double kPercent = 100;
 
-/// Bounds on factors. Engines of one service differ by less; a larger factor is a faulty message.
-constexpr double kMinFactor = 0.2;
-constexpr double kMaxFactor = 5;
-
 /// Bound on the times of a sample, in milliseconds.
 constexpr double kMaxGapMs = 60'000;
 
@@ -30,10 +26,6 @@
 /// Smaller differences between engines are ignored, so that alike engines are placed as before.
 constexpr double kIgnoredDifference = 0.1;
 
-/// A told slowdown counts for this long: services change it about every 600 ms, so that half of
-/// it is left on average when a node hears of it.
-constexpr Duration kSlowdownValidity = std::chrono::milliseconds(300);
-
 /// With a larger share of late streams an engine's gaps count as too long for the route.
 constexpr double kMaxLateShare = 0.1;
 
@@ -42,7 +34,7 @@
 constexpr double kMinGapShare = 0.5;
 
 double bounded_factor(double factor) {
-  return std::clamp(factor, kMinFactor, kMaxFactor);
+  return std::clamp(factor, kMinSpeedFactor, kMaxSpeedFactor);
 }
 
 double without_small_difference(double factor) {
--- a/src/core/relay/engine_profile.hpp
+++ b/src/core/relay/engine_profile.hpp
@@ -8,6 +8,15 @@
 
 namespace shuntbank::relay {
 
+/// A told slowdown counts for this long: services change it about every 600 ms, so that half of it
+/// is left on average when a node hears of it.
+constexpr Duration kSlowdownValidity = std::chrono::milliseconds(300);
+
+/// Bounds on all factors. Engines of one service differ by less; a factor beyond them comes from a
+/// faulty message.
+constexpr double kMinSpeedFactor = 0.2;
+constexpr double kMaxSpeedFactor = 5;
+
 /// Speed and gaps of one engine incarnation, or of all engines of a service together. Earlier
 /// samples lose weight over time; with few samples the service's values count.
 class EngineProfile {
--- a/src/core/relay/placement.cpp
+++ b/src/core/relay/placement.cpp
@@ -86,8 +86,8 @@
   bool deferred;  ///< The prompt waits behind all that can meet their objective.
 };
 
-/// @return milliseconds until the engine has prefilled all prompts ahead of a new one.
-double waiting_ms(const PromptCosts& costs, const EngineView& engine) {
+/// @return milliseconds until a usual engine has prefilled all prompts ahead of a new one.
+double usual_waiting_ms(const PromptCosts& costs, const EngineView& engine) {
   const bool prefill = engine.record.stage == EngineStage::kPrefill;
   auto all = static_cast<double>(engine.prefill_tokens);
   auto deferred_work = static_cast<double>(engine.deferred_tokens);
@@ -99,11 +99,14 @@
   }
   const double ahead = costs.deferred ? all : std::max(0.0, all - deferred_work);
   const PrefillModel& reading = costs.model.prefill();
-  const double factor = engine.present_prefill_factor(costs.now);
-  if (!prefill) return factor * (costs.model.decode_prefill_ms(ahead) - reading.setup_ms());
+  if (!prefill) return costs.model.decode_prefill_ms(ahead) - reading.setup_ms();
   const double share = all > 0 ? ahead / all : 1;
-  return factor * (engine.total_requests(costs.now) * share * reading.setup_ms() +
-                   ahead * reading.token_ms());
+  return engine.total_requests(costs.now) * share * reading.setup_ms() + ahead * reading.token_ms();
+}
+
+/// @return milliseconds until the engine has prefilled all prompts ahead of a new one.
+double waiting_ms(const PromptCosts& costs, const EngineView& engine) {
+  return usual_waiting_ms(costs, engine) * engine.present_prefill_factor(costs.now);
 }
 
 /// @return a pseudorandom number from 0 to 1 for the prompt and the engine.
@@ -258,4 +261,12 @@
   return to_placement(*best, usable.size());
 }
 
+PrefillReference prefill_reference(MonotonicTime now, const EngineDirectory& engines,
+                                   const EngineView& engine, std::uint64_t prefill_tokens) {
+  const EngineModel& model = engines.model_of(engine.record.service);
+  const PromptCosts costs{now, model, engines.average_prefill_tokens(), false};
+  return {model.prefill().prefill_ms(static_cast<double>(prefill_tokens)),
+          usual_waiting_ms(costs, engine)};
+}
+
 }  // namespace shuntbank::relay
--- a/src/core/relay/placement.hpp
+++ b/src/core/relay/placement.hpp
@@ -63,6 +63,16 @@
   std::size_t candidates = 0;
 };
 
+/// Expected time of a remote prefill at a usual engine of the service, in milliseconds.
+struct PrefillReference {
+  double own_ms = 0;
+  double ahead_ms = 0;  ///< Of the work known to be ahead of it.
+};
+
+/// Call before the prefill is counted as sent.
+PrefillReference prefill_reference(MonotonicTime now, const EngineDirectory& engines,
+                                   const EngineView& engine, std::uint64_t prefill_tokens);
+
 /// @return the candidate with the lowest cost, or nothing if there is none.
 std::optional<Placement> place(MonotonicTime now, EngineDirectory& engines,
                                const PlacementQuery& query, const PlacementSettings& settings);
--- a/src/relay/exchange_settings.hpp
+++ b/src/relay/exchange_settings.hpp
@@ -8,6 +8,7 @@
 #include "common/time.hpp"
 #include "core/relay/collector_selector.hpp"
 #include "core/relay/load_collector.hpp"
+#include "core/relay/sample_buffer.hpp"
 
 namespace shuntbank::relay {
 
@@ -29,6 +30,11 @@
   Duration max_collect_interval = std::chrono::milliseconds(120);
   /// Messages per second that a collector sends for each core of its machine; about 4% of its CPU.
   double messages_per_core = 4000;
+  /// Engine samples in the views of a node, and in the sums that a zone sends to each collector of
+  /// the others: 3 KB and, as a collector has more receivers the more zones there are, 0.5 KB a
+  /// second.
+  SampleBufferSettings view_samples{std::chrono::seconds(1), 150, 40};
+  SampleBufferSettings zone_samples{std::chrono::seconds(1), 25, 25};
   /// Maximum number of prompt reads in one sum.
   std::size_t max_prompt_reads = 1000;
 };
--- a/src/relay/load_exchange.cpp
+++ b/src/relay/load_exchange.cpp
@@ -226,6 +226,10 @@
 void LoadExchange::flush() {
   LoadMessage message = own_message();
   std::string bytes = encode(message);
+  if (bytes.size() > kMaxLoadMessage && !message.samples.empty()) {
+    message.samples.clear();
+    bytes = encode(message);
+  }
   if (bytes.size() > kMaxLoadMessage) {
     log_event(LogArea::kControl, LogLevel::kWarning, "news_left_out",
               {{"reads", message.reads.size()}, {"engines", message.load.size()}});
--- a/src/relay/relay_context.cpp
+++ b/src/relay/relay_context.cpp
@@ -43,8 +43,9 @@
 }
 
 void RelayContext::queue_samples(const EngineId& engine, const EngineSamples& samples) {
-  engines.on_samples(runtime.now(), engine, samples);
-  if (load_changed) pending_samples[engine] += samples;
+  const MonotonicTime now = runtime.now();
+  engines.on_samples(now, engine, samples);
+  if (load_changed) pending_samples.add(now, engine, samples);
 }
 
 void RelayContext::queue_trouble(const EngineTrouble& trouble) {
--- a/src/relay/relay_context.hpp
+++ b/src/relay/relay_context.hpp
@@ -9,6 +9,7 @@
 #include "core/relay/engine_directory.hpp"
 #include "core/relay/engine_samples.hpp"
 #include "core/relay/retry_budget.hpp"
+#include "core/relay/sample_buffer.hpp"
 #include "core/relay/stage_notice.hpp"
 #include "net/http_client.hpp"
 #include "relay/engine_dialect.hpp"
@@ -41,7 +42,7 @@
   std::vector<EngineTrouble> pending_troubles;     ///< Likewise.
   std::vector<LimitUpdate> pending_limit_updates;  ///< Likewise.
   std::vector<EngineStageNotice> pending_stage_notices;  ///< Likewise.
-  SamplesById pending_samples;                           ///< Likewise.
+  SampleBuffer<EngineId> pending_samples;                ///< Likewise.
 
   /// An engine has prefilled a prompt and caches its parts.
   void on_prompt_read(const EngineId& engine, const std::vector<PromptPart>& parts);
--- a/src/relay/relay_node.hpp
+++ b/src/relay/relay_node.hpp
@@ -126,8 +126,8 @@
     return std::exchange(context_.pending_stage_notices, {});
   }
 
-  /// @return engine samples queued since the last call.
-  SamplesById take_samples() { return std::exchange(context_.pending_samples, {}); }
+  /// @return the queued engine samples that may be sent now.
+  SamplesById take_samples() { return context_.pending_samples.take(io_.runtime.now()); }
 
   /// An engine has prefilled a prompt for another node.
   void on_peer_prompt_read(const PromptRead& read);
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -235,6 +235,7 @@
   status_ = 0;
   headers_ = HttpHeaders();
   refused_ = false;
+  forwarding_paused_ = false;
   streaming_ = false;
   body_.clear();
   overflow_ = false;
@@ -252,6 +253,9 @@
   if (service_->model) context_.engines.set_memory(engine, service_->model->kv_tokens);
   record_send(step == Step::kPrefill);
   idle_when_sent_ = view->total_requests(sent_at_) < 0.5;
+  if (step == Step::kPrefill) {
+    prefill_reference_ = prefill_reference(sent_at_, context_.engines, *view, prefill_tokens_);
+  }
   context_.engines.on_attempt_sent(engine, {prefill_tokens_, deferred_});
   if (prompt_) context_.notify_load_changed();
   if (step == Step::kPrefill) context_.engines.on_prompt_sent(prefill_tokens_);
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -131,6 +131,8 @@
   void respond(int status, const HttpHeaders& headers, std::string body, const std::string& result);
   HttpHeaders forwarded_answer_fields() const;
   void update_prefill_model(bool exclusive);
+  void report_prefill_sample();
+  void report_stream_sample();
   void report_prompt_read();
   void report_started();
   AttemptHealth refusal_health() const;
@@ -180,15 +182,17 @@
   double expected_first_token_ms_ = 0;  ///< Estimate at dispatch.
   bool prefill_tokens_released_ = false;
   bool attempt_counted_ = false;
-  bool charged_to_budget_ = false;  ///< Sent as an extra dispatch.
-  bool idle_when_sent_ = false;     ///< The engine had no other known work.
+  bool charged_to_budget_ = false;      ///< Sent as an extra dispatch.
+  bool idle_when_sent_ = false;         ///< The engine had no other known work.
+  PrefillReference prefill_reference_;  ///< Of a remote prefill.
   std::optional<TransferId> transfer_;
   MonotonicTime sent_at_{};
   MonotonicTime last_activity_at_{};  ///< Time of the send or the last data received.
   int status_ = 0;
   HttpHeaders headers_;
   bool refused_ = false;
-  bool streaming_ = false;  ///< Events are forwarded as they arrive.
+  bool forwarding_paused_ = false;  ///< The caller was too slow for a while.
+  bool streaming_ = false;          ///< Events are forwarded as they arrive.
   std::string body_;
   bool overflow_ = false;
   bool answer_invalid_ = false;
--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -1,6 +1,7 @@
 // Handling of an engine's answer to a relayed request.
 #include <utility>
 
+#include "core/relay/engine_observation.hpp"
 #include "net/http_status.hpp"
 #include "relay/relay_session.hpp"
 
@@ -16,6 +17,9 @@
 /// An engine with a smaller share of its slots in use is not expected to refuse.
 constexpr double kSpareCapacityShare = 0.5;
 
+/// A told slowdown of at least this is passed on at once.
+constexpr std::uint32_t kReportedSlowdownPercent = 150;
+
 bool is_success(int status) {
   return status >= 200 && status < 300;
 }
@@ -37,6 +41,12 @@
   if (status != http_status::kMisdirected) context_.on_engine_answered(engine_, sent_at_);
   if (const auto load = context_.dialect.parse_load(headers)) {
     context_.engines.on_load(now, engine_, *load);
+    // Other nodes do not hear of it in time if it waits for the end of the stream.
+    if (load->slowdown >= kReportedSlowdownPercent) {
+      EngineSamples samples;
+      samples.slowdown_percent = load->slowdown;
+      context_.queue_samples(engine_, samples);
+    }
   }
   refused_ = context_.dialect.is_refusal(status, headers);
   const HeaderNames& names = context_.dialect.names();
@@ -61,6 +71,7 @@
     return true;
   }
   if (responder_->pending_bytes() > kHighWatermark) {
+    forwarding_paused_ = true;
     responder_->on_drained([weak = weak_from_this()] {
       const auto self = weak.lock();
       if (self && self->transfer_) self->context_.http.resume(*self->transfer_);
@@ -192,6 +203,7 @@
   EngineView* view = context_.engines.find(engine_);
   if (view != nullptr) {
     update_prefill_model(idle_when_sent_ && view->in_flight == 0 && !deferred_);
+    report_prefill_sample();
     report_prompt_read();
     prompt_handle_address_ = view->record.address;
     prompt_handle_ = handle->handle;
@@ -223,6 +235,29 @@
                  service_->model->transfer_ms(prompt_->prompt_tokens - prefill_tokens_), elapsed);
 }
 
+/// Excludes deferred prefills, which later ones may overtake, and those with a transfer.
+void RelaySession::report_prefill_sample() {
+  if (deferred_ || !fetch_address_.empty()) return;
+  PrefillObservation prefill;
+  prefill.own_ms = prefill_reference_.own_ms;
+  prefill.ahead_ms = prefill_reference_.ahead_ms;
+  prefill.took = context_.runtime.now() - sent_at_;
+  if (const auto load = context_.dialect.parse_load(headers_)) {
+    prefill.waiting = load->waiting;
+    prefill.slowdown_percent = load->slowdown;
+  }
+  if (const auto sample = prefill_sample(prefill)) context_.queue_samples(engine_, *sample);
+}
+
+/// Excludes streams that several engines served, and those that the caller has slowed down.
+void RelaySession::report_stream_sample() {
+  const auto mean_gap = progress_.mean_gap();
+  const bool one_engine = progress_.first_event_delay(sent_at_) > Duration::zero();
+  if (!prompt_ || !mean_gap || !one_engine || forwarding_paused_) return;
+  context_.queue_samples(engine_,
+                         stream_sample({*mean_gap, progress_.longest_gap(), route_.gap_target}));
+}
+
 void RelaySession::on_stream_end() {
   if (splitter_.has_partial()) {
     report_health(AttemptHealth::kFailed);
@@ -232,6 +267,7 @@
   if (const auto gap = progress_.mean_gap()) {
     context_.engines.model_of(service_name_).on_event_interval(*gap);
   }
+  report_stream_sample();
   if (identity_) context_.quarantine.on_completed(identity_->request);
   prompt_handle_.clear();
   if (!history_.head_forwarded) begin_stream();
--- a/src/relay/zone_exchange.cpp
+++ b/src/relay/zone_exchange.cpp
@@ -54,7 +54,9 @@
       boot(own_boot),
       settings(own_settings),
       selector(own_settings.collector_selection),
-      collector(own_settings.collector) {}
+      collector(own_settings.collector),
+      zone_samples(own_settings.zone_samples),
+      view_samples(own_settings.view_samples) {}
 
 void ZoneExchange::start() {
   this->selector.set_order(collector_order(this->peers.nodes(), this->zone));
@@ -125,6 +127,9 @@
   if (this->collector.idle()) this->begin_collecting();
   MemberLoad member{{message.boot, message.sequence}, by_key(message.load), message.wants_view};
   if (!this->collector.on_member_load(this->runtime.now(), message.node, std::move(member))) return;
+  for (const auto& [engine, samples] : message.samples) {
+    this->zone_samples.add(this->runtime.now(), engine_key(engine), samples);
+  }
   this->append_updates(this->zone_updates, updates_from(message));
   this->update_revisions(message.revisions);
   if (message.store_age_ms) this->update_store_confirmation(*message.store_age_ms);
@@ -139,7 +144,7 @@
   const bool accepted =
       this->collector.on_zone_load(now, {digest->zone, digest->collector, digest->number,
                                          digest->node_count, std::move(digest->range)});
-  if (accepted) this->append_updates(this->other_zone_updates, digest->updates);
+  if (accepted) this->append_updates(this->other_zone_updates, std::move(digest->updates));
   const auto found = this->zone_selectors.find(digest->zone);
   if (found != this->zone_selectors.end()) found->second.on_view(now, digest->collector);
   this->update_revisions(digest->revisions);
@@ -170,7 +175,11 @@
   this->apply_updates(sum.updates);
 }
 
-void ZoneExchange::append_updates(EngineUpdates& updates, const EngineUpdates& added) {
+/// Samples wait in a buffer of their own, which bounds their rate.
+void ZoneExchange::append_updates(EngineUpdates& updates, EngineUpdates added) {
+  for (const auto& [engine, samples] : std::exchange(added.samples, {})) {
+    this->view_samples.add(this->runtime.now(), engine, samples);
+  }
   if (updates.reads.size() + added.reads.size() > this->settings.max_prompt_reads) {
     log_event(LogArea::kControl, LogLevel::kWarning, "news_left_out",
               {{"reads", added.reads.size()}, {"waiting", updates.reads.size()}});
@@ -286,10 +295,12 @@
   zone_sum.node_count = this->collector.zone_nodes();
   zone_sum.range.load = this->collector.zone_load();
   zone_sum.updates = this->zone_updates;
+  zone_sum.updates.samples = this->zone_samples.take(now);
   this->send_to_zones(now, zone_sum);
 
   EngineUpdates news = std::exchange(this->zone_updates, {});
   news.append(std::exchange(this->other_zone_updates, {}));
+  news.samples = this->view_samples.take(now);
   // The zone's second collector usually has no subscribers.
   const auto subscribers = this->collector.subscribers();
   this->view_messages = 0;
--- a/src/relay/zone_exchange.hpp
+++ b/src/relay/zone_exchange.hpp
@@ -13,6 +13,7 @@
 #include "common/runtime.hpp"
 #include "core/relay/collector_selector.hpp"
 #include "core/relay/load_collector.hpp"
+#include "core/relay/sample_buffer.hpp"
 #include "net/peer_transport.hpp"
 #include "protocol/load_digest.hpp"
 #include "protocol/load_message.hpp"
@@ -87,7 +88,7 @@
   void send_to_members(const std::vector<Subscriber>& subscribers, const LoadDigest& sum);
   void apply_own_sum(MonotonicTime now, const LoadDigest& sum);
   void apply_sum(MonotonicTime now, const LoadDigest& sum, std::uint64_t counted);
-  void append_updates(EngineUpdates& updates, const EngineUpdates& added);
+  void append_updates(EngineUpdates& updates, EngineUpdates added);
   void apply_updates(const EngineUpdates& updates);
   void record_view(MonotonicTime now);
   void update_revisions(const CatalogRevisions& revisions);
@@ -120,8 +121,10 @@
   std::size_t view_messages = 0;  ///< Messages sent to members with the last sum.
   std::deque<SentLoad> sent_loads;
   std::uint64_t sums_sent = 0;
-  EngineUpdates zone_updates;        ///< From this zone since the last sum.
-  EngineUpdates other_zone_updates;  ///< From other zones since the last sum.
+  EngineUpdates zone_updates;            ///< From this zone since the last sum.
+  EngineUpdates other_zone_updates;      ///< From other zones since the last sum.
+  SampleBuffer<EngineKey> zone_samples;  ///< From this zone, not yet sent to other zones.
+  SampleBuffer<EngineKey> view_samples;  ///< From all zones, not yet sent to members.
   CatalogRevisions seen_revisions;
   MonotonicTime store_confirmed_at{};                 ///< Last store confirmation of any reader.
   std::map<NodeId, MessageNumber> last_view_numbers;  ///< Last view of each collector.
