Bar an engine from streams only if its gaps are clearly the service's exception

Cause: with a fixed bound on the share of late streams, alike engines near the bound would fall on either side of it by chance while all are slow, and the streams would crowd on a few. Ruled out: a multiple of the service's share; with two thirds of the engines slow the service's share is two thirds of theirs, so that no multiple both finds them and leaves alike engines alone. Change: an engine exceeds a gap only if its late share is above the service's by two standard errors and a tenth, or its mean longest gap by a tenth. The penalty of a filled batch takes the engine's pace. The test of streams now updates all profiles after the last sample, as nodes do every two seconds: the first engine was compared with itself alone.

--- a/src/core/relay/engine_profile.cpp
+++ b/src/core/relay/engine_profile.cpp
@@ -29,6 +29,10 @@
 /// With a larger share of late streams an engine's gaps count as too long for the route.
 constexpr double kMaxLateShare = 0.1;
 
+/// An engine is late more often than its service if its share of late streams is above the
+/// service's by this many standard errors. Alike engines rarely differ by as much.
+constexpr double kSignificantErrors = 2;
+
 /// The late share counts only if the mean longest gap is above this share of the gap target.
 /// Otherwise the late streams were those of a route with a much shorter one.
 constexpr double kMinGapShare = 0.5;
@@ -37,6 +41,11 @@
   return std::clamp(factor, kMinSpeedFactor, kMaxSpeedFactor);
 }
 
+/// @return whether a value is above the service's by more than the ignored difference.
+bool clearly_above(double value, double service) {
+  return value > service * (1 + kIgnoredDifference);
+}
+
 double without_small_difference(double factor) {
   return std::abs(factor - 1) < kIgnoredDifference ? 1 : bounded_factor(factor);
 }
@@ -113,6 +122,14 @@
   };
   this->mean_longest_gap_ms = shrunk(own.longest_gap_ms, all.longest_gap_ms);
   this->late_stream_share = shrunk(own.late_streams, all.late_streams);
+  this->longer_gaps =
+      clearly_above(this->mean_longest_gap_ms, mean(all.longest_gap_ms, all.streams));
+  const double usual_share = mean(all.late_streams, all.streams);
+  const double standard_error =
+      std::sqrt(usual_share * (1 - usual_share) / (own.streams + kPriorStreams));
+  this->often_late = this->late_stream_share > kMaxLateShare &&
+                     clearly_above(this->late_stream_share, usual_share) &&
+                     this->late_stream_share > usual_share + kSignificantErrors * standard_error;
 }
 
 void EngineProfile::on_slowdown(MonotonicTime now, std::uint32_t percent) {
@@ -123,9 +140,8 @@
 bool EngineProfile::exceeds_gap(Duration target) const {
   const double target_ms = to_ms(target);
   if (target_ms <= 0) return false;
-  if (this->mean_longest_gap_ms > target_ms) return true;
-  return this->late_stream_share > kMaxLateShare &&
-         this->mean_longest_gap_ms > target_ms * kMinGapShare;
+  if (this->longer_gaps && this->mean_longest_gap_ms > target_ms) return true;
+  return this->often_late && this->mean_longest_gap_ms > target_ms * kMinGapShare;
 }
 
 EngineSamples EngineProfile::samples(MonotonicTime now) const {
--- a/src/core/relay/engine_profile.hpp
+++ b/src/core/relay/engine_profile.hpp
@@ -48,7 +48,8 @@
   /// @return the share of streams with a gap beyond their route's gap target, 0 to 1.
   double late_share() const { return this->late_stream_share; }
 
-  /// @return whether streams are expected to exceed this gap; false if it is zero.
+  /// @return whether streams are expected to exceed this gap, and more so than elsewhere in the
+  /// service; false if it is zero.
   bool exceeds_gap(Duration target) const;
 
   /// @return whether there are samples.
@@ -75,6 +76,8 @@
   float present_slowdown = 1;
   float mean_longest_gap_ms = 0;
   float late_stream_share = 0;
+  bool often_late = false;   ///< Than the service, and beyond chance.
+  bool longer_gaps = false;  ///< Than the service.
   MonotonicTime slowdown_until{};
 
   Sums sums;
--- a/src/core/relay/placement.cpp
+++ b/src/core/relay/placement.cpp
@@ -131,7 +131,7 @@
   constexpr double kFullBatch = 20;
   const double usual_ms = costs.model.prefill().prefill_ms(costs.usual_prefill_tokens);
   const double fill = engine.total_requests(costs.now) / std::max(1U, engine.record.slots);
-  return usual_ms * (fill < 1 ? fill : kFullBatch * fill);
+  return usual_ms * engine.profile.pace_factor() * (fill < 1 ? fill : kFullBatch * fill);
 }
 
 /// @return milliseconds until the engine has prefilled a prompt that is sent now.
--- a/tests/core/relay/engine_profile_test.cpp
+++ b/tests/core/relay/engine_profile_test.cpp
@@ -2,6 +2,10 @@
 // pauses exceed the route's gap target, and expected prefill times wrong by the engine's factor.
 #include <criterion/criterion.h>
 
+#include <limits>
+#include <string>
+#include <vector>
+
 #include "core/relay/placement.hpp"
 
 using namespace shuntbank;
@@ -85,6 +89,7 @@
   fleet.observe("a", streams(40, 60, 150, 14));
   fleet.observe("b", streams(40, 60, 51, 0));
   fleet.observe("c", streams(40, 60, 51, 0));
+  fleet.engines.expire_peer_load(kNow);
   for (const char* id : {"b", "c"}) {
     for (int i = 0; i < 6; ++i) fleet.engines.on_attempt_sent(EngineId(id), {0, false});
   }
@@ -106,3 +111,156 @@
   cr_assert_float_eq(fleet.expected_ms_at("a") / usual, 200.0 / 120, 0.1);
   cr_assert_float_eq(fleet.expected_ms_at("c") / usual, 60.0 / 120, 0.1);
 }
+
+Test(engine_profile, alike_engines_are_placed_as_before) {
+  // Differences below a tenth are chance, and must not draw all requests to one engine.
+  for (const EngineStage stage : {EngineStage::kPrefill, EngineStage::kDecode}) {
+    Fleet fleet(stage);
+    Fleet without_samples(stage);
+    std::uint32_t difference = 0;
+    for (const char* id : {"a", "b", "c"}) {
+      fleet.observe(id, prefills(50, 100 + difference));
+      fleet.observe(id, streams(50, 60 + difference / 2, 180 + difference, 6 + difference / 4));
+      difference += 4;
+    }
+    fleet.engines.expire_peer_load(kNow);
+    for (std::uint64_t request = 1; request <= 50; ++request) {
+      for (Fleet* each : {&fleet, &without_samples}) {
+        each->prompt.parts = {{request % 7, 500}, {request, 1500}};
+        if (request % 3 == 0) each->engines.on_attempt_sent(EngineId("b"), {300, false});
+      }
+      const auto choice = fleet.choose();
+      const auto before = without_samples.choose();
+      cr_assert_eq(choice->engine, before->engine);
+      cr_assert_float_eq(choice->cost_ms, before->cost_ms, 1e-9);
+      cr_assert_float_eq(choice->expected_ms, before->expected_ms, 1e-9);
+    }
+  }
+}
+
+Test(engine_profile, one_late_stream_does_not_bar_an_engine) {
+  Fleet fleet(EngineStage::kDecode);
+  fleet.observe("b", streams(40, 60, 51, 0));
+  fleet.observe("a", streams(1, 60, 400, 1));
+  cr_assert_not(fleet.engines.find(EngineId("a"))->profile.exceeds_gap(kGapTarget));
+}
+
+Test(engine_profile, pauses_of_all_engines_bar_none) {
+  Fleet fleet(EngineStage::kDecode);
+  for (const char* id : {"a", "b", "c"}) fleet.observe(id, streams(100, 90, 260, 60));
+  for (const char* id : {"a", "b", "c"}) {
+    cr_assert_not(fleet.engines.find(EngineId(id))->profile.exceeds_gap(kGapTarget), "%s", id);
+  }
+}
+
+Test(engine_profile, late_streams_of_a_tighter_route_do_not_count_for_another) {
+  Fleet fleet(EngineStage::kDecode);
+  fleet.observe("a", streams(40, 60, 150, 20));
+  fleet.observe("b", streams(200, 60, 51, 0));
+  fleet.engines.expire_peer_load(kNow);
+  const EngineProfile& profile = fleet.engines.find(EngineId("a"))->profile;
+  cr_assert(profile.exceeds_gap(kGapTarget));
+  cr_assert_not(profile.exceeds_gap(1s));
+  cr_assert_not(profile.exceeds_gap(Duration::zero()), "the route has no gap target");
+}
+
+Test(engine_profile, waiting_that_no_node_knew_of_does_not_make_all_engines_slow) {
+  // Such waiting raises the samples of all engines alike.
+  Fleet fleet(EngineStage::kPrefill);
+  const double usual = fleet.expected_ms_at("a");
+  for (const char* id : {"a", "b", "c"}) fleet.observe(id, prefills(50, 170));
+  cr_assert_float_eq(fleet.expected_ms_at("a"), usual, 1e-9);
+}
+
+Test(engine_profile, prefers_the_faster_engine_for_streams) {
+  // Without recent samples of this node all decode engines had the same cost.
+  for (const char* fast : {"a", "b", "c"}) {
+    Fleet fleet(EngineStage::kDecode);
+    fleet.engines.model_of(fleet.service.name).on_event_interval(50ms);
+    for (const char* id : {"a", "b", "c"}) {
+      fleet.observe(id, streams(60, std::string(id) == fast ? 35 : 70, 80, 0));
+    }
+    fleet.engines.expire_peer_load(kNow);
+    cr_assert_eq(fleet.choose()->engine.value(), fast);
+  }
+}
+
+Test(engine_profile, present_slowdown_counts_for_a_fraction_of_a_second) {
+  Fleet fleet(EngineStage::kPrefill);
+  const double usual = fleet.expected_ms_at("a");
+  fleet.engines.on_load(kNow - 200ms, EngineId("a"), {0, 0, 8, 250});
+  cr_assert_float_eq(fleet.expected_ms_at("a") / usual, 2.5, 1e-6);
+  fleet.engines.on_load(kNow - 400ms, EngineId("a"), {0, 0, 8, 250});
+  cr_assert_float_eq(fleet.expected_ms_at("a"), usual, 1e-9);
+  EngineSamples told;
+  told.slowdown_percent = 250;
+  fleet.observe("a", told);
+  cr_assert_float_eq(fleet.expected_ms_at("a") / usual, 2.5, 1e-6);
+}
+
+Test(engine_profile, forgets_slowly) {
+  Fleet fleet(EngineStage::kPrefill);
+  fleet.observe("a", prefills(60, 300));
+  fleet.observe("b", prefills(60, 100));
+  fleet.engines.expire_peer_load(kNow + 10s);
+  const EngineProfile& profile = fleet.engines.find(EngineId("a"))->profile;
+  cr_assert_gt(profile.prefill_factor(), 1.35);
+  // The others go on, while this engine is not used.
+  for (int seconds = 30; seconds <= 300; seconds += 30) {
+    fleet.engines.on_samples(kNow + std::chrono::seconds(seconds), EngineId("b"),
+                             prefills(60, 100));
+  }
+  fleet.engines.expire_peer_load(kNow + 300s);
+  cr_assert_float_eq(profile.prefill_factor(), 1, 1e-9);
+}
+
+Test(engine_profile, bounds_absurd_samples) {
+  constexpr std::uint32_t kMax = std::numeric_limits<std::uint32_t>::max();
+  Fleet fleet(EngineStage::kPrefill);
+  const double usual = fleet.expected_ms_at("a");
+  for (const char* id : {"b", "c"}) {
+    for (int i = 0; i < 20; ++i) fleet.observe(id, prefills(900, 100));
+  }
+  for (const EngineSamples& forged :
+       {EngineSamples{1, kMax, 1, kMax, kMax, kMax, kMax}, EngineSamples{kMax, 0, kMax, 0, 0, 0, 1},
+        EngineSamples{0, kMax, 0, kMax, kMax, kMax, 0}}) {
+    fleet.observe("a", forged);
+    const double ratio = fleet.expected_ms_at("a") / usual;
+    cr_assert_geq(ratio, 0.2 * 0.2 - 1e-6, "%f", ratio);
+    cr_assert_leq(ratio, 5.0 * 5.0 + 1e-6, "%f", ratio);
+    cr_assert_leq(fleet.engines.find(EngineId("a"))->profile.late_share(), 1);
+  }
+}
+
+Test(engine_profile, new_incarnation_begins_anew) {
+  Fleet fleet(EngineStage::kPrefill);
+  fleet.observe("a", prefills(60, 200));
+  fleet.observe("b", prefills(60, 100));
+  EngineRecord restarted = engine("a", EngineStage::kPrefill);
+  restarted.name = "a";
+  restarted.started_unix_ms = 1000;
+  restarted.id = incarnation_id("a", 1000);
+  fleet.engines.upsert(restarted);
+  cr_assert_null(fleet.engines.find(EngineId("a")));
+  cr_assert_not(fleet.engines.find(restarted.id)->profile.known());
+  cr_assert_eq(fleet.engines.find(restarted.id)->profile.prefill_factor(), 1);
+}
+
+Test(engine_profile, starting_node_takes_over_accumulated_samples) {
+  Fleet peer(EngineStage::kPrefill);
+  peer.observe("a", prefills(60, 200));
+  peer.observe("a", streams(40, 60, 150, 14));
+  peer.observe("b", prefills(90, 100));
+  peer.observe("b", streams(70, 60, 51, 0));
+  peer.engines.expire_peer_load(kNow);
+  Fleet starting(EngineStage::kPrefill);
+  for (const auto& [id, view] : peer.engines.all()) {
+    starting.engines.on_samples(kNow, id, view.profile.samples(kNow));
+  }
+  starting.engines.expire_peer_load(kNow);
+  const EngineProfile& learned = starting.engines.find(EngineId("a"))->profile;
+  const EngineProfile& original = peer.engines.find(EngineId("a"))->profile;
+  cr_assert_float_eq(learned.prefill_factor(), original.prefill_factor(), 1e-3);
+  cr_assert_float_eq(learned.longest_gap_ms(), original.longest_gap_ms(), 0.1);
+  cr_assert(learned.exceeds_gap(kGapTarget));
+}
