--- a/src/core/relay/engine_directory.cpp
+++ b/src/core/relay/engine_directory.cpp
@@ -229,9 +229,14 @@
          engine->stage_notice->stage != stage;
 }
 
-void EngineDirectory::on_samples(const EngineId& id, const EngineSamples& samples) {
+void EngineDirectory::on_samples(MonotonicTime now, const EngineId& id,
+                                 const EngineSamples& samples) {
   EngineView* engine = find(id);
-  if (engine != nullptr) engine->samples += samples;
+  if (engine == nullptr) return;
+  EngineProfile& service = service_profiles_[engine->record.service];
+  service.observe(now, samples);
+  engine->profile.observe(now, samples);
+  engine->profile.compare_with(now, service);
 }
 
 std::optional<MonotonicTime> EngineDirectory::next_available_at(
--- a/src/core/relay/placement.hpp
+++ b/src/core/relay/placement.hpp
@@ -46,6 +46,9 @@
   /// Excludes engines that require a wait for a permit and are then expected to deliver the first
   /// token, or a plain answer, later than this.
   double max_expected_ms = std::numeric_limits<double>::infinity();
+  /// Longest gap between the events of the request's stream; zero: unset or not a stream. Engines
+  /// that are expected to exceed it are chosen only if no other has a free slot.
+  Duration gap_target = Duration::zero();
   /// This node's share of an engine's connection limit; 0: unlimited.
   std::uint32_t max_connections_per_node = 0;
 };
@@ -60,6 +63,16 @@
   std::size_t candidates = 0;
 };
 
+/// Expected time of a remote prefill at a usual engine of the service, in milliseconds.
+struct PrefillReference {
+  double own_ms = 0;
+  double ahead_ms = 0;  ///< Of the work known to be ahead of it.
+};
+
+/// Call before the prefill is counted as sent.
+PrefillReference prefill_reference(MonotonicTime now, const EngineDirectory& engines,
+                                   const EngineView& engine, std::uint64_t prefill_tokens);
+
 /// @return the candidate with the lowest cost, or nothing if there is none.
 std::optional<Placement> place(MonotonicTime now, EngineDirectory& engines,
                                const PlacementQuery& query, const PlacementSettings& settings);
--- a/src/relay/load_exchange.cpp
+++ b/src/relay/load_exchange.cpp
@@ -150,7 +150,7 @@
   }
   for (const PromptRead& read : snapshot->cached_prompts) node_.on_peer_prompt_read(read);
   for (const auto& [engine, samples] : snapshot->samples)
-    node_.engines().on_samples(engine, samples);
+    node_.engines().on_samples(runtime_.now(), engine, samples);
   log_event(LogArea::kControl, LogLevel::kInfo, "caches_learned",
             {{"engines", snapshot->cached_prompts.size()}, {"bytes", answer->size()}});
 }
@@ -165,7 +165,8 @@
   for (const auto& [id, engine] : node_.engines().all()) {
     auto parts = engine.cache.cached_parts();
     if (!parts.empty()) snapshot.cached_prompts.push_back({id, std::move(parts)});
-    if (!engine.samples.empty()) snapshot.samples[id] = engine.samples;
+    const EngineSamples samples = engine.profile.samples(runtime_.now());
+    if (!samples.empty()) snapshot.samples[id] = samples;
   }
   std::string bytes = encode(snapshot);
   return bytes.size() <= kMaxCacheSnapshot ? bytes : std::string();
@@ -230,6 +231,10 @@
 void LoadExchange::flush() {
   LoadMessage message = own_message();
   std::string bytes = encode(message);
+  if (bytes.size() > kMaxLoadMessage && !message.samples.empty()) {
+    message.samples.clear();
+    bytes = encode(message);
+  }
   if (bytes.size() > kMaxLoadMessage) {
     log_event(LogArea::kControl, LogLevel::kWarning, "news_left_out",
               {{"reads", message.reads.size()}, {"engines", message.load.size()}});
@@ -277,7 +282,8 @@
     node_.on_peer_limit(report.engine, report.limit);
   for (const EngineStageNotice& item : message.stage_notices)
     node_.engines().on_stage_notice(now, item.engine, item.notice);
-  for (const auto& [engine, samples] : message.samples) node_.engines().on_samples(engine, samples);
+  for (const auto& [engine, samples] : message.samples)
+    node_.engines().on_samples(now, engine, samples);
   node_.quarantine().on_peer_reports(message.crashes);
   if (on_revisions_) on_revisions_(message.revisions);
   for (const PromptRead& read : message.reads) node_.on_peer_prompt_read(read);
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -105,6 +105,7 @@
   query.max_connections_per_node = connections_per_engine();
   query.crash_risk_engines = crash_risk_engines_.empty() ? nullptr : &crash_risk_engines_;
   query.may_crash_engine = needs_isolation();
+  if (route_.kind == RouteKind::kStream) query.gap_target = route_.gap_target;
   const Duration to_objective = arrived_ + route_.objective - context_.runtime.now();
   query.max_expected_ms = to_ms(std::min(to_objective, time_left()));
   return query;
@@ -234,6 +235,7 @@
   status_ = 0;
   headers_ = HttpHeaders();
   refused_ = false;
+  forwarding_paused_ = false;
   streaming_ = false;
   body_.clear();
   overflow_ = false;
@@ -251,6 +253,9 @@
   if (step == Step::kDecodeFromHandle) prefill_tokens_ = 0;
   record_send(step == Step::kPrefill);
   idle_when_sent_ = view->total_requests(sent_at_) < 0.5;
+  if (step == Step::kPrefill) {
+    prefill_reference_ = prefill_reference(sent_at_, context_.engines, *view, prefill_tokens_);
+  }
   context_.engines.on_attempt_sent(engine, {prefill_tokens_, deferred_});
   if (prompt_) context_.notify_load_changed();
   if (step == Step::kPrefill) context_.engines.on_prompt_sent(prefill_tokens_);
