Learn how much of the known work ahead delays a prompt

Ruled out: a constant factor (it depends on the engine's concurrency and on the age of the load view) and a factor above 1 (work that this node does not know), by which longer queues would defer ever more prompts. Change: WorkAheadModel learns actual over known wait as a ratio of sums, bounded to 0.3 to 1, from prompts that are neither deferred nor fetched; placement at prefill engines uses it. New tests learns_how_much_of_the_work_ahead_delays, bounds_how_much_of_the_work_ahead_delays, ignores_work_ahead_that_is_small_beside_the_prompt, expects_the_learned_share_of_the_work_ahead; the interface is new. core_tests and relay_tests pass.

--- a/src/core/relay/engine_model.cpp
+++ b/src/core/relay/engine_model.cpp
@@ -55,6 +55,21 @@
 /// Decode engines prefill at half the speed, according to the engines' protocol.
 constexpr double kDecodePrefillFactor = 2;
 
+/// Bounds of the share of the work ahead that delays. More than all of it would be work that this
+/// node does not know; it would defer more prompts the longer the queues are.
+constexpr double kMinAheadShare = 0.3;
+constexpr double kMaxAheadShare = 1;
+
+/// With less work ahead than this share of the prompt's own time, the error of the latter
+/// dominates.
+constexpr double kMinAheadOfPrefill = 0.25;
+
+/// Limit of one observation, as a multiple of the work ahead.
+constexpr double kMaxWaitOfAhead = 3;
+
+/// Weight of the default share, in milliseconds of work ahead: that of some usual prompts.
+constexpr double kPriorAheadMs = 200;
+
 /// Used until the first handover.
 constexpr double kDefaultHandoverMs = 8;
 
@@ -182,6 +197,22 @@
   this->prefill_model.observe(uncached_tokens, took);
 }
 
+void WorkAheadModel::observe(double ahead_ms, double prefill_ms, Duration took) {
+  if (ahead_ms <= 0 || ahead_ms < prefill_ms * kMinAheadOfPrefill) return;
+  // Negative waits are kept, as dropping them would bias the mean.
+  const double waited = std::clamp(to_ms(took) - prefill_ms, -ahead_ms, kMaxWaitOfAhead * ahead_ms);
+  this->sum_ahead_ms = this->sum_ahead_ms * kDecay + ahead_ms;
+  this->sum_waited_ms = this->sum_waited_ms * kDecay + waited;
+  this->learned_share =
+      std::clamp((this->sum_waited_ms + kPriorAheadMs) / (this->sum_ahead_ms + kPriorAheadMs),
+                 kMinAheadShare, kMaxAheadShare);
+}
+
+void EngineModel::on_read_behind(double ahead_ms, std::uint64_t uncached_tokens, Duration took) {
+  const double own_ms = this->prefill_model.prefill_ms(static_cast<double>(uncached_tokens));
+  this->work_ahead_model.observe(ahead_ms, own_ms, took);
+}
+
 double EngineModel::decode_prefill_ms(double uncached_tokens) const {
   const double setup = this->prefill_model.setup_ms();
   return setup + kDecodePrefillFactor * (this->prefill_model.prefill_ms(uncached_tokens) - setup);
--- a/src/core/relay/engine_model.hpp
+++ b/src/core/relay/engine_model.hpp
@@ -78,6 +78,24 @@
   bool has_value = false;
 };
 
+/// How much of the known work ahead of a prompt delays it: engines prefill several prompts
+/// concurrently, and the work that was reported some time ago is partly done.
+class WorkAheadModel {
+ public:
+  /// @return delay per millisecond of known work ahead, at most 1.
+  double share() const { return this->learned_share; }
+
+  /// Learns from a prompt that was sent behind other work.
+  /// @param ahead_ms known work ahead at placement, in full.
+  /// @param prefill_ms expected time of the prompt at an idle engine.
+  void observe(double ahead_ms, double prefill_ms, Duration took);
+
+ private:
+  double sum_ahead_ms = 0;
+  double sum_waited_ms = 0;
+  double learned_share = 1;
+};
+
 /// The learned costs of one service's engines.
 class EngineModel {
  public:
@@ -88,6 +106,11 @@
   /// queueing and counts only if it is less than expected and the last time alone is long ago.
   void on_prompt_read(std::uint64_t uncached_tokens, Duration took, bool alone);
 
+  const WorkAheadModel& work_ahead() const { return this->work_ahead_model; }
+
+  /// Learns from a completed prefill behind other work. @param ahead_ms see `WorkAheadModel`.
+  void on_read_behind(double ahead_ms, std::uint64_t uncached_tokens, Duration took);
+
   /// @return prefill time in milliseconds at a decode engine.
   double decode_prefill_ms(double uncached_tokens) const;
 
@@ -110,6 +133,7 @@
 
  private:
   PrefillModel prefill_model;
+  WorkAheadModel work_ahead_model;
   /// Prefills since the last one that was alone; unset: none was.
   std::optional<std::uint32_t> since_alone;
   MovingAverage handover{0.1};
--- a/src/core/relay/placement.cpp
+++ b/src/core/relay/placement.cpp
@@ -86,8 +86,8 @@
   bool deferred;  ///< The prompt waits behind all that can meet their objective.
 };
 
-/// @return milliseconds until the engine has prefilled all prompts ahead of a new one.
-double waiting_ms(const PromptCosts& costs, const EngineView& engine) {
+/// @return milliseconds of known prefill work at the engine ahead of a new prompt.
+double work_ahead_ms(const PromptCosts& costs, const EngineView& engine) {
   const bool prefill = engine.record.stage == EngineStage::kPrefill;
   auto all = static_cast<double>(engine.prefill_tokens);
   auto deferred_work = static_cast<double>(engine.deferred_tokens);
@@ -104,6 +104,12 @@
   return engine.total_requests(costs.now) * share * reading.setup_ms() + ahead * reading.token_ms();
 }
 
+/// @return milliseconds by which the work ahead is expected to delay a new prompt.
+double waiting_ms(const PromptCosts& costs, const EngineView& engine) {
+  const bool prefill = engine.record.stage == EngineStage::kPrefill;
+  return work_ahead_ms(costs, engine) * (prefill ? costs.model.work_ahead().share() : 1);
+}
+
 /// @return a pseudorandom number from 0 to 1 for the prompt and the engine.
 double jitter_fraction(const PromptShape& prompt, const EngineView& engine) {
   if (prompt.parts.empty()) return 0;
@@ -200,11 +206,12 @@
   placement.fetch_from = source.engine;
 }
 
-Placement to_placement(const Estimate& best, std::size_t candidates) {
+Placement to_placement(const PromptCosts& costs, const Estimate& best, std::size_t candidates) {
   Placement placement;
   placement.engine = best.engine->record.id;
   placement.cost_ms = best.cost_ms;
   placement.expected_ms = best.expected_ms;
+  placement.ahead_ms = work_ahead_ms(costs, *best.engine);
   placement.prefill_tokens = best.prefill_tokens;
   if (best.fetch_from != nullptr) placement.fetch_from = best.fetch_from->record.id;
   placement.candidates = candidates;
@@ -246,7 +253,7 @@
     if (!best || placement.cost_ms < best->cost_ms) best = placement;
   }
   if (!best) return std::nullopt;
-  return to_placement(*best, usable.size());
+  return to_placement(costs, *best, usable.size());
 }
 
 }  // namespace shuntbank::relay
--- a/src/core/relay/placement.hpp
+++ b/src/core/relay/placement.hpp
@@ -55,6 +55,7 @@
   EngineId engine;
   double cost_ms = 0;      ///< Expected time plus penalties, less bonuses.
   double expected_ms = 0;  ///< Until the prompt is prefilled or, for a plain service, answered.
+  double ahead_ms = 0;     ///< Known prefill work ahead, in full; see `WorkAheadModel`.
   std::uint64_t prefill_tokens = 0;    ///< Tokens left for the engine to prefill.
   std::optional<EngineId> fetch_from;  ///< Engine to fetch cached prompt parts from.
   std::size_t candidates = 0;
--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -217,6 +217,8 @@
 void RelaySession::update_prefill_model(bool exclusive) {
   EngineModel& model = context_.engines.model_of(service_name_);
   const Duration elapsed = context_.runtime.now() - sent_at_;
+  const bool behind_others = !idle_when_sent_ && !deferred_ && fetch_address_.empty();
+  if (behind_others) model.on_read_behind(placement_.ahead_ms, prefill_tokens_, elapsed);
   if (fetch_address_.empty()) return model.on_prompt_read(prefill_tokens_, elapsed, exclusive);
   if (!exclusive) return;
   model.on_fetch(prefill_tokens_,
--- a/tests/core/relay/engine_model_test.cpp
+++ b/tests/core/relay/engine_model_test.cpp
@@ -185,3 +185,31 @@
   for (int i = 0; i < 10; ++i) model.on_prompt_read(6000, from_ms(60), false);
   cr_assert_lt(model.prefill().prefill_ms(6000), before / 2);
 }
+
+// Guards against prompts that are deferred as the work ahead counts in full, though engines prefill
+// concurrently.
+Test(engine_model, learns_how_much_of_the_work_ahead_delays) {
+  EngineModel model;
+  for (int i = 0; i < 40; ++i) model.on_prompt_read(4000, from_ms(40), true);
+  cr_assert_eq(model.work_ahead().share(), 1);
+  for (int i = 0; i < 60; ++i) model.on_read_behind(60, 4000, from_ms(40 + 0.6 * 60));
+  assert_share(model.work_ahead().share(), 0.6, 0.1);
+}
+
+// Guards against a queue that lengthens what is expected of the next prompts without bound, or an
+// engine under load that seems free.
+Test(engine_model, bounds_how_much_of_the_work_ahead_delays) {
+  EngineModel model;
+  for (int i = 0; i < 40; ++i) model.on_prompt_read(4000, from_ms(40), true);
+  for (int i = 0; i < 200; ++i) model.on_read_behind(60, 4000, from_ms(2000));
+  cr_assert_eq(model.work_ahead().share(), 1);
+  for (int i = 0; i < 200; ++i) model.on_read_behind(60, 4000, from_ms(10));
+  cr_assert_float_eq(model.work_ahead().share(), 0.3, 0.001);
+}
+
+Test(engine_model, ignores_work_ahead_that_is_small_beside_the_prompt) {
+  EngineModel model;
+  for (int i = 0; i < 40; ++i) model.on_prompt_read(4000, from_ms(40), true);
+  for (int i = 0; i < 200; ++i) model.on_read_behind(5, 4000, from_ms(30));
+  cr_assert_eq(model.work_ahead().share(), 1);
+}
--- a/tests/core/relay/placement_test.cpp
+++ b/tests/core/relay/placement_test.cpp
@@ -110,6 +110,23 @@
   cr_assert_neq(fleet.choose()->engine, home);
 }
 
+// Guards against an expected time that counts the work ahead in full, whatever was observed.
+Test(placement, expects_the_learned_share_of_the_work_ahead) {
+  Fleet fleet;
+  for (int i = 0; i < 5; ++i) {
+    fleet.engines.on_attempt_sent(EngineId("p" + std::to_string(i)), {20000, false});
+  }
+  const auto in_full = fleet.choose();
+  EngineModel& model = fleet.engines.model_of(fleet.service.name);
+  for (int i = 0; i < 200; ++i) {
+    const double own_ms = model.prefill().prefill_ms(1000);
+    model.on_read_behind(300, 1000, from_seconds((own_ms + 150) / 1000));
+  }
+  const auto learned = fleet.choose();
+  cr_assert_float_eq(learned->ahead_ms, in_full->ahead_ms, 1e-6);
+  cr_assert_float_eq(learned->expected_ms, in_full->expected_ms - in_full->ahead_ms / 2, 10);
+}
+
 Test(placement, counts_the_load_of_other_nodes) {
   Fleet fleet;
   const EngineId home = fleet.choose()->engine;
