Expect the wait for a slot at the decode engine

Ruled out: a queueing formula over known requests and slots, as the view is 100 to 200 ms old and the wait begins at two thirds of the slots; one moving average by engine, which a node meets too rarely. Change: SlotWaitModel learns the wait by occupancy from handovers (classes, not decreasing, with defaults that two observations outweigh), and from ended streams how long requests beyond the slots wait. The handover without waiting is learned up to half of the slots and no longer contains the transfer, which was counted twice. Both are in the expected time of remote and direct dispatches; placement at decode engines counts the wait in place of twenty times a usual prompt at full engines. New tests slot_wait/*, separates_the_handover_from_the_wait_for_a_slot, expects_the_wait_for_a_slot_of_the_decode_engine, defers_a_request_that_waits_too_long_for_a_slot and prefers_a_free_decode_engine_to_the_home_with_learned_waits; the interface is new. core_tests and relay_tests pass.

--- a/src/core/relay/dispatch_plan.cpp
+++ b/src/core/relay/dispatch_plan.cpp
@@ -17,10 +17,20 @@
   return engines.find(placement.engine)->total_requests(now);
 }
 
-/// @return milliseconds from the end of a remote prefill to the first token.
-double handover_ms(const EngineDirectory& engines, const DispatchQuery& query) {
-  return engines.model_of(query.placement.service->name).handover_ms() +
-         query.placement.service->model->transfer_ms(query.placement.prompt->prompt_tokens);
+/// Expected parts of the time from the end of a remote prefill to the first token.
+struct HandoverParts {
+  double handover_ms = 0;
+  double transfer_ms = 0;
+  double slot_wait_ms = 0;
+
+  double total_ms() const { return handover_ms + transfer_ms + slot_wait_ms; }
+};
+
+HandoverParts handover_parts(const EngineDirectory& engines, const DispatchQuery& query,
+                             const Placement& decode) {
+  return {engines.model_of(query.placement.service->name).handover_ms(),
+          query.placement.service->model->transfer_ms(query.placement.prompt->prompt_tokens),
+          decode.slot_wait_ms};
 }
 
 /// A prefill at a decode engine stalls every stream that runs there.
@@ -62,14 +72,25 @@
 }
 
 DispatchPlan direct_dispatch(const Placement& decode) {
-  return {false, decode, {}, decode.expected_ms, false};
+  DispatchPlan plan;
+  plan.placement = decode;
+  plan.expected_ms = decode.expected_ms;
+  plan.slot_wait_ms = decode.slot_wait_ms;
+  return plan;
 }
 
 /// The prefill overlaps with the wait for the decode engine's permit.
 DispatchPlan remote_prefill_dispatch(const Placement& prefill_placement, const Placement& decode,
-                                     double permit_ms, double handover) {
-  return {true, prefill_placement, decode,
-          std::max(prefill_placement.expected_ms, permit_ms) + handover, false};
+                                     double permit_ms, const HandoverParts& handover) {
+  DispatchPlan plan;
+  plan.remote_prefill = true;
+  plan.placement = prefill_placement;
+  plan.decode = decode;
+  plan.expected_ms = std::max(prefill_placement.expected_ms, permit_ms) + handover.total_ms();
+  plan.handover_ms = handover.handover_ms;
+  plan.transfer_ms = handover.transfer_ms;
+  plan.slot_wait_ms = handover.slot_wait_ms;
+  return plan;
 }
 
 /// Plans regardless of the objective.
@@ -84,7 +105,7 @@
   if (!model || !may_prefill_remotely(query)) return direct_dispatch(*decode);
   const auto prefill_placement = place_prefill(now, engines, query, placement, prefill);
   if (!prefill_placement) return direct_dispatch(*decode);
-  const double handover = handover_ms(engines, query);
+  const HandoverParts handover = handover_parts(engines, query, *decode);
   const double permit_ms = to_ms(engines.find(decode->engine)->permit_wait(now));
   const DispatchPlan remote =
       remote_prefill_dispatch(*prefill_placement, *decode, permit_ms, handover);
@@ -94,7 +115,7 @@
   const double direct_cost = direct_cost_ms(now, engines, query, *decode, prefill);
   // The direct cost includes the permit wait; a remote prefill overlaps with it.
   const double remaining_permit_ms = std::max(0.0, permit_ms - prefill_placement->expected_ms);
-  const double remote_cost = prefill_placement->cost_ms + remaining_permit_ms + handover;
+  const double remote_cost = prefill_placement->cost_ms + remaining_permit_ms + handover.total_ms();
   return remote_cost < direct_cost ? remote : direct_dispatch(*decode);
 }
 
--- a/src/core/relay/dispatch_plan.hpp
+++ b/src/core/relay/dispatch_plan.hpp
@@ -39,9 +39,13 @@
 struct DispatchPlan {
   bool remote_prefill = false;  ///< `placement` only prefills; `decode` answers.
   Placement placement;
-  Placement decode;        ///< Decode engine of a remote prefill.
-  double expected_ms = 0;  ///< Expected time to first token.
-  bool deferred = false;   ///< Cannot meet the objective, so waits behind requests that can.
+  Placement decode;         ///< Decode engine of a remote prefill.
+  double expected_ms = 0;   ///< Expected time to first token; the sum of the parts below, permits
+                            ///< and, for a direct dispatch, `placement.expected_ms`.
+  double handover_ms = 0;   ///< Of a remote prefill, without waiting.
+  double transfer_ms = 0;   ///< Of a remote prefill.
+  double slot_wait_ms = 0;  ///< At the decode engine.
+  bool deferred = false;    ///< Cannot meet the objective, so waits behind requests that can.
 };
 
 /// @return how to dispatch the request, or nothing if no engine is available.
--- a/src/core/relay/engine_directory.hpp
+++ b/src/core/relay/engine_directory.hpp
@@ -120,6 +120,11 @@
   /// @return estimated requests of all nodes that run or wait there.
   double total_requests(MonotonicTime now) const { return in_flight + peer_requests(now); }
 
+  /// @return its known requests relative to its slots.
+  Occupancy occupancy(MonotonicTime now) const {
+    return {total_requests(now), static_cast<double>(record.slots)};
+  }
+
   /// @return milliseconds between stream events, or `fallback` if this node has no recent sample.
   double recent_event_interval_ms(MonotonicTime now, double fallback) const;
 };
--- a/src/core/relay/engine_model.cpp
+++ b/src/core/relay/engine_model.cpp
@@ -222,9 +222,11 @@
   return this->handover.value_or(kDefaultHandoverMs);
 }
 
-void EngineModel::on_handover(Duration took, bool deferred) {
-  if (deferred && to_ms(took) >= this->handover_ms()) return;
-  this->handover.observe(to_ms(took));
+void EngineModel::on_handover(Duration took, bool deferred, const Occupancy& at) {
+  const double ms = to_ms(took);
+  if (deferred && ms >= this->handover_ms()) return;
+  if (SlotWaitModel::unoccupied(at)) return this->handover.observe(ms);
+  this->slot_wait.observe(at, ms - this->handover_ms());
 }
 
 double EngineModel::fetch_setup_ms() const {
--- a/src/core/relay/engine_model.hpp
+++ b/src/core/relay/engine_model.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 
 #include "common/time.hpp"
+#include "core/relay/slot_wait.hpp"
 
 namespace shuntbank::relay {
 
@@ -114,10 +115,21 @@
   /// @return prefill time in milliseconds at a decode engine.
   double decode_prefill_ms(double uncached_tokens) const;
 
-  /// @return milliseconds from handover to the first event, including the transfer.
+  /// @return milliseconds from handover to the first event, without the transfer and the wait for
+  /// a slot.
   double handover_ms() const;
+
+  /// @return expected wait for a slot at a decode engine, in milliseconds.
+  double slot_wait_ms(const Occupancy& at) const { return this->slot_wait.wait_ms(at); }
+
+  /// Learns from a handover.
+  /// @param took without the transfer.
   /// @param deferred it may have been queued, and counts only if it was faster than usual.
-  void on_handover(Duration took, bool deferred);
+  /// @param at occupancy of the decode engine when it was sent.
+  void on_handover(Duration took, bool deferred, const Occupancy& at = {});
+
+  /// Learns from a stream that has ended. @param held since it was sent to the decode engine.
+  void on_stream_ended(Duration held) { this->slot_wait.on_slot_released(to_ms(held)); }
 
   /// @return milliseconds that fetching the KV cache of prompt parts from another engine takes,
   /// excluding the transfer.
@@ -137,6 +149,7 @@
   /// Prefills since the last one that was alone; unset: none was.
   std::optional<std::uint32_t> since_alone;
   MovingAverage handover{0.1};
+  SlotWaitModel slot_wait;
   MovingAverage fetch_setup{0.1};
   double unloaded_interval_ms = 0;
 };
--- a/src/core/relay/placement.cpp
+++ b/src/core/relay/placement.cpp
@@ -104,10 +104,19 @@
   return engine.total_requests(costs.now) * share * reading.setup_ms() + ahead * reading.token_ms();
 }
 
-/// @return milliseconds by which the work ahead is expected to delay a new prompt.
+/// @return expected wait for a slot, in milliseconds.
+double slot_wait_ms(const PromptCosts& costs, const EngineView& engine) {
+  if (engine.record.stage != EngineStage::kDecode) return 0;
+  return costs.model.slot_wait_ms(engine.occupancy(costs.now));
+}
+
+/// @return milliseconds by which the work ahead is expected to delay a new prompt. At a decode
+/// engine, requests that wait for a slot also have the prompts to prefill, so the longer wait
+/// counts.
 double waiting_ms(const PromptCosts& costs, const EngineView& engine) {
-  const bool prefill = engine.record.stage == EngineStage::kPrefill;
-  return work_ahead_ms(costs, engine) * (prefill ? costs.model.work_ahead().share() : 1);
+  const double ahead = work_ahead_ms(costs, engine);
+  if (engine.record.stage == EngineStage::kPrefill) return ahead * costs.model.work_ahead().share();
+  return std::max(ahead, slot_wait_ms(costs, engine));
 }
 
 /// @return a pseudorandom number from 0 to 1 for the prompt and the engine.
@@ -127,12 +136,11 @@
   return std::min(age_ms, std::max(0.0, waiting / static_cast<double>(candidates.size())));
 }
 
-/// A nearly full batch costs as much as prefilling a usual prompt, a full one many times that.
+/// A full batch costs as much as prefilling a usual prompt, besides the wait for a slot, so that
+/// streams spread over engines.
 double batch_fill_penalty_ms(const PromptCosts& costs, const EngineView& engine) {
-  constexpr double kFullBatch = 20;
   const double usual_ms = costs.model.prefill().prefill_ms(costs.usual_prefill_tokens);
-  const double fill = engine.total_requests(costs.now) / std::max(1U, engine.record.slots);
-  return usual_ms * (fill < 1 ? fill : kFullBatch * fill);
+  return usual_ms * engine.occupancy(costs.now).fill();
 }
 
 /// @return milliseconds until the engine has prefilled a prompt that is sent now.
@@ -212,6 +220,7 @@
   placement.cost_ms = best.cost_ms;
   placement.expected_ms = best.expected_ms;
   placement.ahead_ms = work_ahead_ms(costs, *best.engine);
+  placement.slot_wait_ms = slot_wait_ms(costs, *best.engine);
   placement.prefill_tokens = best.prefill_tokens;
   if (best.fetch_from != nullptr) placement.fetch_from = best.fetch_from->record.id;
   placement.candidates = candidates;
--- a/src/core/relay/placement.hpp
+++ b/src/core/relay/placement.hpp
@@ -53,9 +53,10 @@
 /// The selected engine and its estimates.
 struct Placement {
   EngineId engine;
-  double cost_ms = 0;      ///< Expected time plus penalties, less bonuses.
-  double expected_ms = 0;  ///< Until the prompt is prefilled or, for a plain service, answered.
-  double ahead_ms = 0;     ///< Known prefill work ahead, in full; see `WorkAheadModel`.
+  double cost_ms = 0;       ///< Expected time plus penalties, less bonuses.
+  double expected_ms = 0;   ///< Until the prompt is prefilled or, for a plain service, answered.
+  double ahead_ms = 0;      ///< Known prefill work ahead, in full; see `WorkAheadModel`.
+  double slot_wait_ms = 0;  ///< Expected wait for a slot at a decode engine; in `expected_ms`.
   std::uint64_t prefill_tokens = 0;    ///< Tokens left for the engine to prefill.
   std::optional<EngineId> fetch_from;  ///< Engine to fetch cached prompt parts from.
   std::size_t candidates = 0;
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -251,6 +251,7 @@
   if (service_->model) context_.engines.set_memory(engine, service_->model->kv_tokens);
   record_send(step == Step::kPrefill);
   idle_when_sent_ = view->total_requests(sent_at_) < 0.5;
+  occupancy_when_sent_ = view->occupancy(sent_at_);
   context_.engines.on_attempt_sent(engine, {prefill_tokens_, deferred_});
   if (prompt_) context_.notify_load_changed();
   if (step == Step::kPrefill) context_.engines.on_prompt_sent(prefill_tokens_);
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -131,6 +131,7 @@
   void respond(int status, const HttpHeaders& headers, std::string body, const std::string& result);
   HttpHeaders forwarded_answer_fields() const;
   void update_prefill_model(bool exclusive);
+  void update_handover_model();
   void report_prompt_read();
   void report_started();
   AttemptHealth refusal_health() const;
@@ -182,6 +183,7 @@
   bool attempt_counted_ = false;
   bool charged_to_budget_ = false;  ///< Sent as an extra dispatch.
   bool idle_when_sent_ = false;     ///< The engine had no other known work.
+  Occupancy occupancy_when_sent_;   ///< Of the engine, without this attempt.
   std::optional<TransferId> transfer_;
   MonotonicTime sent_at_{};
   MonotonicTime last_activity_at_{};  ///< Time of the send or the last data received.
--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -1,4 +1,5 @@
 // Handling of an engine's answer to a relayed request.
+#include <algorithm>
 #include <utility>
 
 #include "net/http_status.hpp"
@@ -85,10 +86,7 @@
     prefill_tokens_released_ = true;
     context_.engines.on_prompt_read(engine_, {prefill_tokens_, deferred_});
     if (prompt_) report_prompt_read();
-    if (step_ == Step::kDecodeFromHandle) {
-      context_.engines.model_of(service_name_)
-          .on_handover(context_.runtime.now() - sent_at_, deferred_);
-    }
+    if (step_ == Step::kDecodeFromHandle) update_handover_model();
   }
   if (!progress_.in_order(event)) {
     answer_invalid_ = true;
@@ -225,12 +223,22 @@
                  service_->model->transfer_ms(prompt_->prompt_tokens - prefill_tokens_), elapsed);
 }
 
+void RelaySession::update_handover_model() {
+  const Duration elapsed = context_.runtime.now() - sent_at_;
+  const Duration transfer =
+      from_seconds(service_->model->transfer_ms(prompt_->prompt_tokens) / 1000);
+  context_.engines.model_of(service_name_)
+      .on_handover(std::max(Duration::zero(), elapsed - transfer), deferred_, occupancy_when_sent_);
+}
+
 void RelaySession::on_stream_end() {
   if (splitter_.has_partial()) {
     report_health(AttemptHealth::kFailed);
     return on_attempt_failed(AttemptOutcome::kUncertain, "the stream ended inside an event");
   }
   report_health(AttemptHealth::kGood);
+  if (service_->model)
+    context_.engines.model_of(service_name_).on_stream_ended(context_.runtime.now() - sent_at_);
   if (const auto gap = progress_.mean_gap()) {
     context_.engines.model_of(service_name_).on_event_interval(*gap);
   }
--- a/tests/core/relay/dispatch_plan_test.cpp
+++ b/tests/core/relay/dispatch_plan_test.cpp
@@ -171,3 +171,33 @@
   fixture.engines.find(EngineId("maker"))->cache.on_prompt_read({{1, 3000}}, 1000000, kNow);
   cr_assert(fixture.plan()->remote_prefill);
 }
+
+// Guards against plans that expect requests in time at engines whose slots are all taken.
+Test(dispatch_plan, expects_the_wait_for_a_slot_of_the_decode_engine) {
+  Fixture fixture;
+  const auto before = fixture.plan();
+  cr_assert(before->remote_prefill);
+  cr_assert_eq(before->slot_wait_ms, 0);
+  fixture.engines.on_peer_load(kNow, NodeId("n2"), {{EngineId("maker"), {1, 0, 0}}});
+  const auto full = fixture.plan();
+  cr_assert(full->remote_prefill);
+  cr_assert_gt(full->slot_wait_ms, 100);
+  cr_assert_float_eq(full->expected_ms, before->expected_ms + full->slot_wait_ms, 0.1);
+  cr_assert_float_eq(
+      full->expected_ms,
+      full->placement.expected_ms + full->handover_ms + full->transfer_ms + full->slot_wait_ms,
+      0.1);
+  fixture.query.prefill_sent = true;
+  const auto direct = fixture.plan();
+  cr_assert_not(direct->remote_prefill);
+  cr_assert_float_eq(direct->slot_wait_ms, full->slot_wait_ms, 0.1);
+  cr_assert_gt(direct->expected_ms, direct->slot_wait_ms);
+}
+
+Test(dispatch_plan, defers_a_request_that_waits_too_long_for_a_slot) {
+  Fixture fixture;
+  fixture.query.time_to_objective = std::chrono::milliseconds(600);
+  cr_assert_not(fixture.plan()->deferred);
+  fixture.engines.on_peer_load(kNow, NodeId("n2"), {{EngineId("maker"), {3, 0, 0}}});
+  cr_assert(fixture.plan()->deferred);
+}
--- a/tests/core/relay/engine_model_test.cpp
+++ b/tests/core/relay/engine_model_test.cpp
@@ -213,3 +213,17 @@
   for (int i = 0; i < 200; ++i) model.on_read_behind(5, 4000, from_ms(30));
   cr_assert_eq(model.work_ahead().share(), 1);
 }
+
+// Guards against an average handover that grows with the occupancy of some engines and defers what
+// others could serve in time.
+Test(engine_model, separates_the_handover_from_the_wait_for_a_slot) {
+  EngineModel model;
+  for (int i = 0; i < 60; ++i) {
+    model.on_handover(from_ms(32), false, {4, 16});
+    model.on_handover(from_ms(32 + 300), false, {16, 16});
+    model.on_handover(from_ms(32 + 900), true, {16, 16});
+  }
+  cr_assert_float_eq(model.handover_ms(), 32, 0.1);
+  cr_assert_eq(model.slot_wait_ms({4, 16}), 0);
+  cr_assert_float_eq(model.slot_wait_ms({16, 16}), 300, 15);
+}
--- a/tests/core/relay/placement_test.cpp
+++ b/tests/core/relay/placement_test.cpp
@@ -127,6 +127,25 @@
   cr_assert_float_eq(learned->expected_ms, in_full->expected_ms - in_full->ahead_ms / 2, 10);
 }
 
+// Guards against a handover to an engine that makes it wait, as its caches are preferred.
+Test(placement, prefers_a_free_decode_engine_to_the_home_with_learned_waits) {
+  Fleet fleet;
+  for (int i = 0; i < 3; ++i) {
+    EngineRecord record = engine("d" + std::to_string(i), EngineStage::kDecode);
+    record.slots = 16;
+    fleet.engines.upsert(record);
+  }
+  fleet.query.stage = EngineStage::kDecode;
+  const EngineId home = fleet.choose()->engine;
+  // Quick engines, so that neither caches nor a full batch count for much.
+  EngineModel& model = fleet.engines.model_of(fleet.service.name);
+  for (int i = 0; i < 50; ++i) model.on_prompt_read(12000, from_seconds(0.01), true);
+  fleet.engines.on_peer_load(kNow, NodeId("n2"), {{home, {13, 0, 0}}});
+  cr_assert_eq(fleet.choose()->engine, home);
+  for (int i = 0; i < 50; ++i) model.on_handover(from_seconds(0.12), false, {13, 16});
+  cr_assert_neq(fleet.choose()->engine, home);
+}
+
 Test(placement, counts_the_load_of_other_nodes) {
   Fleet fleet;
   const EngineId home = fleet.choose()->engine;
