--- a/src/core/relay/placement.cpp
+++ b/src/core/relay/placement.cpp
@@ -93,8 +93,8 @@
   bool deferred;  ///< The prompt waits behind all that can meet their objective.
 };
 
-/// @return milliseconds until a usual engine has prefilled all prompts ahead of a new one.
-double usual_waiting_ms(const PromptCosts& costs, const EngineView& engine) {
+/// @return milliseconds of known prefill work at the engine ahead of a new prompt.
+double work_ahead_ms(const PromptCosts& costs, const EngineView& engine) {
   const bool prefill = engine.record.stage == EngineStage::kPrefill;
   auto all = static_cast<double>(engine.prefill_tokens);
   auto deferred_work = static_cast<double>(engine.deferred_tokens);
@@ -111,9 +111,19 @@
   return engine.total_requests(costs.now) * share * reading.setup_ms() + ahead * reading.token_ms();
 }
 
-/// @return milliseconds until the engine has prefilled all prompts ahead of a new one.
+/// @return expected wait for a slot, in milliseconds.
+double slot_wait_ms(const PromptCosts& costs, const EngineView& engine) {
+  if (engine.record.stage != EngineStage::kDecode) return 0;
+  return costs.model.slot_wait_ms(engine.occupancy(costs.now));
+}
+
+/// @return milliseconds by which the work ahead is expected to delay a new prompt. At a decode
+/// engine, requests that wait for a slot also have the prompts to prefill, so the longer wait
+/// counts.
 double waiting_ms(const PromptCosts& costs, const EngineView& engine) {
-  return usual_waiting_ms(costs, engine) * engine.present_prefill_factor(costs.now);
+  const double ahead = work_ahead_ms(costs, engine) * engine.present_prefill_factor(costs.now);
+  if (engine.record.stage == EngineStage::kPrefill) return ahead * costs.model.work_ahead().share();
+  return std::max(ahead, slot_wait_ms(costs, engine));
 }
 
 /// @return a pseudorandom number from 0 to 1 for the prompt and the engine.
@@ -133,12 +143,11 @@
   return std::min(age_ms, std::max(0.0, waiting / static_cast<double>(candidates.size())));
 }
 
-/// A nearly full batch costs as much as prefilling a usual prompt, a full one many times that.
+/// A full batch costs as much as prefilling a usual prompt, besides the wait for a slot, so that
+/// streams spread over engines.
 double batch_fill_penalty_ms(const PromptCosts& costs, const EngineView& engine) {
-  constexpr double kFullBatch = 20;
   const double usual_ms = costs.model.prefill().prefill_ms(costs.usual_prefill_tokens);
-  const double fill = engine.total_requests(costs.now) / std::max(1U, engine.record.slots);
-  return usual_ms * engine.profile.pace_factor() * (fill < 1 ? fill : kFullBatch * fill);
+  return usual_ms * engine.profile.pace_factor() * engine.occupancy(costs.now).fill();
 }
 
 /// @return milliseconds until the engine has prefilled a prompt that is sent now.
@@ -202,8 +211,10 @@
   const std::uint64_t saved = source.cached - cached;
   const std::uint64_t prefill_tokens = prompt.prompt_tokens - source.cached;
   const double fetch_ms = model.fetch_setup_ms() + query.service->model->transfer_ms(saved);
-  const double reading_ms = static_cast<double>(saved) * model.prefill().token_ms() *
-                            engine.present_prefill_factor(costs.now);
+  const double usual_ms =
+      model.prefill().prefill_ms(static_cast<double>(prompt.prompt_tokens - cached)) -
+      model.prefill().prefill_ms(static_cast<double>(prefill_tokens));
+  const double reading_ms = usual_ms * engine.present_prefill_factor(costs.now);
   if (fetch_ms >= reading_ms) return;
   placement.prefill_tokens = prefill_tokens;
   placement.expected_ms += fetch_ms - reading_ms;
@@ -211,11 +222,13 @@
   placement.fetch_from = source.engine;
 }
 
-Placement to_placement(const Estimate& best, std::size_t candidates) {
+Placement to_placement(const PromptCosts& costs, const Estimate& best, std::size_t candidates) {
   Placement placement;
   placement.engine = best.engine->record.id;
   placement.cost_ms = best.cost_ms;
   placement.expected_ms = best.expected_ms;
+  placement.ahead_ms = work_ahead_ms(costs, *best.engine);
+  placement.slot_wait_ms = slot_wait_ms(costs, *best.engine);
   placement.prefill_tokens = best.prefill_tokens;
   if (best.fetch_from != nullptr) placement.fetch_from = best.fetch_from->record.id;
   placement.candidates = candidates;
@@ -265,7 +278,7 @@
   }
   if (in_time_has_room) best = best_in_time;
   if (!best) return std::nullopt;
-  return to_placement(*best, usable.size());
+  return to_placement(costs, *best, usable.size());
 }
 
 PrefillReference prefill_reference(MonotonicTime now, const EngineDirectory& engines,
@@ -273,7 +286,7 @@
   const EngineModel& model = engines.model_of(engine.record.service);
   const PromptCosts costs{now, model, engines.average_prefill_tokens(), false};
   return {model.prefill().prefill_ms(static_cast<double>(prefill_tokens)),
-          usual_waiting_ms(costs, engine)};
+          work_ahead_ms(costs, engine) * model.work_ahead().share()};
 }
 
 }  // namespace shuntbank::relay
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -256,6 +256,7 @@
   if (step == Step::kPrefill) {
     prefill_reference_ = prefill_reference(sent_at_, context_.engines, *view, prefill_tokens_);
   }
+  occupancy_when_sent_ = view->occupancy(sent_at_);
   context_.engines.on_attempt_sent(engine, {prefill_tokens_, deferred_});
   if (prompt_) context_.notify_load_changed();
   if (step == Step::kPrefill) context_.engines.on_prompt_sent(prefill_tokens_);
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -133,6 +133,7 @@
   void update_prefill_model(bool exclusive);
   void report_prefill_sample();
   void report_stream_sample();
+  void update_handover_model();
   void report_prompt_read();
   void report_started();
   AttemptHealth refusal_health() const;
@@ -185,6 +186,7 @@
   bool charged_to_budget_ = false;      ///< Sent as an extra dispatch.
   bool idle_when_sent_ = false;         ///< The engine had no other known work.
   PrefillReference prefill_reference_;  ///< Of a remote prefill.
+  Occupancy occupancy_when_sent_;       ///< Of the engine, without this attempt.
   std::optional<TransferId> transfer_;
   EngineStage sent_stage_ = EngineStage::kNone;  ///< The engine's, as known when it was sent.
   MonotonicTime sent_at_{};
