Test stage notices along their whole path; mend an order after a gap

Cause: a test of a lost lease showed that a holder whose lease lapsed without a successor renews it under the same fence, and that a change announced before was then ordered on notices that had expired long ago. Change: after a gap between repetitions that lets notices expire (a stall, a while without the lease), the time to the order begins anew. The last prefill engine of a service counts as likely to refuse while it has a notice, so that a remote prefill there needs retry budget, as with one in backoff. Tests: the holder dies between notice and order; the lease is lost; an order is rejected or unanswered; a change is no longer wanted; 67 nodes in three zones know of 12 notices within the bound; 90 notices at once; announced refusals are charged to the budget and held against no engine. Ruled out: to tell gaps by the fence alone, for the cause given above.

--- a/src/core/relay/dispatch_plan.cpp
+++ b/src/core/relay/dispatch_plan.cpp
@@ -57,8 +57,9 @@
                                        const PrefillSettings& prefill) {
   auto candidate = place_in_stage(now, engines, query, EngineStage::kPrefill, placement);
   if (!candidate || query.retry_budget >= prefill.min_retry_budget) return candidate;
-  const bool backed_off = engines.find(candidate->engine)->backoff_until > now;
-  return query.extra_dispatch || backed_off ? std::nullopt : candidate;
+  const EngineView& engine = *engines.find(candidate->engine);
+  const bool may_refuse = engine.backoff_until > now || engine.leaves_stage(now);
+  return query.extra_dispatch || may_refuse ? std::nullopt : candidate;
 }
 
 DispatchPlan direct_dispatch(const Placement& decode) {
--- a/src/core/relay/dispatch_plan.hpp
+++ b/src/core/relay/dispatch_plan.hpp
@@ -20,7 +20,7 @@
   /// deferred.
   double in_time_share = 0.9;
   /// With a smaller budget there is no remote prefill if the decode dispatch is an extra one or the
-  /// prefill engine is in backoff, as a retry could not be paid for.
+  /// prefill engine is in backoff or about to leave its stage, as a retry could not be paid for.
   double min_retry_budget = 1;
 };
 
--- a/src/core/relay/stage_change_queue.cpp
+++ b/src/core/relay/stage_change_queue.cpp
@@ -26,8 +26,14 @@
 std::vector<StageChangeStep> StageChangeQueue::poll(
     MonotonicTime now, const EngineDirectory& engines,
     const std::function<bool(const StageChange&)>& still_wanted, std::size_t max_orders) {
+  // After a stall, or a while without authority, nodes may hold no valid notice any more: the time
+  // to the order begins anew. A notice must arrive before the previous one expires.
+  const bool lapsed =
+      polled_at_ && now - *polled_at_ > settings_.notice_validity - settings_.notice_lead;
+  polled_at_ = now;
   std::vector<StageChangeStep> steps;
   for (auto it = entries_.begin(); it != entries_.end();) {
+    if (lapsed && it->second.state == State::kAnnounced) it->second.announced_at = now;
     StageChangeStep step =
         decide(now, it->first, it->second, engines.find(it->first), still_wanted);
     if (step.action == StageChangeAction::kOrder && max_orders == 0) {
--- a/src/core/relay/stage_change_queue.hpp
+++ b/src/core/relay/stage_change_queue.hpp
@@ -110,6 +110,7 @@
 
   StageChangeSettings settings_;
   std::map<EngineId, Entry> entries_;
+  std::optional<MonotonicTime> polled_at_;  ///< When notices were last repeated.
 };
 
 }  // namespace shuntbank::relay
--- a/tests/core/relay/dispatch_plan_test.cpp
+++ b/tests/core/relay/dispatch_plan_test.cpp
@@ -74,6 +74,17 @@
   cr_assert(fixture.plan()->remote_prefill);
 }
 
+// Guards against budget spent at the last prefill engine, which refuses during its stage change.
+Test(dispatch_plan, avoids_a_prefill_engine_about_to_change_without_retry_budget) {
+  Fixture fixture;
+  fixture.query.retry_budget = 0.9;
+  fixture.engines.on_stage_notice(kNow, EngineId("reader"),
+                                  {EngineStage::kDecode, 1, std::chrono::seconds(1)});
+  cr_assert_not(fixture.plan()->remote_prefill);
+  fixture.query.retry_budget = 1;
+  cr_assert(fixture.plan()->remote_prefill);
+}
+
 Test(dispatch_plan, needs_retry_budget_for_the_decode_dispatch) {
   Fixture fixture;
   fixture.query.extra_dispatch = true;
--- a/tests/core/relay/engine_directory_test.cpp
+++ b/tests/core/relay/engine_directory_test.cpp
@@ -317,3 +317,82 @@
     cr_assert(engines.outdated(record(i, 100)), "engine %d is forgotten", i);
   }
 }
+
+// Guards against a full engine of the new stage whose refusals are taken for those of the change.
+Test(engine_directory, knows_which_refusals_were_announced) {
+  EngineDirectory engines;
+  engines.upsert(record("e"));
+  const EngineId id("e");
+  cr_assert_not(engines.refusal_announced(kNow, id, EngineStage::kDecode));
+  engines.on_stage_notice(kNow, id, {EngineStage::kPrefill, 1, 1500ms});
+  cr_assert(engines.refusal_announced(kNow, id, EngineStage::kDecode));
+  engines.upsert(record("e", EngineStage::kPrefill));
+  cr_assert(engines.refusal_announced(kNow, id, EngineStage::kDecode), "sent before the change");
+  cr_assert_not(engines.refusal_announced(kNow, id, EngineStage::kPrefill));
+  cr_assert_not(engines.refusal_announced(kNow + 1500ms, id, EngineStage::kDecode));
+  cr_assert_not(engines.refusal_announced(kNow, EngineId("unknown"), EngineStage::kDecode));
+}
+
+Test(engine_directory, keeps_a_notice_until_the_engine_is_listed_or_the_notice_expires) {
+  EngineDirectory engines;
+  engines.on_stage_notice(kNow, engine_key(EngineId("early")), {EngineStage::kPrefill, 2, 1500ms});
+  engines.on_stage_notice(kNow, EngineId("early"), {EngineStage::kDecode, 1, 1500ms});
+  engines.upsert(record("early"));
+  cr_assert(view(engines, "early").leaves_stage(kNow),
+            "the notice of the earlier lease is ignored");
+  cr_assert_not(view(engines, "early").leaves_stage(kNow + 1500ms));
+  engines.upsert(record("other"));
+  cr_assert_not(view(engines, "other").leaves_stage(kNow));
+}
+
+// Guards against knowledge that outlives the incarnation of an engine.
+Test(engine_directory, drops_a_notice_with_the_incarnation) {
+  EngineDirectory engines;
+  EngineRecord first = record("e.1");
+  first.name = "e";
+  first.started_unix_ms = 1;
+  engines.upsert(first);
+  engines.on_stage_notice(kNow, EngineId("e.1"), {EngineStage::kPrefill, 1, 1500ms});
+  EngineRecord second = record("e.2");
+  second.name = "e";
+  second.started_unix_ms = 2;
+  engines.upsert(second);
+  cr_assert_not(view(engines, "e.2").leaves_stage(kNow));
+}
+
+// Guards against memory without bound under forged notices.
+Test(engine_directory, bounds_the_notices_of_unknown_engines) {
+  EngineDirectory engines;
+  for (EngineKey key = 0; key < 2000; ++key) {
+    engines.on_stage_notice(kNow, key, {EngineStage::kPrefill, 1, 1500ms});
+  }
+  engines.on_stage_notice(kNow, EngineId("late"), {EngineStage::kPrefill, 1, 1500ms});
+  engines.upsert(record("late"));
+  cr_assert_not(view(engines, "late").leaves_stage(kNow));
+  engines.on_stage_notice(kNow + 2s, EngineId("later"), {EngineStage::kPrefill, 1, 1500ms});
+  engines.upsert(record("later"));
+  cr_assert(view(engines, "later").leaves_stage(kNow + 2s), "expired notices make room");
+}
+
+// Guards against an order for a change that the fleet no longer needs, and against a change that is
+// blocked for the engine's cooldown although it was not ordered.
+Test(stage_planner, wants_a_change_only_while_its_stage_is_short) {
+  EngineDirectory engines;
+  for (const char* id : {"a", "b", "c", "d"}) engines.upsert(record(id));
+  StagePlannerSettings settings;
+  settings.prefill_share = 0.25;
+  StagePlanner planner(settings);
+  const RouteTable table = single_service_table();
+  const auto change = planner.next(kNow, engines, table);
+  cr_assert(change.has_value());
+  cr_assert(planner.still_wanted(kNow, engines, table, *change));
+  cr_assert_not(planner.next(kNow, engines, table).has_value(), "it still counts as planned");
+  engines.upsert(record("e", EngineStage::kPrefill));
+  cr_assert_not(planner.still_wanted(kNow, engines, table, *change));
+  engines.remove(EngineId("e"));
+  cr_assert(planner.still_wanted(kNow, engines, table, *change));
+  planner.withdraw(change->engine);
+  cr_assert(planner.next(kNow + settings.batch_interval, engines, table).has_value());
+  engines.on_draining(change->engine);
+  cr_assert_not(planner.still_wanted(kNow, engines, table, *change));
+}
--- a/tests/core/relay/placement_test.cpp
+++ b/tests/core/relay/placement_test.cpp
@@ -240,3 +240,31 @@
   fleet.engines.upsert(engine("new", EngineStage::kPrefill));
   cr_assert_neq(fleet.choose()->engine.value(), "new");
 }
+
+// Guards against a stage without engines: a notice is a hint, and the change may be withdrawn.
+Test(placement, uses_an_engine_about_to_change_only_when_no_other_is_left) {
+  Fleet fleet;
+  const StageNotice notice{EngineStage::kDecode, 1, 1500ms};
+  for (int i = 0; i < 5; ++i) {
+    const EngineId id("p" + std::to_string(i));
+    if (i > 0) fleet.engines.on_stage_notice(kNow, id, notice);
+  }
+  fleet.engines.on_attempt_health(kNow, EngineId("p0"), AttemptHealth::kBusy);
+  cr_assert_eq(fleet.choose()->engine.value(), "p0", "rather one in backoff");
+  fleet.engines.on_stage_notice(kNow, EngineId("p0"), notice);
+  cr_assert(fleet.choose().has_value());
+}
+
+Test(placement, uses_an_engine_again_after_its_notice_ends) {
+  Fleet expired;
+  const EngineId home = expired.choose()->engine;
+  expired.engines.on_stage_notice(kNow - 2s, home, {EngineStage::kDecode, 1, 1500ms});
+  cr_assert_eq(expired.choose()->engine, home);
+  Fleet withdrawn;
+  withdrawn.engines.on_stage_notice(kNow, home, {EngineStage::kDecode, 1, 1500ms});
+  withdrawn.engines.on_stage_notice(kNow, home, {EngineStage::kPrefill, 1, 0ms});
+  cr_assert_eq(withdrawn.choose()->engine, home);
+  Fleet changed;
+  changed.engines.on_stage_notice(kNow, home, {EngineStage::kPrefill, 1, 1500ms});
+  cr_assert_eq(changed.choose()->engine, home, "the list shows the new stage");
+}
--- a/tests/core/relay/stage_change_queue_test.cpp
+++ b/tests/core/relay/stage_change_queue_test.cpp
@@ -125,6 +125,16 @@
   cr_assert(gone.poll(400ms).action == StageChangeAction::kWithdraw);
 }
 
+// Guards against an order after a stall, or after a while without the lease, when the nodes'
+// notices have expired.
+Test(stage_change_queue, restarts_the_time_to_the_order_after_a_gap_between_notices) {
+  OneChange one;
+  one.poll(100ms);
+  cr_assert(one.poll(5s).action == StageChangeAction::kNotify);
+  cr_assert(one.poll(5s + one.settings.notice_lead - 1ms).action == StageChangeAction::kNotify);
+  cr_assert(one.poll(5s + one.settings.notice_lead).action == StageChangeAction::kOrder);
+}
+
 // Guards against an order under the fence of an earlier lease.
 Test(stage_change_queue, drops_the_changes_of_earlier_leases) {
   OneChange one;
--- a/tests/relay/load_exchange_test.cpp
+++ b/tests/relay/load_exchange_test.cpp
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <set>
 
 #include "relay/support/exchanging_fleet.hpp"
@@ -260,3 +261,43 @@
   request_configurations(fleet, 0, 10);
   cr_assert_eq(answered, 10);
 }
+
+// Guards against orders that overtake their notices, and against notices that make a message too
+// large to be sent.
+Test(load_exchange, delivers_stage_notices_to_all_nodes_within_the_bound) {
+  for (const std::size_t nodes : {6, 67}) {
+    ExchangingFleet fleet(nodes, 3);
+    fleet.runtime.advance(4s);
+    constexpr int kNotices = 12;
+    for (int i = 0; i < kNotices; ++i) {
+      const std::string id = "engine-with-a-long-name-" + std::to_string(i) + ".lk3j4h2g";
+      for (const auto& site : fleet.sites) site->add_engine(id, "model", EngineStage::kDecode);
+      fleet.sites[5]->node->queue_stage_notice({EngineId(id), {EngineStage::kPrefill, 9, 1500ms}});
+    }
+    fleet.runtime.advance(relay::update_arrival_bound({}));
+    for (std::size_t node = 0; node < nodes; ++node) {
+      const auto& engines = fleet.sites[node]->node->engines().all();
+      const auto known = std::count_if(engines.begin(), engines.end(), [](const auto& entry) {
+        return entry.second.stage_notice.has_value();
+      });
+      cr_assert_eq(known, kNotices, "node %zu of %zu knows %ld", node, nodes, long{known});
+    }
+  }
+}
+
+Test(load_exchange, spreads_many_stage_notices_over_several_messages) {
+  ExchangingFleet fleet(6);
+  fleet.runtime.advance(4s);
+  constexpr int kNotices = 90;
+  for (int i = 0; i < kNotices; ++i) {
+    const std::string id = "engine-with-a-long-name-" + std::to_string(i) + ".lk3j4h2g";
+    for (const auto& site : fleet.sites) site->add_engine(id, "model", EngineStage::kDecode);
+    fleet.sites[0]->node->queue_stage_notice({EngineId(id), {EngineStage::kPrefill, 9, 1500ms}});
+  }
+  fleet.runtime.advance(400ms);
+  const auto& engines = fleet.sites[3]->node->engines().all();
+  const auto known = std::count_if(engines.begin(), engines.end(), [](const auto& entry) {
+    return entry.second.stage_notice.has_value();
+  });
+  cr_assert_eq(known, kNotices);
+}
--- a/tests/relay/relay_session_test.cpp
+++ b/tests/relay/relay_session_test.cpp
@@ -341,3 +341,50 @@
   site.request("/stream/c", {{"tokens", "20000"}, {"id", "r3"}});
   cr_assert_eq(site.http.at(2).request.headers.get("urgency"), "9");
 }
+
+// Guards against announced refusals that are held against the engine: its backoff and the trouble
+// reports to all nodes would outlast the change.
+Test(relay_session, holds_no_announced_refusal_against_the_engine) {
+  RelayFixture site;
+  site.add_engine("d1", "model", EngineStage::kDecode);
+  site.node->on_load_changed([] {});
+  const EngineId engine("d1");
+  for (int i = 0; i < 4; ++i) {
+    const std::size_t sent = site.http.count();
+    site.request("/stream/a", {{"tokens", "100"}});
+    // The notice arrives while the request is on its way.
+    site.node->queue_stage_notice({engine, {EngineStage::kPrefill, 1, 1500ms}});
+    site.http.answer(sent, 503, {{"id", "r1"}, {"refused", "1"}}, "");
+    cr_assert_eq(site.http.count(), sent + 1);
+  }
+  cr_assert_leq(site.node->engines().find(engine)->backoff_until, site.runtime.now());
+  cr_assert(site.node->take_troubles().empty());
+  // The same without a notice.
+  site.node->queue_stage_notice({engine, {EngineStage::kDecode, 1, 0ms}});
+  for (int i = 0; i < 4; ++i) {
+    const std::size_t sent = site.http.count();
+    site.request("/stream/a", {{"tokens", "100"}});
+    site.http.answer(sent, 503, {{"id", "r1"}, {"refused", "1"}}, "");
+  }
+  cr_assert_gt(site.node->engines().find(engine)->backoff_until, site.runtime.now());
+  cr_assert_not(site.node->take_troubles().empty());
+}
+
+// Guards against announced refusals that are free of charge: the budget bounds all arrivals.
+Test(relay_session, charges_a_send_after_an_announced_refusal) {
+  for (const double slack : {80.0, 0.0}) {
+    RelayFixture site;
+    site.settings.retry_budget.slack = slack;
+    site.settings.retry_budget.ratio = 0;
+    site.restart();
+    site.node->set_fleet({1, 0});
+    site.runtime.advance(relay::charge_duration(site.settings.retry_budget));
+    site.add_engine("e1", "model", EngineStage::kDecode);
+    site.add_engine("e2", "model", EngineStage::kDecode);
+    site.request("/stream/a", {{"tokens", "100"}});
+    const EngineId engine(std::string(site.http.at(0).request.headers.get("for-engine")));
+    site.node->queue_stage_notice({engine, {EngineStage::kPrefill, 1, 1500ms}});
+    site.http.answer(0, 503, {{"id", "r1"}, {"refused", "1"}}, "");
+    cr_assert_eq(site.http.count(), slack > 0 ? 2 : 1);
+  }
+}
--- a/tests/relay/role_coordinator_test.cpp
+++ b/tests/relay/role_coordinator_test.cpp
@@ -10,6 +10,7 @@
 using namespace shuntbank::testing;
 using namespace std::chrono_literals;
 using relay::EngineStage;
+using relay::StageNotice;
 
 namespace {
 
@@ -65,6 +66,25 @@
   return (*order)->request;
 }
 
+/// Advances the time up to the next stage notice of the node. @return it.
+relay::EngineStageNotice first_notice(RelayFixture& site) {
+  site.node->on_load_changed([] {});  // Notices are queued only if they can be sent.
+  for (int step = 0; step < 3000; ++step) {
+    const auto notices = site.node->take_stage_notices(100);
+    if (!notices.empty()) return notices.front();
+    site.runtime.advance(10ms);
+  }
+  cr_assert_fail("no notice");
+  return {};
+}
+
+/// @return whether the node has queued a notice for the engine since the last call.
+bool has_notice(RelayFixture& site, const EngineId& engine) {
+  const auto notices = site.node->take_stage_notices(100);
+  return std::any_of(notices.begin(), notices.end(),
+                     [&](const auto& item) { return item.engine == engine; });
+}
+
 }  // namespace
 
 Test(role_coordinator, sends_the_fence_and_the_expected_order_count) {
@@ -146,3 +166,130 @@
   site.runtime.advance(30s);
   cr_assert_eq(count_requests(site, "/report"), 0);
 }
+
+// Guards against orders that the other nodes have not heard of.
+Test(role_coordinator, announces_a_change_before_it_is_ordered) {
+  CoordinatorNodes nodes(1);
+  RelayFixture& site = *nodes.sites[0];
+  const auto single = coordinator(site, nodes.store, "n1");
+  const auto [engine, notice] = first_notice(site);
+  cr_assert(notice.stage == EngineStage::kPrefill);
+  cr_assert_eq(notice.fence, 1);
+  cr_assert(site.node->engines().find(engine)->leaves_stage(site.runtime.now()));
+  cr_assert_eq(count_requests(site, "/report"), 0);
+  site.runtime.advance(site.settings.roles.changes.notice_lead - 1ms);
+  cr_assert_eq(count_requests(site, "/report"), 0);
+  site.runtime.advance(site.settings.lease.tick_interval);
+  cr_assert_eq(count_requests(site, "/report"), 1);
+  site.http.answer(0, 200, {}, "decode");
+  cr_assert_eq(first_order(site).url, "http://" + engine.value() + ":80/order");
+}
+
+// Guards against a lost notice, and against nodes that send work while the engine changes.
+Test(role_coordinator, repeats_the_notice_until_the_list_shows_the_new_stage) {
+  CoordinatorNodes nodes(1);
+  RelayFixture& site = *nodes.sites[0];
+  const auto single = coordinator(site, nodes.store, "n1");
+  const EngineId engine = first_notice(site).engine;
+  site.runtime.advance(400ms);
+  site.http.answer(0, 200, {}, "decode");
+  site.http.answer(1, 202, {}, "");
+  for (int tick = 0; tick < 8; ++tick) {
+    cr_assert(has_notice(site, engine), "tick %d", tick);
+    site.runtime.advance(400ms);
+  }
+  site.add_engine(engine.value(), "model", EngineStage::kPrefill);
+  site.runtime.advance(400ms);
+  has_notice(site, engine);
+  site.runtime.advance(400ms);
+  cr_assert_not(has_notice(site, engine));
+}
+
+// Guards against an engine that stays without work after a change that does not take place.
+Test(role_coordinator, withdraws_the_notice_of_a_change_that_is_no_longer_wanted) {
+  CoordinatorNodes nodes(1);
+  RelayFixture& site = *nodes.sites[0];
+  const auto single = coordinator(site, nodes.store, "n1");
+  const EngineId engine = first_notice(site).engine;
+  // With four prefill engines of eight, the target of one half is reached.
+  for (const char* id : {"p1", "p2", "p3", "p4"})
+    site.add_engine(id, "model", EngineStage::kPrefill);
+  site.runtime.advance(400ms);
+  cr_assert_not(site.node->engines().find(engine)->leaves_stage(site.runtime.now()));
+  const auto notices = site.node->take_stage_notices(100);
+  cr_assert_eq(notices.size(), 1);
+  cr_assert_eq(notices.front().engine, engine);
+  cr_assert(notices.front().notice.stage == EngineStage::kDecode);
+  site.runtime.advance(2s);
+  cr_assert_eq(count_requests(site, "/report"), 0);
+}
+
+Test(role_coordinator, withdraws_the_notice_of_an_order_that_is_rejected) {
+  CoordinatorNodes nodes(1);
+  RelayFixture& site = *nodes.sites[0];
+  const auto single = coordinator(site, nodes.store, "n1");
+  const EngineId engine = first_notice(site).engine;
+  site.runtime.advance(400ms);
+  site.http.answer(0, 200, {}, "decode");
+  site.http.answer(1, 412, {}, "");
+  cr_assert_not(site.node->engines().find(engine)->leaves_stage(site.runtime.now()));
+}
+
+// Guards against work for an engine that carries out an order whose answer was lost.
+Test(role_coordinator, keeps_the_notice_of_an_order_without_an_answer) {
+  CoordinatorNodes nodes(1);
+  RelayFixture& site = *nodes.sites[0];
+  const auto single = coordinator(site, nodes.store, "n1");
+  const EngineId engine = first_notice(site).engine;
+  site.runtime.advance(400ms);
+  site.http.answer(0, 200, {}, "decode");
+  site.http.fail(1, TransferFailure::kUncertain);
+  site.runtime.advance(5s);
+  cr_assert(site.node->engines().find(engine)->leaves_stage(site.runtime.now()));
+  site.runtime.advance(5s);
+  cr_assert_not(site.node->engines().find(engine)->leaves_stage(site.runtime.now()));
+}
+
+// Guards against a notice that outlives its holder, and against an order of the next holder without
+// a notice of its own.
+Test(role_coordinator, next_holder_begins_anew_after_the_holder_dies_between_notice_and_order) {
+  CoordinatorNodes nodes(1);
+  RelayFixture& site = *nodes.sites[0];
+  auto first = coordinator(site, nodes.store, "n1");
+  const EngineId engine = first_notice(site).engine;
+  first.reset();  // Simulates a crash: the lease stays in the store.
+  site.runtime.advance(site.settings.roles.changes.notice_validity - 1ms);
+  cr_assert(site.node->engines().find(engine)->leaves_stage(site.runtime.now()));
+  site.runtime.advance(1ms);
+  cr_assert_not(site.node->engines().find(engine)->leaves_stage(site.runtime.now()));
+  const auto second = coordinator(site, nodes.store, "n2");
+  const auto [next_engine, next_notice] = first_notice(site);
+  cr_assert_eq(next_notice.fence, 2, "the fence has increased");
+  cr_assert_eq(count_requests(site, "/report"), 0);
+  site.runtime.advance(400ms);
+  cr_assert_eq(count_requests(site, "/report"), 1);
+  site.http.answer(0, 200, {}, "decode");
+  cr_assert_eq(first_order(site).headers.get("fence"), "2");
+  cr_assert_eq(first_order(site).url, "http://" + next_engine.value() + ":80/order");
+}
+
+// Guards against an order under a notice that has expired while the store did not respond. The
+// lease is renewed under the same fence if no other node has taken it.
+Test(role_coordinator, announces_anew_after_the_lease_was_lost) {
+  CoordinatorNodes nodes(1);
+  RelayFixture& site = *nodes.sites[0];
+  const auto single = coordinator(site, nodes.store, "n1");
+  const EngineId engine = first_notice(site).engine;
+  nodes.store.down = true;
+  site.runtime.stall(20s);
+  site.runtime.advance(1s);
+  cr_assert_eq(count_requests(site, "/report"), 0);
+  cr_assert_not(site.node->engines().find(engine)->leaves_stage(site.runtime.now()));
+  nodes.store.down = false;
+  cr_assert_eq(first_notice(site).engine, engine);
+  cr_assert_eq(count_requests(site, "/report"), 0);
+  site.runtime.advance(site.settings.roles.changes.notice_lead - 11ms);
+  cr_assert_eq(count_requests(site, "/report"), 0);
+  site.runtime.advance(400ms);
+  cr_assert_geq(count_requests(site, "/report"), 1);
+}
