Test that orders for one loss do not oscillate

Ruled out as its cause on the simulated provider: two zones reclaimed at once or in turn within a second, and refused spot engines; the orders only rise then. Spot engines that return for a moment give the pattern (64, 54, 44, 54, 64, ...), since what is ordered but has not started counts for nothing. Change: the test only. It fails until ordered engines count.

--- a/tests/relay/capacity_coordinator_test.cpp
+++ b/tests/relay/capacity_coordinator_test.cpp
@@ -55,6 +55,146 @@
   return configuration;
 }
 
+/// A provider that starts engines within 4 s and may reclaim spot engines.
+class SimulatedProvider : public relay::DutyService {
+ public:
+  explicit SimulatedProvider(RelayFixture& site) : site_(site) {}
+  void report_usage(const relay::DutyAuthority&, const relay::UsageReport&, Duration,
+                    Handler) override {}
+  void order_engines(const relay::DutyAuthority&, const relay::EngineOrder& order, Duration,
+                     Handler handler) override {
+    Kind& kind = kinds_[{order.zone, order.spot}];
+    const bool refused = site_.runtime.now() < kind.none_until;
+    if (!refused) {
+      kind.wanted = order.engines;
+      while (kind.running.size() > kind.wanted) remove_one(kind);
+      while (kind.running.size() + kind.starting.size() > kind.wanted) kind.starting.pop_back();
+      while (kind.running.size() + kind.starting.size() < kind.wanted) {
+        kind.starting.push_back(site_.runtime.now() + kStartup);
+      }
+      if (!order.spot) {
+        full_price_orders.push_back(sum_wanted(false));
+        full_price_by_zone[order.zone].push_back(order.engines);
+      }
+    }
+    site_.runtime.post(
+        [handler, refused] { handler(refused ? DutyOutcome::kRefused : DutyOutcome::kDone); });
+  }
+
+  /// Adds a running engine of the operator.
+  void add_running(const std::string& zone, bool spot) {
+    Kind& kind = kinds_[{ZoneName(zone), spot}];
+    ++kind.wanted;
+    add_one({ZoneName(zone), spot}, kind);
+  }
+
+  /// Takes back up to `count` spot engines of a zone and gives none for some time.
+  void reclaim(const std::string& zone, std::size_t count, Duration none_for) {
+    Kind& kind = kinds_[{ZoneName(zone), true}];
+    kind.none_until = site_.runtime.now() + none_for;
+    kind.starting.clear();
+    for (; count > 0 && !kind.running.empty(); --count) remove_one(kind);
+    kind.wanted = static_cast<std::uint32_t>(kind.running.size());
+  }
+
+  /// Lets engines serve that have been starting for long enough.
+  void finish_starts() {
+    for (auto& [purchase, kind] : kinds_) {
+      while (!kind.starting.empty() && kind.starting.front() <= site_.runtime.now()) {
+        kind.starting.erase(kind.starting.begin());
+        add_one(purchase, kind);
+      }
+    }
+  }
+
+  std::uint32_t sum_wanted(bool spot) const {
+    std::uint32_t sum = 0;
+    for (const auto& [purchase, kind] : kinds_) sum += purchase.spot == spot ? kind.wanted : 0;
+    return sum;
+  }
+  std::uint32_t running() const {
+    std::size_t sum = 0;
+    for (const auto& [purchase, kind] : kinds_) sum += kind.running.size();
+    return static_cast<std::uint32_t>(sum);
+  }
+
+  std::vector<std::uint32_t> full_price_orders;  ///< Sum over the zones after each order.
+  std::map<ZoneName, std::vector<std::uint32_t>> full_price_by_zone;  ///< The orders of each.
+
+ private:
+  struct Kind {
+    std::uint32_t wanted = 0;
+    std::vector<std::string> running;
+    std::vector<MonotonicTime> starting;  ///< When each will serve, in order.
+    MonotonicTime none_until{};
+  };
+  void add_one(const capacity::Purchase& purchase, Kind& kind) {
+    relay::EngineRecord record;
+    record.id = EngineId("e" + std::to_string(++last_));
+    record.service = ServiceName("model");
+    record.address = record.id.value() + ":80";
+    record.zone = purchase.zone;
+    record.spot = purchase.spot;
+    record.slots = 16;
+    record.stage = last_ % 2 == 0 ? relay::EngineStage::kDecode : relay::EngineStage::kPrefill;
+    kind.running.push_back(record.id.value());
+    site_.node->set_engine(record);
+  }
+  void remove_one(Kind& kind) {
+    site_.node->remove_engine(kind.running.back());
+    kind.running.pop_back();
+  }
+
+  static constexpr Duration kStartup = 4s;
+  RelayFixture& site_;
+  std::map<capacity::Purchase, Kind> kinds_;
+  std::uint64_t last_ = 0;
+};
+
+/// A lease holder that orders engines from a simulated provider in three zones.
+struct ProviderFixture {
+  ProviderFixture() {
+    auto configuration = scaled_configuration(2);
+    configuration.services.at(1).scale->max = 76;
+    configuration.services.at(1).scale->startup = 4s;
+    site.node->adopt(configuration);
+    for (const char* zone : {"z1", "z2", "z3"}) {
+      for (int i = 0; i < 37; ++i) provider.add_running(zone, false);
+    }
+  }
+
+  /// Advances in steps, with the same load at all engines. @param work in engines, of both stages.
+  void run(Duration length, double work = 0) {
+    for (const MonotonicTime end = site.runtime.now() + length; site.runtime.now() < end;) {
+      provider.finish_starts();
+      if (work > 0) set_work(work);
+      site.runtime.advance(200ms);
+    }
+  }
+
+  void set_work(double work) {
+    std::map<EngineId, relay::PeerLoad> load;
+    double prefill = work / 2;
+    double streams = work / 2 * 16;
+    for (const auto& [id, engine] : site.node->engines().all()) {
+      if (engine.record.service != ServiceName("model")) continue;
+      const bool prefills = engine.record.stage == relay::EngineStage::kPrefill;
+      double& left = prefills ? prefill : streams;
+      const double taken = std::min(left, prefills ? 1.0 : 16.0);
+      left -= taken;
+      load[id] = {static_cast<std::uint32_t>(taken), 0, 0};
+    }
+    site.node->engines().on_peer_load(site.runtime.now(), NodeId("peer"), load);
+  }
+
+  RelayFixture site;
+  MemoryStore store{site.runtime};
+  SimulatedProvider provider{site};
+  relay::LeaseKeeper lease{site.runtime, store, *site.node, "n1", relay::LeaseKeeperSettings()};
+  relay::CapacityCoordinator coordinator{
+      site.runtime, store, lease, provider, *site.node, "n1", relay::CapacityCoordinatorSettings()};
+};
+
 /// A node with a capacity coordinator and a store.
 struct CoordinatorFixture {
   CoordinatorFixture() { restart("n1"); }
@@ -192,3 +332,35 @@
   }
   cr_assert_geq(before, 400, "progress within 20 s");
 }
+
+Test(capacity_coordinator, orders_for_one_loss_do_not_oscillate) {
+  // Guards against orders that count neither the engines that are starting nor those whose order is
+  // being repeated: for one loss, 48, 36, 47, 34, 29 and 49 full-price engines were ordered in 5 s.
+  ProviderFixture fixture;
+  fixture.run(60s);
+  cr_assert_geq(fixture.provider.running(), 111);
+  fixture.provider.full_price_orders.clear();
+  fixture.provider.full_price_by_zone.clear();
+  // The engines of two zones are taken back in turn, and some return for a moment.
+  for (int part = 0; part < 4; ++part) {
+    fixture.provider.reclaim("z1", 28, 10s);
+    fixture.run(400ms);
+    fixture.provider.reclaim("z2", 28, 10s);
+    fixture.run(400ms);
+    for (int i = 0; i < 10 && part < 3; ++i) fixture.provider.add_running("z1", true);
+    fixture.run(400ms);
+    for (int i = 0; i < 10 && part < 3; ++i) fixture.provider.add_running("z2", true);
+    fixture.run(400ms);
+  }
+  fixture.run(4s);
+  const auto& orders = fixture.provider.full_price_orders;
+  cr_assert_not(orders.empty());
+  for (const auto& [zone, engines] : fixture.provider.full_price_by_zone) {
+    cr_assert(std::is_sorted(engines.begin(), engines.end()), "%s", zone.value().c_str());
+  }
+  std::string text;
+  for (const std::uint32_t sum : orders) text += std::to_string(sum) + " ";
+  cr_assert(std::is_sorted(orders.begin(), orders.end()), "%s", text.c_str());
+  cr_assert_leq(orders.size(), 8, "%s", text.c_str());
+  cr_assert_geq(fixture.provider.running(), 111, "%u", fixture.provider.running());
+}
