Count ordered engines, so that orders for one loss do not oscillate

Ruled out: a fixed pause between orders, as it also delays the replacement of a second loss. Change: engines of an order count as present until it must have taken effect or has failed, and a surplus is released once it has lasted for the startup time. An order for the present number, sent while the change budget was used up, is not sent any more.

--- a/src/core/capacity/capacity_planner.cpp
+++ b/src/core/capacity/capacity_planner.cpp
@@ -65,7 +65,28 @@
   return out;
 }
 
+void CapacityPlanner::on_ordered(const Purchase& purchase, std::uint32_t engines,
+                                 MonotonicTime until) {
+  this->pending_orders[purchase] = {engines, until};
+}
+
+void CapacityPlanner::on_order_failed(const Purchase& purchase) {
+  this->pending_orders.erase(purchase);
+}
+
+/// @return the present engines, and the full-price ones that may still be starting.
+EnginesByZone CapacityPlanner::with_ordered(MonotonicTime now, const EnginesByZone& present) const {
+  EnginesByZone all = present;
+  for (const auto& [purchase, order] : this->pending_orders) {
+    const auto zone = all.find(purchase.zone);
+    if (purchase.spot || zone == all.end() || now >= order.until) continue;
+    zone->second.full = std::max(zone->second.full, order.engines);
+  }
+  return all;
+}
+
 void CapacityPlanner::on_unavailable(MonotonicTime now, const Purchase& purchase) {
+  this->on_order_failed(purchase);
   this->unavailable_until[purchase] = now + this->settings.unavailable_retry_interval;
 }
 
@@ -105,7 +126,8 @@
     return wanted;
   }
   if (!this->surplus_since) this->surplus_since = now;
-  return now - *this->surplus_since >= this->settings.surplus_release_delay ? wanted : full;
+  const Duration delay = std::max(this->settings.surplus_release_delay, scale.startup);
+  return now - *this->surplus_since >= delay ? wanted : full;
 }
 
 /// Keeps present engines in place for their caches, adds engines in the cheapest zones and releases
@@ -132,9 +154,10 @@
 }
 
 Purchases CapacityPlanner::plan(MonotonicTime now, const EngineScale& scale, std::uint32_t needed,
-                                const EnginesByZone& present) {
+                                const EnginesByZone& serving) {
   Purchases plan;
   if (this->settings.strategy == SpotStrategy::kNone || scale.min > scale.max) return plan;
+  const EnginesByZone present = this->with_ordered(now, serving);
   const std::uint32_t spot = this->spot_target(scale, needed, present.size());
   this->place_full_price(now, scale, this->full_price_target(now, scale, needed, present), present,
                          plan);
--- a/src/core/capacity/capacity_planner.hpp
+++ b/src/core/capacity/capacity_planner.hpp
@@ -72,8 +72,9 @@
   double min_full_price_share = 0.5;
   /// Delay before unavailable engines are requested again.
   Duration unavailable_retry_interval = std::chrono::seconds(3);
-  /// How long a surplus must last before full-price engines are released: starting engines may
-  /// be counted shortly before they serve, and a released engine cannot be replaced at once.
+  /// How long a surplus must last at least before full-price engines are released: starting engines
+  /// may be counted shortly before they serve, and a released engine cannot be replaced at once, so
+  /// that the startup time applies where it is longer.
   Duration surplus_release_delay = std::chrono::milliseconds(1200);
 };
 
@@ -83,9 +84,19 @@
   explicit CapacityPlanner(const CapacitySettings& own_settings) : settings(own_settings) {}
 
   /// @param needed engines that the service must have at any time.
+  /// @param serving the present engines, without those that are starting.
   /// @return the target numbers of engines.
   Purchases plan(MonotonicTime now, const EngineScale& scale, std::uint32_t needed,
-                 const EnginesByZone& present);
+                 const EnginesByZone& serving);
+
+  /// Engines of this kind were ordered. Full-price engines count as present from now on, so that an
+  /// order is neither repeated nor taken back because of its own delay.
+  /// @param engines including those already present.
+  /// @param until when the order must have taken effect.
+  void on_ordered(const Purchase& purchase, std::uint32_t engines, MonotonicTime until);
+
+  /// The last order of this kind has failed.
+  void on_order_failed(const Purchase& purchase);
 
   /// The provider had no engines of this kind.
   void on_unavailable(MonotonicTime now, const Purchase& purchase);
@@ -94,6 +105,13 @@
   bool may_request(MonotonicTime now, const Purchase& purchase) const;
 
  private:
+  /// An order whose engines may still be starting.
+  struct PendingOrder {
+    std::uint32_t engines = 0;
+    MonotonicTime until{};
+  };
+
+  EnginesByZone with_ordered(MonotonicTime now, const EnginesByZone& present) const;
   std::uint32_t min_full_price_engines(const EngineScale& scale, std::uint32_t needed) const;
   std::uint32_t spot_target(const EngineScale& scale, std::uint32_t needed,
                             std::size_t zones) const;
@@ -104,6 +122,7 @@
 
   CapacitySettings settings;
   std::map<Purchase, MonotonicTime> unavailable_until;
+  std::map<Purchase, PendingOrder> pending_orders;
   std::optional<MonotonicTime> surplus_since;
 };
 
--- a/src/relay/capacity_coordinator.cpp
+++ b/src/relay/capacity_coordinator.cpp
@@ -75,7 +75,9 @@
     const auto issued = state.orders.find(purchase);
     const bool unchanged = issued != state.orders.end() && issued->second.engines == step;
     if (unchanged && !this->is_effect_overdue(declared, issued->second)) continue;
-    this->send_order(declared.name, state, purchase, step);
+    // Nothing changes while the budget is used up.
+    if (issued == state.orders.end() && step == current) continue;
+    this->send_order(declared, state, purchase, step);
   }
 }
 
@@ -108,8 +110,11 @@
 /// Engines that the provider reclaims are replaced only by a new order.
 bool CapacityCoordinator::is_effect_overdue(const RelayedService& declared,
                                             const IssuedOrder& issued) const {
-  const Duration timeout = declared.scale->startup + this->settings.effect_timeout;
-  return this->runtime.now() - issued.issued_at >= timeout;
+  return this->runtime.now() - issued.issued_at >= this->effect_timeout(declared);
+}
+
+Duration CapacityCoordinator::effect_timeout(const RelayedService& declared) const {
+  return declared.scale->startup + this->settings.effect_timeout;
 }
 
 /// Determines how many engines the operator runs for the service before the first order. The count
@@ -188,11 +193,13 @@
   return increase && this->is_effect_overdue(declared, issued->second);
 }
 
-void CapacityCoordinator::send_order(const ServiceName& name, ServiceState& state,
+void CapacityCoordinator::send_order(const RelayedService& declared, ServiceState& state,
                                      const Purchase& purchase, std::uint32_t wanted) {
   const auto fence = this->lease.authority();
   if (!fence) return;
+  const ServiceName& name = declared.name;
   state.orders[purchase] = {wanted, this->runtime.now(), true};
+  state.planner.on_ordered(purchase, wanted, this->runtime.now() + this->effect_timeout(declared));
   const EngineOrder order{name, purchase.zone, wanted, purchase.spot};
   log_event(LogArea::kControl, LogLevel::kInfo, "engines_ordered",
             {{"service", name.value()},
@@ -223,6 +230,7 @@
   issued->second.in_flight = false;
   if (outcome == DutyOutcome::kDone) return;
   state->second.orders.erase(issued);
+  state->second.planner.on_order_failed(purchase);
   if (outcome == DutyOutcome::kRefused) {
     state->second.planner.on_unavailable(this->runtime.now(), purchase);
   }
--- a/src/relay/capacity_coordinator.hpp
+++ b/src/relay/capacity_coordinator.hpp
@@ -65,8 +65,9 @@
                                  const capacity::Purchase& purchase, std::uint32_t wanted,
                                  std::uint32_t current) const;
   bool is_effect_overdue(const RelayedService& declared, const IssuedOrder& issued) const;
-  void send_order(const ServiceName& name, ServiceState& state, const capacity::Purchase& purchase,
-                  std::uint32_t wanted);
+  Duration effect_timeout(const RelayedService& declared) const;
+  void send_order(const RelayedService& declared, ServiceState& state,
+                  const capacity::Purchase& purchase, std::uint32_t wanted);
   void on_order_answered(const EngineOrder& order, DutyOutcome outcome);
 
   Runtime& runtime;
