--- a/src/relay/relay_node.hpp
+++ b/src/relay/relay_node.hpp
@@ -126,6 +126,11 @@
     return std::exchange(context_.pending_stage_notices, {});
   }
 
+  /// Applies this node's observations of an engine and queues them for the other nodes.
+  void queue_samples(const EngineId& engine, const EngineSamples& samples) {
+    context_.queue_samples(engine, samples);
+  }
+
   /// @return the queued engine samples that may be sent now.
   SamplesById take_samples() { return context_.pending_samples.take(io_.runtime.now()); }
 
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -299,6 +299,17 @@
   cr_assert_eq(load->running, 3);
   cr_assert_eq(load->waiting, 1);
   cr_assert_eq(load->slots, 8);
+  cr_assert_eq(load->slowdown, 250);
+  const auto slowdown_of = [&](const std::string& fourth) {
+    return dialect.parse_load({{"X-Server-Load", "3,1,8" + fourth}})->slowdown;
+  };
+  cr_assert_eq(slowdown_of(""), 0);
+  cr_assert_eq(slowdown_of(",112.6"), 113);
+  cr_assert_eq(slowdown_of(",1"), 20, "bounded");
+  cr_assert_eq(slowdown_of(",99999999999"), 500, "bounded");
+  for (const char* malformed : {",0", ",-5", ",fast", ",nan", ","}) {
+    cr_assert_eq(slowdown_of(malformed), 0, "%s", malformed);
+  }
   cr_assert(dialect.parse_load({{"X-Server-Load", "3,1,8,250,x"}}).has_value());
   cr_assert(dialect.parse_load({{"X-Server-Load", "3,1,8,fast"}}).has_value());
   cr_assert_not(dialect.parse_load({{"X-Server-Load", "3,1"}}).has_value());
--- a/tests/relay/support/exchanging_fleet.cpp
+++ b/tests/relay/support/exchanging_fleet.cpp
@@ -12,6 +12,7 @@
   const auto end = this->network.nodes.find(to);
   if (end == this->network.nodes.end() || !this->network.connected(this->address, to)) return;
   if (end->second->zone != this->zone) ++this->network.cross_zone_messages;
+  end->second->received_bytes += text.size();
   end->second->datagram_handler(text, this->address);
 }
 
--- a/tests/relay/support/exchanging_fleet.hpp
+++ b/tests/relay/support/exchanging_fleet.hpp
@@ -37,6 +37,7 @@
   DatagramHandler datagram_handler;
   CallHandler call_handler;
   int sent = 0;
+  std::size_t received_bytes = 0;  ///< Of datagrams.
 
  private:
   MockNetwork& network;
--- a/tests/relay/support/fakes.cpp
+++ b/tests/relay/support/fakes.cpp
@@ -1,6 +1,7 @@
 #include "relay/support/fakes.hpp"
 
 #include <nlohmann/json.hpp>
+#include <sstream>
 
 namespace shuntbank::testing {
 
@@ -133,6 +134,12 @@
   return shape;
 }
 
+std::optional<relay::ReportedLoad> TestDialect::parse_load(const HttpHeaders& headers) const {
+  std::istringstream text{std::string(headers.get("load"))};
+  relay::ReportedLoad load;
+  return text >> load.waiting >> load.slowdown ? std::optional(load) : std::nullopt;
+}
+
 std::optional<std::uint64_t> TestDialect::parse_token_count(const HttpHeaders& headers) const {
   if (headers.get("tokens").empty()) return std::nullopt;
   return std::stoull(std::string(headers.get("tokens")));
--- a/tests/relay/support/fakes.hpp
+++ b/tests/relay/support/fakes.hpp
@@ -123,7 +123,8 @@
   const relay::HeaderNames& names() const override { return names_; }
   std::optional<relay::PromptShape> parse_prompt(const HttpHeaders& headers) const override;
   std::optional<std::uint64_t> parse_token_count(const HttpHeaders& headers) const override;
-  std::optional<relay::ReportedLoad> parse_load(const HttpHeaders&) const override { return {}; }
+  /// Reads requests waiting and the slowdown in percent, separated by a blank.
+  std::optional<relay::ReportedLoad> parse_load(const HttpHeaders& headers) const override;
   relay::ParsedNotice parse_notice(int status, const HttpHeaders& headers) const override;
   bool is_refusal(int, const HttpHeaders& headers) const override {
     return headers.count("refused") > 0;
