--- a/src/relay/relay_node.hpp
+++ b/src/relay/relay_node.hpp
@@ -124,6 +124,11 @@
   /// @return the oldest queued stage notices, at most `max_count`. The others stay queued.
   std::vector<EngineStageNotice> take_stage_notices(std::size_t max_count);
 
+  /// Applies this node's observations of an engine and queues them for the other nodes.
+  void queue_samples(const EngineId& engine, const EngineSamples& samples) {
+    context_.queue_samples(engine, samples);
+  }
+
   /// @return the queued engine samples that may be sent now.
   SamplesById take_samples() { return context_.pending_samples.take(io_.runtime.now()); }
 
