Order requests at engines by the slack to their objective

Ruled out: slack alone, which lets a kind of little value displace running streams of a valuable one when an engine's memory runs out; several bands of slack within each priority, for which 0 to 9 has no room. Change: request_urgency gives the most urgent value to requests whose slack after their own work is below 0.3 of the objective, then the priorities, and the least to those that cannot be in time any more, also at the handover. At decode engines, where the urgency also protects running streams, a kind does not come before a more urgent one.

--- a/src/core/relay/routes.cpp
+++ b/src/core/relay/routes.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <cctype>
+#include <map>
 #include <set>
+#include <utility>
 
 namespace shuntbank::relay {
 namespace {
@@ -90,9 +92,32 @@
     });
   }
   check_scales();
+  index_kinds();
   if (configuration_.tenants) index_tenants(*configuration_.tenants);
 }
 
+void RouteTable::index_kinds() {
+  std::map<ServiceName, std::set<std::pair<int, Duration>>> kinds;
+  for (const Route& route : configuration_.routes) {
+    for (const SplitPart& part : route.split)
+      kinds[part.service].emplace(route.priority, route.objective);
+  }
+  for (const auto& [service, priorities] : kinds) {
+    kinds_[service] = {static_cast<int>(priorities.size()), priorities.begin()->first};
+  }
+  if (!configuration_.tenants) return;
+  for (const DeclaredTenant& tenant : *configuration_.tenants) {
+    if (!tenant.priority) continue;
+    for (auto& [service, service_kinds] : kinds_)
+      service_kinds.most_urgent = std::min(service_kinds.most_urgent, *tenant.priority);
+  }
+}
+
+ServiceKinds RouteTable::kinds_of(const ServiceName& service) const {
+  const auto it = kinds_.find(service);
+  return it == kinds_.end() ? ServiceKinds{} : it->second;
+}
+
 void RouteTable::check_scales() {
   for (std::size_t i = 0; i < configuration_.services.size(); ++i) {
     const auto& scale = configuration_.services[i].scale;
--- a/src/core/relay/routes.hpp
+++ b/src/core/relay/routes.hpp
@@ -16,6 +16,7 @@
 #include "common/time.hpp"
 #include "config/key_index.hpp"
 #include "core/capacity/capacity_planner.hpp"
+#include "core/relay/request_urgency.hpp"
 
 namespace shuntbank::relay {
 
@@ -142,6 +143,9 @@
   /// @return the declared service, or null.
   const RelayedService* find_service(const ServiceName& name) const;
 
+  /// @return the kinds of requests that compete for a service.
+  ServiceKinds kinds_of(const ServiceName& service) const;
+
   /// Decides whether a request of the route is admitted.
   /// @param key presented by the caller; empty: none, or more than one.
   /// @param unix_seconds wall clock time, for keys that expire.
@@ -149,12 +153,14 @@
 
  private:
   void check_scales();
+  void index_kinds();
   void index_tenants(const std::vector<DeclaredTenant>& tenants);
 
   RouteConfiguration configuration_;
   Findings warnings_;
   /// Routes of each host, longest prefix first.
   std::unordered_map<std::string, std::vector<const Route*>> by_host_;
+  std::unordered_map<ServiceName, ServiceKinds> kinds_;
   KeyIndex keys_;
   std::unordered_map<TenantName, const DeclaredTenant*> tenants_;
 };
--- a/src/relay/policy_options.cpp
+++ b/src/relay/policy_options.cpp
@@ -32,6 +32,8 @@
       "cost of prefill on a decode engine, per stream running there");
   add("in-time-share", bind_option(settings.prefill.in_time_share),
       "share of the time to the objective; requests expected later are deferred; 1000: never");
+  add("order", bind_option(settings.order),
+      "order of requests at engines: slack (time left to the objective) or priority");
   add("gather-ms", bind_milliseconds(settings.catalog.max_batch_delay),
       "maximum time for which engine changes are batched, in ms");
   add("told-directly", bind_option(settings.exchange.max_direct_peers),
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -13,10 +13,6 @@
 /// With less time left, a request is not sent to another engine.
 constexpr Duration kMinUsefulTime = std::chrono::milliseconds(20);
 
-/// Range of the urgency header; 0 is the most urgent.
-constexpr int kMostUrgent = 0;
-constexpr int kLeastUrgent = 9;
-
 constexpr Duration kReleaseTimeout = std::chrono::seconds(1);
 
 std::optional<std::int64_t> parse_integer(std::string_view text) {
@@ -187,7 +183,7 @@
   outgoing.headers.add(names.expected_engine, record.own_name());
   if (tenant_ != nullptr) outgoing.headers.add(names.tenant, tenant_->name.value());
   if (prompt_) {
-    outgoing.headers.add(names.urgency, std::to_string(urgency()));
+    outgoing.headers.add(names.urgency, std::to_string(urgency(step)));
   }
   if (step == Step::kPrefill) {
     outgoing.headers.add(names.stage, context_.dialect.prefill_stage_value());
@@ -220,11 +216,28 @@
   return tenant_ == nullptr ? std::string_view() : std::string_view(tenant_->name.value());
 }
 
-/// Deferred requests get the lowest urgency, so that they delay none that can be in time.
-int RelaySession::urgency() const {
-  const int priority =
+int RelaySession::urgency(Step step) const {
+  UrgencyQuery query;
+  query.order = context_.settings.order;
+  query.priority =
       tenant_ == nullptr ? route_.priority : tenant_->priority.value_or(route_.priority);
-  return deferred_ ? kLeastUrgent : std::clamp(priority, kMostUrgent, kLeastUrgent - 1);
+  query.kinds = table_->kinds_of(service_name_);
+  query.deferred = deferred_;
+  query.prefill_only = step == Step::kPrefill;
+  query.objective_ms = to_ms(route_.objective);
+  query.time_left_ms = to_ms(arrived_ + route_.objective - context_.runtime.now());
+  query.own_work_ms = own_work_ms(step);
+  return request_urgency(query);
+}
+
+/// @return expected milliseconds until the first token without waiting for other requests.
+double RelaySession::own_work_ms(Step step) const {
+  const EngineModel& model = std::as_const(context_.engines).model_of(service_name_);
+  const auto tokens = static_cast<double>(prefill_tokens_);
+  if (step == Step::kPlain) return model.decode_prefill_ms(tokens);
+  const double handover_ms =
+      model.handover_ms() + service_->model->transfer_ms(prompt_->prompt_tokens);
+  return step == Step::kPrefill ? model.prefill().prefill_ms(tokens) + handover_ms : handover_ms;
 }
 
 void RelaySession::send(const EngineId& engine, Step step) {
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -61,7 +61,8 @@
   void use_placement(const Placement& placement);
   void send(const EngineId& engine, Step step);
   OutgoingRequest build_outgoing(const EngineRecord& record, Step step) const;
-  int urgency() const;
+  int urgency(Step step) const;
+  double own_work_ms(Step step) const;
   std::string_view tenant_name() const;
   Duration time_left() const;
   std::uint32_t connections_per_engine() const;
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -9,6 +9,7 @@
 #include "core/lease/lease_holder.hpp"
 #include "core/relay/dispatch_plan.hpp"
 #include "core/relay/placement.hpp"
+#include "core/relay/request_urgency.hpp"
 #include "core/relay/retry_budget.hpp"
 #include "core/relay/stage_planner.hpp"
 #include "relay/capacity_settings.hpp"
@@ -90,6 +91,7 @@
   LoadExchangeSettings exchange;  ///< `zone` and `join_existing` are overridden from this struct.
   PlacementSettings placement;
   PrefillSettings prefill;
+  RequestOrder order = RequestOrder::kSlack;  ///< What engines are told of a request's urgency.
   RetryBudgetSettings retry_budget;
   LeaseKeeperSettings lease;
   RoleCoordinatorSettings roles;
--- a/tests/core/relay/routes_test.cpp
+++ b/tests/core/relay/routes_test.cpp
@@ -92,3 +92,20 @@
               warnings.c_str());
   }
 }
+
+// Guards against an order among requests that differ in nothing but their path.
+Test(routes, counts_the_kinds_of_a_service) {
+  Route plain = route("plain", "a", "/x/");
+  Route alike = route("alike", "a", "/y/");
+  Route patient = route("patient", "a", "/z/");
+  patient.objective = std::chrono::milliseconds(1500);
+  patient.priority = 3;
+  plain.priority = alike.priority = 2;
+  cr_assert_eq(RouteTable(configuration_with({plain, alike})).kinds_of(ServiceName("s")).count, 1);
+  RouteConfiguration configuration = configuration_with({plain, alike, patient});
+  cr_assert_eq(RouteTable(configuration).kinds_of(ServiceName("s")).count, 2);
+  cr_assert_eq(RouteTable(configuration).kinds_of(ServiceName("s")).most_urgent, 2);
+  cr_assert_eq(RouteTable(configuration).kinds_of(ServiceName("t")).count, 0);
+  configuration.tenants = {{TenantName("first"), {}, 1}};
+  cr_assert_eq(RouteTable(configuration).kinds_of(ServiceName("s")).most_urgent, 1);
+}
--- a/tests/relay/policy_options_test.cpp
+++ b/tests/relay/policy_options_test.cpp
@@ -34,6 +34,14 @@
   cr_assert(parsed->settings.catalog.max_batch_delay == 900ms);
 }
 
+Test(policy_options, switches_off_the_order_by_slack) {
+  cr_assert(parse(std::array{"relay"})->settings.order == RequestOrder::kSlack);
+  const auto parsed = parse(std::array{"relay", "--order", "priority"});
+  cr_assert(parsed.has_value());
+  cr_assert(parsed->settings.order == RequestOrder::kPriority);
+  cr_assert_not(parse(std::array{"relay", "--order", "length"}).has_value());
+}
+
 Test(policy_options, reports_an_invalid_command_line) {
   const auto unknown = parse(std::array{"relay", "--no-such-policy", "1"});
   cr_assert_not(unknown.has_value());
--- a/tests/relay/relay_session_test.cpp
+++ b/tests/relay/relay_session_test.cpp
@@ -327,6 +327,27 @@
   cr_assert(text.find("budget_exhausted_total{" + service + "} 17") != std::string::npos);
 }
 
+// Guards against a long prompt that could just be in time and waits behind short ones.
+Test(relay_session, orders_requests_of_several_kinds_by_slack) {
+  for (const auto order : {relay::RequestOrder::kSlack, relay::RequestOrder::kPriority}) {
+    RelayFixture site;
+    site.settings.order = order;
+    site.restart();
+    auto configuration = RelayFixture::configuration(2);
+    configuration.routes.back().priority = 2;
+    site.node->adopt(configuration);
+    site.add_engine("p", "model", EngineStage::kPrefill);
+    site.add_engine("d", "model", EngineStage::kDecode);
+    site.request("/resumable/a", {{"tokens", "29000"}});
+    site.request("/stream/b", {{"tokens", "1000"}, {"id", "r2"}});
+    site.request("/resumable/c", {{"tokens", "1000"}, {"id", "r3"}});
+    const bool slack = order == relay::RequestOrder::kSlack;
+    cr_assert_eq(site.http.at(0).request.headers.get("urgency"), slack ? "0" : "2");
+    cr_assert_eq(site.http.at(1).request.headers.get("urgency"), slack ? "1" : "0");
+    cr_assert_eq(site.http.at(2).request.headers.get("urgency"), slack ? "3" : "2");
+  }
+}
+
 Test(relay_session, sends_late_requests_with_the_lowest_urgency) {
   RelayFixture site;
   site.add_engine("p", "model", EngineStage::kPrefill);
