Ask admission control before each dispatch of a prompt

Cause: plan_dispatch's expected time decided on the urgency only. The time told to a refused caller was in no log line.

Ruled out: a check before the quota and the plan, which would need a second estimate of the wait; refusing after a remote prefill, which wastes the work that is short; refusing a caller that resumes a stream.

Change: one call in try_send and one before a request is held. Each decision other than send_now has a line event=admission with its inputs, all are counted in shuntbank_relay_admissions_total, and retry_after_ms is in each refused line.

--- a/src/relay/policy_options.cpp
+++ b/src/relay/policy_options.cpp
@@ -19,6 +19,15 @@
       [&target](std::int64_t value) { target = std::chrono::milliseconds(value); });
 }
 
+options::typed_value<std::string>* bind_switch(bool& target) {
+  return options::value<std::string>()
+      ->default_value(target ? "on" : "off")
+      ->notifier([&target](const std::string& value) {
+        if (value != "on" && value != "off") throw options::invalid_option_value(value);
+        target = value == "on";
+      });
+}
+
 }  // namespace
 
 options::options_description policy_options(RelaySettings& settings) {
@@ -32,6 +41,8 @@
       "cost of prefill on a decode engine, per stream running there");
   add("in-time-share", bind_option(settings.prefill.in_time_share),
       "share of the time to the objective; requests expected later are deferred; 1000: never");
+  add("admission", bind_switch(settings.admission.enabled),
+      "on or off: admission control of model services while their capacity is short");
   add("gather-ms", bind_milliseconds(settings.catalog.max_batch_delay),
       "maximum time for which engine changes are batched, in ms");
   add("told-directly", bind_option(settings.exchange.max_direct_peers),
--- a/src/relay/relay_context.hpp
+++ b/src/relay/relay_context.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "common/runtime.hpp"
+#include "core/relay/admission.hpp"
 #include "core/relay/engine_directory.hpp"
 #include "core/relay/engine_samples.hpp"
 #include "core/relay/retry_budget.hpp"
@@ -42,6 +43,7 @@
   std::vector<LimitUpdate> pending_limit_updates;  ///< Likewise.
   std::vector<EngineStageNotice> pending_stage_notices;  ///< Likewise.
   SamplesById pending_samples;                           ///< Likewise.
+  AdmissionControl admission = AdmissionControl(settings.admission);
 
   /// An engine has prefilled a prompt and caches its parts.
   void on_prompt_read(const EngineId& engine, const std::vector<PromptPart>& parts);
--- a/src/relay/relay_metrics.cpp
+++ b/src/relay/relay_metrics.cpp
@@ -72,6 +72,11 @@
           .Name("shuntbank_relay_quotas_total")
           .Help("Requests of tenants with a quota, by outcome")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& admissions =
+      prometheus::BuildCounter()
+          .Name("shuntbank_relay_admissions_total")
+          .Help("Requests of model services, by the decision of admission control")
+          .Register(registry);
   prometheus::Family<prometheus::Counter>& waits_for_return =
       prometheus::BuildCounter()
           .Name("shuntbank_relay_waits_for_return_total")
@@ -148,6 +153,10 @@
   impl_->quotas.Add({{"outcome", outcome}}).Increment();
 }
 
+void RelayMetrics::count_admission(const std::string& service, const std::string& decision) {
+  impl_->admissions.Add({{"service", service}, {"decision", decision}}).Increment();
+}
+
 void RelayMetrics::count_quarantined(const std::string& source) {
   impl_->quarantined.Add({{"source", source}}).Increment();
 }
--- a/src/relay/relay_metrics.hpp
+++ b/src/relay/relay_metrics.hpp
@@ -49,6 +49,9 @@
   /// `granted_by_share` or `no_owner`.
   void count_quota(const std::string& outcome);
 
+  /// Admission control decided on a request. @param decision see `to_text(AdmissionAction)`.
+  void count_admission(const std::string& service, const std::string& decision);
+
   /// A request was quarantined. @param source `seen`, `heard` or `store`.
   void count_quarantined(const std::string& source);
 
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -170,15 +170,17 @@
                        const char* why) {
   const HeaderNames& names = io_.dialect.names();
   const std::string id(request.headers.get(names.request_id));
+  const bool retryable = status == http_status::kServiceUnavailable;
   log_event(LogArea::kCallers, LogLevel::kInfo, "refused",
             {{"request", id},
              {"status", status},
              {"why", why},
-             {"config", table_ ? table_->version() : 0}});
+             {"config", table_ ? table_->version() : 0},
+             {"retry_after_ms", retryable ? whole_ms(settings_.retry_after) : -1}});
   HttpReply reply;
   reply.status = status;
   if (!id.empty()) reply.headers.add(names.request_id, id);
-  if (status == http_status::kServiceUnavailable) {
+  if (retryable) {
     reply.headers.add(names.retry_after, retry_after_text(settings_.retry_after));
   }
   responder.respond(std::move(reply));
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -118,7 +118,7 @@
   return place(context_.runtime.now(), context_.engines, query, context_.settings.placement);
 }
 
-/// Plans the dispatch and sends the request. @return false when no engine is available.
+/// Plans the dispatch and sends or refuses the request. @return false when no engine is available.
 bool RelaySession::try_send() {
   if (service_ == nullptr) return false;
   update_crash_risk_engines();
@@ -128,6 +128,7 @@
     plan = current_plan();
   }
   if (!plan) return false;
+  if (!admit(*plan)) return true;
   deferred_ = plan->deferred;
   expected_first_token_ms_ = plan->expected_ms;
   use_placement(plan->placement);
@@ -220,11 +221,13 @@
   return tenant_ == nullptr ? std::string_view() : std::string_view(tenant_->name.value());
 }
 
+int RelaySession::priority() const {
+  return tenant_ == nullptr ? route_.priority : tenant_->priority.value_or(route_.priority);
+}
+
 /// Deferred requests get the lowest urgency, so that they delay none that can be in time.
 int RelaySession::urgency() const {
-  const int priority =
-      tenant_ == nullptr ? route_.priority : tenant_->priority.value_or(route_.priority);
-  return deferred_ ? kLeastUrgent : std::clamp(priority, kMostUrgent, kLeastUrgent - 1);
+  return deferred_ ? kLeastUrgent : std::clamp(priority(), kMostUrgent, kLeastUrgent - 1);
 }
 
 void RelaySession::send(const EngineId& engine, Step step) {
@@ -321,8 +324,10 @@
 }
 
 void RelaySession::refuse(const std::string& why) {
+  const Duration retry_after = caller_retry_delay();
+  retry_after_ms_ = whole_ms(retry_after);
   HttpHeaders headers;
-  headers.add(context_.dialect.names().retry_after, retry_after_text(caller_retry_delay()));
+  headers.add(context_.dialect.names().retry_after, retry_after_text(retry_after));
   log_attempt("refused", why);
   return_quota();
   respond(http_status::kServiceUnavailable, headers, "", "refused");
@@ -343,6 +348,7 @@
 
 void RelaySession::on_timeout() {
   if (ended_) return;
+  report_late_result();
   const bool may_run = transfer_.has_value() && step_ != Step::kPrefill;
   cancel_transfer();
   if (!may_run && known_not_run(history_) && !history_.head_forwarded) {
@@ -410,6 +416,9 @@
   release_handle();
   if (identity_ && result != kAnswered) context_.quarantine.on_attempt_failed(identity_->request);
   const MonotonicTime now = context_.runtime.now();
+  if (under_admission_control() && result == kAnswered) {
+    context_.admission.on_slot_freed(now, service_name_);
+  }
   context_.metrics.count_request(service_name_.value(), result, now - arrived_);
   log_event(
       LogArea::kCallers, LogLevel::kInfo, "request_ended",
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -90,10 +90,20 @@
   void report_interruption();
   void report_unresponsive();
 
+  // Admission while capacity is short.
+  bool under_admission_control() const;
+  bool admit(DispatchPlan& plan);
+  bool admit_wait(std::optional<MonotonicTime> available_at);
+  bool refusable() const;
+  void log_admission(const AdmissionDecision& decision, const AdmissionQuery& query) const;
+  void report_late_result();
+  Duration scheduled_return_delay(std::optional<MonotonicTime> available_at);
+  int priority() const;
+
   // Engines in cooldown.
   bool wait_for_cooldown();
   void on_cooldown_end();
-  Duration caller_retry_delay() const;
+  Duration caller_retry_delay();
 
   // Permits of rate-limited engines.
   void on_decode_permit(const EngineId& prefill_engine, std::optional<SendPermit> permit);
@@ -204,6 +214,10 @@
 
   bool started_ = false;  ///< An engine has started to run the request.
 
+  std::optional<LateRequest> late_request_;  ///< Set until its first token.
+  Duration slot_expected_in_{};              ///< Of a refused request; zero: unknown.
+  std::int64_t retry_after_ms_ = -1;         ///< Told to the caller; -1: not refused.
+
   std::optional<HttpReply> failure_answer_;  ///< An engine's error, sent if retries fail.
   bool ended_ = false;
 };
--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -96,6 +96,7 @@
   }
   if (!history_.head_forwarded) {
     begin_stream();
+    report_late_result();
     context_.metrics.observe_first_event(service_name_.value(), context_.runtime.now() - arrived_);
   }
   const MonotonicTime now = context_.runtime.now();
--- a/src/relay/relay_session_log.cpp
+++ b/src/relay/relay_session_log.cpp
@@ -36,7 +36,8 @@
              {"extra", charged_to_budget_},
              {"budget", budget_left()},
              {"left_ms", whole_ms(expires_ - now)},
-             {"age_ms", whole_ms(now - arrived_)}},
+             {"age_ms", whole_ms(now - arrived_)},
+             {"retry_after_ms", retry_after_ms_}},
             LogImportance::kStep);
 }
 
--- a/src/relay/relay_session_rest.cpp
+++ b/src/relay/relay_session_rest.cpp
@@ -15,7 +15,7 @@
   query.time_to_objective = std::min(query.time_to_objective, time_left());
   const auto available_at = worth_waiting_until(
       now, context_.engines, query, context_.settings.placement, context_.settings.prefill);
-  if (!available_at) return false;
+  if (!available_at || !admit_wait(available_at)) return false;
   log_attempt("waits_for_return", std::to_string(whole_ms(*available_at - now)) + " ms");
   context_.metrics.count_wait_for_return(service_name_.value());
   wait_timer_ = context_.runtime.after(*available_at - now, [weak = weak_from_this()] {
@@ -34,10 +34,13 @@
 
 /// A caller that retries before the first engine leaves its cooldown is refused again, and most
 /// callers retry once.
-Duration RelaySession::caller_retry_delay() const {
+Duration RelaySession::caller_retry_delay() {
   const Duration default_delay = context_.settings.retry_after;
   const MonotonicTime now = context_.runtime.now();
   const auto available_at = context_.engines.next_available_at(now, service_name_);
+  if (under_admission_control() && time_left() > default_delay) {
+    return scheduled_return_delay(available_at);
+  }
   return available_at ? std::max(default_delay, *available_at - now) : default_delay;
 }
 
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -7,6 +7,7 @@
 #include "common/identifiers.hpp"
 #include "common/time.hpp"
 #include "core/lease/lease_holder.hpp"
+#include "core/relay/admission.hpp"
 #include "core/relay/dispatch_plan.hpp"
 #include "core/relay/placement.hpp"
 #include "core/relay/retry_budget.hpp"
@@ -90,6 +91,7 @@
   LoadExchangeSettings exchange;  ///< `zone` and `join_existing` are overridden from this struct.
   PlacementSettings placement;
   PrefillSettings prefill;
+  AdmissionSettings admission;
   RetryBudgetSettings retry_budget;
   LeaseKeeperSettings lease;
   RoleCoordinatorSettings roles;
--- a/tests/relay/policy_options_test.cpp
+++ b/tests/relay/policy_options_test.cpp
@@ -34,6 +34,12 @@
   cr_assert(parsed->settings.catalog.max_batch_delay == 900ms);
 }
 
+Test(policy_options, switches_admission_control) {
+  cr_assert(parse(std::array{"relay"})->settings.admission.enabled);
+  cr_assert_not(parse(std::array{"relay", "--admission", "off"})->settings.admission.enabled);
+  cr_assert_not(parse(std::array{"relay", "--admission", "maybe"}).has_value());
+}
+
 Test(policy_options, reports_an_invalid_command_line) {
   const auto unknown = parse(std::array{"relay", "--no-such-policy", "1"});
   cr_assert_not(unknown.has_value());
