--- a/src/core/relay/admission.cpp
+++ b/src/core/relay/admission.cpp
@@ -48,6 +48,16 @@
   return occupancy;
 }
 
+Duration late_work(const EngineView& engine, const EngineModel& model) {
+  std::uint64_t tokens = engine.deferred_tokens;
+  if (engine.peer_load) tokens += engine.peer_load->deferred_tokens;
+  const auto all = static_cast<double>(tokens);
+  const bool prefill = engine.record.stage == EngineStage::kPrefill;
+  const double ms = prefill ? all * model.prefill().token_ms()
+                            : model.decode_prefill_ms(all) - model.prefill().setup_ms();
+  return from_seconds(std::max(0.0, ms) / kMillisecondsPerSecond);
+}
+
 Duration own_work(const DispatchPlan& plan, const EngineModel& model, const ModelServing& serving,
                   std::uint64_t prompt_tokens) {
   const auto tokens = static_cast<double>(plan.placement.prefill_tokens);
@@ -67,6 +77,8 @@
       return "wait";
     case AdmissionAction::kServeLate:
       return "serve_late";
+    case AdmissionAction::kYield:
+      return "yield";
     case AdmissionAction::kRefuse:
       return "refuse";
   }
@@ -115,7 +127,7 @@
 
 void AdmissionControl::observe_shortage(MonotonicTime now, ServiceState& state,
                                         const AdmissionQuery& query) const {
-  const Duration waiting = *query.expected - query.own_work;
+  const Duration waiting = *query.expected - query.own_work + query.late_work;
   const bool beyond_objective =
       query.time_to_objective > Duration::zero() && waiting > query.time_to_objective;
   if (beyond_objective) state.shortage_until = now + this->settings.shortage_memory;
@@ -142,6 +154,12 @@
                         expected > scaled(query.time_left, this->settings.refusal_margin);
   if (hopeless && query.refusable && !query.occupancy.has_spare_slots()) {
     if (query.returning) return {AdmissionAction::kServeLate, "it was refused before"};
+    if (query.share_ratio < this->settings.protected_share_ratio) {
+      return {AdmissionAction::kSendAhead, "its tenant is far below its fair share"};
+    }
+    if (query.share_ratio < 1) {
+      return {AdmissionAction::kServeLate, "its tenant is below its fair share"};
+    }
     if (this->starving(now, state.routes[route])) {
       return {AdmissionAction::kSendAhead, "its kind would starve"};
     }
@@ -151,7 +169,7 @@
   const Duration slack = query.time_to_objective - query.own_work;
   const bool yields = query.wait_share < 1 && now < state.shortage_until &&
                       waiting > scaled(slack, query.wait_share);
-  if (yields) return {AdmissionAction::kServeLate, "its tenant is above its fair share"};
+  if (yields) return {AdmissionAction::kYield, "its tenant is above its fair share"};
   return {};
 }
 
--- a/src/core/relay/admission.hpp
+++ b/src/core/relay/admission.hpp
@@ -29,6 +29,9 @@
   std::uint32_t sent_ahead_every = 8;
   /// A node sees a late request of a route every second or two.
   Duration starving_after = std::chrono::seconds(5);
+  /// A tenant that has got less of its fair share has requests that would be refused sent ahead:
+  /// those of others that can be in time may leave nothing to late ones.
+  double protected_share_ratio = 0.5;
   /// A shortage counts as ended this long after a node last saw one: a node sees a few requests a
   /// second, and not each of them meets the wait.
   Duration shortage_memory = std::chrono::seconds(1);
@@ -62,11 +65,15 @@
 Duration own_work(const DispatchPlan& plan, const EngineModel& model, const ModelServing& serving,
                   std::uint64_t prompt_tokens);
 
+/// @return the prefill time of the deferred prompts at an engine.
+Duration late_work(const EngineView& engine, const EngineModel& model);
+
 enum class AdmissionAction {
   kSendNow,
   kSendAhead,  ///< Expected too late, but sent at the urgency of its route; see AdmissionSettings.
   kWait,       ///< Held until an engine accepts requests.
   kServeLate,  ///< Sent behind all requests that can be in time.
+  kYield,      ///< The same, though it might be in time: its tenant is above its fair share.
   kRefuse,
 };
 
@@ -79,6 +86,9 @@
   std::optional<Duration> expected;
   Duration own_work = Duration::zero();  ///< Of `expected`.
   bool late = false;                     ///< Not expected within the objective.
+  /// Work of late requests at the engine, if `expected` leaves it out. Shows a shortage to nodes
+  /// whose own requests are in time.
+  Duration late_work = Duration::zero();
   /// If no engine can be chosen: when one can, if the request is then expected in time.
   std::optional<Duration> slot_in;
   Duration time_to_objective = Duration::max();  ///< May be negative.
@@ -89,6 +99,9 @@
   /// Share of the usable wait that is left to the tenant's requests in a shortage; see
   /// `FairShares::wait_share`.
   double wait_share = 1;
+  /// What the tenant has got over its fair share. Late requests of tenants above their share are
+  /// served behind those of tenants below it, though `expected` counts them.
+  double share_ratio = 1;
 };
 
 struct AdmissionDecision {
--- a/src/relay/relay_session_admission.cpp
+++ b/src/relay/relay_session_admission.cpp
@@ -36,9 +36,11 @@
   const MonotonicTime now = context_.runtime.now();
   AdmissionQuery query;
   query.expected = from_seconds(plan.expected_ms / kMillisecondsPerSecond);
-  query.own_work = own_work(plan, std::as_const(context_.engines).model_of(service_name_),
-                            *service_->model, prompt_->prompt_tokens);
+  const EngineModel& model = std::as_const(context_.engines).model_of(service_name_);
+  query.own_work = own_work(plan, model, *service_->model, prompt_->prompt_tokens);
   query.late = plan.deferred;
+  const EngineView* engine = context_.engines.find(plan.placement.engine);
+  if (!query.late && engine != nullptr) query.late_work = late_work(*engine, model);
   query.time_to_objective = arrived_ + route_.objective - now;
   query.time_left = time_left();
   query.refusable = refusable();
@@ -62,7 +64,8 @@
     refuse(decision.why);
     return false;
   }
-  plan.deferred = decision.action == AdmissionAction::kServeLate;
+  plan.deferred =
+      decision.action == AdmissionAction::kServeLate || decision.action == AdmissionAction::kYield;
   if (plan.deferred) late_request_ = {now, query.own_work, *query.expected - query.own_work};
   return true;
 }
@@ -106,6 +109,7 @@
              {"priority", priority()},
              {"expected_ms", query.expected ? whole_ms(*query.expected) : -1},
              {"own_work_ms", whole_ms(query.own_work)},
+             {"late_work_ms", whole_ms(query.late_work)},
              {"slot_in_ms", query.slot_in ? whole_ms(*query.slot_in) : -1},
              {"objective_left_ms", whole_ms(query.time_to_objective)},
              {"left_ms", bounded_ms(query.time_left)},
--- a/tests/core/relay/admission_test.cpp
+++ b/tests/core/relay/admission_test.cpp
@@ -96,6 +96,16 @@
   cr_assert(action_of(query) == AdmissionAction::kServeLate);
 }
 
+// Guards tenants below their share against refusals because of what others have sent: late requests
+// of tenants above their share are served after theirs.
+Test(admission, does_not_refuse_tenants_below_their_share) {
+  AdmissionQuery query = hopeless_query();
+  query.share_ratio = 0.9;
+  cr_assert(action_of(query) == AdmissionAction::kServeLate);
+  query.share_ratio = 0.4;
+  cr_assert(action_of(query) == AdmissionAction::kSendAhead);
+}
+
 Test(admission, holds_a_request_only_for_an_engine_that_is_back_in_time) {
   AdmissionQuery query = hopeless_query();
   query.expected.reset();
@@ -141,7 +151,7 @@
   waits.expected = 1s;
   control.decide(kNow, kService, kRoute, waits);
   cr_assert(control.in_shortage(kNow, kService));
-  cr_assert(control.decide(kNow, kService, kRoute, query).action == AdmissionAction::kServeLate);
+  cr_assert(control.decide(kNow, kService, kRoute, query).action == AdmissionAction::kYield);
   query.expected = 250ms;
   cr_assert(control.decide(kNow, kService, kRoute, query).action == AdmissionAction::kSendNow,
             "the wait is within the tenant's part");
