--- a/src/relay/relay_context.hpp
+++ b/src/relay/relay_context.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "common/runtime.hpp"
+#include "core/relay/admission.hpp"
 #include "core/relay/engine_directory.hpp"
 #include "core/relay/engine_samples.hpp"
 #include "core/relay/retry_budget.hpp"
@@ -43,6 +44,7 @@
   std::vector<LimitUpdate> pending_limit_updates;  ///< Likewise.
   std::vector<EngineStageNotice> pending_stage_notices;  ///< Likewise.
   SampleBuffer<EngineId> pending_samples;                ///< Likewise.
+  AdmissionControl admission = AdmissionControl(settings.admission);
 
   /// An engine has prefilled a prompt and caches its parts.
   void on_prompt_read(const PromptRead& read);
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -115,7 +115,7 @@
   return place(context_.runtime.now(), context_.engines, query, context_.settings.placement);
 }
 
-/// Plans the dispatch and sends the request. @return false when no engine is available.
+/// Plans the dispatch and sends or refuses the request. @return false when no engine is available.
 bool RelaySession::try_send() {
   if (service_ == nullptr) return false;
   update_crash_risk_engines();
@@ -125,6 +125,7 @@
     plan = current_plan();
   }
   if (!plan) return false;
+  if (!admit(*plan)) return true;
   deferred_ = plan->deferred;
   expected_first_token_ms_ = plan->expected_ms;
   use_placement(plan->placement);
@@ -217,15 +218,19 @@
   return tenant_ == nullptr ? std::string_view() : std::string_view(tenant_->name.value());
 }
 
+int RelaySession::priority() const {
+  return tenant_ == nullptr ? route_.priority : tenant_->priority.value_or(route_.priority);
+}
+
 int RelaySession::urgency(Step step) const {
   UrgencyQuery query;
   query.order = context_.settings.order;
-  query.priority =
-      tenant_ == nullptr ? route_.priority : tenant_->priority.value_or(route_.priority);
+  query.priority = priority();
   query.kinds = table_->kinds_of(service_name_);
   query.deferred = deferred_;
   query.prefill_only = step == Step::kPrefill;
-  query.objective_ms = to_ms(route_.objective);
+  // A request that is sent ahead is expected too late, but must not wait behind all others again.
+  query.objective_ms = sent_ahead_ ? 0 : to_ms(route_.objective);
   query.time_left_ms = to_ms(arrived_ + route_.objective - context_.runtime.now());
   query.own_work_ms = own_work_ms(step);
   return request_urgency(query);
@@ -340,8 +345,10 @@
 }
 
 void RelaySession::refuse(const std::string& why) {
+  const Duration retry_after = caller_retry_delay();
+  retry_after_ms_ = whole_ms(retry_after);
   HttpHeaders headers;
-  headers.add(context_.dialect.names().retry_after, retry_after_text(caller_retry_delay()));
+  headers.add(context_.dialect.names().retry_after, retry_after_text(retry_after));
   log_attempt("refused", why);
   return_quota();
   respond(http_status::kServiceUnavailable, headers, "", "refused");
@@ -362,6 +369,7 @@
 
 void RelaySession::on_timeout() {
   if (ended_) return;
+  report_late_result();
   const bool may_run = transfer_.has_value() && step_ != Step::kPrefill;
   cancel_transfer();
   if (!may_run && known_not_run(history_) && !history_.head_forwarded) {
@@ -429,6 +437,9 @@
   release_handle();
   if (identity_ && result != kAnswered) context_.quarantine.on_attempt_failed(identity_->request);
   const MonotonicTime now = context_.runtime.now();
+  if (under_admission_control() && result == kAnswered) {
+    context_.admission.on_slot_freed(now, service_name_);
+  }
   context_.metrics.count_request(service_name_.value(), result, now - arrived_);
   log_event(
       LogArea::kCallers, LogLevel::kInfo, "request_ended",
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -7,6 +7,7 @@
 #include "common/identifiers.hpp"
 #include "common/time.hpp"
 #include "core/lease/lease_holder.hpp"
+#include "core/relay/admission.hpp"
 #include "core/relay/dispatch_plan.hpp"
 #include "core/relay/placement.hpp"
 #include "core/relay/request_urgency.hpp"
@@ -94,6 +95,7 @@
   PlacementSettings placement;
   PrefillSettings prefill;
   RequestOrder order = RequestOrder::kSlack;  ///< What engines are told of a request's urgency.
+  AdmissionSettings admission;
   RetryBudgetSettings retry_budget;
   LeaseKeeperSettings lease;
   RoleCoordinatorSettings roles;
