Keep decode engines through cold starts and small fleets

Logs: 0.9 s after traffic began, cold caches made prefill look saturated, and decode engines went from 62 to 22 of 140 and from 4 to 2 of 9. Decode engines with free slots prefill too, so that a shortage of prefill engines is eased without a change. Change: prefill beyond its configured share needs an imbalance of 1.6 over the mean of the history, for 18 s, and leaves decode half of its configured share; a decode engine counts as fully used from 0.55 of its slots on (handovers begin to wait at 9 of 16 known requests). Up to the configured share, prefill grows as quickly as before. Ruled out: a longer hold alone, as one burst stays among the heaviest seconds for 15 s. Tests cold_caches_draw_no_engines_beyond_the_configured_share and decode_keeps_half_of_its_configured_share failed before.

--- a/src/core/relay/stage_demand.cpp
+++ b/src/core/relay/stage_demand.cpp
@@ -44,6 +44,22 @@
 /// 100 to 200 ms old.
 constexpr double kSaturatedLoad = 0.85;
 
+/// A decode engine with this share of its slots taken counts as fully used: from about 9 of 16
+/// known requests on, the 90th percentile of handovers doubles, and streams slow down as a batch
+/// fills.
+constexpr double kComfortableFill = 0.55;
+
+/// Decode engines keep at least this part of the share that the configuration gives them. Those
+/// with free slots prefill prompts too, at half the pace, so that a shortage of prefill engines is
+/// eased without a change, and one of decode engines is not.
+constexpr double kMinDecodePart = 0.5;
+
+/// Prefill engines beyond the configured share need an imbalance of this ratio for this long:
+/// caches that are cold after a start or a loss make prefill look short for some seconds. Longer
+/// than the history, so that one such burst does not suffice.
+constexpr double kMinRatioBeyondShare = 1.6;
+constexpr Duration kHoldBeyondShare = std::chrono::seconds(18);
+
 /// A stage never gives engines away that would raise its load beyond this.
 constexpr double kMaxSourceLoad = 0.75;
 
@@ -165,6 +181,10 @@
   return mean_work(kRecentWindow);
 }
 
+StageAmounts StageDemand::average() const {
+  return mean_work(kHistory);
+}
+
 bool StageDemand::engines_lost() const {
   if (samples_.empty()) return false;
   std::size_t most = 0;
@@ -200,23 +220,28 @@
   EngineStage short_stage = EngineStage::kNone;  ///< The one with the higher load.
   double high = 0;                               ///< Its load.
   double low = 0;                                ///< The other one's.
-  bool saturated = false;                        ///< Of the short stage, in the last second.
-  double wanted = 0;                             ///< Capacity that the short stage should have.
+  double fill = 0;            ///< Share of the short stage's engines or slots in use.
+  bool saturated = false;     ///< Of the short stage, in the last second.
+  double wanted = 0;          ///< Capacity that the short stage should have.
+  bool beyond_share = false;  ///< Prefill is short though it has its configured share.
 
   /// @return whether an imbalance is large enough for a change.
   bool clear(const StageAmounts& capacity) const {
     // Half an engine more cannot be had.
-    return high >= kComfortableLoad && high >= low * kMinRatio &&
+    return fill >= kComfortableLoad && high >= low * kMinRatio &&
            wanted >= capacity.of(short_stage) + 0.5;
   }
 };
 
 StageBalance::Imbalance StageBalance::measure(const StageDemand& demand,
-                                              const StageAmounts& capacity) {
+                                              const StageAmounts& capacity) const {
   const StageAmounts heaviest = demand.heaviest();
   const StageAmounts recent = demand.recent();
   StageAmounts work{std::max(heaviest.prefill, recent.prefill),
-                    std::max(heaviest.decode, recent.decode)};
+                    std::max(heaviest.decode, recent.decode) / kComfortableFill};
+  // One burst stays among the heaviest seconds for the whole history.
+  const bool has_share = capacity.prefill + 0.5 > usual_prefill_share_ * capacity.total();
+  if (has_share) work.prefill = std::min(work.prefill, demand.average().prefill);
   const double prefill_load = load_of(work.prefill, capacity.prefill);
   const double decode_load = load_of(work.decode, capacity.decode);
   Imbalance result;
@@ -224,6 +249,7 @@
   result.short_stage = prefill_short ? EngineStage::kPrefill : EngineStage::kDecode;
   result.high = std::max(prefill_load, decode_load);
   result.low = std::min(prefill_load, decode_load);
+  result.fill = prefill_short ? result.high : result.high * kComfortableFill;
   const EngineStage source = opposite_stage(result.short_stage);
   result.saturated =
       load_of(recent.of(result.short_stage), capacity.of(result.short_stage)) >= kSaturatedLoad;
@@ -232,6 +258,11 @@
       capacity.total() * work.of(result.short_stage) / std::max(work.total(), 1e-9);
   const double spared = capacity.total() - work.of(source) / kMaxSourceLoad;
   result.wanted = std::min(balanced, spared);
+  if (!prefill_short) return result;
+  const double usual = usual_prefill_share_ * capacity.total();
+  const double most = (1 - (1 - usual_prefill_share_) * kMinDecodePart) * capacity.total();
+  result.beyond_share = has_share;
+  result.wanted = std::min(result.wanted, result.beyond_share ? most : usual);
   return result;
 }
 
@@ -265,12 +296,16 @@
   }
   const bool lost = demand.engines_lost();
   // After a smaller loss the engines that replace the lost ones come before changed ones would.
-  const bool urgent = imbalance.saturated || (lost && imbalance.high >= kMaxSourceLoad);
+  const bool urgent = !imbalance.beyond_share &&
+                      (imbalance.saturated || (lost && imbalance.fill >= kMaxSourceLoad));
   const bool reversal = last_growing_ == opposite_stage(imbalance.short_stage);
   const bool hasty = reversal && (now - last_target_at_ < kReversalDelay ||
                                   imbalance.high < imbalance.low * kMinReversalRatio);
   if (!urgent && (hasty || demand.history() < kMinHistory)) return std::nullopt;
-  if (now - imbalanced_since_ < (urgent ? kUrgentHold : kHold)) return std::nullopt;
+  if (imbalance.beyond_share && imbalance.high < imbalance.low * kMinRatioBeyondShare)
+    return std::nullopt;
+  const Duration hold = imbalance.beyond_share ? kHoldBeyondShare : urgent ? kUrgentHold : kHold;
+  if (now - imbalanced_since_ < hold) return std::nullopt;
   const double share = imbalance.wanted / std::max(capacity.total(), 1e-9);
   const bool prefill = imbalance.short_stage == EngineStage::kPrefill;
   target_ = StageTarget{imbalance.short_stage, prefill ? share : 1 - share};
@@ -288,7 +323,7 @@
     return drop(now, StageTargetCause::kReached);
   }
   const bool turned = imbalance.short_stage != target_->growing;
-  if (turned || imbalance.high < kEasedLoad) return drop(now, StageTargetCause::kEased);
+  if (turned || imbalance.fill < kEasedLoad) return drop(now, StageTargetCause::kEased);
   if (std::abs(imbalance.wanted - share * total) >=
       std::max(kMinRevision, kMinRevisionShare * total)) {
     const double revised = std::clamp(imbalance.wanted / total, 0.0, 1.0);
--- a/src/core/relay/stage_demand.hpp
+++ b/src/core/relay/stage_demand.hpp
@@ -64,6 +64,9 @@
   /// @return the mean work of the last second.
   StageAmounts recent() const;
 
+  /// @return the mean work over the whole history.
+  StageAmounts average() const;
+
   /// @return whether at least a tenth of the engines has gone within the last seconds.
   bool engines_lost() const;
 
@@ -105,6 +108,9 @@
 /// one of them clearly less headroom than the other. Without a target, nothing changes.
 class StageBalance {
  public:
+  /// @param prefill_share that the configuration gives to prefill.
+  explicit StageBalance(double prefill_share) : usual_prefill_share_(prefill_share) {}
+
   /// Updates the target.
   /// @param capacity of both stages once all orders in progress have completed.
   /// @return the cause if the target has changed.
@@ -115,13 +121,14 @@
 
  private:
   struct Imbalance;
-  static Imbalance measure(const StageDemand& demand, const StageAmounts& capacity);
+  Imbalance measure(const StageDemand& demand, const StageAmounts& capacity) const;
   std::optional<StageTargetCause> start(MonotonicTime now, const StageDemand& demand,
                                         const StageAmounts& capacity, const Imbalance& imbalance);
   std::optional<StageTargetCause> follow(MonotonicTime now, const StageAmounts& capacity,
                                          const Imbalance& imbalance);
   std::optional<StageTargetCause> drop(MonotonicTime now, StageTargetCause cause);
 
+  double usual_prefill_share_;
   std::optional<StageTarget> target_;
   EngineStage imbalanced_ = EngineStage::kNone;  ///< The short stage since `imbalanced_since_`.
   MonotonicTime imbalanced_since_{};
--- a/src/core/relay/stage_planner.cpp
+++ b/src/core/relay/stage_planner.cpp
@@ -113,7 +113,7 @@
 
 void StagePlanner::update_demand(MonotonicTime now, const EngineDirectory& engines,
                                  const RelayedService& service, const EnginesByStage& divided) {
-  ServiceState& state = services_[service.name];
+  ServiceState& state = services_.try_emplace(service.name, settings_.prefill_share).first->second;
   if (!state.demand.due(now)) return;
   state.demand.observe(now, measure_stage_load(now, engines.find_by_service(service.name),
                                                engines.model_of(service.name)));
--- a/src/core/relay/stage_planner.hpp
+++ b/src/core/relay/stage_planner.hpp
@@ -81,6 +81,8 @@
  private:
   /// The demand of one service and what follows from it.
   struct ServiceState {
+    explicit ServiceState(double prefill_share) : balance(prefill_share) {}
+
     StageDemand demand;
     StageBalance balance;
   };
--- a/tests/core/relay/stage_planner_test.cpp
+++ b/tests/core/relay/stage_planner_test.cpp
@@ -207,6 +207,33 @@
   cr_assert_eq(orders.second, 0);
 }
 
+Test(stage_planner, cold_caches_draw_no_engines_beyond_the_configured_share) {
+  // Guards against a burst of prefill after a start that took decode engines away: 118 of 140
+  // engines had prefilled, and the streams of the other 22 paused.
+  PlannedFleet fleet;
+  fleet.add("p", 56, EngineStage::kPrefill);
+  fleet.add("d", 44, EngineStage::kDecode);
+  const auto cold = fleet.run(6s, 56, 4, EngineStage::kPrefill);
+  const auto warm = fleet.run(30s, 28, 5, EngineStage::kPrefill);
+  cr_assert_eq(cold.first + warm.first, 0, "%d and %d", cold.first, warm.first);
+}
+
+Test(stage_planner, decode_keeps_half_of_its_configured_share) {
+  // Guards against a small fleet that was left with two decode engines of nine, whose free slots
+  // had prefilled prompts as well.
+  PlannedFleet fleet;
+  fleet.add("p", 5, EngineStage::kPrefill);
+  fleet.add("d", 4, EngineStage::kDecode);
+  fleet.run(120s, 9, 1, EngineStage::kPrefill);
+  cr_assert_geq(fleet.count(EngineStage::kDecode), 2);
+  PlannedFleet large;
+  large.add("p", 56, EngineStage::kPrefill);
+  large.add("d", 44, EngineStage::kDecode);
+  large.run(240s, 100, 1, EngineStage::kPrefill);
+  cr_assert_geq(large.count(EngineStage::kDecode), 22);
+  cr_assert_leq(large.count(EngineStage::kDecode), 30, "a lasting shortage does draw engines");
+}
+
 Test(stage_planner, a_short_stage_gives_no_engines_away) {
   // Guards against moving a shortage from one stage to the other when the whole service is short.
   PlannedFleet fleet;
