Ignore stage notices for engines without a stage

Cause: found by reading. Engines of plain services have no stage, but a forged notice for one was taken as an announced change, and its refusals as no sign of poor health. Rule: new behaviour only where engines have stages. Change: one test of the stage in `EngineView::leaves_stage`, which `refusal_announced` uses too.

--- a/src/core/relay/engine_directory.cpp
+++ b/src/core/relay/engine_directory.cpp
@@ -223,8 +223,7 @@
                                         EngineStage stage) const {
   const EngineView* engine = find(id);
   // The record may show the new stage by now, while the work was sent under the old one.
-  return engine != nullptr && engine->stage_notice && engine->stage_notice->valid_until > now &&
-         engine->stage_notice->stage != stage;
+  return engine != nullptr && engine->leaves_stage(now, stage);
 }
 
 void EngineDirectory::on_samples(const EngineId& id, const EngineSamples& samples) {
--- a/src/core/relay/engine_directory.hpp
+++ b/src/core/relay/engine_directory.hpp
@@ -108,11 +108,15 @@
     return !record.draining && cooldown_until <= now;
   }
 
+  /// @return whether a change from this stage is announced.
+  bool leaves_stage(MonotonicTime now, EngineStage stage) const {
+    return stage_notice && stage_notice->valid_until > now && stage != EngineStage::kNone &&
+           stage_notice->stage != stage;
+  }
+
   /// @return whether it is about to leave its stage, so that new work of this stage is likely to be
   /// refused there.
-  bool leaves_stage(MonotonicTime now) const {
-    return stage_notice && stage_notice->valid_until > now && stage_notice->stage != record.stage;
-  }
+  bool leaves_stage(MonotonicTime now) const { return leaves_stage(now, record.stage); }
 
   /// @return how long a request has to wait for a permit, as far as this node knows.
   Duration permit_wait(MonotonicTime now) const {
--- a/tests/core/relay/engine_directory_test.cpp
+++ b/tests/core/relay/engine_directory_test.cpp
@@ -333,6 +333,15 @@
   cr_assert_not(engines.refusal_announced(kNow, EngineId("unknown"), EngineStage::kDecode));
 }
 
+// Guards against forged notices that take work from engines without stages.
+Test(engine_directory, ignores_notices_for_engines_without_stages) {
+  EngineDirectory engines;
+  engines.upsert(record("e", EngineStage::kNone));
+  engines.on_stage_notice(kNow, EngineId("e"), {EngineStage::kPrefill, 1, 1500ms});
+  cr_assert_not(view(engines, "e").leaves_stage(kNow));
+  cr_assert_not(engines.refusal_announced(kNow, EngineId("e"), EngineStage::kNone));
+}
+
 Test(engine_directory, keeps_a_notice_until_the_engine_is_listed_or_the_notice_expires) {
   EngineDirectory engines;
   engines.on_stage_notice(kNow, engine_key(EngineId("early")), {EngineStage::kPrefill, 2, 1500ms});
