Report actual over expected times by stage and prompt size

Ruled out: a label by engine, whose values are unbounded. Change: histogram shuntbank_relay_actual_over_expected by service, stage (prefill, handover, whole, first_event) and six classes of prompt sizes. The lines of attempts carry the expected parts, the occupancy and the urgency, and request_ended the expected time to the first event beside the actual one.

--- a/src/relay/relay_metrics.cpp
+++ b/src/relay/relay_metrics.cpp
@@ -14,6 +14,10 @@
 const prometheus::Histogram::BucketBoundaries kSecondsBuckets{
     0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.42, 0.6, 0.8, 1.2, 2, 4, 8};
 
+/// Finest around 1, as expectations should be right within a fifth.
+const prometheus::Histogram::BucketBoundaries kRatioBuckets{0.25, 0.4,  0.5, 0.6, 0.7, 0.8, 0.9, 1,
+                                                            1.1,  1.25, 1.5, 2,   3,   5,   10};
+
 }  // namespace
 
 class RelayMetrics::Impl {
@@ -97,6 +101,11 @@
           .Name("shuntbank_relay_first_event_seconds")
           .Help("Time from a request's arrival to its first event")
           .Register(registry);
+  prometheus::Family<prometheus::Histogram>& expectation =
+      prometheus::BuildHistogram()
+          .Name("shuntbank_relay_actual_over_expected")
+          .Help("Time that a stage of a prompt took, over the expected time")
+          .Register(registry);
   prometheus::Family<prometheus::Gauge>& gauges = prometheus::BuildGauge()
                                                       .Name("shuntbank_relay_state")
                                                       .Help("What the node believes now")
@@ -168,6 +177,14 @@
   impl_->first_event.Add({{"service", service}}, kSecondsBuckets).Observe(to_seconds(elapsed));
 }
 
+void RelayMetrics::observe_expectation(const std::string& service, const std::string& stage,
+                                       const std::string& size, double actual_ms,
+                                       double expected_ms) {
+  if (expected_ms <= 0) return;
+  impl_->expectation.Add({{"service", service}, {"stage", stage}, {"size", size}}, kRatioBuckets)
+      .Observe(actual_ms / expected_ms);
+}
+
 void RelayMetrics::set_gauge(const std::string& name, double value) {
   impl_->gauges.Add({{"name", name}}).Set(value);
 }
--- a/src/relay/relay_metrics.hpp
+++ b/src/relay/relay_metrics.hpp
@@ -64,6 +64,13 @@
   /// The first event of a stream was forwarded.
   void observe_first_event(const std::string& service, Duration elapsed);
 
+  /// A stage of a prompt took `actual_ms` where `expected_ms` was expected.
+  /// @param stage `prefill`, `handover`, `whole` (prefilled at the decode engine) or `first_event`
+  /// (from arrival).
+  /// @param size see `prompt_size_class`.
+  void observe_expectation(const std::string& service, const std::string& stage,
+                           const std::string& size, double actual_ms, double expected_ms);
+
   /// Sets a gauge such as `config_version` or `config_age_seconds`.
   void set_gauge(const std::string& name, double value);
 
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -126,6 +126,8 @@
   if (!plan) return false;
   deferred_ = plan->deferred;
   expected_first_token_ms_ = plan->expected_ms;
+  expected_first_event_ms_ = to_ms(context_.runtime.now() - arrived_) + plan->expected_ms;
+  expected_slot_wait_ms_ = plan->slot_wait_ms;
   use_placement(plan->placement);
   if (plan->remote_prefill) {
     start_remote_prefill(*plan);
@@ -183,7 +185,7 @@
   outgoing.headers.add(names.expected_engine, record.own_name());
   if (tenant_ != nullptr) outgoing.headers.add(names.tenant, tenant_->name.value());
   if (prompt_) {
-    outgoing.headers.add(names.urgency, std::to_string(urgency(step)));
+    outgoing.headers.add(names.urgency, std::to_string(urgency_));
   }
   if (step == Step::kPrefill) {
     outgoing.headers.add(names.stage, context_.dialect.prefill_stage_value());
@@ -235,9 +237,20 @@
   const EngineModel& model = std::as_const(context_.engines).model_of(service_name_);
   const auto tokens = static_cast<double>(prefill_tokens_);
   if (step == Step::kPlain) return model.decode_prefill_ms(tokens);
-  const double handover_ms =
-      model.handover_ms() + service_->model->transfer_ms(prompt_->prompt_tokens);
-  return step == Step::kPrefill ? model.prefill().prefill_ms(tokens) + handover_ms : handover_ms;
+  const double prefill_ms = step == Step::kPrefill ? model.prefill().prefill_ms(tokens) : 0;
+  return prefill_ms + handover_without_wait_ms();
+}
+
+double RelaySession::handover_without_wait_ms() const {
+  const EngineModel& model = std::as_const(context_.engines).model_of(service_name_);
+  return model.handover_ms() + service_->model->transfer_ms(prompt_->prompt_tokens);
+}
+
+/// @return expected milliseconds until this attempt's prompt is prefilled or, after a remote
+/// prefill, until its first event.
+double RelaySession::expected_step_ms(Step step) const {
+  if (step != Step::kDecodeFromHandle) return placement_.expected_ms;
+  return handover_without_wait_ms() + expected_slot_wait_ms_;
 }
 
 void RelaySession::send(const EngineId& engine, Step step) {
@@ -265,6 +278,12 @@
   record_send(step == Step::kPrefill);
   idle_when_sent_ = view->total_requests(sent_at_) < 0.5;
   occupancy_when_sent_ = view->occupancy(sent_at_);
+  if (prompt_) {
+    const EngineModel& model = std::as_const(context_.engines).model_of(service_name_);
+    if (step != Step::kPrefill) expected_slot_wait_ms_ = model.slot_wait_ms(occupancy_when_sent_);
+    expected_step_ms_ = expected_step_ms(step);
+    urgency_ = urgency(step);
+  }
   context_.engines.on_attempt_sent(engine, {prefill_tokens_, deferred_});
   if (prompt_) context_.notify_load_changed();
   if (step == Step::kPrefill) context_.engines.on_prompt_sent(prefill_tokens_);
@@ -438,6 +457,7 @@
        {"sends", history_.sends},
        {"identity", suspect_status().is_suspect() ? to_text(identity_->request) : std::string()},
        {"first_ms", whole_ms(progress_.first_event_delay(arrived_))},
+       {"expected_first_ms", static_cast<std::int64_t>(expected_first_event_ms_)},
        {"gap_ms", whole_ms(progress_.longest_gap())},
        {"took_ms", whole_ms(now - arrived_)}});
   const auto handler = std::exchange(on_end_, nullptr);
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -133,6 +133,9 @@
   HttpHeaders forwarded_answer_fields() const;
   void update_prefill_model(bool exclusive);
   void update_handover_model();
+  double expected_step_ms(Step step) const;
+  double handover_without_wait_ms() const;
+  void observe_expectation(const char* stage, double actual_ms, double expected_ms);
   void report_prompt_read();
   void report_started();
   AttemptHealth refusal_health() const;
@@ -180,6 +183,10 @@
   std::uint64_t prefill_tokens_ = 0;
   bool deferred_ = false;               ///< Yields to requests that can be in time.
   double expected_first_token_ms_ = 0;  ///< Estimate at dispatch.
+  double expected_first_event_ms_ = 0;  ///< The same since arrival.
+  double expected_slot_wait_ms_ = 0;    ///< At the decode engine, included above.
+  double expected_step_ms_ = 0;         ///< Of this attempt, until its prompt is prefilled.
+  int urgency_ = 0;                     ///< Sent to the engine, if the request has a prompt.
   bool prefill_tokens_released_ = false;
   bool attempt_counted_ = false;
   bool charged_to_budget_ = false;  ///< Sent as an extra dispatch.
--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/relay/prompt_size.hpp"
 #include "net/http_status.hpp"
 #include "relay/relay_session.hpp"
 
@@ -85,7 +86,11 @@
   if (!prefill_tokens_released_) {
     prefill_tokens_released_ = true;
     context_.engines.on_prompt_read(engine_, {prefill_tokens_, deferred_});
-    if (prompt_) report_prompt_read();
+    if (prompt_) {
+      report_prompt_read();
+      observe_expectation(step_ == Step::kDecodeFromHandle ? "handover" : "whole",
+                          to_ms(context_.runtime.now() - sent_at_), expected_step_ms_);
+    }
     if (step_ == Step::kDecodeFromHandle) update_handover_model();
   }
   if (!progress_.in_order(event)) {
@@ -94,7 +99,9 @@
   }
   if (!history_.head_forwarded) {
     begin_stream();
-    context_.metrics.observe_first_event(service_name_.value(), context_.runtime.now() - arrived_);
+    const Duration elapsed = context_.runtime.now() - arrived_;
+    context_.metrics.observe_first_event(service_name_.value(), elapsed);
+    if (prompt_) observe_expectation("first_event", to_ms(elapsed), expected_first_event_ms_);
   }
   const MonotonicTime now = context_.runtime.now();
   const auto gap = progress_.on_forwarded(now, event);
@@ -188,6 +195,7 @@
   }
   report_health(AttemptHealth::kGood);
   EngineView* view = context_.engines.find(engine_);
+  observe_expectation("prefill", to_ms(context_.runtime.now() - sent_at_), expected_step_ms_);
   if (view != nullptr) {
     update_prefill_model(idle_when_sent_ && view->in_flight == 0 && !deferred_);
     report_prompt_read();
@@ -223,6 +231,12 @@
                  service_->model->transfer_ms(prompt_->prompt_tokens - prefill_tokens_), elapsed);
 }
 
+void RelaySession::observe_expectation(const char* stage, double actual_ms, double expected_ms) {
+  context_.metrics.observe_expectation(service_name_.value(), stage,
+                                       prompt_size_class(prompt_->prompt_tokens), actual_ms,
+                                       expected_ms);
+}
+
 void RelaySession::update_handover_model() {
   const Duration elapsed = context_.runtime.now() - sent_at_;
   const Duration transfer =
--- a/src/relay/relay_session_log.cpp
+++ b/src/relay/relay_session_log.cpp
@@ -10,6 +10,8 @@
   const MonotonicTime now = context_.runtime.now();
   const EngineView* view = context_.engines.find(engine_);
   const EngineModel& model = std::as_const(context_.engines).model_of(service_name_);
+  const double transfer_ms =
+      prompt_ && service_ != nullptr ? service_->model->transfer_ms(prompt_->prompt_tokens) : 0;
   const bool load_known = view != nullptr && view->load.has_value();
   const bool peers_known = view != nullptr && view->peer_load.has_value();
   log_event(LogArea::kCallers, LogLevel::kInfo, event,
@@ -24,7 +26,14 @@
              {"expected_ms", expected_first_token_ms_},
              {"deferred", deferred_},
              {"reading_ms", model.prefill().prefill_ms(static_cast<double>(prefill_tokens_))},
+             {"ahead_ms", placement_.ahead_ms},
+             {"ahead_share", model.work_ahead().share()},
              {"handover_ms", model.handover_ms()},
+             {"transfer_ms", transfer_ms},
+             {"slot_wait_ms", expected_slot_wait_ms_},
+             {"step_ms", expected_step_ms_},
+             {"urgency", urgency_},
+             {"occupancy", occupancy_when_sent_.fill()},
              {"candidates", placement_.candidates},
              {"unread", prefill_tokens_},
              {"fetch_from", fetch_address_},
--- a/tests/relay/relay_session_test.cpp
+++ b/tests/relay/relay_session_test.cpp
@@ -167,6 +167,33 @@
   cr_assert_eq(site.http.count(), 2, "a used handle is not released");
 }
 
+// Guards against expected times whose error an operator cannot read.
+Test(relay_session, reports_actual_over_expected_times) {
+  RelayFixture site;
+  site.add_engine("p", "model", EngineStage::kPrefill);
+  site.add_engine("d", "model", EngineStage::kDecode);
+  site.request("/stream/a", {{"tokens", "20000"}});
+  site.runtime.advance(505ms);  // As expected by default.
+  site.http.answer(0, 200, {{"id", "r1"}}, "h1");
+  site.runtime.advance(80ms);  // About ten times the default.
+  site.http.answer(1, 200, RelayFixture::sealed_headers(), "id: 1\ndata: a\n\n");
+  const std::string text = site.node->metrics().to_text();
+  const auto at_most = [&](const std::string& stage, const std::string& bound) {
+    const std::string name =
+        "actual_over_expected_bucket{service=\"model\",size=\"25000\",stage=\"";
+    const std::string line = name + stage + "\",le=\"" + bound + "\"} ";
+    const std::size_t at = text.find(line);
+    cr_assert(at != std::string::npos, "no %s", line.c_str());
+    return text[at + line.size()];
+  };
+  cr_assert_eq(at_most("prefill", "0.9"), '0');
+  cr_assert_eq(at_most("prefill", "1.1"), '1');
+  cr_assert_eq(at_most("handover", "5"), '0');
+  cr_assert_eq(at_most("handover", "10"), '1');
+  cr_assert_eq(at_most("first_event", "1"), '0');
+  cr_assert_eq(at_most("first_event", "1.25"), '1');
+}
+
 Test(relay_session, releases_an_unused_handle) {
   RelayFixture site;
   site.add_engine("p", "model", EngineStage::kPrefill);
