Learn no handover times from requests that have become late

Cause: a handover that cannot be in time any more gets the least urgency, waits behind all others, and would raise the expected wait of those that can be in time; the plan's 'deferred' does not say so. Ruled out: to mark the request as deferred after its plan, as the load that nodes report counts its prefill by it. Change: handovers sent with the least urgency count only if they were faster than usual.

--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -241,8 +241,10 @@
   const Duration elapsed = context_.runtime.now() - sent_at_;
   const Duration transfer =
       from_seconds(service_->model->transfer_ms(prompt_->prompt_tokens) / 1000);
+  // Engines serve the least urgent last, also those that have become late since the plan.
+  const bool yields = urgency_ == kLeastUrgent;
   context_.engines.model_of(service_name_)
-      .on_handover(std::max(Duration::zero(), elapsed - transfer), deferred_, occupancy_when_sent_);
+      .on_handover(std::max(Duration::zero(), elapsed - transfer), yields, occupancy_when_sent_);
 }
 
 void RelaySession::on_stream_end() {
--- a/tests/relay/relay_session_test.cpp
+++ b/tests/relay/relay_session_test.cpp
@@ -375,6 +375,28 @@
   }
 }
 
+// Guards against handovers that have become late and delay those that can still be in time, or
+// raise the expected handover of the latter.
+Test(relay_session, orders_handovers_by_the_time_that_is_left) {
+  for (const int prefill_ms : {100, 900, 1100}) {
+    RelayFixture site;
+    auto configuration = RelayFixture::configuration(2);
+    configuration.routes.back().priority = 2;
+    site.node->adopt(configuration);
+    site.add_engine("p", "model", EngineStage::kPrefill);
+    site.add_engine("d", "model", EngineStage::kDecode);
+    site.request("/stream/a", {{"tokens", "20000"}});
+    site.runtime.advance(std::chrono::milliseconds(prefill_ms));
+    site.http.answer(0, 200, {{"id", "r1"}}, "h1");
+    const std::string expected = prefill_ms == 100 ? "1" : prefill_ms == 900 ? "0" : "9";
+    cr_assert_eq(site.http.at(1).request.headers.get("urgency"), expected, "%d", prefill_ms);
+    site.runtime.advance(300ms);
+    site.http.answer(1, 200, RelayFixture::sealed_headers(), "id: 1\ndata: a\n\n");
+    const double handover_ms = site.node->engines().model_of(ServiceName("model")).handover_ms();
+    cr_assert_eq(handover_ms < 100, prefill_ms == 1100);
+  }
+}
+
 Test(relay_session, sends_late_requests_with_the_lowest_urgency) {
   RelayFixture site;
   site.add_engine("p", "model", EngineStage::kPrefill);
