--- a/src/core/relay/dispatch_plan.hpp
+++ b/src/core/relay/dispatch_plan.hpp
@@ -39,9 +39,11 @@
 struct DispatchPlan {
   bool remote_prefill = false;  ///< `placement` only prefills; `decode` answers.
   Placement placement;
-  Placement decode;         ///< Decode engine of a remote prefill.
-  double expected_ms = 0;   ///< Expected time to first token; the sum of the parts below, permits
-                            ///< and, for a direct dispatch, `placement.expected_ms`.
+  Placement decode;  ///< Decode engine of a remote prefill.
+  /// Expected time to first token. Of a remote prefill: the longer of `placement.expected_ms` and
+  /// the wait for the decode engine's permit, plus the parts below. Of a direct dispatch:
+  /// `placement.expected_ms`, which contains the wait for a slot.
+  double expected_ms = 0;
   double handover_ms = 0;   ///< Of a remote prefill, without waiting.
   double transfer_ms = 0;   ///< Of a remote prefill.
   double slot_wait_ms = 0;  ///< At the decode engine.
