--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "core/relay/engine_observation.hpp"
+#include "core/relay/prompt_size.hpp"
 #include "net/http_status.hpp"
 #include "relay/relay_session.hpp"
 
@@ -96,7 +97,11 @@
   if (!prefill_tokens_released_) {
     prefill_tokens_released_ = true;
     context_.engines.on_prompt_read(engine_, {prefill_tokens_, deferred_});
-    if (prompt_) report_prompt_read();
+    if (prompt_) {
+      report_prompt_read();
+      observe_expectation(step_ == Step::kDecodeFromHandle ? "handover" : "whole",
+                          to_ms(context_.runtime.now() - sent_at_), expected_step_ms_);
+    }
     if (step_ == Step::kDecodeFromHandle) update_handover_model();
   }
   if (!progress_.in_order(event)) {
@@ -107,6 +112,9 @@
     begin_stream();
     report_late_result();
     context_.metrics.observe_first_event(service_name_.value(), context_.runtime.now() - arrived_);
+    const Duration elapsed = context_.runtime.now() - arrived_;
+    context_.metrics.observe_first_event(service_name_.value(), elapsed);
+    if (prompt_) observe_expectation("first_event", to_ms(elapsed), expected_first_event_ms_);
   }
   const MonotonicTime now = context_.runtime.now();
   const auto gap = progress_.on_forwarded(now, event);
@@ -205,6 +213,7 @@
   }
   report_health(AttemptHealth::kGood);
   EngineView* view = context_.engines.find(engine_);
+  observe_expectation("prefill", to_ms(context_.runtime.now() - sent_at_), expected_step_ms_);
   if (view != nullptr) {
     update_prefill_model(idle_when_sent_ && view->in_flight == 0 && !deferred_);
     report_prefill_sample();
@@ -262,14 +271,20 @@
   if (!prompt_ || !mean_gap || !one_engine || forwarding_paused_) return;
   context_.queue_samples(engine_,
                          stream_sample({*mean_gap, progress_.longest_gap(), route_.gap_target}));
+void RelaySession::observe_expectation(const char* stage, double actual_ms, double expected_ms) {
+  context_.metrics.observe_expectation(service_name_.value(), stage,
+                                       prompt_size_class(prompt_->prompt_tokens), actual_ms,
+                                       expected_ms);
 }
 
 void RelaySession::update_handover_model() {
   const Duration elapsed = context_.runtime.now() - sent_at_;
   const Duration transfer =
       from_seconds(service_->model->transfer_ms(prompt_->prompt_tokens) / 1000);
+  // Engines serve the least urgent last, also those that have become late since the plan.
+  const bool yields = urgency_ == kLeastUrgent;
   context_.engines.model_of(service_name_)
-      .on_handover(std::max(Duration::zero(), elapsed - transfer), deferred_, occupancy_when_sent_);
+      .on_handover(std::max(Duration::zero(), elapsed - transfer), yields, occupancy_when_sent_);
 }
 
 void RelaySession::on_stream_end() {
