Carry served tokens between nodes and order late requests by share

Cause: a node sees a sixty-seventh of the requests of a tenant, too few to know who is above the share, and all late requests had the same urgency.

Ruled out: passing on each report of a node with the next sum (at 2,800 requests a second every sum would name most tenants); sending whole counters (a lost message would not matter, but nodes would have to agree on an owner).

Change: LoadMessage has "served" and the updates of a digest a seventh list, both omitted when empty. A late request of a tenant below its share is sent with urgency 8 in a shortage, all others with 9 as before.

--- a/src/core/relay/engine_updates.cpp
+++ b/src/core/relay/engine_updates.cpp
@@ -9,6 +9,7 @@
   limits.insert(limits.end(), more.limits.begin(), more.limits.end());
   stage_notices.insert(stage_notices.end(), more.stage_notices.begin(), more.stage_notices.end());
   for (const auto& [engine, added] : more.samples) samples[engine] += added;
+  add_served(served, more.served);
 }
 
 }  // namespace shuntbank::relay
--- a/src/core/relay/engine_updates.hpp
+++ b/src/core/relay/engine_updates.hpp
@@ -8,6 +8,7 @@
 #include "core/relay/engine_directory.hpp"
 #include "core/relay/engine_key.hpp"
 #include "core/relay/engine_samples.hpp"
+#include "core/relay/fair_share.hpp"
 #include "core/relay/stage_notice.hpp"
 
 namespace shuntbank::relay {
@@ -37,7 +38,7 @@
   bool operator==(const KeyedLimit&) const = default;
 };
 
-/// Events at engines since the last message.
+/// Events at engines and service of tenants since the last message.
 struct EngineUpdates {
   std::vector<KeyedRead> reads;
   std::vector<KeyedTrouble> troubles;
@@ -45,10 +46,11 @@
   std::vector<KeyedLimit> limits;
   std::vector<KeyedStageNotice> stage_notices;
   SamplesByKey samples;
+  ServedByTenant served;
 
   bool empty() const {
     return reads.empty() && troubles.empty() && crashes.empty() && limits.empty() &&
-           stage_notices.empty() && samples.empty();
+           stage_notices.empty() && samples.empty() && served.empty();
   }
   void append(const EngineUpdates& more);
   bool operator==(const EngineUpdates&) const = default;
--- a/src/protocol/engine_facts_codec.cpp
+++ b/src/protocol/engine_facts_codec.cpp
@@ -39,4 +39,25 @@
   return {number(1), number(2), number(3), number(4), number(5), number(6), number(7)};
 }
 
+nlohmann::json served_to_json(const relay::ServedByTenant& served) {
+  nlohmann::json list = nlohmann::json::array();
+  for (const auto& [tenant, tokens] : served)
+    list.push_back(nlohmann::json::array({tenant.value(), tokens}));
+  return list;
+}
+
+relay::ServedByTenant served_from_json(const nlohmann::json& list) {
+  relay::ServedByTenant served;
+  for (const nlohmann::json& entry : list) {
+    relay::add_served(
+        served, {{TenantName(entry.at(0).get<std::string>()), entry.at(1).get<std::uint64_t>()}});
+  }
+  return served;
+}
+
+std::size_t max_served_bytes(const TenantName& tenant) {
+  constexpr std::size_t kFixedBytes = 13;  // The array, the length of the name and the number.
+  return kFixedBytes + tenant.value().size();
+}
+
 }  // namespace shuntbank
--- a/src/protocol/load_digest.cpp
+++ b/src/protocol/load_digest.cpp
@@ -175,7 +175,8 @@
                 to_json(updates.crashes),
                 limits_to_json(updates.limits),
                 notices_to_json(updates.stage_notices),
-                samples_to_json(updates.samples)};
+                samples_to_json(updates.samples),
+                served_to_json(updates.served)};
   while (lists.size() > kRequiredLists && lists.back().empty()) lists.erase(lists.size() - 1);
   return lists;
 }
@@ -189,6 +190,7 @@
   if (lists.size() > 3) updates.limits = limits_from_json(lists.at(3));
   if (lists.size() > 4) updates.stage_notices = notices_from_json(lists.at(4));
   if (lists.size() > 5) updates.samples = samples_from_json(lists.at(5));
+  if (lists.size() > 6) updates.served = served_from_json(lists.at(6));
   return updates;
 }
 
@@ -227,6 +229,8 @@
       this->add_notice(notice);
     for (const auto& [engine, samples] : this->whole.updates.samples)
       this->add_samples(engine, samples);
+    for (const auto& [tenant, tokens] : this->whole.updates.served)
+      this->add_served(tenant, tokens);
     this->parts.push_back(encode(this->part));
     return std::move(this->parts);
   }
@@ -296,6 +300,11 @@
     this->part.updates.samples[engine] = samples;
   }
 
+  void add_served(const TenantName& tenant, std::uint64_t tokens) {
+    if (this->overflows(max_served_bytes(tenant))) this->begin_updates_part();
+    this->part.updates.served[tenant] = tokens;
+  }
+
   const LoadDigest& whole;
   LoadDigest part;
   std::size_t bytes = 0;
--- a/src/protocol/load_message.cpp
+++ b/src/protocol/load_message.cpp
@@ -131,6 +131,7 @@
   if (!message.crashes.empty()) document["crashes"] = to_json(message.crashes);
   if (!message.stage_notices.empty()) document["stages"] = notices_to_json(message.stage_notices);
   if (!message.samples.empty()) document["samples"] = samples_to_json(message.samples);
+  if (!message.served.empty()) document["served"] = served_to_json(message.served);
   std::string bytes;
   json::to_msgpack(document, bytes);
   return bytes;
@@ -185,6 +186,7 @@
       message.crashes = crash_reports_from_json(document["crashes"]);
     if (document.contains("stages")) message.stage_notices = notices_from_json(document["stages"]);
     if (document.contains("samples")) message.samples = samples_from_json(document["samples"]);
+    if (document.contains("served")) message.served = served_from_json(document["served"]);
     if (document.contains("reads")) message.reads = reads_from_json(document["reads"]);
     return message;
   } catch (const json::exception& error) {
--- a/src/protocol/load_message.hpp
+++ b/src/protocol/load_message.hpp
@@ -15,6 +15,7 @@
 #include "core/relay/crash_report.hpp"
 #include "core/relay/engine_directory.hpp"
 #include "core/relay/engine_samples.hpp"
+#include "core/relay/fair_share.hpp"
 #include "core/relay/stage_notice.hpp"
 
 namespace shuntbank {
@@ -38,6 +39,7 @@
   std::vector<EngineLimitReport> limits;                ///< The same.
   std::vector<relay::EngineStageNotice> stage_notices;  ///< The same.
   relay::SamplesById samples;                           ///< The same.
+  relay::ServedByTenant served;                         ///< The same.
   std::vector<relay::CrashReport> crashes;              ///< Reports that are due.
   relay::CatalogRevisions revisions;  ///< Newest store revisions that the node has seen.
   /// Milliseconds since the store confirmed them; set by store readers only.
--- a/src/relay/load_exchange.cpp
+++ b/src/relay/load_exchange.cpp
@@ -197,6 +197,7 @@
   message.crashes = node_.quarantine().take_reports();
   message.stage_notices = node_.take_stage_notices();
   message.samples = node_.take_samples();
+  message.served = node_.take_served();
   if (!own_progress_) return message;
   const StoreProgress progress = own_progress_();
   message.revisions = progress.seen;
@@ -229,6 +230,7 @@
     log_event(LogArea::kControl, LogLevel::kWarning, "news_left_out",
               {{"reads", message.reads.size()}, {"engines", message.load.size()}});
     message.reads.clear();
+    message.served.clear();
     bytes = encode(message);
   }
   if (bytes.size() > kMaxLoadMessage) return;
@@ -273,6 +275,7 @@
   for (const EngineStageNotice& item : message.stage_notices)
     node_.engines().on_stage_notice(now, item.engine, item.notice);
   for (const auto& [engine, samples] : message.samples) node_.engines().on_samples(engine, samples);
+  node_.on_peer_served(message.served);
   node_.quarantine().on_peer_reports(message.crashes);
   if (on_revisions_) on_revisions_(message.revisions);
   for (const PromptRead& read : message.reads) node_.on_peer_prompt_read(read);
--- a/src/relay/relay_context.hpp
+++ b/src/relay/relay_context.hpp
@@ -9,6 +9,7 @@
 #include "core/relay/admission.hpp"
 #include "core/relay/engine_directory.hpp"
 #include "core/relay/engine_samples.hpp"
+#include "core/relay/fair_share.hpp"
 #include "core/relay/retry_budget.hpp"
 #include "core/relay/stage_notice.hpp"
 #include "net/http_client.hpp"
@@ -44,6 +45,7 @@
   std::vector<EngineStageNotice> pending_stage_notices;  ///< Likewise.
   SamplesById pending_samples;                           ///< Likewise.
   AdmissionControl admission = AdmissionControl(settings.admission);
+  FairShares shares = {};
 
   /// An engine has prefilled a prompt and caches its parts.
   void on_prompt_read(const EngineId& engine, const std::vector<PromptPart>& parts);
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -59,6 +59,11 @@
     return false;
   }
   const std::uint64_t previous_version = table_ ? table_->version() : 0;
+  std::vector<TenantName> tenants;
+  if (configuration.tenants) {
+    for (const DeclaredTenant& tenant : *configuration.tenants) tenants.push_back(tenant.name);
+  }
+  context_.shares.declare(tenants);
   table_ = std::make_shared<const RouteTable>(std::move(configuration));
   if (!table_->warnings().empty()) {
     log_event(LogArea::kConfig, LogLevel::kWarning, "config_questionable",
--- a/src/relay/relay_node.hpp
+++ b/src/relay/relay_node.hpp
@@ -129,6 +129,17 @@
   /// @return engine samples queued since the last call.
   SamplesById take_samples() { return std::exchange(context_.pending_samples, {}); }
 
+  /// @return tokens served to tenants since the last call, if a report is due.
+  ServedByTenant take_served() { return context_.shares.take_served(io_.runtime.now()); }
+
+  /// Other nodes have served tenants.
+  void on_peer_served(const ServedByTenant& served) {
+    context_.shares.on_peer_served(io_.runtime.now(), served);
+  }
+
+  /// @return the fair shares of the tenants as this node knows them.
+  FairShares& shares() { return context_.shares; }
+
   /// An engine has prefilled a prompt for another node.
   void on_peer_prompt_read(const PromptRead& read);
 
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -225,9 +225,10 @@
   return tenant_ == nullptr ? route_.priority : tenant_->priority.value_or(route_.priority);
 }
 
-/// Deferred requests get the lowest urgency, so that they delay none that can be in time.
+/// Deferred requests get the lowest urgencies, so that they delay none that can be in time.
 int RelaySession::urgency() const {
-  return deferred_ ? kLeastUrgent : std::clamp(priority(), kMostUrgent, kLeastUrgent - 1);
+  const int late = late_above_share_ ? kLeastUrgent : kLeastUrgent - 1;
+  return deferred_ ? late : std::clamp(priority(), kMostUrgent, kLeastUrgent - 1);
 }
 
 void RelaySession::send(const EngineId& engine, Step step) {
@@ -419,6 +420,7 @@
   if (under_admission_control() && result == kAnswered) {
     context_.admission.on_slot_freed(now, service_name_);
   }
+  report_served();
   context_.metrics.count_request(service_name_.value(), result, now - arrived_);
   log_event(
       LogArea::kCallers, LogLevel::kInfo, "request_ended",
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -97,6 +97,7 @@
   bool refusable() const;
   void log_admission(const AdmissionDecision& decision, const AdmissionQuery& query) const;
   void report_late_result();
+  void report_served();
   Duration scheduled_return_delay(std::optional<MonotonicTime> available_at);
   int priority() const;
 
@@ -215,8 +216,10 @@
   bool started_ = false;  ///< An engine has started to run the request.
 
   std::optional<LateRequest> late_request_;  ///< Set until its first token.
-  Duration slot_expected_in_{};              ///< Of a refused request; zero: unknown.
-  std::int64_t retry_after_ms_ = -1;         ///< Told to the caller; -1: not refused.
+  /// Late requests of tenants above their share are served behind those of tenants below it.
+  bool late_above_share_ = true;
+  Duration slot_expected_in_{};       ///< Of a refused request; zero: unknown.
+  std::int64_t retry_after_ms_ = -1;  ///< Told to the caller; -1: not refused.
 
   std::optional<HttpReply> failure_answer_;  ///< An engine's error, sent if retries fail.
   bool ended_ = false;
--- a/src/relay/relay_session_admission.cpp
+++ b/src/relay/relay_session_admission.cpp
@@ -52,8 +52,14 @@
     query.returning = may_be_refused && context_.admission.was_refused(
                                             now, identity_of(request_, tenant_name()).request);
   }
+  if (tenant_ != nullptr && context_.shares.enabled()) {
+    context_.shares.on_request(now, tenant_->name);
+    query.wait_share = context_.shares.wait_share(now, tenant_->name);
+    query.share_ratio = context_.shares.share_ratio(now, tenant_->name);
+  }
   const AdmissionDecision decision =
       context_.admission.decide(now, service_name_, route_.name, query);
+  late_above_share_ = query.share_ratio >= 1 || !context_.admission.in_shortage(now, service_name_);
   context_.metrics.count_admission(service_name_.value(), to_text(decision.action));
   if (decision.action == AdmissionAction::kSendNow) return true;
   log_admission(decision, query);
@@ -120,17 +126,29 @@
              {"view_age_ms", whole_ms(context_.engines.shared_view_age())},
              {"shortage", context_.admission.in_shortage(now, service_name_)},
              {"wait_share", query.wait_share},
+             {"share_ratio", query.share_ratio},
              {"refusable", query.refusable},
              {"returning", query.returning}},
             LogImportance::kStep);
 }
 
+/// Counts the service of a request whose answer has begun. Engines do not report the tokens of an
+/// answer, so that the bound in the request counts.
+void RelaySession::report_served() {
+  if (!prompt_ || !started_ || tenant_ == nullptr) return;
+  const std::uint64_t output =
+      std::max<std::uint64_t>(prompt_->max_output_tokens, progress_.event_count());
+  context_.shares.on_served(context_.runtime.now(), tenant_->name,
+                            weighted_tokens(prompt_->prompt_tokens, output));
+}
+
 /// @param available_at when the first engine accepts requests again; unset: one accepts them now.
 Duration RelaySession::scheduled_return_delay(std::optional<MonotonicTime> available_at) {
   const MonotonicTime now = context_.runtime.now();
   context_.admission.on_refused(now, identity_of(request_, tenant_name()).request);
   ReturnQuery query;
   query.priority = priority();
+  query.above_share = tenant_ != nullptr && context_.shares.above_share(now, tenant_->name);
   if (available_at) query.not_before = *available_at - now;
   query.slot_expected = std::max(context_.settings.retry_after, slot_expected_in_);
   query.time_left = time_left();
--- a/src/relay/zone_exchange.cpp
+++ b/src/relay/zone_exchange.cpp
@@ -37,6 +37,7 @@
   for (const auto& [engine, samples] : message.samples) {
     updates.samples[engine_key(engine)] += samples;
   }
+  updates.served = message.served;
   return updates;
 }
 
@@ -218,6 +219,7 @@
     const EngineView* engine = engines.find_by_key(key);
     if (engine != nullptr) engines.on_samples(engine->record.id, samples);
   }
+  this->node.on_peer_served(updates.served);
   for (const KeyedTrouble& trouble : updates.troubles) {
     const EngineView* engine = engines.find_by_key(trouble.engine);
     if (engine == nullptr) continue;
@@ -282,6 +284,10 @@
 void ZoneExchange::collect() {
   const MonotonicTime now = this->runtime.now();
   ++this->sums_sent;
+  this->zone_served.add(std::exchange(this->zone_updates.served, {}));
+  this->other_zones_served.add(std::exchange(this->other_zone_updates.served, {}));
+  this->zone_updates.served = this->zone_served.take(now);
+  this->other_zone_updates.served = this->other_zones_served.take(now);
   LoadDigest zone_sum = this->digest(this->zone);
   zone_sum.node_count = this->collector.zone_nodes();
   zone_sum.range.load = this->collector.zone_load();
--- a/src/relay/zone_exchange.hpp
+++ b/src/relay/zone_exchange.hpp
@@ -122,6 +122,10 @@
   std::uint64_t sums_sent = 0;
   EngineUpdates zone_updates;        ///< From this zone since the last sum.
   EngineUpdates other_zone_updates;  ///< From other zones since the last sum.
+  /// Tokens served that wait for their next report: the members' reports add up to a few entries in
+  /// each sum, which all nodes would get.
+  ServedReport zone_served{kServedReportInterval, kMaxServedByZone};
+  ServedReport other_zones_served{kServedReportInterval, kMaxServedByZone};
   CatalogRevisions seen_revisions;
   MonotonicTime store_confirmed_at{};                 ///< Last store confirmation of any reader.
   std::map<NodeId, MessageNumber> last_view_numbers;  ///< Last view of each collector.
--- a/tests/protocol/earlier_messages_test.cpp
+++ b/tests/protocol/earlier_messages_test.cpp
@@ -156,6 +156,49 @@
   cr_assert(lists == parsed(from_hexadecimal(kDigestHex)));
 }
 
+// Earlier versions must read messages with served tokens, and these must arrive whole.
+Test(earlier_messages, are_contained_in_messages_with_served_tokens) {
+  const relay::ServedByTenant served{{TenantName("t1"), 12000}, {TenantName("t 2/\xc3\xa9"), 7}};
+  LoadMessage message = load_message();
+  message.served = served;
+  cr_assert(decode_load_message(encode(message))->served == served);
+  json document = parsed(encode(message));
+  document.erase("served");
+  cr_assert(document == parsed(from_hexadecimal(kLoadHex)));
+  LoadDigest sum = load_digest();
+  sum.updates.served = served;
+  const std::string bytes = encode_parts(sum).front();
+  cr_assert(is_digest(bytes));
+  cr_assert(decode_digest(bytes).value() == sum);
+  json lists = parsed(bytes);
+  for (int added = 0; added < 4; ++added) lists[7].erase(3);
+  cr_assert(lists == parsed(from_hexadecimal(kDigestHex)));
+}
+
+// A digest with the tenants of all zones must keep within one datagram a part.
+Test(earlier_messages, digests_with_many_tenants_are_split) {
+  LoadDigest sum = load_digest();
+  for (int i = 0; i < 100; ++i) {
+    sum.updates.served[TenantName("a-tenant-with-a-long-name-" + std::to_string(i))] =
+        std::uint64_t{1} << 40U;
+  }
+  relay::EngineUpdates received;
+  for (const std::string& part : encode_parts(sum)) {
+    cr_assert_leq(part.size(), kMaxLoadMessage);
+    received.append(decode_digest(part)->updates);
+  }
+  cr_assert_eq(received.served.size(), 100);
+}
+
+// A malformed entry is reported, not taken for something else.
+Test(earlier_messages, malformed_served_tokens_are_rejected) {
+  json document = parsed(encode(load_message()));
+  document["served"] = {{"t1", "many"}};
+  std::string bytes;
+  json::to_msgpack(document, bytes);
+  cr_assert_not(decode_load_message(bytes).has_value());
+}
+
 // A digest larger than one datagram must not lose the facts that do not fit into the first part.
 Test(earlier_messages, digests_with_many_engine_facts_are_split) {
   constexpr relay::EngineKey kEngines = 200;
--- a/tests/relay/admission_test.cpp
+++ b/tests/relay/admission_test.cpp
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 
+#include "common/hash.hpp"
 #include "relay/support/fakes.hpp"
 
 using namespace shuntbank;
@@ -38,6 +39,37 @@
 
 constexpr std::uint64_t kHopelessTokens = 2000000;
 
+/// A short fleet with two tenants, of which `large` has got most of the service.
+struct TenantFleet : ShortFleet {
+  TenantFleet() {
+    relay::RouteConfiguration configuration = RelayFixture::configuration(2);
+    configuration.tenants.emplace();
+    for (const char* name : {"large", "small"}) {
+      relay::DeclaredTenant tenant;
+      tenant.name = TenantName(name);
+      tenant.keys.push_back({sha256_hex(name), std::nullopt});
+      configuration.tenants->push_back(tenant);
+    }
+    this->site.node->adopt(std::move(configuration));
+    relay::FairShares& shares = this->site.node->shares();
+    const MonotonicTime now = this->site.runtime.now();
+    for (const char* name : {"large", "small"}) shares.on_request(now, TenantName(name));
+    shares.on_served(now, TenantName("large"), 100000);
+    this->site.runtime.advance(200ms);
+  }
+
+  /// @return the urgency that the request is sent with, or nothing if it is not sent.
+  std::string urgency_of(const std::string& tenant) {
+    const std::size_t before = this->site.http.count();
+    const std::string id = "r" + std::to_string(before);
+    this->site.request("/stream/a",
+                       {{"id", id}, {"key", tenant}, {"tokens", "400"}, {"deadline", "2500"}},
+                       "POST", id);
+    if (this->site.http.count() == before) return "";
+    return std::string(this->site.http.at(before).request.headers.get("urgency"));
+  }
+};
+
 }  // namespace
 
 Test(relay_admission, refuses_at_once_what_cannot_be_answered_before_its_deadline) {
@@ -130,3 +162,50 @@
   fleet.site.request("/once/a");
   cr_assert_eq(fleet.site.http.count(), 1);
 }
+
+// Guards the order of late requests in a shortage: those of a tenant above its share come last.
+Test(relay_admission, late_requests_of_a_tenant_above_its_share_come_last) {
+  TenantFleet fleet;
+  fleet.set_peer_load(20, 30000);
+  cr_assert_eq(fleet.urgency_of("large"), "9");
+  cr_assert_eq(fleet.urgency_of("small"), "8");
+}
+
+// Only a tenant above its share yields to others, and only in a shortage.
+Test(relay_admission, a_tenant_above_its_share_yields_in_a_shortage) {
+  TenantFleet fleet;
+  relay::EngineDirectory& engines = fleet.site.node->engines();
+  const auto set_load = [&](std::uint64_t in_time, std::uint64_t late) {
+    engines.on_peer_load(fleet.site.runtime.now(), NodeId("n2"),
+                         {{EngineId("d1"), {20, in_time + late, late}}});
+  };
+  set_load(14000, 0);
+  cr_assert_eq(fleet.urgency_of("large"), "0", "no shortage");
+  set_load(14000, 40000);
+  cr_assert_eq(fleet.urgency_of("large"), "9");
+  cr_assert_eq(fleet.urgency_of("small"), "0");
+}
+
+// Guards tenants below their share against refusals for what others have sent.
+Test(relay_admission, refuses_the_tenant_above_its_share) {
+  TenantFleet fleet;
+  fleet.set_peer_load(20, kHopelessTokens);
+  cr_assert_eq(fleet.urgency_of("large"), "");
+  cr_assert_eq(fleet.urgency_of("small"), "0");
+}
+
+// The service counts once the answer has begun, and is reported to the other nodes.
+Test(relay_admission, counts_served_tokens) {
+  TenantFleet fleet;
+  fleet.site.runtime.advance(3s);
+  fleet.site.node->take_served();
+  fleet.urgency_of("small");
+  cr_assert_eq(fleet.site.http.count(), 1);
+  fleet.site.http.begin(0, 200, RelayFixture::sealed_headers("r0"));
+  fleet.site.http.piece(0, "id: 1\ndata: a\n\n");
+  fleet.site.http.piece(0, "id: 2\ndata: b\n\n");
+  fleet.site.http.finish(0);
+  fleet.site.runtime.advance(3s);
+  const relay::ServedByTenant served = fleet.site.node->take_served();
+  cr_assert(served == relay::ServedByTenant({{TenantName("small"), 420}}));
+}
--- a/tests/relay/load_exchange_test.cpp
+++ b/tests/relay/load_exchange_test.cpp
@@ -44,6 +44,27 @@
   }
 }
 
+const TenantName kServed("served");
+const TenantName kWaiting("waiting");
+
+/// Makes each node of the fleet know the same two tenants, both with requests.
+void declare_tenants(ExchangingFleet& fleet) {
+  for (const auto& site : fleet.sites) {
+    relay::RouteConfiguration configuration = RelayFixture::configuration(9);
+    configuration.tenants.emplace();
+    for (const TenantName& name : {kServed, kWaiting}) {
+      relay::DeclaredTenant tenant;
+      tenant.name = name;
+      configuration.tenants->push_back(tenant);
+    }
+    site->node->adopt(std::move(configuration));
+    // The clocks of the sites, by which the nodes count, do not advance with that of the fleet.
+    for (const TenantName& name : {kServed, kWaiting}) {
+      site->node->shares().on_request(site->runtime.now(), name);
+    }
+  }
+}
+
 }  // namespace
 
 Test(load_exchange, propagates_load_to_all_sixty_nodes) {
@@ -260,3 +281,23 @@
   request_configurations(fleet, 0, 10);
   cr_assert_eq(answered, 10);
 }
+
+// Guards fair shares against a flood through a single node: all others must learn of it, whether
+// they get its report directly or by way of the collectors.
+Test(load_exchange, propagates_served_tokens) {
+  for (const std::size_t nodes : {4U, 60U}) {
+    ExchangingFleet fleet(nodes, 3);
+    fleet.runtime.advance(3s);
+    declare_tenants(fleet);
+    relay::RelayNode& first = *fleet.sites[0]->node;
+    first.shares().on_served(fleet.sites[0]->runtime.now(), kServed, 50000);
+    fleet.sites[0]->runtime.advance(relay::kServedReportInterval);
+    first.notify_load_changed();
+    fleet.runtime.advance(5s);
+    for (const auto& site : fleet.sites) {
+      const MonotonicTime later = site->runtime.now() + 200ms;
+      cr_assert(site->node->shares().above_share(later, kServed));
+      cr_assert_not(site->node->shares().above_share(later, kWaiting));
+    }
+  }
+}
