--- a/src/core/relay/request_urgency.cpp
+++ b/src/core/relay/request_urgency.cpp
@@ -59,11 +59,12 @@
 }
 
 int request_urgency(const UrgencyQuery& query) {
-  if (query.deferred) return kLeastUrgent;
+  const int late = query.before_other_late ? kLeastInTime : kLeastUrgent;
+  if (query.deferred) return late;
   const bool by_slack = query.order == RequestOrder::kSlack && query.kinds.count > 1;
   if (!by_slack || query.objective_ms <= 0) return by_priority(query.priority);
   const double slack_ms = query.time_left_ms - query.own_work_ms;
-  if (slack_ms < 0) return kLeastUrgent;
+  if (slack_ms < 0) return late;
   if (slack_ms < kTightShare * query.objective_ms) return with_little_slack(query);
   return with_slack(query.priority);
 }
--- a/src/core/relay/request_urgency.hpp
+++ b/src/core/relay/request_urgency.hpp
@@ -31,7 +31,9 @@
   RequestOrder order = RequestOrder::kSlack;
   int priority = 0;  ///< Of the tenant or route; 0 is the most urgent.
   ServiceKinds kinds;
-  bool deferred = false;      ///< Planned not to meet its objective.
+  bool deferred = false;  ///< Planned not to meet its objective.
+  /// Among those that cannot be in time, it comes before the others.
+  bool before_other_late = false;
   bool prefill_only = false;  ///< Sent to a prefill engine, where no streams run.
   double objective_ms = 0;    ///< Zero: none.
   double time_left_ms = 0;    ///< To the objective; may be negative.
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -230,6 +230,7 @@
   query.priority = priority();
   query.kinds = table_->kinds_of(service_name_);
   query.deferred = deferred_;
+  query.before_other_late = !late_above_share_;
   query.prefill_only = step == Step::kPrefill;
   // A request that is sent ahead is expected too late, but must not wait behind all others again.
   query.objective_ms = sent_ahead_ ? 0 : to_ms(route_.objective);
@@ -459,6 +460,7 @@
   if (under_admission_control() && result == kAnswered) {
     context_.admission.on_slot_freed(now, service_name_);
   }
+  report_served();
   context_.metrics.count_request(service_name_.value(), result, now - arrived_);
   log_event(
       LogArea::kCallers, LogLevel::kInfo, "request_ended",
--- a/src/relay/zone_exchange.hpp
+++ b/src/relay/zone_exchange.hpp
@@ -125,6 +125,10 @@
   EngineUpdates other_zone_updates;      ///< From other zones since the last sum.
   SampleBuffer<EngineKey> zone_samples;  ///< From this zone, not yet sent to other zones.
   SampleBuffer<EngineKey> view_samples;  ///< From all zones, not yet sent to members.
+  /// Tokens served that wait for their next report: the members' reports add up to a few entries in
+  /// each sum, which all nodes would get.
+  ServedReport zone_served{kServedReportInterval, kMaxServedByZone};
+  ServedReport other_zones_served{kServedReportInterval, kMaxServedByZone};
   CatalogRevisions seen_revisions;
   MonotonicTime store_confirmed_at{};                 ///< Last store confirmation of any reader.
   std::map<NodeId, MessageNumber> last_view_numbers;  ///< Last view of each collector.
