Let the number of needed engines follow demand

Ruled out: a number derived from the present engines, which is too low during a loss; shorter release delays, as losses come twice a minute and a released engine takes 4 s to get back. Change: needed engines are the measured work of both stages over a load of 0.5, between a half and the whole of the first sizing. They rise at once and fall by a tenth each 10 s once they have been enough for 45 s.

--- a/src/relay/capacity_coordinator.cpp
+++ b/src/relay/capacity_coordinator.cpp
@@ -10,6 +10,13 @@
 using capacity::EnginesByZone;
 using capacity::Purchase;
 
+namespace {
+
+/// Before this, a mix that flips every few seconds may have shown one phase only.
+constexpr Duration kMinDemandHistory = std::chrono::seconds(6);
+
+}  // namespace
+
 CapacityCoordinator::CapacityCoordinator(Runtime& own_runtime, store::ObjectStore& own_store,
                                          LeaseKeeper& own_lease, DutyService& own_duty_service,
                                          RelayNode& own_node, const std::string& own_machine,
@@ -40,8 +47,7 @@
   if (this->node.table() == nullptr) return;
   for (const RelayedService& declared : this->node.table()->configuration().services) {
     if (!declared.scale) continue;
-    const auto state =
-        this->service_states.try_emplace(declared.name, this->settings.planner).first;
+    const auto state = this->service_states.try_emplace(declared.name, this->settings).first;
     this->plan_service(declared, state->second);
   }
 }
@@ -62,14 +68,16 @@
 void CapacityCoordinator::plan_service(const RelayedService& declared, ServiceState& state) {
   const EnginesByZone engines = this->count_engines(declared);
   if (!state.needed_known) this->update_needed(declared.name, state, engines);
+  if (state.needed_known) this->follow_demand(declared, state);
   const MonotonicTime now = this->runtime.now();
   const auto plan = state.planner.plan(now, *declared.scale, state.needed, engines);
   this->refill_change_budget(state);
   for (const auto& [purchase, wanted] : plan) {
-    // Releases nothing until the baseline is known.
-    if (!state.needed_known && !purchase.spot) continue;
     const capacity::ZoneEngines& present = engines.at(purchase.zone);
     const std::uint32_t current = purchase.spot ? present.spot : present.full;
+    // Releases nothing until the number is known: a new holder would take back half of the spot
+    // engines that its predecessor ordered.
+    if (!state.needed_known && (!purchase.spot || wanted < current)) continue;
     if (!this->is_order_due(declared, state, purchase, wanted, current)) continue;
     const std::uint32_t step = this->next_order_count(declared, state, purchase, wanted, current);
     const auto issued = state.orders.find(purchase);
@@ -174,10 +182,67 @@
     return log_event(LogArea::kPlatform, LogLevel::kError, "object_malformed",
                      {{"name", object.name}, {"why", "engine count is missing or invalid"}});
   }
-  state->second.needed = object.content["engines"].get<std::uint32_t>();
-  state->second.needed_known = true;
+  const auto sizing = object.content["engines"].get<std::uint32_t>();
+  // Written by releases that follow demand.
+  const bool followed =
+      object.content.contains("needed") && object.content["needed"].is_number_unsigned();
+  ServiceState& known = state->second;
+  known.record_revision = object.revision;
+  known.stored = followed ? object.content["needed"].get<std::uint32_t>() : sizing;
+  if (known.needed_known) return;
+  known.needed = this->settings.needed.by_demand ? std::min(known.stored, sizing) : sizing;
+  known.needed_known = true;
+  known.sizing.reset(this->runtime.now(), sizing, known.needed);
   log_event(LogArea::kControl, LogLevel::kInfo, "capacity_needed",
-            {{"service", name.value()}, {"engines", state->second.needed}});
+            {{"service", name.value()}, {"engines", known.needed}, {"first_sizing", sizing}});
+}
+
+/// Updates the number of needed engines by the work of both stages. Until it is known, the stored
+/// number applies.
+void CapacityCoordinator::follow_demand(const RelayedService& declared, ServiceState& state) {
+  if (!declared.model || !this->settings.needed.by_demand) return;
+  const MonotonicTime now = this->runtime.now();
+  EngineDirectory& engines = this->node.engines();
+  state.demand.observe(now, measure_stage_load(now, engines.find_by_service(declared.name),
+                                               engines.model_of(declared.name)));
+  if (!state.demand.any_request_seen() || state.demand.history() < kMinDemandHistory) return;
+  const StageAmounts heaviest = state.demand.heaviest();
+  const std::uint32_t before = state.needed;
+  if (state.sizing.update(now, heaviest.total())) {
+    state.needed = state.sizing.count();
+    log_event(LogArea::kControl, LogLevel::kInfo, "capacity_needed",
+              {{"service", declared.name.value()},
+               {"engines", state.needed},
+               {"before", before},
+               {"first_sizing", state.sizing.first_sizing()},
+               {"prefill_work", heaviest.prefill},
+               {"decode_work", heaviest.decode},
+               {"history_ms", whole_ms(state.demand.history())}});
+  }
+  this->store_needed(declared.name, state);
+}
+
+/// Stores the number of needed engines for the next lease holder, which has no history.
+void CapacityCoordinator::store_needed(const ServiceName& name, ServiceState& state) {
+  const MonotonicTime now = this->runtime.now();
+  if (state.stored == state.needed || state.store_call_pending) return;
+  if (now - state.store_call_at < this->settings.store_interval || !this->lease.authority()) return;
+  state.store_call_at = now;
+  state.store_call_pending = true;
+  this->store.replace(
+      this->settings.record_kind, name.value(), state.record_revision,
+      nlohmann::json{{"engines", state.sizing.first_sizing()}, {"needed", state.needed}},
+      this->settings.call_timeout,
+      [this, still_alive = this->alive,
+       name](const tl::expected<store::StoredObject, store::StoreError>& replaced) {
+        if (!*still_alive) return;
+        if (replaced) return this->on_needed_record(name, *replaced);
+        const auto known = this->service_states.find(name);
+        if (known == this->service_states.end()) return;
+        known->second.store_call_pending = false;
+        // The write may have been done, or another holder has written: take over its revision.
+        if (replaced.error() != store::StoreError::kNotDone) this->read_needed(name);
+      });
 }
 
 bool CapacityCoordinator::is_order_due(const RelayedService& declared, const ServiceState& state,
--- a/src/relay/capacity_coordinator.hpp
+++ b/src/relay/capacity_coordinator.hpp
@@ -8,6 +8,8 @@
 
 #include "common/runtime.hpp"
 #include "core/capacity/capacity_planner.hpp"
+#include "core/capacity/needed_engines.hpp"
+#include "core/relay/stage_demand.hpp"
 #include "relay/capacity_settings.hpp"
 #include "relay/duty_service.hpp"
 #include "relay/lease_keeper.hpp"
@@ -37,11 +39,17 @@
   };
   /// State of one service.
   struct ServiceState {
-    explicit ServiceState(const capacity::CapacitySettings& settings) : planner(settings) {}
+    explicit ServiceState(const CapacityCoordinatorSettings& settings)
+        : planner(settings.planner), sizing(settings.needed) {}
     capacity::CapacityPlanner planner;
+    capacity::NeededEngines sizing;  ///< Follows demand once `needed_known`.
+    StageDemand demand;
     std::uint32_t needed = 0;  ///< Highest count seen, until `needed_known`.
     bool needed_known = false;
-    MonotonicTime increased_at{};  ///< Last growth of `needed` before `needed_known`.
+    std::uint64_t record_revision = 0;
+    std::uint32_t stored = 0;       ///< The number of needed engines in the store.
+    MonotonicTime store_call_at{};  ///< The last attempt to store it.
+    MonotonicTime increased_at{};   ///< Last growth of `needed` before `needed_known`.
     bool record_missing = false;
     bool store_call_pending = false;  ///< A read or create call is in flight.
     std::map<capacity::Purchase, IssuedOrder> orders;
@@ -56,6 +64,8 @@
                      const capacity::EnginesByZone& engines);
   void read_needed(const ServiceName& name);
   void create_needed_record(const ServiceName& name, std::uint32_t count);
+  void follow_demand(const RelayedService& declared, ServiceState& state);
+  void store_needed(const ServiceName& name, ServiceState& state);
   void on_needed_record(const ServiceName& name, const store::StoredObject& object);
   bool is_order_due(const RelayedService& declared, const ServiceState& state,
                     const capacity::Purchase& purchase, std::uint32_t wanted,
--- a/src/relay/capacity_settings.hpp
+++ b/src/relay/capacity_settings.hpp
@@ -6,11 +6,15 @@
 
 #include "common/time.hpp"
 #include "core/capacity/capacity_planner.hpp"
+#include "core/capacity/needed_engines.hpp"
 
 namespace shuntbank::relay {
 
 struct CapacityCoordinatorSettings {
   capacity::CapacitySettings planner;
+  capacity::NeededEnginesSettings needed;
+  /// Between two attempts to store the number of needed engines.
+  Duration store_interval = std::chrono::seconds(2);
   /// Delay before a new lease holder sends its first order: orders of the previous holder have
   /// taken effect by then.
   Duration takeover_delay = std::chrono::milliseconds(800);
--- a/src/relay/policy_options.cpp
+++ b/src/relay/policy_options.cpp
@@ -44,6 +44,8 @@
       "how engines are ordered: none, spot-swap or spot-spare");
   add("full-floor", bind_option(settings.capacity.planner.min_full_price_share),
       "share of the needed engines that is kept at full price");
+  add("size-by-demand", bind_option(settings.capacity.needed.by_demand),
+      "whether the needed engines follow demand; otherwise the operator's first sizing applies");
   add("prefill-share", bind_option(settings.stages.prefill_share),
       "share of a service's engines used for prefill, with --stages demand until demand is known");
   add("stages", bind_option(settings.stages.mode),
--- a/tests/relay/capacity_coordinator_test.cpp
+++ b/tests/relay/capacity_coordinator_test.cpp
@@ -364,3 +364,31 @@
   cr_assert_leq(orders.size(), 8, "%s", text.c_str());
   cr_assert_geq(fixture.provider.running(), 111, "%u", fixture.provider.running());
 }
+
+Test(capacity_coordinator, releases_engines_that_demand_does_not_need) {
+  // Guards against paying for the operator's first sizing whatever the demand is.
+  ProviderFixture fixture;
+  fixture.run(35s, 35);
+  const std::uint32_t before = fixture.provider.running();
+  fixture.run(85s, 35);
+  const std::uint32_t after = fixture.provider.running();
+  cr_assert_geq(before, 111 + 111 / 4, "spares of one zone included: %u", before);
+  cr_assert_leq(after, before * 3 / 4, "%u of %u", after, before);
+  cr_assert_geq(after, 70, "35 keep half of them busy: %u", after);
+  fixture.run(10s, 60);
+  cr_assert_geq(fixture.provider.running(), 111, "%u", fixture.provider.running());
+}
+
+Test(capacity_coordinator, a_new_lease_holder_continues_with_the_stored_number) {
+  // Guards against buying the first sizing back at each change of the lease holder.
+  ProviderFixture fixture;
+  fixture.run(120s, 35);
+  const std::uint32_t full = fixture.provider.sum_wanted(false);
+  const std::uint32_t spot = fixture.provider.sum_wanted(true);
+  relay::CapacityCoordinator next(fixture.site.runtime, fixture.store, fixture.lease,
+                                  fixture.provider, *fixture.site.node, "n2",
+                                  relay::CapacityCoordinatorSettings());
+  fixture.run(5s, 35);
+  cr_assert_eq(fixture.provider.sum_wanted(false), full);
+  cr_assert_eq(fixture.provider.sum_wanted(true), spot);
+}
