Count engines at whose address nothing listens as lost

Cause: a reclaimed engine stays in the list for some seconds, and its capacity hid the shortage. Change: the stage planner leaves such engines out when it plans by demand, as its measurement does.

--- a/src/core/relay/stage_planner.cpp
+++ b/src/core/relay/stage_planner.cpp
@@ -91,6 +91,8 @@
   EnginesByStage divided;
   for (EngineView* engine : engines.find_by_service(service.name)) {
     if (engine->record.draining) continue;
+    // A lost engine is still listed for some seconds.
+    if (settings_.mode == StageMode::kDemand && engine->terminated) continue;
     const bool prefill = expected_stage(now, engine->record) == EngineStage::kPrefill;
     (prefill ? divided.prefill : divided.decode).push_back(engine);
   }
--- a/tests/core/relay/stage_planner_test.cpp
+++ b/tests/core/relay/stage_planner_test.cpp
@@ -174,6 +174,29 @@
   cr_assert_geq(after.first, 4, "%d orders from prefill to decode", after.first);
 }
 
+Test(stage_planner, engines_at_whose_address_nothing_listens_count_as_lost) {
+  // Guards against counting the capacity of reclaimed engines until the list drops them, and
+  // against ordering them.
+  PlannedFleet fleet;
+  fleet.add("p", 38, EngineStage::kPrefill);
+  fleet.add("d", 62, EngineStage::kDecode);
+  fleet.run(20s, 14, 6, EngineStage::kDecode);
+  int lost = 0;
+  for (const EngineId& id : fleet.in_stage(EngineStage::kDecode)) {
+    if (lost++ < 35) fleet.engines.find(id)->terminated = true;
+  }
+  int orders = 0;
+  for (int i = 0; i < 10; ++i) {
+    fleet.set_load(14, 14);
+    for (const StageChange& order : fleet.tick()) {
+      cr_assert_not(fleet.engines.find(order.engine)->terminated);
+      cr_assert_eq(order.stage, EngineStage::kDecode);
+      ++orders;
+    }
+  }
+  cr_assert_geq(orders, 4, "%d", orders);
+}
+
 Test(stage_planner, a_service_with_low_load_keeps_its_stages) {
   // Guards against orders that only reach a share, which cost 3 s of each engine.
   PlannedFleet fleet;
