Join the profiles with the planner and the order of requests

Cause: the parts were built apart. The planner took all engines for equally fast, and the slack of a prompt at a slow engine did not count its own prefill time there. Test slow_engines_prefill_and_fast_ones_decode.

--- a/src/core/relay/stage_demand.cpp
+++ b/src/core/relay/stage_demand.cpp
@@ -105,8 +105,8 @@
   return stage == EngineStage::kPrefill ? EngineStage::kDecode : EngineStage::kPrefill;
 }
 
-double relative_speed(const EngineView& /*engine*/) {
-  return 1;
+double relative_speed(const EngineView& engine) {
+  return 1 / engine.profile.pace_factor();
 }
 
 StageLoad measure_stage_load(MonotonicTime now, const std::vector<EngineView*>& engines,
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -242,9 +242,13 @@
 /// @return expected milliseconds until the first token without waiting for other requests.
 double RelaySession::own_work_ms(Step step) const {
   const EngineModel& model = std::as_const(context_.engines).model_of(service_name_);
+  const EngineView* engine = context_.engines.find(engine_);
+  const double factor =
+      engine == nullptr ? 1 : engine->present_prefill_factor(context_.runtime.now());
   const auto tokens = static_cast<double>(prefill_tokens_);
-  if (step == Step::kPlain) return model.decode_prefill_ms(tokens);
-  const double prefill_ms = step == Step::kPrefill ? model.prefill().prefill_ms(tokens) : 0;
+  if (step == Step::kPlain) return model.decode_prefill_ms(tokens) * factor;
+  const double prefill_ms =
+      step == Step::kPrefill ? model.prefill().prefill_ms(tokens) * factor : 0;
   return prefill_ms + handover_without_wait_ms();
 }
 
--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -271,57 +271,59 @@
   if (!prompt_ || !mean_gap || !one_engine || forwarding_paused_) return;
   context_.queue_samples(engine_,
                          stream_sample({*mean_gap, progress_.longest_gap(), route_.gap_target}));
-  void RelaySession::observe_expectation(const char* stage, double actual_ms, double expected_ms) {
-    context_.metrics.observe_expectation(service_name_.value(), stage,
-                                         prompt_size_class(prompt_->prompt_tokens), actual_ms,
-                                         expected_ms);
-  }
+}
 
-  void RelaySession::update_handover_model() {
-    const Duration elapsed = context_.runtime.now() - sent_at_;
-    const Duration transfer =
-        from_seconds(service_->model->transfer_ms(prompt_->prompt_tokens) / 1000);
-    // Engines serve the least urgent last, also those that have become late since the plan.
-    const bool yields = urgency_ == kLeastUrgent;
-    context_.engines.model_of(service_name_)
-        .on_handover(std::max(Duration::zero(), elapsed - transfer), yields, occupancy_when_sent_);
-  }
+void RelaySession::observe_expectation(const char* stage, double actual_ms, double expected_ms) {
+  context_.metrics.observe_expectation(service_name_.value(), stage,
+                                       prompt_size_class(prompt_->prompt_tokens), actual_ms,
+                                       expected_ms);
+}
 
-  void RelaySession::on_stream_end() {
-    if (splitter_.has_partial()) {
-      report_health(AttemptHealth::kFailed);
-      return on_attempt_failed(AttemptOutcome::kUncertain, "the stream ended inside an event");
-    }
-    report_health(AttemptHealth::kGood);
-    if (service_->model)
-      context_.engines.model_of(service_name_).on_stream_ended(context_.runtime.now() - sent_at_);
-    if (const auto gap = progress_.mean_gap()) {
-      context_.engines.model_of(service_name_).on_event_interval(*gap);
-    }
-    report_stream_sample();
-    if (identity_) context_.quarantine.on_completed(identity_->request);
-    prompt_handle_.clear();
-    if (!history_.head_forwarded) begin_stream();
-    responder_->finish();
-    end(kAnswered);
-  }
+void RelaySession::update_handover_model() {
+  const Duration elapsed = context_.runtime.now() - sent_at_;
+  const Duration transfer =
+      from_seconds(service_->model->transfer_ms(prompt_->prompt_tokens) / 1000);
+  // Engines serve the least urgent last, also those that have become late since the plan.
+  const bool yields = deferred_ || urgency_ == kLeastUrgent;
+  context_.engines.model_of(service_name_)
+      .on_handover(std::max(Duration::zero(), elapsed - transfer), yields, occupancy_when_sent_);
+}
 
-  void RelaySession::on_complete_answer() {
-    const MonotonicTime now = context_.runtime.now();
-    const bool engine_failure = status_ >= http_status::kInternalError;
-    report_health(engine_failure ? AttemptHealth::kFailed : AttemptHealth::kGood);
-    context_.engines.on_latency(engine_, now - sent_at_);
-    if (identity_) context_.quarantine.on_completed(identity_->request);
-    if (engine_failure && (route_.idempotent() || history_.head_forwarded)) {
-      save_failure_answer();
-      return on_attempt_failed(AttemptOutcome::kUncertain, "status " + std::to_string(status_));
-    }
-    respond(status_, forwarded_answer_fields(), std::move(body_), kAnswered);
+void RelaySession::on_stream_end() {
+  if (splitter_.has_partial()) {
+    report_health(AttemptHealth::kFailed);
+    return on_attempt_failed(AttemptOutcome::kUncertain, "the stream ended inside an event");
   }
+  report_health(AttemptHealth::kGood);
+  if (service_->model)
+    context_.engines.model_of(service_name_).on_stream_ended(context_.runtime.now() - sent_at_);
+  if (const auto gap = progress_.mean_gap()) {
+    context_.engines.model_of(service_name_).on_event_interval(*gap);
+  }
+  report_stream_sample();
+  if (identity_) context_.quarantine.on_completed(identity_->request);
+  prompt_handle_.clear();
+  if (!history_.head_forwarded) begin_stream();
+  responder_->finish();
+  end(kAnswered);
+}
 
-  void RelaySession::save_failure_answer() {
-    if (history_.head_forwarded) return;
-    failure_answer_ = HttpReply{status_, forwarded_answer_fields(), std::move(body_)};
+void RelaySession::on_complete_answer() {
+  const MonotonicTime now = context_.runtime.now();
+  const bool engine_failure = status_ >= http_status::kInternalError;
+  report_health(engine_failure ? AttemptHealth::kFailed : AttemptHealth::kGood);
+  context_.engines.on_latency(engine_, now - sent_at_);
+  if (identity_) context_.quarantine.on_completed(identity_->request);
+  if (engine_failure && (route_.idempotent() || history_.head_forwarded)) {
+    save_failure_answer();
+    return on_attempt_failed(AttemptOutcome::kUncertain, "status " + std::to_string(status_));
   }
+  respond(status_, forwarded_answer_fields(), std::move(body_), kAnswered);
+}
+
+void RelaySession::save_failure_answer() {
+  if (history_.head_forwarded) return;
+  failure_answer_ = HttpReply{status_, forwarded_answer_fields(), std::move(body_)};
+}
 
 }  // namespace shuntbank::relay
--- a/tests/core/relay/stage_planner_test.cpp
+++ b/tests/core/relay/stage_planner_test.cpp
@@ -339,3 +339,32 @@
     RC_ASSERT(settled <= 1 + 0.06 * engines * minutes);
   });
 }
+
+Test(stage_planner, slow_engines_prefill_and_fast_ones_decode) {
+  // Guards against turning the engines whose streams keep their gaps into prefill engines while
+  // those whose streams pause go on decoding.
+  PlannedFleet fleet;
+  fleet.add("p", 10, EngineStage::kPrefill);
+  fleet.add("d", 20, EngineStage::kDecode);
+  EngineSamples quick;
+  quick.streams = 50;
+  quick.interval_ms = 50 * 50;
+  quick.longest_gap_ms = 50 * 60;
+  EngineSamples slow = quick;
+  slow.interval_ms = 50 * 90;
+  slow.longest_gap_ms = 50 * 220;
+  for (int i = 0; i < 20; ++i) {
+    fleet.engines.on_samples(fleet.now, EngineId("d" + std::to_string(i)), i < 10 ? quick : slow);
+  }
+  fleet.engines.expire_peer_load(fleet.now + 3s);
+  fleet.set_load(10, 2);
+  for (int tick = 0; tick < 8; ++tick) {
+    for (const StageChange& order : fleet.tick()) {
+      cr_assert_eq(order.stage, EngineStage::kPrefill);
+      cr_assert_geq(std::stoi(order.engine.value().substr(1)), 10, "%s",
+                    order.engine.value().c_str());
+    }
+    fleet.set_load(10, 2);
+  }
+  cr_assert_geq(fleet.changing.size(), 1);
+}
