Bound the samples that a collector sends, and describe engine profiles

Cause: at 1,000 nodes a collector has 250 members, and views of 150 entries a second to each would take 712 KB a second of its link. Ruled out: a fixed lower rate for all fleets; with 17 members a collector can send each engine of service M once a second. Change: the entries of all views of a collector together are bounded. The tests of the exchange advance the clocks of the nodes too: with these standing still, a node's buffer let 20 entries go and no more, and the test of bytes measured 2,341 a second in place of 3,029.

--- a/src/core/relay/sample_buffer.hpp
+++ b/src/core/relay/sample_buffer.hpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <deque>
+#include <limits>
 #include <map>
 #include <set>
 #include <utility>
@@ -47,10 +48,11 @@
 
   /// @return the samples that may be sent now, the longest due first. A slowdown that has been held
   /// back for too long is left out.
-  Samples take(MonotonicTime now) {
+  /// @param max_rate of entries a second, if lower than the setting.
+  Samples take(MonotonicTime now, double max_rate = std::numeric_limits<double>::infinity()) {
     Samples taken;
     this->expire(now);
-    this->renew_allowance(now);
+    this->renew_allowance(now, std::min(max_rate, this->settings.entries_per_second));
     while (!this->order.empty() && this->order.begin()->first <= now && this->allowance >= 1 &&
            taken.size() < this->settings.max_entries) {
       const Engine engine = this->order.begin()->second;
@@ -81,11 +83,11 @@
     }
   }
 
-  /// At most one second's entries are saved up.
-  void renew_allowance(MonotonicTime now) {
-    const double earned = to_seconds(now - this->renewed_at) * this->settings.entries_per_second;
+  /// At most one second's entries are saved up, and one entry if the rate is lower.
+  void renew_allowance(MonotonicTime now, double rate) {
+    const double earned = to_seconds(now - this->renewed_at) * rate;
     this->renewed_at = now;
-    this->allowance = std::min(this->settings.entries_per_second, this->allowance + earned);
+    this->allowance = std::min(std::max(1.0, rate), this->allowance + earned);
   }
 
   SampleBufferSettings settings;
--- a/src/relay/exchange_settings.hpp
+++ b/src/relay/exchange_settings.hpp
@@ -30,10 +30,12 @@
   Duration max_collect_interval = std::chrono::milliseconds(120);
   /// Messages per second that a collector sends for each core of its machine; about 4% of its CPU.
   double messages_per_core = 4000;
-  /// Engine samples in the views of a node, and in the sums that a zone sends to each collector of
-  /// the others: 3 KB and, as a collector has more receivers the more zones there are, 0.5 KB a
-  /// second.
+  /// Engine samples in the views of a node: about 3 KB a second.
   SampleBufferSettings view_samples{std::chrono::seconds(1), 150, 40};
+  /// Entries a second in the views that a collector sends to all its members: 76 KB.
+  double member_samples_per_second = 4000;
+  /// Engine samples in the sums that a zone sends to each collector of the others: 0.5 KB a second.
+  /// A collector has more of these receivers the more zones there are.
   SampleBufferSettings zone_samples{std::chrono::seconds(1), 25, 25};
   /// Maximum number of prompt reads in one sum.
   std::size_t max_prompt_reads = 1000;
--- a/src/relay/zone_exchange.cpp
+++ b/src/relay/zone_exchange.cpp
@@ -300,9 +300,11 @@
 
   EngineUpdates news = std::exchange(this->zone_updates, {});
   news.append(std::exchange(this->other_zone_updates, {}));
-  news.samples = this->view_samples.take(now);
   // The zone's second collector usually has no subscribers.
   const auto subscribers = this->collector.subscribers();
+  news.samples = this->view_samples.take(
+      now, this->settings.member_samples_per_second /
+               static_cast<double>(std::max<std::size_t>(1, subscribers.size())));
   this->view_messages = 0;
   const bool own_source = this->selector.source() == this->self;
   if (subscribers.empty() && !own_source) return;
--- a/tests/relay/engine_samples_test.cpp
+++ b/tests/relay/engine_samples_test.cpp
@@ -63,6 +63,12 @@
   }
 };
 
+/// Advances the time of the exchange and of the nodes.
+void advance_all(ExchangingFleet& fleet, Duration duration) {
+  for (const auto& site : fleet.sites) site->runtime.advance(duration);
+  fleet.runtime.advance(duration);
+}
+
 EngineSamples late_stream() {
   EngineSamples samples;
   samples.streams = 1;
@@ -134,13 +140,13 @@
 Test(engine_samples, reach_all_nodes_of_small_and_large_fleets) {
   for (const std::size_t nodes : {3, 60}) {
     ExchangingFleet fleet(nodes, nodes > 24 ? 4 : 1);
-    fleet.runtime.advance(4s);
+    advance_all(fleet, 4s);
     const auto& sampled = fleet.sites[1]->node;
     // Three streams of one second go out as one or two entries.
     for (int stream = 0; stream < 3; ++stream)
       sampled->queue_samples(EngineId("p1"), late_stream());
     sampled->notify_load_changed();
-    fleet.runtime.advance(3s);
+    advance_all(fleet, 3s);
     for (std::size_t i = 0; i < nodes; ++i) {
       const EngineSamples known = fleet.engine(i).profile.samples(fleet.runtime.now());
       cr_assert_eq(known.longest_gap_ms / std::max(1U, known.streams), 250, "node %zu", i);
@@ -154,7 +160,7 @@
 
 Test(engine_samples, starting_node_takes_them_over_with_the_caches) {
   ExchangingFleet fleet(3);
-  fleet.runtime.advance(3s);
+  advance_all(fleet, 3s);
   for (const auto& site : fleet.sites) {
     site->node->on_peer_prompt_read({EngineId("p1"), {{11, 900}, {12, 80}}});
     for (int i = 0; i < 20; ++i) {
@@ -164,7 +170,7 @@
   relay::LoadExchangeSettings joining;
   joining.join_existing = true;
   fleet.add(joining);
-  fleet.runtime.advance(1s);
+  advance_all(fleet, 1s);
   const EngineSamples known = fleet.engine(3).profile.samples(fleet.runtime.now());
   cr_assert_geq(known.streams, 18);
   cr_assert_eq(known.late_streams, known.streams);
@@ -182,7 +188,7 @@
         site->add_engine("engine-" + std::to_string(i), "model", EngineStage::kDecode);
       }
     }
-    fleet.runtime.advance(3s);
+    advance_all(fleet, 3s);
     const auto collectors = fleet.collectors();
     std::size_t member = 0;
     while (collectors.count(member) > 0) ++member;
@@ -196,7 +202,7 @@
         if (sampling) node.queue_samples(engine, late_stream());
         node.notify_load_changed();
       }
-      fleet.runtime.advance(10ms);
+      advance_all(fleet, 10ms);
     }
     received[sampling ? 1 : 0] = fleet.transports[member]->received_bytes - before;
   }
