Count an engine's requests once while a free slot is looked for

Cause: each placement of a stream counted the requests of every candidate a second time. Change: only until an engine with a free slot is found.

--- a/src/core/relay/placement.cpp
+++ b/src/core/relay/placement.cpp
@@ -253,7 +253,8 @@
     }
     if (!best || placement.cost_ms < best->cost_ms) best = placement;
     if (!watches_gaps || engine->profile.exceeds_gap(query.gap_target)) continue;
-    in_time_has_room |= permit_ms <= 0 && engine->total_requests(now) < engine->record.slots;
+    in_time_has_room =
+        in_time_has_room || (permit_ms <= 0 && engine->total_requests(now) < engine->record.slots);
     if (!best_in_time || placement.cost_ms < best_in_time->cost_ms) best_in_time = placement;
   }
   if (in_time_has_room) best = best_in_time;
