--- a/tests/core/relay/engine_profile_test.cpp
+++ b/tests/core/relay/engine_profile_test.cpp
@@ -3,9 +3,12 @@
 #include <criterion/criterion.h>
 
 #include <limits>
+#include <map>
 #include <string>
 #include <vector>
 
+#include "common/hash.hpp"
+#include "core/relay/engine_observation.hpp"
 #include "core/relay/placement.hpp"
 
 using namespace shuntbank;
@@ -264,3 +267,36 @@
   cr_assert_float_eq(learned.longest_gap_ms(), original.longest_gap_ms(), 0.1);
   cr_assert(learned.exceeds_gap(kGapTarget));
 }
+
+Test(engine_profile, learns_the_speeds_of_a_mixed_service_despite_waiting_and_slowdowns) {
+  // Two thirds of the engines are slow, 15% of prefills meet a slowdown of 2.5, and a quarter wait
+  // for work that no node knew of.
+  constexpr double kUsualMs = 100;
+  const std::map<std::string, double> speeds{{"a", 0.7}, {"b", 0.7}, {"c", 1.7}};
+  Fleet fleet(EngineStage::kPrefill);
+  std::map<std::string, double> sums;
+  double all = 0;
+  std::uint64_t draws = 0;
+  const auto draw = [&] { return hash_fraction("draw", ++draws); };
+  constexpr int kPrefills = 200;
+  for (int i = 0; i < kPrefills; ++i) {
+    for (const auto& [id, speed] : speeds) {
+      const bool slowed = draw() < 0.15;
+      const double own_ms = kUsualMs / speed;
+      const double unknown_wait_ms = draw() < 0.25 ? own_ms * draw() : 0;
+      const double took_ms = (own_ms + unknown_wait_ms) * (slowed ? 2.5 : 1);
+      const auto sample =
+          prefill_sample({kUsualMs, 0, from_seconds(took_ms / 1000), 0, slowed ? 250U : 100U});
+      fleet.engines.on_samples(kNow + i * 100ms, EngineId(id), *sample);
+      sums[id] += own_ms;
+      all += own_ms;
+    }
+  }
+  fleet.engines.expire_peer_load(kNow + kPrefills * 100ms);
+  for (const auto& [id, sum] : sums) {
+    const double actual = sum / (all / static_cast<double>(speeds.size()));
+    const double factor = fleet.engines.find(EngineId(id))->profile.prefill_factor();
+    cr_assert_geq(actual / factor, 0.8, "%s: %f", id.c_str(), actual / factor);
+    cr_assert_leq(actual / factor, 1.25, "%s: %f", id.c_str(), actual / factor);
+  }
+}
