Measure the work of stages during the takeover delay

Cause: a new lease holder waited 3 s before its first order and measured only then, so that a saturated stage waited for both. Ruled out: measuring at every node, which would give a new holder a whole history; it costs every node a pass over all engines on each tick. Change: the holder samples from the first tick of its lease. A test also covers the stored number of needed engines after a lost answer.

--- a/src/core/relay/stage_planner.cpp
+++ b/src/core/relay/stage_planner.cpp
@@ -113,6 +113,14 @@
                              state.demand.history()});
 }
 
+void StagePlanner::observe(MonotonicTime now, const EngineDirectory& engines,
+                           const RouteTable& table) {
+  if (settings_.mode != StageMode::kDemand) return;
+  for (const RelayedService& service : table.configuration().services) {
+    if (service.model) update_demand(now, engines, service, divide(now, engines, service));
+  }
+}
+
 std::vector<StageTargetChange> StagePlanner::take_target_changes() {
   return std::exchange(target_changes_, {});
 }
--- a/src/core/relay/stage_planner.hpp
+++ b/src/core/relay/stage_planner.hpp
@@ -63,6 +63,9 @@
   std::optional<StageChange> next(MonotonicTime now, EngineDirectory& engines,
                                   const RouteTable& table);
 
+  /// Measures demand without planning, while orders are not allowed yet.
+  void observe(MonotonicTime now, const EngineDirectory& engines, const RouteTable& table);
+
   /// @return the changes of targets since the last call.
   std::vector<StageTargetChange> take_target_changes();
 
--- a/src/relay/role_coordinator.cpp
+++ b/src/relay/role_coordinator.cpp
@@ -17,7 +17,13 @@
                                  const StagePlannerSettings& planner)
     : io_(io), lease_(lease), node_(node), settings_(settings), planner_(planner) {
   lease_.on_tick([this, alive = alive_] {
-    if (*alive && lease_.held_for() >= settings_.takeover_delay) plan();
+    if (!*alive) return;
+    if (lease_.held_for() >= settings_.takeover_delay) return plan();
+    // Measures before it may order, so that a saturated stage need not wait for both.
+    const bool held = lease_.held_for() > Duration::zero();
+    if (held && node_.table() != nullptr) {
+      planner_.observe(io_.runtime.now(), node_.engines(), *node_.table());
+    }
   });
 }
 
--- a/tests/core/relay/stage_planner_test.cpp
+++ b/tests/core/relay/stage_planner_test.cpp
@@ -230,6 +230,20 @@
   cr_assert_eq(orders.second, 0);
 }
 
+Test(stage_planner, a_holder_measures_before_it_may_order) {
+  // Guards against a saturated stage that waits for the takeover delay and then for a history.
+  PlannedFleet fleet;
+  fleet.add("p", 22, EngineStage::kPrefill);
+  fleet.add("d", 78, EngineStage::kDecode);
+  for (int i = 0; i < 7; ++i) {
+    fleet.now += kTick;
+    fleet.set_load(22, 3);
+    fleet.planner.observe(fleet.now, fleet.engines, *fleet.table);
+  }
+  fleet.set_load(22, 3);
+  cr_assert_eq(fleet.tick().size(), 10, "the first batch at the first tick");
+}
+
 Test(stage_planner, a_short_stage_gives_no_engines_away) {
   // Guards against moving a shortage from one stage to the other when the whole service is short.
   PlannedFleet fleet;
--- a/tests/relay/capacity_coordinator_test.cpp
+++ b/tests/relay/capacity_coordinator_test.cpp
@@ -392,3 +392,18 @@
   cr_assert_eq(fixture.provider.sum_wanted(false), full);
   cr_assert_eq(fixture.provider.sum_wanted(true), spot);
 }
+
+Test(capacity_coordinator, stores_the_number_although_an_answer_was_lost) {
+  // Guards against a holder that writes by an outdated revision for ever after an uncertain answer.
+  ProviderFixture fixture;
+  fixture.run(40s, 35);
+  fixture.store.lose_answers = true;
+  fixture.run(20s, 35);
+  fixture.store.lose_answers = false;
+  fixture.run(80s, 35);
+  std::uint32_t stored = 0;
+  fixture.store.read("shuntbank-capacity", "model", 1s,
+                     [&](const auto& read) { stored = read->content["needed"]; });
+  fixture.run(200ms, 35);
+  cr_assert_eq(stored, 73, "%u", stored);
+}
