--- a/src/core/relay/stage_planner.cpp
+++ b/src/core/relay/stage_planner.cpp
@@ -42,6 +42,7 @@
 std::optional<StageChange> StagePlanner::next(MonotonicTime now, EngineDirectory& engines,
                                               const RouteTable& table) {
   if (!initial_engines_) record_initial_engines(engines);
+  observe(now, engines, table);
   const bool new_batch = !batch_started_at_ || now - *batch_started_at_ >= settings_.batch_interval;
   const bool batch_open = new_batch || batch_remaining_ > 0;
   for (const RelayedService& service : table.configuration().services) {
@@ -127,6 +128,14 @@
                              state.demand.history()});
 }
 
+void StagePlanner::observe(MonotonicTime now, const EngineDirectory& engines,
+                           const RouteTable& table) {
+  if (settings_.mode != StageMode::kDemand) return;
+  for (const RelayedService& service : table.configuration().services) {
+    if (service.model) update_demand(now, engines, service, divide(now, engines, service));
+  }
+}
+
 std::vector<StageTargetChange> StagePlanner::take_target_changes() {
   return std::exchange(target_changes_, {});
 }
@@ -194,7 +203,6 @@
                                                           const RelayedService& service,
                                                           bool batch_open) {
   EnginesByStage divided = divide(now, engines, service);
-  if (settings_.mode == StageMode::kDemand) update_demand(now, engines, service, divided);
   const auto growing = growing_stage(service, divided);
   if (!growing) return std::nullopt;
   const auto engine =
--- a/src/core/relay/stage_planner.hpp
+++ b/src/core/relay/stage_planner.hpp
@@ -75,6 +75,9 @@
   /// A change is not ordered.
   void withdraw(const EngineId& engine) { issued_orders_.erase(engine); }
 
+  /// Measures demand without planning, while orders are not allowed yet.
+  void observe(MonotonicTime now, const EngineDirectory& engines, const RouteTable& table);
+
   /// @return the changes of targets since the last call.
   std::vector<StageTargetChange> take_target_changes();
 
--- a/src/relay/role_coordinator.cpp
+++ b/src/relay/role_coordinator.cpp
@@ -28,7 +28,13 @@
       planner_(planner),
       changes_(settings.changes) {
   lease_.on_tick([this, alive = alive_] {
-    if (*alive && lease_.held_for() >= settings_.takeover_delay) plan();
+    if (!*alive) return;
+    if (lease_.held_for() >= settings_.takeover_delay) return plan();
+    // Measures before it may order, so that a saturated stage need not wait for both.
+    const bool held = lease_.held_for() > Duration::zero();
+    if (held && node_.table() != nullptr) {
+      planner_.observe(io_.runtime.now(), node_.engines(), *node_.table());
+    }
   });
 }
 
