--- a/src/core/relay/dispatch_plan.hpp
+++ b/src/core/relay/dispatch_plan.hpp
@@ -20,7 +20,7 @@
   /// deferred.
   double in_time_share = 0.9;
   /// With a smaller budget there is no remote prefill if the decode dispatch is an extra one or the
-  /// prefill engine is in backoff, as a retry could not be paid for.
+  /// prefill engine is in backoff or about to leave its stage, as a retry could not be paid for.
   double min_retry_budget = 1;
 };
 
@@ -39,9 +39,15 @@
 struct DispatchPlan {
   bool remote_prefill = false;  ///< `placement` only prefills; `decode` answers.
   Placement placement;
-  Placement decode;        ///< Decode engine of a remote prefill.
-  double expected_ms = 0;  ///< Expected time to first token.
-  bool deferred = false;   ///< Cannot meet the objective, so waits behind requests that can.
+  Placement decode;  ///< Decode engine of a remote prefill.
+  /// Expected time to first token. Of a remote prefill: the longer of `placement.expected_ms` and
+  /// the wait for the decode engine's permit, plus the parts below. Of a direct dispatch:
+  /// `placement.expected_ms`, which contains the wait for a slot.
+  double expected_ms = 0;
+  double handover_ms = 0;   ///< Of a remote prefill, without waiting.
+  double transfer_ms = 0;   ///< Of a remote prefill.
+  double slot_wait_ms = 0;  ///< At the decode engine.
+  bool deferred = false;    ///< Cannot meet the objective, so waits behind requests that can.
 };
 
 /// @return how to dispatch the request, or nothing if no engine is available.
--- a/src/core/relay/stage_demand.hpp
+++ b/src/core/relay/stage_demand.hpp
@@ -45,7 +45,10 @@
 /// The work of both stages over the last seconds. Callers pass in the time.
 class StageDemand {
  public:
-  /// Adds a sample, at most one for each sample interval.
+  /// @return whether the last sample is old enough for another one.
+  bool due(MonotonicTime now) const;
+
+  /// Adds a sample.
   void observe(MonotonicTime now, const StageLoad& load);
 
   /// @return whether a request has been seen since this object exists.
@@ -61,6 +64,9 @@
   /// @return the mean work of the last second.
   StageAmounts recent() const;
 
+  /// @return the mean work over the whole history.
+  StageAmounts average() const;
+
   /// @return whether at least a tenth of the engines has gone within the last seconds.
   bool engines_lost() const;
 
@@ -102,6 +108,9 @@
 /// one of them clearly less headroom than the other. Without a target, nothing changes.
 class StageBalance {
  public:
+  /// @param prefill_share that the configuration gives to prefill.
+  explicit StageBalance(double prefill_share) : usual_prefill_share_(prefill_share) {}
+
   /// Updates the target.
   /// @param capacity of both stages once all orders in progress have completed.
   /// @return the cause if the target has changed.
@@ -112,13 +121,14 @@
 
  private:
   struct Imbalance;
-  static Imbalance measure(const StageDemand& demand, const StageAmounts& capacity);
+  Imbalance measure(const StageDemand& demand, const StageAmounts& capacity) const;
   std::optional<StageTargetCause> start(MonotonicTime now, const StageDemand& demand,
                                         const StageAmounts& capacity, const Imbalance& imbalance);
   std::optional<StageTargetCause> follow(MonotonicTime now, const StageAmounts& capacity,
                                          const Imbalance& imbalance);
   std::optional<StageTargetCause> drop(MonotonicTime now, StageTargetCause cause);
 
+  double usual_prefill_share_;
   std::optional<StageTarget> target_;
   EngineStage imbalanced_ = EngineStage::kNone;  ///< The short stage since `imbalanced_since_`.
   MonotonicTime imbalanced_since_{};
--- a/src/core/relay/stage_planner.cpp
+++ b/src/core/relay/stage_planner.cpp
@@ -42,6 +42,7 @@
 std::optional<StageChange> StagePlanner::next(MonotonicTime now, EngineDirectory& engines,
                                               const RouteTable& table) {
   if (!initial_engines_) record_initial_engines(engines);
+  observe(now, engines, table);
   const bool new_batch = !batch_started_at_ || now - *batch_started_at_ >= settings_.batch_interval;
   const bool batch_open = new_batch || batch_remaining_ > 0;
   for (const RelayedService& service : table.configuration().services) {
@@ -105,6 +106,8 @@
   EnginesByStage divided;
   for (EngineView* engine : engines.find_by_service(service.name)) {
     if (engine->record.draining) continue;
+    // A lost engine is still listed for some seconds.
+    if (settings_.mode == StageMode::kDemand && engine->terminated) continue;
     const bool prefill = expected_stage(now, engine->record) == EngineStage::kPrefill;
     (prefill ? divided.prefill : divided.decode).push_back(engine);
   }
@@ -113,7 +116,8 @@
 
 void StagePlanner::update_demand(MonotonicTime now, const EngineDirectory& engines,
                                  const RelayedService& service, const EnginesByStage& divided) {
-  ServiceState& state = services_[service.name];
+  ServiceState& state = services_.try_emplace(service.name, settings_.prefill_share).first->second;
+  if (!state.demand.due(now)) return;
   state.demand.observe(now, measure_stage_load(now, engines.find_by_service(service.name),
                                                engines.model_of(service.name)));
   const StageAmounts capacity{total_speed(divided.prefill), total_speed(divided.decode)};
@@ -124,6 +128,14 @@
                              state.demand.history()});
 }
 
+void StagePlanner::observe(MonotonicTime now, const EngineDirectory& engines,
+                           const RouteTable& table) {
+  if (settings_.mode != StageMode::kDemand) return;
+  for (const RelayedService& service : table.configuration().services) {
+    if (service.model) update_demand(now, engines, service, divide(now, engines, service));
+  }
+}
+
 std::vector<StageTargetChange> StagePlanner::take_target_changes() {
   return std::exchange(target_changes_, {});
 }
@@ -191,7 +203,6 @@
                                                           const RelayedService& service,
                                                           bool batch_open) {
   EnginesByStage divided = divide(now, engines, service);
-  if (settings_.mode == StageMode::kDemand) update_demand(now, engines, service, divided);
   const auto growing = growing_stage(service, divided);
   if (!growing) return std::nullopt;
   const auto engine =
--- a/src/core/relay/stage_planner.hpp
+++ b/src/core/relay/stage_planner.hpp
@@ -75,12 +75,17 @@
   /// A change is not ordered.
   void withdraw(const EngineId& engine) { issued_orders_.erase(engine); }
 
+  /// Measures demand without planning, while orders are not allowed yet.
+  void observe(MonotonicTime now, const EngineDirectory& engines, const RouteTable& table);
+
   /// @return the changes of targets since the last call.
   std::vector<StageTargetChange> take_target_changes();
 
  private:
   /// The demand of one service and what follows from it.
   struct ServiceState {
+    explicit ServiceState(double prefill_share) : balance(prefill_share) {}
+
     StageDemand demand;
     StageBalance balance;
   };
--- a/src/relay/relay_context.hpp
+++ b/src/relay/relay_context.hpp
@@ -6,8 +6,10 @@
 #include <vector>
 
 #include "common/runtime.hpp"
+#include "core/relay/admission.hpp"
 #include "core/relay/engine_directory.hpp"
 #include "core/relay/engine_samples.hpp"
+#include "core/relay/fair_share.hpp"
 #include "core/relay/retry_budget.hpp"
 #include "core/relay/sample_buffer.hpp"
 #include "core/relay/stage_notice.hpp"
@@ -43,6 +45,8 @@
   std::vector<LimitUpdate> pending_limit_updates;  ///< Likewise.
   std::vector<EngineStageNotice> pending_stage_notices;  ///< Likewise.
   SampleBuffer<EngineId> pending_samples;                ///< Likewise.
+  AdmissionControl admission = AdmissionControl(settings.admission);
+  FairShares shares = {};
 
   /// An engine has prefilled a prompt and caches its parts.
   void on_prompt_read(const PromptRead& read);
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -59,6 +59,11 @@
     return false;
   }
   const std::uint64_t previous_version = table_ ? table_->version() : 0;
+  std::vector<TenantName> tenants;
+  if (configuration.tenants) {
+    for (const DeclaredTenant& tenant : *configuration.tenants) tenants.push_back(tenant.name);
+  }
+  context_.shares.declare(tenants);
   table_ = std::make_shared<const RouteTable>(std::move(configuration));
   if (!table_->warnings().empty()) {
     log_event(LogArea::kConfig, LogLevel::kWarning, "config_questionable",
@@ -173,15 +178,17 @@
                        const char* why) {
   const HeaderNames& names = io_.dialect.names();
   const std::string id(request.headers.get(names.request_id));
+  const bool retryable = status == http_status::kServiceUnavailable;
   log_event(LogArea::kCallers, LogLevel::kInfo, "refused",
             {{"request", id},
              {"status", status},
              {"why", why},
-             {"config", table_ ? table_->version() : 0}});
+             {"config", table_ ? table_->version() : 0},
+             {"retry_after_ms", retryable ? whole_ms(settings_.retry_after) : -1}});
   HttpReply reply;
   reply.status = status;
   if (!id.empty()) reply.headers.add(names.request_id, id);
-  if (status == http_status::kServiceUnavailable) {
+  if (retryable) {
     reply.headers.add(names.retry_after, retry_after_text(settings_.retry_after));
   }
   responder.respond(std::move(reply));
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -13,10 +13,6 @@
 /// With less time left, a request is not sent to another engine.
 constexpr Duration kMinUsefulTime = std::chrono::milliseconds(20);
 
-/// Range of the urgency header; 0 is the most urgent.
-constexpr int kMostUrgent = 0;
-constexpr int kLeastUrgent = 9;
-
 constexpr Duration kReleaseTimeout = std::chrono::seconds(1);
 
 std::optional<std::int64_t> parse_integer(std::string_view text) {
@@ -119,7 +115,7 @@
   return place(context_.runtime.now(), context_.engines, query, context_.settings.placement);
 }
 
-/// Plans the dispatch and sends the request. @return false when no engine is available.
+/// Plans the dispatch and sends or refuses the request. @return false when no engine is available.
 bool RelaySession::try_send() {
   if (service_ == nullptr) return false;
   update_crash_risk_engines();
@@ -129,8 +125,11 @@
     plan = current_plan();
   }
   if (!plan) return false;
+  if (!admit(*plan)) return true;
   deferred_ = plan->deferred;
   expected_first_token_ms_ = plan->expected_ms;
+  expected_first_event_ms_ = to_ms(context_.runtime.now() - arrived_) + plan->expected_ms;
+  expected_slot_wait_ms_ = plan->slot_wait_ms;
   use_placement(plan->placement);
   if (plan->remote_prefill) {
     start_remote_prefill(*plan);
@@ -188,7 +187,7 @@
   outgoing.headers.add(names.expected_engine, record.own_name());
   if (tenant_ != nullptr) outgoing.headers.add(names.tenant, tenant_->name.value());
   if (prompt_) {
-    outgoing.headers.add(names.urgency, std::to_string(urgency()));
+    outgoing.headers.add(names.urgency, std::to_string(urgency_));
   }
   if (step == Step::kPrefill) {
     outgoing.headers.add(names.stage, context_.dialect.prefill_stage_value());
@@ -221,11 +220,48 @@
   return tenant_ == nullptr ? std::string_view() : std::string_view(tenant_->name.value());
 }
 
-/// Deferred requests get the lowest urgency, so that they delay none that can be in time.
-int RelaySession::urgency() const {
-  const int priority =
-      tenant_ == nullptr ? route_.priority : tenant_->priority.value_or(route_.priority);
-  return deferred_ ? kLeastUrgent : std::clamp(priority, kMostUrgent, kLeastUrgent - 1);
+int RelaySession::priority() const {
+  return tenant_ == nullptr ? route_.priority : tenant_->priority.value_or(route_.priority);
+}
+
+int RelaySession::urgency(Step step) const {
+  UrgencyQuery query;
+  query.order = context_.settings.order;
+  query.priority = priority();
+  query.kinds = table_->kinds_of(service_name_);
+  query.deferred = deferred_;
+  query.before_other_late = !late_above_share_;
+  query.prefill_only = step == Step::kPrefill;
+  // A request that is sent ahead is expected too late, but must not wait behind all others again.
+  query.objective_ms = sent_ahead_ ? 0 : to_ms(route_.objective);
+  query.time_left_ms = to_ms(arrived_ + route_.objective - context_.runtime.now());
+  query.own_work_ms = own_work_ms(step);
+  return request_urgency(query);
+}
+
+/// @return expected milliseconds until the first token without waiting for other requests.
+double RelaySession::own_work_ms(Step step) const {
+  const EngineModel& model = std::as_const(context_.engines).model_of(service_name_);
+  const EngineView* engine = context_.engines.find(engine_);
+  const double factor =
+      engine == nullptr ? 1 : engine->present_prefill_factor(context_.runtime.now());
+  const auto tokens = static_cast<double>(prefill_tokens_);
+  if (step == Step::kPlain) return model.decode_prefill_ms(tokens) * factor;
+  const double prefill_ms =
+      step == Step::kPrefill ? model.prefill().prefill_ms(tokens) * factor : 0;
+  return prefill_ms + handover_without_wait_ms();
+}
+
+double RelaySession::handover_without_wait_ms() const {
+  const EngineModel& model = std::as_const(context_.engines).model_of(service_name_);
+  return model.handover_ms() + service_->model->transfer_ms(prompt_->prompt_tokens);
+}
+
+/// @return expected milliseconds until this attempt's prompt is prefilled or, after a remote
+/// prefill, until its first event.
+double RelaySession::expected_step_ms(Step step) const {
+  if (step != Step::kDecodeFromHandle) return placement_.expected_ms;
+  return handover_without_wait_ms() + expected_slot_wait_ms_;
 }
 
 void RelaySession::send(const EngineId& engine, Step step) {
@@ -256,6 +292,13 @@
   if (step == Step::kPrefill) {
     prefill_reference_ = prefill_reference(sent_at_, context_.engines, *view, prefill_tokens_);
   }
+  occupancy_when_sent_ = view->occupancy(sent_at_);
+  if (prompt_) {
+    const EngineModel& model = std::as_const(context_.engines).model_of(service_name_);
+    if (step != Step::kPrefill) expected_slot_wait_ms_ = model.slot_wait_ms(occupancy_when_sent_);
+    expected_step_ms_ = expected_step_ms(step);
+    urgency_ = urgency(step);
+  }
   context_.engines.on_attempt_sent(engine, {prefill_tokens_, deferred_});
   if (prompt_) context_.notify_load_changed();
   if (step == Step::kPrefill) context_.engines.on_prompt_sent(prefill_tokens_);
@@ -326,8 +369,10 @@
 }
 
 void RelaySession::refuse(const std::string& why) {
+  const Duration retry_after = caller_retry_delay();
+  retry_after_ms_ = whole_ms(retry_after);
   HttpHeaders headers;
-  headers.add(context_.dialect.names().retry_after, retry_after_text(caller_retry_delay()));
+  headers.add(context_.dialect.names().retry_after, retry_after_text(retry_after));
   log_attempt("refused", why);
   return_quota();
   respond(http_status::kServiceUnavailable, headers, "", "refused");
@@ -348,6 +393,7 @@
 
 void RelaySession::on_timeout() {
   if (ended_) return;
+  report_late_result();
   const bool may_run = transfer_.has_value() && step_ != Step::kPrefill;
   cancel_transfer();
   if (!may_run && known_not_run(history_) && !history_.head_forwarded) {
@@ -415,6 +461,10 @@
   release_handle();
   if (identity_ && result != kAnswered) context_.quarantine.on_attempt_failed(identity_->request);
   const MonotonicTime now = context_.runtime.now();
+  if (under_admission_control() && result == kAnswered) {
+    context_.admission.on_slot_freed(now, service_name_);
+  }
+  report_served();
   context_.metrics.count_request(service_name_.value(), result, now - arrived_);
   log_event(
       LogArea::kCallers, LogLevel::kInfo, "request_ended",
@@ -429,6 +479,7 @@
        {"sends", history_.sends},
        {"identity", suspect_status().is_suspect() ? to_text(identity_->request) : std::string()},
        {"first_ms", whole_ms(progress_.first_event_delay(arrived_))},
+       {"expected_first_ms", static_cast<std::int64_t>(expected_first_event_ms_)},
        {"gap_ms", whole_ms(progress_.longest_gap())},
        {"took_ms", whole_ms(now - arrived_)}});
   const auto handler = std::exchange(on_end_, nullptr);
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -61,7 +61,8 @@
   void use_placement(const Placement& placement);
   void send(const EngineId& engine, Step step);
   OutgoingRequest build_outgoing(const EngineRecord& record, Step step) const;
-  int urgency() const;
+  int urgency(Step step) const;
+  double own_work_ms(Step step) const;
   std::string_view tenant_name() const;
   Duration time_left() const;
   std::uint32_t connections_per_engine() const;
@@ -90,10 +91,21 @@
   void report_interruption();
   void report_unresponsive();
 
+  // Admission while capacity is short.
+  bool under_admission_control() const;
+  bool admit(DispatchPlan& plan);
+  bool admit_wait(std::optional<MonotonicTime> available_at);
+  bool refusable() const;
+  void log_admission(const AdmissionDecision& decision, const AdmissionQuery& query) const;
+  void report_late_result();
+  void report_served();
+  Duration scheduled_return_delay(std::optional<MonotonicTime> available_at);
+  int priority() const;
+
   // Engines in cooldown.
   bool wait_for_cooldown();
   void on_cooldown_end();
-  Duration caller_retry_delay() const;
+  Duration caller_retry_delay();
 
   // Permits of rate-limited engines.
   void on_decode_permit(const EngineId& prefill_engine, std::optional<SendPermit> permit);
@@ -133,6 +145,10 @@
   void update_prefill_model(bool exclusive);
   void report_prefill_sample();
   void report_stream_sample();
+  void update_handover_model();
+  double expected_step_ms(Step step) const;
+  double handover_without_wait_ms() const;
+  void observe_expectation(const char* stage, double actual_ms, double expected_ms);
   void report_prompt_read();
   void report_started();
   AttemptHealth refusal_health() const;
@@ -179,12 +195,18 @@
   EngineId engine_;
   std::uint64_t prefill_tokens_ = 0;
   bool deferred_ = false;               ///< Yields to requests that can be in time.
+  bool sent_ahead_ = false;             ///< See `AdmissionAction::kSendAhead`.
   double expected_first_token_ms_ = 0;  ///< Estimate at dispatch.
+  double expected_first_event_ms_ = 0;  ///< The same since arrival.
+  double expected_slot_wait_ms_ = 0;    ///< At the decode engine, included above.
+  double expected_step_ms_ = 0;         ///< Of this attempt, until its prompt is prefilled.
+  int urgency_ = 0;                     ///< Sent to the engine, if the request has a prompt.
   bool prefill_tokens_released_ = false;
   bool attempt_counted_ = false;
   bool charged_to_budget_ = false;      ///< Sent as an extra dispatch.
   bool idle_when_sent_ = false;         ///< The engine had no other known work.
   PrefillReference prefill_reference_;  ///< Of a remote prefill.
+  Occupancy occupancy_when_sent_;       ///< Of the engine, without this attempt.
   std::optional<TransferId> transfer_;
   EngineStage sent_stage_ = EngineStage::kNone;  ///< The engine's, as known when it was sent.
   MonotonicTime sent_at_{};
@@ -209,6 +231,12 @@
 
   bool started_ = false;  ///< An engine has started to run the request.
 
+  std::optional<LateRequest> late_request_;  ///< Set until its first token.
+  /// Late requests of tenants above their share are served behind those of tenants below it.
+  bool late_above_share_ = true;
+  Duration slot_expected_in_{};       ///< Of a refused request; zero: unknown.
+  std::int64_t retry_after_ms_ = -1;  ///< Told to the caller; -1: not refused.
+
   std::optional<HttpReply> failure_answer_;  ///< An engine's error, sent if retries fail.
   bool ended_ = false;
 };
--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -1,7 +1,9 @@
 // Handling of an engine's answer to a relayed request.
+#include <algorithm>
 #include <utility>
 
 #include "core/relay/engine_observation.hpp"
+#include "core/relay/prompt_size.hpp"
 #include "net/http_status.hpp"
 #include "relay/relay_session.hpp"
 
@@ -95,11 +97,12 @@
   if (!prefill_tokens_released_) {
     prefill_tokens_released_ = true;
     context_.engines.on_prompt_read(engine_, {prefill_tokens_, deferred_});
-    if (prompt_) report_prompt_read();
-    if (step_ == Step::kDecodeFromHandle) {
-      context_.engines.model_of(service_name_)
-          .on_handover(context_.runtime.now() - sent_at_, deferred_);
+    if (prompt_) {
+      report_prompt_read();
+      observe_expectation(step_ == Step::kDecodeFromHandle ? "handover" : "whole",
+                          to_ms(context_.runtime.now() - sent_at_), expected_step_ms_);
     }
+    if (step_ == Step::kDecodeFromHandle) update_handover_model();
   }
   if (!progress_.in_order(event)) {
     answer_invalid_ = true;
@@ -107,7 +110,11 @@
   }
   if (!history_.head_forwarded) {
     begin_stream();
+    report_late_result();
     context_.metrics.observe_first_event(service_name_.value(), context_.runtime.now() - arrived_);
+    const Duration elapsed = context_.runtime.now() - arrived_;
+    context_.metrics.observe_first_event(service_name_.value(), elapsed);
+    if (prompt_) observe_expectation("first_event", to_ms(elapsed), expected_first_event_ms_);
   }
   const MonotonicTime now = context_.runtime.now();
   const auto gap = progress_.on_forwarded(now, event);
@@ -206,6 +213,7 @@
   }
   report_health(AttemptHealth::kGood);
   EngineView* view = context_.engines.find(engine_);
+  observe_expectation("prefill", to_ms(context_.runtime.now() - sent_at_), expected_step_ms_);
   if (view != nullptr) {
     update_prefill_model(idle_when_sent_ && view->in_flight == 0 && !deferred_);
     report_prefill_sample();
@@ -234,6 +242,8 @@
 void RelaySession::update_prefill_model(bool exclusive) {
   EngineModel& model = context_.engines.model_of(service_name_);
   const Duration elapsed = context_.runtime.now() - sent_at_;
+  const bool behind_others = !idle_when_sent_ && !deferred_ && fetch_address_.empty();
+  if (behind_others) model.on_read_behind(placement_.ahead_ms, prefill_tokens_, elapsed);
   if (fetch_address_.empty()) return model.on_prompt_read(prefill_tokens_, elapsed, exclusive);
   if (!exclusive) return;
   model.on_fetch(prefill_tokens_,
@@ -263,12 +273,30 @@
                          stream_sample({*mean_gap, progress_.longest_gap(), route_.gap_target}));
 }
 
+void RelaySession::observe_expectation(const char* stage, double actual_ms, double expected_ms) {
+  context_.metrics.observe_expectation(service_name_.value(), stage,
+                                       prompt_size_class(prompt_->prompt_tokens), actual_ms,
+                                       expected_ms);
+}
+
+void RelaySession::update_handover_model() {
+  const Duration elapsed = context_.runtime.now() - sent_at_;
+  const Duration transfer =
+      from_seconds(service_->model->transfer_ms(prompt_->prompt_tokens) / 1000);
+  // Engines serve the least urgent last, also those that have become late since the plan.
+  const bool yields = deferred_ || urgency_ == kLeastUrgent;
+  context_.engines.model_of(service_name_)
+      .on_handover(std::max(Duration::zero(), elapsed - transfer), yields, occupancy_when_sent_);
+}
+
 void RelaySession::on_stream_end() {
   if (splitter_.has_partial()) {
     report_health(AttemptHealth::kFailed);
     return on_attempt_failed(AttemptOutcome::kUncertain, "the stream ended inside an event");
   }
   report_health(AttemptHealth::kGood);
+  if (service_->model)
+    context_.engines.model_of(service_name_).on_stream_ended(context_.runtime.now() - sent_at_);
   if (const auto gap = progress_.mean_gap()) {
     context_.engines.model_of(service_name_).on_event_interval(*gap);
   }
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -7,8 +7,10 @@
 #include "common/identifiers.hpp"
 #include "common/time.hpp"
 #include "core/lease/lease_holder.hpp"
+#include "core/relay/admission.hpp"
 #include "core/relay/dispatch_plan.hpp"
 #include "core/relay/placement.hpp"
+#include "core/relay/request_urgency.hpp"
 #include "core/relay/retry_budget.hpp"
 #include "core/relay/stage_change_queue.hpp"
 #include "core/relay/stage_planner.hpp"
@@ -92,6 +94,8 @@
   LoadExchangeSettings exchange;  ///< `zone` and `join_existing` are overridden from this struct.
   PlacementSettings placement;
   PrefillSettings prefill;
+  RequestOrder order = RequestOrder::kSlack;  ///< What engines are told of a request's urgency.
+  AdmissionSettings admission;
   RetryBudgetSettings retry_budget;
   LeaseKeeperSettings lease;
   RoleCoordinatorSettings roles;
--- a/tests/core/relay/dispatch_plan_test.cpp
+++ b/tests/core/relay/dispatch_plan_test.cpp
@@ -74,6 +74,17 @@
   cr_assert(fixture.plan()->remote_prefill);
 }
 
+// Guards against budget spent at the last prefill engine, which refuses during its stage change.
+Test(dispatch_plan, avoids_a_prefill_engine_about_to_change_without_retry_budget) {
+  Fixture fixture;
+  fixture.query.retry_budget = 0.9;
+  fixture.engines.on_stage_notice(kNow, EngineId("reader"),
+                                  {EngineStage::kDecode, 1, std::chrono::seconds(1)});
+  cr_assert_not(fixture.plan()->remote_prefill);
+  fixture.query.retry_budget = 1;
+  cr_assert(fixture.plan()->remote_prefill);
+}
+
 Test(dispatch_plan, needs_retry_budget_for_the_decode_dispatch) {
   Fixture fixture;
   fixture.query.extra_dispatch = true;
@@ -171,3 +182,33 @@
   fixture.engines.find(EngineId("maker"))->cache.on_prompt_read({{1, 3000}}, 1000000, kNow);
   cr_assert(fixture.plan()->remote_prefill);
 }
+
+// Guards against plans that expect requests in time at engines whose slots are all taken.
+Test(dispatch_plan, expects_the_wait_for_a_slot_of_the_decode_engine) {
+  Fixture fixture;
+  const auto before = fixture.plan();
+  cr_assert(before->remote_prefill);
+  cr_assert_eq(before->slot_wait_ms, 0);
+  fixture.engines.on_peer_load(kNow, NodeId("n2"), {{EngineId("maker"), {1, 0, 0}}});
+  const auto full = fixture.plan();
+  cr_assert(full->remote_prefill);
+  cr_assert_gt(full->slot_wait_ms, 100);
+  cr_assert_float_eq(full->expected_ms, before->expected_ms + full->slot_wait_ms, 0.1);
+  cr_assert_float_eq(
+      full->expected_ms,
+      full->placement.expected_ms + full->handover_ms + full->transfer_ms + full->slot_wait_ms,
+      0.1);
+  fixture.query.prefill_sent = true;
+  const auto direct = fixture.plan();
+  cr_assert_not(direct->remote_prefill);
+  cr_assert_float_eq(direct->slot_wait_ms, full->slot_wait_ms, 0.1);
+  cr_assert_gt(direct->expected_ms, direct->slot_wait_ms);
+}
+
+Test(dispatch_plan, defers_a_request_that_waits_too_long_for_a_slot) {
+  Fixture fixture;
+  fixture.query.time_to_objective = std::chrono::milliseconds(600);
+  cr_assert_not(fixture.plan()->deferred);
+  fixture.engines.on_peer_load(kNow, NodeId("n2"), {{EngineId("maker"), {3, 0, 0}}});
+  cr_assert(fixture.plan()->deferred);
+}
--- a/tests/core/relay/placement_test.cpp
+++ b/tests/core/relay/placement_test.cpp
@@ -110,6 +110,42 @@
   cr_assert_neq(fleet.choose()->engine, home);
 }
 
+// Guards against an expected time that counts the work ahead in full, whatever was observed.
+Test(placement, expects_the_learned_share_of_the_work_ahead) {
+  Fleet fleet;
+  for (int i = 0; i < 5; ++i) {
+    fleet.engines.on_attempt_sent(EngineId("p" + std::to_string(i)), {20000, false});
+  }
+  const auto in_full = fleet.choose();
+  EngineModel& model = fleet.engines.model_of(fleet.service.name);
+  for (int i = 0; i < 200; ++i) {
+    const double own_ms = model.prefill().prefill_ms(1000);
+    model.on_read_behind(300, 1000, from_seconds((own_ms + 150) / 1000));
+  }
+  const auto learned = fleet.choose();
+  cr_assert_float_eq(learned->ahead_ms, in_full->ahead_ms, 1e-6);
+  cr_assert_float_eq(learned->expected_ms, in_full->expected_ms - in_full->ahead_ms / 2, 10);
+}
+
+// Guards against a handover to an engine that makes it wait, as its caches are preferred.
+Test(placement, prefers_a_free_decode_engine_to_the_home_with_learned_waits) {
+  Fleet fleet;
+  for (int i = 0; i < 3; ++i) {
+    EngineRecord record = engine("d" + std::to_string(i), EngineStage::kDecode);
+    record.slots = 16;
+    fleet.engines.upsert(record);
+  }
+  fleet.query.stage = EngineStage::kDecode;
+  const EngineId home = fleet.choose()->engine;
+  // Quick engines, so that neither caches nor a full batch count for much.
+  EngineModel& model = fleet.engines.model_of(fleet.service.name);
+  for (int i = 0; i < 50; ++i) model.on_prompt_read(12000, from_seconds(0.01), true);
+  fleet.engines.on_peer_load(kNow, NodeId("n2"), {{home, {13, 0, 0}}});
+  cr_assert_eq(fleet.choose()->engine, home);
+  for (int i = 0; i < 50; ++i) model.on_handover(from_seconds(0.12), false, {13, 16});
+  cr_assert_neq(fleet.choose()->engine, home);
+}
+
 Test(placement, counts_the_load_of_other_nodes) {
   Fleet fleet;
   const EngineId home = fleet.choose()->engine;
@@ -240,3 +276,31 @@
   fleet.engines.upsert(engine("new", EngineStage::kPrefill));
   cr_assert_neq(fleet.choose()->engine.value(), "new");
 }
+
+// Guards against a stage without engines: a notice is a hint, and the change may be withdrawn.
+Test(placement, uses_an_engine_about_to_change_only_when_no_other_is_left) {
+  Fleet fleet;
+  const StageNotice notice{EngineStage::kDecode, 1, 1500ms};
+  for (int i = 0; i < 5; ++i) {
+    const EngineId id("p" + std::to_string(i));
+    if (i > 0) fleet.engines.on_stage_notice(kNow, id, notice);
+  }
+  fleet.engines.on_attempt_health(kNow, EngineId("p0"), AttemptHealth::kBusy);
+  cr_assert_eq(fleet.choose()->engine.value(), "p0", "rather one in backoff");
+  fleet.engines.on_stage_notice(kNow, EngineId("p0"), notice);
+  cr_assert(fleet.choose().has_value());
+}
+
+Test(placement, uses_an_engine_again_after_its_notice_ends) {
+  Fleet expired;
+  const EngineId home = expired.choose()->engine;
+  expired.engines.on_stage_notice(kNow - 2s, home, {EngineStage::kDecode, 1, 1500ms});
+  cr_assert_eq(expired.choose()->engine, home);
+  Fleet withdrawn;
+  withdrawn.engines.on_stage_notice(kNow, home, {EngineStage::kDecode, 1, 1500ms});
+  withdrawn.engines.on_stage_notice(kNow, home, {EngineStage::kPrefill, 1, 0ms});
+  cr_assert_eq(withdrawn.choose()->engine, home);
+  Fleet changed;
+  changed.engines.on_stage_notice(kNow, home, {EngineStage::kPrefill, 1, 1500ms});
+  cr_assert_eq(changed.choose()->engine, home, "the list shows the new stage");
+}
--- a/tests/relay/relay_session_test.cpp
+++ b/tests/relay/relay_session_test.cpp
@@ -167,6 +167,33 @@
   cr_assert_eq(site.http.count(), 2, "a used handle is not released");
 }
 
+// Guards against expected times whose error an operator cannot read.
+Test(relay_session, reports_actual_over_expected_times) {
+  RelayFixture site;
+  site.add_engine("p", "model", EngineStage::kPrefill);
+  site.add_engine("d", "model", EngineStage::kDecode);
+  site.request("/stream/a", {{"tokens", "20000"}});
+  site.runtime.advance(505ms);  // As expected by default.
+  site.http.answer(0, 200, {{"id", "r1"}}, "h1");
+  site.runtime.advance(80ms);  // About ten times the default.
+  site.http.answer(1, 200, RelayFixture::sealed_headers(), "id: 1\ndata: a\n\n");
+  const std::string text = site.node->metrics().to_text();
+  const auto at_most = [&](const std::string& stage, const std::string& bound) {
+    const std::string name =
+        "actual_over_expected_bucket{service=\"model\",size=\"25000\",stage=\"";
+    const std::string line = name + stage + "\",le=\"" + bound + "\"} ";
+    const std::size_t at = text.find(line);
+    cr_assert(at != std::string::npos, "no %s", line.c_str());
+    return text[at + line.size()];
+  };
+  cr_assert_eq(at_most("prefill", "0.9"), '0');
+  cr_assert_eq(at_most("prefill", "1.1"), '1');
+  cr_assert_eq(at_most("handover", "5"), '0');
+  cr_assert_eq(at_most("handover", "10"), '1');
+  cr_assert_eq(at_most("first_event", "1"), '0');
+  cr_assert_eq(at_most("first_event", "1.25"), '1');
+}
+
 Test(relay_session, releases_an_unused_handle) {
   RelayFixture site;
   site.add_engine("p", "model", EngineStage::kPrefill);
@@ -327,6 +354,49 @@
   cr_assert(text.find("budget_exhausted_total{" + service + "} 17") != std::string::npos);
 }
 
+// Guards against a long prompt that could just be in time and waits behind short ones.
+Test(relay_session, orders_requests_of_several_kinds_by_slack) {
+  for (const auto order : {relay::RequestOrder::kSlack, relay::RequestOrder::kPriority}) {
+    RelayFixture site;
+    site.settings.order = order;
+    site.restart();
+    auto configuration = RelayFixture::configuration(2);
+    configuration.routes.back().priority = 2;
+    site.node->adopt(configuration);
+    site.add_engine("p", "model", EngineStage::kPrefill);
+    site.add_engine("d", "model", EngineStage::kDecode);
+    site.request("/resumable/a", {{"tokens", "29000"}});
+    site.request("/stream/b", {{"tokens", "1000"}, {"id", "r2"}});
+    site.request("/resumable/c", {{"tokens", "1000"}, {"id", "r3"}});
+    const bool slack = order == relay::RequestOrder::kSlack;
+    cr_assert_eq(site.http.at(0).request.headers.get("urgency"), slack ? "0" : "2");
+    cr_assert_eq(site.http.at(1).request.headers.get("urgency"), slack ? "1" : "0");
+    cr_assert_eq(site.http.at(2).request.headers.get("urgency"), slack ? "3" : "2");
+  }
+}
+
+// Guards against handovers that have become late and delay those that can still be in time, or
+// raise the expected handover of the latter.
+Test(relay_session, orders_handovers_by_the_time_that_is_left) {
+  for (const int prefill_ms : {100, 900, 1100}) {
+    RelayFixture site;
+    auto configuration = RelayFixture::configuration(2);
+    configuration.routes.back().priority = 2;
+    site.node->adopt(configuration);
+    site.add_engine("p", "model", EngineStage::kPrefill);
+    site.add_engine("d", "model", EngineStage::kDecode);
+    site.request("/stream/a", {{"tokens", "20000"}});
+    site.runtime.advance(std::chrono::milliseconds(prefill_ms));
+    site.http.answer(0, 200, {{"id", "r1"}}, "h1");
+    const std::string expected = prefill_ms == 100 ? "1" : prefill_ms == 900 ? "0" : "9";
+    cr_assert_eq(site.http.at(1).request.headers.get("urgency"), expected, "%d", prefill_ms);
+    site.runtime.advance(300ms);
+    site.http.answer(1, 200, RelayFixture::sealed_headers(), "id: 1\ndata: a\n\n");
+    const double handover_ms = site.node->engines().model_of(ServiceName("model")).handover_ms();
+    cr_assert_eq(handover_ms < 100, prefill_ms == 1100);
+  }
+}
+
 Test(relay_session, sends_late_requests_with_the_lowest_urgency) {
   RelayFixture site;
   site.add_engine("p", "model", EngineStage::kPrefill);
@@ -341,3 +411,50 @@
   site.request("/stream/c", {{"tokens", "20000"}, {"id", "r3"}});
   cr_assert_eq(site.http.at(2).request.headers.get("urgency"), "9");
 }
+
+// Guards against announced refusals that are held against the engine: its backoff and the trouble
+// reports to all nodes would outlast the change.
+Test(relay_session, holds_no_announced_refusal_against_the_engine) {
+  RelayFixture site;
+  site.add_engine("d1", "model", EngineStage::kDecode);
+  site.node->on_load_changed([] {});
+  const EngineId engine("d1");
+  for (int i = 0; i < 4; ++i) {
+    const std::size_t sent = site.http.count();
+    site.request("/stream/a", {{"tokens", "100"}});
+    // The notice arrives while the request is on its way.
+    site.node->queue_stage_notice({engine, {EngineStage::kPrefill, 1, 1500ms}});
+    site.http.answer(sent, 503, {{"id", "r1"}, {"refused", "1"}}, "");
+    cr_assert_eq(site.http.count(), sent + 1);
+  }
+  cr_assert_leq(site.node->engines().find(engine)->backoff_until, site.runtime.now());
+  cr_assert(site.node->take_troubles().empty());
+  // The same without a notice.
+  site.node->queue_stage_notice({engine, {EngineStage::kDecode, 1, 0ms}});
+  for (int i = 0; i < 4; ++i) {
+    const std::size_t sent = site.http.count();
+    site.request("/stream/a", {{"tokens", "100"}});
+    site.http.answer(sent, 503, {{"id", "r1"}, {"refused", "1"}}, "");
+  }
+  cr_assert_gt(site.node->engines().find(engine)->backoff_until, site.runtime.now());
+  cr_assert_not(site.node->take_troubles().empty());
+}
+
+// Guards against announced refusals that are free of charge: the budget bounds all arrivals.
+Test(relay_session, charges_a_send_after_an_announced_refusal) {
+  for (const double slack : {80.0, 0.0}) {
+    RelayFixture site;
+    site.settings.retry_budget.slack = slack;
+    site.settings.retry_budget.ratio = 0;
+    site.restart();
+    site.node->set_fleet({1, 0});
+    site.runtime.advance(relay::charge_duration(site.settings.retry_budget));
+    site.add_engine("e1", "model", EngineStage::kDecode);
+    site.add_engine("e2", "model", EngineStage::kDecode);
+    site.request("/stream/a", {{"tokens", "100"}});
+    const EngineId engine(std::string(site.http.at(0).request.headers.get("for-engine")));
+    site.node->queue_stage_notice({engine, {EngineStage::kPrefill, 1, 1500ms}});
+    site.http.answer(0, 503, {{"id", "r1"}, {"refused", "1"}}, "");
+    cr_assert_eq(site.http.count(), slack > 0 ? 2 : 1);
+  }
+}
