Restore the reasons and figures behind constants and rules in comments

Put back, in present terms, where they still apply to the code: - measured effects behind limits and intervals (sum interval, engine changes per second, retry budget shares, crash threshold); - sizes and times behind exchange limits (configuration deltas, peer answers, lease takeover, collisions of engine keys); - the fault that a rule prevents (cut streams at draining engines, streams lost at the next crash, weak evidence of one interruption).

Comments only; no code, string or log text differs. Not built and not tested.

--- a/src/core/relay/crash_ledger.hpp
+++ b/src/core/relay/crash_ledger.hpp
@@ -18,10 +18,12 @@
 /// Tunables of the ledger.
 struct CrashLedgerSettings {
   /// Crashed engines after which a request is quarantined, not counting crashes that another
-  /// quarantined request explains. Requests that are retried together with the cause often see two.
+  /// quarantined request explains. One may be a coincidence, and requests that are retried together
+  /// with the cause often see two (17 of 51 attempts in one case).
   std::size_t quarantine_threshold = 3;
   /// Crashed engines after which a request is quarantined even if other quarantined requests
-  /// explain some of the crashes.
+  /// explain some of the crashes: a request that was quarantined after the third crash is normally
+  /// no longer sent when the fourth one happens.
   std::size_t unconditional_threshold = 4;
   /// How long a request is quarantined after its last attempt. Exceeds the retry interval of
   /// callers (30 s) and the restart time of an engine (3 s).
--- a/src/core/relay/engine_key.hpp
+++ b/src/core/relay/engine_key.hpp
@@ -9,8 +9,8 @@
 
 namespace shuntbank::relay {
 
-/// The first 32 bits of a hash of an engine's id. Collisions are rare, and affect only the load
-/// figures of the two engines.
+/// The first 32 bits of a hash of an engine's id. Collisions are rare (with 640 engines in one of
+/// about 20,000 fleets), and affect only the load figures of the two engines.
 using EngineKey = std::uint32_t;
 
 inline EngineKey engine_key(const EngineId& id) {
--- a/src/core/relay/engine_limit.hpp
+++ b/src/core/relay/engine_limit.hpp
@@ -44,7 +44,7 @@
 ObservedLimit to_observed(const LimitReport& report, MonotonicTime now);
 
 /// Observations closer together than this may arrive in either order, as answers and reports
-/// overtake each other.
+/// overtake each other and reports pass through several sums of the zone exchange.
 constexpr Duration kReorderTolerance = std::chrono::milliseconds(500);
 
 /// The limit of each engine incarnation and the time of its next permit.
--- a/src/core/relay/limit_owner_selector.cpp
+++ b/src/core/relay/limit_owner_selector.cpp
@@ -11,7 +11,7 @@
 /// Candidates per limit; bounds how many listed nodes may be down at once.
 constexpr std::size_t kMaxOwnerCandidates = 64;
 
-/// Cached rankings; recomputing one is cheap.
+/// Cached rankings; recomputing one takes some microseconds per node.
 constexpr std::size_t kMaxCachedRankings = 1024;
 
 }  // namespace
--- a/src/core/relay/retry_budget.hpp
+++ b/src/core/relay/retry_budget.hpp
@@ -20,8 +20,8 @@
   double slack = 0;  ///< Extra dispatches per window, of all nodes together.
 };
 
-/// A dispatch is charged for a window plus this fraction of it, as it reaches the engine later than
-/// the node counts it.
+/// A dispatch is charged for a window plus one part in this many, as it reaches the engine later
+/// than the node counts it: up to 1 s of a window of 10 s if the node's link is saturated.
 constexpr std::int64_t kArrivalMarginDivisor = 10;
 
 /// @return how long an extra dispatch is charged.
@@ -43,7 +43,9 @@
 ///
 /// The mean of two windows adds up over nodes: together they stay within the mean of the fleet,
 /// which is at most its larger window. The larger window of each node does not add up, as nodes
-/// peak at different times, and would let the fleet exceed the bound.
+/// peak at different times, and would let the fleet exceed the bound: with 66 nodes by 12% while
+/// their load varied by a factor of three. The mean halves what a node can spend at the start of a
+/// burst, which had no measurable cost for callers.
 class RetryBudget {
  public:
   RetryBudget(const RetryBudgetSettings& settings, const SlackShare& share)
@@ -64,7 +66,8 @@
   double available(MonotonicTime now);
 
  private:
-  /// Counts are kept per time slot; the slot length bounds the rounding, which is conservative.
+  /// Counts are kept per time slot; the slot length bounds the rounding, which is conservative. 50
+  /// slots round a window by 2% and take about 1 KB.
   static constexpr std::int64_t kSlotsPerWindow = 50;
   static constexpr std::int64_t kChargeSlots =
       kSlotsPerWindow + kSlotsPerWindow / kArrivalMarginDivisor;
--- a/src/protocol/configuration_summary.hpp
+++ b/src/protocol/configuration_summary.hpp
@@ -10,7 +10,8 @@
 namespace shuntbank {
 
 /// Groups that routes are hashed into. More of them make deltas, which consist of whole groups,
-/// smaller and summaries larger.
+/// smaller and summaries larger. With 1,450 routes, a change of one sends the 23 routes of its
+/// group: about 5 KB instead of 230 KB, with a summary of 0.6 KB.
 constexpr std::size_t kRouteGroups = 64;
 
 /// Hashes of a configuration's content.
--- a/src/relay/capacity_settings.hpp
+++ b/src/relay/capacity_settings.hpp
@@ -25,7 +25,8 @@
   /// engines.
   Duration effect_timeout = std::chrono::seconds(3);
   /// Limit on engines ordered plus released for one service. Every change of an engine is sent to
-  /// every node, and small nodes fall seconds behind when thousands change at once.
+  /// every node: when 3,000 engines changed within 5 s, nodes with an eighth of a core learned of a
+  /// draining engine 3.7 s late.
   double max_changes_per_second = 40;
   Duration call_timeout = std::chrono::milliseconds(1500);
   std::string record_kind = "shuntbank-capacity";
--- a/src/relay/catalog.cpp
+++ b/src/relay/catalog.cpp
@@ -95,7 +95,8 @@
   peer_fetch_timer_ = runtime_.after(delay, [this] { fetch_hinted(); });
 }
 
-/// Peers send only the difference, the store always the whole configuration. The store watch
+/// Peers send only the difference, a few kilobytes. The store always sends the whole configuration:
+/// about 245 KB with 1,450 routes, which takes 0.2 s on an idle link of 10 Mbit/s. The store watch
 /// continues, as no peer may have the newest version.
 void Catalog::fetch_hinted() {
   peer_fetch_timer_.reset();
--- a/src/relay/engine_listener.cpp
+++ b/src/relay/engine_listener.cpp
@@ -43,8 +43,9 @@
   }
 }
 
-/// Tells the other nodes once, so that they stop sending before they get a notice themselves. A
-/// node that misses the message still gets the engine's own notice.
+/// Tells the other nodes once, so that they stop sending before they get a notice themselves:
+/// streams that start at a draining engine may be cut off when it ends. A node that misses the
+/// message still gets the engine's own notice.
 void EngineListener::on_draining(const EngineId& engine, std::string_view request) {
   if (!this->mark_draining(engine, "engine", request) || !this->trouble_handler) return;
   this->trouble_handler({engine, EngineStage::kNone, TroubleKind::kDraining});
--- a/src/relay/exchange_settings.hpp
+++ b/src/relay/exchange_settings.hpp
@@ -24,11 +24,13 @@
   CollectorSelectorSettings collector_selection;
   LoadCollectorSettings collector;
   /// Interval between two sums if the collector's capacity allows it. With an older view more nodes
-  /// choose the same engine.
+  /// choose the same engine: in an overload of 66 nodes, 100 ms lost a seventh more requests than
+  /// 30 ms.
   Duration min_collect_interval = std::chrono::milliseconds(30);
   /// Must stay below the view timeout of `collector_selection`.
   Duration max_collect_interval = std::chrono::milliseconds(120);
-  /// Messages per second that a collector sends for each core of its machine; about 4% of its CPU.
+  /// Messages per second that a collector sends for each core of its machine; about 4% of its CPU
+  /// at 10 us per message.
   double messages_per_core = 4000;
   /// Engine samples in the views of a node: about 3 KB a second.
   SampleBufferSettings view_samples{std::chrono::seconds(1), 150, 40};
@@ -43,7 +45,7 @@
 
 /// Settings of the configuration exchange.
 struct ConfigurationExchangeSettings {
-  /// Timeout until a peer's answer begins; includes connecting over a saturated link.
+  /// Timeout until a peer's answer begins. Connecting over a saturated link takes half of it.
   Duration first_byte_timeout = std::chrono::seconds(1);
   /// A node that has been silent for longer is not asked, as a connection to it may hang.
   Duration peer_timeout = LoadCollectorSettings{}.member_timeout;
--- a/src/relay/relay_session_quarantine.cpp
+++ b/src/relay/relay_session_quarantine.cpp
@@ -39,7 +39,8 @@
   return status.quarantine_left.has_value() || status.interruptions >= kRetryStopThreshold;
 }
 
-/// Answers a quarantined request at once, which protects the other requests of the next engine.
+/// Answers a quarantined request at once, which protects the other requests of the next engine: one
+/// more crash would abort all streams there, up to ten where this was observed.
 bool RelaySession::reject_if_quarantined() {
   if (context_.quarantine.empty()) return false;
   identity_ = identity_of(request_, tenant_name());
@@ -54,7 +55,8 @@
   return true;
 }
 
-/// Answers 429, as other client errors don't tell the caller that the request was not run.
+/// Answers 429, as other client errors don't tell the caller that the request was not run. The body
+/// says that the request has to be changed.
 void RelaySession::answer_quarantined(const SuspectStatus& status) {
   context_.quarantine.extend_quarantine(identity_->request);
   const std::string why = std::to_string(status.crashes) + " engines have ended under this request";
@@ -66,12 +68,14 @@
 
 const char* RelaySession::refusal_reason(const SuspectStatus& status) {
   if (!status.is_suspect()) return nullptr;
-  // A single interruption does not block concurrent attempts.
+  // A single interruption does not block concurrent attempts, as one broken connection is too weak
+  // as evidence to delay a request that a caller sends often.
   const bool strong_evidence = status.crashes > 0 || status.interruptions >= kIsolationThreshold;
   if (status.in_flight && strong_evidence) {
     return "another attempt is in flight, and engines may have crashed under it";
   }
-  // Confirmed crashes came from other callers, so this caller gets an attempt, at one engine only.
+  // Confirmed crashes came from other callers, so this caller gets an attempt, at one engine only:
+  // there is no evidence against its own copy yet, and the outcome provides it.
   const bool confirmed = status.crashes == status.interruptions;
   if (status.interruptions < kRetryStopThreshold || confirmed) return nullptr;
   return "engine crashes under this request are not confirmed yet";
--- a/src/relay/relay_session_rest.cpp
+++ b/src/relay/relay_session_rest.cpp
@@ -6,7 +6,7 @@
 namespace shuntbank::relay {
 
 /// Holds a request that can still be in time until the first engine is available: a refused caller
-/// would retry no sooner, and usually only once.
+/// would retry no sooner, on a new connection, and usually only once.
 bool RelaySession::wait_for_cooldown() {
   if (service_ == nullptr) return false;
   const MonotonicTime now = context_.runtime.now();
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -20,8 +20,8 @@
 
 namespace shuntbank::relay {
 
-/// A standby replaces a dead holder within this and one read interval, early enough to gather usage
-/// counts for the reports, which are due after 10 s.
+/// A standby replaces a dead holder within this and one read interval, 6.2 s in all. Gathering the
+/// usage counts takes about 2 s more, and the reports are due after 10 s.
 constexpr Duration kLeaseDuration = std::chrono::seconds(5);
 
 /// With a tick of 400 ms the lease is renewed every 1.2 s: three attempts within its duration, plus
@@ -29,7 +29,7 @@
 constexpr Duration kLeaseRenewInterval = std::chrono::milliseconds(1100);
 
 /// A holder stops acting this long before its lease ends, to allow for clock drift and calls in
-/// flight.
+/// flight. More than half of the renewal interval.
 constexpr Duration kLeaseSafetyMargin = std::chrono::milliseconds(700);
 
 /// Settings of the lease held by the node that acts for the whole fleet.
@@ -61,11 +61,13 @@
   /// Delay between a hint of a newer configuration and the first request to a peer, which gives the
   /// store time to deliver it.
   Duration peer_fetch_delay = std::chrono::milliseconds(50);
-  /// Delay between requests to peers; doubles up to the maximum.
+  /// Delay between requests to peers; doubles up to the maximum. A configuration reaches a zone of
+  /// 20 nodes in four or five rounds, which must fit into the time until it has to be active.
   Duration initial_peer_fetch_backoff = std::chrono::milliseconds(100);
   Duration max_peer_fetch_backoff = std::chrono::milliseconds(700);
   /// Size limit of a peer's answer, in bytes, while the store's is being received: enough for a
-  /// change of some routes, but not for a whole configuration.
+  /// change of some routes (about 5 KB), but not for a whole configuration (about 230 KB with 1,450
+  /// routes).
   std::size_t max_peer_answer_while_receiving = 32UL << 10U;
   /// Maximum share of this node's link for large answers to peers; callers take precedence.
   double peer_bandwidth_share = 0.33;
--- a/src/relay/zone_exchange.cpp
+++ b/src/relay/zone_exchange.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// Sent loads kept to subtract this node's share from received sums. Covers the maximum age of a
-/// sum at one message per 15 ms.
+/// sum, a few hundred milliseconds, at one message per 15 ms.
 constexpr std::size_t kMaxSentLoads = 128;
 
 LoadByKey by_key(const std::map<EngineId, PeerLoad>& load) {
--- a/src/store/kind_watch.cpp
+++ b/src/store/kind_watch.cpp
@@ -214,6 +214,7 @@
     hint_timer_.reset();
     if (stopped_ || call_kind_ != CallKind::kWatch || !behind_hint()) return;
     // Cancelling a transfer for a newer state could repeat forever, with an ever longer answer.
+    // Data in flight uses the link even if the call is cancelled.
     if (receiving()) return;
     log_event(LogArea::kPlatform, LogLevel::kWarning, "watch_deaf",
               {{"kind", kind_},
