--- a/src/core/capacity/needed_engines.hpp
+++ b/src/core/capacity/needed_engines.hpp
@@ -20,7 +20,7 @@
   double min_share = 0.5;
   double max_share = 1;
   /// How long fewer engines must be enough before any are released. A released engine takes seconds
-  /// to get back; demand moves in waves of 10 to 20 s, and losses come twice a minute.
+  /// to get back, and waves of demand and losses of spot engines come several times a minute.
   Duration release_delay = std::chrono::seconds(45);
   /// Between two steps of a release, and the largest one as a share of the needed engines.
   Duration release_interval = std::chrono::seconds(10);
