--- a/src/core/relay/admission.cpp
+++ b/src/core/relay/admission.cpp
@@ -136,7 +136,7 @@
 bool AdmissionControl::starving(MonotonicTime now, RouteState& route) const {
   if (!route.late_served_at) route.late_served_at = now;
   if (now - *route.late_served_at < this->settings.starving_after) return false;
-  return ++route.hopeless % this->settings.sent_ahead_every == 0;
+  return ++route.unservable % this->settings.sent_ahead_every == 0;
 }
 
 AdmissionDecision AdmissionControl::decide(MonotonicTime now, const ServiceName& service,
@@ -150,9 +150,9 @@
   const Duration waiting = *query.expected - query.own_work;
   const Duration expected =
       query.late ? query.own_work + scaled(waiting, state.late_wait.at(now)) : *query.expected;
-  const bool hopeless = query.time_left != Duration::max() &&
-                        expected > scaled(query.time_left, this->settings.refusal_margin);
-  if (hopeless && query.refusable && !query.occupancy.has_spare_slots()) {
+  const bool unservable = query.time_left != Duration::max() &&
+                          expected > scaled(query.time_left, this->settings.refusal_margin);
+  if (unservable && query.refusable && !query.occupancy.has_spare_slots()) {
     if (query.returning) return {AdmissionAction::kServeLate, "it was refused before"};
     if (query.share_ratio < this->settings.protected_share_ratio) {
       return {AdmissionAction::kSendAhead, "its tenant is far below its fair share"};
--- a/src/core/relay/admission.hpp
+++ b/src/core/relay/admission.hpp
@@ -205,7 +205,7 @@
 
  private:
   struct RouteState {
-    std::uint32_t hopeless = 0;  ///< Requests not expected before their deadline.
+    std::uint32_t unservable = 0;  ///< Requests not expected before their deadline.
     /// When a late request last got its first token, or the first was refused.
     std::optional<MonotonicTime> late_served_at;
   };
--- a/src/core/relay/engine_observation.cpp
+++ b/src/core/relay/engine_observation.cpp
@@ -44,7 +44,7 @@
   return sample;
 }
 
-/// Not corrected by a slowdown, which is told at the start and lasts for a part of the stream.
+/// Not corrected by a slowdown, which is reported at the start and lasts for a part of the stream.
 EngineSamples stream_sample(const StreamObservation& stream) {
   EngineSamples sample;
   sample.streams = 1;
--- a/src/core/relay/engine_observation.hpp
+++ b/src/core/relay/engine_observation.hpp
@@ -16,7 +16,7 @@
   double ahead_ms = 0;  ///< Expected time of the work that was known to be ahead at the send.
   Duration took = Duration::zero();
   std::uint32_t waiting = 0;           ///< Requests that the engine then reported as waiting.
-  std::uint32_t slowdown_percent = 0;  ///< As told with the answer; 0: none.
+  std::uint32_t slowdown_percent = 0;  ///< As reported with the answer; 0: none.
 };
 
 /// @return the sample, or nothing if the time cannot be attributed to the engine's speed.
--- a/src/core/relay/engine_profile.hpp
+++ b/src/core/relay/engine_profile.hpp
@@ -8,8 +8,8 @@
 
 namespace shuntbank::relay {
 
-/// A told slowdown counts for this long: services change it about every 600 ms, so that half of it
-/// is left on average when a node hears of it.
+/// A reported slowdown counts for this long: services change it about every 600 ms, so that half of
+/// it is left on average when a node hears of it.
 constexpr Duration kSlowdownValidity = std::chrono::milliseconds(300);
 
 /// Bounds on all factors. Engines of one service differ by less; a factor beyond them comes from a
@@ -28,7 +28,7 @@
   /// @param service all engines of the service, including this one.
   void compare_with(MonotonicTime now, const EngineProfile& service);
 
-  /// The engine told how long work takes there at this moment, in percent of the usual.
+  /// The engine reported how long work takes there at this moment, in percent of the usual.
   void on_slowdown(MonotonicTime now, std::uint32_t percent);
 
   /// @return prefill time relative to the service's, 1 if it differs by less than a tenth.
--- a/src/core/relay/request_urgency.hpp
+++ b/src/core/relay/request_urgency.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// Urgency that engines are told of a request. They admit more urgent requests first, and displace
+/// Urgency of a request, as sent to engines. They admit more urgent requests first, and displace
 /// running ones that are less urgent when their memory runs out.
 #pragma once
 
--- a/src/core/relay/stage_demand.cpp
+++ b/src/core/relay/stage_demand.cpp
@@ -299,9 +299,9 @@
   const bool urgent = !imbalance.beyond_share &&
                       (imbalance.saturated || (lost && imbalance.fill >= kMaxSourceLoad));
   const bool reversal = last_growing_ == opposite_stage(imbalance.short_stage);
-  const bool hasty = reversal && (now - last_target_at_ < kReversalDelay ||
-                                  imbalance.high < imbalance.low * kMinReversalRatio);
-  if (!urgent && (hasty || demand.history() < kMinHistory)) return std::nullopt;
+  const bool premature = reversal && (now - last_target_at_ < kReversalDelay ||
+                                      imbalance.high < imbalance.low * kMinReversalRatio);
+  if (!urgent && (premature || demand.history() < kMinHistory)) return std::nullopt;
   if (imbalance.beyond_share && imbalance.high < imbalance.low * kMinRatioBeyondShare)
     return std::nullopt;
   const Duration hold = imbalance.beyond_share ? kHoldBeyondShare : urgent ? kUrgentHold : kHold;
--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -19,7 +19,7 @@
 /// An engine with a smaller share of its slots in use is not expected to refuse.
 constexpr double kSpareCapacityShare = 0.5;
 
-/// A told slowdown of at least this is passed on at once.
+/// A reported slowdown of at least this is passed on at once.
 constexpr std::uint32_t kReportedSlowdownPercent = 150;
 
 bool is_success(int status) {
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -96,7 +96,7 @@
   LoadExchangeSettings exchange;  ///< `zone` and `join_existing` are overridden from this struct.
   PlacementSettings placement;
   PrefillSettings prefill;
-  RequestOrder order = RequestOrder::kSlack;  ///< What engines are told of a request's urgency.
+  RequestOrder order = RequestOrder::kSlack;  ///< What the urgency sent to engines follows from.
   AdmissionSettings admission;
   RetryBudgetSettings retry_budget;
   LeaseKeeperSettings lease;
--- a/tests/core/relay/admission_test.cpp
+++ b/tests/core/relay/admission_test.cpp
@@ -20,7 +20,7 @@
 constexpr const char* kRoute = "chat";
 
 /// A request that can't be answered in time because all slots are taken.
-AdmissionQuery hopeless_query() {
+AdmissionQuery unservable_query() {
   AdmissionQuery query;
   query.expected = 4s;
   query.own_work = 100ms;
@@ -54,7 +54,7 @@
 }  // namespace
 
 Test(admission, sends_what_is_expected_in_time) {
-  AdmissionQuery query = hopeless_query();
+  AdmissionQuery query = unservable_query();
   query.expected = 300ms;
   query.late = false;
   cr_assert(action_of(query) == AdmissionAction::kSendNow);
@@ -62,7 +62,7 @@
 
 // Guards against refusing what would be answered late, but before its deadline.
 Test(admission, serves_late_what_is_expected_before_the_deadline) {
-  AdmissionQuery query = hopeless_query();
+  AdmissionQuery query = unservable_query();
   query.expected = 1900ms;
   cr_assert(action_of(query) == AdmissionAction::kServeLate);
   query.expected = 2400ms;
@@ -70,12 +70,12 @@
 }
 
 Test(admission, refuses_what_is_not_expected_before_the_deadline) {
-  cr_assert(action_of(hopeless_query()) == AdmissionAction::kRefuse);
+  cr_assert(action_of(unservable_query()) == AdmissionAction::kRefuse);
 }
 
 // Guards against refusals caused by a wrong estimate while the engines are idle.
 Test(admission, never_refuses_while_half_of_the_slots_are_free_and_nothing_waits) {
-  AdmissionQuery query = hopeless_query();
+  AdmissionQuery query = unservable_query();
   query.occupancy = {16, 7, 0};
   cr_assert(action_of(query) == AdmissionAction::kServeLate);
   query.occupancy = {16, 7, 1};
@@ -84,14 +84,14 @@
 
 // Guards the promise that 503 is answered only if the request has not run.
 Test(admission, never_refuses_what_may_have_run) {
-  AdmissionQuery query = hopeless_query();
+  AdmissionQuery query = unservable_query();
   query.refusable = false;
   cr_assert(action_of(query) == AdmissionAction::kServeLate);
 }
 
 // A second refusal is worse for the caller than a late answer.
 Test(admission, does_not_refuse_a_returning_request_again) {
-  AdmissionQuery query = hopeless_query();
+  AdmissionQuery query = unservable_query();
   query.returning = true;
   cr_assert(action_of(query) == AdmissionAction::kServeLate);
 }
@@ -99,7 +99,7 @@
 // Guards tenants below their share against refusals because of what others have sent: late requests
 // of tenants above their share are served after theirs.
 Test(admission, does_not_refuse_tenants_below_their_share) {
-  AdmissionQuery query = hopeless_query();
+  AdmissionQuery query = unservable_query();
   query.share_ratio = 0.9;
   cr_assert(action_of(query) == AdmissionAction::kServeLate);
   query.share_ratio = 0.4;
@@ -107,7 +107,7 @@
 }
 
 Test(admission, holds_a_request_only_for_an_engine_that_is_back_in_time) {
-  AdmissionQuery query = hopeless_query();
+  AdmissionQuery query = unservable_query();
   query.expected.reset();
   cr_assert(action_of(query) == AdmissionAction::kRefuse);
   query.slot_in = 200ms;
@@ -123,7 +123,7 @@
     const MonotonicTime now = kNow + i * 100ms;
     control.on_late_result(now, kService, "chat", {now - 1s, 0ms, 1s});
     for (const char* route : {"chat", "large"}) {
-      const auto decision = control.decide(now, kService, route, hopeless_query());
+      const auto decision = control.decide(now, kService, route, unservable_query());
       if (decision.action == AdmissionAction::kSendAhead) ++ahead[route];
     }
   }
@@ -134,20 +134,20 @@
 // Without a shortage no tenant yields: a prompt that is long by itself is no sign of one.
 Test(admission, a_tenant_above_its_share_yields_only_in_a_shortage) {
   AdmissionControl control;
-  AdmissionQuery query = hopeless_query();
+  AdmissionQuery query = unservable_query();
   query.expected = 450ms;
   query.own_work = 100ms;
   query.late = false;
   query.wait_share = 0.5;
   cr_assert(control.decide(kNow, kService, kRoute, query).action == AdmissionAction::kSendNow);
 
-  AdmissionQuery large = hopeless_query();
+  AdmissionQuery large = unservable_query();
   large.expected = 1s;
   large.own_work = 800ms;
   control.decide(kNow, kService, kRoute, large);
   cr_assert_not(control.in_shortage(kNow, kService));
 
-  AdmissionQuery waits = hopeless_query();
+  AdmissionQuery waits = unservable_query();
   waits.expected = 1s;
   control.decide(kNow, kService, kRoute, waits);
   cr_assert(control.in_shortage(kNow, kService));
@@ -388,7 +388,7 @@
 // not all that they wait for.
 Test(admission, expects_late_requests_to_be_passed_by_others) {
   AdmissionControl control;
-  AdmissionQuery query = hopeless_query();
+  AdmissionQuery query = unservable_query();
   query.expected = 1100ms;
   query.own_work = 100ms;
   cr_assert(control.decide(kNow, kService, kRoute, query).action == AdmissionAction::kServeLate);
--- a/tests/core/relay/engine_observation_test.cpp
+++ b/tests/core/relay/engine_observation_test.cpp
@@ -37,7 +37,7 @@
   cr_assert_not(prefill_sample(brief).has_value());
 }
 
-Test(engine_observation, told_slowdown_is_not_taken_for_the_engines_own_speed) {
+Test(engine_observation, reported_slowdown_is_not_taken_for_the_engines_own_speed) {
   PrefillObservation prefill = slow_prefill();
   prefill.slowdown_percent = 250;
   prefill.took = 250ms;
--- a/tests/core/relay/fair_share_test.cpp
+++ b/tests/core/relay/fair_share_test.cpp
@@ -350,7 +350,7 @@
 
 // Guards against starvation: whatever the demands, a tenant gets a good part of its equal share, or
 // of what it asks for if that is less. Protection begins below half of the share, and a late
-// request takes a while to be recognized as hopeless, hence a third.
+// request takes a while to be recognized as unservable, hence a third.
 Test(fair_share, no_tenant_starves) {
   SHUNTBANK_PROPERTY("each tenant gets a third of its equal share", [] {
     const auto tenants = *rc::gen::inRange<std::size_t>(2, 7);
--- a/tests/relay/admission_test.cpp
+++ b/tests/relay/admission_test.cpp
@@ -37,7 +37,7 @@
   RelayFixture site;
 };
 
-constexpr std::uint64_t kHopelessTokens = 2000000;
+constexpr std::uint64_t kUnservableTokens = 2000000;
 
 /// A short fleet with two tenants, of which `large` has got most of the service.
 struct TenantFleet : ShortFleet {
@@ -74,7 +74,7 @@
 
 Test(relay_admission, refuses_at_once_what_cannot_be_answered_before_its_deadline) {
   ShortFleet fleet;
-  fleet.set_peer_load(20, kHopelessTokens);
+  fleet.set_peer_load(20, kUnservableTokens);
   const auto reply = fleet.request();
   cr_assert_eq(reply->status, 503);
   cr_assert_eq(fleet.site.http.count(), 0);
@@ -85,7 +85,7 @@
 
 Test(relay_admission, tells_refused_callers_to_return_one_after_another) {
   ShortFleet fleet;
-  fleet.set_peer_load(20, kHopelessTokens);
+  fleet.set_peer_load(20, kUnservableTokens);
   double last = 0;
   for (const char* id : {"r1", "r2", "r3"}) {
     const auto reply = fleet.request(id, id);
@@ -99,7 +99,7 @@
 // A second refusal is worse for the caller than a late answer. The id of the retry differs.
 Test(relay_admission, serves_a_returning_request_late) {
   ShortFleet fleet;
-  fleet.set_peer_load(20, kHopelessTokens);
+  fleet.set_peer_load(20, kUnservableTokens);
   fleet.request("r1");
   fleet.request("r2");
   cr_assert_eq(fleet.site.http.count(), 1);
@@ -117,14 +117,14 @@
 // Guards against refusals by a wrong estimate.
 Test(relay_admission, sends_while_half_of_the_slots_are_free) {
   ShortFleet fleet;
-  fleet.set_peer_load(3, kHopelessTokens);
+  fleet.set_peer_load(3, kUnservableTokens);
   fleet.request();
   cr_assert_eq(fleet.site.http.count(), 1);
 }
 
 Test(relay_admission, sends_everything_when_switched_off) {
   ShortFleet fleet(false);
-  fleet.set_peer_load(20, kHopelessTokens);
+  fleet.set_peer_load(20, kUnservableTokens);
   fleet.request();
   cr_assert_eq(fleet.site.http.count(), 1);
 }
@@ -139,7 +139,7 @@
   cr_assert_eq(reply->head_count, 1);
   for (const char* engine : {"d1", "d2"}) {
     fleet.site.node->engines().on_peer_load(fleet.site.runtime.now(), NodeId(engine),
-                                            {{EngineId(engine), {20, kHopelessTokens, 0}}});
+                                            {{EngineId(engine), {20, kUnservableTokens, 0}}});
   }
   fleet.site.http.fail(0, TransferFailure::kUncertain);
   cr_assert_eq(fleet.site.http.count(), 2);
@@ -148,7 +148,7 @@
 // Guards the answers of callers that lost the connection to a node and resume at another one.
 Test(relay_admission, does_not_refuse_a_caller_that_resumes_a_stream) {
   ShortFleet fleet;
-  fleet.set_peer_load(20, kHopelessTokens);
+  fleet.set_peer_load(20, kUnservableTokens);
   fleet.site.request("/resumable/a", {{"tokens", "400"}, {"last-event", "3"}});
   cr_assert_eq(fleet.site.http.count(), 1);
 }
@@ -189,7 +189,7 @@
 // Guards tenants below their share against refusals for what others have sent.
 Test(relay_admission, refuses_the_tenant_above_its_share) {
   TenantFleet fleet;
-  fleet.set_peer_load(20, kHopelessTokens);
+  fleet.set_peer_load(20, kUnservableTokens);
   cr_assert_eq(fleet.urgency_of("large"), "");
   cr_assert_eq(fleet.urgency_of("small"), "0");
 }
--- a/tests/relay/engine_samples_test.cpp
+++ b/tests/relay/engine_samples_test.cpp
@@ -112,7 +112,7 @@
   cr_assert_eq(site.samples_of("p").prefills, 0);
 }
 
-Test(engine_samples, told_slowdown_corrects_the_sample_and_is_passed_on) {
+Test(engine_samples, reported_slowdown_corrects_the_sample_and_is_passed_on) {
   SampledSite site;
   site.serve(1010ms, {50ms}, "0 200");
   const EngineSamples prefill = site.samples_of("p");
