--- a/tests/core/relay/stage_planner_test.cpp
+++ b/tests/core/relay/stage_planner_test.cpp
@@ -241,6 +241,17 @@
   cr_assert_eq(cold.first + warm.first, 0, "%d and %d", cold.first, warm.first);
 }
 
+Test(stage_planner, overloaded_prefill_gives_no_engines_away_after_an_idle_time) {
+  // Guards against taking the mean over an idle time for the demand: 14 of 78 overloaded prefill
+  // engines were ordered to decode six seconds after traffic had begun.
+  PlannedFleet fleet;
+  fleet.add("p", 78, EngineStage::kPrefill);
+  fleet.add("d", 62, EngineStage::kDecode);
+  fleet.run(9s, 0, 0, EngineStage::kDecode);
+  const auto orders = fleet.run(10s, 78, 9, EngineStage::kDecode);
+  cr_assert_eq(orders.first, 0, "%d orders to decode", orders.first);
+}
+
 Test(stage_planner, decode_keeps_half_of_its_configured_share) {
   // Guards against a small fleet that was left with two decode engines of nine, whose free slots
   // had prefilled prompts as well.
