Judge prefill by its heaviest seconds before it gives engines to decode

Cause: to keep bursts from drawing engines beyond the configured share, prefill's work was cut to the mean of the history, also where decode was compared with it. After the idle time before traffic that mean is low, and overloaded prefill gave engines away. Change: the mean decides only whether prefill gets engines; whether it gives some is decided by its heaviest seconds. Prefill that is short only in its heaviest seconds neither gets nor gives engines.

--- a/src/core/relay/stage_demand.cpp
+++ b/src/core/relay/stage_demand.cpp
@@ -241,11 +241,15 @@
                     std::max(heaviest.decode, recent.decode) / kComfortableFill};
   // One burst stays among the heaviest seconds for the whole history.
   const bool has_share = capacity.prefill + 0.5 > usual_prefill_share_ * capacity.total();
-  if (has_share) work.prefill = std::min(work.prefill, demand.average().prefill);
-  const double prefill_load = load_of(work.prefill, capacity.prefill);
+  StageAmounts lasting = work;
+  if (has_share) lasting.prefill = std::min(work.prefill, demand.average().prefill);
   const double decode_load = load_of(work.decode, capacity.decode);
+  const bool prefill_short = load_of(lasting.prefill, capacity.prefill) > decode_load;
+  // Prefill that is short only in its heaviest seconds neither gets nor gives engines.
+  if (!prefill_short && load_of(work.prefill, capacity.prefill) >= decode_load) return {};
+  if (prefill_short) work = lasting;
+  const double prefill_load = load_of(work.prefill, capacity.prefill);
   Imbalance result;
-  const bool prefill_short = prefill_load > decode_load;
   result.short_stage = prefill_short ? EngineStage::kPrefill : EngineStage::kDecode;
   result.high = std::max(prefill_load, decode_load);
   result.low = std::min(prefill_load, decode_load);
