Log whether an attempt failed with the engine or with this node's path

All attempt lines now carry engines_unreachable, the engines to which connections failed since any engine last answered this node, and engine_silence_ms, the time since that answer; both are gauges as well. No decision uses them yet.

--- a/src/relay/relay_context.hpp
+++ b/src/relay/relay_context.hpp
@@ -8,6 +8,7 @@
 #include "common/runtime.hpp"
 #include "core/relay/admission.hpp"
 #include "core/relay/engine_directory.hpp"
+#include "core/relay/engine_reachability.hpp"
 #include "core/relay/engine_samples.hpp"
 #include "core/relay/fair_share.hpp"
 #include "core/relay/retry_budget.hpp"
@@ -47,6 +48,7 @@
   SampleBuffer<EngineId> pending_samples;                ///< Likewise.
   AdmissionControl admission = AdmissionControl(settings.admission);
   FairShares shares = {};
+  EngineReachability reachability = EngineReachability(runtime.now());
 
   /// An engine has prefilled a prompt and caches its parts.
   void on_prompt_read(const PromptRead& read);
--- a/src/relay/relay_node.hpp
+++ b/src/relay/relay_node.hpp
@@ -86,6 +86,7 @@
   EngineListener& listener() { return listener_; }
   EnginePermits& permits() { return permits_; }
   TenantQuotas& quotas() { return quotas_; }
+  const EngineReachability& reachability() const { return context_.reachability; }
 
   /// Sets the handler for changes of the load in flight at engines.
   void on_load_changed(std::function<void()> handler) {
--- a/src/relay/relay_process.cpp
+++ b/src/relay/relay_process.cpp
@@ -186,6 +186,10 @@
     metrics.set_gauge("engine_connections_opened", static_cast<double>(http_.stats().opened));
     metrics.set_gauge("engine_surplus_answers", static_cast<double>(http_.stats().surplus_answers));
     metrics.set_gauge("log_lines_left_out", static_cast<double>(dropped_log_lines()));
+    const EngineReachability& reachability = node_.reachability();
+    metrics.set_gauge("engines_unreachable", static_cast<double>(reachability.failed_engines()));
+    metrics.set_gauge("engine_silence_seconds",
+                      to_seconds(reachability.since_last_answer(runtime_.now())));
     metrics.set_gauge("configuration_age_seconds", to_seconds(catalog_.configuration_age()));
     metrics.set_gauge("engines_age_seconds", to_seconds(catalog_.engines_age()));
     if (exchange_) set_exchange_gauges(metrics);
--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -35,6 +35,7 @@
   headers_ = headers;
   const MonotonicTime now = context_.runtime.now();
   last_activity_at_ = now;
+  context_.reachability.on_answer(now);
   // The next incarnation at the same address refuses requests for the previous one, so 421 does
   // not show that the previous one is alive.
   if (status != http_status::kMisdirected) context_.on_engine_answered(engine_, sent_at_);
@@ -195,6 +196,7 @@
   permit_.reset();
   // A withdrawn send may get another permit at the same engine.
   if (withdrawn && context_.permits.limited(engine_)) return redispatch(engine_);
+  if (not_sent) context_.reachability.on_connect_failed(engine_);
   if (!withdrawn) report_health(not_sent ? AttemptHealth::kUnreachable : AttemptHealth::kFailed);
   if (error.connection_refused) context_.on_engine_terminated(engine_);
   if (withdrawn || not_sent) return on_attempt_failed(AttemptOutcome::kNotSent, error.message);
--- a/src/relay/relay_session_log.cpp
+++ b/src/relay/relay_session_log.cpp
@@ -51,7 +51,9 @@
              {"budget", budget_left()},
              {"left_ms", whole_ms(expires_ - now)},
              {"age_ms", whole_ms(now - arrived_)},
-             {"retry_after_ms", retry_after_ms_}},
+             {"retry_after_ms", retry_after_ms_},
+             {"engines_unreachable", context_.reachability.failed_engines()},
+             {"engine_silence_ms", whole_ms(context_.reachability.since_last_answer(now))}},
             LogImportance::kStep);
 }
 
