Relay connections between nodes through tunnels

A node that reaches no engine needs a way through one that does. Ways weighed: - forwarding requests to a peer, which would plan and send them: retry budget, quotas, permits, usage, tenant keys and the ledger of crashes would each be split over two nodes, and a hop that breaks leaves the first node without knowing what was sent; - a tunnel: the first node keeps the request with all of these, and the peer copies bytes between it and the engine.

The status byte says that the engine is connected; before it no byte of a request has left. Bytes of the engine come back in frames, so that the end of an engine's answer differs from a broken tunnel. A stopping node announces it on each tunnel, and open exchanges finish.

Nothing opens tunnels yet.

--- a/src/net/frame_channel.cpp
+++ b/src/net/frame_channel.cpp
@@ -1,5 +1,6 @@
 #include "net/frame_channel.hpp"
 
+#include <algorithm>
 #include <array>
 #include <asio/connect.hpp>
 #include <asio/read.hpp>
@@ -9,6 +10,7 @@
 
 #include "net/answer_silence.hpp"
 #include "net/monotonic_timer.hpp"
+#include "net/tunnel_protocol.hpp"
 
 namespace shuntbank {
 namespace {
@@ -50,11 +52,17 @@
     timer_.cancel();
   }
 
+  /// Passes the connection on instead of reading a frame, if it begins with `kTunnelPreface`.
+  void set_tunnel_handler(std::function<void(asio::ip::tcp::socket)> handler) {
+    tunnel_handler_ = std::move(handler);
+  }
+
   void read(ReadHandler handler) {
     asio::async_read(socket_, asio::buffer(header_),
                      [self = shared_from_this(), handler = std::move(handler)](
                          const std::error_code& error, std::size_t) mutable {
                        if (error) return handler(tl::make_unexpected(error.message()));
+                       if (self->is_tunnel()) return self->hand_over();
                        self->read_body(std::move(handler));
                      });
   }
@@ -70,6 +78,16 @@
   }
 
  private:
+  bool is_tunnel() const {
+    return tunnel_handler_ &&
+           std::equal(header_.begin(), header_.end(), kTunnelPreface.begin(), kTunnelPreface.end());
+  }
+
+  void hand_over() {
+    timer_.cancel();
+    tunnel_handler_(std::move(socket_));
+  }
+
   void read_body(ReadHandler handler) {
     const std::size_t length = decode_length(header_);
     if (length > max_frame_) return handler(tl::make_unexpected(std::string("frame too large")));
@@ -101,6 +119,7 @@
   std::array<unsigned char, kHeaderSize> outgoing_header_{};
   std::string incoming_;
   std::string outgoing_;
+  std::function<void(asio::ip::tcp::socket)> tunnel_handler_;
 };
 
 }  // namespace
@@ -128,10 +147,15 @@
 
   asio::ip::tcp::endpoint local_endpoint() const { return acceptor_.local_endpoint(); }
 
+  void set_tunnel_handler(std::function<void(asio::ip::tcp::socket)> handler) {
+    tunnel_handler_ = std::move(handler);
+  }
+
  private:
   void serve(asio::ip::tcp::socket socket) {
     auto connection = std::make_shared<FrameConnection>(std::move(socket), max_frame_);
     connection->restart_timeout(kServerTimeout);
+    connection->set_tunnel_handler(tunnel_handler_);
     connection->read([self = shared_from_this(), connection](auto frame) {
       if (!frame || self->closed_) return connection->close();
       self->handler_(std::move(*frame), [connection](const std::string& reply) {
@@ -144,6 +168,7 @@
   asio::ip::tcp::acceptor acceptor_;
   std::size_t max_frame_;
   Handler handler_;
+  std::function<void(asio::ip::tcp::socket)> tunnel_handler_;
   bool closed_ = false;
 };
 
@@ -157,6 +182,10 @@
   impl_->close();
 }
 
+void FrameServer::set_tunnel_handler(std::function<void(asio::ip::tcp::socket)> handler) {
+  impl_->set_tunnel_handler(std::move(handler));
+}
+
 asio::ip::tcp::endpoint FrameServer::local_endpoint() const {
   return impl_->local_endpoint();
 }
--- a/src/net/frame_channel.hpp
+++ b/src/net/frame_channel.hpp
@@ -28,6 +28,9 @@
   FrameServer(const FrameServer&) = delete;
   FrameServer& operator=(const FrameServer&) = delete;
 
+  /// Sets the handler that takes over connections which begin with `kTunnelPreface`.
+  void set_tunnel_handler(std::function<void(asio::ip::tcp::socket)> handler);
+
   asio::ip::tcp::endpoint local_endpoint() const;
 
  private:
--- a/src/net/http1_client.cpp
+++ b/src/net/http1_client.cpp
@@ -1,12 +1,10 @@
 #include "net/http1_client.hpp"
 
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 #include <array>
 #include <asio/buffer.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
+#include <asio/read.hpp>
 #include <asio/write.hpp>
 #include <charconv>
 #include <optional>
@@ -15,6 +13,7 @@
 #include <vector>
 
 #include "net/address.hpp"
+#include "net/dead_peer.hpp"
 #include "net/http1_parser.hpp"
 #include "net/monotonic_timer.hpp"
 
@@ -51,19 +50,18 @@
   return std::chrono::seconds(seconds);
 }
 
-/// Makes the kernel detect an unreachable peer within about `bound`.
-void detect_dead_peer(asio::ip::tcp::socket& socket, Duration bound) {
-  const auto milliseconds =
-      static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(bound).count());
-  const int socket_fd = socket.native_handle();
-  const int on = 1;
-  const int interval = 1;  // Seconds; the kernel's minimum.
-  const int probes = std::max(1, milliseconds / 1000);
-  setsockopt(socket_fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-  setsockopt(socket_fd, IPPROTO_TCP, TCP_KEEPIDLE, &interval, sizeof(interval));
-  setsockopt(socket_fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
-  setsockopt(socket_fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
-  setsockopt(socket_fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof(milliseconds));
+/// Separates the peer from the relaying node in a key of the pool; in no address.
+constexpr char kTunnelKeySeparator = ' ';
+
+/// @return the key of idle connections that a request can use.
+std::string pool_key(const OutgoingRequest& request) {
+  std::string key = split_url(request.url).address;
+  if (request.tunnel) key += kTunnelKeySeparator + request.tunnel->address;
+  return key;
+}
+
+bool is_tunnel_key(const std::string& key) {
+  return key.find(kTunnelKeySeparator) != std::string::npos;
 }
 
 /// One request in flight.
@@ -88,6 +86,8 @@
   void add_idle(const std::shared_ptr<Connection>& connection);
   void remove_idle(const Connection* connection);
   void close_idle_connections(const std::string& address);
+  void close_idle_direct_connections();
+  void close_idle(const std::string& key);
   void close();
 
   asio::io_context& loop;
@@ -101,14 +101,14 @@
 /// One connection: at most one request at a time.
 class PooledHttpClient::Connection : public std::enable_shared_from_this<Connection> {
  public:
-  Connection(std::shared_ptr<Impl> client, std::string address)
+  Connection(std::shared_ptr<Impl> client, std::string key)
       : client_(std::move(client)),
-        address_(std::move(address)),
+        key_(std::move(key)),
         socket_(client_->loop),
         timer_(client_->loop),
         parser_(HttpMessageKind::kResponse, client_->settings.max_header_bytes, handlers()) {}
 
-  const std::string& address() const { return address_; }
+  const std::string& key() const { return key_; }
 
   void begin(std::unique_ptr<Exchange> exchange) {
     exchange_ = std::move(exchange);
@@ -139,7 +139,9 @@
       if (!deliver(piece)) return;
     }
     parse();
-    if (!closed_ && !paused_ && exchange_) read();
+    if (closed_ || paused_ || !exchange_) return;
+    if (tunnel_ && tunnel_->ended()) return on_read_error(asio::error::eof);
+    read();
   }
 
  private:
@@ -152,7 +154,9 @@
   }
 
   void connect() {
-    const auto endpoint = parse_endpoint(address_);
+    const auto& tunnel = exchange_->request.tunnel;
+    const auto endpoint =
+        parse_endpoint(tunnel ? tunnel->address : split_url(exchange_->request.url).address);
     if (!endpoint) {
       asio::post(client_->loop,
                  [self = shared_from_this(), message = endpoint.error()] { self->fail(message); });
@@ -160,22 +164,68 @@
     }
     ++client_->stats.opened;
     arm_timer(exchange_->request.connect_timeout, "the connection could not be made in time");
+    bind_local_address(*endpoint);
     socket_.async_connect(*endpoint, [self = shared_from_this()](const std::error_code& error) {
       if (self->closed_) return;
+      const bool tunneled = self->exchange_->request.tunnel.has_value();
       if (error) {
-        return self->fail(error.message(), error == asio::error::connection_refused);
+        return self->fail(error.message(), !tunneled && error == asio::error::connection_refused);
       }
-      self->connected_ = true;
       std::error_code ignored;
       self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
       detect_dead_peer(self->socket_, self->client_->settings.peer_timeout);
-      const auto& still_wanted = self->exchange_->request.still_wanted;
-      if (still_wanted && !still_wanted()) return self->withdraw();
-      self->write();
-      self->read();
+      if (tunneled) return self->open_tunnel();
+      self->on_connected();
     });
   }
 
+  /// If the address cannot be bound, the system chooses one.
+  void bind_local_address(const asio::ip::tcp::endpoint& peer) {
+    const auto& local = client_->settings.local_address;
+    if (!local || local->is_v4() != peer.address().is_v4()) return;
+    std::error_code ignored;
+    socket_.open(peer.protocol(), ignored);
+    socket_.bind({*local, 0}, ignored);
+  }
+
+  void open_tunnel() {
+    const TunnelRoute& tunnel = *exchange_->request.tunnel;
+    write_buffer_ = encode_tunnel_request(tunnel.target);
+    if (write_buffer_.empty()) return fail("the name of the tunnel's target is too long");
+    asio::async_write(
+        socket_, asio::buffer(write_buffer_),
+        [self = shared_from_this()](const std::error_code& error, std::size_t) {
+          if (self->closed_) return;
+          if (error) return self->fail("the relaying node: " + error.message());
+          asio::async_read(
+              self->socket_, asio::buffer(self->tunnel_status_),
+              [self](const std::error_code& failure, std::size_t) {
+                if (self->closed_) return;
+                if (failure) return self->fail("the relaying node: " + failure.message());
+                self->on_tunnel_status(static_cast<TunnelStatus>(self->tunnel_status_[0]));
+              });
+        });
+  }
+
+  void on_tunnel_status(TunnelStatus status) {
+    if (status != TunnelStatus::kOpen) {
+      return finish_with_error({TransferFailure::kNothingSent,
+                                "the relaying node opened no connection",
+                                status == TunnelStatus::kRefused, status});
+    }
+    ++client_->stats.tunnels_opened;
+    tunnel_.emplace();
+    on_connected();
+  }
+
+  void on_connected() {
+    connected_ = true;
+    const auto& still_wanted = exchange_->request.still_wanted;
+    if (still_wanted && !still_wanted()) return withdraw();
+    write();
+    read();
+  }
+
   void write() {
     const OutgoingRequest& request = exchange_->request;
     const Target target = split_url(request.url);
@@ -239,18 +289,33 @@
           self->reading_ = false;
           if (self->closed_) return;
           if (error) return self->on_read_error(error);
-          self->unparsed_.append(self->read_buffer_.data(), size);
+          const bool ended = self->append_received(size);
           if (!self->exchange_) {
+            if (self->tunnel_ && self->unparsed_.empty()) return self->close();
             // Bytes on an idle connection match no request.
             ++self->client_->stats.surplus_answers;
             return self->close();
           }
           self->arm_silence_timeout();
           self->parse();
-          if (!self->closed_ && !self->paused_) self->read();
+          if (self->closed_) return;
+          if (self->paused_) return;
+          if (ended) return self->on_read_error(asio::error::eof);
+          self->read();
         });
   }
 
+  /// @return whether the peer's end of a tunneled connection was among the bytes.
+  bool append_received(std::size_t size) {
+    const std::string_view received(read_buffer_.data(), size);
+    if (!tunnel_) {
+      unparsed_.append(received);
+      return false;
+    }
+    unparsed_.append(tunnel_->feed(received));
+    return tunnel_->ended();
+  }
+
   void parse() {
     while (!closed_ && !paused_ && exchange_ && !unparsed_.empty()) {
       const std::string bytes = std::exchange(unparsed_, {});
@@ -309,7 +374,9 @@
     client_->in_flight.erase(exchange->id);
     timer_.cancel();
     ++timer_generation_;
-    const bool not_reusable = !exchange->written || exchange->request.fresh_connection;
+    const bool tunnel_closing = tunnel_ && (tunnel_->closing() || tunnel_->ended());
+    const bool not_reusable =
+        !exchange->written || exchange->request.fresh_connection || tunnel_closing;
     if (keep_alive_ && !not_reusable && idle_timeout_ > kKeepAliveMargin) {
       return_to_pool();
     } else {
@@ -335,7 +402,8 @@
   /// Handles the end of the connection or a read error.
   void on_read_error(const std::error_code& error) {
     if (!exchange_) return close();
-    const bool clean = error == asio::error::eof;
+    const bool tunnel_broken = tunnel_ && !tunnel_->ended();
+    const bool clean = error == asio::error::eof && !tunnel_broken;
     if (clean && !skipping_ && parser_.inside_message() && parser_.feed_end()) return;
     if (closed_ || !exchange_) return;
     fail(clean ? "the peer closed the connection" : error.message());
@@ -360,7 +428,7 @@
   }
 
   std::shared_ptr<Impl> client_;
-  std::string address_;
+  std::string key_;  ///< In the pool.
   asio::ip::tcp::socket socket_;
   MonotonicTimer timer_;
   std::uint64_t timer_generation_ = 0;
@@ -371,6 +439,8 @@
   std::string unparsed_;           ///< Received, not yet parsed.
   std::string undelivered_piece_;  ///< Parsed, but refused by `on_data` until `resume`.
   std::unique_ptr<Exchange> exchange_;
+  std::optional<TunnelDecoder> tunnel_;  ///< Set if another node relays the connection.
+  std::array<unsigned char, 1> tunnel_status_{};
   Duration idle_timeout_{};
   bool connected_ = false;
   bool closed_ = false;
@@ -385,18 +455,18 @@
   auto exchange = std::make_unique<Exchange>();
   exchange->id = ++last_id;
   const TransferId id = exchange->id;
-  const std::string address = split_url(request.url).address;
+  const std::string key = pool_key(request);
   const bool fresh = request.fresh_connection;
   exchange->request = std::move(request);
   exchange->handlers = std::move(handlers);
-  auto& idle_connections = idle[address];
+  auto& idle_connections = idle[key];
   std::shared_ptr<Connection> connection;
   if (!fresh && !idle_connections.empty()) {
     connection = idle_connections.back();
     idle_connections.pop_back();
     ++stats.reused;
   } else {
-    connection = std::make_shared<Connection>(shared_from_this(), address);
+    connection = std::make_shared<Connection>(shared_from_this(), key);
   }
   in_flight.emplace(id, connection);
   connection->begin(std::move(exchange));
@@ -421,7 +491,7 @@
 }
 
 void PooledHttpClient::Impl::add_idle(const std::shared_ptr<Connection>& connection) {
-  auto& idle_connections = idle[connection->address()];
+  auto& idle_connections = idle[connection->key()];
   idle_connections.push_back(connection);
   if (idle_connections.size() <= settings.max_idle_per_peer) return;
   const auto oldest = idle_connections.front();
@@ -429,20 +499,37 @@
 }
 
 void PooledHttpClient::Impl::remove_idle(const Connection* connection) {
-  const auto found = idle.find(connection->address());
+  const auto found = idle.find(connection->key());
   if (found == idle.end()) return;
   std::erase_if(found->second,
                 [&](const auto& candidate) { return candidate.get() == connection; });
   if (found->second.empty()) idle.erase(found);
 }
 
-void PooledHttpClient::Impl::close_idle_connections(const std::string& address) {
-  const auto found = idle.find(address);
+void PooledHttpClient::Impl::close_idle(const std::string& key) {
+  const auto found = idle.find(key);
   if (found == idle.end()) return;
   const auto idle_connections = found->second;
   for (const auto& connection : idle_connections) connection->close();
 }
 
+void PooledHttpClient::Impl::close_idle_connections(const std::string& address) {
+  const std::string tunnel_prefix = address + kTunnelKeySeparator;
+  std::vector<std::string> keys{address};
+  for (const auto& [key, connections] : idle) {
+    if (key.rfind(tunnel_prefix, 0) == 0) keys.push_back(key);
+  }
+  for (const std::string& key : keys) close_idle(key);
+}
+
+void PooledHttpClient::Impl::close_idle_direct_connections() {
+  std::vector<std::string> keys;
+  for (const auto& [key, connections] : idle) {
+    if (!is_tunnel_key(key)) keys.push_back(key);
+  }
+  for (const std::string& key : keys) close_idle(key);
+}
+
 void PooledHttpClient::Impl::close() {
   const auto active = std::exchange(in_flight, {});
   for (const auto& [id, connection] : active) connection->close();
@@ -475,6 +562,14 @@
   impl_->close_idle_connections(address);
 }
 
+void PooledHttpClient::close_idle_direct_connections() {
+  impl_->close_idle_direct_connections();
+}
+
+void PooledHttpClient::close_idle_direct_connections(const std::string& address) {
+  impl_->close_idle(address);
+}
+
 const PooledHttpClientStats& PooledHttpClient::stats() const {
   return impl_->stats;
 }
--- a/src/net/http1_client.hpp
+++ b/src/net/http1_client.hpp
@@ -6,8 +6,10 @@
 #pragma once
 
 #include <asio/io_context.hpp>
+#include <asio/ip/address.hpp>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "net/http_client.hpp"
@@ -22,12 +24,16 @@
   /// How long sent bytes may stay unacknowledged before the connection is closed.
   Duration peer_timeout = std::chrono::milliseconds(2500);
   std::size_t max_header_bytes = 64UL << 10U;
+  /// Address that connections are made from; unset: chosen by the system. Nodes accept tunnels only
+  /// from addresses of other nodes.
+  std::optional<asio::ip::address> local_address = std::nullopt;
 };
 
 /// Counters since the start of the client.
 struct PooledHttpClientStats {
   std::uint64_t opened = 0;
   std::uint64_t reused = 0;
+  std::uint64_t tunnels_opened = 0;   ///< Of `opened`, through another node.
   std::uint64_t surplus_answers = 0;  ///< Answers that matched no pending request.
 };
 
@@ -46,6 +52,10 @@
   /// Closes idle connections to a peer, `IP:PORT`, whose address may be reassigned.
   void close_idle_connections(const std::string& address);
 
+  /// Closes idle connections that no other node relays: all, or those to one peer.
+  void close_idle_direct_connections();
+  void close_idle_direct_connections(const std::string& address);
+
   const PooledHttpClientStats& stats() const;
 
  private:
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -7,15 +7,25 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
 
 #include "common/time.hpp"
 #include "net/http_message.hpp"
+#include "net/tunnel_protocol.hpp"
 
 namespace shuntbank {
 
+/// A node through which a connection is made, see `tunnel_protocol.hpp`.
+struct TunnelRoute {
+  std::string address;  ///< IP:PORT of the node.
+  std::string target;   ///< Name by which the node knows the peer.
+
+  bool operator==(const TunnelRoute&) const = default;
+};
+
 /// A request to send.
 struct OutgoingRequest {
   std::string method = "GET";
@@ -40,6 +50,8 @@
   /// whether to send the request at all. If unset, it is sent. Only supported by
   /// `PooledHttpClient`.
   std::function<bool()> still_wanted;
+  /// Node that relays the connection; unset: direct. Only supported by `PooledHttpClient`.
+  std::optional<TunnelRoute> tunnel;
 };
 
 /// Whether a failed transfer may have reached the peer.
@@ -55,6 +67,8 @@
   std::string message;
   /// The peer's host refused the connection: nothing listens at the address.
   bool connection_refused = false;
+  /// What the relaying node answered; unset if the connection was direct, or if it did not answer.
+  std::optional<TunnelStatus> tunnel_status = std::nullopt;
 };
 
 /// Callbacks of a transfer. All are called on the loop; none after `cancel`.
--- a/src/net/peer_transport.cpp
+++ b/src/net/peer_transport.cpp
@@ -33,6 +33,10 @@
     on_call_ = std::move(on_call);
   }
 
+  void set_tunnel_handler(std::function<void(asio::ip::tcp::socket)> handler) override {
+    frames_.set_tunnel_handler(std::move(handler));
+  }
+
   void send(const std::string& address, std::string_view text) override {
     const auto endpoint = parse_endpoint(address);
     if (endpoint) datagrams_.send(to_udp(*endpoint), text);
--- a/src/net/peer_transport.hpp
+++ b/src/net/peer_transport.hpp
@@ -30,6 +30,9 @@
   /// Sets the handlers of incoming messages. Called once, before any message arrives.
   virtual void set_handlers(DatagramHandler on_datagram, CallHandler on_call) = 0;
 
+  /// Sets the handler of tunnels that other nodes open. Without it, tunnels are rejected.
+  virtual void set_tunnel_handler(std::function<void(asio::ip::tcp::socket)>) {}
+
   /// Sends a small message; it may be lost, duplicated or delayed.
   virtual void send(const std::string& address, std::string_view text) = 0;
 
