Keep a node's broken paths apart from the state of engines, and go round them

Machines that were not cut lost a part too.

Cause: a node had one path to an engine, and took what it met on this path for the state of the engine.

What is kept apart now: - EngineReachability holds the broken paths of this node, by engine, and whether it reaches any engine. A failed connection or 0.4 s of silence starts a check, which connects to three engines of different zones. - An attempt of which nothing was sent goes to the same engine through another node; up to three are asked, first of the own zone, then of zones not asked yet. Which nodes reach an engine is found out by asking, so that sound paths cost no messages. While a path is known to be broken, requests take the tunnel at once; broken paths are probed twice a second, not by requests. - An attempt that may be repeated leaves a broken path after 0.4 s of silence beyond what its engine was expected to take. - The end of an engine, a report of it to other nodes and a confirmed crash need the same refusal at two other nodes that reach other engines. A node without peers that can tell goes by its own check.

Ruled out: not ready while cut (does nothing for open connections and for a whole zone). By logs: nodes noticed late (silence on open connections), which is why silence is checked.

--- /dev/null
+++ b/src/relay/engine_paths.cpp
@@ -0,0 +1,223 @@
+#include "relay/engine_paths.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "common/hash.hpp"
+#include "common/log.hpp"
+
+namespace shuntbank::relay {
+namespace {
+
+constexpr Duration kTickInterval = std::chrono::milliseconds(100);
+
+/// Many round trips between zones.
+constexpr Duration kProbeTimeout = std::chrono::milliseconds(250);
+
+/// Probes of engines with a broken path that start in one tick.
+constexpr std::size_t kProbesPerTick = 3;
+
+/// Minimum interval between two probes of an engine that is overdue but accepts connections.
+constexpr Duration kSilenceProbeInterval = std::chrono::seconds(1);
+
+/// If attempts wait this long without a byte from any engine, the path is checked. Sound engines
+/// may pause for longer; the check tells them from a broken path.
+constexpr Duration kMaxSilence = std::chrono::milliseconds(400);
+
+/// A partition may cut another node off from the same engine, so that one node is not enough.
+constexpr std::size_t kConfirmations = 2;
+
+/// Engines that one check connects to. With fewer, some failed engines would look like a broken
+/// path.
+constexpr std::size_t kProbesPerCheck = 3;
+
+/// A tunnel that was used this recently shows that another node reaches the engines.
+constexpr Duration kRecentTunnel = std::chrono::seconds(2);
+
+const char* to_text(std::optional<TunnelStatus> status) {
+  if (!status) return "no_answer";
+  switch (*status) {
+    case TunnelStatus::kOpen:
+      return "open";
+    case TunnelStatus::kRefused:
+      return "refused";
+    case TunnelStatus::kUnreachable:
+      return "unreachable";
+    case TunnelStatus::kTargetUnknown:
+      return "target_unknown";
+    case TunnelStatus::kUnavailable:
+      return "unavailable";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+EnginePaths::EnginePaths(const EnginePathsIo& own_io) : io(own_io), direct(own_io.runtime.now()) {
+  if (this->io.probe == nullptr) return;
+  this->ticker =
+      std::make_unique<Periodic>(this->io.runtime, kTickInterval, [this] { this->tick(); });
+}
+
+EnginePaths::~EnginePaths() {
+  *this->alive = false;
+}
+
+void EnginePaths::on_connect_failed(const EngineId& engine, bool refused) {
+  const MonotonicTime now = this->io.runtime.now();
+  this->direct.on_connect_failed(now, engine, refused);
+  const EngineView* view = this->io.engines.find(engine);
+  if (!refused && view != nullptr && this->unreachable_handler) {
+    this->unreachable_handler(view->record.address);
+  }
+  if (this->io.probe != nullptr && this->direct.check_due(now)) this->check();
+}
+
+void EnginePaths::on_silent_attempt(const EngineId& engine, bool overdue) {
+  const MonotonicTime now = this->io.runtime.now();
+  if (this->direct.since_last_answer(now) >= kMaxSilence) this->direct.on_silence();
+  if (!overdue || this->is_broken(engine)) return;
+  std::erase_if(this->silence_probes,
+                [now](const auto& entry) { return now - entry.second >= kSilenceProbeInterval; });
+  if (this->silence_probes.emplace(engine, now).second) this->probe(engine);
+}
+
+std::optional<TunnelStatus> EnginePaths::tunnel_refusal(const EngineId& engine) const {
+  if (this->path_broken()) return TunnelStatus::kUnavailable;
+  const BrokenPath* path = this->direct.find_broken(engine);
+  if (path == nullptr) return std::nullopt;
+  return path->refused ? TunnelStatus::kRefused : TunnelStatus::kUnreachable;
+}
+
+std::size_t EnginePaths::required_confirmations() const {
+  return std::min(kConfirmations, this->tunnel_peers.size());
+}
+
+void EnginePaths::verify(VerifyHandler handler) {
+  if (this->io.probe == nullptr) return handler(true);
+  this->waiting.push_back(std::move(handler));
+  if (!this->running_check) this->check();
+}
+
+bool EnginePaths::bypassed() const {
+  return this->path_broken() &&
+         this->tunnel_peers.opened_within(this->io.runtime.now(), kRecentTunnel);
+}
+
+std::optional<TunnelRoute> EnginePaths::choose_tunnel(const EngineId& engine,
+                                                      const std::vector<std::string>& tried) const {
+  const auto address = this->tunnel_peers.choose(this->io.runtime.now(), engine, tried);
+  if (!address) return std::nullopt;
+  return TunnelRoute{*address, engine.value()};
+}
+
+void EnginePaths::on_tunnel_used(const TunnelRoute& tunnel) {
+  this->tunnel_peers.on_opened(this->io.runtime.now(), tunnel.address);
+}
+
+void EnginePaths::on_tunnel_failed(const TunnelRoute& tunnel, std::optional<TunnelStatus> status) {
+  this->io.metrics.count_tunnel_failure(to_text(status));
+  const MonotonicTime now = this->io.runtime.now();
+  const bool peer_failed = !status || *status == TunnelStatus::kUnavailable;
+  if (peer_failed) return this->tunnel_peers.on_failed(now, tunnel.address);
+  this->tunnel_peers.on_no_path(now, tunnel.address, EngineId(tunnel.target));
+}
+
+void EnginePaths::tick() {
+  if (this->tick_handler) this->tick_handler();
+  const MonotonicTime now = this->io.runtime.now();
+  if (this->direct.check_due(now)) this->check();
+  // Until an engine is reachable again, the checks are enough.
+  if (this->path_broken()) return;
+  for (const EngineId& engine : this->direct.take_due_probes(now, kProbesPerTick)) {
+    this->probe(engine);
+  }
+}
+
+void EnginePaths::probe(const EngineId& engine) {
+  const EngineView* view = this->io.engines.find(engine);
+  if (view == nullptr) return this->direct.forget(engine);
+  const std::string address = view->record.address;
+  this->io.probe->probe(address, kProbeTimeout,
+                        [this, still_alive = this->alive, engine, address](bool connected) {
+                          if (!*still_alive) return;
+                          const bool known = this->direct.find_broken(engine) != nullptr;
+                          this->direct.on_probed(this->io.runtime.now(), engine, connected);
+                          if (!connected && !known && this->unreachable_handler)
+                            this->unreachable_handler(address);
+                        });
+}
+
+/// @return addresses of engines that a check connects to: in different zones if possible, and not
+/// those that connections have failed to.
+std::vector<std::string> EnginePaths::engines_to_check() const {
+  struct Candidate {
+    bool failed = false;
+    double order = 0;
+    const EngineRecord* record = nullptr;
+  };
+  const std::uint64_t seed = random_number(this->io.runtime);
+  std::vector<Candidate> candidates;
+  for (const auto& [id, engine] : this->io.engines.all()) {
+    if (engine.record.draining) continue;
+    const bool failed = this->direct.find_broken(id) != nullptr;
+    candidates.push_back({failed, hash_fraction(id.value(), seed), &engine.record});
+  }
+  std::sort(candidates.begin(), candidates.end(), [](const auto& one, const auto& other) {
+    return std::pair(one.failed, one.order) < std::pair(other.failed, other.order);
+  });
+  std::set<ZoneName> zones;
+  std::vector<std::string> of_new_zones;
+  std::vector<std::string> others;
+  for (const Candidate& candidate : candidates) {
+    const bool new_zone = zones.insert(candidate.record->zone).second;
+    (new_zone ? of_new_zones : others).push_back(candidate.record->address);
+  }
+  of_new_zones.insert(of_new_zones.end(), others.begin(), others.end());
+  of_new_zones.resize(std::min(of_new_zones.size(), kProbesPerCheck));
+  return of_new_zones;
+}
+
+void EnginePaths::check() {
+  this->direct.on_check_started(this->io.runtime.now());
+  const std::vector<std::string> addresses = this->engines_to_check();
+  if (addresses.empty()) return this->finish_check(true);
+  auto running = std::make_shared<Check>();
+  running->pending = addresses.size();
+  this->running_check = running;
+  for (const std::string& address : addresses) {
+    this->io.probe->probe(address, kProbeTimeout,
+                          [this, still_alive = this->alive, running](bool connected) {
+                            if (*still_alive) this->on_probed(running, connected);
+                          });
+  }
+}
+
+void EnginePaths::on_probed(const std::shared_ptr<Check>& running, bool connected) {
+  if (this->running_check != running) return;
+  --running->pending;
+  if (!connected && running->pending > 0) return;
+  this->running_check.reset();
+  this->finish_check(connected);
+}
+
+void EnginePaths::finish_check(bool connected) {
+  const MonotonicTime now = this->io.runtime.now();
+  const std::size_t failed = this->direct.broken_paths().size();
+  const Duration broken_for = this->direct.broken_for(now);
+  const bool changed = this->direct.on_check_ended(now, connected);
+  if (changed) {
+    this->io.metrics.set_gauge("engine_path_broken", connected ? 0 : 1);
+    log_event(LogArea::kControl, connected ? LogLevel::kInfo : LogLevel::kWarning,
+              connected ? "engine_path_restored" : "engine_path_lost",
+              {{"unreachable_engines", failed},
+               {"silence_ms", whole_ms(this->direct.since_last_answer(now))},
+               {"after_ms", whole_ms(broken_for)}});
+    if (!connected && this->lost_handler) this->lost_handler();
+  }
+  const auto handlers = std::exchange(this->waiting, {});
+  for (const VerifyHandler& handler : handlers) handler(connected);
+}
+
+}  // namespace shuntbank::relay
--- a/src/relay/load_exchange.cpp
+++ b/src/relay/load_exchange.cpp
@@ -81,6 +81,8 @@
   } else {
     zones_.stop();
   }
+  node_.paths().peers().set_nodes(peers_.nodes(), self_);
+  if (uses_zones()) node_.paths().peers().expect_no_messages();
   node_.set_fleet({node_count(), rank()});
   permits_.update_nodes();
 }
@@ -271,6 +273,7 @@
   const MessageNumber number{message.boot, message.sequence};
   if (!number.follows(state.last_message)) return;
   state = {number, now};
+  if (!uses_zones()) node_.paths().peers().on_heard(now, message.node);
   configurations_.record_peer_revision(message.node, message.revisions.configuration);
   if (message.store_age_ms) {
     readers_confirmed_at_ =
--- a/src/relay/quarantine.cpp
+++ b/src/relay/quarantine.cpp
@@ -26,6 +26,9 @@
 /// The oldest are dropped first.
 constexpr std::size_t kMaxPendingReports = 500;
 
+/// Other nodes that are asked for one liveness check.
+constexpr std::size_t kMaxPeersPerCheck = 3;
+
 std::uint32_t age_ms(MonotonicTime now, MonotonicTime at) {
   const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - at).count();
   return static_cast<std::uint32_t>(std::max<std::int64_t>(0, age));
@@ -245,13 +248,30 @@
 void Quarantine::check_liveness(EngineKey key) {
   const EngineView* view = this->io.engines.find_by_key(key);
   if (view == nullptr) return;
-  const EngineId engine = view->record.id;
+  const LivenessCheck check{view->record.id, view->record.started_unix_ms, {}};
+  if (this->io.paths.is_broken(check.engine) && this->check_on_other_path(check)) return;
+  this->start_check(check);
+}
+
+/// @return whether there is another node to check through.
+bool Quarantine::check_on_other_path(LivenessCheck check) {
+  if (check.tried_peers.size() >= kMaxPeersPerCheck) return false;
+  check.tunnel = this->io.paths.choose_tunnel(check.engine, check.tried_peers);
+  if (!check.tunnel) return false;
+  check.tried_peers.push_back(check.tunnel->address);
+  this->start_check(std::move(check));
+  return true;
+}
+
+void Quarantine::start_check(LivenessCheck check) {
+  const EngineView* view = this->io.engines.find(check.engine);
+  if (view == nullptr) return;
   OutgoingRequest call =
       this->io.dialect.report_request(view->record.address, view->record.own_name());
   call.connect_timeout = kLivenessTimeout;
   call.total_timeout = kLivenessTimeout;
-  const MonotonicTime sent_at = this->io.runtime.now();
-  const LivenessCheck check{engine, view->record.started_unix_ms, sent_at};
+  call.tunnel = check.tunnel;
+  check.sent_at = this->io.runtime.now();
   this->io.http.fetch(std::move(call), [this, still_alive = this->alive, check](
                                            const tl::expected<HttpReply, TransferError>& reply) {
     if (*still_alive) this->on_liveness_reply(check, reply);
@@ -269,18 +289,57 @@
 
 void Quarantine::on_liveness_reply(const LivenessCheck& check,
                                    const tl::expected<HttpReply, TransferError>& reply) {
-  const auto& [engine, started, sent_at] = check;
-  const bool connection_refused = !reply && reply.error().connection_refused;
-  const bool replaced = reply && this->is_replaced(check, *reply);
-  const char* result = connection_refused || replaced ? "ended" : (reply ? "lives" : "silent");
-  log_event(LogArea::kControl, LogLevel::kInfo, "engine_asked",
-            {{"engine", engine.value()}, {"found", result}});
-  if (connection_refused || replaced) return this->on_engine_crashed(engine);
-  if (!reply) return;
-  this->io.listener.on_response_head(engine, reply->status, reply->headers);
+  if (!reply && reply.error().failure == TransferFailure::kNothingSent) {
+    return this->on_not_connected(check, reply.error());
+  }
+  if (!reply) return this->finish_check(check, LivenessResult::kSilent);
+  if (this->is_replaced(check, *reply)) return this->finish_check(check, LivenessResult::kEnded);
+  this->finish_check(check, LivenessResult::kLives);
+  this->io.listener.on_response_head(check.engine, reply->status, reply->headers);
   // The check was sent after all known interruptions, even at the same clock reading.
-  this->on_engine_answered(engine, sent_at + Duration(1));
-  this->queue_report(CrashEvent::kAlive, {}, engine_key(engine), sent_at);
+  this->on_engine_answered(check.engine, check.sent_at + Duration(1));
+  this->queue_report(CrashEvent::kAlive, {}, engine_key(check.engine), check.sent_at);
+}
+
+/// The engine has crashed if its host refuses connections of other nodes as well.
+void Quarantine::on_not_connected(LivenessCheck check, const TransferError& error) {
+  if (check.tunnel) {
+    this->io.paths.on_tunnel_failed(*check.tunnel, error.tunnel_status);
+    if (error.connection_refused) ++check.refusals;
+  } else {
+    this->io.paths.on_connect_failed(check.engine, error.connection_refused);
+  }
+  const std::size_t required = this->io.paths.required_confirmations();
+  if (required > 0 && check.refusals >= required)
+    return this->finish_check(check, LivenessResult::kEnded);
+  if (this->check_on_other_path(check)) return;
+  const bool asked_nobody = check.tried_peers.empty();
+  if (!asked_nobody || !error.connection_refused)
+    return this->finish_check(check, LivenessResult::kSilent);
+  this->io.paths.verify([this, still_alive = this->alive, check](bool reaches_engines) {
+    if (*still_alive)
+      this->finish_check(check, reaches_engines ? LivenessResult::kEnded : LivenessResult::kSilent);
+  });
+}
+
+const char* Quarantine::result_name(LivenessResult result) {
+  switch (result) {
+    case LivenessResult::kLives:
+      return "lives";
+    case LivenessResult::kEnded:
+      return "ended";
+    case LivenessResult::kSilent:
+      return "silent";
+  }
+  return "silent";
+}
+
+void Quarantine::finish_check(const LivenessCheck& check, LivenessResult result) {
+  log_event(LogArea::kControl, LogLevel::kInfo, "engine_asked",
+            {{"engine", check.engine.value()},
+             {"found", result_name(result)},
+             {"via", check.tunnel ? check.tunnel->address : std::string()}});
+  if (result == LivenessResult::kEnded) this->on_engine_crashed(check.engine);
 }
 
 void Quarantine::log_quarantined(const QuarantinedRequest& entry, const char* source) const {
--- a/src/relay/quarantine.hpp
+++ b/src/relay/quarantine.hpp
@@ -16,6 +16,7 @@
 #include "net/http_client.hpp"
 #include "relay/engine_dialect.hpp"
 #include "relay/engine_listener.hpp"
+#include "relay/engine_paths.hpp"
 #include "relay/relay_metrics.hpp"
 
 namespace shuntbank::relay {
@@ -28,6 +29,7 @@
   EngineDirectory& engines;
   RelayMetrics& metrics;
   EngineListener& listener;
+  EnginePaths& paths;
 };
 
 /// Quarantine state of one node.
@@ -118,7 +120,16 @@
     EngineId engine;
     std::uint64_t started_unix_ms = 0;
     MonotonicTime sent_at{};
+    std::optional<TunnelRoute> tunnel = std::nullopt;  ///< Unset: on the direct path.
+    std::vector<std::string> tried_peers{};
+    std::size_t refusals = 0;  ///< Other nodes whose connections the engine's host refused.
   };
+  enum class LivenessResult { kLives, kEnded, kSilent };
+  void start_check(LivenessCheck check);
+  bool check_on_other_path(LivenessCheck check);
+  void on_not_connected(LivenessCheck check, const TransferError& error);
+  void finish_check(const LivenessCheck& check, LivenessResult result);
+  static const char* result_name(LivenessResult result);
   bool is_replaced(const LivenessCheck& check, const HttpReply& reply) const;
   void on_liveness_reply(const LivenessCheck& check,
                          const tl::expected<HttpReply, TransferError>& reply);
--- a/src/relay/relay_context.hpp
+++ b/src/relay/relay_context.hpp
@@ -8,7 +8,6 @@
 #include "common/runtime.hpp"
 #include "core/relay/admission.hpp"
 #include "core/relay/engine_directory.hpp"
-#include "core/relay/engine_reachability.hpp"
 #include "core/relay/engine_samples.hpp"
 #include "core/relay/fair_share.hpp"
 #include "core/relay/retry_budget.hpp"
@@ -17,6 +16,7 @@
 #include "net/http_client.hpp"
 #include "relay/engine_dialect.hpp"
 #include "relay/engine_listener.hpp"
+#include "relay/engine_paths.hpp"
 #include "relay/engine_permits.hpp"
 #include "relay/quarantine.hpp"
 #include "relay/relay_metrics.hpp"
@@ -38,6 +38,7 @@
   EngineListener& listener;
   EnginePermits& permits;
   TenantQuotas& quotas;
+  EnginePaths& paths;
 
   std::function<void()> load_changed;                      ///< May be empty.
   std::function<void(const TenantName&)> request_started;  ///< May be empty.
@@ -48,7 +49,6 @@
   SampleBuffer<EngineId> pending_samples;                ///< Likewise.
   AdmissionControl admission = AdmissionControl(settings.admission);
   FairShares shares = {};
-  EngineReachability reachability = EngineReachability(runtime.now());
 
   /// An engine has prefilled a prompt and caches its parts.
   void on_prompt_read(const PromptRead& read);
@@ -65,7 +65,8 @@
   /// Applies this node's observations of an engine and queues them for the other nodes.
   void queue_samples(const EngineId& engine, const EngineSamples& samples);
 
-  /// The engine's address refuses connections: the engine process has terminated.
+  /// The engine process has terminated: its address refuses connections, and not only for a broken
+  /// path of this node.
   void on_engine_terminated(const EngineId& engine);
 
   /// An engine has answered a request that was sent at `sent_at`.
--- a/src/relay/relay_metrics.cpp
+++ b/src/relay/relay_metrics.cpp
@@ -61,6 +61,11 @@
           .Name("shuntbank_relay_keys_refused_total")
           .Help("Requests refused for want of a tenant's key in force")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& tunnel_failures =
+      prometheus::BuildCounter()
+          .Name("shuntbank_relay_tunnel_failures_total")
+          .Help("Connections to engines that other nodes were asked for and did not open")
+          .Register(registry);
   prometheus::Family<prometheus::Counter>& engine_notices =
       prometheus::BuildCounter()
           .Name("shuntbank_relay_engine_notices_total")
@@ -151,6 +156,10 @@
   impl_->engines_ended.Add({{"service", service}}).Increment();
 }
 
+void RelayMetrics::count_tunnel_failure(const std::string& status) {
+  impl_->tunnel_failures.Add({{"status", status}}).Increment();
+}
+
 void RelayMetrics::count_engine_notice(const std::string& kind) {
   impl_->engine_notices.Add({{"word", kind}}).Increment();
 }
--- a/src/relay/relay_metrics.hpp
+++ b/src/relay/relay_metrics.hpp
@@ -35,6 +35,10 @@
   /// An engine was found terminated: nothing listens at its address.
   void count_engine_ended(const std::string& service);
 
+  /// Another node opened no tunnel to an engine. @param status `refused`, `unreachable`,
+  /// `target_unknown`, `unavailable` or `no_answer`.
+  void count_tunnel_failure(const std::string& status);
+
   /// An engine sent a notice in a response. @param kind `leaving`, `rest`, `limit`, `limit_ended`
   /// or `unreadable`.
   void count_engine_notice(const std::string& kind);
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -31,17 +31,22 @@
       engines_(random_number(io.runtime)),
       budgets_(settings.retry_budget),
       listener_({io.runtime, io.dialect, engines_, metrics_}),
-      quarantine_({io.runtime, io.http, io.dialect, engines_, metrics_, listener_}),
+      paths_({io.runtime, engines_, metrics_, io.probe}),
+      quarantine_({io.runtime, io.http, io.dialect, engines_, metrics_, listener_, paths_}),
       permits_({io.runtime, engines_, metrics_, listener_}, random_number(io.runtime)),
       quotas_(io.runtime, metrics_, random_number(io.runtime)),
-      context_{io.runtime, io.http,     io.dialect, settings_, engines_, metrics_,
-               budgets_,   quarantine_, listener_,  permits_,  quotas_,  {},
-               {},         {},          {},         {},        {},       {}},
+      context_{io.runtime,  io.http,   io.dialect, settings_, engines_, metrics_, budgets_,
+               quarantine_, listener_, permits_,   quotas_,   paths_,   {},       {},
+               {},          {},        {},         {},        {}},
       splits_(random_fraction(io.runtime)),
       slack_available_from_(io.runtime.now() + charge_duration(settings.retry_budget)) {
   quarantine_.on_reports_pending([this] { context_.notify_load_changed(); });
   listener_.on_limit_changed(
       [this](const LimitUpdate& update) { context_.queue_limit_update(update); });
+  paths_.on_tick([this] {
+    const auto sessions = sessions_;
+    for (const auto& session : sessions) session->check_path();
+  });
   listener_.on_trouble([this](const EngineTrouble& trouble) { context_.queue_trouble(trouble); });
 }
 
--- a/src/relay/relay_node.hpp
+++ b/src/relay/relay_node.hpp
@@ -15,6 +15,7 @@
 #include "net/http1_server.hpp"
 #include "relay/engine_dialect.hpp"
 #include "relay/engine_listener.hpp"
+#include "relay/engine_paths.hpp"
 #include "relay/engine_permits.hpp"
 #include "relay/quarantine.hpp"
 #include "relay/relay_metrics.hpp"
@@ -29,6 +30,7 @@
   Runtime& runtime;
   HttpClient& http;
   const EngineDialect& dialect;
+  ConnectionProbe* probe = nullptr;  ///< Null: paths to engines are not checked.
 };
 
 /// The fleet of relay nodes as seen by this one.
@@ -86,7 +88,8 @@
   EngineListener& listener() { return listener_; }
   EnginePermits& permits() { return permits_; }
   TenantQuotas& quotas() { return quotas_; }
-  const EngineReachability& reachability() const { return context_.reachability; }
+  EnginePaths& paths() { return paths_; }
+  const EnginePaths& paths() const { return paths_; }
 
   /// Sets the handler for changes of the load in flight at engines.
   void on_load_changed(std::function<void()> handler) {
@@ -181,6 +184,7 @@
   RelayMetrics metrics_;
   RetryBudgets budgets_;
   EngineListener listener_;
+  EnginePaths paths_;
   Quarantine quarantine_;
   EnginePermits permits_;
   TenantQuotas quotas_;
--- a/src/relay/relay_process.cpp
+++ b/src/relay/relay_process.cpp
@@ -6,9 +6,11 @@
 #include "common/log.hpp"
 #include "common/periodic.hpp"
 #include "net/address.hpp"
+#include "net/connection_probe.hpp"
 #include "net/http1_client.hpp"
 #include "net/http1_server.hpp"
 #include "net/http_status.hpp"
+#include "net/tunnel_server.hpp"
 #include "relay/capacity_coordinator.hpp"
 #include "relay/load_exchange.hpp"
 #include "relay/quarantine_api.hpp"
@@ -40,6 +42,14 @@
 /// Delays the detection of a silent store reader by up to this much.
 constexpr Duration kReadersCheckInterval = std::chrono::milliseconds(250);
 
+/// Connects from the address that other nodes know, as they accept tunnels from no other.
+PooledHttpClientSettings engine_client_settings(const RelayAddresses& addresses) {
+  PooledHttpClientSettings settings;
+  const auto own = parse_endpoint(addresses.peers);
+  if (own && !own->address().is_unspecified()) settings.local_address = own->address();
+  return settings;
+}
+
 RoleCoordinatorSettings role_settings(const RelaySettings& settings) {
   RoleCoordinatorSettings roles = settings.roles;
   roles.changes.notice_lead = update_arrival_bound(settings.exchange);
@@ -65,8 +75,9 @@
         store_(platform.store),
         duties_(platform.duties),
         settings_(settings),
-        http_(loop, {}),
-        node_({runtime, http_, platform.dialect}, settings),
+        http_(loop, engine_client_settings(addresses)),
+        probe_(loop),
+        node_({runtime, http_, platform.dialect, &probe_}, settings),
         callers_(
             loop, listen_on(addresses.callers, kMaxCallerConnections),
             [this](HttpRequest request, const std::shared_ptr<ConnectionResponder>& responder) {
@@ -90,6 +101,9 @@
     }
     node_.on_configuration_adopted(
         [this](const RouteTable& table) { apply_request_limits(table); });
+    node_.paths().on_path_lost([this] { http_.close_idle_direct_connections(); });
+    node_.paths().on_engine_unreachable(
+        [this](const std::string& address) { http_.close_idle_direct_connections(address); });
     node_.on_address_released(
         [this](const std::string& address) { http_.close_idle_connections(address); });
     for (const std::string& address : {addresses.ready, addresses.control, addresses.metrics}) {
@@ -115,6 +129,7 @@
     node_.begin_stop();
     lease_.stop();
     callers_.disable_keep_alive();
+    if (tunnels_) tunnels_->drain();
     log_event(LogArea::kProcess, LogLevel::kInfo, "stopping", {{"under_way", node_.in_flight()}});
     stop_timer_ =
         std::make_unique<Periodic>(runtime_, kStopCheckInterval, [this] { check_stopped(); });
@@ -131,6 +146,7 @@
     const auto endpoint = parse_endpoint(address);
     if (!endpoint) throw std::invalid_argument(address + ": " + endpoint.error());
     peers_ = make_peer_transport(loop, *endpoint, kMaxCacheSnapshot);
+    serve_tunnels(loop);
     LoadExchangeSettings exchange = settings_.exchange;
     exchange.zone = settings_.zone;
     exchange.join_existing = !settings_.bootstrap;
@@ -152,6 +168,38 @@
     });
   }
 
+  void serve_tunnels(asio::io_context& loop) {
+    tunnels_ = std::make_unique<TunnelServer>(
+        loop, TunnelServerSettings{},
+        [this](const std::string& target, const std::string& client_ip) {
+          return resolve_tunnel(EngineId(target), client_ip);
+        },
+        [this](const std::string& target, bool refused, std::function<void(TunnelStatus)> reply) {
+          node_.paths().on_connect_failed(EngineId(target), refused);
+          node_.paths().verify([refused, reply = std::move(reply)](bool reaches_engines) {
+            if (!reaches_engines) return reply(TunnelStatus::kUnavailable);
+            reply(refused ? TunnelStatus::kRefused : TunnelStatus::kUnreachable);
+          });
+        });
+    peers_->set_tunnel_handler(
+        [this](asio::ip::tcp::socket socket) { tunnels_->serve(std::move(socket)); });
+  }
+
+  tl::expected<std::string, TunnelStatus> resolve_tunnel(const EngineId& engine,
+                                                         const std::string& client_ip) {
+    if (!node_.paths().peers().has_ip(client_ip)) {
+      return tl::make_unexpected(TunnelStatus::kUnavailable);
+    }
+    if (const auto refusal = node_.paths().tunnel_refusal(engine)) {
+      return tl::make_unexpected(*refusal);
+    }
+    const EngineView* view = node_.engines().find(engine);
+    if (view == nullptr || view->record.draining) {
+      return tl::make_unexpected(TunnelStatus::kTargetUnknown);
+    }
+    return view->record.address;
+  }
+
   void start_usage_reporting() {
     if (duties_ == nullptr || settings_.usage.window_length == Duration::zero()) return;
     usage_ =
@@ -186,12 +234,19 @@
     metrics.set_gauge("engine_connections_opened", static_cast<double>(http_.stats().opened));
     metrics.set_gauge("engine_surplus_answers", static_cast<double>(http_.stats().surplus_answers));
     metrics.set_gauge("log_lines_left_out", static_cast<double>(dropped_log_lines()));
-    const EngineReachability& reachability = node_.reachability();
-    metrics.set_gauge("engines_unreachable", static_cast<double>(reachability.failed_engines()));
+    const EngineReachability& reachability = node_.paths().reachability();
+    metrics.set_gauge("engines_unreachable",
+                      static_cast<double>(reachability.broken_paths().size()));
     metrics.set_gauge("engine_silence_seconds",
                       to_seconds(reachability.since_last_answer(runtime_.now())));
     metrics.set_gauge("configuration_age_seconds", to_seconds(catalog_.configuration_age()));
     metrics.set_gauge("engines_age_seconds", to_seconds(catalog_.engines_age()));
+    metrics.set_gauge("tunnels_opened", static_cast<double>(http_.stats().tunnels_opened));
+    if (tunnels_) {
+      metrics.set_gauge("tunnels_served", static_cast<double>(tunnels_->stats().opened));
+      metrics.set_gauge("tunnels_rejected", static_cast<double>(tunnels_->stats().rejected));
+      metrics.set_gauge("tunnels_open", static_cast<double>(tunnels_->stats().open));
+    }
     if (exchange_) set_exchange_gauges(metrics);
     if (usage_)
       metrics.set_gauge("usage_left_out", static_cast<double>(usage_->dropped_requests()));
@@ -218,7 +273,8 @@
       callers_.drain();
     }
     if (elapsed >= give_up_after) node_.abort_all();
-    const bool idle = drained_ && callers_.stats().open_connections == 0;
+    const std::size_t tunnels = tunnels_ ? tunnels_->stats().open : 0;
+    const bool idle = drained_ && callers_.stats().open_connections == 0 && tunnels == 0;
     if (!idle && elapsed < give_up_after) return;
     const auto handler = std::exchange(stopped_handler_, nullptr);
     if (!handler) return;
@@ -234,12 +290,14 @@
   DutyService* duties_;
   RelaySettings settings_;
   PooledHttpClient http_;
+  SocketProbe probe_;
   RelayNode node_;
   Http1Server callers_;
   Catalog catalog_;
   QuarantineStore quarantine_store_;
   LeaseKeeper lease_;
   RoleCoordinator roles_;
+  std::unique_ptr<TunnelServer> tunnels_;
   std::unique_ptr<PeerTransport> peers_;
   std::unique_ptr<LoadExchange> exchange_;
   std::unique_ptr<Periodic> readers_timer_;
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -202,6 +202,7 @@
     outgoing.headers.add(names.last_event_id, progress_.last_id_text());
   }
   outgoing.body = request_.body;
+  outgoing.tunnel = tunnel_;
   outgoing.connect_timeout = std::min(context_.settings.connect_timeout, time_left());
   // The engine may start to drain or back off while the connection to it is made.
   outgoing.still_wanted = [&context = context_, engine = record.id, permit = permit_] {
@@ -221,6 +222,16 @@
 }
 
 void RelaySession::send(const EngineId& engine, Step step) {
+  tunnel_.reset();
+  tried_peers_.clear();
+  refused_directly_ = false;
+  refused_by_peers_ = 0;
+  unreachable_for_peers_ = 0;
+  if (context_.paths.is_broken(engine) && !is_terminated(engine)) choose_tunnel(engine);
+  start_attempt(engine, step);
+}
+
+void RelaySession::start_attempt(const EngineId& engine, Step step) {
   const EngineView* view = context_.engines.find(engine);
   step_ = step;
   engine_ = engine;
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -44,6 +44,10 @@
   /// Ends the request at once, as on a timeout, because the process is stopping.
   void abort();
 
+  /// Reports an attempt that has been silent for a while, and repeats it if its path is broken.
+  /// Called several times a second.
+  void check_path();
+
  private:
   /// Purpose of the current attempt.
   enum class Step { kPlain, kPrefill, kDecodeFromHandle };
@@ -60,6 +64,7 @@
   void send_with_permit(const EngineId& engine, Step step);
   void use_placement(const Placement& placement);
   void send(const EngineId& engine, Step step);
+  void start_attempt(const EngineId& engine, Step step);
   OutgoingRequest build_outgoing(const EngineRecord& record, Step step) const;
   int urgency(Step step) const;
   double own_work_ms(Step step) const;
@@ -79,6 +84,15 @@
   void on_stream_end();
   void on_complete_answer();
 
+  // Paths to the engine.
+  bool choose_tunnel(const EngineId& engine);
+  bool retry_on_other_path(const TransferError& error);
+  void on_engine_unreachable();
+  void report_unreachable(bool confirmed);
+  void repeat_silent_attempt();
+  bool may_repeat_attempt() const;
+  bool is_terminated(const EngineId& engine) const;
+
   // Crashing requests and quarantine.
   SuspectStatus suspect_status() const;
   bool needs_isolation() const;
@@ -208,6 +222,11 @@
   PrefillReference prefill_reference_;  ///< Of a remote prefill.
   Occupancy occupancy_when_sent_;       ///< Of the engine, without this attempt.
   std::optional<TransferId> transfer_;
+  std::optional<TunnelRoute> tunnel_;      ///< Unset: a direct connection.
+  std::vector<std::string> tried_peers_;   ///< Asked for a tunnel to this engine.
+  bool refused_directly_ = false;          ///< The engine's host refused a direct connection.
+  std::size_t refused_by_peers_ = 0;       ///< Asked nodes whose connections its host refused.
+  std::size_t unreachable_for_peers_ = 0;  ///< Asked nodes that could not connect, these included.
   EngineStage sent_stage_ = EngineStage::kNone;  ///< The engine's, as known when it was sent.
   MonotonicTime sent_at_{};
   MonotonicTime last_activity_at_{};  ///< Time of the send or the last data received.
--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -35,7 +35,11 @@
   headers_ = headers;
   const MonotonicTime now = context_.runtime.now();
   last_activity_at_ = now;
-  context_.reachability.on_answer(now);
+  if (tunnel_) {
+    context_.paths.on_tunnel_used(*tunnel_);
+  } else {
+    context_.paths.on_answer(engine_);
+  }
   // The next incarnation at the same address refuses requests for the previous one, so 421 does
   // not show that the previous one is alive.
   if (status != http_status::kMisdirected) context_.on_engine_answered(engine_, sent_at_);
@@ -65,6 +69,7 @@
 
 bool RelaySession::on_data(std::string_view piece) {
   last_activity_at_ = context_.runtime.now();
+  if (!tunnel_) context_.paths.on_answer(engine_);
   if (!streaming_) {
     overflow_ = overflow_ || body_.size() + piece.size() > kMaxBufferedAnswer;
     if (!overflow_) body_ += piece;
@@ -148,11 +153,19 @@
   const bool repeated = view->consecutive_refusals > 1;
   const bool refuses_with_capacity =
       health == AttemptHealth::kBusy && has_capacity && (in_cooldown || repeated);
-  if (!misdirected && !refuses_with_capacity && health != AttemptHealth::kUnreachable) return;
+  if (!misdirected && !refuses_with_capacity) return;
   const TroubleKind kind = misdirected ? TroubleKind::kMisdirected : TroubleKind::kUnusable;
   context_.queue_trouble({engine_, view->record.stage, kind});
 }
 
+/// @param confirmed whether a node that reaches other engines could not connect either.
+void RelaySession::report_unreachable(bool confirmed) {
+  report_health(AttemptHealth::kUnreachable);
+  const EngineView* view = context_.engines.find(engine_);
+  if (!confirmed || view == nullptr) return;
+  context_.queue_trouble({engine_, view->record.stage, TroubleKind::kUnusable});
+}
+
 void RelaySession::begin_stream() {
   history_.head_forwarded = true;
   responder_->begin_stream(status_, forwarded_answer_fields());
@@ -192,14 +205,14 @@
 void RelaySession::on_transfer_failed(const TransferError& error) {
   const bool withdrawn = error.failure == TransferFailure::kWithdrawn;
   const bool not_sent = error.failure == TransferFailure::kNothingSent;
+  if (not_sent && retry_on_other_path(error)) return;
   if (withdrawn || not_sent) release_permit(permit_);
   permit_.reset();
   // A withdrawn send may get another permit at the same engine.
   if (withdrawn && context_.permits.limited(engine_)) return redispatch(engine_);
-  if (not_sent) context_.reachability.on_connect_failed(engine_);
-  if (!withdrawn) report_health(not_sent ? AttemptHealth::kUnreachable : AttemptHealth::kFailed);
-  if (error.connection_refused) context_.on_engine_terminated(engine_);
+  if (not_sent) on_engine_unreachable();
   if (withdrawn || not_sent) return on_attempt_failed(AttemptOutcome::kNotSent, error.message);
+  report_health(AttemptHealth::kFailed);
   report_interruption();
   on_attempt_failed(AttemptOutcome::kUncertain, error.message);
 }
--- a/src/relay/relay_session_log.cpp
+++ b/src/relay/relay_session_log.cpp
@@ -14,6 +14,7 @@
       prompt_ && service_ != nullptr ? service_->model->transfer_ms(prompt_->prompt_tokens) : 0;
   const bool load_known = view != nullptr && view->load.has_value();
   const bool peers_known = view != nullptr && view->peer_load.has_value();
+  const EngineReachability& reachability = context_.paths.reachability();
   log_event(LogArea::kCallers, LogLevel::kInfo, event,
             {{"request", id_},
              {"route", route_.name},
@@ -52,8 +53,9 @@
              {"left_ms", whole_ms(expires_ - now)},
              {"age_ms", whole_ms(now - arrived_)},
              {"retry_after_ms", retry_after_ms_},
-             {"engines_unreachable", context_.reachability.failed_engines()},
-             {"engine_silence_ms", whole_ms(context_.reachability.since_last_answer(now))}},
+             {"via", tunnel_ ? tunnel_->address : std::string()},
+             {"engines_unreachable", reachability.broken_paths().size()},
+             {"engine_silence_ms", whole_ms(reachability.since_last_answer(now))}},
             LogImportance::kStep);
 }
 
--- a/tests/relay/support/fakes.cpp
+++ b/tests/relay/support/fakes.cpp
@@ -87,6 +87,22 @@
   }
 }
 
+void ScriptedHttpClient::refuse_tunnel(std::size_t index, TunnelStatus status) {
+  const auto entry = sent.at(index);
+  entry->done = true;
+  if (entry->cancelled) return;
+  entry->handlers.on_done(tl::make_unexpected(TransferError{
+      TransferFailure::kNothingSent, "no tunnel", status == TunnelStatus::kRefused, status}));
+}
+
+void ScriptedProbe::probe(const std::string& address, Duration timeout, Handler handler) {
+  ++this->count;
+  const bool connects = this->reachable.count(address) > 0;
+  const Duration delay = connects ? Duration(std::chrono::milliseconds(1)) : timeout;
+  this->timers.push_back(
+      this->runtime.after(delay, [connects, handler = std::move(handler)] { handler(connects); }));
+}
+
 void ScriptedHttpClient::refuse_connection(std::size_t index) {
   const auto entry = sent.at(index);
   entry->done = true;
@@ -397,7 +413,8 @@
 }
 
 void RelayFixture::restart() {
-  node = std::make_unique<relay::RelayNode>(relay::RelayIo{runtime, http, dialect}, settings);
+  node =
+      std::make_unique<relay::RelayNode>(relay::RelayIo{runtime, http, dialect, probe}, settings);
   node->adopt(configuration(1));
   node->set_engines({});
 }
--- a/tests/relay/support/fakes.hpp
+++ b/tests/relay/support/fakes.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -76,6 +77,8 @@
   void fail(std::size_t index, TransferFailure failure);
   /// Fails the transfer with a refused connection.
   void refuse_connection(std::size_t index);
+  /// Fails the transfer as the relaying node opens no tunnel.
+  void refuse_tunnel(std::size_t index, TunnelStatus status);
 
   SentRequest& at(std::size_t index) { return *sent.at(index); }
   std::size_t count() const { return sent.size(); }
@@ -83,6 +86,21 @@
   std::vector<std::shared_ptr<SentRequest>> sent;
 };
 
+/// Connects to the addresses that the test lists.
+class ScriptedProbe : public ConnectionProbe {
+ public:
+  explicit ScriptedProbe(Runtime& own_runtime) : runtime(own_runtime) {}
+
+  void probe(const std::string& address, Duration timeout, Handler handler) override;
+
+  std::set<std::string> reachable;
+  int count = 0;
+
+ private:
+  Runtime& runtime;
+  std::vector<std::unique_ptr<Timer>> timers;
+};
+
 /// The reply that a caller has received.
 struct RecordedReply {
   int status = 0;
@@ -285,6 +303,7 @@
   ScriptedHttpClient http;
   TestDialect dialect;
   relay::RelaySettings settings;
+  ConnectionProbe* probe = nullptr;  ///< Used from the next `restart` on.
   std::unique_ptr<relay::RelayNode> node;
   std::string caller_address = "10.0.0.1";
   std::shared_ptr<RecordingResponder> caller;  ///< Of the last request.
