Pass the lease on from a node that reaches no engine

What could be seen: the holder of the lease may be cut off from all engines for as long as it renews the lease, as it still reaches the store. It orders nothing meanwhile, and stages stay as they are.

A node that goes round its broken path through another one gives the lease up and does not renew it; the other then takes it.

lease_keeper/passes_the_lease_to_a_node_that_reaches_the_engines failed before.

--- a/src/relay/lease_keeper.cpp
+++ b/src/relay/lease_keeper.cpp
@@ -43,7 +43,12 @@
 
 void LeaseKeeper::tick() {
   if (stopped_ || !node_.ready()) return;
-  poll_lease();
+  // Orders need a path to the engines.
+  if (node_.paths().bypassed()) {
+    lease_.resign();
+  } else {
+    poll_lease();
+  }
   const bool holding = authority().has_value();
   if (holding != held_since_.has_value()) {
     held_since_ = holding ? std::optional(runtime_.now()) : std::nullopt;
