Return the charge of a retry whose connection never came about

Cause: the budget bounds arrivals, but was charged when an attempt was begun. After one interrupted attempt each refused connection used up budget.

The charge is taken back when nothing was sent. The bound holds: a refunded dispatch never arrives, and the budget is as if it had not been made (retry_budget/returns_refunded_dispatches_only). relay_session/returns_the_charge_of_a_retry_that_was_not_sent failed before with that very reason.

--- a/src/core/relay/retry_budget.cpp
+++ b/src/core/relay/retry_budget.cpp
@@ -5,9 +5,13 @@
 
 namespace shuntbank::relay {
 
+std::int64_t RetryBudget::slot_number(MonotonicTime at) const {
+  return at.time_since_epoch() / (settings_.window / kSlotsPerWindow);
+}
+
 RetryBudget::Slot& RetryBudget::slot_at(MonotonicTime now) {
   const auto size = static_cast<std::int64_t>(slots_.size());
-  const std::int64_t number = now.time_since_epoch() / (settings_.window / kSlotsPerWindow);
+  const std::int64_t number = slot_number(now);
   // Clears the slots since the last call.
   newest_slot_ = std::max(newest_slot_, number - size);
   while (newest_slot_ < number) slots_[static_cast<std::size_t>(++newest_slot_ % size)] = {};
@@ -38,6 +42,15 @@
   return min_available + slack;
 }
 
+void RetryBudget::refund(MonotonicTime now, MonotonicTime charged_at) {
+  slot_at(now);
+  const auto size = static_cast<std::int64_t>(slots_.size());
+  const std::int64_t age = newest_slot_ - slot_number(charged_at);
+  if (age >= size) return;
+  Slot& slot = slots_[static_cast<std::size_t>((newest_slot_ - age) % size)];
+  if (slot.spent > 0) --slot.spent;
+}
+
 bool RetryBudget::try_spend(MonotonicTime now) {
   if (available(now) < 1) return false;
   charge(now);
--- a/src/core/relay/retry_budget.hpp
+++ b/src/core/relay/retry_budget.hpp
@@ -62,6 +62,9 @@
   /// Charges an extra dispatch that the caller has checked against `available`.
   void charge(MonotonicTime now) { ++slot_at(now).spent; }
 
+  /// Takes back the charge of a dispatch that reached no engine.
+  void refund(MonotonicTime now, MonotonicTime charged_at);
+
   /// @return extra dispatches available now; may be negative.
   double available(MonotonicTime now);
 
@@ -77,6 +80,7 @@
     std::uint32_t spent = 0;
   };
 
+  std::int64_t slot_number(MonotonicTime at) const;
   Slot& slot_at(MonotonicTime now);
   const Slot& slot_before(std::int64_t slots) const;
 
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -298,6 +298,12 @@
   context_.metrics.count_extra_send(service_name_.value());
 }
 
+/// The current attempt has sent nothing.
+void RelaySession::refund_send() {
+  if (!std::exchange(charged_to_budget_, false)) return;
+  context_.budgets.of(service_name_).refund(context_.runtime.now(), sent_at_);
+}
+
 void RelaySession::on_attempt_failed(AttemptOutcome outcome, const std::string& why) {
   context_.metrics.count_failure(service_name_.value(),
                                  outcome == AttemptOutcome::kNotSent   ? "not_sent"
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -143,6 +143,7 @@
   bool within_budget() const;
   double budget_left() const;
   void record_send(bool prefill_only);
+  void refund_send();
   void end_over_budget(const std::string& why);
   void end_unanswered(const std::string& why);
   void refuse(const std::string& why);
--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -205,6 +205,7 @@
 void RelaySession::on_transfer_failed(const TransferError& error) {
   const bool withdrawn = error.failure == TransferFailure::kWithdrawn;
   const bool not_sent = error.failure == TransferFailure::kNothingSent;
+  if (withdrawn || not_sent) refund_send();
   if (not_sent && retry_on_other_path(error)) return;
   if (withdrawn || not_sent) release_permit(permit_);
   permit_.reset();
--- a/tests/core/relay/retry_budget_test.cpp
+++ b/tests/core/relay/retry_budget_test.cpp
@@ -126,6 +126,28 @@
   });
 }
 
+Test(retry_budget, returns_refunded_dispatches_only) {
+  SHUNTBANK_PROPERTY("refunded dispatches count as never made", [] {
+    const RetryBudgetSettings settings = fleet_settings();
+    RetryBudget budget(settings, SlackShare{20, {}});
+    RetryBudget without_refunded(settings, SlackShare{20, {}});
+    std::vector<int> refundable;
+    int now_ms = 0;
+    for (int i = 0; i < 200; ++i) {
+      now_ms += *rc::gen::inRange(0, 2000);
+      const bool refunded = *rc::gen::inRange(0, 2) == 0;
+      budget.charge(at_ms(now_ms));
+      if (refunded) refundable.push_back(now_ms);
+      if (!refunded) without_refunded.charge(at_ms(now_ms));
+      if (*rc::gen::inRange(0, 3) > 0) continue;
+      now_ms += *rc::gen::inRange(0, 30000);
+      for (const int charged_ms : refundable) budget.refund(at_ms(now_ms), at_ms(charged_ms));
+      refundable.clear();
+      RC_ASSERT(budget.available(at_ms(now_ms)) == without_refunded.available(at_ms(now_ms)));
+    }
+  });
+}
+
 Test(retry_budget, allows_a_steady_load_to_spend_the_whole_ratio) {
   // Guards against a budget stricter than the bound.
   RetryBudgetSettings settings;
--- a/tests/relay/relay_session_test.cpp
+++ b/tests/relay/relay_session_test.cpp
@@ -458,3 +458,20 @@
     cr_assert_eq(site.http.count(), slack > 0 ? 2 : 1);
   }
 }
+
+// Guards against refusing a request for retries that reached no engine.
+Test(relay_session, returns_the_charge_of_a_retry_that_was_not_sent) {
+  RelayFixture site;
+  site.settings.retry_budget.slack = 3;
+  site.settings.retry_budget.ratio = 0;
+  site.restart();
+  site.node->set_fleet({1, 0});
+  site.runtime.advance(relay::charge_duration(site.settings.retry_budget));
+  for (const char* id : {"a", "b", "c"}) site.add_engine(id, "plain");
+  const auto reply = site.request("/safe/x");
+  site.http.fail(0, TransferFailure::kUncertain);
+  site.http.refuse_connection(1);
+  cr_assert_eq(site.http.count(), 3U, "the one retry of the budget is left");
+  site.http.answer(2, 200, RelayFixture::sealed_headers(), "whole");
+  cr_assert_eq(reply->status, 200);
+}
