Check paths less often where engines have really ended

Cause: each refused connection to an engine that was already known to have ended started a check of its own, of three connections at once, and ended engines were probed twice a second.

An ended engine causes neither; a check that succeeded answers for 0.1 s; and it connects to the second and third engine only if the first has not accepted within 30 ms.

--- a/src/relay/engine_paths.cpp
+++ b/src/relay/engine_paths.cpp
@@ -32,6 +32,12 @@
 /// path.
 constexpr std::size_t kProbesPerCheck = 3;
 
+/// The other engines of a check are probed if the first one has not accepted a connection by then.
+constexpr Duration kProbeStagger = std::chrono::milliseconds(30);
+
+/// A successful check answers for this long, so that many failures at once cause one check.
+constexpr Duration kCheckValidity = std::chrono::milliseconds(100);
+
 /// A tunnel that was used this recently shows that another node reaches the engines.
 constexpr Duration kRecentTunnel = std::chrono::seconds(2);
 
@@ -95,7 +101,9 @@
 }
 
 void EnginePaths::verify(VerifyHandler handler) {
-  if (this->io.probe == nullptr) return handler(true);
+  const MonotonicTime now = this->io.runtime.now();
+  const bool just_checked = this->connected_at && now - *this->connected_at <= kCheckValidity;
+  if (this->io.probe == nullptr || just_checked) return handler(true);
   this->waiting.push_back(std::move(handler));
   if (!this->running_check) this->check();
 }
@@ -138,6 +146,8 @@
 void EnginePaths::probe(const EngineId& engine) {
   const EngineView* view = this->io.engines.find(engine);
   if (view == nullptr) return this->direct.forget(engine);
+  // If it was taken for terminated by mistake, requests find out.
+  if (view->terminated) return;
   const std::string address = view->record.address;
   this->io.probe->probe(address, kProbeTimeout,
                         [this, still_alive = this->alive, engine, address](bool connected) {
@@ -184,19 +194,32 @@
   const std::vector<std::string> addresses = this->engines_to_check();
   if (addresses.empty()) return this->finish_check(true);
   auto running = std::make_shared<Check>();
-  running->pending = addresses.size();
+  running->addresses = addresses;
   this->running_check = running;
-  for (const std::string& address : addresses) {
-    this->io.probe->probe(address, kProbeTimeout,
-                          [this, still_alive = this->alive, running](bool connected) {
-                            if (*still_alive) this->on_probed(running, connected);
-                          });
-  }
+  this->probe_next(running);
+  running->timer = this->io.runtime.after(kProbeStagger, [this, weak = std::weak_ptr(running)] {
+    if (const auto waiting_check = weak.lock()) this->probe_rest(waiting_check);
+  });
+}
+
+void EnginePaths::probe_next(const std::shared_ptr<Check>& running) {
+  const std::string address = running->addresses.front();
+  running->addresses.erase(running->addresses.begin());
+  ++running->pending;
+  this->io.probe->probe(address, kProbeTimeout,
+                        [this, still_alive = this->alive, running](bool connected) {
+                          if (*still_alive) this->on_probed(running, connected);
+                        });
+}
+
+void EnginePaths::probe_rest(const std::shared_ptr<Check>& running) {
+  while (!running->addresses.empty()) this->probe_next(running);
 }
 
 void EnginePaths::on_probed(const std::shared_ptr<Check>& running, bool connected) {
   if (this->running_check != running) return;
   --running->pending;
+  if (!connected) this->probe_rest(running);
   if (!connected && running->pending > 0) return;
   this->running_check.reset();
   this->finish_check(connected);
@@ -206,6 +229,7 @@
   const MonotonicTime now = this->io.runtime.now();
   const std::size_t failed = this->direct.broken_paths().size();
   const Duration broken_for = this->direct.broken_for(now);
+  if (connected) this->connected_at = now;
   const bool changed = this->direct.on_check_ended(now, connected);
   if (changed) {
     this->io.metrics.set_gauge("engine_path_broken", connected ? 0 : 1);
--- a/src/relay/engine_paths.hpp
+++ b/src/relay/engine_paths.hpp
@@ -94,15 +94,19 @@
   void on_tick(std::function<void()> handler) { this->tick_handler = std::move(handler); }
 
  private:
+  /// A check of whether any engine is reachable.
   struct Check {
+    std::vector<std::string> addresses;  ///< Not yet probed.
     std::size_t pending = 0;
-    bool connected = false;
+    std::unique_ptr<Timer> timer;
   };
 
   void tick();
   void check();
   void probe(const EngineId& engine);
   std::vector<std::string> engines_to_check() const;
+  void probe_next(const std::shared_ptr<Check>& running);
+  void probe_rest(const std::shared_ptr<Check>& running);
   void on_probed(const std::shared_ptr<Check>& running, bool connected);
   void finish_check(bool connected);
 
@@ -110,7 +114,8 @@
   EngineReachability direct;
   TunnelPeers tunnel_peers;
   std::shared_ptr<Check> running_check;
-  std::vector<VerifyHandler> waiting;  ///< For the end of the check.
+  std::optional<MonotonicTime> connected_at;  ///< End of the last successful check.
+  std::vector<VerifyHandler> waiting;         ///< For the end of the check.
   std::function<void()> lost_handler;
   std::function<void(const std::string&)> unreachable_handler;
   std::function<void()> tick_handler;
--- a/src/relay/relay_session_path.cpp
+++ b/src/relay/relay_session_path.cpp
@@ -69,7 +69,7 @@
   if (confirmed || !context_.paths.path_broken()) report_unreachable(confirmed);
   if (required > 0 && refused_by_peers_ >= required) return context_.on_engine_terminated(engine_);
   // Without an opinion of other nodes, this node's own check has to do.
-  if (!refused_directly_ || unreachable_for_peers_ > 0) return;
+  if (!refused_directly_ || unreachable_for_peers_ > 0 || is_terminated(engine_)) return;
   context_.paths.verify([&context = context_, engine = engine_](bool reaches_engines) {
     if (reaches_engines) context.on_engine_terminated(engine);
   });
--- a/tests/relay/engine_paths_test.cpp
+++ b/tests/relay/engine_paths_test.cpp
@@ -276,3 +276,26 @@
   for (const std::size_t direct : {check, check + 1}) site.http.refuse_connection(direct);
   cr_assert(retries_after_interruption(site));
 }
+
+// Guards against a flood of connections when all engines of a service have really ended.
+Test(engine_paths, probes_little_when_engines_have_ended) {
+  PathSite site;
+  for (const char* id : {"a", "b"}) site.add_engine(id, "plain");
+  site.add_engine("c", "model", relay::EngineStage::kDecode);
+  site.probes.reachable = {"c:80"};
+  for (int i = 0; i < 50; ++i) {
+    const std::size_t first = site.http.count();
+    const auto reply = site.request("/safe/x", {{"id", "r" + std::to_string(i)}});
+    for (std::size_t sent = first; sent < site.http.count(); ++sent) {
+      if (site.http.at(sent).request.tunnel) {
+        site.http.refuse_tunnel(sent, TunnelStatus::kRefused);
+      } else {
+        site.http.refuse_connection(sent);
+      }
+    }
+    cr_assert_eq(reply->status, 503);
+    site.runtime.advance(100ms);
+  }
+  for (const char* id : {"a", "b"}) cr_assert(site.terminated(id));
+  cr_assert_leq(site.probes.count, 25, "%d probes in 5 s", site.probes.count);
+}
