Take no engine for ended while most nodes are partitioned from it

Cause: two nodes that are cut off from the same engine confirmed each other, and a node whose asked peers were all cut off went by its own check, which may find one of the few engines left in reach.

Now three other nodes have to be refused as well, no other node may report requests in flight at the engine (they break at once when it ends), and the node's own check decides only where no other node answers at all, as during an upgrade. A check connects to six engines before it finds no engine reachable.

--- a/src/core/relay/engine_directory.hpp
+++ b/src/core/relay/engine_directory.hpp
@@ -132,6 +132,9 @@
   /// or else from the engine's.
   double peer_requests(MonotonicTime now) const;
 
+  /// @return whether other nodes report requests in flight there, so that they reach it.
+  bool used_by_peers() const { return peer_load && peer_load->in_flight > 0; }
+
   /// @return estimated requests of all nodes that run or wait there.
   double total_requests(MonotonicTime now) const { return in_flight + peer_requests(now); }
 
--- a/src/relay/engine_paths.cpp
+++ b/src/relay/engine_paths.cpp
@@ -25,12 +25,12 @@
 /// may pause for longer; the check tells them from a broken path.
 constexpr Duration kMaxSilence = std::chrono::milliseconds(400);
 
-/// A partition may cut another node off from the same engine, so that one node is not enough.
-constexpr std::size_t kConfirmations = 2;
+/// A partition may cut other nodes off from the same engine, so that one of them is not enough.
+constexpr std::size_t kConfirmations = 3;
 
-/// Engines that one check connects to. With fewer, some failed engines would look like a broken
-/// path.
-constexpr std::size_t kProbesPerCheck = 3;
+/// Engines that one check connects to. With fewer, a partition from half of the engines would often
+/// look like one from all.
+constexpr std::size_t kProbesPerCheck = 6;
 
 /// The other engines of a check are probed if the first one has not accepted a connection by then.
 constexpr Duration kProbeStagger = std::chrono::milliseconds(30);
@@ -96,8 +96,11 @@
   return path->refused ? TunnelStatus::kRefused : TunnelStatus::kUnreachable;
 }
 
-std::size_t EnginePaths::required_confirmations() const {
-  return std::min(kConfirmations, this->tunnel_peers.size());
+bool EnginePaths::confirmed(const EngineId& engine, std::size_t refusals) const {
+  const std::size_t required = std::min(kConfirmations, this->tunnel_peers.size());
+  const EngineView* view = this->io.engines.find(engine);
+  const bool used = view != nullptr && view->used_by_peers();
+  return required > 0 && refusals >= required && !used;
 }
 
 void EnginePaths::verify(VerifyHandler handler) {
--- a/src/relay/engine_paths.hpp
+++ b/src/relay/engine_paths.hpp
@@ -78,9 +78,9 @@
   TunnelPeers& peers() { return this->tunnel_peers; }
   const EngineReachability& reachability() const { return this->direct; }
 
-  /// @return how many other nodes have to confirm that an engine cannot be connected to, before it
-  /// is not attributed to this node's path.
-  std::size_t required_confirmations() const;
+  /// @return whether so many other nodes that could not connect either show that it is the engine's
+  /// fault, rather than that of the paths.
+  bool confirmed(const EngineId& engine, std::size_t refusals) const;
 
   /// Sets the handler that is called when no engine is reachable any more.
   void on_path_lost(std::function<void()> handler) { this->lost_handler = std::move(handler); }
--- a/src/relay/quarantine.cpp
+++ b/src/relay/quarantine.cpp
@@ -306,16 +306,18 @@
   if (check.tunnel) {
     this->io.paths.on_tunnel_failed(*check.tunnel, error.tunnel_status);
     if (error.connection_refused) ++check.refusals;
+    check.peers_answered = check.peers_answered || error.tunnel_status.has_value();
   } else {
     this->io.paths.on_connect_failed(check.engine, error.connection_refused);
+    check.refused_directly = error.connection_refused;
   }
-  const std::size_t required = this->io.paths.required_confirmations();
-  if (required > 0 && check.refusals >= required)
+  if (this->io.paths.confirmed(check.engine, check.refusals)) {
     return this->finish_check(check, LivenessResult::kEnded);
+  }
   if (this->check_on_other_path(check)) return;
-  const bool asked_nobody = check.tried_peers.empty();
-  if (!asked_nobody || !error.connection_refused)
+  if (!check.refused_directly || check.peers_answered) {
     return this->finish_check(check, LivenessResult::kSilent);
+  }
   this->io.paths.verify([this, still_alive = this->alive, check](bool reaches_engines) {
     if (*still_alive)
       this->finish_check(check, reaches_engines ? LivenessResult::kEnded : LivenessResult::kSilent);
--- a/src/relay/quarantine.hpp
+++ b/src/relay/quarantine.hpp
@@ -122,7 +122,9 @@
     MonotonicTime sent_at{};
     std::optional<TunnelRoute> tunnel = std::nullopt;  ///< Unset: on the direct path.
     std::vector<std::string> tried_peers{};
-    std::size_t refusals = 0;  ///< Other nodes whose connections the engine's host refused.
+    std::size_t refusals = 0;     ///< Other nodes whose connections the engine's host refused.
+    bool peers_answered = false;  ///< Whether any of these did, be it that it has no path.
+    bool refused_directly = false;
   };
   enum class LivenessResult { kLives, kEnded, kSilent };
   void start_check(LivenessCheck check);
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -225,6 +225,7 @@
   tunnel_.reset();
   tried_peers_.clear();
   refused_directly_ = false;
+  peers_answered_ = false;
   refused_by_peers_ = 0;
   unreachable_for_peers_ = 0;
   if (context_.paths.is_broken(engine) && !is_terminated(engine)) choose_tunnel(engine);
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -226,6 +226,7 @@
   std::optional<TunnelRoute> tunnel_;      ///< Unset: a direct connection.
   std::vector<std::string> tried_peers_;   ///< Asked for a tunnel to this engine.
   bool refused_directly_ = false;          ///< The engine's host refused a direct connection.
+  bool peers_answered_ = false;            ///< Whether any of these did, be it that it has no path.
   std::size_t refused_by_peers_ = 0;       ///< Asked nodes whose connections its host refused.
   std::size_t unreachable_for_peers_ = 0;  ///< Asked nodes that could not connect, these included.
   EngineStage sent_stage_ = EngineStage::kNone;  ///< The engine's, as known when it was sent.
--- a/src/relay/relay_session_path.cpp
+++ b/src/relay/relay_session_path.cpp
@@ -42,6 +42,7 @@
   const auto& status = error.tunnel_status;
   if (tunnel_) {
     context_.paths.on_tunnel_failed(*tunnel_, status);
+    peers_answered_ = peers_answered_ || status.has_value();
     if (status == TunnelStatus::kTargetUnknown) return false;
     if (status == TunnelStatus::kRefused) ++refused_by_peers_;
     if (status == TunnelStatus::kRefused || status == TunnelStatus::kUnreachable) {
@@ -64,12 +65,13 @@
 /// Decides what failed connections say about the engine. That this node cannot connect is neither
 /// reported to others nor taken for the engine's end, unless others cannot either.
 void RelaySession::on_engine_unreachable() {
-  const std::size_t required = context_.paths.required_confirmations();
-  const bool confirmed = required > 0 && unreachable_for_peers_ >= required;
+  const bool confirmed = context_.paths.confirmed(engine_, unreachable_for_peers_);
   if (confirmed || !context_.paths.path_broken()) report_unreachable(confirmed);
-  if (required > 0 && refused_by_peers_ >= required) return context_.on_engine_terminated(engine_);
-  // Without an opinion of other nodes, this node's own check has to do.
-  if (!refused_directly_ || unreachable_for_peers_ > 0 || is_terminated(engine_)) return;
+  if (context_.paths.confirmed(engine_, refused_by_peers_)) {
+    return context_.on_engine_terminated(engine_);
+  }
+  // Without other nodes that could tell, this node's own check has to do.
+  if (!refused_directly_ || peers_answered_ || is_terminated(engine_)) return;
   context_.paths.verify([&context = context_, engine = engine_](bool reaches_engines) {
     if (reaches_engines) context.on_engine_terminated(engine);
   });
--- a/tests/relay/engine_paths_test.cpp
+++ b/tests/relay/engine_paths_test.cpp
@@ -125,8 +125,8 @@
   site.http.refuse_tunnel(1, TunnelStatus::kRefused);
   cr_assert_not(site.terminated("a"));
   site.http.refuse_tunnel(2, TunnelStatus::kUnavailable);
-  site.http.refuse_tunnel(3, TunnelStatus::kUnreachable);
-  cr_assert_not(site.terminated("a"), "one of three was refused");
+  site.http.refuse_tunnel(3, TunnelStatus::kRefused);
+  cr_assert_not(site.terminated("a"), "two of three were refused");
   site.runtime.advance(3s);
   site.request("/once/x", {{"id", "r2"}});
   for (int i = 0; i < 3; ++i)
@@ -134,6 +134,18 @@
   cr_assert(site.terminated("a"));
 }
 
+// Guards against taking a partition of most nodes for the end of an engine.
+Test(engine_paths, takes_no_engine_for_ended_that_other_nodes_use) {
+  PathSite site;
+  site.add_engine("a", "plain");
+  site.node->engines().on_peer_load(site.runtime.now(), NodeId("n2"), {{EngineId("a"), {1, 0, 0}}});
+  site.request("/once/x");
+  site.http.refuse_connection(0);
+  for (std::size_t i = 1; i <= 3; ++i) site.http.refuse_tunnel(i, TunnelStatus::kRefused);
+  cr_assert_not(site.terminated("a"));
+  cr_assert(site.node->take_troubles().empty());
+}
+
 Test(engine_paths, checks_its_own_path_if_no_other_node_can_tell) {
   PathSite site;
   site.add_engine("a", "plain");
@@ -155,6 +167,19 @@
   cr_assert_not(cut.terminated("a"), "the node reaches no engine");
 }
 
+// Guards against a check that happens to find one of the few engines left in reach.
+Test(engine_paths, leaves_the_question_open_if_the_nodes_asked_are_cut_off_too) {
+  PathSite site;
+  for (const char* id : {"a", "b"}) site.add_engine(id, "plain");
+  site.probes.reachable = {"b:80"};
+  site.request("/once/x");
+  const std::string refused = site.last().request.url.substr(7, 1);
+  site.http.refuse_connection(0);
+  for (std::size_t i = 1; i <= 3; ++i) site.http.refuse_tunnel(i, TunnelStatus::kUnavailable);
+  site.runtime.advance(1s);
+  cr_assert_not(site.terminated(refused.c_str()));
+}
+
 Test(engine_paths, asks_another_node_at_once_while_its_path_is_broken) {
   PathSite site;
   for (const char* id : {"a", "b"}) site.add_engine(id, "plain");
@@ -261,7 +286,7 @@
   const std::size_t check = interrupt_twice(site);
   for (const std::size_t direct : {check, check + 1}) {
     site.http.refuse_connection(direct);
-    for (int i = 0; i < 2; ++i) {
+    for (int i = 0; i < 3; ++i) {
       site.http.refuse_tunnel(site.http.count() - 1, TunnelStatus::kRefused);
     }
   }
