--- a/src/relay/engine_paths.cpp
+++ b/src/relay/engine_paths.cpp
@@ -32,6 +32,10 @@
 /// look like one from all.
 constexpr std::size_t kProbesPerCheck = 6;
 
+/// Engines that have to accept connections before a broken path counts as restored. One may be
+/// among the few that a partition left in reach.
+constexpr std::size_t kConnectionsToRestore = 2;
+
 /// The other engines of a check are probed if the first one has not accepted a connection by then.
 constexpr Duration kProbeStagger = std::chrono::milliseconds(30);
 
@@ -198,6 +202,7 @@
   if (addresses.empty()) return this->finish_check(true);
   auto running = std::make_shared<Check>();
   running->addresses = addresses;
+  if (this->path_broken()) running->missing = std::min(kConnectionsToRestore, addresses.size());
   this->running_check = running;
   this->probe_next(running);
   running->timer = this->io.runtime.after(kProbeStagger, [this, weak = std::weak_ptr(running)] {
@@ -222,10 +227,13 @@
 void EnginePaths::on_probed(const std::shared_ptr<Check>& running, bool connected) {
   if (this->running_check != running) return;
   --running->pending;
-  if (!connected) this->probe_rest(running);
-  if (!connected && running->pending > 0) return;
+  if (connected) --running->missing;
+  if (running->missing > 0) {
+    this->probe_rest(running);
+    if (running->pending > 0) return;
+  }
   this->running_check.reset();
-  this->finish_check(connected);
+  this->finish_check(running->missing == 0);
 }
 
 void EnginePaths::finish_check(bool connected) {
--- a/src/relay/engine_paths.hpp
+++ b/src/relay/engine_paths.hpp
@@ -98,6 +98,7 @@
   struct Check {
     std::vector<std::string> addresses;  ///< Not yet probed.
     std::size_t pending = 0;
+    std::size_t missing = 1;  ///< Connections until the check succeeds.
     std::unique_ptr<Timer> timer;
   };
 
--- a/tests/relay/engine_paths_test.cpp
+++ b/tests/relay/engine_paths_test.cpp
@@ -193,6 +193,19 @@
   cr_assert(site.last_is_direct(), "back within a second");
 }
 
+// Guards against returning to direct connections that hang since one engine is left in reach.
+Test(engine_paths, does_not_take_one_reachable_engine_for_the_end_of_a_partition) {
+  PathSite site;
+  for (const char* id : {"a", "b", "c", "d"}) site.add_engine(id, "plain");
+  site.lose_path();
+  site.probes.reachable = {"a:80"};
+  site.runtime.advance(2s);
+  cr_assert(site.node->paths().path_broken());
+  site.probes.reachable = {"a:80", "b:80"};
+  site.runtime.advance(1s);
+  cr_assert_not(site.node->paths().path_broken());
+}
+
 Test(engine_paths, keeps_direct_paths_to_other_engines_in_a_partial_partition) {
   PathSite site;
   for (const char* id : {"a", "b"}) site.add_engine(id, "plain");
