--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -43,6 +43,7 @@
             << " failed, " << counts.cancelled << " left early, "
             << site.result().max_limit_utilization() << " of a limit at most, " << counts.over_quota
             << " over quota, " << site.result().max_quota_utilization() << " of a quota at most, "
+            << site.result().judged_at_cut_nodes() << " judged at cut nodes, "
             << site.result().violations().size() << " promises broken" << std::endl;
   for (const Violation& violation : site.result().violations()) {
     std::cout << "  " << violation.rule << ": " << violation.what << std::endl;
@@ -76,6 +77,8 @@
                "engines announce a request rate limit over all nodes")(
       "quotas", options::bool_switch(&soak_options.tenant_quotas),
       "a tenant asks for more than its quota, which changes")(
+      "cuts", options::bool_switch(&soak_options.path_cuts),
+      "relays are cut off from the engines, while callers, the store and other relays reach them")(
       "other-program", options::value(&soak_options.previous_program),
       "relay program of an earlier version, for a rolling downgrade and upgrade")(
       "relays", options::value(&soak_options.relay_count)->default_value(5),
--- a/tests/platform/support/callers.cpp
+++ b/tests/platform/support/callers.cpp
@@ -229,6 +229,7 @@
   --this->open_calls;
   if (complete) this->check_answer(call);
   const bool good = complete && call->status == 200;
+  this->ledger.on_request_ended(call->request, good);
   if (call->on_finished) return call->on_finished(!complete || call->status >= 500);
   const bool over_quota = complete && call->status == 429;
   const bool refused = complete && call->status == 503;
--- a/tests/platform/support/fault_proxy.cpp
+++ b/tests/platform/support/fault_proxy.cpp
@@ -1,5 +1,7 @@
 #include "platform/support/fault_proxy.hpp"
 
+#include <fcntl.h>
+
 #include <algorithm>
 #include <array>
 #include <asio/steady_timer.hpp>
@@ -25,6 +27,11 @@
   socket.close(ignored);
 }
 
+/// Keeps a socket from child processes, which would hold it open after it is closed here.
+void close_on_exec(int socket_fd) {
+  ::fcntl(socket_fd, F_SETFD, FD_CLOEXEC);
+}
+
 }  // namespace
 
 class FaultProxy::Impl : public std::enable_shared_from_this<FaultProxy::Impl> {
@@ -39,6 +46,11 @@
 
     void start() {
       auto self = this->shared_from_this();
+      std::error_code ignored;
+      this->target_side.open(Tcp::v4(), ignored);
+      close_on_exec(this->client_side.native_handle());
+      close_on_exec(this->target_side.native_handle());
+      this->target_side.bind({this->owner->source, 0}, ignored);
       this->target_side.async_connect(this->owner->target, [self](const std::error_code& error) {
         if (error) return self->abort();
         self->pump(self->client_side, self->target_side, self->up, true);
@@ -112,24 +124,50 @@
     bool half_closed = false;
   };
 
-  Impl(asio::io_context& own_loop, Tcp::endpoint to)
+  Impl(asio::io_context& own_loop, Tcp::endpoint to, const FaultProxyAddresses& addresses)
       : loop(own_loop),
         target(std::move(to)),
-        acceptor(own_loop, {asio::ip::make_address("127.0.0.1"), 0}) {}
+        source(asio::ip::make_address(addresses.source)),
+        acceptor(own_loop, {asio::ip::make_address(addresses.listen), 0}),
+        endpoint(this->acceptor.local_endpoint()) {
+    close_on_exec(this->acceptor.native_handle());
+  }
 
   void accept() {
     auto self = this->shared_from_this();
-    this->acceptor.async_accept([self](const std::error_code& error, Tcp::socket socket) {
-      if (error) return;
-      if (self->state.refusing) {
-        reset(socket);
-      } else {
-        const auto link = std::make_shared<Link>(self, std::move(socket));
-        self->links.insert(link);
-        link->start();
-      }
-      self->accept();
-    });
+    const int generation = this->accept_generation;
+    this->acceptor.async_accept(
+        [self, generation](const std::error_code& error, Tcp::socket socket) {
+          if (error || generation != self->accept_generation) return;
+          if (self->state.refusing) {
+            reset(socket);
+          } else {
+            const auto link = std::make_shared<Link>(self, std::move(socket));
+            self->links.insert(link);
+            link->start();
+          }
+          self->accept();
+        });
+  }
+
+  void block(Blockade blockade) {
+    ++this->accept_generation;
+    std::error_code ignored;
+    this->queue_filler.reset();
+    this->acceptor.close(ignored);
+    if (blockade == Blockade::kRefused) return;
+    this->acceptor.open(Tcp::v4());
+    close_on_exec(this->acceptor.native_handle());
+    this->acceptor.set_option(Tcp::acceptor::reuse_address(true));
+    this->acceptor.bind(this->endpoint);
+    if (blockade == Blockade::kNone) {
+      this->acceptor.listen();
+      return this->accept();
+    }
+    // With the queue full and nothing accepted, connections hang.
+    this->acceptor.listen(0);
+    this->queue_filler = std::make_unique<Tcp::socket>(this->loop);
+    this->queue_filler->connect(this->endpoint, ignored);
   }
 
   /// @return the time until these bytes, queued after all earlier ones, have been sent.
@@ -143,15 +181,20 @@
 
   asio::io_context& loop;
   Tcp::endpoint target;
+  asio::ip::address source;
   Tcp::acceptor acceptor;
+  Tcp::endpoint endpoint;  ///< Also while `acceptor` is closed.
+  int accept_generation = 0;
+  std::unique_ptr<Tcp::socket> queue_filler;
   std::size_t rate_down = 0;  ///< Bytes per second; 0: unlimited.
   std::chrono::steady_clock::time_point link_free_at{};
   LinkState state;
   std::set<std::shared_ptr<Link>> links;
 };
 
-FaultProxy::FaultProxy(asio::io_context& loop, Tcp::endpoint target)
-    : impl(std::make_shared<Impl>(loop, std::move(target))) {
+FaultProxy::FaultProxy(asio::io_context& loop, Tcp::endpoint target,
+                       const FaultProxyAddresses& addresses)
+    : impl(std::make_shared<Impl>(loop, std::move(target), addresses)) {
   this->impl->accept();
 }
 
@@ -162,7 +205,11 @@
 }
 
 std::string FaultProxy::address() const {
-  return format_endpoint(this->impl->acceptor.local_endpoint());
+  return format_endpoint(this->impl->endpoint);
+}
+
+void FaultProxy::block(Blockade blockade) {
+  this->impl->block(blockade);
 }
 
 void FaultProxy::set(const LinkState& state) {
--- a/tests/platform/support/fault_proxy.hpp
+++ b/tests/platform/support/fault_proxy.hpp
@@ -20,10 +20,20 @@
   bool operator==(const LinkState&) const = default;
 };
 
+/// How new connections fail, if they do.
+enum class Blockade { kNone, kRefused, kHangs };
+
+/// IP addresses of a proxy.
+struct FaultProxyAddresses {
+  std::string listen = "127.0.0.1";
+  std::string source = "127.0.0.1";  ///< From which it connects to the target.
+};
+
 /// Forwards connections to one target.
 class FaultProxy {
  public:
-  FaultProxy(asio::io_context& loop, asio::ip::tcp::endpoint target);
+  FaultProxy(asio::io_context& loop, asio::ip::tcp::endpoint target,
+             const FaultProxyAddresses& addresses = {});
   ~FaultProxy();
   FaultProxy(const FaultProxy&) = delete;
   FaultProxy& operator=(const FaultProxy&) = delete;
@@ -33,6 +43,9 @@
 
   void set(const LinkState& state);
 
+  /// Lets new connections fail before they are established.
+  void block(Blockade blockade);
+
   /// Limits the total rate from the target over all connections; 0: no limit.
   void set_rate_down(std::size_t bytes_per_second);
 
--- a/tests/platform/support/ledger.hpp
+++ b/tests/platform/support/ledger.hpp
@@ -7,12 +7,14 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "support/limit_checker.hpp"
 #include "support/notice_checker.hpp"
+#include "support/path_checker.hpp"
 #include "support/quota_checker.hpp"
 
 namespace shuntbank::testing {
@@ -88,6 +90,10 @@
   /// @param number of the event in arrival order. @return whether it is the expected one.
   bool on_event_received(const std::string& id, std::uint64_t number, const std::string& text);
   void on_stream_end_received(const std::string& id, std::uint64_t last);
+  /// @param served whether the caller got the whole answer of an engine.
+  void on_request_ended(const SentRequest& request, bool served) {
+    this->paths.on_request_ended(request.node, request.sent_at, served);
+  }
 
   // Engines.
   /// @param prefill_only whether the engine accepts the request for a remote prefill; false when
@@ -124,7 +130,20 @@
   void on_node_disturbed(const std::string& node) {
     this->notices.reset_node(node);
     this->limits.reset_node(node);
+    this->paths.on_node_disturbed(monotonic_now(), node);
+  }
+
+  /// Nodes are cut off from all engines, or reach them again.
+  void on_paths_cut(std::set<std::string> nodes) {
+    this->paths.on_cut(monotonic_now(), std::move(nodes));
+  }
+  void on_paths_restored() { this->paths.on_restored(monotonic_now()); }
+  /// Judges the last cut, once its requests have ended.
+  void check_paths() {
+    const std::string violation = this->paths.finish();
+    if (!violation.empty()) this->add_violation("RECOVER", violation);
   }
+  std::size_t judged_at_cut_nodes() const { return this->paths.judged_requests(); }
   /// Whether a node runs a version without support for engine limits.
   void set_unaware_of_limits(const std::string& node, bool unaware) {
     this->limits.set_unaware(node, unaware);
@@ -173,6 +192,7 @@
   std::vector<Violation> recorded_violations;
   NoticeChecker notices{kDrainingGrace};
   LimitChecker limits;
+  PathChecker paths;
   QuotaChecker quotas{{std::chrono::seconds(8), 0.1, kQuotaSlack, kQuotaApplyTime}};
   std::uint64_t seal_count = 0;
 };
--- a/tests/platform/support/soak_site.cpp
+++ b/tests/platform/support/soak_site.cpp
@@ -94,14 +94,89 @@
       storm_random(own_options.seed),
       notice_random(own_options.seed),
       limit_random(own_options.seed),
-      quota_random(own_options.seed) {
+      quota_random(own_options.seed),
+      path_random(own_options.seed) {
   this->build_engines();
   this->put_configuration();
+  if (this->options.path_cuts) this->build_engine_paths();
   this->build_relays();
 }
 
 SoakSite::~SoakSite() = default;
 
+/// Gives each relay addresses of its own for the engines.
+void SoakSite::build_engine_paths() {
+  for (std::size_t i = 0; i < this->options.relay_count; ++i) {
+    auto& paths = this->engine_paths.emplace_back();
+    for (const auto& engine : this->engines) {
+      const auto target = parse_endpoint(engine->link().address());
+      paths.push_back(std::make_unique<FaultProxy>(
+          this->loop, *target, FaultProxyAddresses{process_network_prefix() + "200", "127.0.0.1"}));
+    }
+  }
+  this->store.set_address_view([this](const std::string& caller, const std::string& address) {
+    for (std::size_t i = 0; i < this->relays.size(); ++i) {
+      if (this->relays[i]->config().ip != caller) continue;
+      for (std::size_t j = 0; j < this->engines.size(); ++j) {
+        if (this->engines[j]->link().address() == address)
+          return this->engine_paths[i][j]->address();
+      }
+    }
+    return address;
+  });
+}
+
+/// Cuts some relays off from all engines, or from a part of them.
+void SoakSite::cut_paths() {
+  if (this->faults_cleared) return;
+  const std::size_t count = this->relays.size();
+  const bool whole_zone = this->path_random() % 3 == 0;
+  const bool partial = this->path_random() % 4 == 0;
+  const std::uint64_t kind = this->path_random() % 3;
+  const Blockade blockade = kind == 0 ? Blockade::kHangs : Blockade::kRefused;
+  const std::size_t zone = this->path_random() % 3;
+  const std::size_t cut_count = 1 + this->path_random() % std::max<std::size_t>(1, count / 2);
+  const std::size_t first = this->path_random() % count;
+  std::set<std::string> cut;
+  for (std::size_t i = 0; i < count; ++i) {
+    const bool chosen = whole_zone ? i % 3 == zone : (i + count - first) % count < cut_count;
+    if (!chosen) continue;
+    cut.insert(this->relays[i]->caller_address());
+    for (std::size_t j = 0; j < this->engines.size(); ++j) {
+      if (partial && (i + j) % 2 == 0) continue;
+      FaultProxy& path = *this->engine_paths[i][j];
+      path.block(blockade);
+      if (kind == 0) path.set({true, true, false, 0ms});
+      if (kind == 1) path.reset_all();
+    }
+  }
+  const char* const kinds[] = {"hang", "are reset", "stay, new ones are refused"};
+  const std::chrono::milliseconds duration(4000 + this->path_random() % 6000);
+  this->log_fault(std::to_string(cut.size()) + (whole_zone ? " relays of a zone" : " relays") +
+                  " cut off from " + (partial ? "half of the" : "all") + " engines for " +
+                  std::to_string(duration.count()) + " ms, connections " + kinds[kind]);
+  this->paths_cut = true;
+  for (const auto& engine : this->engines) engine->on_link_disturbed();
+  if (!partial) this->ledger.on_paths_cut(std::move(cut));
+  this->schedule(duration, [this] { this->restore_paths(); });
+}
+
+void SoakSite::restore_paths() {
+  constexpr std::chrono::milliseconds kRequestsEnd{5000};
+  this->paths_cut = false;
+  this->ledger.on_paths_restored();
+  for (const auto& paths : this->engine_paths) {
+    for (const auto& path : paths) {
+      path->block(Blockade::kNone);
+      path->set({});
+    }
+  }
+  for (const auto& engine : this->engines) engine->on_link_disturbed();
+  this->schedule(kRequestsEnd, [this] { this->ledger.check_paths(); });
+  this->schedule(kRequestsEnd + std::chrono::milliseconds(this->path_random() % 4000),
+                 [this] { this->cut_paths(); });
+}
+
 void SoakSite::build_engines() {
   const std::vector<EngineShape> shapes = {
       model_shape("decode"),          model_shape("decode"),         model_shape("decode"),
@@ -120,11 +195,13 @@
 void SoakSite::build_relays() {
   std::vector<NodeEndpoints> entry;
   for (std::size_t i = 0; i < this->options.relay_count; ++i) {
-    this->store_links.push_back(std::make_unique<FaultProxy>(this->loop, this->store.endpoint()));
+    const std::string relay_ip = process_network_prefix() + std::to_string(i + 1);
+    this->store_links.push_back(std::make_unique<FaultProxy>(
+        this->loop, this->store.endpoint(), FaultProxyAddresses{"127.0.0.1", relay_ip}));
     if (this->options.storms) this->store_links.back()->set_rate_down(kStormLinkBytesPerSecond);
     RelayConfig config;
     config.name = "relay-" + std::to_string(i + 1);
-    config.ip = process_network_prefix() + std::to_string(i + 1);
+    config.ip = relay_ip;
     config.zone = "z" + std::to_string(i % 3);
     config.store_address = this->store_links.back()->address();
     // The kernel may return the same free port twice.
@@ -243,6 +320,7 @@
   if (this->options.tenant_quotas) {
     this->schedule(8s, [this] { this->inject_quota_changes(); });
   }
+  if (this->options.path_cuts) this->schedule(4s, [this] { this->cut_paths(); });
   if (!this->options.previous_program.empty()) this->switch_next_program();
   this->wait(2s);
   const auto end = std::chrono::steady_clock::now() + this->options.fault_duration;
@@ -259,6 +337,8 @@
 
 void SoakSite::inject_fault() {
   const std::uint64_t kind = this->draw(24);
+  // Disturbed nodes are not judged.
+  if (this->paths_cut && kind < 15) return;
   // The first kinds disturb relays or the store.
   if (kind < 15) this->disturbed_until = std::chrono::steady_clock::now() + kMaxDisturbance;
   if (kind < 8) return this->inject_relay_fault(kind);
@@ -561,6 +641,12 @@
     engine->set_limit({});
     engine->link().set({});
   }
+  for (const auto& paths : this->engine_paths) {
+    for (const auto& path : paths) {
+      path->block(Blockade::kNone);
+      path->set({});
+    }
+  }
   this->callers->set_cancel_share(0);
   // Draining engines stop first; all are restarted after that.
   this->wait(6s);
--- a/tests/platform/support/soak_site.hpp
+++ b/tests/platform/support/soak_site.hpp
@@ -37,6 +37,8 @@
   bool engine_limits = false;
   /// A tenant asks for more than its quota, which also falls and rises.
   bool tenant_quotas = false;
+  /// Nodes are cut off from all engines, and from some of them.
+  bool path_cuts = false;
   /// Path of an earlier version for a rolling downgrade and upgrade; may be empty. Engine limits
   /// are not checked for its nodes.
   std::string previous_program;
@@ -80,6 +82,9 @@
   void inject_engine_notices();
   void inject_limit_changes();
   void inject_quota_changes();
+  void build_engine_paths();
+  void cut_paths();
+  void restore_paths();
   void change_limit(std::size_t index, double per_second, int steps, double factor);
   void switch_next_program();
   void drain_during_store_outage(EngineStandin& engine);
@@ -101,6 +106,9 @@
   StoreStandin store;
   std::vector<std::unique_ptr<EngineStandin>> engines;
   std::vector<std::unique_ptr<FaultProxy>> store_links;  ///< One per relay.
+  /// The path from a relay to an engine, by relay and engine.
+  std::vector<std::vector<std::unique_ptr<FaultProxy>>> engine_paths;
+  bool paths_cut = false;  ///< Of some relays to all engines.
   std::vector<std::unique_ptr<RelayChild>> relays;
   std::unique_ptr<Callers> callers;
   std::vector<std::shared_ptr<asio::steady_timer>> timers;
@@ -113,6 +121,7 @@
   std::mt19937_64 notice_random;
   std::mt19937_64 limit_random;
   std::mt19937_64 quota_random;
+  std::mt19937_64 path_random;
   double quota_per_second = kQuotaTokensPerSecond;
   std::size_t switch_count = 0;
   std::chrono::steady_clock::time_point disturbed_until{};  ///< Of relays or store.
--- a/tests/platform/support/store_standin.cpp
+++ b/tests/platform/support/store_standin.cpp
@@ -82,7 +82,8 @@
   // A stale list omits later changes; a watch from its revision delivers them.
   const std::uint64_t visible = this->visible_revision(request);
   for (; next != objects.end() && items.size() < kPage; ++next) {
-    if (next->second.at("meta").at("revision") <= visible) items.push_back(next->second);
+    if (next->second.at("meta").at("revision") <= visible)
+      items.push_back(this->as_seen_by(request.caller, next->second));
   }
   reply(responder, 200, {{"items", items}, {"more", next != objects.end()}, {"at", visible}});
 }
@@ -108,6 +109,7 @@
   watch.kind = kind;
   watch.since = since;
   watch.stale_allowed = !request.query_value("stale").empty();
+  watch.caller = request.caller;
   watch.responder = responder;
   if (!this->visible_events(watch).empty()) return this->answer(watch);
   const std::chrono::milliseconds wait(parse_number(request.query_value("wait_ms")));
@@ -125,8 +127,9 @@
     return;
   }
   const std::uint64_t visible = watch.stale_allowed ? this->stale_revision() : this->revision;
-  reply(watch.responder, 200,
-        {{"events", this->visible_events(watch)}, {"at", std::max(visible, watch.since)}});
+  json events = this->visible_events(watch);
+  for (json& event : events) event["object"] = this->as_seen_by(watch.caller, event["object"]);
+  reply(watch.responder, 200, {{"events", events}, {"at", std::max(visible, watch.since)}});
 }
 
 json StoreStandin::visible_events(const Watch& watch) const {
@@ -211,6 +214,13 @@
   this->finish_write(this->store_object(kind, name, body.at("spec")), responder);
 }
 
+json StoreStandin::as_seen_by(const std::string& caller, json object) const {
+  json& spec = object["spec"];
+  if (!this->address_view || !spec.is_object() || !spec.contains("addr")) return object;
+  spec["addr"] = this->address_view(caller, spec["addr"].get<std::string>());
+  return object;
+}
+
 void StoreStandin::finish_write(const json& object, const Responder& responder) {
   const json answer = object;
   this->answer_ready_watches();
--- a/tests/platform/support/store_standin.hpp
+++ b/tests/platform/support/store_standin.hpp
@@ -29,6 +29,11 @@
 
   void set_fault(StoreFault fault);
 
+  /// Sets the function that returns the address of an engine as the caller at an IP sees it.
+  using AddressView =
+      std::function<std::string(const std::string& caller_ip, const std::string& address)>;
+  void set_address_view(AddressView view) { this->address_view = std::move(view); }
+
   /// Makes watches from earlier revisions fail with 410.
   void drop_history();
 
@@ -48,6 +53,7 @@
     std::string kind;
     std::uint64_t since = 0;
     bool stale_allowed = false;
+    std::string caller;  ///< IP.
     Responder responder;
     std::unique_ptr<asio::steady_timer> timer;
     bool open = true;
@@ -59,6 +65,7 @@
   void create(const std::string& kind, const nlohmann::json& body, const Responder& responder);
   void replace(const std::string& kind, const std::string& name, const nlohmann::json& body,
                const Responder& responder);
+  nlohmann::json as_seen_by(const std::string& caller, nlohmann::json object) const;
   void finish_write(const nlohmann::json& object, const Responder& responder);
   nlohmann::json& store_object(const std::string& kind, const std::string& name,
                                const nlohmann::json& spec);
@@ -85,6 +92,7 @@
   std::deque<Event> history;
   std::list<Watch> watches;
   std::shared_ptr<bool> lifetime_token = std::make_shared<bool>(true);
+  AddressView address_view;
   std::vector<Responder> unanswered;  ///< Calls left without an answer.
   std::uint64_t revision = 1;
   std::uint64_t oldest_watchable = 0;
