--- a/src/net/peer_transport.cpp
+++ b/src/net/peer_transport.cpp
@@ -33,8 +33,8 @@
     on_call_ = std::move(on_call);
   }
 
-  void set_tunnel_handler(std::function<void(asio::ip::tcp::socket)> handler) override {
-    frames_.set_tunnel_handler(std::move(handler));
+  void set_tunnel_handler(const TunnelHandler& handler) override {
+    frames_.set_tunnel_handler(handler);
   }
 
   void send(const std::string& address, std::string_view text) override {
--- a/src/net/peer_transport.hpp
+++ b/src/net/peer_transport.hpp
@@ -20,6 +20,7 @@
  public:
   using DatagramHandler = std::function<void(std::string_view text, const std::string& sender)>;
   using CallHandler = std::function<void(std::string text, std::function<void(std::string)> reply)>;
+  using TunnelHandler = std::function<void(asio::ip::tcp::socket)>;
   using AnswerHandler = std::function<void(tl::expected<std::string, std::string>)>;
 
   PeerTransport() = default;
@@ -31,7 +32,7 @@
   virtual void set_handlers(DatagramHandler on_datagram, CallHandler on_call) = 0;
 
   /// Sets the handler of tunnels that other nodes open. Without it, tunnels are rejected.
-  virtual void set_tunnel_handler(std::function<void(asio::ip::tcp::socket)>) {}
+  virtual void set_tunnel_handler(const TunnelHandler& /*handler*/) {}
 
   /// Sends a small message; it may be lost, duplicated or delayed.
   virtual void send(const std::string& address, std::string_view text) = 0;
