--- a/src/core/relay/engine_directory.cpp
+++ b/src/core/relay/engine_directory.cpp
@@ -168,6 +168,28 @@
   return found == by_service_.end() ? none : found->second;
 }
 
+std::vector<const EngineView*> EngineDirectory::sample(std::size_t count,
+                                                       std::uint64_t random) const {
+  std::vector<const EngineView*> sampled;
+  if (engines_.empty()) return sampled;
+  const std::size_t total = engines_.size();
+  const std::size_t wanted = std::min(count, total);
+  // Evenly spread from a random place.
+  const std::size_t step = total <= count ? 1 : total / count;
+  std::size_t position = random % total;
+  for (std::size_t drawn = 0; drawn < wanted; ++drawn, position = (position + step) % total) {
+    std::size_t index = position;
+    for (const auto& [service, engines] : by_service_) {
+      if (index < engines.size()) {
+        sampled.push_back(engines[index]);
+        break;
+      }
+      index -= engines.size();
+    }
+  }
+  return sampled;
+}
+
 bool EngineDirectory::on_draining(const EngineId& id) {
   EngineView* engine = find(id);
   if (engine != nullptr) engine->record.draining = true;
--- a/src/core/relay/engine_directory.hpp
+++ b/src/core/relay/engine_directory.hpp
@@ -204,6 +204,10 @@
   /// @return the engines of a service, ordered by id. Valid until the next change.
   const std::vector<EngineView*>& find_by_service(const ServiceName& service) const;
 
+  /// @return up to `count` different engines, drawn with this random number. The cost does not grow
+  /// with the number of engines.
+  std::vector<const EngineView*> sample(std::size_t count, std::uint64_t random) const;
+
   std::size_t size() const { return engines_.size(); }
   const std::map<EngineId, EngineView>& all() const { return engines_; }
 
--- a/src/relay/engine_paths.cpp
+++ b/src/relay/engine_paths.cpp
@@ -4,7 +4,6 @@
 #include <set>
 #include <utility>
 
-#include "common/hash.hpp"
 #include "common/log.hpp"
 
 namespace shuntbank::relay {
@@ -32,6 +31,9 @@
 /// look like one from all.
 constexpr std::size_t kProbesPerCheck = 6;
 
+/// Engines among which a check chooses, so that some are of other zones and not known as broken.
+constexpr std::size_t kCheckSample = 24;
+
 /// Engines that have to accept connections before a broken path counts as restored. One may be
 /// among the few that a partition left in reach.
 constexpr std::size_t kConnectionsToRestore = 2;
@@ -169,27 +171,21 @@
 /// @return addresses of engines that a check connects to: in different zones if possible, and not
 /// those that connections have failed to.
 std::vector<std::string> EnginePaths::engines_to_check() const {
-  struct Candidate {
-    bool failed = false;
-    double order = 0;
-    const EngineRecord* record = nullptr;
-  };
-  const std::uint64_t seed = random_number(this->io.runtime);
-  std::vector<Candidate> candidates;
-  for (const auto& [id, engine] : this->io.engines.all()) {
-    if (engine.record.draining) continue;
-    const bool failed = this->direct.find_broken(id) != nullptr;
-    candidates.push_back({failed, hash_fraction(id.value(), seed), &engine.record});
+  std::vector<const EngineRecord*> sound;
+  std::vector<const EngineRecord*> broken;
+  const std::uint64_t random = random_number(this->io.runtime);
+  for (const EngineView* engine : this->io.engines.sample(kCheckSample, random)) {
+    if (engine->record.draining) continue;
+    const bool is_broken = this->direct.find_broken(engine->record.id) != nullptr;
+    (is_broken ? broken : sound).push_back(&engine->record);
   }
-  std::sort(candidates.begin(), candidates.end(), [](const auto& one, const auto& other) {
-    return std::pair(one.failed, one.order) < std::pair(other.failed, other.order);
-  });
+  sound.insert(sound.end(), broken.begin(), broken.end());
   std::set<ZoneName> zones;
   std::vector<std::string> of_new_zones;
   std::vector<std::string> others;
-  for (const Candidate& candidate : candidates) {
-    const bool new_zone = zones.insert(candidate.record->zone).second;
-    (new_zone ? of_new_zones : others).push_back(candidate.record->address);
+  for (const EngineRecord* record : sound) {
+    const bool new_zone = zones.insert(record->zone).second;
+    (new_zone ? of_new_zones : others).push_back(record->address);
   }
   of_new_zones.insert(of_new_zones.end(), others.begin(), others.end());
   of_new_zones.resize(std::min(of_new_zones.size(), kProbesPerCheck));
--- a/tests/core/relay/engine_directory_test.cpp
+++ b/tests/core/relay/engine_directory_test.cpp
@@ -405,3 +405,23 @@
   engines.on_draining(change->engine);
   cr_assert_not(planner.still_wanted(kNow, engines, table, *change));
 }
+
+Test(engine_directory, samples_different_engines_of_all_services) {
+  EngineDirectory engines;
+  cr_assert(engines.sample(3, 7).empty());
+  std::set<EngineId> seen;
+  for (int i = 0; i < 50; ++i) {
+    EngineRecord added = record("e" + std::to_string(i));
+    added.service = ServiceName("s" + std::to_string(i % 3));
+    engines.upsert(added);
+  }
+  for (std::uint64_t random = 0; random < 50; ++random) {
+    const auto sampled = engines.sample(6, random);
+    std::set<EngineId> ids;
+    for (const EngineView* engine : sampled) ids.insert(engine->record.id);
+    cr_assert_eq(ids.size(), 6U);
+    seen.insert(ids.begin(), ids.end());
+  }
+  cr_assert_eq(seen.size(), 50U);
+  cr_assert_eq(engines.sample(100, 3).size(), 50U);
+}
