Leave the ports of closed connections to listeners

Nodes connect from their own address, so that other nodes recognise them, and a closed connection kept its port there for the 60 s of TIME_WAIT; the next relay at that address had drawn the same port to listen on.

The address of such connections may be reused, as that of listeners may. tunnel/leaves_the_ports_of_closed_connections_to_listeners failed before with the same message.

--- a/src/net/http1_client.cpp
+++ b/src/net/http1_client.cpp
@@ -185,6 +185,8 @@
     if (!local || local->is_v4() != peer.address().is_v4()) return;
     std::error_code ignored;
     socket_.open(peer.protocol(), ignored);
+    // A closed connection must not keep its port from a listener on this address.
+    socket_.set_option(asio::socket_base::reuse_address(true), ignored);
     socket_.bind({*local, 0}, ignored);
   }
 
--- a/tests/net/tunnel_test.cpp
+++ b/tests/net/tunnel_test.cpp
@@ -327,3 +327,27 @@
   });
   cr_assert(passed);
 }
+
+// Guards against a restarted node that cannot listen since an earlier connection has had its port.
+Test(tunnel, leaves_the_ports_of_closed_connections_to_listeners) {
+  asio::io_context loop;
+  RawTarget target(loop);
+  PooledHttpClientSettings settings;
+  settings.local_address = asio::ip::make_address("127.0.0.9");
+  PooledHttpClient client(loop, settings);
+  OutgoingRequest request;
+  request.url = "http://" + target.address() + "/";
+  const TransferId transfer = client.start(std::move(request), {});
+  while (target.received.empty()) loop.run_one();
+  const Tcp::endpoint source = target.socket.remote_endpoint();
+  cr_assert_eq(source.address().to_string(), "127.0.0.9");
+  client.cancel(transfer);
+  while (!target.closed_by_peer) loop.run_one();
+  target.socket.close();
+  std::error_code failure;
+  Tcp::acceptor listener(loop);
+  listener.open(Tcp::v4());
+  listener.set_option(Tcp::acceptor::reuse_address(true));
+  listener.bind(source, failure);
+  cr_assert_not(failure, "%s", failure.message().c_str());
+}
--- a/tests/platform/support/fault_proxy.cpp
+++ b/tests/platform/support/fault_proxy.cpp
@@ -50,6 +50,7 @@
       this->target_side.open(Tcp::v4(), ignored);
       close_on_exec(this->client_side.native_handle());
       close_on_exec(this->target_side.native_handle());
+      this->target_side.set_option(asio::socket_base::reuse_address(true), ignored);
       this->target_side.bind({this->owner->source, 0}, ignored);
       this->target_side.async_connect(this->owner->target, [self](const std::error_code& error) {
         if (error) return self->abort();
