Keep one constant for the nodes asked and for the silence of an attempt

They stood in three and two files, though the end of an engine follows from as many refusals as nodes are asked. The machine code of the relay is the same (md5 of its disassembly before and after).

--- a/src/relay/engine_paths.cpp
+++ b/src/relay/engine_paths.cpp
@@ -20,13 +20,6 @@
 /// Minimum interval between two probes of an engine that is overdue but accepts connections.
 constexpr Duration kSilenceProbeInterval = std::chrono::seconds(1);
 
-/// If attempts wait this long without a byte from any engine, the path is checked. Sound engines
-/// may pause for longer; the check tells them from a broken path.
-constexpr Duration kMaxSilence = std::chrono::milliseconds(400);
-
-/// A partition may cut other nodes off from the same engine, so that one of them is not enough.
-constexpr std::size_t kConfirmations = 3;
-
 /// Engines that one check connects to. With fewer, a partition from half of the engines would often
 /// look like one from all.
 constexpr std::size_t kProbesPerCheck = 6;
@@ -88,7 +81,7 @@
 
 void EnginePaths::on_silent_attempt(const EngineId& engine, bool overdue) {
   const MonotonicTime now = this->io.runtime.now();
-  if (this->direct.since_last_answer(now) >= kMaxSilence) this->direct.on_silence();
+  if (this->direct.since_last_answer(now) >= kMaxAttemptSilence) this->direct.on_silence();
   if (!overdue || this->is_broken(engine)) return;
   std::erase_if(this->silence_probes,
                 [now](const auto& entry) { return now - entry.second >= kSilenceProbeInterval; });
@@ -103,7 +96,7 @@
 }
 
 bool EnginePaths::confirmed(const EngineId& engine, std::size_t refusals) const {
-  const std::size_t required = std::min(kConfirmations, this->tunnel_peers.size());
+  const std::size_t required = std::min(kMaxPeersAsked, this->tunnel_peers.size());
   const EngineView* view = this->io.engines.find(engine);
   const bool used = view != nullptr && view->used_by_peers();
   return required > 0 && refusals >= required && !used;
--- a/src/relay/engine_paths.hpp
+++ b/src/relay/engine_paths.hpp
@@ -21,6 +21,14 @@
 
 namespace shuntbank::relay {
 
+/// Other nodes that are asked for a path to an engine, one after the other. A whole zone may be cut
+/// off, and a second node may just have failed. An engine has ended if it refuses all of them.
+constexpr std::size_t kMaxPeersAsked = 3;
+
+/// An attempt that is silent for this long has its path checked. Sound engines may pause for
+/// longer; the check tells them from a broken path.
+constexpr Duration kMaxAttemptSilence = std::chrono::milliseconds(400);
+
 /// Dependencies; all must outlive the paths.
 struct EnginePathsIo {
   Runtime& runtime;
--- a/src/relay/quarantine.cpp
+++ b/src/relay/quarantine.cpp
@@ -26,9 +26,6 @@
 /// The oldest are dropped first.
 constexpr std::size_t kMaxPendingReports = 500;
 
-/// Other nodes that are asked for one liveness check.
-constexpr std::size_t kMaxPeersPerCheck = 3;
-
 std::uint32_t age_ms(MonotonicTime now, MonotonicTime at) {
   const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - at).count();
   return static_cast<std::uint32_t>(std::max<std::int64_t>(0, age));
@@ -255,7 +252,7 @@
 
 /// @return whether there is another node to check through.
 bool Quarantine::check_on_other_path(LivenessCheck check) {
-  if (check.tried_peers.size() >= kMaxPeersPerCheck) return false;
+  if (check.tried_peers.size() >= kMaxPeersAsked) return false;
   check.tunnel = this->io.paths.choose_tunnel(check.engine, check.tried_peers);
   if (!check.tunnel) return false;
   check.tried_peers.push_back(check.tunnel->address);
--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -158,7 +158,7 @@
   context_.queue_trouble({engine_, view->record.stage, kind});
 }
 
-/// @param confirmed whether a node that reaches other engines could not connect either.
+/// @param confirmed see `EnginePaths::confirmed`.
 void RelaySession::report_unreachable(bool confirmed) {
   report_health(AttemptHealth::kUnreachable);
   const EngineView* view = context_.engines.find(engine_);
--- a/src/relay/relay_session_path.cpp
+++ b/src/relay/relay_session_path.cpp
@@ -1,20 +1,11 @@
 // The network path of an attempt: direct, or through another node.
-#include <algorithm>
-
 #include "relay/relay_session.hpp"
 
 namespace shuntbank::relay {
 namespace {
 
-/// Other nodes that are asked for one attempt. A whole zone may be cut off, and a second node may
-/// just have failed.
-constexpr std::size_t kMaxPeersPerAttempt = 3;
-
 constexpr double kMillisecondsPerSecond = 1000;
 
-/// An attempt that is silent for this long has its path checked.
-constexpr Duration kMaxSilence = std::chrono::milliseconds(400);
-
 /// An attempt is given up after this long without an expected byte, if its engine does not accept
 /// connections while others do. Longer than the pause of a sound engine.
 constexpr Duration kMaxSilenceOfEngine = std::chrono::milliseconds(1500);
@@ -28,7 +19,7 @@
 
 /// @return whether there is a node through which the engine may be reachable.
 bool RelaySession::choose_tunnel(const EngineId& engine) {
-  if (tried_peers_.size() >= kMaxPeersPerAttempt) return false;
+  if (tried_peers_.size() >= kMaxPeersAsked) return false;
   const auto tunnel = context_.paths.choose_tunnel(engine, tried_peers_);
   if (!tunnel) return false;
   tunnel_ = tunnel;
@@ -80,15 +71,15 @@
 void RelaySession::check_path() {
   if (ended_ || !transfer_ || tunnel_) return;
   const Duration silence = context_.runtime.now() - last_activity_at_;
-  if (silence < kMaxSilence) return;
+  if (silence < kMaxAttemptSilence) return;
   const bool answering = status_ != 0;
   const Duration expected =
       answering ? Duration::zero() : from_seconds(expected_step_ms_ / kMillisecondsPerSecond);
   const Duration overdue = silence - expected;
-  context_.paths.on_silent_attempt(engine_, overdue >= kMaxSilence);
+  context_.paths.on_silent_attempt(engine_, overdue >= kMaxAttemptSilence);
   const bool engine_broken = context_.paths.is_broken(engine_);
   const bool hopeless =
-      context_.paths.path_broken() ? overdue >= kMaxSilence : overdue >= kMaxSilenceOfEngine;
+      context_.paths.path_broken() ? overdue >= kMaxAttemptSilence : overdue >= kMaxSilenceOfEngine;
   if (engine_broken && hopeless && may_repeat_attempt()) repeat_silent_attempt();
 }
 
