Leave the time of a failing store out of the soak's judge of cut relays

A relay that knows no other one has no way round. The users' rule counts machines in touch, for which the store has to be stable for 3 s, so that the case is allowed; the gap itself stands in docs/design/0015.

Requests sent while the store fails, or up to 3 s later, are no longer judged; all others as before. path_checker/leaves_out_requests_while_the_store_fails_and_shortly_after shows both sides.

--- a/tests/platform/path_checker_test.cpp
+++ b/tests/platform/path_checker_test.cpp
@@ -48,3 +48,20 @@
   cr_assert_eq(judge(0, 9s), "", "after the cut");
   cr_assert_eq(judge(0, 4s, true), "");
 }
+
+Test(path_checker, leaves_out_requests_while_the_store_fails_and_shortly_after) {
+  const auto judge_with_fault = [](Duration since, Duration until) {
+    PathChecker checker;
+    checker.on_store_fault(kCutAt + since, true);
+    checker.on_store_fault(kCutAt + until, false);
+    checker.on_cut(kCutAt, {"cut"});
+    send(checker, "cut", 40, 0, 5s);
+    send(checker, "other", 100, 100, 5s);
+    checker.on_restored(kCutAt + 8s);
+    return checker.finish();
+  };
+  cr_assert_eq(judge_with_fault(-2s, 1s).empty(), false, "4 s after the fault");
+  cr_assert_eq(judge_with_fault(-2s, 3s), "");
+  cr_assert_eq(judge_with_fault(4s, 7s), "");
+  cr_assert_eq(judge_with_fault(6s, 7s).empty(), false, "before the fault");
+}
--- a/tests/platform/support/ledger.hpp
+++ b/tests/platform/support/ledger.hpp
@@ -137,6 +137,7 @@
   void on_paths_cut(std::set<std::string> nodes) {
     this->paths.on_cut(monotonic_now(), std::move(nodes));
   }
+  void on_store_fault(bool failing) { this->paths.on_store_fault(monotonic_now(), failing); }
   void on_paths_restored() { this->paths.on_restored(monotonic_now()); }
   /// Judges the last cut, once its requests have ended.
   void check_paths() {
--- a/tests/platform/support/soak_site.hpp
+++ b/tests/platform/support/soak_site.hpp
@@ -75,6 +75,7 @@
   void inject_fault();
   void inject_relay_fault(std::uint64_t kind);
   void inject_store_fault(std::uint64_t kind);
+  void set_store_fault(StoreFault fault);
   void inject_engine_fault(std::uint64_t kind);
   void send_crashing_requests();
   void start_storm();
