Log the software version of engines, and which stream a request goes on with

The version of an engine is read from its entry and kept in its record. The lines of an attempt name it, and for a stream that goes on: the request that brought its first event, the version that sent it, and the event after which it goes on. No decision depends on any of it yet. The engines of the test fixtures get a version, as all entries have one.

--- a/src/core/relay/engine_directory.hpp
+++ b/src/core/relay/engine_directory.hpp
@@ -41,6 +41,7 @@
   bool draining = false;
   bool spot = false;  ///< On a preemptible machine.
   EngineStage stage = EngineStage::kNone;
+  std::string software_version;  ///< Not of the weights; empty: unknown.
 
   /// @return the name by which requests address the engine.
   const std::string& own_name() const { return this->name.empty() ? this->id.value() : this->name; }
--- a/src/relay/engine_dialect.hpp
+++ b/src/relay/engine_dialect.hpp
@@ -21,6 +21,7 @@
   std::string request_id;       ///< Set by the caller, echoed by the engine.
   std::string deadline_ms;      ///< Time that the sender waits, in milliseconds.
   std::string last_event_id;    ///< Event after which a stream resumes.
+  std::string resumed_request;  ///< The request that brought the first event of a resumed stream.
   std::string seal;             ///< The engine's signature on an answer.
   std::string retry_after;      ///< Seconds after which a refused caller may retry.
   std::string expected_engine;  ///< The only engine that may run the request.
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -19,6 +19,7 @@
              {"service", record.service.value()},
              {"address", record.address},
              {"stage", to_text(record.stage)},
+             {"software", record.software_version},
              {"draining", record.draining},
              {"spot", record.spot}});
 }
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -247,6 +247,7 @@
   splitter_.clear();
   prefill_tokens_released_ = false;
   attempt_counted_ = true;
+  software_when_sent_ = view->record.software_version;
   sent_stage_ = view->record.stage;
   sent_at_ = context_.runtime.now();
   last_activity_at_ = sent_at_;
@@ -449,6 +450,8 @@
        {"tenant", std::string(tenant_name())},
        {"config", table_->version()},
        {"engine", engine_.value()},
+       {"stream", resumed_request()},
+       {"stream_software", stream_software_},
        {"events", progress_.event_count()},
        {"sends", history_.sends},
        {"identity", suspect_status().is_suspect() ? to_text(identity_->request) : std::string()},
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -172,6 +172,8 @@
   void end(const std::string& result);
   void log_attempt(const char* event, const std::string& why) const;
   const char* step_name() const;
+  std::string resumed_request() const;
+  std::string_view last_event_id() const;
 
   RelayContext& context_;
   std::shared_ptr<const RouteTable> table_;
@@ -229,6 +231,7 @@
   bool peers_answered_ = false;            ///< Whether any of these did, be it that it has no path.
   std::size_t refused_by_peers_ = 0;       ///< Asked nodes whose connections its host refused.
   std::size_t unreachable_for_peers_ = 0;  ///< Asked nodes that could not connect, these included.
+  std::string software_when_sent_;         ///< The engine's version, as known then.
   EngineStage sent_stage_ = EngineStage::kNone;  ///< The engine's, as known when it was sent.
   MonotonicTime sent_at_{};
   MonotonicTime last_activity_at_{};  ///< Time of the send or the last data received.
@@ -248,7 +251,8 @@
   std::string prompt_handle_;          ///< Of a remote prefill not yet used.
   std::string prompt_handle_address_;  ///< Engine that holds the handle.
 
-  StreamProgress progress_;  ///< Events forwarded to the caller.
+  StreamProgress progress_;      ///< Events forwarded to the caller.
+  std::string stream_software_;  ///< Version of the engine that sent the first of these.
 
   bool started_ = false;  ///< An engine has started to run the request.
 
--- a/tests/relay/support/fakes.cpp
+++ b/tests/relay/support/fakes.cpp
@@ -129,6 +129,7 @@
   names_.request_id = "id";
   names_.deadline_ms = "deadline";
   names_.last_event_id = "last-event";
+  names_.resumed_request = "resumes";
   names_.seal = "seal";
   names_.retry_after = "Retry-After";
   names_.expected_engine = "for-engine";
@@ -446,6 +447,7 @@
   record.slots = 8;
   record.stage = stage;
   record.draining = draining;
+  record.software_version = software_version;
   node->set_engine(record);
 }
 
--- a/tests/relay/support/fakes.hpp
+++ b/tests/relay/support/fakes.hpp
@@ -305,6 +305,7 @@
   relay::RelaySettings settings;
   ConnectionProbe* probe = nullptr;  ///< Used from the next `restart` on.
   std::unique_ptr<relay::RelayNode> node;
+  std::string software_version = "1.0";  ///< Of the engines that are registered next.
   std::string caller_address = "10.0.0.1";
   std::shared_ptr<RecordingResponder> caller;  ///< Of the last request.
 };
