--- /dev/null
+++ b/tests/relay/stream_versions_test.cpp
@@ -0,0 +1,196 @@
+// Streams that go on after events, within an answer or over a caller's tries, at services with
+// engines of several software versions.
+
+#include <criterion/criterion.h>
+
+#include <set>
+
+#include "relay/support/exchanging_fleet.hpp"
+
+using namespace shuntbank;
+using namespace shuntbank::testing;
+using namespace std::chrono_literals;
+using relay::EngineStage;
+
+namespace {
+
+constexpr const char* kFirstEvent = "id: 1\ndata: a\n\n";
+constexpr const char* kSecondEvent = "id: 2\ndata: b\n\n";
+
+/// Registers decode engines whose names begin with their version.
+void add_engines(RelayFixture& site, const std::string& version, int count) {
+  site.software_version = version;
+  for (int i = 0; i < count; ++i) {
+    site.add_engine(version + "-" + std::to_string(i), "model", EngineStage::kDecode);
+  }
+}
+
+/// @return the software version of the engine that a transfer went to.
+std::string version_at(RelayFixture& site, std::size_t transfer) {
+  const std::string engine(site.http.at(transfer).request.headers.get("for-engine"));
+  return engine.substr(0, engine.find('-'));
+}
+
+/// Nodes that know the same engines: two of one version and two of another.
+struct VersionedFleet {
+  explicit VersionedFleet(std::size_t nodes = 4) : fleet(nodes, 2) {
+    for (std::size_t i = 0; i < nodes; ++i) this->add_engines_at(i);
+    this->advance(5s);
+  }
+
+  void add_engines_at(std::size_t node) {
+    RelayFixture& site = *this->fleet.sites[node];
+    site.node->set_engines({});
+    add_engines(site, "v1", 2);
+    add_engines(site, "v2", 2);
+  }
+
+  void advance(Duration duration) {
+    constexpr Duration kStep = 10ms;
+    for (Duration passed{}; passed < duration; passed += kStep) {
+      this->fleet.runtime.advance(kStep);
+      for (const auto& site : this->fleet.sites) site->runtime.advance(kStep);
+    }
+  }
+
+  /// Starts a stream and forwards its first event. @return the version that it began at.
+  std::string begin_stream(std::size_t node, const std::string& id) {
+    RelayFixture& site = *this->fleet.sites[node];
+    const std::size_t transfer = site.http.count();
+    site.request("/resumable/a", {{"id", id}});
+    site.http.begin(transfer, 200, RelayFixture::sealed_headers(id));
+    site.http.piece(transfer, kFirstEvent);
+    return version_at(site, transfer);
+  }
+
+  /// Makes a node prefer the engines of other versions.
+  void make_busy(std::size_t node, const std::string& version) {
+    relay::EngineDirectory& engines = this->fleet.sites[node]->node->engines();
+    for (const char* suffix : {"-0", "-1"}) {
+      for (int i = 0; i < 4; ++i)
+        engines.on_attempt_sent(EngineId(version + suffix), {1000, false});
+    }
+  }
+
+  /// Takes a stream up after its first event.
+  /// @return the version that the request is sent to; empty if it is refused.
+  std::string take_up(std::size_t node, const std::string& id, const std::string& resumed) {
+    RelayFixture& site = *this->fleet.sites[node];
+    const std::size_t transfer = site.http.count();
+    const auto reply =
+        site.request("/resumable/a", {{"id", id}, {"resumes", resumed}, {"last-event", "1"}});
+    this->advance(500ms);
+    if (site.http.count() == transfer) cr_assert_eq(reply->status, 503);
+    return site.http.count() > transfer ? version_at(site, transfer) : std::string();
+  }
+
+  /// Kills a node and starts it again, so that it knows nothing of before.
+  void restart(std::size_t node) {
+    this->fleet.disconnect(node);
+    this->fleet.sites[node]->restart();
+    this->add_engines_at(node);
+    relay::LoadExchangeSettings settings;
+    settings.zone = ZoneName(this->fleet.transports[node]->zone);
+    const std::string address = this->fleet.transports[node]->address;
+    this->fleet.transports[node] = std::make_unique<MockTransport>(this->fleet.network, address);
+    this->fleet.transports[node]->zone = settings.zone.value();
+    this->fleet.exchanges[node] = std::make_unique<relay::LoadExchange>(
+        this->fleet.runtime, this->fleet.store, *this->fleet.transports[node],
+        *this->fleet.sites[node]->node, address.substr(0, address.find(':')), settings);
+  }
+
+  ExchangingFleet fleet;
+};
+
+}  // namespace
+
+// Guards against answers that hold events of two software versions.
+Test(stream_versions, does_not_continue_an_answer_at_another_version) {
+  for (const int same : {1, 3}) {
+    RelayFixture site;
+    add_engines(site, "v1", same);
+    add_engines(site, "v2", same);
+    const auto reply = site.request("/resumable/a");
+    site.http.begin(0, 200, RelayFixture::sealed_headers());
+    site.http.piece(0, kFirstEvent);
+    site.http.fail(0, TransferFailure::kUncertain);
+    if (same == 1) {
+      cr_assert_eq(site.http.count(), 1);
+      cr_assert(reply->aborted);
+      cr_assert_eq(site.node->in_flight(), 0, "the answer ends at once");
+      continue;
+    }
+    cr_assert_eq(site.http.count(), 2);
+    cr_assert_eq(version_at(site, 1), version_at(site, 0));
+    site.http.answer(1, 200, RelayFixture::sealed_headers(), kSecondEvent);
+    cr_assert(reply->finished);
+  }
+}
+
+// Guards against a retry before the first event that is bound to the version of a failed attempt.
+Test(stream_versions, retries_at_any_version_before_the_first_event) {
+  RelayFixture site;
+  add_engines(site, "v1", 1);
+  add_engines(site, "v2", 1);
+  const auto reply = site.request("/resumable/a");
+  site.http.begin(0, 200, RelayFixture::sealed_headers());
+  site.http.fail(0, TransferFailure::kUncertain);
+  cr_assert_eq(site.http.count(), 2);
+  site.http.answer(1, 200, RelayFixture::sealed_headers(), kFirstEvent);
+  cr_assert(reply->finished);
+}
+
+// Guards against engines of an unknown version that are taken for the same version.
+Test(stream_versions, does_not_continue_an_answer_at_another_engine_of_unknown_version) {
+  RelayFixture site;
+  site.software_version.clear();
+  site.add_engine("e1", "model", EngineStage::kDecode);
+  site.add_engine("e2", "model", EngineStage::kDecode);
+  const auto reply = site.request("/resumable/a");
+  site.http.begin(0, 200, RelayFixture::sealed_headers());
+  site.http.piece(0, kFirstEvent);
+  site.http.fail(0, TransferFailure::kUncertain);
+  cr_assert_eq(site.http.count(), 1);
+  cr_assert(reply->aborted);
+}
+
+// Guards against streams that are taken up at another node and another software version.
+Test(stream_versions, takes_a_stream_up_at_the_version_that_began_it) {
+  VersionedFleet site;
+  std::set<std::string> versions;
+  for (int i = 0; i < 24; ++i) {
+    const std::string id = "first" + std::to_string(i);
+    const std::string version = site.begin_stream(0, id);
+    versions.insert(version);
+    site.make_busy(1, version);
+    site.make_busy(2, version);
+    cr_assert_eq(site.take_up(1, "second" + std::to_string(i), id), version);
+    cr_assert_eq(site.take_up(2, "third" + std::to_string(i), id), version,
+                 "a stream that is taken up twice keeps its first id");
+  }
+  cr_assert_eq(versions.size(), 2, "both versions began streams");
+}
+
+// Guards against a version that is lost with the node that began the stream.
+Test(stream_versions, takes_a_stream_up_after_the_first_node_was_killed) {
+  VersionedFleet site(5);
+  std::vector<std::string> versions;
+  for (int i = 0; i < 12; ++i)
+    versions.push_back(site.begin_stream(0, "first" + std::to_string(i)));
+  site.fleet.disconnect(0);
+  for (int i = 0; i < 12; ++i) {
+    const std::string resumed = "first" + std::to_string(i);
+    cr_assert_eq(site.take_up(1 + i % 4, "second" + std::to_string(i), resumed),
+                 versions[static_cast<std::size_t>(i)]);
+  }
+}
+
+// Guards against a stream whose version is unknown and that goes on at any.
+Test(stream_versions, does_not_take_up_a_stream_of_unknown_version) {
+  VersionedFleet site;
+  cr_assert_eq(site.take_up(1, "second", "never-seen"), "");
+  site.begin_stream(0, "first");
+  for (std::size_t i = 0; i < site.fleet.sites.size(); ++i) site.restart(i);
+  site.advance(5s);
+  cr_assert_eq(site.take_up(1, "second", "first"), "", "all nodes have lost it");
+}
