Continue an answer only at the software version that began it

Cause: after a break the engine for the rest of a stream was chosen as for a new request. Ruled out: a list of engines that names the wrong version (the versions in the operator's log are those of the entries).

The first event that is forwarded binds the request to the service and version of its engine; before it any version will do. Placement, the wait for engines in cooldown, decode engines after a prefill and retries leave out engines of other versions, and the gate before a send checks the record once more, as a permit or a cooldown may have been waited for. An unknown version equals that of the same engine only.

stream_versions/does_not_continue_an_answer_at_another_version and .../at_another_engine_of_unknown_version failed before and pass. Those that take a stream up at another node still fail and stay listed.

--- a/src/core/relay/dispatch_plan.cpp
+++ b/src/core/relay/dispatch_plan.cpp
@@ -65,7 +65,10 @@
                                        const DispatchQuery& query,
                                        const PlacementSettings& placement,
                                        const PrefillSettings& prefill) {
-  auto candidate = place_in_stage(now, engines, query, EngineStage::kPrefill, placement);
+  // The cache that a prefill leaves depends on the weights, not on the engine's software.
+  DispatchQuery any_version = query;
+  any_version.placement.stream_version = nullptr;
+  auto candidate = place_in_stage(now, engines, any_version, EngineStage::kPrefill, placement);
   if (!candidate || query.retry_budget >= prefill.min_retry_budget) return candidate;
   const EngineView& engine = *engines.find(candidate->engine);
   const bool may_refuse = engine.backoff_until > now || engine.leaves_stage(now);
@@ -148,8 +151,9 @@
                                                  const DispatchQuery& query,
                                                  const PlacementSettings& placement,
                                                  const PrefillSettings& prefill) {
-  const auto available_at = engines.next_available_at(now, query.placement.service->name,
-                                                      query.placement.excluded_engines);
+  const auto available_at =
+      engines.next_available_at(now, query.placement.service->name,
+                                query.placement.excluded_engines, query.placement.stream_version);
   if (!available_at) return std::nullopt;
   const auto plan = plan_ignoring_objective(*available_at, engines, query, placement, prefill);
   if (!plan) return std::nullopt;
--- a/src/core/relay/engine_directory.cpp
+++ b/src/core/relay/engine_directory.cpp
@@ -261,12 +261,14 @@
 }
 
 std::optional<MonotonicTime> EngineDirectory::next_available_at(
-    MonotonicTime now, const ServiceName& service, const std::vector<EngineId>* except) const {
+    MonotonicTime now, const ServiceName& service, const std::vector<EngineId>* except,
+    const std::string* stream_version) const {
   std::optional<MonotonicTime> first;
   for (const EngineView* engine : find_by_service(service)) {
     const EngineRecord& record = engine->record;
     const bool answers = record.stage != EngineStage::kPrefill;
     if (!answers || record.draining || listed(except, record.id)) continue;
+    if (stream_version != nullptr && !record.has_stream_version(*stream_version)) continue;
     const MonotonicTime available_at =
         std::max(engine->cooldown_until, now + engine->permit_wait(now));
     if (available_at <= now) return std::nullopt;
--- a/src/core/relay/engine_directory.hpp
+++ b/src/core/relay/engine_directory.hpp
@@ -43,6 +43,17 @@
   EngineStage stage = EngineStage::kNone;
   std::string software_version;  ///< Not of the weights; empty: unknown.
 
+  /// @return the version that a stream is bound to once this engine has sent its first event. An
+  /// unknown version is equal to that of no other engine.
+  std::string stream_version() const {
+    return this->software_version.empty() ? "engine " + this->id.value() : this->software_version;
+  }
+
+  bool has_stream_version(const std::string& version) const {
+    return this->software_version.empty() ? this->stream_version() == version
+                                          : this->software_version == version;
+  }
+
   /// @return the name by which requests address the engine.
   const std::string& own_name() const { return this->name.empty() ? this->id.value() : this->name; }
 
@@ -284,9 +295,10 @@
 
   /// @return when the first engine of a service that can answer accepts requests again; unset if
   /// one accepts them now or all are draining. @param except engines to leave out.
-  std::optional<MonotonicTime> next_available_at(
-      MonotonicTime now, const ServiceName& service,
-      const std::vector<EngineId>* except = nullptr) const;
+  /// @param stream_version the only one to consider; null: all.
+  std::optional<MonotonicTime> next_available_at(MonotonicTime now, const ServiceName& service,
+                                                 const std::vector<EngineId>* except = nullptr,
+                                                 const std::string* stream_version = nullptr) const;
 
   /// Applies a problem that another node reports.
   void on_peer_trouble(MonotonicTime now, const EngineTrouble& trouble);
--- a/src/core/relay/placement.cpp
+++ b/src/core/relay/placement.cpp
@@ -13,6 +13,8 @@
   const EngineRecord& record = engine.record;
   if (!engine.accepts_requests(now) || record.stage != query.stage) return false;
   if (listed(query.excluded_engines, record.id)) return false;
+  if (query.stream_version != nullptr && !record.has_stream_version(*query.stream_version))
+    return false;
   if (query.crash_risk_engines != nullptr && query.crash_risk_engines->count(engine.key) > 0)
     return false;
   return query.max_connections_per_node == 0 || engine.in_flight < query.max_connections_per_node;
--- a/src/core/relay/placement.hpp
+++ b/src/core/relay/placement.hpp
@@ -38,6 +38,8 @@
   bool cache_view_incomplete = true;
   /// Engines already tried for this request.
   const std::vector<EngineId>* excluded_engines = nullptr;
+  /// Version of the engines that may continue the request's stream; null: it has not begun.
+  const std::string* stream_version = nullptr;
   /// Engines that run requests suspected of crashing engines, to be excluded; null: none.
   const std::set<EngineKey>* crash_risk_engines = nullptr;
   /// The request may crash its engine: prefer engines with few other requests.
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -98,6 +98,7 @@
   query.zone = context_.settings.zone;
   query.cache_view_incomplete = !context_.settings.bootstrap;
   query.excluded_engines = &failed_engines_;
+  query.stream_version = origin_ ? &origin_->version : nullptr;
   query.max_connections_per_node = connections_per_engine();
   query.crash_risk_engines = crash_risk_engines_.empty() ? nullptr : &crash_risk_engines_;
   query.may_crash_engine = needs_isolation();
@@ -221,7 +222,17 @@
   return tenant_ == nullptr ? std::string_view() : std::string_view(tenant_->name.value());
 }
 
+/// @return false once the engine's record names another version than when it was chosen.
+bool RelaySession::may_continue_at(const EngineId& engine) const {
+  const EngineView* view = context_.engines.find(engine);
+  return !origin_ || (view != nullptr && view->record.has_stream_version(origin_->version));
+}
+
 void RelaySession::send(const EngineId& engine, Step step) {
+  if (step != Step::kPrefill && !may_continue_at(engine)) {
+    failed_engines_.push_back(engine);
+    return dispatch();
+  }
   tunnel_.reset();
   tried_peers_.clear();
   refused_directly_ = false;
@@ -247,7 +258,7 @@
   splitter_.clear();
   prefill_tokens_released_ = false;
   attempt_counted_ = true;
-  software_when_sent_ = view->record.software_version;
+  version_when_sent_ = view->record.stream_version();
   sent_stage_ = view->record.stage;
   sent_at_ = context_.runtime.now();
   last_activity_at_ = sent_at_;
@@ -451,7 +462,7 @@
        {"config", table_->version()},
        {"engine", engine_.value()},
        {"stream", resumed_request()},
-       {"stream_software", stream_software_},
+       {"stream_software", origin_ ? origin_->version : std::string()},
        {"events", progress_.event_count()},
        {"sends", history_.sends},
        {"identity", suspect_status().is_suspect() ? to_text(identity_->request) : std::string()},
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -16,6 +16,7 @@
 #include "core/relay/engine_directory.hpp"
 #include "core/relay/request_identity.hpp"
 #include "core/relay/routes.hpp"
+#include "core/relay/stream_origin.hpp"
 #include "net/http1_server.hpp"
 #include "relay/event_splitter.hpp"
 #include "relay/relay_context.hpp"
@@ -64,6 +65,7 @@
   void send_with_permit(const EngineId& engine, Step step);
   void use_placement(const Placement& placement);
   void send(const EngineId& engine, Step step);
+  bool may_continue_at(const EngineId& engine) const;
   void start_attempt(const EngineId& engine, Step step);
   OutgoingRequest build_outgoing(const EngineRecord& record, Step step) const;
   int urgency(Step step) const;
@@ -231,7 +233,7 @@
   bool peers_answered_ = false;            ///< Whether any of these did, be it that it has no path.
   std::size_t refused_by_peers_ = 0;       ///< Asked nodes whose connections its host refused.
   std::size_t unreachable_for_peers_ = 0;  ///< Asked nodes that could not connect, these included.
-  std::string software_when_sent_;         ///< The engine's version, as known then.
+  std::string version_when_sent_;          ///< See `EngineRecord::stream_version`.
   EngineStage sent_stage_ = EngineStage::kNone;  ///< The engine's, as known when it was sent.
   MonotonicTime sent_at_{};
   MonotonicTime last_activity_at_{};  ///< Time of the send or the last data received.
@@ -251,8 +253,8 @@
   std::string prompt_handle_;          ///< Of a remote prefill not yet used.
   std::string prompt_handle_address_;  ///< Engine that holds the handle.
 
-  StreamProgress progress_;      ///< Events forwarded to the caller.
-  std::string stream_software_;  ///< Version of the engine that sent the first of these.
+  StreamProgress progress_;             ///< Events forwarded to the caller.
+  std::optional<StreamOrigin> origin_;  ///< Set once the stream has begun.
 
   bool started_ = false;  ///< An engine has started to run the request.
 
