Take a stream up only at the software version that began it

Callers held streams with events of two software versions over their tries: in the users' record a stream began at v1.1, its client came back to another node, and that node sent it to an engine of v1.2.

Cause: which version began a stream was known to one session of one node at most. Ruled out: refusing every stream that comes back (callers lose answers that can go on), and asking all nodes (a node that was killed answers nothing).

The node that forwards a stream's first event sends its origin (service and version) to two nodes of different zones, chosen by a hash of the stream, before the event, and again while the stream runs. A node that gets a stream to be taken up asks three of them, and further ones when these are silent; the first that knows decides. A stream's origin never changes, so that copies cannot disagree and no election is needed. Nobody knows it: the stream is refused at once with 503, unless the service had one version all the while, by the lists of engines of this node and of at least one other. The key holds the tenant, so that a caller cannot name another tenant's stream.

--- a/src/core/relay/stream_origin.hpp
+++ b/src/core/relay/stream_origin.hpp
@@ -2,7 +2,9 @@
 /// Which engines may continue a stream after its first event.
 #pragma once
 
+#include <cstdint>
 #include <string>
+#include <string_view>
 
 #include "common/identifiers.hpp"
 
@@ -17,4 +19,11 @@
   bool operator==(const StreamOrigin&) const = default;
 };
 
+/// Identifies a stream of a tenant by the request that brought its first event. Part of a
+/// cryptographic hash, so that a caller cannot name another tenant's stream.
+using StreamKey = std::uint64_t;
+
+/// @param tenant empty where there are no tenants.
+StreamKey stream_key(std::string_view tenant, std::string_view request_id);
+
 }  // namespace shuntbank::relay
--- a/src/protocol/load_message.cpp
+++ b/src/protocol/load_message.cpp
@@ -112,6 +112,23 @@
   return samples;
 }
 
+json sightings_to_json(const std::vector<relay::VersionSighting>& sightings) {
+  json document = json::array();
+  for (const relay::VersionSighting& sighting : sightings) {
+    document.push_back({sighting.service.value(), sighting.version, sighting.age_ms});
+  }
+  return document;
+}
+
+std::vector<relay::VersionSighting> sightings_from_json(const json& document) {
+  std::vector<relay::VersionSighting> sightings;
+  for (const json& item : document) {
+    sightings.push_back({ServiceName(item.at(0).get<std::string>()), item.at(1).get<std::string>(),
+                         item.at(2).get<std::uint32_t>()});
+  }
+  return sightings;
+}
+
 }  // namespace
 
 std::string encode(const LoadMessage& message) {
@@ -144,6 +161,7 @@
   std::string bytes;
   json document = {{"kept", reads_to_json(snapshot.cached_prompts)}};
   if (!snapshot.samples.empty()) document["samples"] = samples_to_json(snapshot.samples);
+  if (snapshot.versions) document["versions"] = sightings_to_json(*snapshot.versions);
   json::to_msgpack(document, bytes);
   return bytes;
 }
@@ -153,6 +171,9 @@
     const json document = json::from_msgpack(bytes.begin(), bytes.end());
     CacheSnapshot snapshot{reads_from_json(document.at("kept")), {}};
     if (document.contains("samples")) snapshot.samples = samples_from_json(document["samples"]);
+    if (document.contains("versions")) {
+      snapshot.versions = sightings_from_json(document["versions"]);
+    }
     return snapshot;
   } catch (const json::exception& error) {
     return tl::make_unexpected(std::string(error.what()));
--- a/src/protocol/load_message.hpp
+++ b/src/protocol/load_message.hpp
@@ -16,6 +16,7 @@
 #include "core/relay/engine_directory.hpp"
 #include "core/relay/engine_samples.hpp"
 #include "core/relay/fair_share.hpp"
+#include "core/relay/service_versions.hpp"
 #include "core/relay/stage_notice.hpp"
 
 namespace shuntbank {
@@ -52,6 +53,8 @@
 struct CacheSnapshot {
   std::vector<relay::PromptRead> cached_prompts;  ///< One per engine; least recently used first.
   relay::SamplesById samples = {};                ///< All that the answering node has.
+  /// Versions of the services; unset if the answering node has not observed them for long enough.
+  std::optional<std::vector<relay::VersionSighting>> versions = std::nullopt;
 };
 
 /// Largest message, in bytes; fits into one datagram on common links.
--- a/src/relay/load_exchange.cpp
+++ b/src/relay/load_exchange.cpp
@@ -42,6 +42,7 @@
       configurations_(runtime, transport, peers_, zones_, settings.configurations),
       permits_(transport, peers_, node.permits(), node.quotas(),
                [this] { return live_fraction(); }) {
+  node_.streams().connect(transport, peers_);
   transport_.set_handlers(
       [this](std::string_view bytes, const std::string&) { on_message(bytes); },
       [this](const std::string& call, const std::function<void(std::string)>& reply) {
@@ -67,6 +68,7 @@
   node_.on_load_changed(nullptr);
   node_.permits().disconnect();
   node_.quotas().disconnect();
+  node_.streams().disconnect();
 }
 
 /// Idle nodes send messages too, as silent peers are considered dead.
@@ -146,6 +148,7 @@
 void LoadExchange::apply_cache_snapshot(const tl::expected<std::string, std::string>& answer) {
   const auto snapshot =
       answer ? decode_cache_snapshot(*answer) : tl::make_unexpected(answer.error());
+  if (snapshot && snapshot->versions) node_.streams().adopt_sightings(*snapshot->versions);
   if (!snapshot || snapshot->cached_prompts.empty()) {
     pull_timer_ = runtime_.after(settings_.pull_interval, [this] { pull_cache_snapshot(); });
     return;
@@ -164,6 +167,7 @@
 
 std::string LoadExchange::cache_snapshot() const {
   CacheSnapshot snapshot;
+  snapshot.versions = node_.streams().sightings();
   for (const auto& [id, engine] : node_.engines().all()) {
     auto parts = engine.cache.cached_parts();
     if (!parts.empty()) snapshot.cached_prompts.push_back({id, std::move(parts)});
@@ -256,6 +260,7 @@
   if (is_view(bytes)) return zones_.on_view(bytes);
   if (is_digest(bytes)) return zones_.on_digest(bytes);
   if (PermitExchange::handles(bytes)) return permits_.on_message(bytes);
+  if (StreamOrigins::handles(bytes)) return node_.streams().on_message(bytes);
   if (is_usage_call(bytes) || is_usage_counts(bytes)) {
     if (on_usage_message_) on_usage_message_(bytes);
     return;
--- a/src/relay/relay_context.hpp
+++ b/src/relay/relay_context.hpp
@@ -21,6 +21,7 @@
 #include "relay/quarantine.hpp"
 #include "relay/relay_metrics.hpp"
 #include "relay/relay_settings.hpp"
+#include "relay/stream_origins.hpp"
 #include "relay/tenant_quotas.hpp"
 
 namespace shuntbank::relay {
@@ -39,6 +40,7 @@
   EnginePermits& permits;
   TenantQuotas& quotas;
   EnginePaths& paths;
+  StreamOrigins& streams;
 
   std::function<void()> load_changed;                      ///< May be empty.
   std::function<void(const TenantName&)> request_started;  ///< May be empty.
--- a/src/relay/relay_metrics.cpp
+++ b/src/relay/relay_metrics.cpp
@@ -86,6 +86,11 @@
           .Name("shuntbank_relay_quotas_total")
           .Help("Requests of tenants with a quota, by outcome")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& streams_taken_up =
+      prometheus::BuildCounter()
+          .Name("shuntbank_relay_streams_taken_up_total")
+          .Help("Streams that callers took up, by whether the version that began them is known")
+          .Register(registry);
   prometheus::Family<prometheus::Counter>& admissions =
       prometheus::BuildCounter()
           .Name("shuntbank_relay_admissions_total")
@@ -180,6 +185,10 @@
   impl_->quotas.Add({{"outcome", outcome}}).Increment();
 }
 
+void RelayMetrics::count_stream_taken_up(const std::string& outcome) {
+  impl_->streams_taken_up.Add({{"outcome", outcome}}).Increment();
+}
+
 void RelayMetrics::count_admission(const std::string& service, const std::string& decision) {
   impl_->admissions.Add({{"service", service}, {"decision", decision}}).Increment();
 }
--- a/src/relay/relay_metrics.hpp
+++ b/src/relay/relay_metrics.hpp
@@ -57,6 +57,9 @@
   /// `granted_by_share` or `no_owner`.
   void count_quota(const std::string& outcome);
 
+  /// A caller took a stream up. @param outcome `known`, or `unknown` version that began it.
+  void count_stream_taken_up(const std::string& outcome);
+
   /// Admission control decided on a request. @param decision see `to_text(AdmissionAction)`.
   void count_admission(const std::string& service, const std::string& decision);
 
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -12,6 +12,9 @@
 
 constexpr std::uint64_t kMillisecondsPerSecond = 1000;
 
+/// Requests of one stream, each up to its route's timeout, whose callers may still be waiting.
+constexpr int kMaxStreamTries = 3;
+
 void log_engine(const char* event, const EngineRecord& record) {
   log_event(LogArea::kControl, LogLevel::kInfo, event,
             {{"engine", record.id.value()},
@@ -36,9 +39,10 @@
       quarantine_({io.runtime, io.http, io.dialect, engines_, metrics_, listener_, paths_}),
       permits_({io.runtime, engines_, metrics_, listener_}, random_number(io.runtime)),
       quotas_(io.runtime, metrics_, random_number(io.runtime)),
+      streams_(io.runtime, engines_, settings.bootstrap, random_number(io.runtime)),
       context_{io.runtime,  io.http,   io.dialect, settings_, engines_, metrics_, budgets_,
-               quarantine_, listener_, permits_,   quotas_,   paths_,   {},       {},
-               {},          {},        {},         {},        {}},
+               quarantine_, listener_, permits_,   quotas_,   paths_,   streams_, {},
+               {},          {},        {},         {},        {},       {}},
       splits_(random_fraction(io.runtime)),
       slack_available_from_(io.runtime.now() + charge_duration(settings.retry_budget)) {
   quarantine_.on_reports_pending([this] { context_.notify_load_changed(); });
@@ -82,6 +86,11 @@
   for (const RelayedService& service : table_->configuration().services) {
     if (service.model) engines_.set_memory(service.name, service.model->kv_tokens);
   }
+  Duration longest_timeout{};
+  for (const Route& route : table_->configuration().routes) {
+    if (route.resumable) longest_timeout = std::max(longest_timeout, route.timeout);
+  }
+  streams_.set_max_stream_age(kMaxStreamTries * longest_timeout);
   metrics_.set_gauge("config_version", static_cast<double>(table_->version()));
   if (adopted_handler_) adopted_handler_(*table_);
   return true;
@@ -89,6 +98,7 @@
 
 void RelayNode::set_engines(const std::vector<EngineRecord>& records) {
   engines_known_ = true;
+  streams_.on_engines_known();
   std::set<EngineId> listed;
   for (const EngineRecord& record : records) listed.insert(engines_.current_id(record));
   for (const auto& [id, engine] : engines_.all()) {
--- a/src/relay/relay_node.hpp
+++ b/src/relay/relay_node.hpp
@@ -21,6 +21,7 @@
 #include "relay/relay_metrics.hpp"
 #include "relay/relay_session.hpp"
 #include "relay/relay_settings.hpp"
+#include "relay/stream_origins.hpp"
 #include "relay/tenant_quotas.hpp"
 
 namespace shuntbank::relay {
@@ -90,6 +91,7 @@
   TenantQuotas& quotas() { return quotas_; }
   EnginePaths& paths() { return paths_; }
   const EnginePaths& paths() const { return paths_; }
+  StreamOrigins& streams() { return streams_; }
 
   /// Sets the handler for changes of the load in flight at engines.
   void on_load_changed(std::function<void()> handler) {
@@ -188,6 +190,7 @@
   Quarantine quarantine_;
   EnginePermits permits_;
   TenantQuotas quotas_;
+  StreamOrigins streams_;
   RelayContext context_;
   std::shared_ptr<const RouteTable> table_;
   SplitChooser splits_;
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -44,10 +44,11 @@
     if (const auto self = weak.lock()) self->on_caller_closed();
   });
   if (!parse_request_headers() || reject_if_quarantined()) return;
-  context_.budgets.of(service_name_).on_request(arrived_);
   timer_ = context_.runtime.after(expires_ - arrived_, [weak = weak_from_this()] {
     if (const auto self = weak.lock()) self->on_timeout();
   });
+  if (taken_up_) return find_stream_origin();
+  context_.budgets.of(service_name_).on_request(arrived_);
   dispatch();
 }
 
@@ -73,11 +74,14 @@
   }
   if (service_ != nullptr && service_->model)
     prompt_ = context_.dialect.parse_prompt(request_.headers);
+  read_stream_fields();
   for (const std::string& name : names.stripped_from_requests) request_.headers.remove(name);
   request_.headers = without_hop_by_hop_fields(std::move(request_.headers));
   request_.headers.remove(names.deadline_ms);
-  const auto resumed = parse_integer(request_.headers.get(names.last_event_id));
-  if (resumed && *resumed >= 0) progress_.resume_after(static_cast<std::uint64_t>(*resumed));
+  const auto last_event = parse_integer(request_.headers.get(names.last_event_id));
+  if (last_event && *last_event >= 0) {
+    progress_.resume_after(static_cast<std::uint64_t>(*last_event));
+  }
   return true;
 }
 
@@ -445,6 +449,7 @@
   release_permit(permit_);
   release_engine();
   release_handle();
+  if (held_stream_) context_.streams.release(*held_stream_);
   if (identity_ && result != kAnswered) context_.quarantine.on_attempt_failed(identity_->request);
   const MonotonicTime now = context_.runtime.now();
   if (under_admission_control() && result == kAnswered) {
@@ -461,7 +466,7 @@
        {"tenant", std::string(tenant_name())},
        {"config", table_->version()},
        {"engine", engine_.value()},
-       {"stream", resumed_request()},
+       {"stream", origin_ ? stream_id_ : std::string()},
        {"stream_software", origin_ ? origin_->version : std::string()},
        {"events", progress_.event_count()},
        {"sends", history_.sends},
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -53,6 +53,14 @@
   /// Purpose of the current attempt.
   enum class Step { kPlain, kPrefill, kDecodeFromHandle };
 
+  // Streams that a caller takes up.
+  void read_stream_fields();
+  void find_stream_origin();
+  void on_stream_origin(const std::optional<StreamOrigin>& origin);
+  bool has_service(const ServiceName& service) const;
+  void use_service(const ServiceName& service);
+  void bind_stream();
+
   // Dispatch.
   bool parse_request_headers();
   void dispatch();
@@ -174,7 +182,6 @@
   void end(const std::string& result);
   void log_attempt(const char* event, const std::string& why) const;
   const char* step_name() const;
-  std::string resumed_request() const;
   std::string_view last_event_id() const;
 
   RelayContext& context_;
@@ -253,8 +260,11 @@
   std::string prompt_handle_;          ///< Of a remote prefill not yet used.
   std::string prompt_handle_address_;  ///< Engine that holds the handle.
 
-  StreamProgress progress_;             ///< Events forwarded to the caller.
-  std::optional<StreamOrigin> origin_;  ///< Set once the stream has begun.
+  StreamProgress progress_;               ///< Events forwarded to the caller.
+  std::string stream_id_;                 ///< The request that brought its first event.
+  bool taken_up_ = false;                 ///< The caller has events of an earlier request.
+  std::optional<StreamOrigin> origin_;    ///< Set once the stream has begun.
+  std::optional<StreamKey> held_stream_;  ///< See `StreamOrigins::hold`.
 
   bool started_ = false;  ///< An engine has started to run the request.
 
--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -112,7 +112,7 @@
     return;
   }
   if (!history_.head_forwarded) {
-    if (!origin_) origin_ = {service_name_, version_when_sent_};
+    bind_stream();
     begin_stream();
     report_late_result();
     context_.metrics.observe_first_event(service_name_.value(), context_.runtime.now() - arrived_);
--- a/src/relay/relay_session_log.cpp
+++ b/src/relay/relay_session_log.cpp
@@ -23,7 +23,7 @@
              {"service", service_name_.value()},
              {"step", step_name()},
              {"software", version_when_sent_},
-             {"stream", resumed_request()},
+             {"stream", origin_ ? stream_id_ : std::string()},
              {"stream_software", origin_ ? origin_->version : std::string()},
              {"after_event", std::string(last_event_id())},
              {"why", why},
@@ -63,16 +63,6 @@
             LogImportance::kStep);
 }
 
-/// @return the id of the request that brought the stream's first event; empty if there is none.
-std::string RelaySession::resumed_request() const {
-  const HeaderNames& names = context_.dialect.names();
-  if (request_.headers.count(names.last_event_id) == 0) {
-    return history_.head_forwarded ? id_ : std::string();
-  }
-  const std::string_view resumed = request_.headers.get(names.resumed_request);
-  return resumed.empty() ? id_ : std::string(resumed);
-}
-
 /// @return the last event that the caller has, from this request or an earlier one.
 std::string_view RelaySession::last_event_id() const {
   const std::string& forwarded = progress_.last_id_text();
--- a/tests/relay/stream_versions_test.cpp
+++ b/tests/relay/stream_versions_test.cpp
@@ -5,6 +5,7 @@
 
 #include <set>
 
+#include "common/hash.hpp"
 #include "relay/support/exchanging_fleet.hpp"
 
 using namespace shuntbank;
@@ -33,7 +34,8 @@
 
 /// Nodes that know the same engines: two of one version and two of another.
 struct VersionedFleet {
-  explicit VersionedFleet(std::size_t nodes = 4) : fleet(nodes, 2) {
+  explicit VersionedFleet(std::size_t nodes = 4, std::vector<std::string> served = {"v1", "v2"})
+      : fleet(nodes, 2), versions(std::move(served)) {
     for (std::size_t i = 0; i < nodes; ++i) this->add_engines_at(i);
     this->advance(5s);
   }
@@ -41,8 +43,7 @@
   void add_engines_at(std::size_t node) {
     RelayFixture& site = *this->fleet.sites[node];
     site.node->set_engines({});
-    add_engines(site, "v1", 2);
-    add_engines(site, "v2", 2);
+    for (const std::string& version : this->versions) add_engines(site, version, 2);
   }
 
   void advance(Duration duration) {
@@ -87,10 +88,13 @@
   /// Kills a node and starts it again, so that it knows nothing of before.
   void restart(std::size_t node) {
     this->fleet.disconnect(node);
+    this->fleet.quarantines[node].reset();
+    this->fleet.sites[node]->settings.bootstrap = false;
     this->fleet.sites[node]->restart();
     this->add_engines_at(node);
     relay::LoadExchangeSettings settings;
     settings.zone = ZoneName(this->fleet.transports[node]->zone);
+    settings.join_existing = true;
     const std::string address = this->fleet.transports[node]->address;
     this->fleet.transports[node] = std::make_unique<MockTransport>(this->fleet.network, address);
     this->fleet.transports[node]->zone = settings.zone.value();
@@ -100,6 +104,7 @@
   }
 
   ExchangingFleet fleet;
+  std::vector<std::string> versions;
 };
 
 }  // namespace
@@ -194,3 +199,66 @@
   site.advance(5s);
   cr_assert_eq(site.take_up(1, "second", "first"), "", "all nodes have lost it");
 }
+
+// Guards against streams that are refused though the service has had one version all the while.
+Test(stream_versions, takes_up_a_stream_that_nobody_knows_while_there_is_one_version) {
+  VersionedFleet site(4, {"v1"});
+  cr_assert_eq(site.take_up(1, "second", "never-seen"), "v1");
+  site.restart(1);
+  site.advance(2s);
+  cr_assert_eq(site.take_up(1, "third", "never-seen"), "v1", "the other nodes have seen it");
+  cr_assert_eq(site.take_up(2, "fourth", "never-seen"), "v1");
+}
+
+// Guards against a version that ended while no node observed the service.
+Test(stream_versions, does_not_rely_on_one_version_after_all_nodes_restarted) {
+  VersionedFleet site(4, {"v1"});
+  for (std::size_t i = 0; i < site.fleet.sites.size(); ++i) site.fleet.disconnect(i);
+  site.versions = {"v2"};
+  for (std::size_t i = 0; i < site.fleet.sites.size(); ++i) site.restart(i);
+  site.advance(3s);
+  cr_assert_eq(site.take_up(1, "second", "never-seen"), "");
+  site.advance(30s);
+  cr_assert_eq(site.take_up(1, "third", "never-seen"), "v2", "streams of before have ended");
+}
+
+// Guards against a node that is cut off with an old list of engines and trusts it.
+Test(stream_versions, does_not_rely_on_its_own_list_of_engines_alone) {
+  VersionedFleet site(4, {"v1"});
+  site.fleet.network.cut_off.insert(site.fleet.transports[1]->address);
+  cr_assert_eq(site.take_up(1, "second", "never-seen"), "");
+}
+
+// Guards against a version that is lost with the nodes that held it, while the stream still runs.
+Test(stream_versions, hands_the_version_on_again_while_the_stream_runs) {
+  VersionedFleet site;
+  const std::string version = site.begin_stream(0, "first");
+  for (const std::size_t other : {1, 2, 3}) site.restart(other);
+  site.advance(2500ms);
+  site.fleet.disconnect(0);
+  cr_assert_eq(site.take_up(1, "second", "first"), version);
+}
+
+// Guards against a caller that takes up a stream of another tenant.
+Test(stream_versions, does_not_take_up_a_stream_of_another_tenant) {
+  RelayFixture site;
+  add_engines(site, "v1", 2);
+  add_engines(site, "v2", 2);
+  relay::RouteConfiguration configuration = RelayFixture::configuration(2);
+  configuration.tenants.emplace();
+  for (const char* name : {"one", "two"}) {
+    const std::string key = std::string("key-") + name;
+    configuration.tenants->push_back(
+        {TenantName(name), {{sha256_hex(key), std::nullopt}}, std::nullopt, std::nullopt});
+  }
+  site.node->adopt(configuration);
+  site.request("/resumable/a", {{"key", "key-one"}});
+  site.http.begin(0, 200, RelayFixture::sealed_headers());
+  site.http.piece(0, kFirstEvent);
+  const auto other =
+      site.request("/resumable/a", {{"key", "key-two"}, {"resumes", "r1"}, {"last-event", "1"}});
+  cr_assert_eq(other->status, 503);
+  site.request("/resumable/a", {{"key", "key-one"}, {"resumes", "r1"}, {"last-event", "1"}});
+  cr_assert_eq(site.http.count(), 2);
+  cr_assert_eq(version_at(site, 1), version_at(site, 0));
+}
