Take streams up in the soak, at engines of two software versions

Callers take a stream that breaks off after an event up at another node, with the request that brought its first event. Judged by what callers hold: no stream has events of two versions, and of 12 or more streams that are taken up at undisturbed nodes while two engines of their version serve, at least half as many go on as new ones begin.

--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -44,6 +44,9 @@
             << site.result().max_limit_utilization() << " of a limit at most, " << counts.over_quota
             << " over quota, " << site.result().max_quota_utilization() << " of a quota at most, "
             << site.result().judged_at_cut_nodes() << " judged at cut nodes, "
+            << site.result().stream_versions().taken_up_count() << " streams taken up, "
+            << site.result().stream_versions().continued_count() << " of "
+            << site.result().stream_versions().judged_count() << " judged went on, "
             << site.result().violations().size() << " promises broken" << std::endl;
   for (const Violation& violation : site.result().violations()) {
     std::cout << "  " << violation.rule << ": " << violation.what << std::endl;
@@ -79,6 +82,8 @@
       "a tenant asks for more than its quota, which changes")(
       "cuts", options::bool_switch(&soak_options.path_cuts),
       "relays are cut off from the engines, while callers, the store and other relays reach them")(
+      "versions", options::bool_switch(&soak_options.software_versions),
+      "engines of two software versions are replaced all the while, and callers take streams up")(
       "other-program", options::value(&soak_options.previous_program),
       "relay program of an earlier version, for a rolling downgrade and upgrade")(
       "relays", options::value(&soak_options.relay_count)->default_value(5),
--- a/tests/platform/support/callers.cpp
+++ b/tests/platform/support/callers.cpp
@@ -32,6 +32,7 @@
   std::string body;
   std::string buffer;  ///< Partial event at the end of a stream.
   std::uint64_t last_event = 0;
+  bool judged = false;  ///< Of a stream that is taken up: it has to go on.
   TransferId transfer = 0;
   std::unique_ptr<asio::steady_timer> cancel_timer;
   std::function<void(bool failed)> on_finished;  ///< Set for requests left out of the counts.
@@ -144,6 +145,12 @@
   call->on_finished = std::move(on_finished);
   call->request.node = node->caller_address;
   call->request.sent_at = monotonic_now();
+  call->last_event = call->request.after_event;
+  if (!call->request.resumed.empty()) {
+    const StreamVersionChecker& streams = this->ledger.stream_versions();
+    call->judged = this->version_serves(streams.version_of(call->request.resumed)) &&
+                   streams.is_judged(call->request.sent_at, call->request.node);
+  }
   this->ledger.on_sent(call->request);
   OutgoingRequest outgoing;
   outgoing.method = call->request.method;
@@ -154,6 +161,10 @@
   outgoing.headers.add("Host", "soak.example");
   outgoing.headers.add("X-Request-Id", call->request.id);
   outgoing.headers.add("X-Deadline-Ms", std::to_string(kRequestTimeout.count()));
+  if (!call->request.resumed.empty()) {
+    outgoing.headers.add("Last-Event-Id", std::to_string(call->request.after_event));
+    outgoing.headers.add("Resumes", call->request.resumed);
+  }
   if (call->request.event_count > 0) {
     outgoing.headers.add("X-Model", "m");
     outgoing.headers.add("X-Token-Counts",
@@ -210,8 +221,14 @@
   ++call->last_event;
   const std::string head = "id: " + std::to_string(call->last_event) + "\ndata: ";
   const bool in_order = event.rfind(head, 0) == 0;
-  this->ledger.on_event_received(call->request.id, call->last_event,
-                                 in_order ? event.substr(head.size()) : event);
+  std::string text = in_order ? event.substr(head.size()) : event;
+  constexpr std::string_view kVersionField = "\nsoftware: ";
+  const std::size_t version = text.find(kVersionField);
+  if (version != std::string::npos) {
+    this->ledger.on_event_version(call->request, text.substr(version + kVersionField.size()));
+    text.resize(version);
+  }
+  this->ledger.on_event_received(call->request.id, call->last_event, text);
 }
 
 void Callers::check_answer(const CallPointer& call) {
@@ -237,10 +254,34 @@
      : over_quota ? this->totals.over_quota
      : refused    ? this->totals.refused
                   : this->totals.failed);
+  this->report_stream(call);
+  if (!good && this->take_up(call)) return;
   const bool must_wait = refused || over_quota;
   this->send_after(std::chrono::milliseconds(must_wait ? 250 : this->random() % 40));
 }
 
+void Callers::report_stream(const CallPointer& call) {
+  const SentRequest& request = call->request;
+  if (!this->version_serves || !request.repeatable || request.event_count == 0) return;
+  const bool went_on = call->last_event > request.after_event || call->status == 200;
+  StreamVersionChecker& streams = this->ledger.stream_versions();
+  if (request.resumed.empty()) return streams.on_new_stream_ended(went_on);
+  streams.on_taken_up_ended(call->judged, went_on);
+}
+
+bool Callers::take_up(const CallPointer& broken) {
+  const SentRequest& request = broken->request;
+  const bool resumable = request.repeatable && broken->last_event > request.after_event &&
+                         broken->last_event < request.event_count;
+  if (!this->version_serves || this->stopped || !resumable) return false;
+  SentRequest next = request;
+  next.id = "t" + std::to_string(++this->request_count) + "-" + request.stream();
+  next.resumed = request.stream();
+  next.after_event = broken->last_event;
+  this->call(next, nullptr);
+  return true;
+}
+
 void Callers::probe(const NodeEndpoints& node, const std::string& target,
                     std::function<void(int status)> on_status) {
   OutgoingRequest request = get(node.caller_address, target);
--- a/tests/platform/support/callers.hpp
+++ b/tests/platform/support/callers.hpp
@@ -5,6 +5,7 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 #include <chrono>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -55,6 +56,12 @@
   /// Sends every second request with a key of this tenant, from now on.
   void set_tenant(const CallerTenant& wanted) { this->tenant = wanted; }
 
+  /// Takes up streams that break off after an event, from now on.
+  /// @param wanted tells whether two engines of a version serve.
+  void take_up_streams(std::function<bool(const std::string& version)> wanted) {
+    this->version_serves = std::move(wanted);
+  }
+
   /// Starts `callers` closed-loop callers.
   void start(std::size_t callers);
 
@@ -88,6 +95,9 @@
   void send();
   void call(const SentRequest& request, std::function<void(bool failed)> on_finished);
   SentRequest make_random_request();
+  /// @return whether the caller goes on with the stream in another request.
+  bool take_up(const CallPointer& broken);
+  void report_stream(const CallPointer& call);
   void on_data(const CallPointer& call, std::string_view piece);
   void on_event(const CallPointer& call, const std::string& event);
   void on_done(const CallPointer& call, bool complete);
@@ -102,6 +112,7 @@
   CallerCounts totals;
   double cancel_share = 0.02;
   std::optional<CallerTenant> tenant;
+  std::function<bool(const std::string& version)> version_serves;  ///< May be empty.
   bool stopped = false;
   std::size_t open_calls = 0;
   std::uint64_t request_count = 0;
--- a/tests/platform/support/engine_standin.cpp
+++ b/tests/platform/support/engine_standin.cpp
@@ -38,7 +38,8 @@
       ledger(own_ledger),
       shape(own_shape),
       random(seed),
-      cooldown_random(seed) {
+      cooldown_random(seed),
+      version_random(seed) {
   this->proxy = std::make_unique<FaultProxy>(this->loop, asio::ip::tcp::endpoint());
 }
 
@@ -49,6 +50,7 @@
 
 void EngineStandin::start() {
   this->id = "i-" + hexadecimal(this->random());
+  this->version = this->shape.versions[this->version_random() % this->shape.versions.size()];
   this->stage = this->shape.stage;
   this->state = "ready";
   this->orders_accepted = 0;
@@ -116,7 +118,7 @@
   json entry = {{"service", this->shape.service},
                 {"addr", this->proxy->address()},
                 {"zone", "z1"},
-                {"version", "v1"},
+                {"version", this->version},
                 {"slots", this->shape.slots},
                 {"state", this->state},
                 {"cold_left_ms", 0},
@@ -297,7 +299,9 @@
     const bool aborts =
         run->fault == EngineFault::kLosesAnswers && run->next_event > run->last_event / 2;
     const std::string text = Ledger::event_text(run->id, run->next_event);
-    std::string event = "id: " + std::to_string(run->next_event) + "\ndata: " + text + "\n\n";
+    std::string event = "id: " + std::to_string(run->next_event) + "\ndata: " + text + "\n";
+    if (this->shape.versions.size() > 1) event += "software: " + this->version + "\n";
+    event += "\n";
     if (aborts) event.resize(event.size() / 2);
     run->responder->write(event);
     if (aborts) {
--- a/tests/platform/support/engine_standin.hpp
+++ b/tests/platform/support/engine_standin.hpp
@@ -12,6 +12,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "net/http1_server.hpp"
 #include "platform/support/fault_proxy.hpp"
@@ -27,6 +28,8 @@
   std::string stage;  ///< Initial stage, `prefill` or `decode`; empty for plain engines.
   std::size_t slots = 48;
   std::chrono::milliseconds step_duration{10};  ///< Per event, or for a plain answer.
+  /// Each start draws one of these; its events name it if there are several.
+  std::vector<std::string> versions = {"v1"};
 
   bool operator==(const EngineShape&) const = default;
 };
@@ -73,6 +76,11 @@
   void on_link_disturbed() { this->ledger.on_link_disturbed(this->id); }
 
   bool running() const { return this->server != nullptr; }
+  /// @return whether the engine serves with this software version.
+  bool serves_version(const std::string& wanted) const {
+    return this->running() && this->state == "ready" && this->stage == "decode" &&
+           this->version == wanted;
+  }
   FaultProxy& link() { return *this->proxy; }
 
  private:
@@ -120,6 +128,8 @@
   EngineShape shape;
   std::mt19937_64 random;
   std::mt19937_64 cooldown_random;  ///< Separate, so that it does not shift `random`.
+  std::mt19937_64 version_random;   ///< The same.
+  std::string version;
   std::unique_ptr<Http1Server> server;
   std::unique_ptr<FaultProxy> proxy;
   std::unique_ptr<asio::steady_timer> transition_timer;
--- a/tests/platform/support/ledger.hpp
+++ b/tests/platform/support/ledger.hpp
@@ -16,6 +16,7 @@
 #include "support/notice_checker.hpp"
 #include "support/path_checker.hpp"
 #include "support/quota_checker.hpp"
+#include "support/stream_version_checker.hpp"
 
 namespace shuntbank::testing {
 
@@ -34,6 +35,12 @@
   MonotonicTime sent_at{};
   std::string tenant{};  ///< Empty: none.
   double cost = 0;       ///< Under the tenant's quota.
+  /// The request that brought the first event, if a stream is taken up.
+  std::string resumed{};
+  std::uint64_t after_event = 0;  ///< The caller has this event; 0: none.
+
+  /// @return the request that brought the first event.
+  const std::string& stream() const { return this->resumed.empty() ? this->id : this->resumed; }
 
   bool operator==(const SentRequest&) const = default;
 };
@@ -131,19 +138,36 @@
     this->notices.reset_node(node);
     this->limits.reset_node(node);
     this->paths.on_node_disturbed(monotonic_now(), node);
+    this->streams.on_node_disturbed(monotonic_now(), node);
   }
 
   /// Nodes are cut off from all engines, or reach them again.
   void on_paths_cut(std::set<std::string> nodes) {
     this->paths.on_cut(monotonic_now(), std::move(nodes));
   }
-  void on_store_fault(bool failing) { this->paths.on_store_fault(monotonic_now(), failing); }
+  void on_store_fault(bool failing) {
+    this->paths.on_store_fault(monotonic_now(), failing);
+    this->streams.on_store_fault(monotonic_now(), failing);
+  }
   void on_paths_restored() { this->paths.on_restored(monotonic_now()); }
   /// Judges the last cut, once its requests have ended.
   void check_paths() {
     const std::string violation = this->paths.finish();
     if (!violation.empty()) this->add_violation("RECOVER", violation);
   }
+  /// An event names the software version of its engine.
+  void on_event_version(const SentRequest& request, const std::string& version) {
+    const std::string violation = this->streams.on_event(request.stream(), version);
+    if (!violation.empty()) {
+      this->add_violation("ORDER", request.id + ", stream " + request.stream() + ": " + violation);
+    }
+  }
+  StreamVersionChecker& stream_versions() { return this->streams; }
+  const StreamVersionChecker& stream_versions() const { return this->streams; }
+  void check_stream_versions() {
+    const std::string violation = this->streams.finish();
+    if (!violation.empty()) this->add_violation("LOST", violation);
+  }
   std::size_t judged_at_cut_nodes() const { return this->paths.judged_requests(); }
   /// Whether a node runs a version without support for engine limits.
   void set_unaware_of_limits(const std::string& node, bool unaware) {
@@ -194,6 +218,7 @@
   NoticeChecker notices{kDrainingGrace};
   LimitChecker limits;
   PathChecker paths;
+  StreamVersionChecker streams;
   QuotaChecker quotas{{std::chrono::seconds(8), 0.1, kQuotaSlack, kQuotaApplyTime}};
   std::uint64_t seal_count = 0;
 };
--- a/tests/platform/support/soak_site.cpp
+++ b/tests/platform/support/soak_site.cpp
@@ -95,7 +95,8 @@
       notice_random(own_options.seed),
       limit_random(own_options.seed),
       quota_random(own_options.seed),
-      path_random(own_options.seed) {
+      path_random(own_options.seed),
+      release_random(own_options.seed) {
   this->build_engines();
   this->put_configuration();
   if (this->options.path_cuts) this->build_engine_paths();
@@ -161,6 +162,28 @@
   this->schedule(duration, [this] { this->restore_paths(); });
 }
 
+/// Drains a model engine, or lets it crash, and starts another in its place.
+void SoakSite::replace_engine() {
+  if (this->faults_cleared) return;
+  const std::size_t index = this->release_random() % this->engines.size();
+  EngineStandin& engine = *this->engines[index];
+  const bool crashes = this->release_random() % 2 == 0;
+  if (engine.running()) {
+    this->log_fault("engine " + std::to_string(index) + (crashes ? " crashes" : " drains") +
+                    " and is replaced");
+    if (crashes) {
+      this->crash_and_restart(engine);
+    } else {
+      engine.drain(2500ms);
+      this->schedule(3s, [&engine] {
+        if (!engine.running()) engine.start();
+      });
+    }
+  }
+  this->schedule(std::chrono::milliseconds(500 + this->release_random() % 1500),
+                 [this] { this->replace_engine(); });
+}
+
 void SoakSite::restore_paths() {
   constexpr std::chrono::milliseconds kRequestsEnd{5000};
   this->paths_cut = false;
@@ -182,7 +205,8 @@
       model_shape("decode"),          model_shape("decode"),         model_shape("decode"),
       model_shape("decode"),          model_shape("prefill"),        {"plain", false, "", 12, 15ms},
       {"plain", false, "", 12, 15ms}, {"plain", false, "", 12, 15ms}};
-  for (const EngineShape& engine : shapes) {
+  for (EngineShape engine : shapes) {
+    if (this->options.software_versions && engine.model) engine.versions = {"v1", "v2"};
     this->engines.push_back(std::make_unique<EngineStandin>(this->loop, this->store, this->ledger,
                                                             engine, this->random()));
     EngineStandin& made = *this->engines.back();
@@ -320,6 +344,14 @@
   if (this->options.tenant_quotas) {
     this->schedule(8s, [this] { this->inject_quota_changes(); });
   }
+  if (this->options.software_versions) {
+    this->callers->take_up_streams([this](const std::string& version) {
+      return std::count_if(this->engines.begin(), this->engines.end(), [&](const auto& engine) {
+               return engine->serves_version(version);
+             }) >= 2;
+    });
+    this->schedule(2s, [this] { this->replace_engine(); });
+  }
   if (this->options.path_cuts) this->schedule(4s, [this] { this->cut_paths(); });
   if (!this->options.previous_program.empty()) this->switch_next_program();
   this->wait(2s);
@@ -333,12 +365,16 @@
   this->check_recovery();
   this->callers->stop();
   this->wait_until([this] { return this->callers->in_flight() == 0; }, 6s);
+  this->ledger.check_stream_versions();
 }
 
 void SoakSite::inject_fault() {
   const std::uint64_t kind = this->draw(24);
   // Disturbed nodes are not judged.
   if (this->paths_cut && kind < 15) return;
+  // Nor are streams while the store fails.
+  const bool store_works = this->options.software_versions && this->options.seed % 2 == 1;
+  if (store_works && kind >= 8 && kind < 15) return;
   // The first kinds disturb relays or the store.
   if (kind < 15) this->disturbed_until = std::chrono::steady_clock::now() + kMaxDisturbance;
   if (kind < 8) return this->inject_relay_fault(kind);
--- a/tests/platform/support/soak_site.hpp
+++ b/tests/platform/support/soak_site.hpp
@@ -39,6 +39,8 @@
   bool tenant_quotas = false;
   /// Nodes are cut off from all engines, and from some of them.
   bool path_cuts = false;
+  /// Engines of two software versions are replaced all the while, and callers take streams up.
+  bool software_versions = false;
   /// Path of an earlier version for a rolling downgrade and upgrade; may be empty. Engine limits
   /// are not checked for its nodes.
   std::string previous_program;
@@ -85,6 +87,7 @@
   void inject_quota_changes();
   void build_engine_paths();
   void cut_paths();
+  void replace_engine();
   void restore_paths();
   void change_limit(std::size_t index, double per_second, int steps, double factor);
   void switch_next_program();
@@ -123,6 +126,7 @@
   std::mt19937_64 limit_random;
   std::mt19937_64 quota_random;
   std::mt19937_64 path_random;
+  std::mt19937_64 release_random;
   double quota_per_second = kQuotaTokensPerSecond;
   std::size_t switch_count = 0;
   std::chrono::steady_clock::time_point disturbed_until{};  ///< Of relays or store.
