Keep a decode engine of each software version when engines change to prefill

A stream goes on only at a decode engine of its version. The last one of a version is now the last choice.

stage_planner/keeps_a_decode_engine_of_each_software_version failed before.

--- a/src/core/relay/stage_planner.cpp
+++ b/src/core/relay/stage_planner.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <istream>
+#include <map>
 #include <ostream>
 #include <string>
 #include <tuple>
@@ -175,11 +176,14 @@
   return growing;
 }
 
-/// @return the engine that changes to the stage, if one may change now: newcomers first, then slow
-/// engines to prefill and fast ones to decode, then the least loaded.
+/// @return the engine that changes to the stage, if one may change now. The last decode engine of a
+/// software version comes last, as streams that it began can go on nowhere else; newcomers come
+/// first, then slow engines to prefill and fast ones to decode, then the least loaded.
 std::optional<EngineId> StagePlanner::choose_engine(MonotonicTime now,
                                                     std::vector<EngineView*> sources,
                                                     EngineStage stage, bool batch_open) const {
+  std::map<std::string, std::size_t> engines_of_version;
+  for (const EngineView* engine : sources) ++engines_of_version[engine->record.stream_version()];
   std::erase_if(sources, [&](const EngineView* engine) {
     if (!batch_open && !is_idle_newcomer(now, *engine)) return true;
     const auto order = issued_orders_.find(engine->record.id);
@@ -189,7 +193,9 @@
   if (sources.empty()) return std::nullopt;
   const auto rank = [&](const EngineView* engine) {
     const long speed = std::lround(relative_speed(*engine) * kSpeedSteps);
-    return std::tuple(!is_idle_newcomer(now, *engine),
+    const bool last_of_version =
+        stage == EngineStage::kPrefill && engines_of_version[engine->record.stream_version()] == 1;
+    return std::tuple(last_of_version, !is_idle_newcomer(now, *engine),
                       stage == EngineStage::kPrefill ? speed : -speed, engine->total_requests(now));
   };
   const auto best = std::min_element(sources.begin(), sources.end(), [&](auto* left, auto* right) {
--- a/tests/core/relay/stage_planner_test.cpp
+++ b/tests/core/relay/stage_planner_test.cpp
@@ -44,6 +44,7 @@
       record.address = record.id.value() + ":1";
       record.slots = kSlots;
       record.stage = stage;
+      record.software_version = software_version;
       engines.upsert(record);
     }
   }
@@ -131,6 +132,7 @@
     return counts;
   }
 
+  std::string software_version;  ///< Of the engines that are added next.
   EngineDirectory engines;
   std::unique_ptr<RouteTable> table;
   StagePlanner planner;
@@ -328,6 +330,21 @@
   cr_assert_eq(orders.first + orders.second, 0);
 }
 
+// Guards against streams that cannot go on, as no decode engine of their version is left.
+Test(stage_planner, keeps_a_decode_engine_of_each_software_version) {
+  StagePlannerSettings settings;
+  settings.mode = StageMode::kFixed;
+  settings.prefill_share = 0.5;
+  PlannedFleet fleet(settings);
+  fleet.software_version = "v2";
+  fleet.add("a", 1, EngineStage::kDecode);
+  fleet.software_version = "v1";
+  fleet.add("b", 3, EngineStage::kDecode);
+  for (int i = 0; i < 30; ++i) fleet.tick();
+  cr_assert_eq(fleet.count(EngineStage::kPrefill), 2);
+  cr_assert(fleet.engines.find(EngineId("a0"))->record.stage == EngineStage::kDecode);
+}
+
 Test(stage_planner, a_mix_that_flips_does_not_make_stages_oscillate) {
   // Guards against following each phase of a mix that flips every 2.8 s: each change costs an order
   // and 3 s of an engine.
