Keep in the store which versions a service has had

The holder of the fleet's lease keeps the versions of each service in one object, written when one appears or was last seen longer ago than streams are taken up. A node reads it when it starts. A version that it lists beside a stored one leaves the origin unknown, as before.

version_store/* (3).

--- a/src/core/relay/service_versions.cpp
+++ b/src/core/relay/service_versions.cpp
@@ -52,8 +52,19 @@
   return seen;
 }
 
+std::map<ServiceName, std::set<std::string>> ServiceVersions::all_recent() const {
+  std::map<ServiceName, std::set<std::string>> recent;
+  for (const auto& [service, versions] : this->last_seen) {
+    for (const auto& [version, seen_at] : versions) recent[service].insert(version);
+  }
+  return recent;
+}
+
 void ServiceVersions::adopt(MonotonicTime now, const std::vector<VersionSighting>& sightings) {
-  if (!this->observed_since || now - this->observed_at > kMaxObservationGap) return;
+  if (!this->observed_since || now - this->observed_at > kMaxObservationGap) {
+    this->observed_since = now;
+    this->observed_at = now;
+  }
   this->no_earlier_streams = true;
   for (const VersionSighting& sighting : sightings) {
     MonotonicTime& seen_at = this->last_seen[sighting.service][sighting.version];
--- a/src/core/relay/service_versions.hpp
+++ b/src/core/relay/service_versions.hpp
@@ -50,7 +50,11 @@
   /// @return all that were seen lately; unset unless the observation is complete.
   std::optional<std::vector<VersionSighting>> sightings(MonotonicTime now) const;
 
-  /// Adds the complete observation of another node, which lasted until now.
+  /// @return all that were seen lately, whether or not the observation is complete.
+  std::map<ServiceName, std::set<std::string>> all_recent() const;
+
+  /// Adds a complete observation that lasted until now, by another node or by this node's previous
+  /// run.
   void adopt(MonotonicTime now, const std::vector<VersionSighting>& sightings);
 
  private:
--- a/src/relay/relay_process.cpp
+++ b/src/relay/relay_process.cpp
@@ -19,6 +19,7 @@
 #include "relay/role_coordinator.hpp"
 #include "relay/usage_exchange.hpp"
 #include "relay/usage_reporter.hpp"
+#include "relay/version_store.hpp"
 
 namespace shuntbank::relay {
 namespace {
@@ -86,6 +87,8 @@
         catalog_(runtime, store_, platform.codec, node_, catalog_settings(settings)),
         quarantine_store_(runtime, store_, node_),
         lease_(runtime, store_, node_, settings.node, settings.lease),
+        versions_(runtime, store_, node_, settings.bootstrap,
+                  [this] { return lease_.authority().has_value(); }),
         roles_({runtime, http_, platform.dialect}, lease_, node_, role_settings(settings),
                settings.stages) {
     if (duties_ != nullptr && settings.engine_ordering_enabled) {
@@ -296,6 +299,7 @@
   Catalog catalog_;
   QuarantineStore quarantine_store_;
   LeaseKeeper lease_;
+  VersionStore versions_;
   RoleCoordinator roles_;
   std::unique_ptr<TunnelServer> tunnels_;
   std::unique_ptr<PeerTransport> peers_;
--- a/src/relay/stream_origins.cpp
+++ b/src/relay/stream_origins.cpp
@@ -60,6 +60,11 @@
   return this->versions.sightings(this->runtime.now());
 }
 
+std::map<ServiceName, std::set<std::string>> StreamOrigins::recent_versions() {
+  this->observe_versions();
+  return this->versions.all_recent();
+}
+
 void StreamOrigins::adopt_sightings(const std::vector<VersionSighting>& sightings) {
   this->observe_versions();
   this->versions.adopt(this->runtime.now(), sightings);
--- a/src/relay/stream_origins.hpp
+++ b/src/relay/stream_origins.hpp
@@ -45,6 +45,8 @@
 
   /// @return the versions that this node has seen; see `ServiceVersions::sightings`.
   std::optional<std::vector<VersionSighting>> sightings();
+  /// @return the versions of each service; see `ServiceVersions::all_recent`.
+  std::map<ServiceName, std::set<std::string>> recent_versions();
   /// Adds the observation of a node that has run for longer.
   void adopt_sightings(const std::vector<VersionSighting>& sightings);
 
--- a/tests/relay/stream_versions_test.cpp
+++ b/tests/relay/stream_versions_test.cpp
@@ -7,6 +7,7 @@
 
 #include "common/hash.hpp"
 #include "relay/support/exchanging_fleet.hpp"
+#include "relay/version_store.hpp"
 
 using namespace shuntbank;
 using namespace shuntbank::testing;
@@ -262,3 +263,71 @@
   cr_assert_eq(site.http.count(), 2);
   cr_assert_eq(version_at(site, 1), version_at(site, 0));
 }
+
+namespace {
+
+/// A node and the store that keeps the versions over its restarts.
+struct StoredSite {
+  explicit StoredSite(const std::string& version) {
+    add_engines(this->site, version, 2);
+    this->open(true);
+    this->site.runtime.advance(3s);
+  }
+
+  void open(bool bootstrap) {
+    this->versions = std::make_unique<relay::VersionStore>(
+        this->site.runtime, this->store, *this->site.node, bootstrap, [] { return true; });
+  }
+
+  /// Restarts the node, which finds engines of this version.
+  void restart(const std::string& version) {
+    this->versions.reset();
+    this->site.settings.bootstrap = false;
+    this->site.restart();
+    this->open(false);
+    this->site.runtime.advance(10ms);
+    add_engines(this->site, version, 2);
+  }
+
+  std::size_t take_up() {
+    const std::size_t before = this->site.http.count();
+    this->site.request("/resumable/a", {{"last-event", "1"}});
+    return this->site.http.count() - before;
+  }
+
+  RelayFixture site;
+  MemoryStore store{site.runtime};
+  std::unique_ptr<relay::VersionStore> versions;
+};
+
+}  // namespace
+
+// Guards against streams that are refused after all nodes have restarted at once.
+Test(version_store, takes_streams_up_after_a_restart_of_all_nodes) {
+  StoredSite stored("v1");
+  const int writes = stored.store.writes;
+  stored.site.runtime.advance(10s);
+  cr_assert_eq(stored.store.writes, writes, "nothing has changed");
+  stored.restart("v1");
+  cr_assert_eq(stored.take_up(), 1);
+}
+
+// Guards against streams that go on at the version that was started while no node ran.
+Test(version_store, refuses_streams_after_a_restart_of_all_nodes_and_a_release) {
+  StoredSite stored("v1");
+  stored.restart("v2");
+  cr_assert_eq(stored.take_up(), 0);
+  stored.site.runtime.advance(70s);
+  cr_assert_eq(stored.take_up(), 1, "v1 was seen longer ago than streams are taken up");
+}
+
+// Guards against a node that takes a store which does not answer for one without versions.
+Test(version_store, waits_for_the_store) {
+  StoredSite stored("v1");
+  stored.store.down = true;
+  stored.restart("v1");
+  cr_assert_eq(stored.take_up(), 0);
+  stored.store.down = false;
+  stored.site.runtime.advance(3s);
+  cr_assert_eq(stored.take_up(), 1);
+}
