--- a/src/core/relay/stream_replicas.cpp
+++ b/src/core/relay/stream_replicas.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <set>
-#include <tuple>
 #include <utility>
 
 #include "common/hash.hpp"
@@ -10,43 +9,37 @@
 namespace shuntbank::relay {
 namespace {
 
+/// Highest-ranked nodes among which zones are told apart.
+constexpr std::size_t kMaxCandidates = 32;
+
 using Candidate = std::pair<std::uint64_t, const PeerRecords::value_type*>;
 
-/// @return the highest-ranked node that is not in `taken` and, if any is left, not in `zones`.
-const PeerRecords::value_type* next_replica(const std::vector<Candidate>& ranked,
-                                            const std::set<NodeId>& taken,
-                                            const std::set<ZoneName>& zones) {
-  const PeerRecords::value_type* best = nullptr;
-  bool best_in_new_zone = false;
-  std::uint64_t best_rank = 0;
-  for (const auto& [rank, node] : ranked) {
-    if (taken.count(node->first) > 0) continue;
-    const bool in_new_zone = zones.count(node->second.zone) == 0;
-    const bool better =
-        best == nullptr || std::pair(in_new_zone, rank) > std::pair(best_in_new_zone, best_rank);
-    if (!better) continue;
-    best = node;
-    best_in_new_zone = in_new_zone;
-    best_rank = rank;
-  }
-  return best;
+std::vector<Candidate> highest_ranked(const PeerRecords& nodes, StreamKey key) {
+  std::vector<Candidate> ranked;
+  ranked.reserve(nodes.size());
+  for (const auto& node : nodes) ranked.emplace_back(hash64(node.first.value(), key), &node);
+  const std::size_t kept = std::min(kMaxCandidates, ranked.size());
+  const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(kept);
+  std::partial_sort(ranked.begin(), end, ranked.end(), [](const auto& left, const auto& right) {
+    return left.first > right.first;
+  });
+  ranked.resize(kept);
+  return ranked;
 }
 
 }  // namespace
 
 std::vector<NodeId> stream_replicas(const PeerRecords& nodes, StreamKey key, std::size_t count) {
-  std::vector<Candidate> ranked;
-  ranked.reserve(nodes.size());
-  for (const auto& node : nodes) ranked.emplace_back(hash64(node.first.value(), key), &node);
-  std::vector<NodeId> replicas;
-  std::set<NodeId> taken;
+  const std::vector<Candidate> candidates = highest_ranked(nodes, key);
   std::set<ZoneName> zones;
-  while (replicas.size() < std::min(count, nodes.size())) {
-    const auto* node = next_replica(ranked, taken, zones);
-    replicas.push_back(node->first);
-    taken.insert(node->first);
-    zones.insert(node->second.zone);
+  std::vector<NodeId> replicas;
+  std::vector<NodeId> others;
+  for (const auto& [rank, node] : candidates) {
+    const bool new_zone = zones.insert(node->second.zone).second;
+    (new_zone ? replicas : others).push_back(node->first);
   }
+  replicas.insert(replicas.end(), others.begin(), others.end());
+  replicas.resize(std::min(count, replicas.size()));
   return replicas;
 }
 
--- a/src/relay/stream_origins.cpp
+++ b/src/relay/stream_origins.cpp
@@ -24,8 +24,8 @@
 
 constexpr Duration kTickInterval = std::chrono::seconds(1);
 
-/// Streams whose origin is sent again in a tick: about 0.6 KB a second to each replica.
-constexpr std::size_t kMaxRefreshed = 8;
+/// Streams whose origin is sent again in a tick: about 0.6 KB a second.
+constexpr std::size_t kMaxRefreshed = 4;
 
 }  // namespace
 
