Log the prompt parts of requests that an engine broke

Engines ended one after the other under requests of which no two were alike (BUDGET). The logs named the identity of a broken request only, so that it could not be seen what these requests have in common. broken_by_engine names the parts of the prompt that other requests may share.

--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -112,6 +112,7 @@
   /// @return the reason to refuse the request for now, or null.
   static const char* refusal_reason(const SuspectStatus& status);
   void update_crash_risk_engines();
+  std::string shared_parts_text() const;
   void report_interruption();
   void report_unresponsive();
 
--- a/src/relay/relay_session_quarantine.cpp
+++ b/src/relay/relay_session_quarantine.cpp
@@ -1,4 +1,6 @@
 // Detection and quarantine of requests that crash engines.
+#include <sstream>
+
 #include "common/log.hpp"
 #include "net/http_status.hpp"
 #include "relay/relay_session.hpp"
@@ -88,6 +90,16 @@
   crash_risk_engines_ = context_.quarantine.trial_engines(identity_->request);
 }
 
+/// @return the ids of the prompt parts that other requests may share, as the caller named them.
+std::string RelaySession::shared_parts_text() const {
+  std::ostringstream text;
+  if (!prompt_) return {};
+  for (std::size_t i = 0; i + 1 < prompt_->parts.size(); ++i) {
+    text << (i > 0 ? "," : "") << std::hex << prompt_->parts[i].id;
+  }
+  return text.str();
+}
+
 /// Logs the identity, which is the same for all attempts of a request, so that the logs of all
 /// nodes can be joined.
 void RelaySession::report_interruption() {
@@ -98,6 +110,7 @@
              {"caller", request_.caller},
              {"engine", engine_.value()},
              {"step", step_name()},
+             {"parts", shared_parts_text()},
              {"after_ms", to_ms(context_.runtime.now() - sent_at_)}});
   context_.quarantine.on_interrupted(*identity_, engine_, sent_at_);
 }
