--- a/tests/relay/support/fakes.cpp
+++ b/tests/relay/support/fakes.cpp
@@ -1,5 +1,6 @@
 #include "relay/support/fakes.hpp"
 
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
@@ -148,6 +149,13 @@
   relay::PromptShape shape;
   shape.prompt_tokens = std::stoull(std::string(headers.get("tokens")));
   shape.parts = {{7, shape.prompt_tokens / 2}, {8, shape.prompt_tokens - shape.prompt_tokens / 2}};
+  std::istringstream ids{std::string(headers.get("parts"))};
+  std::vector<std::uint64_t> named{std::istream_iterator<std::uint64_t>(ids), {}};
+  if (named.empty()) return shape;
+  shape.parts.clear();
+  for (const std::uint64_t part : named) {
+    shape.parts.push_back({part, shape.prompt_tokens / named.size()});
+  }
   return shape;
 }
 
--- a/tests/relay/support/fakes.hpp
+++ b/tests/relay/support/fakes.hpp
@@ -139,6 +139,7 @@
  public:
   TestDialect();
   const relay::HeaderNames& names() const override { return names_; }
+  /// The field `parts` names the ids, separated by blanks; by default there are two.
   std::optional<relay::PromptShape> parse_prompt(const HttpHeaders& headers) const override;
   std::optional<std::uint64_t> parse_token_count(const HttpHeaders& headers) const override;
   /// Reads requests waiting and the slowdown in percent, separated by a blank.
