Quarantine prompt parts that crash engines, as requests are

Cause: evidence was kept for whole requests, and no two of these were alike, so that each began with a clean record. Ruled out: verdicts that come too late (none came at any node) and evidence lost by restarts (no check found a crashed engine alive).

The ledger of crashes takes the parts of a prompt, the last one aside, as further causes beside the request, with the same evidence, exchange, store object and operators' list: a part's identity has the form of a request's, so that messages and records are unchanged. A part of a request that completed within 10 s is no cause; a node that has seen one complete says so when it hears evidence. After three crashes under at least two requests, and 300 ms for others' reports, the part with the most crashes is quarantined; parts with the very same crashes are inseparable from it, and a request is refused only if it holds all of them. What a part explains speaks against no other part or request, and lifts verdicts that it explains. Once an engine has crashed under a part, requests with it run one at a time, at one engine each; the verdict is asked again right before a send.

--- a/src/core/relay/crash_ledger.cpp
+++ b/src/core/relay/crash_ledger.cpp
@@ -149,11 +149,11 @@
 }
 
 std::set<EngineKey> CrashLedger::trial_engines(MonotonicTime now,
-                                               const RequestIdentity& request) const {
+                                               const std::vector<RequestIdentity>& except) const {
   std::set<EngineKey> engines;
   for (const auto& [other, suspect] : this->suspects) {
-    if (other != request && this->has_active_trial(now, suspect))
-      engines.insert(suspect.trial->engine);
+    const bool own = std::find(except.begin(), except.end(), other) != except.end();
+    if (!own && this->has_active_trial(now, suspect)) engines.insert(suspect.trial->engine);
   }
   return engines;
 }
@@ -223,12 +223,124 @@
       });
 }
 
+/// @return whether the engine's crash is already attributed to another quarantined prompt part.
+bool CrashLedger::explained_by_part(EngineKey engine, const RequestIdentity& request) const {
+  return std::any_of(
+      this->quarantined_requests.begin(), this->quarantined_requests.end(), [&](const auto& other) {
+        if (other == request || !is_prompt_part(other)) return false;
+        const auto found = this->suspects.find(other);
+        return found != this->suspects.end() && found->second.engines.count(engine) > 0;
+      });
+}
+
+std::set<EngineKey> CrashLedger::crashed_engines(const Suspect& suspect) {
+  std::set<EngineKey> crashed;
+  for (const auto& [engine, interruption] : suspect.engines) {
+    if (interruption.crashed) crashed.insert(engine);
+  }
+  return crashed;
+}
+
+/// A part is a better explanation than a quarantined request that holds it only if engines crashed
+/// under other requests with it as well.
+bool CrashLedger::may_be_cause(const RequestIdentity& part, const Suspect& suspect) const {
+  std::size_t crash_count = 0;
+  bool beyond_one_request = false;
+  for (const EngineKey engine : crashed_engines(suspect)) {
+    if (this->explained_by_part(engine, part)) continue;
+    ++crash_count;
+    beyond_one_request = beyond_one_request || !this->explained_by_quarantine(engine, part);
+  }
+  return crash_count >= this->settings.quarantine_threshold && beyond_one_request;
+}
+
+/// @return the part under which most engines crashed, if it has had time to be cleared.
+CrashLedger::Suspects::iterator CrashLedger::find_crashing_part(MonotonicTime now) {
+  auto best = this->suspects.end();
+  for (auto it = this->suspects.begin(); it != this->suspects.end(); ++it) {
+    auto& [part, suspect] = *it;
+    if (!is_prompt_part(part) || suspect.quarantined_until) continue;
+    if (!this->may_be_cause(part, suspect)) {
+      suspect.threshold_reached_at.reset();
+      continue;
+    }
+    if (!suspect.threshold_reached_at) suspect.threshold_reached_at = now;
+    const bool settled = now - *suspect.threshold_reached_at >= this->settings.part_settle_time;
+    const bool more =
+        best == this->suspects.end() || count_crashes(suspect) > count_crashes(best->second);
+    if (settled && more) best = it;
+  }
+  return best;
+}
+
+/// Quarantines the part under which most engines crashed, and those that were always beside it;
+/// then the next one, as far as this one does not explain it.
+void CrashLedger::evaluate_parts(MonotonicTime now) {
+  for (auto best = this->find_crashing_part(now); best != this->suspects.end();
+       best = this->find_crashing_part(now)) {
+    const std::set<EngineKey> engines = crashed_engines(best->second);
+    this->quarantine_parts(now, engines);
+    this->lift_explained_parts(engines);
+  }
+}
+
+void CrashLedger::quarantine_parts(MonotonicTime now, const std::set<EngineKey>& engines) {
+  for (auto& [part, suspect] : this->suspects) {
+    if (!is_prompt_part(part) || suspect.quarantined_until) continue;
+    if (crashed_engines(suspect) == engines) this->begin_quarantine(now, part, suspect);
+  }
+}
+
+/// Lifts verdicts on parts whose crashes have turned out to be a part of another one's.
+void CrashLedger::lift_explained_parts(const std::set<EngineKey>& engines) {
+  for (auto& [part, suspect] : this->suspects) {
+    if (!is_prompt_part(part) || !suspect.quarantined_until) continue;
+    const std::set<EngineKey> own = crashed_engines(suspect);
+    const bool explained = own.size() < engines.size() &&
+                           std::includes(engines.begin(), engines.end(), own.begin(), own.end());
+    if (!explained) continue;
+    suspect.quarantined_until.reset();
+    suspect.released = true;
+    this->quarantined_requests.erase(part);
+  }
+}
+
+void CrashLedger::begin_quarantine(MonotonicTime now, const RequestIdentity& request,
+                                   Suspect& suspect) {
+  suspect.quarantined_until = now + this->settings.quarantine_duration;
+  suspect.quarantined_callers = crash_callers(suspect).size();
+  this->quarantined_requests.insert(request);
+  this->new_quarantines.push_back(request);
+}
+
+std::set<RequestIdentity> CrashLedger::inseparable_parts(const RequestIdentity& part) const {
+  std::set<RequestIdentity> parts{part};
+  const auto found = this->suspects.find(part);
+  if (found == this->suspects.end()) return parts;
+  const std::set<EngineKey> engines = crashed_engines(found->second);
+  for (const RequestIdentity& other : this->quarantined_requests) {
+    if (is_prompt_part(other) && crashed_engines(this->suspects.at(other)) == engines) {
+      parts.insert(other);
+    }
+  }
+  return parts;
+}
+
+bool CrashLedger::interrupted_here(const RequestIdentity& request, EngineKey engine) const {
+  const auto found = this->suspects.find(request);
+  if (found == this->suspects.end()) return false;
+  const auto interruption = found->second.engines.find(engine);
+  return interruption != found->second.engines.end() && !interruption->second.from_peer;
+}
+
 void CrashLedger::evaluate(MonotonicTime now, const RequestIdentity& request, Suspect& suspect) {
+  const bool part = is_prompt_part(request);
+  if (part && !suspect.quarantined_until) return;  // See `evaluate_parts`.
   std::size_t crash_count = 0;
   std::size_t unexplained = 0;
   for (const auto& [engine, interruption] : suspect.engines) {
     if (!interruption.crashed) continue;
-    ++crash_count;
+    if (!this->explained_by_part(engine, request)) ++crash_count;
     if (!this->explained_by_quarantine(engine, request)) ++unexplained;
   }
   const bool over_threshold = unexplained >= this->settings.quarantine_threshold ||
@@ -236,13 +348,11 @@
   if (!suspect.quarantined_until && !over_threshold) return;
   const std::size_t callers = crash_callers(suspect).size();
   if (suspect.quarantined_until && callers <= suspect.quarantined_callers) return;
-  suspect.quarantined_until = now + this->settings.quarantine_duration;
-  suspect.quarantined_callers = callers;
-  this->quarantined_requests.insert(request);
-  this->new_quarantines.push_back(request);
+  this->begin_quarantine(now, request, suspect);
 }
 
 std::vector<QuarantinedRequest> CrashLedger::take_new_quarantines(MonotonicTime now) {
+  this->evaluate_parts(now);
   const auto changed = std::exchange(this->new_quarantines, {});
   std::vector<QuarantinedRequest> taken = this->quarantined(now);
   std::erase_if(taken, [&](const QuarantinedRequest& entry) {
--- a/src/core/relay/crash_ledger.hpp
+++ b/src/core/relay/crash_ledger.hpp
@@ -25,6 +25,9 @@
   /// explain some of the crashes: a request that was quarantined after the third crash is normally
   /// no longer sent when the fourth one happens.
   std::size_t unconditional_threshold = 4;
+  /// How long a prompt part is not quarantined once it has reached the threshold, so that reports
+  /// of other parts and of completed requests arrive before.
+  Duration part_settle_time = std::chrono::milliseconds(300);
   /// How long a request is quarantined after its last attempt. Exceeds the retry interval of
   /// callers (30 s) and the restart time of an engine (3 s).
   Duration quarantine_duration = std::chrono::minutes(15);
@@ -91,8 +94,9 @@
   bool operator==(const CrashEvidence&) const = default;
 };
 
-/// Counts engine crashes per request and decides which requests are quarantined. Has no clock or
-/// network access: callers pass in the time and the reports of other nodes.
+/// Counts engine crashes per request and per prompt part, and decides which of them are
+/// quarantined. Parts are known by their identities and otherwise treated as requests. Has no clock
+/// or network access: callers pass in the time and the reports of other nodes.
 class CrashLedger {
  public:
   explicit CrashLedger(const CrashLedgerSettings& own_settings = {}) : settings(own_settings) {}
@@ -114,6 +118,13 @@
   /// @return whether other nodes have reported interruptions of a request.
   bool reported_by_peer(const RequestIdentity& request) const;
 
+  /// @return the quarantined prompt parts that were in the same requests at each crash, so that any
+  /// of them may be the cause; the part itself is among them.
+  std::set<RequestIdentity> inseparable_parts(const RequestIdentity& part) const;
+
+  /// @return whether this node has seen the engine interrupt a request.
+  bool interrupted_here(const RequestIdentity& request, EngineKey engine) const;
+
   /// @return the requests that an engine interrupted.
   std::vector<RequestIdentity> interrupted_by(EngineKey engine) const;
 
@@ -138,8 +149,9 @@
   void begin_trial(MonotonicTime now, const RequestIdentity& request, EngineKey engine);
   void end_trial(const RequestIdentity& request);
 
-  /// @return the engines at which suspects other than `request` are in flight.
-  std::set<EngineKey> trial_engines(MonotonicTime now, const RequestIdentity& request) const;
+  /// @return the engines at which suspects other than these are in flight.
+  std::set<EngineKey> trial_engines(MonotonicTime now,
+                                    const std::vector<RequestIdentity>& except) const;
 
   /// Restarts the quarantine period when a quarantined request is sent again.
   void extend_quarantine(MonotonicTime now, const RequestIdentity& request);
@@ -184,11 +196,20 @@
     /// The quarantine was lifted by new evidence; outdated entries of the store are ignored.
     bool released = false;
     MonotonicTime last_event_at{};
+    std::optional<MonotonicTime> threshold_reached_at;  ///< Of a prompt part.
   };
   using Suspects = std::map<RequestIdentity, Suspect>;
 
   bool has_active_trial(MonotonicTime now, const Suspect& suspect) const;
   bool explained_by_quarantine(EngineKey engine, const RequestIdentity& request) const;
+  bool explained_by_part(EngineKey engine, const RequestIdentity& request) const;
+  bool may_be_cause(const RequestIdentity& part, const Suspect& suspect) const;
+  void evaluate_parts(MonotonicTime now);
+  Suspects::iterator find_crashing_part(MonotonicTime now);
+  void quarantine_parts(MonotonicTime now, const std::set<EngineKey>& engines);
+  void lift_explained_parts(const std::set<EngineKey>& engines);
+  void begin_quarantine(MonotonicTime now, const RequestIdentity& request, Suspect& suspect);
+  static std::set<EngineKey> crashed_engines(const Suspect& suspect);
   void evaluate(MonotonicTime now, const RequestIdentity& request, Suspect& suspect);
   void evict_if_full();
   static std::size_t count_interruptions(const Suspect& suspect);
--- a/src/core/relay/prompt_cache_view.hpp
+++ b/src/core/relay/prompt_cache_view.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -25,6 +26,7 @@
   std::vector<PromptPart> parts;  ///< In order; the last is the request's own or its session's.
   std::uint64_t prompt_tokens = 0;
   std::uint64_t max_output_tokens = 0;
+  std::string model = {};
 
   /// @return the id of the last part that other requests may share, or nothing.
   std::optional<std::uint64_t> shared_part() const;
--- a/src/relay/quarantine.cpp
+++ b/src/relay/quarantine.cpp
@@ -9,7 +9,12 @@
 namespace shuntbank::relay {
 namespace {
 
-constexpr Duration kExpiryInterval = std::chrono::seconds(1);
+/// Of expiry and of verdicts that wait for reports.
+constexpr Duration kTickInterval = std::chrono::milliseconds(250);
+
+/// Maximum delay before a node reports that a suspected part completed there, so that few of the
+/// nodes that have seen it do.
+constexpr Duration kMaxVouchDelay = std::chrono::milliseconds(100);
 
 /// A crashed engine refuses connections at once; a live one answers within milliseconds.
 constexpr Duration kLivenessTimeout = std::chrono::milliseconds(500);
@@ -35,7 +40,7 @@
 
 Quarantine::Quarantine(const QuarantineIo& own_io) : io(own_io) {
   this->ticker =
-      std::make_unique<Periodic>(this->io.runtime, kExpiryInterval, [this] { this->tick(); });
+      std::make_unique<Periodic>(this->io.runtime, kTickInterval, [this] { this->tick(); });
 }
 
 Quarantine::~Quarantine() {
@@ -46,12 +51,49 @@
   return this->ledger.status(this->io.runtime.now(), attempt);
 }
 
+const CallerRequest* Quarantine::quarantined_cause(const CrashCauses& causes) const {
+  const auto holds = [&](const RequestIdentity& identity) {
+    return std::any_of(causes.begin(), causes.end(),
+                       [&](const CallerRequest& cause) { return cause.request == identity; });
+  };
+  for (const CallerRequest& cause : causes) {
+    if (!this->status(cause).quarantine_left) continue;
+    if (!is_prompt_part(cause.request)) return &cause;
+    const auto parts = this->ledger.inseparable_parts(cause.request);
+    if (std::all_of(parts.begin(), parts.end(), holds)) return &cause;
+  }
+  return nullptr;
+}
+
+SuspectStatus Quarantine::status(const CrashCauses& causes) const {
+  SuspectStatus worst;
+  for (const CallerRequest& cause : causes) {
+    const SuspectStatus status = this->status(cause);
+    if (status.interruptions > worst.interruptions) worst = status;
+  }
+  const CallerRequest* quarantined = this->quarantined_cause(causes);
+  worst.quarantine_left.reset();
+  return quarantined != nullptr ? this->status(*quarantined) : worst;
+}
+
 bool Quarantine::is_suspect(const RequestIdentity& request) const {
   return this->status({request, 0}).is_suspect();
 }
 
-std::set<EngineKey> Quarantine::trial_engines(const RequestIdentity& request) const {
-  return this->ledger.trial_engines(this->io.runtime.now(), request);
+std::set<EngineKey> Quarantine::trial_engines(const CrashCauses& causes) const {
+  std::vector<RequestIdentity> own;
+  for (const CallerRequest& cause : causes) own.push_back(cause.request);
+  return this->ledger.trial_engines(this->io.runtime.now(), own);
+}
+
+void Quarantine::begin_trial(const CrashCauses& causes, const EngineId& engine) {
+  for (const CallerRequest& cause : causes) {
+    if (this->is_suspect(cause.request)) this->begin_trial(cause.request, engine);
+  }
+}
+
+void Quarantine::end_trial(const CrashCauses& causes, const EngineId& engine) {
+  for (const CallerRequest& cause : causes) this->end_trial(cause.request, engine);
 }
 
 void Quarantine::begin_trial(const RequestIdentity& request, const EngineId& engine) {
@@ -80,11 +122,21 @@
   return !this->ledger.crashed_before(sent_at, engine_key(engine));
 }
 
-void Quarantine::on_interrupted(const CallerRequest& attempt, const EngineId& engine,
+/// Parts of requests that completed lately cannot be the cause.
+void Quarantine::on_interrupted(const CrashCauses& causes, const EngineId& engine,
                                 MonotonicTime sent_at) {
   if (!this->may_have_crashed(engine, sent_at)) return;
-  this->ledger.on_interrupted(this->io.runtime.now(), {attempt, engine_key(engine), false, false});
-  if (this->status(attempt).interruptions > 1) this->queue_evidence(attempt.request);
+  const MonotonicTime now = this->io.runtime.now();
+  const EngineKey key = engine_key(engine);
+  for (const CallerRequest& cause : causes) {
+    const bool part = is_prompt_part(cause.request);
+    if (part && this->history.completed_lately(now, cause.request)) continue;
+    this->ledger.on_interrupted(now, {cause, key, false, false});
+    const SuspectStatus status = this->status(cause);
+    if (status.interruptions > 1 || (part && status.crashes > 0)) {
+      this->queue_evidence(cause.request);
+    }
+  }
   this->process_ledger();
 }
 
@@ -95,8 +147,9 @@
 }
 
 void Quarantine::on_completed(const RequestIdentity& request) {
-  if (!this->is_suspect(request)) return;
   const MonotonicTime now = this->io.runtime.now();
+  if (is_prompt_part(request)) this->history.on_completed(now, request);
+  if (!this->is_suspect(request)) return;
   const bool was_quarantined = this->ledger.is_quarantined(request);
   const bool peers_informed =
       this->reported_requests.erase(request) > 0 || this->ledger.reported_by_peer(request);
@@ -120,7 +173,8 @@
   this->ledger.on_engine_crashed(this->io.runtime.now(), key);
   // Interruptions and unresponsiveness of this engine are now confirmed as a crash.
   for (const RequestIdentity& request : this->ledger.interrupted_by(key)) {
-    if (this->reported_requests.count(request) > 0) this->queue_evidence(request);
+    const bool own_part = is_prompt_part(request) && this->ledger.interrupted_here(request, key);
+    if (own_part || this->reported_requests.count(request) > 0) this->queue_evidence(request);
   }
   this->process_ledger();
 }
@@ -200,7 +254,28 @@
   this->process_ledger();
 }
 
+/// Tells the other nodes that the part is no cause, unless another one does so first.
+void Quarantine::vouch_for(const RequestIdentity& part) {
+  const MonotonicTime now = this->io.runtime.now();
+  const bool pending = std::any_of(
+      this->pending_reports.begin(), this->pending_reports.end(), [&](const auto& report) {
+        return report.event == CrashEvent::kCleared && report.request == part;
+      });
+  if (pending) return;
+  this->queue_report(CrashEvent::kCleared, {part, 0}, 0, now);
+  const double fraction = random_fraction(this->io.runtime);
+  this->pending_reports.back().next_send_at =
+      now + std::chrono::duration_cast<Duration>(kMaxVouchDelay * fraction);
+}
+
 void Quarantine::apply_report(MonotonicTime now, const CrashReport& report) {
+  const bool evidence =
+      report.event == CrashEvent::kInterrupted || report.event == CrashEvent::kCrashed;
+  if (evidence && this->history.completed_lately(now, report.request)) {
+    this->vouch_for(report.request);
+    if (report.event == CrashEvent::kCrashed) this->ledger.on_engine_crashed(now, report.engine);
+    return;
+  }
   const MonotonicTime at = now - std::chrono::milliseconds(report.age_ms);
   const InterruptedRequest interrupted{{report.request, report.caller}, report.engine, false, true};
   switch (report.event) {
@@ -212,6 +287,10 @@
     case CrashEvent::kCleared: {
       const bool was_quarantined = this->ledger.is_quarantined(report.request);
       this->ledger.clear(at, report.request);
+      std::erase_if(this->pending_reports, [&](const PendingReport& pending) {
+        return is_prompt_part(report.request) && pending.request == report.request &&
+               pending.send_count == 0;
+      });
       if (was_quarantined) this->notify_changed(false);
       return;
     }
@@ -351,6 +430,8 @@
   }
   log_event(LogArea::kControl, LogLevel::kWarning, "request_held_back",
             {{"identity", to_text(entry.request)},
+             {"kind", is_prompt_part(entry.request) ? "prompt part" : "request"},
+             {"part", is_prompt_part(entry.request) ? part_text(entry.request) : std::string()},
              {"engines_ended", entry.crashed_engines.size()},
              {"engines", engines},
              {"callers", entry.callers.size()},
@@ -359,6 +440,7 @@
 }
 
 void Quarantine::tick() {
+  this->history.expire(this->io.runtime.now());
   if (this->empty()) return;
   this->ledger.expire(this->io.runtime.now());
   this->process_ledger();
--- a/src/relay/quarantine.hpp
+++ b/src/relay/quarantine.hpp
@@ -13,6 +13,7 @@
 #include "core/relay/crash_ledger.hpp"
 #include "core/relay/crash_report.hpp"
 #include "core/relay/engine_directory.hpp"
+#include "core/relay/part_history.hpp"
 #include "net/http_client.hpp"
 #include "relay/engine_dialect.hpp"
 #include "relay/engine_listener.hpp"
@@ -32,6 +33,10 @@
   EnginePaths& paths;
 };
 
+/// What an engine may have crashed for: the request first, then the parts of its prompt that other
+/// requests may share.
+using CrashCauses = std::vector<CallerRequest>;
+
 /// Quarantine state of one node.
 class Quarantine {
  public:
@@ -45,20 +50,27 @@
 
   SuspectStatus status(const CallerRequest& attempt) const;
 
+  /// @return what a request with these causes is suspected of: the request itself and the parts of
+  /// its prompt. It is quarantined for a part only if it holds all those that are inseparable.
+  SuspectStatus status(const CrashCauses& causes) const;
+
+  /// @return the cause that a request is quarantined for, or null.
+  const CallerRequest* quarantined_cause(const CrashCauses& causes) const;
+
   /// @return the engines that currently run other suspects.
-  std::set<EngineKey> trial_engines(const RequestIdentity& request) const;
+  std::set<EngineKey> trial_engines(const CrashCauses& causes) const;
 
   /// Marks the time during which an engine runs a suspect.
-  void begin_trial(const RequestIdentity& request, const EngineId& engine);
-  void end_trial(const RequestIdentity& request, const EngineId& engine);
+  void begin_trial(const CrashCauses& causes, const EngineId& engine);
+  void end_trial(const CrashCauses& causes, const EngineId& engine);
 
   /// An engine interrupted a request sent at `sent_at`, or was given up after a period without
   /// output.
-  void on_interrupted(const CallerRequest& attempt, const EngineId& engine, MonotonicTime sent_at);
+  void on_interrupted(const CrashCauses& causes, const EngineId& engine, MonotonicTime sent_at);
   void on_unresponsive(const CallerRequest& attempt, const EngineId& engine, MonotonicTime sent_at);
 
-  /// An engine completed the request, which clears it.
-  void on_completed(const RequestIdentity& request);
+  /// An engine completed the request, which clears it and the parts of its prompt.
+  void on_completed(const RequestIdentity& cause);
 
   /// An attempt failed. The caller may retry at any node.
   void on_attempt_failed(const RequestIdentity& request);
@@ -106,6 +118,9 @@
     int send_count = 0;
     MonotonicTime next_send_at{};
   };
+  void begin_trial(const RequestIdentity& cause, const EngineId& engine);
+  void end_trial(const RequestIdentity& cause, const EngineId& engine);
+  void vouch_for(const RequestIdentity& part);
   bool may_have_crashed(const EngineId& engine, MonotonicTime sent_at) const;
   /// @return whether a request is a suspect from any caller.
   bool is_suspect(const RequestIdentity& request) const;
@@ -141,6 +156,7 @@
 
   QuarantineIo io;
   CrashLedger ledger;
+  PartHistory history;
   std::vector<PendingReport> pending_reports;
   std::set<RequestIdentity> reported_requests;  ///< Requests that this node has reported to others.
   std::function<void()> reports_pending_handler;
--- a/src/relay/quarantine_api.cpp
+++ b/src/relay/quarantine_api.cpp
@@ -21,7 +21,10 @@
 HttpReply list_quarantined(const Quarantine& quarantine) {
   nlohmann::json entries = nlohmann::json::array();
   for (const QuarantinedRequest& entry : quarantine.quarantined()) {
+    const bool part = is_prompt_part(entry.request);
     entries.push_back({{"identity", to_text(entry.request)},
+                       {"kind", part ? "prompt part" : "request"},
+                       {"part", part ? part_text(entry.request) : std::string()},
                        {"engines_ended", entry.crashed_engines.size()},
                        {"callers", entry.callers.size()},
                        {"from_all_callers", entry.applies_to_all_callers()},
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -233,6 +233,7 @@
 }
 
 void RelaySession::send(const EngineId& engine, Step step) {
+  if (stop_if_quarantined()) return;
   if (step != Step::kPrefill && !may_continue_at(engine)) {
     failed_engines_.push_back(engine);
     return dispatch();
@@ -266,10 +267,12 @@
   sent_stage_ = view->record.stage;
   sent_at_ = context_.runtime.now();
   last_activity_at_ = sent_at_;
-  if (suspect_status().is_suspect()) {
+  const SuspectStatus suspicion = suspect_status();
+  if (suspicion.is_suspect()) {
     on_trial_ = true;
-    context_.quarantine.begin_trial(identity_->request, engine);
+    context_.quarantine.begin_trial(causes_, engine);
   }
+  crashing_part_sent_ = step != Step::kPrefill && part_has_crashed_engine();
   if (step == Step::kDecodeFromHandle) prefill_tokens_ = 0;
   record_send(step == Step::kPrefill);
   idle_when_sent_ = view->total_requests(sent_at_) < 0.5;
@@ -341,7 +344,9 @@
   } else {
     failed_engines_.push_back(engine_);
   }
-  if (crash_limit_reached()) return end_unanswered(why + ", and engines may have crashed under it");
+  const bool crashed_again = outcome == AttemptOutcome::kUncertain && crashing_part_sent_;
+  if (crashed_again || crash_limit_reached())
+    return end_unanswered(why + ", and engines may have crashed under it");
   const AttemptVerdict verdict = after_failure(route_, history_);
   if (verdict != AttemptVerdict::kTryElsewhere) return end_unanswered(why);
   if (!within_budget()) return end_over_budget(why);
@@ -415,7 +420,7 @@
 void RelaySession::release_engine() {
   if (!std::exchange(attempt_counted_, false)) return;
   context_.engines.on_attempt_ended(engine_);
-  if (std::exchange(on_trial_, false)) context_.quarantine.end_trial(identity_->request, engine_);
+  if (std::exchange(on_trial_, false)) context_.quarantine.end_trial(causes_, engine_);
   if (prompt_) context_.notify_load_changed();
   if (!prefill_tokens_released_)
     context_.engines.on_prompt_read(engine_, {prefill_tokens_, deferred_});
@@ -450,31 +455,33 @@
   release_engine();
   release_handle();
   if (held_stream_) context_.streams.release(*held_stream_);
-  if (identity_ && result != kAnswered) context_.quarantine.on_attempt_failed(identity_->request);
+  if (!causes_.empty() && result != kAnswered) {
+    context_.quarantine.on_attempt_failed(causes_.front().request);
+  }
   const MonotonicTime now = context_.runtime.now();
   if (under_admission_control() && result == kAnswered) {
     context_.admission.on_slot_freed(now, service_name_);
   }
   report_served();
   context_.metrics.count_request(service_name_.value(), result, now - arrived_);
-  log_event(
-      LogArea::kCallers, LogLevel::kInfo, "request_ended",
-      {{"request", id_},
-       {"result", result},
-       {"status", status_},
-       {"route", route_.name},
-       {"tenant", std::string(tenant_name())},
-       {"config", table_->version()},
-       {"engine", engine_.value()},
-       {"stream", origin_ ? stream_id_ : std::string()},
-       {"stream_software", origin_ ? origin_->version : std::string()},
-       {"events", progress_.event_count()},
-       {"sends", history_.sends},
-       {"identity", suspect_status().is_suspect() ? to_text(identity_->request) : std::string()},
-       {"first_ms", whole_ms(progress_.first_event_delay(arrived_))},
-       {"expected_first_ms", static_cast<std::int64_t>(expected_first_event_ms_)},
-       {"gap_ms", whole_ms(progress_.longest_gap())},
-       {"took_ms", whole_ms(now - arrived_)}});
+  log_event(LogArea::kCallers, LogLevel::kInfo, "request_ended",
+            {{"request", id_},
+             {"result", result},
+             {"status", status_},
+             {"route", route_.name},
+             {"tenant", std::string(tenant_name())},
+             {"config", table_->version()},
+             {"engine", engine_.value()},
+             {"stream", origin_ ? stream_id_ : std::string()},
+             {"stream_software", origin_ ? origin_->version : std::string()},
+             {"events", progress_.event_count()},
+             {"sends", history_.sends},
+             {"identity",
+              suspect_status().is_suspect() ? to_text(causes_.front().request) : std::string()},
+             {"first_ms", whole_ms(progress_.first_event_delay(arrived_))},
+             {"expected_first_ms", static_cast<std::int64_t>(expected_first_event_ms_)},
+             {"gap_ms", whole_ms(progress_.longest_gap())},
+             {"took_ms", whole_ms(now - arrived_)}});
   const auto handler = std::exchange(on_end_, nullptr);
   if (handler) handler();
 }
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -104,17 +104,22 @@
   bool is_terminated(const EngineId& engine) const;
 
   // Crashing requests and quarantine.
+  const CrashCauses& crash_causes();
+  std::vector<RequestIdentity> shared_part_identities() const;
   SuspectStatus suspect_status() const;
   bool needs_isolation() const;
   bool crash_limit_reached() const;
   bool reject_if_quarantined();
-  void answer_quarantined(const SuspectStatus& status);
+  bool stop_if_quarantined();
+  void answer_quarantined(const CallerRequest& cause);
   /// @return the reason to refuse the request for now, or null.
   static const char* refusal_reason(const SuspectStatus& status);
   void update_crash_risk_engines();
   std::string shared_parts_text() const;
   void report_interruption();
   void report_unresponsive();
+  void report_completed();
+  bool part_has_crashed_engine() const;
 
   // Admission while capacity is short.
   bool under_admission_control() const;
@@ -195,8 +200,8 @@
   std::shared_ptr<ConnectionResponder> responder_;
   EndHandler on_end_;
   std::string id_;
-  /// Computed on demand: while any request is suspect, or when an engine interrupted this one.
-  std::optional<CallerRequest> identity_;
+  /// Computed on demand: while there are suspects, or when an engine interrupted this request.
+  CrashCauses causes_;
   std::optional<PromptShape> prompt_;
   MonotonicTime arrived_{};
   MonotonicTime expires_{};
@@ -207,6 +212,7 @@
   std::vector<EngineId> failed_engines_;    ///< Failed or refused this request.
   std::set<EngineKey> crash_risk_engines_;  ///< With other suspects in flight.
   bool on_trial_ = false;                   ///< In a trial registered with `Quarantine`.
+  bool crashing_part_sent_ = false;         ///< An engine had crashed under a part before.
 
   std::optional<SendPermit> permit_;         ///< For the next or the current send.
   std::optional<SendPermit> decode_permit_;  ///< For the decode after a remote prefill.
--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -265,7 +265,7 @@
     context_.engines.model_of(service_name_).on_event_interval(*gap);
   }
   report_stream_sample();
-  if (identity_) context_.quarantine.on_completed(identity_->request);
+  report_completed();
   prompt_handle_.clear();
   if (!history_.head_forwarded) begin_stream();
   responder_->finish();
@@ -277,7 +277,7 @@
   const bool engine_failure = status_ >= http_status::kInternalError;
   report_health(engine_failure ? AttemptHealth::kFailed : AttemptHealth::kGood);
   context_.engines.on_latency(engine_, now - sent_at_);
-  if (identity_) context_.quarantine.on_completed(identity_->request);
+  report_completed();
   if (engine_failure && (route_.idempotent() || history_.head_forwarded)) {
     save_failure_answer();
     return on_attempt_failed(AttemptOutcome::kUncertain, "status " + std::to_string(status_));
--- a/src/relay/relay_session_quarantine.cpp
+++ b/src/relay/relay_session_quarantine.cpp
@@ -1,4 +1,5 @@
 // Detection and quarantine of requests that crash engines.
+#include <algorithm>
 #include <sstream>
 
 #include "common/log.hpp"
@@ -28,8 +29,32 @@
 
 }  // namespace
 
+/// The last part of a prompt is specific to the request.
+std::vector<RequestIdentity> RelaySession::shared_part_identities() const {
+  std::vector<RequestIdentity> parts;
+  if (!prompt_) return parts;
+  for (std::size_t i = 0; i + 1 < prompt_->parts.size(); ++i) {
+    parts.push_back(part_identity(prompt_->model, prompt_->parts[i].id));
+  }
+  return parts;
+}
+
+const CrashCauses& RelaySession::crash_causes() {
+  if (!causes_.empty()) return causes_;
+  causes_.push_back(identity_of(request_, tenant_name()));
+  const CallerAddressHash caller = causes_.front().caller;
+  for (const RequestIdentity& part : shared_part_identities()) causes_.push_back({part, caller});
+  return causes_;
+}
+
 SuspectStatus RelaySession::suspect_status() const {
-  return identity_ ? context_.quarantine.status(*identity_) : SuspectStatus();
+  return causes_.empty() ? SuspectStatus() : context_.quarantine.status(causes_);
+}
+
+bool RelaySession::part_has_crashed_engine() const {
+  return std::any_of(causes_.begin(), causes_.end(), [&](const CallerRequest& cause) {
+    return is_prompt_part(cause.request) && context_.quarantine.status(cause).crashes > 0;
+  });
 }
 
 bool RelaySession::needs_isolation() const {
@@ -45,26 +70,41 @@
 /// more crash would abort all streams there, up to ten where this was observed.
 bool RelaySession::reject_if_quarantined() {
   if (context_.quarantine.empty()) return false;
-  identity_ = identity_of(request_, tenant_name());
-  const SuspectStatus status = suspect_status();
-  if (status.quarantine_left) {
-    answer_quarantined(status);
+  if (const CallerRequest* cause = context_.quarantine.quarantined_cause(crash_causes())) {
+    answer_quarantined(*cause);
     return true;
   }
-  const char* const why = refusal_reason(status);
-  if (why == nullptr) return false;
-  refuse(why);
-  return true;
+  for (const CallerRequest& cause : causes_) {
+    const char* const why = refusal_reason(context_.quarantine.status(cause));
+    if (why == nullptr) continue;
+    refuse(why);
+    return true;
+  }
+  return false;
+}
+
+/// A verdict, or another request with a suspected part, may have come while this one waited.
+bool RelaySession::stop_if_quarantined() {
+  if (context_.quarantine.empty() || history_.head_forwarded || !known_not_run(history_)) {
+    return false;
+  }
+  return reject_if_quarantined();
 }
 
 /// Answers 429, as other client errors don't tell the caller that the request was not run. The body
-/// says that the request has to be changed.
-void RelaySession::answer_quarantined(const SuspectStatus& status) {
-  context_.quarantine.extend_quarantine(identity_->request);
-  const std::string why = std::to_string(status.crashes) + " engines have ended under this request";
+/// says what has to be changed.
+void RelaySession::answer_quarantined(const CallerRequest& cause) {
+  context_.quarantine.extend_quarantine(cause.request);
+  const SuspectStatus status = context_.quarantine.status(cause);
+  const std::string what = is_prompt_part(cause.request)
+                               ? "requests with the prompt part " + part_text(cause.request)
+                               : std::string("this request");
+  const std::string why = std::to_string(status.crashes) + " engines have ended under " + what;
   log_attempt("held_back", why);
   HttpHeaders headers;
-  headers.add(context_.dialect.names().retry_after, retry_after_text(*status.quarantine_left));
+  headers.add(context_.dialect.names().retry_after,
+              retry_after_text(status.quarantine_left.value_or(context_.settings.retry_after)));
+  return_quota();
   respond(http_status::kTooManyRequests, headers, why + kQuarantineAdvice, "held_back");
 }
 
@@ -87,7 +127,7 @@
 void RelaySession::update_crash_risk_engines() {
   crash_risk_engines_.clear();
   if (!suspect_status().is_suspect()) return;
-  crash_risk_engines_ = context_.quarantine.trial_engines(identity_->request);
+  crash_risk_engines_ = context_.quarantine.trial_engines(causes_);
 }
 
 /// @return the ids of the prompt parts that other requests may share, as the caller named them.
@@ -103,22 +143,31 @@
 /// Logs the identity, which is the same for all attempts of a request, so that the logs of all
 /// nodes can be joined.
 void RelaySession::report_interruption() {
-  if (!identity_) identity_ = identity_of(request_, tenant_name());
+  crash_causes();
   log_event(LogArea::kCallers, LogLevel::kInfo, "broken_by_engine",
             {{"request", id_},
-             {"identity", to_text(identity_->request)},
+             {"identity", to_text(causes_.front().request)},
              {"caller", request_.caller},
              {"engine", engine_.value()},
              {"step", step_name()},
              {"parts", shared_parts_text()},
              {"after_ms", to_ms(context_.runtime.now() - sent_at_)}});
-  context_.quarantine.on_interrupted(*identity_, engine_, sent_at_);
+  // A part crashes engines that answer, not those that prefill.
+  const bool prefill = step_ == Step::kPrefill;
+  context_.quarantine.on_interrupted(prefill ? CrashCauses{causes_.front()} : causes_, engine_,
+                                     sent_at_);
 }
 
 void RelaySession::report_unresponsive() {
   if (context_.runtime.now() - last_activity_at_ < kSilenceTimeout) return;
-  if (!identity_) identity_ = identity_of(request_, tenant_name());
-  context_.quarantine.on_unresponsive(*identity_, engine_, sent_at_);
+  context_.quarantine.on_unresponsive(crash_causes().front(), engine_, sent_at_);
+}
+
+void RelaySession::report_completed() {
+  if (!causes_.empty()) context_.quarantine.on_completed(causes_.front().request);
+  for (const RequestIdentity& part : shared_part_identities()) {
+    context_.quarantine.on_completed(part);
+  }
 }
 
 }  // namespace shuntbank::relay
--- a/tests/core/relay/crash_ledger_test.cpp
+++ b/tests/core/relay/crash_ledger_test.cpp
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 
+#include "core/relay/part_history.hpp"
 #include "support/property.hpp"
 
 using namespace shuntbank;
@@ -229,12 +230,12 @@
   LedgerFixture fixture;
   fixture.crash_engine(1, {kCulprit, kBystander});
   fixture.ledger.begin_trial(fixture.now, kCulprit, 2);
-  cr_assert_eq(fixture.ledger.trial_engines(fixture.now, kBystander).count(2), 1U);
-  cr_assert(fixture.ledger.trial_engines(fixture.now, kCulprit).empty(),
+  cr_assert_eq(fixture.ledger.trial_engines(fixture.now, {kBystander}).count(2), 1U);
+  cr_assert(fixture.ledger.trial_engines(fixture.now, {kCulprit}).empty(),
             "its own engine is excluded");
   cr_assert(status(fixture.ledger, fixture.now, kCulprit).in_flight);
   fixture.crash_engine(2, {kCulprit});
-  cr_assert(fixture.ledger.trial_engines(fixture.now, kBystander).empty());
+  cr_assert(fixture.ledger.trial_engines(fixture.now, {kBystander}).empty());
 }
 
 Test(crash_ledger, evicts_requests_with_the_fewest_crashes_first) {
@@ -272,3 +273,115 @@
     RC_ASSERT(ledger.quarantined(now).size() == 1U);
   });
 }
+
+namespace {
+
+const RequestIdentity kPart = relay::part_identity("m", 0x29a);
+const RequestIdentity kCommonPart = relay::part_identity("m", 11);
+
+/// Lets reports of other parts arrive, and returns the verdicts.
+std::size_t settle(LedgerFixture& fixture) {
+  fixture.ledger.take_new_quarantines(fixture.now);
+  fixture.now += 300ms;
+  return fixture.ledger.take_new_quarantines(fixture.now).size();
+}
+
+}  // namespace
+
+// Guards against a crashing part that is not found because each request with it is new.
+Test(crash_ledger, quarantines_a_part_that_different_requests_have_in_common) {
+  LedgerFixture fixture;
+  for (EngineKey engine = 1; engine <= 3; ++engine) {
+    fixture.crash_engine(engine, {RequestIdentity{engine, 0}, kPart});
+  }
+  cr_assert_not(fixture.is_quarantined(kPart), "others may still be reported");
+  cr_assert_eq(settle(fixture), 1);
+  cr_assert(fixture.is_quarantined(kPart));
+  cr_assert_eq(relay::part_text(kPart), "29a");
+}
+
+// Guards against a verdict on a part that merely comes with the one that crashes engines.
+Test(crash_ledger, does_not_blame_parts_that_another_part_explains) {
+  LedgerFixture fixture;
+  for (EngineKey engine = 1; engine <= 4; ++engine) {
+    std::vector<RequestIdentity> causes{RequestIdentity{engine, 0}, kPart};
+    if (engine > 1) causes.push_back(kCommonPart);
+    fixture.crash_engine(engine, causes);
+  }
+  cr_assert_eq(settle(fixture), 1);
+  cr_assert(fixture.is_quarantined(kPart));
+  cr_assert_not(fixture.is_quarantined(kCommonPart));
+}
+
+// Guards against a verdict that stays on a part after another one has turned out to be the cause.
+Test(crash_ledger, lifts_the_verdict_on_a_part_that_a_later_one_explains) {
+  LedgerFixture fixture;
+  for (EngineKey engine = 1; engine <= 3; ++engine) {
+    fixture.crash_engine(engine, {RequestIdentity{engine, 0}, kCommonPart});
+  }
+  settle(fixture);
+  cr_assert(fixture.is_quarantined(kCommonPart));
+  // Reports of the other part arrive late, from another node.
+  for (EngineKey engine = 1; engine <= 3; ++engine) {
+    fixture.ledger.on_interrupted(fixture.now, interruption(kPart, engine));
+    fixture.ledger.on_engine_crashed(fixture.now, engine);
+  }
+  for (EngineKey engine = 4; engine <= 6; ++engine) {
+    fixture.crash_engine(engine, {RequestIdentity{engine, 0}, kPart});
+  }
+  settle(fixture);
+  cr_assert(fixture.is_quarantined(kPart));
+  cr_assert_not(fixture.is_quarantined(kCommonPart));
+}
+
+// Guards against sound requests that are refused for a part that is always beside the cause.
+Test(crash_ledger, parts_that_always_come_together_are_inseparable) {
+  LedgerFixture fixture;
+  for (EngineKey engine = 1; engine <= 3; ++engine) {
+    fixture.crash_engine(engine, {RequestIdentity{engine, 0}, kPart, kCommonPart});
+  }
+  cr_assert_eq(settle(fixture), 2);
+  cr_assert_eq(fixture.ledger.inseparable_parts(kPart).size(), 2);
+  fixture.ledger.clear(fixture.now, kCommonPart);
+  cr_assert_eq(fixture.ledger.inseparable_parts(kPart).size(), 1, "a request with it completed");
+  cr_assert(fixture.is_quarantined(kPart));
+}
+
+// Guards against parts that are blamed for a single request that crashes engines.
+Test(crash_ledger, does_not_blame_the_parts_of_one_crashing_request) {
+  LedgerFixture fixture;
+  for (EngineKey engine = 1; engine <= 4; ++engine) {
+    fixture.crash_engine(engine, {kCulprit, kPart});
+  }
+  settle(fixture);
+  cr_assert(fixture.is_quarantined(kCulprit));
+  cr_assert_not(fixture.is_quarantined(kPart));
+}
+
+// Guards against requests that are blamed for crashes under a part of their neighbours.
+Test(crash_ledger, does_not_blame_requests_for_crashes_that_a_part_explains) {
+  LedgerFixture fixture;
+  for (EngineKey engine = 1; engine <= 3; ++engine) {
+    fixture.crash_engine(engine, {RequestIdentity{engine, 0}, kPart});
+  }
+  settle(fixture);
+  for (EngineKey engine = 4; engine <= 9; ++engine) {
+    fixture.crash_engine(engine, {kBystander, kPart});
+  }
+  cr_assert_not(fixture.is_quarantined(kBystander));
+}
+
+// Guards against parts that count as sound for ever, or that take memory without bound.
+Test(part_history, forgets_parts_and_is_bounded) {
+  relay::PartHistory history({10s, 3});
+  const MonotonicTime start{100s};
+  for (std::uint64_t part = 1; part <= 5; ++part) {
+    history.on_completed(start, relay::part_identity("m", part));
+  }
+  cr_assert_eq(history.size(), 3);
+  cr_assert(history.completed_lately(start + 10s, relay::part_identity("m", 1)));
+  cr_assert_not(history.completed_lately(start + 11s, relay::part_identity("m", 1)));
+  cr_assert_not(history.completed_lately(start, relay::part_identity("other", 1)));
+  history.expire(start + 11s);
+  cr_assert_eq(history.size(), 0);
+}
--- a/tests/relay/crashing_part_test.cpp
+++ b/tests/relay/crashing_part_test.cpp
@@ -223,3 +223,27 @@
   cr_assert_geq(static_cast<double>(site.sound_answers),
                 0.9 * static_cast<double>(site.sound_requests));
 }
+
+// Guards against callers and operators who cannot tell what is held back.
+Test(crashing_part, is_named_to_callers_and_operators_and_can_be_let_go) {
+  CrashingFleet site(3);
+  site.set_rates(0, 4);
+  for (int i = 0; i < 3000 && site.crashes < 3; ++i) site.run(10ms);
+  site.set_rates(0, 0);
+  site.run(4s);
+  RelayFixture& node = *site.fleet.sites[1];
+  const auto held = node.node->quarantine().quarantined();
+  cr_assert_eq(held.size(), 2, "both parts were in all of the requests");
+  const std::string parts =
+      std::to_string(kCommonPart) + " " + std::to_string(kCrashingPart) + " 5";
+  const HttpHeaders fields{{"tokens", "300"}, {"parts", parts}};
+  const auto reply = node.request("/resumable/a", fields, "POST", "another");
+  cr_assert_eq(reply->status, 429);
+  cr_assert_neq(reply->body.find("prompt part"), std::string::npos);
+  for (const relay::QuarantinedRequest& entry : held) {
+    cr_assert(node.node->quarantine().release(entry.request));
+  }
+  const std::size_t sent = node.http.count();
+  node.request("/resumable/a", fields, "POST", "another");
+  cr_assert_eq(node.http.count(), sent + 1);
+}
--- a/tests/relay/quarantine_test.cpp
+++ b/tests/relay/quarantine_test.cpp
@@ -26,7 +26,7 @@
 
   /// An engine interrupts a request that it was sent just now.
   void interrupt(const std::string& engine) {
-    this->quarantine().on_interrupted(kAttempt, EngineId(engine), this->site.runtime.now());
+    this->quarantine().on_interrupted({kAttempt}, EngineId(engine), this->site.runtime.now());
   }
 
   /// Answers all liveness checks, or refuses their connections.
