Add a failing test of a node to which most callers come

relay_process/closes_connections_unread_while_its_link_is_full: on a link of 1 Mbit/s a node reads 12 requests of 100 KB at once, 9.6 s of its link.

--- a/tests/relay/relay_process_test.cpp
+++ b/tests/relay/relay_process_test.cpp
@@ -4,6 +4,7 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <asio.hpp>
 
 #include "net/address.hpp"
@@ -27,12 +28,16 @@
 
 /// A process with one engine, whose answers the test gives.
 struct RunningProcess {
-  RunningProcess()
+  explicit RunningProcess(double link_megabits_per_second = 1000)
       : store(runtime),
         engine(loop, engine_settings(),
-               [this](const HttpRequest&, const auto& responder) { engine_responder = responder; }),
+               [this](const HttpRequest&, const auto& responder) {
+                 if (engine_responder) unanswered.push_back(engine_responder);
+                 engine_responder = responder;
+               }),
         client(loop, {}) {
     relay::RelaySettings settings;
+    settings.catalog.link_megabits_per_second = link_megabits_per_second;
     settings.node = "n1";
     settings.stop_listening_after = 60ms;
     settings.stop_grace = 20s;
@@ -57,8 +62,10 @@
     bool done = false;
   };
 
-  std::shared_ptr<Answer> start_request(const std::string& address, const std::string& path) {
+  std::shared_ptr<Answer> start_request(const std::string& address, const std::string& path,
+                                        const std::string& body = "") {
     OutgoingRequest request;
+    request.body = body;
     request.url = "http://" + address + path;
     request.headers = {{"Host", "site"}, {"id", "r1"}};
     auto answer = std::make_shared<Answer>();
@@ -87,7 +94,8 @@
   TestDialect dialect;
   TestCodec codec;
   Http1Server engine;
-  std::shared_ptr<ConnectionResponder> engine_responder;
+  std::shared_ptr<ConnectionResponder> engine_responder;         ///< Of the last request.
+  std::vector<std::shared_ptr<ConnectionResponder>> unanswered;  ///< Of those before.
   PooledHttpClient client;
   relay::RelayAddresses addresses;
   std::unique_ptr<relay::RelayProcess> process;
@@ -134,3 +142,26 @@
   RunningProcess running;
   cr_assert_gt(running.store.latest_calls, 0);
 }
+
+// Guards against a node that reads more requests than its link carries in time, when most callers
+// come to it.
+Test(relay_process, closes_connections_unread_while_its_link_is_full) {
+  constexpr std::size_t kCallers = 12;
+  const std::string body(100000, 'x');  // Takes 0.8 s on a link of 1 Mbit/s.
+  RunningProcess running(1);
+  std::vector<std::shared_ptr<RunningProcess::Answer>> answers;
+  for (std::size_t i = 0; i < kCallers; ++i) {
+    answers.push_back(running.start_request(running.addresses.callers, "/safe/a", body));
+  }
+  const auto closed = [&] {
+    return static_cast<std::size_t>(std::count_if(answers.begin(), answers.end(),
+                                                  [](const auto& answer) { return answer->done; }));
+  };
+  const auto forwarded = [&] {
+    return running.unanswered.size() + (running.engine_responder ? 1 : 0);
+  };
+  while (closed() + forwarded() < kCallers) running.loop.run_one();
+  cr_assert_geq(forwarded(), 1);
+  cr_assert_geq(closed(), kCallers / 2);
+  for (const auto& answer : answers) cr_assert_eq(answer->status, 0);
+}
