Suspect prompt parts by confirmed crashes only

Found while reading the change: a part of a request that an engine broke counted as a suspect before the crash was confirmed, so that sound requests with a part that few use would have been kept apart from each other, or refused where engines are few, after any broken connection.

--- a/src/relay/quarantine.cpp
+++ b/src/relay/quarantine.cpp
@@ -47,8 +47,12 @@
   *this->alive = false;
 }
 
+/// Many sound requests have the parts of one that an engine broke, so that only confirmed crashes
+/// make a part a suspect.
 SuspectStatus Quarantine::status(const CallerRequest& attempt) const {
-  return this->ledger.status(this->io.runtime.now(), attempt);
+  SuspectStatus status = this->ledger.status(this->io.runtime.now(), attempt);
+  if (is_prompt_part(attempt.request)) status.interruptions = status.crashes;
+  return status;
 }
 
 const CallerRequest* Quarantine::quarantined_cause(const CrashCauses& causes) const {
