Take in as many requests as the node's link carries in time

Cause: nothing bounds what a node reads.

IntakeLimit bounds the requests under way: it falls while connections to engines take 50 ms longer than each peer's best, or the bytes sent are ahead of the link by as much, and rises while it is used without a delay; never below what the link sends in 150 ms. Beyond it new connections are closed unread, one a second is taken in, and kept ones close after their next answer, so that their callers come to another node.

--- a/src/net/http1_client.cpp
+++ b/src/net/http1_client.cpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "net/address.hpp"
+#include "net/connect_delay.hpp"
 #include "net/dead_peer.hpp"
 #include "net/http1_parser.hpp"
 #include "net/monotonic_timer.hpp"
@@ -93,6 +94,7 @@
   asio::io_context& loop;
   PooledHttpClientSettings settings;
   PooledHttpClientStats stats;
+  ConnectDelay connect_delay;
   std::unordered_map<TransferId, std::shared_ptr<Connection>> in_flight;
   std::unordered_map<std::string, std::vector<std::shared_ptr<Connection>>> idle;
   TransferId last_id = 0;
@@ -164,6 +166,7 @@
     }
     ++client_->stats.opened;
     arm_timer(exchange_->request.connect_timeout, "the connection could not be made in time");
+    connecting_since_ = monotonic_now();
     bind_local_address(*endpoint);
     socket_.async_connect(*endpoint, [self = shared_from_this()](const std::error_code& error) {
       if (self->closed_) return;
@@ -175,6 +178,9 @@
       self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
       detect_dead_peer(self->socket_, self->client_->settings.peer_timeout);
       if (tunneled) return self->open_tunnel();
+      const MonotonicTime now = monotonic_now();
+      self->client_->connect_delay.on_connected(
+          now, split_url(self->exchange_->request.url).address, now - self->connecting_since_);
       self->on_connected();
     });
   }
@@ -242,6 +248,7 @@
       write_buffer_ += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
     write_buffer_ += "\r\n";
     write_buffer_ += request.body;
+    client_->stats.bytes_sent += write_buffer_.size();
     exchange_->request.body.clear();
     exchange_->bytes_sent = true;
     arm_total_timeout();
@@ -437,6 +444,7 @@
   MonotonicTime started_at_;
   Http1Parser parser_;
   std::array<char, kReadBufferSize> read_buffer_{};
+  MonotonicTime connecting_since_{};
   std::string write_buffer_;
   std::string unparsed_;           ///< Received, not yet parsed.
   std::string undelivered_piece_;  ///< Parsed, but refused by `on_data` until `resume`.
@@ -572,6 +580,10 @@
   impl_->close_idle(address);
 }
 
+std::optional<Duration> PooledHttpClient::connect_delay() const {
+  return impl_->connect_delay.recent(monotonic_now());
+}
+
 const PooledHttpClientStats& PooledHttpClient::stats() const {
   return impl_->stats;
 }
--- a/src/net/http1_client.hpp
+++ b/src/net/http1_client.hpp
@@ -35,6 +35,7 @@
   std::uint64_t reused = 0;
   std::uint64_t tunnels_opened = 0;   ///< Of `opened`, through another node.
   std::uint64_t surplus_answers = 0;  ///< Answers that matched no pending request.
+  std::uint64_t bytes_sent = 0;
 };
 
 /// Sends requests on pooled connections. Not thread safe.
@@ -58,6 +59,9 @@
 
   const PooledHttpClientStats& stats() const;
 
+  /// @return see `ConnectDelay::recent`; of direct connections.
+  std::optional<Duration> connect_delay() const;
+
  private:
   class Impl;
   class Connection;
--- a/src/net/http1_server.cpp
+++ b/src/net/http1_server.cpp
@@ -70,6 +70,8 @@
   MonotonicTimer accept_retry_timer;
   std::unordered_set<std::shared_ptr<Connection>> connections;
   std::size_t buffered_bytes = 0;  ///< Total of all request bodies.
+  std::function<bool()> gate;      ///< May be empty.
+  bool shedding = false;
   bool accepting = false;
   bool keep_alive_disabled = false;
   Http1ServerStats stats;
@@ -90,6 +92,7 @@
   }
 
   void start() {
+    ++server_->stats.unread_connections;
     arm_timer(server_->limits.idle_timeout);
     read();
   }
@@ -108,6 +111,8 @@
     std::error_code ignored;
     timer_.cancel();
     socket_.close(ignored);
+    on_first_request_ended();
+    on_request_ended();
     release_body();
     drained_handler_ = nullptr;
     const auto closed_handler = std::exchange(closed_handler_, nullptr);
@@ -248,7 +253,8 @@
   }
 
   std::string format_head(int status, const HttpHeaders& headers) {
-    const bool closes = close_after_answer_ || server_->keep_alive_disabled || !keep_alive_;
+    const bool closes =
+        close_after_answer_ || server_->keep_alive_disabled || server_->shedding || !keep_alive_;
     if (closes) close_after_answer_ = true;
     std::string text = "HTTP/1.1 " + std::to_string(status) + " ";
     text += http_status::reason(status);
@@ -259,13 +265,23 @@
   }
 
   void end_reply() {
-    reply_pending_ = false;
+    on_request_ended();
     closed_handler_ = nullptr;
     drained_handler_ = nullptr;
     release_body();
     reply_ended_ = true;
   }
 
+  void on_request_ended() {
+    if (std::exchange(reply_pending_, false)) --server_->stats.pending_requests;
+  }
+
+  /// The first request has been read, or never will be.
+  void on_first_request_ended() {
+    if (!std::exchange(first_request_awaited_, false)) return;
+    --server_->stats.unread_connections;
+  }
+
   void release_body() { server_->buffered_bytes -= std::exchange(body_bytes_, 0); }
 
   void send(const std::string& text) {
@@ -278,6 +294,7 @@
     if (closed_ || !write_buffer_.empty()) return;
     if (outgoing_.empty()) return on_all_sent();
     write_buffer_ = std::exchange(outgoing_, {});
+    server_->stats.bytes_sent += write_buffer_.size();
     if (!write_deadline_armed_) {
       write_deadline_armed_ = true;
       arm_timer(server_->settings.write_timeout);
@@ -359,6 +376,7 @@
   int rejection_status_ = 0;  ///< Status for rejecting the request; 0 for none.
   std::function<void()> drained_handler_;
   std::function<void()> closed_handler_;
+  bool first_request_awaited_ = true;
   bool reading_ = false;
   bool closed_ = false;
   bool head_parsed_ = false;
@@ -436,6 +454,10 @@
 void Http1Server::Connection::on_request() {
   if (rejection_status_ != 0) return;
   reply_pending_ = true;
+  on_first_request_ended();
+  ++server_->stats.requests;
+  ++server_->stats.pending_requests;
+  server_->stats.request_bytes += body_bytes_;
   timer_.cancel();
   ++timer_generation_;
   server_->handler(std::move(request_), std::make_shared<Responder>(shared_from_this()));
@@ -448,6 +470,11 @@
       [self = shared_from_this()](const std::error_code& error, asio::ip::tcp::socket socket) {
         self->accepting = false;
         if (!self->acceptor.is_open()) return;
+        if (!error && self->gate && !self->gate()) {
+          std::error_code ignored;
+          socket.close(ignored);
+          return self->accept();
+        }
         if (!error) {
           auto connection = std::make_shared<Connection>(self, std::move(socket));
           self->connections.insert(connection);
@@ -501,6 +528,14 @@
   impl_->limits = limits;
 }
 
+void Http1Server::set_gate(std::function<bool()> admit) {
+  impl_->gate = std::move(admit);
+}
+
+void Http1Server::set_shedding(bool shedding) {
+  impl_->shedding = shedding;
+}
+
 void Http1Server::disable_keep_alive() {
   impl_->keep_alive_disabled = true;
 }
--- a/src/net/http1_server.hpp
+++ b/src/net/http1_server.hpp
@@ -44,9 +44,14 @@
 
 /// Counters and gauges of a server.
 struct Http1ServerStats {
-  std::uint64_t connections = 0;       ///< Accepted since the start.
-  std::uint64_t open_connections = 0;  ///< Currently.
-  std::uint64_t rejected = 0;          ///< Answered with a 4xx, or 503 at `max_buffered_bytes`.
+  std::uint64_t connections = 0;         ///< Accepted since the start.
+  std::uint64_t open_connections = 0;    ///< Currently.
+  std::uint64_t rejected = 0;            ///< Answered with a 4xx, or 503 at `max_buffered_bytes`.
+  std::uint64_t unread_connections = 0;  ///< Currently open ones whose first request is awaited.
+  std::uint64_t pending_requests = 0;    ///< Currently read and not fully answered.
+  std::uint64_t requests = 0;            ///< Read since the start.
+  std::uint64_t request_bytes = 0;       ///< Of their bodies.
+  std::uint64_t bytes_sent = 0;          ///< Since the start.
 };
 
 /// Listens on one address. Runs on the given loop; starts no thread.
@@ -65,6 +70,12 @@
   /// Sets the limits for requests that start from now on.
   void set_limits(const CallerLimits& limits);
 
+  /// Sets what decides whether a new connection is taken in. Others are closed unread.
+  void set_gate(std::function<bool()> admit);
+
+  /// Sets whether connections close after their next answer, so that their callers come elsewhere.
+  void set_shedding(bool shedding);
+
   /// Closes each connection after its next answer. Idle connections stay open until then.
   void disable_keep_alive();
 
--- a/src/relay/relay_metrics.cpp
+++ b/src/relay/relay_metrics.cpp
@@ -86,6 +86,11 @@
           .Name("shuntbank_relay_quotas_total")
           .Help("Requests of tenants with a quota, by outcome")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& connections_closed_unread =
+      prometheus::BuildCounter()
+          .Name("shuntbank_relay_connections_closed_unread_total")
+          .Help("Callers' connections that were closed unread, as the link was full")
+          .Register(registry);
   prometheus::Family<prometheus::Counter>& streams_taken_up =
       prometheus::BuildCounter()
           .Name("shuntbank_relay_streams_taken_up_total")
@@ -185,6 +190,10 @@
   impl_->quotas.Add({{"outcome", outcome}}).Increment();
 }
 
+void RelayMetrics::count_connection_closed_unread() {
+  impl_->connections_closed_unread.Add({}).Increment();
+}
+
 void RelayMetrics::count_stream_taken_up(const std::string& outcome) {
   impl_->streams_taken_up.Add({{"outcome", outcome}}).Increment();
 }
--- a/src/relay/relay_metrics.hpp
+++ b/src/relay/relay_metrics.hpp
@@ -66,6 +66,9 @@
   /// A request was quarantined. @param source `seen`, `heard` or `store`.
   void count_quarantined(const std::string& source);
 
+  /// A caller's connection was closed before it was read; see `IntakeGate`.
+  void count_connection_closed_unread();
+
   /// A request without a valid tenant key was refused.
   void count_key_refused();
 
--- a/src/relay/relay_process.cpp
+++ b/src/relay/relay_process.cpp
@@ -12,6 +12,7 @@
 #include "net/http_status.hpp"
 #include "net/tunnel_server.hpp"
 #include "relay/capacity_coordinator.hpp"
+#include "relay/intake_gate.hpp"
 #include "relay/load_exchange.hpp"
 #include "relay/quarantine_api.hpp"
 #include "relay/quarantine_store.hpp"
@@ -63,6 +64,12 @@
   return catalog;
 }
 
+IntakeGateSettings intake_settings(const RelaySettings& settings) {
+  IntakeGateSettings intake;
+  intake.link_megabits_per_second = settings.catalog.link_megabits_per_second;
+  return intake;
+}
+
 constexpr std::size_t kMaxCallerConnections = 2000;
 constexpr std::size_t kMaxAdminConnections = 64;
 
@@ -84,6 +91,7 @@
             [this](HttpRequest request, const std::shared_ptr<ConnectionResponder>& responder) {
               node_.handle(std::move(request), responder);
             }),
+        intake_(runtime, callers_, http_, node_.metrics(), intake_settings(settings)),
         catalog_(runtime, store_, platform.codec, node_, catalog_settings(settings)),
         quarantine_store_(runtime, store_, node_),
         lease_(runtime, store_, node_, settings.node, settings.lease),
@@ -102,6 +110,7 @@
       start_load_exchange(loop, addresses.peers);
       start_usage_reporting();
     }
+    callers_.set_gate([this] { return intake_.admit(); });
     node_.on_configuration_adopted(
         [this](const RouteTable& table) { apply_request_limits(table); });
     node_.paths().on_path_lost([this] { http_.close_idle_direct_connections(); });
@@ -296,6 +305,7 @@
   SocketProbe probe_;
   RelayNode node_;
   Http1Server callers_;
+  IntakeGate intake_;
   Catalog catalog_;
   QuarantineStore quarantine_store_;
   LeaseKeeper lease_;
