--- a/tests/net/http1_edges_test.cpp
+++ b/tests/net/http1_edges_test.cpp
@@ -379,6 +379,30 @@
   cr_assert(fetch(loop, client, make_request(truncated.url(), "1")).failure.has_value());
 }
 
+// Guards against a failure without a length that is taken for a broken connection, and against its
+// connection being used again.
+Test(http1_client, accepts_a_failure_until_close) {
+  asio::io_context loop;
+  const std::string failure = "HTTP/1.1 500 Internal Server Error\r\nid: 1\r\n\r\nwhy";
+  ScriptedPeer peer(loop, {{{failure, true}}, {{sized_response("2", "two")}}});
+  PooledHttpClient client(loop, {});
+  cr_assert_eq(fetch(loop, client, make_request(peer.url(), "1")).body, "why");
+  cr_assert_eq(fetch(loop, client, make_request(peer.url(), "2")).body, "two");
+  cr_assert_eq(peer.accepted, 2);
+}
+
+// Guards against a reused connection that ends before the first byte of an answer without a length
+// and passes for an empty answer.
+Test(http1_client, fails_when_a_reused_connection_closes_before_the_answer) {
+  asio::io_context loop;
+  ScriptedPeer peer(loop, {{{sized_response("1", "one")}, {"", true}}});
+  PooledHttpClient client(loop, {});
+  cr_assert_eq(fetch(loop, client, make_request(peer.url(), "1")).body, "one");
+  cr_assert(fetch(loop, client, make_request(peer.url(), "2")).failure ==
+            TransferFailure::kUncertain);
+  cr_assert_eq(peer.received, 2, "it is not sent again by itself");
+}
+
 Test(http1_client, fails_on_malformed_answer) {
   asio::io_context loop;
   ScriptedPeer peer(loop, {{{"this is no answer\r\n\r\n", true}}});
--- a/tests/relay/relay_session_test.cpp
+++ b/tests/relay/relay_session_test.cpp
@@ -238,6 +238,26 @@
   cr_assert_not(reply->finished);
 }
 
+// Guards against a stream without a length that goes on or breaks off though it ended between two
+// events, and against one that passes for whole after a reset.
+Test(relay_session, takes_the_end_of_the_connection_for_the_end_of_a_stream_only_between_events) {
+  for (const bool reset : {false, true}) {
+    RelayFixture site;
+    site.add_engine("d", "model", EngineStage::kDecode);
+    const auto reply = site.request("/stream/a", {{"tokens", "100"}});
+    site.http.begin(0, 200, RelayFixture::sealed_headers());
+    site.http.piece(0, "id: 1\ndata: a\n\n");
+    if (reset) {
+      site.http.fail(0, TransferFailure::kUncertain);
+    } else {
+      site.http.finish(0);
+    }
+    cr_assert_eq(reply->body, "id: 1\ndata: a\n\n");
+    cr_assert_eq(reply->finished, !reset);
+    cr_assert_eq(reply->aborted, reset);
+  }
+}
+
 Test(relay_session, resumes_a_stream_after_its_last_complete_event) {
   RelayFixture site;
   site.add_engine("d1", "model", EngineStage::kDecode);
