Bind the process tests to addresses of their own

engine_paths_process/serves_callers_while_its_connections_to_engines_hang failed once with 'Address already in use', beside seven other tests: a port that the kernel had chosen was closed before the process under test bound it, and another test got it meanwhile. What the tests check is unchanged.

--- a/tests/relay/engine_paths_process_test.cpp
+++ b/tests/relay/engine_paths_process_test.cpp
@@ -1,6 +1,7 @@
 // Relay processes on real sockets, of which one has no direct path to any engine.
 
 #include <criterion/criterion.h>
+#include <unistd.h>
 
 #include <asio.hpp>
 
@@ -19,9 +20,14 @@
 
 namespace {
 
+/// The address is this process's own, as another test may take the port before it is bound.
 std::string free_address() {
+  constexpr int kAddressesPerOctet = 254;
+  const int process = getpid();
+  const std::string own_address = "127." + std::to_string(1 + process % kAddressesPerOctet) + "." +
+                                  std::to_string(process / kAddressesPerOctet % 256) + ".1";
   asio::io_context loop;
-  const Tcp::acceptor chosen(loop, {asio::ip::make_address("127.0.0.1"), 0});
+  const asio::ip::tcp::acceptor chosen(loop, {asio::ip::make_address(own_address), 0});
   return format_endpoint(chosen.local_endpoint());
 }
 
--- a/tests/relay/relay_process_test.cpp
+++ b/tests/relay/relay_process_test.cpp
@@ -3,6 +3,7 @@
 #include "relay/relay_process.hpp"
 
 #include <criterion/criterion.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <asio.hpp>
@@ -20,9 +21,14 @@
 
 namespace {
 
+/// The address is this process's own, as another test may take the port before it is bound.
 std::string free_address() {
+  constexpr int kAddressesPerOctet = 254;
+  const int process = getpid();
+  const std::string own_address = "127." + std::to_string(1 + process % kAddressesPerOctet) + "." +
+                                  std::to_string(process / kAddressesPerOctet % 256) + ".1";
   asio::io_context loop;
-  const asio::ip::tcp::acceptor chosen(loop, {asio::ip::make_address("127.0.0.1"), 0});
+  const asio::ip::tcp::acceptor chosen(loop, {asio::ip::make_address(own_address), 0});
   return format_endpoint(chosen.local_endpoint());
 }
 
