Extend a quarantine at most once a second

Found while reading the change: each request that is held back for a prompt part extended the quarantine and told all evidence anew. With a part that hundreds of requests a second hold, a node would have told the others nothing else (by computation 15 KB a second for 100 requests and five crashes). The report that a suspected part completed is named for what it says.

--- a/src/relay/quarantine.cpp
+++ b/src/relay/quarantine.cpp
@@ -9,12 +9,16 @@
 namespace shuntbank::relay {
 namespace {
 
+/// Quarantines are extended at most this often, as requests with a prompt part may come by the
+/// hundred.
+constexpr Duration kMinExtension = std::chrono::seconds(1);
+
 /// Of expiry and of verdicts that wait for reports.
 constexpr Duration kTickInterval = std::chrono::milliseconds(250);
 
-/// Maximum delay before a node reports that a suspected part completed there, so that few of the
-/// nodes that have seen it do.
-constexpr Duration kMaxVouchDelay = std::chrono::milliseconds(100);
+/// Maximum delay before a node reports that a suspected part completed there. The first report
+/// makes the others needless.
+constexpr Duration kMaxClearedReportDelay = std::chrono::milliseconds(100);
 
 /// A crashed engine refuses connections at once; a live one answers within milliseconds.
 constexpr Duration kLivenessTimeout = std::chrono::milliseconds(500);
@@ -166,10 +170,12 @@
   if (this->ledger.contains(request)) this->queue_evidence(request);
 }
 
-void Quarantine::extend_quarantine(const RequestIdentity& request) {
-  this->ledger.extend_quarantine(this->io.runtime.now(), request);
+void Quarantine::extend_quarantine(const CallerRequest& attempt) {
+  const auto left = this->status(attempt).quarantine_left;
+  if (left && *left > CrashLedgerSettings().quarantine_duration - kMinExtension) return;
+  this->ledger.extend_quarantine(this->io.runtime.now(), attempt.request);
   // A node that has just started may not know of it yet.
-  this->queue_evidence(request);
+  this->queue_evidence(attempt.request);
 }
 
 void Quarantine::on_engine_crashed(const EngineId& engine) {
@@ -258,8 +264,8 @@
   this->process_ledger();
 }
 
-/// Tells the other nodes that the part is no cause, unless another one does so first.
-void Quarantine::vouch_for(const RequestIdentity& part) {
+/// Tells the other nodes that the part is no cause, unless another node does so first.
+void Quarantine::report_cleared_part(const RequestIdentity& part) {
   const MonotonicTime now = this->io.runtime.now();
   const bool pending = std::any_of(
       this->pending_reports.begin(), this->pending_reports.end(), [&](const auto& report) {
@@ -269,14 +275,14 @@
   this->queue_report(CrashEvent::kCleared, {part, 0}, 0, now);
   const double fraction = random_fraction(this->io.runtime);
   this->pending_reports.back().next_send_at =
-      now + std::chrono::duration_cast<Duration>(kMaxVouchDelay * fraction);
+      now + std::chrono::duration_cast<Duration>(kMaxClearedReportDelay * fraction);
 }
 
 void Quarantine::apply_report(MonotonicTime now, const CrashReport& report) {
   const bool evidence =
       report.event == CrashEvent::kInterrupted || report.event == CrashEvent::kCrashed;
   if (evidence && this->history.completed_lately(now, report.request)) {
-    this->vouch_for(report.request);
+    this->report_cleared_part(report.request);
     if (report.event == CrashEvent::kCrashed) this->ledger.on_engine_crashed(now, report.engine);
     return;
   }
--- a/src/relay/quarantine.hpp
+++ b/src/relay/quarantine.hpp
@@ -75,8 +75,8 @@
   /// An attempt failed. The caller may retry at any node.
   void on_attempt_failed(const RequestIdentity& request);
 
-  /// A quarantined request was retried.
-  void extend_quarantine(const RequestIdentity& request);
+  /// A quarantined request was retried, or another one with a quarantined part came.
+  void extend_quarantine(const CallerRequest& attempt);
 
   void on_engine_crashed(const EngineId& engine);
 
@@ -120,7 +120,7 @@
   };
   void begin_trial(const RequestIdentity& cause, const EngineId& engine);
   void end_trial(const RequestIdentity& cause, const EngineId& engine);
-  void vouch_for(const RequestIdentity& part);
+  void report_cleared_part(const RequestIdentity& part);
   bool may_have_crashed(const EngineId& engine, MonotonicTime sent_at) const;
   /// @return whether a request is a suspect from any caller.
   bool is_suspect(const RequestIdentity& request) const;
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -212,7 +212,7 @@
   std::vector<EngineId> failed_engines_;    ///< Failed or refused this request.
   std::set<EngineKey> crash_risk_engines_;  ///< With other suspects in flight.
   bool on_trial_ = false;                   ///< In a trial registered with `Quarantine`.
-  bool crashing_part_sent_ = false;         ///< An engine had crashed under a part before.
+  bool crashing_part_sent_ = false;         ///< When sent, engines had crashed under a part.
 
   std::optional<SendPermit> permit_;         ///< For the next or the current send.
   std::optional<SendPermit> decode_permit_;  ///< For the decode after a remote prefill.
--- a/src/relay/relay_session_quarantine.cpp
+++ b/src/relay/relay_session_quarantine.cpp
@@ -94,7 +94,7 @@
 /// Answers 429, as other client errors don't tell the caller that the request was not run. The body
 /// says what has to be changed.
 void RelaySession::answer_quarantined(const CallerRequest& cause) {
-  context_.quarantine.extend_quarantine(cause.request);
+  context_.quarantine.extend_quarantine(cause);
   const SuspectStatus status = context_.quarantine.status(cause);
   const std::string what = is_prompt_part(cause.request)
                                ? "requests with the prompt part " + part_text(cause.request)
