Count all that a node sends for a request in its least intake

The least number of requests under way followed from the bodies of requests, so that a service without bodies would have had no limit at all. It follows from all bytes sent to engines and callers for a request.

--- a/src/net/http1_server.cpp
+++ b/src/net/http1_server.cpp
@@ -457,7 +457,6 @@
   on_first_request_ended();
   ++server_->stats.requests;
   ++server_->stats.pending_requests;
-  server_->stats.request_bytes += body_bytes_;
   timer_.cancel();
   ++timer_generation_;
   server_->handler(std::move(request_), std::make_shared<Responder>(shared_from_this()));
--- a/src/net/http1_server.hpp
+++ b/src/net/http1_server.hpp
@@ -50,7 +50,6 @@
   std::uint64_t unread_connections = 0;  ///< Currently open ones whose first request is awaited.
   std::uint64_t pending_requests = 0;    ///< Currently read and not fully answered.
   std::uint64_t requests = 0;            ///< Read since the start.
-  std::uint64_t request_bytes = 0;       ///< Of their bodies.
   std::uint64_t bytes_sent = 0;          ///< Since the start.
 };
 
--- a/src/relay/intake_gate.cpp
+++ b/src/relay/intake_gate.cpp
@@ -16,7 +16,7 @@
 
 constexpr double kBytesPerMegabit = 125000;
 
-/// Assumed size of a request until the first one has come.
+/// Assumed to be sent for a request until the first one has come.
 constexpr double kInitialRequestBytes = 16384;
 
 }  // namespace
@@ -39,27 +39,31 @@
   return stats.pending_requests + stats.unread_connections;
 }
 
-/// @return the mean size of a request's body.
-double IntakeGate::request_bytes() const {
-  const Http1ServerStats& stats = this->callers.stats();
-  if (stats.requests == 0) return kInitialRequestBytes;
-  return static_cast<double>(stats.request_bytes) / static_cast<double>(stats.requests);
+std::uint64_t IntakeGate::bytes_sent() const {
+  return this->callers.stats().bytes_sent + this->http.stats().bytes_sent;
+}
+
+/// @return the mean of what is sent for a request, to engines and to its caller.
+double IntakeGate::bytes_per_request() const {
+  const std::uint64_t requests = this->callers.stats().requests;
+  if (requests == 0) return kInitialRequestBytes;
+  return static_cast<double>(this->bytes_sent()) / static_cast<double>(requests);
 }
 
 /// @return requests that the link carries within a short time. Connections are delayed by what
 /// comes in as well, which taking in fewer requests does not end.
 double IntakeGate::floor() const {
   const double bytes = this->settings.link_megabits_per_second * kBytesPerMegabit;
-  return bytes * to_seconds(kFloorTime) / std::max(1.0, this->request_bytes());
+  return bytes * to_seconds(kFloorTime) / std::max(1.0, this->bytes_per_request());
 }
 
 /// @return how long a packet waits for the link, by the bytes that were sent and are about to be,
 /// and by the connections that were made.
 std::optional<Duration> IntakeGate::delay() {
   const Http1ServerStats& stats = this->callers.stats();
-  this->load.update(this->runtime.now(), stats.bytes_sent + this->http.stats().bytes_sent);
+  this->load.update(this->runtime.now(), this->bytes_sent());
   const Duration queued =
-      this->load.delay(static_cast<double>(stats.unread_connections) * this->request_bytes());
+      this->load.delay(static_cast<double>(stats.unread_connections) * this->bytes_per_request());
   const auto connecting = this->http.connect_delay();
   if (queued > this->settings.limit.max_delay) return std::max(queued, connecting.value_or(queued));
   return connecting;
--- a/src/relay/intake_gate.hpp
+++ b/src/relay/intake_gate.hpp
@@ -39,7 +39,8 @@
 
  private:
   std::size_t pending_requests() const;
-  double request_bytes() const;
+  std::uint64_t bytes_sent() const;
+  double bytes_per_request() const;
   double floor() const;
   std::optional<Duration> delay();
   void tick();
