--- a/src/core/relay/stream_replicas.cpp
+++ b/src/core/relay/stream_replicas.cpp
@@ -20,9 +20,8 @@
   for (const auto& node : nodes) ranked.emplace_back(hash64(node.first.value(), key), &node);
   const std::size_t kept = std::min(kMaxCandidates, ranked.size());
   const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(kept);
-  std::partial_sort(ranked.begin(), end, ranked.end(), [](const auto& left, const auto& right) {
-    return left.first > right.first;
-  });
+  std::partial_sort(ranked.begin(), end, ranked.end(),
+                    [](const auto& left, const auto& right) { return left.first > right.first; });
   ranked.resize(kept);
   return ranked;
 }
