--- a/src/relay/stream_origins.hpp
+++ b/src/relay/stream_origins.hpp
@@ -43,7 +43,7 @@
     this->engines_changed = true;
   }
 
-  /// The callers' streams end within this time.
+  /// See `ServiceVersions::set_max_stream_age`.
   void set_max_stream_age(Duration age) { this->versions.set_max_stream_age(age); }
 
   /// @return the versions that this node has seen; see `ServiceVersions::sightings`.
