--- a/src/core/relay/crash_ledger.cpp
+++ b/src/core/relay/crash_ledger.cpp
@@ -241,8 +241,8 @@
   return crashed;
 }
 
-/// A part is a better explanation than a quarantined request that holds it only if engines crashed
-/// under other requests with it as well.
+/// @return whether enough engines crashed under requests with the part, and not only under one that
+/// is quarantined itself.
 bool CrashLedger::may_be_cause(const RequestIdentity& part, const Suspect& suspect) const {
   std::size_t crash_count = 0;
   bool beyond_one_request = false;
@@ -291,7 +291,7 @@
   }
 }
 
-/// Lifts verdicts on parts whose crashes have turned out to be a part of another one's.
+/// Lifts the quarantine of parts under which only some of these engines crashed.
 void CrashLedger::lift_explained_parts(const std::set<EngineKey>& engines) {
   for (auto& [part, suspect] : this->suspects) {
     if (!is_prompt_part(part) || !suspect.quarantined_until) continue;
--- a/src/core/relay/intake_limit.hpp
+++ b/src/core/relay/intake_limit.hpp
@@ -11,8 +11,7 @@
 
 /// Tunables of the limit.
 struct IntakeLimitSettings {
-  /// Delay from which on the limit falls. A fraction of what a caller loses by a try at another
-  /// node, as what is under way adds to it.
+  /// The limit falls while the delay is longer.
   Duration max_delay = std::chrono::milliseconds(50);
   double decrease = 0.8;  ///< Factor in each interval with a longer delay.
   double increase = 0.1;  ///< Share added in each interval without one, if the limit is used.
