Log how far a node's watch of the engines is behind the other nodes

The logs could not tell whether a node was late by a sum of short delays, had no list at all, or knew of the engine and sent anyway. A watch that was answered in time with old changes counted as a success, and engines_age_seconds, the time since the last answer, returned to zero with each list that was then thrown away.

- watch_behind: a hinted change is missing for a second, and again after twice the time; with the revisions, the call under way and the age of the last answer.
- answer_behind: an answer that lacks hinted changes, with the freshness asked for.

RevisionLag keeps the times of the hints that were not reached.

--- a/src/relay/catalog.cpp
+++ b/src/relay/catalog.cpp
@@ -69,6 +69,7 @@
 }
 
 void Catalog::set_readers(const StoreReaders& readers) {
+  engines_->report_lag();
   // A starting node assumes that there are readers until it could have received their reports.
   const MonotonicTime confirmed_at = std::max(readers.confirmed_at, started_at_);
   const bool other_readers_active = runtime_.now() - confirmed_at <= settings_.reader_timeout;
--- a/src/relay/catalog.hpp
+++ b/src/relay/catalog.hpp
@@ -77,6 +77,9 @@
   /// @return how long ago the store last confirmed the engines.
   Duration engines_age() const;
 
+  /// @return for how long other nodes have reported an engine change that this node lacks.
+  Duration engines_behind() const { return engines_->behind_for(); }
+
  private:
   void apply_configuration(const store::StoredObject& object);
   void apply_engines(const store::ObjectList& list);
--- a/src/store/kind_watch.cpp
+++ b/src/store/kind_watch.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "common/log.hpp"
+#include "store/revision_lag.hpp"
 
 namespace shuntbank::store {
 namespace {
@@ -13,6 +14,9 @@
 constexpr double kWaitSpread = 0.2;
 constexpr double kBackoffSpread = 0.5;
 
+/// A watch that lacks a hinted change for this long logs it.
+constexpr Duration kFirstLagReport = std::chrono::seconds(1);
+
 /// For a watch that only checks for newer changes.
 constexpr Duration kNoWait = std::chrono::milliseconds(1);
 
@@ -72,7 +76,7 @@
   void stop() { stopped_ = true; }
 
   void hint(std::uint64_t revision) {
-    hinted_revision_ = std::max(hinted_revision_, revision);
+    lag_.on_hint(runtime_.now(), revision);
     if (hint_timer_ || !listed_ || !behind_hint()) return;
     if (call_kind_ == CallKind::kWatch) return start_hint_timer();
     // A list in flight returns the newer state anyway.
@@ -81,7 +85,7 @@
 
   void advance(std::uint64_t revision) {
     if (revision <= revision_ || !listed_) return;
-    revision_ = revision;
+    update_revision(revision);
     newest_change = std::max(newest_change, revision);
     if (call_kind_ == CallKind::kNone || behind_hint()) return;
     // The call in flight would return known changes and take bandwidth from callers.
@@ -89,6 +93,28 @@
     schedule(settings_.batch_delay, [](Impl& self) { self.start_next_call(); });
   }
 
+  Duration behind_for() const { return lag_.behind_for(runtime_.now()); }
+
+  void report_lag() {
+    const Duration lag = behind_for();
+    if (lag < kFirstLagReport) next_lag_report_ = kFirstLagReport;
+    if (lag < next_lag_report_) return;
+    next_lag_report_ = 2 * lag;
+    log_event(LogArea::kPlatform, LogLevel::kWarning, "watch_behind",
+              {{"kind", kind_},
+               {"revision", revision_},
+               {"others_have", lag_.newest()},
+               {"behind_ms", whole_ms(lag)},
+               {"call", activity()},
+               {"receiving", receiving()},
+               {"answer_age_ms", whole_ms(runtime_.now() - confirmed_at)}});
+  }
+
+  const char* activity() const {
+    if (call_kind_ == CallKind::kNone) return "pause";
+    return call_kind_ == CallKind::kList ? "list" : "watch";
+  }
+
   bool receiving() const { return call_kind_ != CallKind::kNone && store_.received(call_id_) > 0; }
 
   void set_wait(Duration wait) { wait_ = wait; }
@@ -133,7 +159,12 @@
     call_kind_ = CallKind::kNone;
   }
 
-  bool behind_hint() const { return hinted_revision_ > revision_; }
+  bool behind_hint() const { return lag_.behind(); }
+
+  void update_revision(std::uint64_t revision) {
+    revision_ = std::max(revision_, revision);
+    lag_.on_reached(revision_);
+  }
 
   /// Starts a list or a watch, depending on the known state.
   void start_next_call() {
@@ -169,7 +200,7 @@
 
   void apply_list(const ObjectList& list) {
     const std::uint64_t before = newest_change;
-    revision_ = std::max(revision_, list.revision);
+    update_revision(list.revision);
     for (const StoredObject& object : list.objects) record_change(object);
     // While every list brings a newer state, there is probably another one by now.
     falling_behind_ = falling_behind_ && newest_change > before;
@@ -219,7 +250,7 @@
     log_event(LogArea::kPlatform, LogLevel::kWarning, "watch_deaf",
               {{"kind", kind_},
                {"revision", revision_},
-               {"others_have", hinted_revision_},
+               {"others_have", lag_.newest()},
                {"under_way_ms", whole_ms(runtime_.now() - call_started_at_)}});
     cancel_call();
     hint_grace_ = std::min(2 * hint_grace_, settings_.max_hint_grace);
@@ -249,13 +280,25 @@
       record_change(change.object);
       handlers_.on_change(change);
     }
-    revision_ = std::max(revision_, batch->revision);
+    update_revision(batch->revision);
+    if (behind_hint()) log_behind_hint(batch->changes.size());
     if (batch->changes.empty()) return start_next_call();
     // More than one change per batch: probably there are more by now.
     falling_behind_ = batch->changes.size() > 1;
     schedule_next_call(batch->transfer_time);
   }
 
+  /// The answer counts as a success, but lacks changes that other nodes have seen.
+  void log_behind_hint(std::size_t changes) const {
+    log_event(LogArea::kPlatform, LogLevel::kInfo, "answer_behind",
+              {{"kind", kind_},
+               {"freshness", to_text(watch_freshness_)},
+               {"revision", revision_},
+               {"others_have", lag_.newest()},
+               {"changes", changes},
+               {"took_ms", whole_ms(runtime_.now() - call_started_at_)}});
+  }
+
   /// Delays the next call to batch changes and to leave bandwidth to callers.
   void schedule_next_call(Duration transfer_time) {
     const Duration transfer_pause =
@@ -316,8 +359,9 @@
   bool confirm_next_list_;
   std::optional<ObjectList> unconfirmed_list_;  ///< Waits for the changes since.
   std::uint64_t revision_ = 0;
-  std::uint64_t hinted_revision_ = 0;  ///< Newest revision of all hints.
-  std::uint64_t call_number_ = 0;      ///< Number of the latest call.
+  RevisionLag lag_;                ///< Behind the hints.
+  Duration next_lag_report_ = kFirstLagReport;
+  std::uint64_t call_number_ = 0;  ///< Number of the latest call.
   CallKind call_kind_ = CallKind::kNone;
   CallId call_id_ = 0;               ///< The store's id of the call in flight.
   MonotonicTime call_started_at_{};  ///< When the latest call was started.
@@ -382,4 +426,16 @@
   return impl_->receiving();
 }
 
+Duration KindWatch::behind_for() const {
+  return impl_->behind_for();
+}
+
+void KindWatch::report_lag() {
+  impl_->report_lag();
+}
+
+const char* KindWatch::activity() const {
+  return impl_->activity();
+}
+
 }  // namespace shuntbank::store
--- a/src/store/kind_watch.hpp
+++ b/src/store/kind_watch.hpp
@@ -95,6 +95,16 @@
   /// @return whether an answer has been received in part.
   bool receiving() const;
 
+  /// @return for how long a change has been hinted that this watch lacks; zero if none.
+  Duration behind_for() const;
+
+  /// Logs how far this watch is behind, once a hinted change is missing for a second, and again
+  /// after twice the time. Called regularly.
+  void report_lag();
+
+  /// @return what the watch is doing, for logs: `list`, `watch` or `pause`.
+  const char* activity() const;
+
  private:
   class Impl;
   std::shared_ptr<Impl> impl_;
