--- /dev/null
+++ b/src/relay/catalog_peers.cpp
@@ -0,0 +1,29 @@
+#include "relay/catalog_peers.hpp"
+
+#include <utility>
+
+namespace shuntbank::relay {
+namespace {
+
+/// Delays the detection of a silent store reader by up to this much.
+constexpr Duration kReadersCheckInterval = std::chrono::milliseconds(250);
+
+}  // namespace
+
+CatalogPeers::CatalogPeers(Runtime& runtime, Catalog& catalog, LoadExchange& exchange)
+    : readers_timer(runtime, kReadersCheckInterval,
+                    [&catalog, &exchange] { catalog.set_readers(exchange.store_readers()); }) {
+  exchange.connect_revisions(
+      [&catalog] { return catalog.progress(); },
+      [&catalog](const CatalogRevisions& revisions) { catalog.hint(revisions); });
+  exchange.on_configuration_request(
+      [&catalog](const ConfigurationCall& call) { return catalog.configuration_for_peer(call); });
+  catalog.set_peer_fetch([&catalog, &exchange] {
+    exchange.request_configuration(catalog.configuration_call(),
+                                   [&catalog](ConfigurationMessage message) {
+                                     catalog.apply_peer_configuration(std::move(message));
+                                   });
+  });
+}
+
+}  // namespace shuntbank::relay
--- a/src/relay/relay_process.cpp
+++ b/src/relay/relay_process.cpp
@@ -12,6 +12,7 @@
 #include "net/http_status.hpp"
 #include "net/tunnel_server.hpp"
 #include "relay/capacity_coordinator.hpp"
+#include "relay/catalog_peers.hpp"
 #include "relay/intake_gate.hpp"
 #include "relay/load_exchange.hpp"
 #include "relay/quarantine_api.hpp"
@@ -41,9 +42,6 @@
   return settings;
 }
 
-/// Delays the detection of a silent store reader by up to this much.
-constexpr Duration kReadersCheckInterval = std::chrono::milliseconds(250);
-
 /// Connects from the address that other nodes know, as they accept tunnels from no other.
 PooledHttpClientSettings engine_client_settings(const RelayAddresses& addresses) {
   PooledHttpClientSettings settings;
@@ -164,20 +162,7 @@
     exchange.join_existing = !settings_.bootstrap;
     exchange_ =
         std::make_unique<LoadExchange>(runtime_, store_, *peers_, node_, settings_.node, exchange);
-    exchange_->connect_revisions(
-        [this] { return catalog_.progress(); },
-        [this](const CatalogRevisions& revisions) { catalog_.hint(revisions); });
-    exchange_->on_configuration_request(
-        [this](const ConfigurationCall& call) { return catalog_.configuration_for_peer(call); });
-    catalog_.set_peer_fetch([this] {
-      exchange_->request_configuration(catalog_.configuration_call(),
-                                       [this](ConfigurationMessage message) {
-                                         catalog_.apply_peer_configuration(std::move(message));
-                                       });
-    });
-    readers_timer_ = std::make_unique<Periodic>(runtime_, kReadersCheckInterval, [this] {
-      catalog_.set_readers(exchange_->store_readers());
-    });
+    catalog_peers_ = std::make_unique<CatalogPeers>(runtime_, catalog_, *exchange_);
   }
 
   void serve_tunnels(asio::io_context& loop) {
@@ -315,7 +300,7 @@
   std::unique_ptr<TunnelServer> tunnels_;
   std::unique_ptr<PeerTransport> peers_;
   std::unique_ptr<LoadExchange> exchange_;
-  std::unique_ptr<Periodic> readers_timer_;
+  std::unique_ptr<CatalogPeers> catalog_peers_;
   std::unique_ptr<CapacityCoordinator> capacity_;
   std::unique_ptr<UsageExchange> usage_;
   std::unique_ptr<UsageReporter> usage_reporter_;
--- a/src/store/kind_watch.cpp
+++ b/src/store/kind_watch.cpp
@@ -359,7 +359,7 @@
   bool confirm_next_list_;
   std::optional<ObjectList> unconfirmed_list_;  ///< Waits for the changes since.
   std::uint64_t revision_ = 0;
-  RevisionLag lag_;                ///< Behind the hints.
+  RevisionLag lag_;  ///< Behind the hints.
   Duration next_lag_report_ = kFirstLagReport;
   std::uint64_t call_number_ = 0;  ///< Number of the latest call.
   CallKind call_kind_ = CallKind::kNone;
--- a/tests/relay/support/fakes.cpp
+++ b/tests/relay/support/fakes.cpp
@@ -274,7 +274,7 @@
   const store::CallId call = ++last_call_;
   ++watches;
   if (freshness == store::Freshness::kLatest) ++latest_calls;
-  if (down || revision < oldest_revision_) {
+  if (down || history_gone(revision)) {
     reply<store::ChangeBatch>(
         std::move(handler),
         tl::make_unexpected(down ? store::StoreError::kNotDone : store::StoreError::kHistoryGone));
@@ -297,6 +297,15 @@
   return call;
 }
 
+bool MemoryStore::history_gone(std::uint64_t revision) const {
+  if (revision < oldest_revision_) return true;
+  if (history_time == Duration::max()) return false;
+  const auto missing =
+      std::find_if(history_.begin(), history_.end(),
+                   [revision](const Change& change) { return change.revision > revision; });
+  return missing != history_.end() && runtime_.now() - missing->at > history_time;
+}
+
 void MemoryStore::notify_watches() {
   if (drop_notifications) return;
   for (PendingWatch& watch : pending_watches_) {
@@ -312,7 +321,7 @@
                       const nlohmann::json& content) {
   store::StoredObject object{name, ++revision_, content};
   kinds_[kind][name] = object;
-  history_.push_back({kind, {object, false}, revision_});
+  history_.push_back({kind, {object, false}, revision_, runtime_.now()});
   full_history_.push_back(history_.back());
   notify_watches();
 }
@@ -320,7 +329,7 @@
 void MemoryStore::remove(const std::string& kind, const std::string& name) {
   const store::StoredObject object = kinds_[kind][name];
   kinds_[kind].erase(name);
-  history_.push_back({kind, {object, true}, ++revision_});
+  history_.push_back({kind, {object, true}, ++revision_, runtime_.now()});
   full_history_.push_back(history_.back());
   notify_watches();
 }
@@ -388,6 +397,7 @@
   record.id = EngineId(object.name);
   record.service = ServiceName("plain");
   record.address = object.content.at("address").get<std::string>();
+  record.draining = object.content.value("draining", false);
   return record;
 }
 
--- a/tests/relay/support/fakes.hpp
+++ b/tests/relay/support/fakes.hpp
@@ -200,6 +200,8 @@
   bool drop_notifications = false;  ///< Open watches miss changes.
   /// Newest revision in answers to calls with `Freshness::kMayLag`.
   std::uint64_t replica_revision = std::numeric_limits<std::uint64_t>::max();
+  /// How long changes are kept for watches.
+  Duration history_time = Duration::max();
   /// Carries the answers to lists and watches; null: answers take no time.
   SlowLink* link = nullptr;
   std::size_t object_bytes = 0;  ///< Of each object in an answer.
@@ -214,7 +216,10 @@
     std::string kind;
     store::ObjectChange change;
     std::uint64_t revision;
+    MonotonicTime at;
   };
+  /// @return whether changes after the revision are no longer kept.
+  bool history_gone(std::uint64_t revision) const;
   struct PendingWatch {
     store::CallId call;
     std::string kind;
