Take the list of engines from other nodes in a large fleet

Cause: each node read all engines from the store, over its one link. At 985 nodes and 10,000 engines that takes longer (28 s by computation) than the store keeps changes (20 s). The class is a recovery whose time grows with the fleet, against a limit that does not.

Ruled out as this fault: a sum of short delays (no late node had a call answered in time with an old revision: they had no list), and requests that were already waiting (the nodes never learned of the engines that they sent to).

Now above 25 nodes the store readers alone watch the engines. The others keep the list at a revision (EngineList) and take what differs from their collector, or else from each other (EngineListExchange), after a hint of a newer revision. EngineCatalog watches the store where that fails: a change that nobody gives for 2 s, readers that the store has not confirmed for 2.5 s, no list after 5 s; nodes do so one after the other, by rank.

Why it works: a list is no longer read from the store by each node, so that its time does not grow with nodes times engines; a gap is seen by the revision and filled by one call, whatever caused it; and a node that other nodes do not keep up to date is not left without the store.

Two builds: a node of the version before does not know the call and answers with nothing, so that the caller reads the store as before.

--- a/src/relay/catalog.cpp
+++ b/src/relay/catalog.cpp
@@ -8,8 +8,6 @@
 namespace shuntbank::relay {
 namespace {
 
-constexpr double kBytesPerMegabit = 125'000;
-
 void log_malformed(const store::StoredObject& object, const std::string& why) {
   log_event(LogArea::kPlatform, LogLevel::kError, "object_malformed",
             {{"name", object.name}, {"revision", object.revision}, {"why", why}});
@@ -23,6 +21,8 @@
       codec_(codec),
       node_(node),
       settings_(settings),
+      large_answers_(runtime, {settings.link_megabits_per_second, settings.peer_bandwidth_share,
+                               settings.large_answer_bytes}),
       started_at_(runtime.now()) {
   store::KindWatchHandlers configuration;
   configuration.on_list = [this](const store::ObjectList& list) {
@@ -32,34 +32,32 @@
     // If the object is deleted, the last configuration stays active.
     if (!change.deleted) apply_configuration(change.object);
   };
-  store::KindWatchHandlers engines;
-  engines.on_list = [this](const store::ObjectList& list) { apply_engines(list); };
-  engines.on_change = [this](const store::ObjectChange& change) { apply_engine_change(change); };
   store::KindWatchSettings watch;
   watch.freshness = store::Freshness::kMayLag;
   watch.confirm_first_list = settings.join_existing;
-  store::KindWatchSettings configuration_watch = watch;
-  configuration_watch.newest_only = true;
-  configuration_ = std::make_unique<store::KindWatch>(
-      runtime, store, codec.configuration_kind(), configuration_watch, std::move(configuration));
-  engines_ = std::make_unique<store::KindWatch>(runtime, store, codec.engine_kind(), watch,
-                                                std::move(engines));
+  watch.newest_only = true;
+  configuration_ = std::make_unique<store::KindWatch>(runtime, store, codec.configuration_kind(),
+                                                      watch, std::move(configuration));
+  engines_ = std::make_unique<EngineCatalog>(
+      runtime, store, codec.engine_kind(),
+      [&codec](const store::StoredObject& object) { return codec.engine(object); }, node,
+      large_answers_, settings);
   node.on_fleet_changed([this](const Fleet& fleet) { update_timing(fleet); });
 }
 
 void Catalog::update_timing(const Fleet& fleet) {
   // The number of store readers does not grow with the fleet.
   const auto nodes = static_cast<std::int64_t>(is_store_reader_ ? 1 : fleet.nodes);
-  const Duration wait =
+  Duration wait =
       std::clamp(settings_.wait_per_node * nodes, settings_.min_wait, settings_.max_wait);
+  if (is_store_reader_ && engines_->uses_peers()) wait = settings_.reader_wait;
   const Duration backoff = std::clamp(settings_.backoff_limit_per_node * nodes,
                                       settings_.min_backoff_limit, settings_.max_backoff_limit);
-  for (const auto& watch : {configuration_.get(), engines_.get()}) {
-    watch->set_wait(wait);
-    watch->set_max_backoff(backoff);
-  }
-  engines_->set_batch_delay(std::clamp(settings_.batch_delay_per_node * nodes,
-                                       settings_.min_batch_delay, settings_.max_batch_delay));
+  configuration_->set_wait(wait);
+  configuration_->set_max_backoff(backoff);
+  engines_->set_timing(wait, backoff,
+                       std::clamp(settings_.batch_delay_per_node * nodes, settings_.min_batch_delay,
+                                  settings_.max_batch_delay));
 }
 
 StoreProgress Catalog::progress() const {
@@ -69,20 +67,15 @@
 }
 
 void Catalog::set_readers(const StoreReaders& readers) {
-  engines_->report_lag();
   // A starting node assumes that there are readers until it could have received their reports.
   const MonotonicTime confirmed_at = std::max(readers.confirmed_at, started_at_);
   const bool other_readers_active = runtime_.now() - confirmed_at <= settings_.reader_timeout;
-  set_watch_freshness(readers.self || !other_readers_active ? store::Freshness::kLatest
-                                                            : store::Freshness::kMayLag);
+  configuration_->set_freshness(readers.self || !other_readers_active ? store::Freshness::kLatest
+                                                                      : store::Freshness::kMayLag);
+  engines_->set_readers(readers);
   if (std::exchange(is_store_reader_, readers.self) != readers.self) update_timing(node_.fleet());
 }
 
-void Catalog::set_watch_freshness(store::Freshness freshness) {
-  configuration_->set_freshness(freshness);
-  engines_->set_freshness(freshness);
-}
-
 void Catalog::hint(const CatalogRevisions& revisions) {
   configuration_->hint(revisions.configuration);
   engines_->hint(revisions.engines);
@@ -156,19 +149,7 @@
   ConfigurationMessage message{active_revision_, node_.table()->configuration()};
   if (call.known.revision != 0) message = make_delta(call.known, std::move(message), own_summary());
   std::string bytes = encode(message);
-  return bytes.size() <= call.max_bytes && admit_peer_answer(bytes.size()) ? bytes : "";
-}
-
-/// Rate-limits large answers, which compete with callers for this node's link.
-bool Catalog::admit_peer_answer(std::size_t bytes) {
-  if (bytes <= settings_.large_answer_bytes) return true;
-  const MonotonicTime now = runtime_.now();
-  if (now < next_large_answer_at_) return false;
-  // The link rate may be unknown (0).
-  const double megabits = std::max(1.0, settings_.link_megabits_per_second);
-  const double bytes_per_second = settings_.peer_bandwidth_share * megabits * kBytesPerMegabit;
-  next_large_answer_at_ = now + from_seconds(static_cast<double>(bytes) / bytes_per_second);
-  return true;
+  return bytes.size() <= call.max_bytes && large_answers_.admit(bytes.size()) ? bytes : "";
 }
 
 void Catalog::apply_configuration(const store::StoredObject& object) {
@@ -180,35 +161,8 @@
   update_active_revision(version, object.revision);
 }
 
-void Catalog::apply_engines(const store::ObjectList& list) {
-  std::vector<EngineRecord> records;
-  for (const store::StoredObject& object : list.objects) {
-    auto record = codec_.engine(object);
-    if (record) {
-      records.push_back(std::move(*record));
-    } else {
-      log_malformed(object, record.error());
-    }
-  }
-  node_.set_engines(records);
-}
-
-void Catalog::apply_engine_change(const store::ObjectChange& change) {
-  if (change.deleted) return node_.remove_engine(change.object.name);
-  const auto record = codec_.engine(change.object);
-  if (!record) {
-    log_malformed(change.object, record.error());
-    return node_.invalidate_engine(change.object.name);
-  }
-  node_.set_engine(*record);
-}
-
 Duration Catalog::configuration_age() const {
   return runtime_.now() - configuration_->confirmed_at();
 }
 
-Duration Catalog::engines_age() const {
-  return runtime_.now() - engines_->confirmed_at();
-}
-
 }  // namespace shuntbank::relay
--- a/src/relay/catalog.hpp
+++ b/src/relay/catalog.hpp
@@ -11,6 +11,8 @@
 #include "core/relay/engine_directory.hpp"
 #include "core/relay/routes.hpp"
 #include "protocol/configuration_message.hpp"
+#include "relay/engine_catalog.hpp"
+#include "relay/link_share.hpp"
 #include "relay/relay_node.hpp"
 #include "relay/relay_settings.hpp"
 #include "store/kind_watch.hpp"
@@ -71,33 +73,27 @@
   /// or the caller should ask another node.
   std::string configuration_for_peer(const ConfigurationCall& call);
 
+  /// @return the engines, which can be taken from other nodes.
+  EngineCatalog& engines() { return *engines_; }
+
   /// @return how long ago the store last confirmed the configuration.
   Duration configuration_age() const;
 
-  /// @return how long ago the store last confirmed the engines.
-  Duration engines_age() const;
-
-  /// @return for how long other nodes have reported an engine change that this node lacks.
-  Duration engines_behind() const { return engines_->behind_for(); }
-
  private:
   void apply_configuration(const store::StoredObject& object);
-  void apply_engines(const store::ObjectList& list);
-  void apply_engine_change(const store::ObjectChange& change);
   void update_timing(const Fleet& fleet);
-  void set_watch_freshness(store::Freshness freshness);
   void update_active_revision(std::uint64_t version, std::uint64_t revision);
   void schedule_peer_fetch(Duration delay);
   void fetch_hinted();
   const ConfigurationSummary& own_summary();
-  bool admit_peer_answer(std::size_t bytes);
 
   Runtime& runtime_;
   const CatalogCodec& codec_;
   RelayNode& node_;
   std::unique_ptr<store::KindWatch> configuration_;
-  std::unique_ptr<store::KindWatch> engines_;
+  std::unique_ptr<EngineCatalog> engines_;
   CatalogSettings settings_;
+  LinkShare large_answers_;
   MonotonicTime started_at_;
   bool is_store_reader_ = false;
   std::uint64_t active_revision_ = 0;     ///< Store revision of the active configuration.
@@ -105,7 +101,6 @@
   Duration peer_fetch_backoff_{};         ///< Delay before the next peer is asked.
   ConfigurationSummary summary_;          ///< Summary of `summarized_version_`.
   std::uint64_t summarized_version_ = 0;  ///< Version of `summary_`; 0: none.
-  MonotonicTime next_large_answer_at_{};  ///< Earliest time of the next large answer to a peer.
   std::function<void()> peer_fetch_;
   std::unique_ptr<Timer> peer_fetch_timer_;
 };
--- a/src/relay/catalog_peers.cpp
+++ b/src/relay/catalog_peers.cpp
@@ -11,8 +11,10 @@
 }  // namespace
 
 CatalogPeers::CatalogPeers(Runtime& runtime, Catalog& catalog, LoadExchange& exchange)
-    : readers_timer(runtime, kReadersCheckInterval,
-                    [&catalog, &exchange] { catalog.set_readers(exchange.store_readers()); }) {
+    : readers_timer(runtime, kReadersCheckInterval, [&catalog, &exchange] {
+        catalog.engines().use_peers(exchange.uses_zones());
+        catalog.set_readers(exchange.store_readers());
+      }) {
   exchange.connect_revisions(
       [&catalog] { return catalog.progress(); },
       [&catalog](const CatalogRevisions& revisions) { catalog.hint(revisions); });
@@ -24,6 +26,13 @@
                                      catalog.apply_peer_configuration(std::move(message));
                                    });
   });
+  EngineCatalog& engines = catalog.engines();
+  exchange.on_engine_list_request(
+      [&engines](const EngineListCall& call) { return engines.answer(call); });
+  engines.set_peer_fetch(
+      [&exchange](const EngineListCall& call, EngineCatalog::UpdateHandler handler) {
+        exchange.request_engine_list(call, std::move(handler));
+      });
 }
 
 }  // namespace shuntbank::relay
--- a/src/relay/load_exchange.cpp
+++ b/src/relay/load_exchange.cpp
@@ -40,6 +40,7 @@
              [this] { update_fleet(); }),
       zones_(runtime, transport, node, peers_, boot_, settings.zones),
       configurations_(runtime, transport, peers_, zones_, settings.configurations),
+      engine_lists_(runtime, transport, peers_, zones_, settings.configurations.first_byte_timeout),
       permits_(transport, peers_, node.permits(), node.quotas(),
                [this] { return live_fraction(); }) {
   node_.streams().connect(transport, peers_);
@@ -162,6 +163,7 @@
 
 std::string LoadExchange::answer(const std::string& call) const {
   if (call == kSnapshotCall) return cache_snapshot();
+  if (is_engine_list_call(call)) return engine_lists_.answer(call);
   return is_configuration_call(call) ? configurations_.answer(call) : "";
 }
 
--- a/src/relay/load_exchange.hpp
+++ b/src/relay/load_exchange.hpp
@@ -14,6 +14,7 @@
 #include "protocol/configuration_message.hpp"
 #include "protocol/load_message.hpp"
 #include "relay/configuration_exchange.hpp"
+#include "relay/engine_list_exchange.hpp"
 #include "relay/exchange_settings.hpp"
 #include "relay/peer_directory.hpp"
 #include "relay/permit_exchange.hpp"
@@ -55,6 +56,20 @@
   void request_configuration(const ConfigurationCall& call,
                              std::function<void(ConfigurationMessage)> handler);
 
+  /// Sets the handler that answers requests for the list of engines; an empty answer means no newer
+  /// changes.
+  void on_engine_list_request(std::function<std::string(const EngineListCall&)> handler) {
+    engine_lists_.on_request(std::move(handler));
+  }
+
+  /// Requests from another node what has changed in the list of engines.
+  void request_engine_list(const EngineListCall& call, EngineListExchange::UpdateHandler handler) {
+    engine_lists_.request(call, std::move(handler));
+  }
+
+  /// @return whether the fleet is so large that nodes exchange by zones rather than directly.
+  bool uses_zones() const { return peers_.peer_count() > settings_.max_direct_peers; }
+
   /// @return the directory of nodes.
   const PeerDirectory& peers() const { return peers_; }
   /// @return the random ID of this process start.
@@ -67,7 +82,6 @@
   const ZoneExchange& zones() const { return zones_; }
 
  private:
-  bool uses_zones() const { return peers_.peer_count() > settings_.max_direct_peers; }
   void schedule_flush();
   Duration flush_delay() const;
   std::size_t rank() const;
@@ -94,6 +108,7 @@
   PeerDirectory peers_;
   ZoneExchange zones_;
   ConfigurationExchange configurations_;
+  EngineListExchange engine_lists_;
   PermitExchange permits_;
   /// The last message that a peer sent to this node directly.
   struct PeerState {
--- a/src/relay/relay_process.cpp
+++ b/src/relay/relay_process.cpp
@@ -237,8 +237,8 @@
     metrics.set_gauge("engine_silence_seconds",
                       to_seconds(reachability.since_last_answer(runtime_.now())));
     metrics.set_gauge("configuration_age_seconds", to_seconds(catalog_.configuration_age()));
-    metrics.set_gauge("engines_age_seconds", to_seconds(catalog_.engines_age()));
-    metrics.set_gauge("engines_behind_seconds", to_seconds(catalog_.engines_behind()));
+    metrics.set_gauge("engines_age_seconds", to_seconds(catalog_.engines().age()));
+    metrics.set_gauge("engines_behind_seconds", to_seconds(catalog_.engines().behind()));
     metrics.set_gauge("tunnels_opened", static_cast<double>(http_.stats().tunnels_opened));
     if (tunnels_) {
       metrics.set_gauge("tunnels_served", static_cast<double>(tunnels_->stats().opened));
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -65,6 +65,27 @@
   /// 20 nodes in four or five rounds, which must fit into the time until it has to be active.
   Duration initial_peer_fetch_backoff = std::chrono::milliseconds(100);
   Duration max_peer_fetch_backoff = std::chrono::milliseconds(700);
+  /// Least time between two requests to peers for changed engines.
+  Duration engine_fetch_interval = std::chrono::milliseconds(300);
+  /// Requests of nodes that get a hint at the same time are spread over this time.
+  Duration peer_fetch_spread = std::chrono::milliseconds(50);
+  /// Delay of such a request at a node that watches the store itself.
+  Duration watching_fetch_delay = std::chrono::milliseconds(300);
+  /// A node without a list of engines reads it from the store after this long and the time per node
+  /// for each one that ranks before it, so that the store's link carries one list after another:
+  /// 10,000 engines are about 3.5 MB, 28 ms at 1,000 Mbit/s.
+  Duration peer_list_timeout = std::chrono::seconds(5);
+  Duration peer_list_timeout_per_node = std::chrono::milliseconds(30);
+  /// A node watches the store itself if it lacks a change, and its peers have given it nothing, for
+  /// this long and the time per node for each one that ranks before it.
+  Duration peer_change_timeout = std::chrono::seconds(2);
+  /// The same if the store has not confirmed its state to any reader for this long.
+  Duration peer_reader_timeout = std::chrono::milliseconds(2500);
+  Duration peer_timeout_per_node = std::chrono::milliseconds(1);
+  /// For how long it does so at least. Longer than a change takes to be given.
+  Duration fallback_time = std::chrono::seconds(10);
+  /// Longest wait of a reader's watch where other nodes depend on it for their engines.
+  Duration reader_wait = std::chrono::seconds(1);
   /// Size limit of a peer's answer, in bytes, while the store's is being received: enough for a
   /// change of some routes (about 5 KB), but not for a whole configuration (about 230 KB with 1,450
   /// routes).
--- a/src/store/kind_watch.cpp
+++ b/src/store/kind_watch.cpp
@@ -77,7 +77,7 @@
 
   void hint(std::uint64_t revision) {
     lag_.on_hint(runtime_.now(), revision);
-    if (hint_timer_ || !listed_ || !behind_hint()) return;
+    if (suspended_ || hint_timer_ || !listed_ || !behind_hint()) return;
     if (call_kind_ == CallKind::kWatch) return start_hint_timer();
     // A list in flight returns the newer state anyway.
     if (call_kind_ == CallKind::kNone && lost) expedite_retry();
@@ -110,7 +110,37 @@
                {"answer_age_ms", whole_ms(runtime_.now() - confirmed_at)}});
   }
 
+  std::uint64_t newest_hint() const { return lag_.newest(); }
+
+  void adopt(std::uint64_t revision, std::uint64_t newest) {
+    newest_change = std::max(newest_change, newest);
+    if (listed_ && revision <= revision_) return;
+    const bool was_listed = std::exchange(listed_, true);
+    unconfirmed_list_.reset();
+    update_revision(revision);
+    if (call_kind_ == CallKind::kNone || (was_listed && behind_hint())) return;
+    // The call in flight would return known state.
+    cancel_call();
+    schedule(settings_.batch_delay, [](Impl& self) { self.start_next_call(); });
+  }
+
+  void suspend() {
+    if (std::exchange(suspended_, true)) return;
+    // A list that was not confirmed has not been applied.
+    if (std::exchange(unconfirmed_list_, std::nullopt)) listed_ = false;
+    if (call_kind_ != CallKind::kNone) cancel_call();
+    timer_.reset();
+    hint_timer_.reset();
+  }
+
+  void resume() {
+    if (std::exchange(suspended_, false)) start_next_call();
+  }
+
+  bool suspended() const { return suspended_; }
+
   const char* activity() const {
+    if (suspended_) return "suspended";
     if (call_kind_ == CallKind::kNone) return "pause";
     return call_kind_ == CallKind::kList ? "list" : "watch";
   }
@@ -210,6 +240,11 @@
                {"revision", revision_},
                {"transfer_ms", whole_ms(list.transfer_time)}});
     handlers_.on_list(list);
+    report_revision();
+  }
+
+  void report_revision() const {
+    if (handlers_.on_revision) handlers_.on_revision(revision_);
   }
 
   void watch() { watch(freshness_); }
@@ -281,6 +316,7 @@
       handlers_.on_change(change);
     }
     update_revision(batch->revision);
+    report_revision();
     if (behind_hint()) log_behind_hint(batch->changes.size());
     if (batch->changes.empty()) return start_next_call();
     // More than one change per batch: probably there are more by now.
@@ -368,6 +404,7 @@
   bool falling_behind_ = false;      ///< Changes arrive faster than they are read.
   bool retry_expedited_ = false;     ///< A hint has cut the backoff short.
   bool listed_ = false;
+  bool suspended_ = false;
   bool stopped_ = false;
 };
 
@@ -434,6 +471,26 @@
   impl_->report_lag();
 }
 
+std::uint64_t KindWatch::newest_hint() const {
+  return impl_->newest_hint();
+}
+
+void KindWatch::adopt(std::uint64_t revision, std::uint64_t newest_change) {
+  impl_->adopt(revision, newest_change);
+}
+
+void KindWatch::suspend() {
+  impl_->suspend();
+}
+
+void KindWatch::resume() {
+  impl_->resume();
+}
+
+bool KindWatch::suspended() const {
+  return impl_->suspended();
+}
+
 const char* KindWatch::activity() const {
   return impl_->activity();
 }
--- a/src/store/kind_watch.hpp
+++ b/src/store/kind_watch.hpp
@@ -47,6 +47,8 @@
 struct KindWatchHandlers {
   std::function<void(const ObjectList&)> on_list;  ///< Complete state; replaces the previous one.
   std::function<void(const ObjectChange&)> on_change;  ///< In store order.
+  /// Follows the other two: all changes up to this revision have been passed on.
+  std::function<void(std::uint64_t revision)> on_revision = nullptr;
 };
 
 /// Watches one kind until it is destroyed, and retries with backoff while the store fails.
@@ -92,17 +94,32 @@
   /// Reports that the state at `revision` came from elsewhere; earlier changes are not requested.
   void advance(std::uint64_t revision);
 
+  /// Reports that the complete state at `revision` came from elsewhere, so that no list is needed.
+  /// @param newest_change revision of its last change.
+  void adopt(std::uint64_t revision, std::uint64_t newest_change);
+
+  /// Makes no calls until `resume`, and cancels the one in flight.
+  void suspend();
+
+  /// Continues from the known state.
+  void resume();
+
+  bool suspended() const;
+
   /// @return whether an answer has been received in part.
   bool receiving() const;
 
   /// @return for how long a change has been hinted that this watch lacks; zero if none.
   Duration behind_for() const;
 
+  /// @return the newest revision that was hinted; 0: none.
+  std::uint64_t newest_hint() const;
+
   /// Logs how far this watch is behind, once a hinted change is missing for a second, and again
   /// after twice the time. Called regularly.
   void report_lag();
 
-  /// @return what the watch is doing, for logs: `list`, `watch` or `pause`.
+  /// @return what the watch is doing, for logs: `list`, `watch`, `pause` or `suspended`.
   const char* activity() const;
 
  private:
--- a/tests/relay/support/catalog_fleet.hpp
+++ b/tests/relay/support/catalog_fleet.hpp
@@ -79,6 +79,12 @@
     return found;
   }
 
+  /// @return a node that is no reader.
+  std::size_t follower() const {
+    const std::vector<std::size_t> found = this->readers();
+    return ExchangingFleet::first_except({found.begin(), found.end()});
+  }
+
   /// Ends a node's process.
   void kill(std::size_t node) {
     this->peers[node].reset();
--- a/tests/relay/support/exchanging_fleet.cpp
+++ b/tests/relay/support/exchanging_fleet.cpp
@@ -20,6 +20,7 @@
   const auto end = this->network.nodes.find(to);
   if (end == this->network.nodes.end() || !this->network.connected(this->address, to))
     return handler(tl::make_unexpected(std::string("silent")));
+  if (this->network.knows_call && !this->network.knows_call(text)) return handler(std::string());
   end->second->call_handler(std::move(text), [&](std::string answer) { handler(answer); });
 }
 
--- a/tests/relay/support/exchanging_fleet.hpp
+++ b/tests/relay/support/exchanging_fleet.hpp
@@ -2,10 +2,12 @@
 /// Relay nodes that exchange load reports over an in-memory network.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -53,6 +55,8 @@
   std::map<std::string, MockTransport*> nodes;
   std::set<std::string> cut_off;  ///< Addresses that only reach each other.
   int cross_zone_messages = 0;
+  /// @return whether a node's program knows the call; null: all do.
+  std::function<bool(std::string_view call)> knows_call;
 };
 
 /// Relay nodes that share a clock, a store and a network.
--- a/tests/store/kind_watch_test.cpp
+++ b/tests/store/kind_watch_test.cpp
@@ -274,3 +274,50 @@
   cr_assert_eq(fixture.names.size(), 50);
   cr_assert_eq(fixture.store.latest_calls, 0);
 }
+
+Test(kind_watch, makes_no_calls_while_suspended) {
+  WatchFixture fixture;
+  fixture.store.put("k", "a", {});
+  fixture.start();
+  fixture.runtime.advance(1ms);
+  fixture.watch->suspend();
+  const int before = fixture.store.watches + fixture.store.lists;
+  fixture.store.put("k", "b", {});
+  fixture.watch->hint(fixture.store.revision());
+  fixture.runtime.advance(20s);
+  cr_assert_eq(fixture.store.watches + fixture.store.lists, before);
+  cr_assert_eq(fixture.watch->behind_for(), 20s);
+  fixture.watch->resume();
+  fixture.runtime.advance(1ms);
+  cr_assert_eq(fixture.names, (std::set<std::string>{"a", "b"}));
+  cr_assert_eq(fixture.watch->behind_for(), 0s);
+}
+
+Test(kind_watch, continues_after_a_state_from_elsewhere_without_a_list) {
+  WatchFixture fixture;
+  fixture.store.put("k", "a", {});
+  fixture.store.down = true;
+  fixture.start();
+  fixture.runtime.advance(1s);
+  fixture.watch->adopt(fixture.store.revision(), fixture.store.revision());
+  cr_assert_eq(fixture.watch->newest_change(), fixture.store.revision());
+  fixture.store.down = false;
+  fixture.store.put("k", "b", {});
+  const int lists = fixture.store.lists;
+  fixture.runtime.advance(2s);
+  cr_assert_eq(fixture.names, (std::set<std::string>{"b"}), "only what has changed since");
+  cr_assert_eq(fixture.store.lists, lists);
+}
+
+Test(kind_watch, lists_again_after_a_list_that_was_suspended_before_its_confirmation) {
+  WatchFixture fixture;
+  fixture.store.put("k", "a", {});
+  fixture.settings.freshness = store::Freshness::kMayLag;
+  fixture.start();
+  fixture.watch->suspend();
+  fixture.runtime.advance(1s);
+  cr_assert(fixture.names.empty());
+  fixture.watch->resume();
+  fixture.runtime.advance(1s);
+  cr_assert_eq(fixture.names, (std::set<std::string>{"a"}));
+}
