Set a new store reader's wait before its first calls

A node that became a reader began its first call for the latest state with the wait of its former role, up to 14 s at 985 nodes, and set the wait of a reader after it. Until that call returned no state counted as confirmed. Before the change that only delayed the report; now other nodes depend on it.

engine_list_fleet/relies_on_the_readers_from_the_start failed before ("after 4400 ms") and passes.

--- a/src/relay/catalog.cpp
+++ b/src/relay/catalog.cpp
@@ -67,13 +67,14 @@
 }
 
 void Catalog::set_readers(const StoreReaders& readers) {
+  // The calls that a new reader begins wait as long as a reader's.
+  if (std::exchange(is_store_reader_, readers.self) != readers.self) update_timing(node_.fleet());
   // A starting node assumes that there are readers until it could have received their reports.
   const MonotonicTime confirmed_at = std::max(readers.confirmed_at, started_at_);
   const bool other_readers_active = runtime_.now() - confirmed_at <= settings_.reader_timeout;
   configuration_->set_freshness(readers.self || !other_readers_active ? store::Freshness::kLatest
                                                                       : store::Freshness::kMayLag);
   engines_->set_readers(readers);
-  if (std::exchange(is_store_reader_, readers.self) != readers.self) update_timing(node_.fleet());
 }
 
 void Catalog::hint(const CatalogRevisions& revisions) {
--- a/tests/protocol/earlier_messages_test.cpp
+++ b/tests/protocol/earlier_messages_test.cpp
@@ -1,9 +1,11 @@
 // Guards compatibility during rolling upgrades. These bytes were encoded before engine limits
-// existed; the current version must decode them and may only add what earlier versions ignore.
+// existed, those of engine lists by their first version; the current version must decode them and
+// may only add what earlier versions ignore.
 #include <criterion/criterion.h>
 
 #include <nlohmann/json.hpp>
 
+#include "protocol/engine_list_message.hpp"
 #include "protocol/load_digest.hpp"
 #include "protocol/load_message.hpp"
 #include "protocol/usage_message.hpp"
@@ -25,6 +27,11 @@
     "9604000005001e921516cd0190";
 constexpr const char* kUsageCallHex = "5593a26e3107ce0001e240";
 constexpr const char* kUsageCountsHex = "569aa26e310702cd03e8cd03846403000192a1740c";
+constexpr const char* kEngineListCallHex = "656e67696e65733f81a56b6e6f776eccc8";
+constexpr const char* kEngineListHex =
+    "86a76368616e676564929ba3692d31c0c0cd03e800ae31302e312e36342e393a38303830014001020291a3692d32"
+    "a8636f6d706c657465c2a66e6577657374cd0122a772656d6f76656491a3692d33a87265766973696f6ecd012ca5"
+    "776f72647393a16da17aa27631";
 constexpr const char* kSnapshotHex = "81a46b6570749192a2653191920bcd0384";
 
 std::string from_hexadecimal(std::string_view text) {
@@ -230,3 +237,24 @@
   lists[7][0][0].erase(3);
   cr_assert(lists == parsed(from_hexadecimal(kDigestHex)));
 }
+
+Test(earlier_messages, engine_lists_are_decoded_and_encoded_as_before) {
+  const std::string call = from_hexadecimal(kEngineListCallHex);
+  cr_assert(is_engine_list_call(call));
+  cr_assert_eq(decode_engine_list_call(call)->known_revision, 200);
+  const std::string bytes = from_hexadecimal(kEngineListHex);
+  const auto update = decode_engine_list(bytes);
+  cr_assert(update.has_value());
+  cr_assert_eq(update->revision, 300);
+  cr_assert_eq(update->newest_change, 290);
+  cr_assert_not(update->complete);
+  cr_assert_eq(update->changed.size(), 2);
+  const relay::EngineRecord& record = *update->changed.front().record;
+  cr_assert_eq(record.id, relay::incarnation_id("i-1", 1000));
+  cr_assert_eq(record.address, "10.1.64.9:8080");
+  cr_assert(record.draining);
+  cr_assert_eq(record.stage, relay::EngineStage::kDecode);
+  cr_assert_not(update->changed.back().record.has_value());
+  cr_assert_eq(update->removed, std::vector<std::string>{"i-3"});
+  cr_assert_eq(encode(*update), bytes);
+}
--- a/tests/relay/engine_list_fleet_test.cpp
+++ b/tests/relay/engine_list_fleet_test.cpp
@@ -179,3 +179,15 @@
     cr_assert_eq(fleet.nodes_using(engine), 0, "engine %zu", engine);
   }
 }
+
+// Guards against a fleet that takes its readers for silent while their first calls wait for
+// changes.
+Test(engine_list_fleet, relies_on_the_readers_from_the_start) {
+  CatalogFleet fleet(kFastStore);
+  fleet.advance(4s);
+  for (int i = 0; i < 100; ++i) {
+    fleet.advance(100ms);
+    const std::size_t follower = fleet.follower();
+    cr_assert_not(fleet.catalogs[follower]->engines().watching(), "after %d ms", 4000 + 100 * i);
+  }
+}
