--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -11,6 +11,10 @@
 constexpr double kExtraShare = 0.03;  ///< Of an engine's answers, sent once more, late.
 constexpr long kStepMs = 4;           ///< Between two events of a stream.
 
+/// The doses are those of the site file and its standard days: handles lapse at two of five servers
+/// for 4 s at a time, three of five send answers too many for 5 s at a time.
+constexpr int kPrefillEngines = 3;
+constexpr int kEngines = 5;
 std::atomic<bool> handles_lapse{false};
 std::atomic<bool> garbles{false};
 
@@ -30,6 +34,8 @@
 
 struct Engine {
   std::string id, zone, stage;
+  bool lapses = false;  ///< Its handles lapse while `handles_lapse`.
+  bool faulty = false;  ///< It sends answers too many while `garbles`.
   Store* store = nullptr;
   std::unique_ptr<Server> server;
   std::mutex mutex;
@@ -100,7 +106,7 @@
       record("extra     answer of " + engine.id + ", late");
       if (!send_all(fd, std::exchange(extra, {}))) return false;
     }
-    if (garbles && random_share() < kExtraShare) extra = text;
+    if (garbles && engine.faulty && random_share() < kExtraShare) extra = text;
     return send_all(fd, text);
   };
   for (Message request; reader.head(request, Clock::now() + std::chrono::hours(1));) {
@@ -180,7 +186,7 @@
         std::lock_guard<std::mutex> lock(from->mutex);
         there = from->handles.erase(source.substr(slash + 1)) > 0;
       }
-      if (!there || handles_lapse) {
+      if (!there || (from->lapses && handles_lapse)) {
         record("gone      handle of " + id + " at " + engine.id);
         if (!refuse(503)) return;
         continue;
@@ -217,7 +223,7 @@
     --engine.running;
     whole += chunk("");
     if (!sent || !send_all(fd, chunk(""))) return;
-    if (garbles && random_share() < kExtraShare) extra = whole;
+    if (garbles && engine.faulty && random_share() < kExtraShare) extra = whole;
   }
 }
 
@@ -250,12 +256,14 @@
   record_file.open(std::string(std::getenv("CASE")) + "/record.txt", std::ios::trunc);
   const std::string folder = make_folder();
   static Store store;
-  for (int i = 0; i < 4; ++i) {
+  for (int i = 0; i < kEngines; ++i) {
     engines.push_back(std::make_unique<Engine>());
     Engine& engine = *engines.back();
     engine.id = "i-7f3a91c" + std::to_string(i);
     engine.zone = i % 2 == 0 ? "z1" : "z2";
-    engine.stage = i < 2 ? "prefill" : "decode";
+    engine.stage = i < kPrefillEngines ? "prefill" : "decode";
+    engine.lapses = i < 2;
+    engine.faulty = i >= kEngines - 3;
     engine.store = &store;
     engine.server = std::make_unique<Server>(
         "127.0.0.1", [&engine](int fd, Reader& reader) { serve_engine(engine, fd, reader); });
@@ -289,7 +297,7 @@
 
   std::mutex tries_mutex;
   std::map<std::string, Seen> tries;
-  const long until = now_ms() + 50000;
+  const long until = now_ms() + 80000;
   const long from = now_ms() + 8000;
   std::vector<std::thread> clients;
   for (int c = 0; c < 9; ++c) {
@@ -315,13 +323,24 @@
       }
     });
   }
+  std::thread lapsing, garbling;
   if (trouble()) {
     sleep_ms(from - now_ms());
-    record("trouble   handles lapse, and engines send answers too many");
-    handles_lapse = true;
-    garbles = true;
+    const auto in_turns = [until](std::atomic<bool>& flag, long on_ms, const char* what) {
+      while (now_ms() < until) {
+        record(std::string("trouble   ") + what);
+        flag = true;
+        sleep_ms(on_ms);
+        flag = false;
+        sleep_ms(1000);
+      }
+    };
+    lapsing = std::thread([&] { in_turns(handles_lapse, 4000, "handles lapse at once, for 4 s"); });
+    garbling = std::thread([&] { in_turns(garbles, 5000, "engines send answers too many, for 5 s"); });
   }
   for (std::thread& client : clients) client.join();
+  if (lapsing.joinable()) lapsing.join();
+  if (garbling.joinable()) garbling.join();
   sleep_ms(1500);
 
   long twice = 0, refused = 0, served = 0;
