Send a request again on a connection that has not carried it

Cause: an engine that refuses a lapsed handle gets the request again without it, under the same id. The pool handed out its newest idle connection, the one on which the refusal had come. A late second copy of the refusal names the same request, so it passed for the answer to the second send.

Ruled out: a refusal by another engine or for another request (ids are compared), and sends that the node repeats by itself (each is logged).

Now a request states the id that its answer names, and the pool gives it no connection that has carried the same one, so that connection and id together tell which send an answer belongs to. A connection closes after 1,000 requests, which bounds the ids that it remembers.

--- a/src/net/http1_client.cpp
+++ b/src/net/http1_client.cpp
@@ -1,5 +1,6 @@
 #include "net/http1_client.hpp"
 
+#include <algorithm>
 #include <array>
 #include <asio/buffer.hpp>
 #include <asio/ip/tcp.hpp>
@@ -12,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "common/hash.hpp"
 #include "net/address.hpp"
 #include "net/connect_delay.hpp"
 #include "net/dead_peer.hpp"
@@ -27,6 +29,10 @@
 /// Idle connections close this long before the peer's timeout; a shorter one prevents reuse.
 constexpr Duration kKeepAliveMargin = std::chrono::milliseconds(500);
 
+/// Requests with an answer id that a connection carries before it is closed. Bounds the ids that it
+/// remembers.
+constexpr std::size_t kMaxAnswerIds = 1000;
+
 struct Target {
   std::string address;
   std::string path;
@@ -84,6 +90,7 @@
   TransferId start(OutgoingRequest request, TransferHandlers handlers);
   void cancel(TransferId id);
   void resume(TransferId id);
+  std::shared_ptr<Connection> take_idle(const std::string& key, const OutgoingRequest& request);
   void add_idle(const std::shared_ptr<Connection>& connection);
   void remove_idle(const Connection* connection);
   void close_idle_connections(const std::string& address);
@@ -112,8 +119,17 @@
 
   const std::string& key() const { return key_; }
 
+  /// @return whether an answer to a request that was sent here could name `request`.
+  bool has_carried_id_of(const OutgoingRequest& request) const {
+    if (!request.answer_id) return false;
+    const auto& ids = answer_id_hashes_;
+    return std::find(ids.begin(), ids.end(), hash64(*request.answer_id)) != ids.end();
+  }
+
   void begin(std::unique_ptr<Exchange> exchange) {
     exchange_ = std::move(exchange);
+    const auto& answer_id = exchange_->request.answer_id;
+    if (answer_id) answer_id_hashes_.push_back(hash64(*answer_id));
     answer_complete_ = false;
     parser_.set_without_body(exchange_->request.method == "HEAD");
     started_at_ = monotonic_now();
@@ -384,8 +400,8 @@
     timer_.cancel();
     ++timer_generation_;
     const bool tunnel_closing = tunnel_ && (tunnel_->closing() || tunnel_->ended());
-    const bool not_reusable =
-        !exchange->written || exchange->request.fresh_connection || tunnel_closing;
+    const bool not_reusable = !exchange->written || exchange->request.fresh_connection ||
+                              tunnel_closing || answer_id_hashes_.size() >= kMaxAnswerIds;
     if (keep_alive_ && !not_reusable && idle_timeout_ > kKeepAliveMargin) {
       return_to_pool();
     } else {
@@ -449,7 +465,8 @@
   std::string unparsed_;           ///< Received, not yet parsed.
   std::string undelivered_piece_;  ///< Parsed, but refused by `on_data` until `resume`.
   std::unique_ptr<Exchange> exchange_;
-  std::optional<TunnelDecoder> tunnel_;  ///< Set if another node relays the connection.
+  std::vector<std::uint64_t> answer_id_hashes_;  ///< Of the requests sent here.
+  std::optional<TunnelDecoder> tunnel_;          ///< Set if another node relays the connection.
   std::array<unsigned char, 1> tunnel_status_{};
   Duration idle_timeout_{};
   bool connected_ = false;
@@ -469,11 +486,9 @@
   const bool fresh = request.fresh_connection;
   exchange->request = std::move(request);
   exchange->handlers = std::move(handlers);
-  auto& idle_connections = idle[key];
   std::shared_ptr<Connection> connection;
-  if (!fresh && !idle_connections.empty()) {
-    connection = idle_connections.back();
-    idle_connections.pop_back();
+  if (!fresh) connection = take_idle(key, exchange->request);
+  if (connection) {
     ++stats.reused;
   } else {
     connection = std::make_shared<Connection>(shared_from_this(), key);
@@ -500,6 +515,21 @@
   });
 }
 
+/// @return the newest idle connection that the request can use; null: none.
+std::shared_ptr<PooledHttpClient::Connection> PooledHttpClient::Impl::take_idle(
+    const std::string& key, const OutgoingRequest& request) {
+  const auto found = idle.find(key);
+  if (found == idle.end()) return nullptr;
+  auto& connections = found->second;
+  const auto newest = std::find_if(
+      connections.rbegin(), connections.rend(),
+      [&request](const auto& candidate) { return !candidate->has_carried_id_of(request); });
+  if (newest == connections.rend()) return nullptr;
+  const auto connection = *newest;
+  connections.erase(std::next(newest).base());
+  return connection;
+}
+
 void PooledHttpClient::Impl::add_idle(const std::shared_ptr<Connection>& connection) {
   auto& idle_connections = idle[connection->key()];
   idle_connections.push_back(connection);
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -46,6 +46,11 @@
   /// Returns whether an answer belongs to this request; one that does not is read and discarded.
   /// If unset, every answer is accepted. Only supported by `PooledHttpClient`.
   std::function<bool(int status, const HttpHeaders& headers)> accepts_answer;
+  /// What an answer to this request names, so that `accepts_answer` can tell it from answers to
+  /// other requests; may be empty. Requests with the same value never share a connection, as a late
+  /// second answer to the earlier one would pass for an answer to the later one. If unset, the
+  /// request may use any connection. Only supported by `PooledHttpClient`.
+  std::optional<std::string> answer_id;
   /// Called after a new connection is established, right before the first byte is sent: returns
   /// whether to send the request at all. If unset, it is sent. Only supported by
   /// `PooledHttpClient`.
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -219,6 +219,7 @@
     const auto self = weak.lock();
     return !self || self->is_own_answer(headers);
   };
+  outgoing.answer_id = id_;
   return outgoing;
 }
 
--- a/tests/net/http1_edges_test.cpp
+++ b/tests/net/http1_edges_test.cpp
@@ -170,6 +170,7 @@
   request.accepts_answer = [id](int, const HttpHeaders& headers) {
     return headers.get("id") == id;
   };
+  request.answer_id = id;
   return request;
 }
 
@@ -366,6 +367,35 @@
   cr_assert_eq(peer.accepted, 2);
 }
 
+// Guards against a late second answer to a request that passes for the answer to its next send.
+Test(http1_client, sends_a_request_again_on_another_connection) {
+  asio::io_context loop;
+  ScriptedPeer peer(loop, {{{sized_response("1", "one")},
+                            {sized_response("2", "two")},
+                            {sized_response("1", "one") + sized_response("1", "never received")}},
+                           {{sized_response("1", "again")}, {sized_response("3", "three")}}});
+  PooledHttpClient client(loop, {});
+  cr_assert_eq(fetch(loop, client, make_request(peer.url(), "1")).body, "one");
+  cr_assert_eq(fetch(loop, client, make_request(peer.url(), "2")).body, "two");
+  cr_assert_eq(fetch(loop, client, make_request(peer.url(), "1")).body, "again");
+  cr_assert_eq(fetch(loop, client, make_request(peer.url(), "3")).body, "three");
+  cr_assert_eq(peer.accepted, 2, "both connections remain in use for other requests");
+}
+
+// Guards against memory that grows with the requests that a connection has carried.
+Test(http1_client, closes_a_connection_after_many_requests) {
+  constexpr int kRequests = 1001;
+  asio::io_context loop;
+  std::vector<ScriptedPeer::Step> steps;
+  for (int i = 0; i < kRequests; ++i) steps.push_back({sized_response(std::to_string(i), "")});
+  ScriptedPeer peer(loop, {steps, {steps.back()}});
+  PooledHttpClient client(loop, {});
+  for (int i = 0; i < kRequests; ++i) {
+    cr_assert_eq(fetch(loop, client, make_request(peer.url(), std::to_string(i))).status, 200);
+  }
+  cr_assert_eq(peer.accepted, 2);
+}
+
 Test(http1_client, accepts_body_until_close_but_not_broken_connection) {
   asio::io_context loop;
   const std::string unframed = "HTTP/1.1 200 OK\r\nid: 1\r\n\r\nall of it";
--- a/tests/relay/relay_session_test.cpp
+++ b/tests/relay/relay_session_test.cpp
@@ -115,9 +115,10 @@
   RelayFixture site;
   site.add_engine("e1", "plain");
   site.request("/once/a");
-  const auto& belongs = site.http.at(0).request.accepts_answer;
-  cr_assert(belongs(200, RelayFixture::sealed_headers("r1")));
-  cr_assert_not(belongs(200, RelayFixture::sealed_headers("r0")));
+  const OutgoingRequest& sent = site.http.at(0).request;
+  cr_assert(sent.accepts_answer(200, RelayFixture::sealed_headers("r1")));
+  cr_assert_not(sent.accepts_answer(200, RelayFixture::sealed_headers("r0")));
+  cr_assert_eq(sent.answer_id, std::optional<std::string>("r1"));
 }
 
 Test(relay_session, cancels_at_once_when_the_caller_disconnects) {
