Close a connection that has bytes behind a complete answer

A request that is started as soon as an answer ends may go out on the same connection. Bytes that had arrived behind that answer, such as a second one, were then parsed as the answer to it, before a byte of it was sent. A check for them came one turn of the loop later, too late for such a request.

The answer is now reported after the parser has returned, when it is known whether bytes are left, and a connection that has any is closed.

Failing before ("got surplus"), passing now: http1_client/sends_nothing_on_a_connection_with_surplus_bytes.

--- a/src/net/http1_client.cpp
+++ b/src/net/http1_client.cpp
@@ -342,7 +342,7 @@
   }
 
   void parse() {
-    while (!closed_ && !paused_ && exchange_ && !unparsed_.empty()) {
+    while (!closed_ && !paused_ && exchange_ && !answer_complete_ && !unparsed_.empty()) {
       const std::string bytes = std::exchange(unparsed_, {});
       const std::size_t consumed = parser_.feed(bytes);
       if (closed_) return;
@@ -350,7 +350,7 @@
       if (parser_.failure() != HttpParseFailure::kNone) return fail("the answer is no HTTP");
       if (consumed == 0) break;
     }
-    if (exchange_ && answer_complete_) complete();
+    if (!closed_ && exchange_ && answer_complete_) complete();
   }
 
   void on_head(const HttpHead& head) {
@@ -388,7 +388,6 @@
       return;
     }
     answer_complete_ = true;
-    complete();
   }
 
   /// Returns the connection to the pool or closes it, then reports the complete answer.
@@ -400,8 +399,12 @@
     timer_.cancel();
     ++timer_generation_;
     const bool tunnel_closing = tunnel_ && (tunnel_->closing() || tunnel_->ended());
+    // They would be taken for the beginning of the next answer.
+    const bool surplus_bytes = !unparsed_.empty();
+    if (surplus_bytes) ++client_->stats.surplus_answers;
     const bool not_reusable = !exchange->written || exchange->request.fresh_connection ||
-                              tunnel_closing || answer_id_hashes_.size() >= kMaxAnswerIds;
+                              tunnel_closing || surplus_bytes ||
+                              answer_id_hashes_.size() >= kMaxAnswerIds;
     if (keep_alive_ && !not_reusable && idle_timeout_ > kKeepAliveMargin) {
       return_to_pool();
     } else {
@@ -413,15 +416,8 @@
   void return_to_pool() {
     arm_timer(idle_timeout_ - kKeepAliveMargin, "");
     client_->add_idle(shared_from_this());
-    // Checks for bytes after the answer once the current handler has returned.
-    asio::post(client_->loop, [self = shared_from_this()] {
-      if (self->closed_ || self->exchange_) return;
-      if (!self->unparsed_.empty()) {
-        ++self->client_->stats.surplus_answers;
-        return self->close();
-      }
-      self->read();
-    });
+    // The current handler may be about to read.
+    asio::post(client_->loop, [self = shared_from_this()] { self->read(); });
   }
 
   /// Handles the end of the connection or a read error.
@@ -429,7 +425,7 @@
     if (!exchange_) return close();
     const bool tunnel_broken = tunnel_ && !tunnel_->ended();
     const bool clean = error == asio::error::eof && !tunnel_broken;
-    if (clean && !skipping_ && parser_.inside_message() && parser_.feed_end()) return;
+    if (clean && !skipping_ && parser_.inside_message() && parser_.feed_end()) return complete();
     if (closed_ || !exchange_) return;
     fail(clean ? "the peer closed the connection" : error.message());
   }
@@ -475,7 +471,7 @@
   bool paused_ = false;
   bool keep_alive_ = false;
   bool skipping_ = false;         ///< Inside an interim answer or one to another request.
-  bool answer_complete_ = false;  ///< The answer ended while delivery was paused.
+  bool answer_complete_ = false;  ///< The answer has ended, and is to be reported.
 };
 
 TransferId PooledHttpClient::Impl::start(OutgoingRequest request, TransferHandlers handlers) {
--- a/tests/net/http1_edges_test.cpp
+++ b/tests/net/http1_edges_test.cpp
@@ -382,6 +382,27 @@
   cr_assert_eq(peer.accepted, 2, "both connections remain in use for other requests");
 }
 
+// Guards against bytes after an answer that pass for the answer to a request that is sent at once.
+Test(http1_client, sends_nothing_on_a_connection_with_surplus_bytes) {
+  asio::io_context loop;
+  ScriptedPeer peer(loop, {{{sized_response("1", "one") + sized_response("", "surplus")}},
+                           {{sized_response("2", "two")}}});
+  PooledHttpClient client(loop, {});
+  const auto request = [&peer] {
+    OutgoingRequest call;
+    call.url = peer.url();
+    return call;
+  };
+  std::string body;
+  client.fetch(request(), [&](const auto&) {
+    client.fetch(request(), [&](const tl::expected<HttpReply, TransferError>& reply) {
+      body = reply ? reply->body : "failed";
+    });
+  });
+  while (body.empty()) loop.run_one();
+  cr_assert_eq(body, "two", "got %s", body.c_str());
+}
+
 // Guards against memory that grows with the requests that a connection has carried.
 Test(http1_client, closes_a_connection_after_many_requests) {
   constexpr int kRequests = 1001;
