Take an answer that names no request for an uncertain one

What callers see: an engine may send bytes after a whole answer. If these look like a refusal without a request id, a request that can't be repeated ran twice, or got 503 though it ran.

Cause: of answers without an id a session distrusted all but refusals, though engines name the request in each answer and docs/design/0007 says that a refusal without one counts as uncertain. What such a head says of load, notices and the engine being alive was believed as well, before the answer was judged.

Now any answer without the id ends the attempt as uncertain, its connection is closed, and nothing is learned from it.

Failing before, passing now: relay_session/takes_a_refusal_without_id_for_an_ uncertain_answer, .../learns_nothing_from_an_answer_without_id.

--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -85,6 +85,7 @@
   // The engine's answer.
   bool is_own_answer(const HttpHeaders& headers) const;
   void on_headers(int status, const HttpHeaders& headers);
+  void on_unnamed_answer();
   bool on_data(std::string_view piece);
   void on_event(const RawEvent& event);
   void on_done(const tl::expected<void, TransferError>& result);
--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -31,6 +31,8 @@
 }
 
 void RelaySession::on_headers(int status, const HttpHeaders& headers) {
+  const HeaderNames& names = context_.dialect.names();
+  if (headers.get(names.request_id) != id_) return on_unnamed_answer();
   status_ = status;
   headers_ = headers;
   const MonotonicTime now = context_.runtime.now();
@@ -53,12 +55,9 @@
     }
   }
   refused_ = context_.dialect.is_refusal(status, headers);
-  const HeaderNames& names = context_.dialect.names();
-  const bool echoed = headers.get(names.request_id) == id_;
-  if (!echoed && !refused_) answer_invalid_ = true;
   const bool sealed = !headers.get(names.seal).empty();
   if (step_ != Step::kPrefill && is_success(status) && !sealed) answer_invalid_ = true;
-  // A 421 comes from another engine, and an answer that does not echo the id is not trusted.
+  // A 421 comes from another engine.
   if (!answer_invalid_ && status != http_status::kMisdirected) {
     context_.listener.on_response_head(engine_, status, headers, id_);
   }
@@ -67,6 +66,17 @@
   if (!streaming_ && !refused_) report_started();
 }
 
+/// Engines name the request in each answer. Other bytes say nothing about the request, which may
+/// still run, nor about the engine's state.
+void RelaySession::on_unnamed_answer() {
+  context_.http.cancel(*transfer_);
+  transfer_.reset();
+  permit_.reset();
+  release_engine();
+  report_health(AttemptHealth::kFailed);
+  on_attempt_failed(AttemptOutcome::kUncertain, "the answer names no request");
+}
+
 bool RelaySession::on_data(std::string_view piece) {
   last_activity_at_ = context_.runtime.now();
   if (!tunnel_) context_.paths.on_answer(engine_);
--- a/tests/relay/relay_session_test.cpp
+++ b/tests/relay/relay_session_test.cpp
@@ -121,6 +121,32 @@
   cr_assert_eq(sent.answer_id, std::optional<std::string>("r1"));
 }
 
+// Guards against bytes that belong to no request and promise that the one under way has not run.
+Test(relay_session, takes_a_refusal_without_id_for_an_uncertain_answer) {
+  RelayFixture site;
+  site.add_engine("e1", "plain");
+  site.add_engine("e2", "plain");
+  const auto reply = site.request("/once/a");
+  site.http.begin(0, 503, {{"refused", "1"}});
+  cr_assert_eq(site.http.count(), 1, "it may run at the engine");
+  cr_assert_eq(reply->status, 502);
+  cr_assert(site.http.at(0).cancelled, "its connection is closed");
+}
+
+// Guards against bytes that belong to no request and change what is known of the engine.
+Test(relay_session, learns_nothing_from_an_answer_without_id) {
+  RelayFixture site;
+  site.add_engine("e1", "plain");
+  const EngineId engine("e1");
+  site.request("/safe/a", {}, "GET", "");
+  const HttpHeaders headers{{"load", "900 300"}, {"leaving", "1"}, {"rest-seconds", "9"}};
+  site.http.begin(0, 503, headers);
+  const MonotonicTime now = site.runtime.now();
+  cr_assert_not(site.node->engines().notices().draining(engine));
+  cr_assert_not(site.node->engines().notices().refuses_requests(now, engine));
+  cr_assert_eq(site.node->engines().find(engine)->total_requests(now), 0);
+}
+
 Test(relay_session, cancels_at_once_when_the_caller_disconnects) {
   RelayFixture site;
   site.add_engine("e1", "plain");
