Accept only answers without a request id to a node's own calls

Reports and orders carry no request id and accepted any answer, so a late second answer to a caller's request could pass for theirs: a 421 for the end of an engine, a 503 for a rejected order, a 200 for an accepted one. Not seen to happen; found while looking for the cause of late second answers on related paths.

They now accept only an answer that names no request, on a connection without an earlier call of this kind.

Failing before, passing now: role_coordinator/accepts_no_answer_to_another_ request, quarantine/accepts_no_answer_to_a_request_as_one_to_a_liveness_check.

--- a/src/relay/quarantine.cpp
+++ b/src/relay/quarantine.cpp
@@ -5,6 +5,7 @@
 
 #include "common/log.hpp"
 #include "net/http_status.hpp"
+#include "relay/engine_call.hpp"
 
 namespace shuntbank::relay {
 namespace {
@@ -354,6 +355,7 @@
   if (view == nullptr) return;
   OutgoingRequest call =
       this->io.dialect.report_request(view->record.address, view->record.own_name());
+  expect_unnamed_answer(call, this->io.dialect.names());
   call.connect_timeout = kLivenessTimeout;
   call.total_timeout = kLivenessTimeout;
   call.tunnel = check.tunnel;
--- a/src/relay/role_coordinator.cpp
+++ b/src/relay/role_coordinator.cpp
@@ -6,6 +6,7 @@
 
 #include "common/log.hpp"
 #include "net/http_status.hpp"
+#include "relay/engine_call.hpp"
 
 namespace shuntbank::relay {
 namespace {
@@ -139,6 +140,7 @@
 /// as a late one of an earlier holder, arrives first.
 void RoleCoordinator::request_report(const EngineRecord& record, EngineStage stage, Fence fence) {
   OutgoingRequest call = io_.dialect.report_request(record.address, record.own_name());
+  expect_unnamed_answer(call, io_.dialect.names());
   call.total_timeout = settings_.order_timeout;
   call.connect_timeout = settings_.order_timeout;
   ++calls_in_flight_;
@@ -185,6 +187,7 @@
   order.fence = fence;
   order.expected_orders = report.orders_accepted;
   OutgoingRequest call = io_.dialect.stage_order_request(order);
+  expect_unnamed_answer(call, io_.dialect.names());
   call.total_timeout = settings_.order_timeout;
   call.connect_timeout = settings_.order_timeout;
   ++calls_in_flight_;
--- a/tests/relay/quarantine_test.cpp
+++ b/tests/relay/quarantine_test.cpp
@@ -55,6 +55,17 @@
   cr_assert(fixture.reports().empty(), "no report while the attempt continues");
 }
 
+// Guards against a late 421 to a caller's request that passes for the end of an engine.
+Test(quarantine, accepts_no_answer_to_a_request_as_one_to_a_liveness_check) {
+  QuarantineFixture fixture;
+  for (const char* engine : {"a", "b", "c"}) fixture.interrupt(engine);
+  cr_assert_gt(fixture.site.http.count(), 0U);
+  const OutgoingRequest& call = fixture.site.http.at(0).request;
+  cr_assert(call.accepts_answer(421, {}));
+  cr_assert_not(call.accepts_answer(421, {{"id", "r1"}}));
+  cr_assert_eq(call.answer_id, std::optional<std::string>(""));
+}
+
 Test(quarantine, clears_a_request_whose_engines_are_alive) {
   QuarantineFixture fixture;
   for (const char* engine : {"a", "b", "c"}) fixture.interrupt(engine);
--- a/tests/relay/role_coordinator_test.cpp
+++ b/tests/relay/role_coordinator_test.cpp
@@ -87,6 +87,23 @@
 
 }  // namespace
 
+// Guards against an answer to a caller's request, or to the report, that passes for the answer to
+// an order.
+Test(role_coordinator, accepts_no_answer_to_another_request) {
+  CoordinatorNodes nodes(1);
+  RelayFixture& site = *nodes.sites[0];
+  const auto single = coordinator(site, nodes.store, "n1");
+  site.runtime.advance(7s);
+  site.http.answer(0, 200, {}, "decode");
+  cr_assert_eq(site.http.count(), 2, "a report and an order");
+  for (std::size_t i = 0; i < site.http.count(); ++i) {
+    const OutgoingRequest& call = site.http.at(i).request;
+    cr_assert(call.accepts_answer(200, {}));
+    cr_assert_not(call.accepts_answer(503, {{"id", "r1"}, {"refused", "1"}}));
+    cr_assert_eq(call.answer_id, std::optional<std::string>(""));
+  }
+}
+
 Test(role_coordinator, sends_the_fence_and_the_expected_order_count) {
   CoordinatorNodes nodes(1);
   RelayFixture& site = *nodes.sites[0];
