Repeat an overdue watch beside the first call

Cause: when a hint showed that a node's watch was overdue, the watch was cancelled and made again, and the time allowed doubled up to 4 s. After some seconds without the store a node waited for one call, lost shortly before the store answered again, for longer than engines drain, and ignored hints meanwhile. A timer that grows with failures was longer than the bound it serves.

Ruled out: late hints (others_have names the change on each line), and requests that were under way when the node learned of it. A smaller limit of the doubled time holds as well, but then a store that is slower than the limit has each call cancelled before it answers.

Now the overdue watch goes on, and another is made beside it and replaced every 0.5 s until either answers: the first serves a slow store, the other finds out soon that the store answers again.

--- a/src/relay/relay_process.cpp
+++ b/src/relay/relay_process.cpp
@@ -1,5 +1,6 @@
 #include "relay/relay_process.hpp"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -13,6 +14,7 @@
 #include "net/tunnel_server.hpp"
 #include "relay/capacity_coordinator.hpp"
 #include "relay/catalog_peers.hpp"
+#include "relay/engine_update_bound.hpp"
 #include "relay/intake_gate.hpp"
 #include "relay/load_exchange.hpp"
 #include "relay/quarantine_api.hpp"
@@ -33,6 +35,16 @@
 
 constexpr std::string_view kMetricsPath = "/metrics";
 
+/// Logs that engines may stop accepting requests before all nodes learn that they are draining.
+void check_drain_time(const RelaySettings& settings) {
+  const Duration bound = std::max(engine_update_bound(settings.catalog, settings.exchange),
+                                  hinted_update_bound(settings.exchange));
+  if (bound < settings.catalog.drain_time) return;
+  log_event(
+      LogArea::kConfig, LogLevel::kWarning, "drain_time_short",
+      {{"drain_ms", whole_ms(settings.catalog.drain_time)}, {"update_bound_ms", whole_ms(bound)}});
+}
+
 Http1ServerSettings listen_on(const std::string& address, std::size_t max_connections) {
   Http1ServerSettings settings;
   const auto endpoint = parse_endpoint(address);
@@ -119,6 +131,7 @@
     for (const std::string& address : {addresses.ready, addresses.control, addresses.metrics}) {
       if (!address.empty()) serve_admin(loop, address, address == addresses.control);
     }
+    check_drain_time(settings);
     log_event(LogArea::kProcess, LogLevel::kInfo, "started",
               {{"node", settings.node},
                {"zone", settings.zone.value()},
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -102,6 +102,8 @@
   Duration batch_delay_per_node = std::chrono::milliseconds(15);
   Duration min_batch_delay = std::chrono::milliseconds(300);
   Duration max_batch_delay = std::chrono::milliseconds(600);  ///< Well below the drain time.
+  /// For how long a draining engine accepts requests.
+  Duration drain_time = std::chrono::seconds(2);
   /// Per node in the fleet: maximum backoff between failing calls, so that the total rate stays
   /// constant while the store is down. Store readers use the minimum to detect recovery early.
   Duration backoff_limit_per_node = std::chrono::milliseconds(10);
--- a/src/store/kind_watch.cpp
+++ b/src/store/kind_watch.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <optional>
 #include <utility>
+#include <vector>
 
 #include "common/log.hpp"
 #include "store/revision_lag.hpp"
@@ -54,7 +55,6 @@
         settings_(settings),
         handlers_(std::move(handlers)),
         backoff_(settings.initial_backoff),
-        hint_grace_(settings.hint_grace),
         list_timeout_(settings.list_timeout),
         wait_(settings.wait),
         freshness_(settings.freshness),
@@ -63,14 +63,13 @@
   void list() { list(freshness_); }
 
   void list(Freshness freshness) {
-    list_freshness_ = freshness;
-    const std::uint64_t number = begin_call(CallKind::kList);
-    call_id_ = store_.list(kind_, list_freshness_, list_timeout_,
-                           [weak = weak_from_this(), number](auto list) {
-                             const auto self = weak.lock();
-                             if (self && self->is_current_call(number))
-                               self->on_list(std::move(list));
-                           });
+    cancel_calls();
+    const std::uint64_t number = begin_call(CallKind::kList, freshness);
+    calls_.back().id = store_.list(kind_, freshness, list_timeout_,
+                                   [weak = weak_from_this(), number](const auto& list) {
+                                     if (const auto self = weak.lock())
+                                       self->on_ended(number, list, &Impl::on_list);
+                                   });
   }
 
   void stop() { stopped_ = true; }
@@ -78,18 +77,18 @@
   void hint(std::uint64_t revision) {
     lag_.on_hint(runtime_.now(), revision);
     if (suspended_ || hint_timer_ || !listed_ || !behind_hint()) return;
-    if (call_kind_ == CallKind::kWatch) return start_hint_timer();
+    if (watching()) return start_hint_timer();
     // A list in flight returns the newer state anyway.
-    if (call_kind_ == CallKind::kNone && lost) expedite_retry();
+    if (calls_.empty() && lost) expedite_retry();
   }
 
   void advance(std::uint64_t revision) {
     if (revision <= revision_ || !listed_) return;
     update_revision(revision);
     newest_change = std::max(newest_change, revision);
-    if (call_kind_ == CallKind::kNone || behind_hint()) return;
+    if (calls_.empty() || behind_hint()) return;
     // The call in flight would return known changes and take bandwidth from callers.
-    cancel_call();
+    cancel_calls();
     schedule(settings_.batch_delay, [](Impl& self) { self.start_next_call(); });
   }
 
@@ -118,9 +117,9 @@
     const bool was_listed = std::exchange(listed_, true);
     unconfirmed_list_.reset();
     update_revision(revision);
-    if (call_kind_ == CallKind::kNone || (was_listed && behind_hint())) return;
+    if (calls_.empty() || (was_listed && behind_hint())) return;
     // The call in flight would return known state.
-    cancel_call();
+    cancel_calls();
     schedule(settings_.batch_delay, [](Impl& self) { self.start_next_call(); });
   }
 
@@ -128,7 +127,7 @@
     if (std::exchange(suspended_, true)) return;
     // A list that was not confirmed has not been applied.
     if (std::exchange(unconfirmed_list_, std::nullopt)) listed_ = false;
-    if (call_kind_ != CallKind::kNone) cancel_call();
+    cancel_calls();
     timer_.reset();
     hint_timer_.reset();
   }
@@ -141,11 +140,14 @@
 
   const char* activity() const {
     if (suspended_) return "suspended";
-    if (call_kind_ == CallKind::kNone) return "pause";
-    return call_kind_ == CallKind::kList ? "list" : "watch";
+    if (calls_.empty()) return "pause";
+    return watching() ? "watch" : "list";
   }
 
-  bool receiving() const { return call_kind_ != CallKind::kNone && store_.received(call_id_) > 0; }
+  bool receiving() const {
+    return std::any_of(calls_.begin(), calls_.end(),
+                       [this](const Call& call) { return store_.received(call.id) > 0; });
+  }
 
   void set_wait(Duration wait) { wait_ = wait; }
   void set_batch_delay(Duration batch_delay) { settings_.batch_delay = batch_delay; }
@@ -155,9 +157,8 @@
     if (std::exchange(freshness_, freshness) == freshness) return;
     log_event(LogArea::kPlatform, LogLevel::kInfo, "store_reading",
               {{"kind", kind_}, {"freshness", to_text(freshness)}});
-    if (freshness != Freshness::kLatest || call_kind_ != CallKind::kWatch || receiving()) return;
+    if (freshness != Freshness::kLatest || !watching() || receiving()) return;
     // No other node gives hints any more, and the call in flight may miss changes.
-    cancel_call();
     watch();
   }
 
@@ -167,26 +168,49 @@
   bool lost = false;
 
  private:
-  enum class CallKind { kNone, kList, kWatch };
-
-  /// Registers a new call. @return its number, by which its handler recognizes it.
-  std::uint64_t begin_call(CallKind kind) {
-    // The answer in flight would be discarded, and would slow down the new one.
-    if (call_kind_ != CallKind::kNone) cancel_call();
-    call_kind_ = kind;
+  enum class CallKind { kList, kWatch };
+
+  /// A call in flight.
+  struct Call {
+    std::uint64_t number = 0;  ///< By which its handler recognizes it.
+    CallKind kind = CallKind::kWatch;
+    Freshness freshness = Freshness::kLatest;
+    MonotonicTime started_at{};
+    CallId id = 0;  ///< The store's.
+  };
+
+  /// Registers a new call. @return its number.
+  std::uint64_t begin_call(CallKind kind, Freshness freshness) {
     retry_expedited_ = false;
-    call_started_at_ = runtime_.now();
-    return ++call_number_;
+    calls_.push_back({++call_number_, kind, freshness, runtime_.now()});
+    return call_number_;
+  }
+
+  /// Ends a call and passes on its result. A failure is ignored while another call is in flight.
+  template <typename Value>
+  void on_ended(std::uint64_t number, const tl::expected<Value, StoreError>& result,
+                void (Impl::*handler)(const Call&, const tl::expected<Value, StoreError>&)) {
+    const auto found = std::find_if(calls_.begin(), calls_.end(),
+                                    [number](const Call& call) { return call.number == number; });
+    if (stopped_ || found == calls_.end()) return;
+    const Call call = *found;
+    calls_.erase(found);
+    const bool answered = result || result.error() == StoreError::kHistoryGone;
+    if (!answered && !calls_.empty()) return;
+    cancel_calls();
+    (this->*handler)(call, result);
   }
 
-  bool is_current_call(std::uint64_t number) const {
-    return !stopped_ && call_kind_ != CallKind::kNone && number == call_number_;
+  bool watching() const { return !calls_.empty() && calls_.front().kind == CallKind::kWatch; }
+
+  /// Cancels all calls in flight and stops the transfer of their answers.
+  void cancel_calls() {
+    while (!calls_.empty()) cancel_newest_call();
   }
 
-  /// Cancels the call in flight and stops the transfer of its answer.
-  void cancel_call() {
-    store_.cancel(call_id_);
-    call_kind_ = CallKind::kNone;
+  void cancel_newest_call() {
+    store_.cancel(calls_.back().id);
+    calls_.pop_back();
   }
 
   bool behind_hint() const { return lag_.behind(); }
@@ -206,21 +230,20 @@
     watch();
   }
 
-  void on_list(tl::expected<ObjectList, StoreError> list) {
-    call_kind_ = CallKind::kNone;
+  void on_list(const Call& call, const tl::expected<ObjectList, StoreError>& list) {
     if (!list) {
       const bool timed_out = list.error() == StoreError::kUncertain;
       if (timed_out) list_timeout_ = std::min(2 * list_timeout_, settings_.max_list_timeout);
       return retry("list", list.error());
     }
-    on_success(list_freshness_);
+    on_success(call.freshness);
     const bool was_listed = std::exchange(listed_, true);
-    const bool confirm = list_freshness_ == Freshness::kMayLag && confirm_next_list_;
+    const bool confirm = call.freshness == Freshness::kMayLag && confirm_next_list_;
     confirm_next_list_ = true;
     if (confirm) {
       // The list may be older than the known state. It is applied once a watch has returned the
       // changes since.
-      unconfirmed_list_ = std::move(*list);
+      unconfirmed_list_ = *list;
       return watch();
     }
     apply_list(*list);
@@ -247,20 +270,23 @@
     if (handlers_.on_revision) handlers_.on_revision(revision_);
   }
 
-  void watch() { watch(freshness_); }
+  void watch() {
+    cancel_calls();
+    start_watch(freshness_);
+  }
 
-  void watch(Freshness freshness) {
+  void start_watch(Freshness freshness) {
     if (stopped_) return;
-    const std::uint64_t number = begin_call(CallKind::kWatch);
-    watch_freshness_ = unconfirmed_list_ ? Freshness::kLatest : freshness;
+    if (unconfirmed_list_) freshness = Freshness::kLatest;
+    const std::uint64_t number = begin_call(CallKind::kWatch, freshness);
     if (behind_hint() && !hint_timer_) start_hint_timer();
     const std::uint64_t revision = unconfirmed_list_ ? unconfirmed_list_->revision : revision_;
     const Duration wait = unconfirmed_list_ ? kNoWait : jittered(wait_, kWaitSpread);
-    call_id_ = store_.watch(kind_, revision, watch_freshness_, wait, wait + settings_.wait_slack,
-                            [weak = weak_from_this(), number](const auto& batch) {
-                              const auto self = weak.lock();
-                              if (self && self->is_current_call(number)) self->on_batch(batch);
-                            });
+    calls_.back().id = store_.watch(kind_, revision, freshness, wait, wait + settings_.wait_slack,
+                                    [weak = weak_from_this(), number](const auto& batch) {
+                                      if (const auto self = weak.lock())
+                                        self->on_ended(number, batch, &Impl::on_batch);
+                                    });
   }
 
   /// Cuts the backoff short: a hint shows that the store answers other nodes.
@@ -271,14 +297,14 @@
 
   /// Starts the grace period in which the hinted change should arrive.
   void start_hint_timer() {
-    hint_timer_ = runtime_.after(hint_grace_, [weak = weak_from_this()] {
+    hint_timer_ = runtime_.after(settings_.hint_grace, [weak = weak_from_this()] {
       if (const auto self = weak.lock()) self->check_hint();
     });
   }
 
   void check_hint() {
     hint_timer_.reset();
-    if (stopped_ || call_kind_ != CallKind::kWatch || !behind_hint()) return;
+    if (stopped_ || !watching() || !behind_hint()) return;
     // Cancelling a transfer for a newer state could repeat forever, with an ever longer answer.
     // Data in flight uses the link even if the call is cancelled.
     if (receiving()) return;
@@ -286,19 +312,19 @@
               {{"kind", kind_},
                {"revision", revision_},
                {"others_have", lag_.newest()},
-               {"under_way_ms", whole_ms(runtime_.now() - call_started_at_)}});
-    cancel_call();
-    hint_grace_ = std::min(2 * hint_grace_, settings_.max_hint_grace);
+               {"under_way_ms", whole_ms(runtime_.now() - calls_.front().started_at)},
+               {"calls", calls_.size()}});
     if (settings_.newest_only && !unconfirmed_list_) return start_next_call();
-    watch(Freshness::kLatest);
+    // A slow store still answers the oldest call. The store may have lost the others.
+    if (calls_.size() > 1) cancel_newest_call();
+    start_watch(Freshness::kLatest);
   }
 
   void record_change(const StoredObject& object) {
     newest_change = std::max(newest_change, object.revision);
   }
 
-  void on_batch(const tl::expected<ChangeBatch, StoreError>& batch) {
-    call_kind_ = CallKind::kNone;
+  void on_batch(const Call& call, const tl::expected<ChangeBatch, StoreError>& batch) {
     if (!batch && batch.error() == StoreError::kHistoryGone) {
       log_event(LogArea::kPlatform, LogLevel::kWarning, "history_gone",
                 {{"kind", kind_}, {"revision", revision_}});
@@ -308,7 +334,7 @@
       return list(too_old ? Freshness::kLatest : freshness_);
     }
     if (!batch) return retry("watch", batch.error());
-    on_success(watch_freshness_);
+    on_success(call.freshness);
     if (unconfirmed_list_) apply_list(*std::exchange(unconfirmed_list_, std::nullopt));
     for (const ObjectChange& change : batch->changes) {
       if (stopped_) return;
@@ -317,7 +343,7 @@
     }
     update_revision(batch->revision);
     report_revision();
-    if (behind_hint()) log_behind_hint(batch->changes.size());
+    if (behind_hint()) log_behind_hint(call, batch->changes.size());
     if (batch->changes.empty()) return start_next_call();
     // More than one change per batch: probably there are more by now.
     falling_behind_ = batch->changes.size() > 1;
@@ -325,14 +351,14 @@
   }
 
   /// The answer counts as a success, but lacks changes that other nodes have seen.
-  void log_behind_hint(std::size_t changes) const {
+  void log_behind_hint(const Call& call, std::size_t changes) const {
     log_event(LogArea::kPlatform, LogLevel::kInfo, "answer_behind",
               {{"kind", kind_},
-               {"freshness", to_text(watch_freshness_)},
+               {"freshness", to_text(call.freshness)},
                {"revision", revision_},
                {"others_have", lag_.newest()},
                {"changes", changes},
-               {"took_ms", whole_ms(runtime_.now() - call_started_at_)}});
+               {"took_ms", whole_ms(runtime_.now() - call.started_at)}});
   }
 
   /// Delays the next call to batch changes and to leave bandwidth to callers.
@@ -355,7 +381,6 @@
     confirmed_at = runtime_.now();
     if (freshness == Freshness::kLatest) confirmed_latest_at = confirmed_at;
     backoff_ = settings_.initial_backoff;
-    hint_grace_ = settings_.hint_grace;
     list_timeout_ = settings_.list_timeout;
     if (!std::exchange(lost, false)) return;
     log_event(LogArea::kPlatform, LogLevel::kInfo, "store_regained", {{"kind", kind_}});
@@ -384,25 +409,21 @@
   KindWatchSettings settings_;
   KindWatchHandlers handlers_;
   Duration backoff_;
-  Duration hint_grace_;    ///< For the next hint.
   Duration list_timeout_;  ///< For the next list.
   std::unique_ptr<Timer> timer_;
   std::unique_ptr<Timer> hint_timer_;
   Duration wait_;
   Freshness freshness_;
-  Freshness list_freshness_ = Freshness::kLatest;   ///< Of the list in flight.
-  Freshness watch_freshness_ = Freshness::kLatest;  ///< Of the watch in flight.
   bool confirm_next_list_;
   std::optional<ObjectList> unconfirmed_list_;  ///< Waits for the changes since.
   std::uint64_t revision_ = 0;
   RevisionLag lag_;  ///< Behind the hints.
   Duration next_lag_report_ = kFirstLagReport;
   std::uint64_t call_number_ = 0;  ///< Number of the latest call.
-  CallKind call_kind_ = CallKind::kNone;
-  CallId call_id_ = 0;               ///< The store's id of the call in flight.
-  MonotonicTime call_started_at_{};  ///< When the latest call was started.
-  bool falling_behind_ = false;      ///< Changes arrive faster than they are read.
-  bool retry_expedited_ = false;     ///< A hint has cut the backoff short.
+  /// In flight, oldest first: one, and another while the first is overdue.
+  std::vector<Call> calls_;
+  bool falling_behind_ = false;   ///< Changes arrive faster than they are read.
+  bool retry_expedited_ = false;  ///< A hint has cut the backoff short.
   bool listed_ = false;
   bool suspended_ = false;
   bool stopped_ = false;
--- a/src/store/kind_watch.hpp
+++ b/src/store/kind_watch.hpp
@@ -18,10 +18,9 @@
   Duration wait_slack = std::chrono::milliseconds(700);  ///< Added to `wait` for the timeout.
   /// Least delay between a batch with changes and the next call, so that changes are batched.
   Duration batch_delay = std::chrono::milliseconds(300);
-  /// A watch call whose answer has not begun within this time after a hint is cancelled and
-  /// repeated. Doubled after each cancelled call, so that a slower store can answer too.
+  /// If no answer to a watch call has begun within this time after a hint, another one is made
+  /// beside it, and replaced at this interval. The first one continues for a store that is slow.
   Duration hint_grace = std::chrono::milliseconds(500);
-  Duration max_hint_grace = std::chrono::seconds(4);
   /// Only the newest state matters, and the whole state is no larger than a single change: a watch
   /// that is behind lists the state instead of receiving every change.
   bool newest_only = false;
@@ -87,8 +86,8 @@
   std::uint64_t newest_change() const;
 
   /// Reports that another node has seen a change at `revision`. If no answer begins within the hint
-  /// grace, the call in flight is cancelled and repeated. A call that is already receiving
-  /// continues, as repeating it would transfer the data twice.
+  /// grace, the call in flight is repeated beside it. A call that is already receiving is not, as
+  /// that would transfer the data twice.
   void hint(std::uint64_t revision);
 
   /// Reports that the state at `revision` came from elsewhere; earlier changes are not requested.
--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include "relay/engine_update_bound.hpp"
+
 using namespace shuntbank::platform_adapter;
 
 namespace {
@@ -26,6 +28,16 @@
   cr_assert(settings.has_value());
   const auto relay = relay_settings(*settings);
   cr_assert(relay.catalog.max_batch_delay == std::chrono::milliseconds(1000));
+  cr_assert(relay.catalog.drain_time == std::chrono::milliseconds(3000));
+}
+
+// Guards against delays that each have a bound while their sum exceeds the drain time.
+Test(platform_settings, nodes_learn_of_draining_engines_within_the_drain_time) {
+  const auto relay = relay_settings(*parse_settings(kSettingsText));
+  cr_assert_lt(shuntbank::relay::hinted_update_bound(relay.exchange).count(),
+               relay.catalog.drain_time.count());
+  cr_assert_lt(shuntbank::relay::engine_update_bound(relay.catalog, relay.exchange).count(),
+               relay.catalog.drain_time.count());
 }
 
 Test(platform_settings, keeps_the_command_line_policy) {
--- a/tests/store/kind_watch_test.cpp
+++ b/tests/store/kind_watch_test.cpp
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "relay/support/fakes.hpp"
+#include "relay/support/gated_store.hpp"
 
 using namespace shuntbank;
 using namespace shuntbank::testing;
@@ -27,7 +28,7 @@
     };
   }
   void start() {
-    watch = std::make_unique<store::KindWatch>(runtime, store, "k", settings, handlers);
+    watch = std::make_unique<store::KindWatch>(runtime, path, "k", settings, handlers);
   }
   /// Starts with one object and a long-poll timeout of 30 s, then changes the store without
   /// notifying the watch in flight.
@@ -54,6 +55,7 @@
   store::KindWatchSettings settings;
   ManualRuntime runtime;
   MemoryStore store{runtime};
+  GatedStore path{runtime, store};
   store::KindWatchHandlers handlers;
   std::set<std::string> names;
   std::unique_ptr<store::KindWatch> watch;
@@ -112,6 +114,44 @@
   cr_assert_eq(fixture.watch->newest_change(), fixture.store.revision());
 }
 
+// Guards against a watch that waits, when the store answers again, for a call lost before.
+Test(kind_watch, catches_up_within_the_hint_grace_after_a_silence_of_the_store) {
+  for (Duration silence = 4s; silence < 9s; silence += 100ms) {
+    WatchFixture fixture;
+    fixture.store.put("k", "a", {});
+    fixture.start();
+    fixture.runtime.advance(1ms);
+    fixture.path.set_silent(true);
+    fixture.store.put("k", "b", {});
+    for (Duration elapsed{}; elapsed < silence; elapsed += 100ms) {
+      fixture.watch->hint(fixture.store.revision());
+      fixture.runtime.advance(100ms);
+    }
+    fixture.path.set_silent(false);
+    fixture.runtime.advance(fixture.settings.hint_grace + 100ms);
+    cr_assert_eq(fixture.names.count("b"), 1, "after a silence of %lld ms",
+                 static_cast<long long>(whole_ms(silence)));
+  }
+}
+
+// Guards against calls to a slow store that are each cancelled before they are answered.
+Test(kind_watch, waits_for_the_first_call_to_a_slow_store) {
+  WatchFixture fixture;
+  SlowLink link(fixture.runtime, 1'000'000);
+  fixture.store.link = &link;
+  fixture.store.answer_delay = 1700ms;
+  fixture.store.put("k", "a", {});
+  fixture.settings.wait = 30s;
+  fixture.start();
+  fixture.runtime.advance(4s);
+  const int before = fixture.store.watches;
+  fixture.store.put("k", "b", {});
+  fixture.watch->hint(fixture.store.revision());
+  fixture.runtime.advance(1800ms);
+  cr_assert_eq(fixture.names.count("b"), 1);
+  cr_assert_leq(fixture.store.watches - before, 3, "one call each hint grace beside the first");
+}
+
 Test(kind_watch, ignores_a_hint_of_a_known_revision) {
   WatchFixture fixture;
   fixture.store.put("k", "a", {});
