Let the soak send second answers and lose the store's calls

--second-answers: engines lose handles, and each fourth answer at an engine is followed by a late copy, or by a refusal that names no request, where the next answer is due. The ledger's checks of TWICE and REFUSED judge it as they are.

--outages: the store loses the calls of most relays and then of the others, with connections that stay open, while engines drain whose answers do not say so.

--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -44,6 +44,7 @@
             << site.result().max_limit_utilization() << " of a limit at most, " << counts.over_quota
             << " over quota, " << site.result().max_quota_utilization() << " of a quota at most, "
             << site.result().judged_at_cut_nodes() << " judged at cut nodes, "
+            << site.result().judged_after_draining() << " judged at draining engines, "
             << site.result().stream_versions().taken_up_count() << " streams taken up, "
             << site.result().stream_versions().continued_count() << " of "
             << site.result().stream_versions().judged_count() << " judged went on, "
@@ -84,6 +85,11 @@
       "relays are cut off from the engines, while callers, the store and other relays reach them")(
       "versions", options::bool_switch(&soak_options.software_versions),
       "engines of two software versions are replaced all the while, and callers take streams up")(
+      "second-answers", options::bool_switch(&soak_options.second_answers),
+      "engines lose handles, and their answers are followed by late copies or by refusals that "
+      "name no request")(
+      "outages", options::bool_switch(&soak_options.store_outages),
+      "the store loses the calls of most relays, then of the others, while engines drain")(
       "other-program", options::value(&soak_options.previous_program),
       "relay program of an earlier version, for a rolling downgrade and upgrade")(
       "relays", options::value(&soak_options.relay_count)->default_value(5),
--- a/tests/platform/support/engine_standin.cpp
+++ b/tests/platform/support/engine_standin.cpp
@@ -82,9 +82,11 @@
   });
 }
 
-void EngineStandin::drain(std::chrono::milliseconds duration) {
+void EngineStandin::drain(std::chrono::milliseconds duration, bool in_answers) {
   this->state = "draining";
+  this->drains_in_answers = in_answers;
   this->publish();
+  this->ledger.on_draining_registered(this->id);
   this->transition_timer = std::make_unique<asio::steady_timer>(this->loop, duration);
   this->transition_timer->async_wait([this](const std::error_code& error) {
     if (!error) this->crash(std::chrono::milliseconds(0));
@@ -133,7 +135,7 @@
   if (!seal.empty()) fields.add("X-Response-Seal", seal);
   fields.add("X-Server-Load",
              std::to_string(this->runs.size()) + ",0," + std::to_string(this->shape.slots));
-  if (this->state == "draining") fields.add("Server-Leaving", "1");
+  if (this->state == "draining" && this->drains_in_answers) fields.add("Server-Leaving", "1");
   if (this->limit) fields.add("Server-Limit", to_decimal(*this->limit));
   return fields;
 }
@@ -230,6 +232,9 @@
   if (drawn == EngineFault::kResets) return responder->abort();
   if (prefill_only) return this->prefill(request, responder);
   const std::string source(request.headers.get("X-Kv-Source"));
+  if (!source.empty() && drawn == EngineFault::kLosesHandles) {
+    return this->refuse(request, responder, 503);
+  }
   if (!source.empty()) {
     const std::string handle = source.substr(source.rfind('/') + 1);
     this->ledger.on_handle_used(handle, std::string(request.headers.get("X-Request-Id")));
--- a/tests/platform/support/engine_standin.hpp
+++ b/tests/platform/support/engine_standin.hpp
@@ -35,7 +35,7 @@
 };
 
 /// How an engine that reports itself healthy misbehaves.
-enum class EngineFault { kNone, kErrors, kSheds, kHangs, kResets, kLosesAnswers };
+enum class EngineFault { kNone, kErrors, kSheds, kHangs, kResets, kLosesAnswers, kLosesHandles };
 
 /// One engine behind a fault proxy. Each restart is a new incarnation.
 class EngineStandin {
@@ -51,7 +51,8 @@
   void crash(std::chrono::milliseconds removal_delay);
 
   /// Announces draining, and stops after `duration`.
-  void drain(std::chrono::milliseconds duration);
+  /// @param in_answers whether its answers say so too, beside its registration.
+  void drain(std::chrono::milliseconds duration, bool in_answers = true);
 
   /// Removes the registration for `duration` while the engine keeps serving.
   void lapse_registration(std::chrono::milliseconds duration);
@@ -147,6 +148,7 @@
   double fault_share = 0;
   std::optional<double> limit;
   int slowness = 1;
+  bool drains_in_answers = true;
 };
 
 }  // namespace shuntbank::testing
--- a/tests/platform/support/fault_proxy.cpp
+++ b/tests/platform/support/fault_proxy.cpp
@@ -65,11 +65,15 @@
       this->owner->links.erase(this->shared_from_this());
     }
 
+    /// From now on the connection carries nothing, and stays open.
+    void lose() { this->lost = true; }
+
    private:
     /// Buffer of one direction.
     struct Direction {
       std::array<char, 16384> bytes{};
       std::size_t size = 0;
+      std::string prefix;  ///< Sent before the bytes.
       std::unique_ptr<asio::steady_timer> timer;
     };
 
@@ -81,11 +85,23 @@
             if (error == asio::error::eof) return self->forward_end(to);
             if (error) return self->abort();
             direction.size = size;
+            if (self->lost) return self->pump(from, to, direction, upward);
+            self->add_answers({direction.bytes.data(), size}, upward);
             const auto transmission = upward ? 0ms : self->owner->transmission_time(size);
             self->schedule(from, to, direction, upward, self->owner->state.delay + transmission);
           });
     }
 
+    /// Tells answers apart by the requests between them: there is one at a time.
+    void add_answers(std::string_view bytes, bool upward) {
+      if (!upward) {
+        this->down.prefix = std::exchange(this->extra_answer, {});
+        this->answer.append(bytes);
+      } else if (!this->answer.empty()) {
+        this->extra_answer = this->owner->next_extra_answer(std::exchange(this->answer, {}));
+      }
+    }
+
     /// Forwards a half-close. The other direction may still carry bytes.
     void forward_end(Tcp::socket& to) {
       std::error_code ignored;
@@ -109,8 +125,10 @@
 
     void forward(Tcp::socket& from, Tcp::socket& to, Direction& direction, bool upward) {
       auto self = this->shared_from_this();
+      const std::array<asio::const_buffer, 2> buffers{
+          asio::buffer(direction.prefix), asio::buffer(direction.bytes.data(), direction.size)};
       asio::async_write(
-          to, asio::buffer(direction.bytes.data(), direction.size),
+          to, buffers,
           [self, &from, &to, &direction, upward](const std::error_code& error, std::size_t) {
             if (error) return self->abort();
             self->pump(from, to, direction, upward);
@@ -123,6 +141,9 @@
     Direction up;
     Direction down;
     bool half_closed = false;
+    std::string answer;        ///< The last one, or its beginning.
+    std::string extra_answer;  ///< To be sent before the next one.
+    bool lost = false;         ///< Carries nothing any more.
   };
 
   Impl(asio::io_context& own_loop, Tcp::endpoint to, const FaultProxyAddresses& addresses)
@@ -144,6 +165,7 @@
             reset(socket);
           } else {
             const auto link = std::make_shared<Link>(self, std::move(socket));
+            if (self->state.losing) link->lose();
             self->links.insert(link);
             link->start();
           }
@@ -180,6 +202,12 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(this->link_free_at - now);
   }
 
+  /// @return what to send after `last`, if anything.
+  std::string next_extra_answer(const std::string& last) {
+    if (this->extra_interval == 0 || ++this->answer_count % this->extra_interval != 0) return {};
+    return this->extra_answer.empty() ? last : this->extra_answer;
+  }
+
   asio::io_context& loop;
   Tcp::endpoint target;
   asio::ip::address source;
@@ -190,6 +218,9 @@
   std::size_t rate_down = 0;  ///< Bytes per second; 0: unlimited.
   std::chrono::steady_clock::time_point link_free_at{};
   LinkState state;
+  int extra_interval = 0;    ///< Answers for each one that is added; 0: none is.
+  std::string extra_answer;  ///< Empty: a copy of the last answer.
+  int answer_count = 0;
   std::set<std::shared_ptr<Link>> links;
 };
 
@@ -215,6 +246,13 @@
 
 void FaultProxy::set(const LinkState& state) {
   this->impl->state = state;
+  if (!state.losing) return;
+  for (const auto& link : this->impl->links) link->lose();
+}
+
+void FaultProxy::add_answers(int interval, std::string answer) {
+  this->impl->extra_interval = interval;
+  this->impl->extra_answer = std::move(answer);
 }
 
 void FaultProxy::set_rate_down(std::size_t bytes_per_second) {
--- a/tests/platform/support/fault_proxy.hpp
+++ b/tests/platform/support/fault_proxy.hpp
@@ -12,9 +12,10 @@
 
 /// Faults of a link.
 struct LinkState {
-  bool stalled_up = false;             ///< Bytes towards the target are held back.
-  bool stalled_down = false;           ///< Bytes from the target are held back.
-  bool refusing = false;               ///< New connections are reset.
+  bool stalled_up = false;    ///< Bytes towards the target are held back.
+  bool stalled_down = false;  ///< Bytes from the target are held back.
+  bool refusing = false;      ///< New connections are reset.
+  bool losing = false;        ///< Connections that are open meanwhile carry nothing from then on.
   std::chrono::milliseconds delay{0};  ///< Per chunk, in both directions.
 
   bool operator==(const LinkState&) const = default;
@@ -49,6 +50,11 @@
   /// Limits the total rate from the target over all connections; 0: no limit.
   void set_rate_down(std::size_t bytes_per_second);
 
+  /// Adds an answer from the target on each connection, once after every `interval` answers of the
+  /// proxy, right before the next answer; 0: none.
+  /// @param answer empty: a copy of the last answer.
+  void add_answers(int interval, std::string answer);
+
   /// Resets all open connections.
   void reset_all();
 
--- a/tests/platform/support/ledger.cpp
+++ b/tests/platform/support/ledger.cpp
@@ -85,6 +85,8 @@
   const NodeAndIncarnation pair{request->node, engine};
   const std::string violation = this->notices.on_request(monotonic_now(), pair, request->sent_at);
   if (!violation.empty()) this->add_violation("NOTICE", id + " reaches an engine: " + violation);
+  const std::string late = this->drains.on_request(monotonic_now(), pair, request->sent_at);
+  if (!late.empty()) this->add_violation("DRAIN", id + " reaches an engine: " + late);
   const std::string over = this->limits.on_request(monotonic_now(), pair);
   if (!over.empty()) this->add_violation("LIMIT", id + " reaches an engine: " + over);
 }
--- a/tests/platform/support/ledger.hpp
+++ b/tests/platform/support/ledger.hpp
@@ -12,6 +12,7 @@
 #include <string_view>
 #include <vector>
 
+#include "support/drain_checker.hpp"
 #include "support/limit_checker.hpp"
 #include "support/notice_checker.hpp"
 #include "support/path_checker.hpp"
@@ -108,6 +109,10 @@
   void on_arrival(const std::string& id, const std::string& service, bool prefill_only);
   /// A request reached the incarnation it was sent to, which may still refuse it.
   void on_received_by_engine(const std::string& id, const std::string& engine);
+  /// The store has acknowledged that an engine is draining.
+  void on_draining_registered(const std::string& engine) {
+    this->drains.on_draining(monotonic_now(), engine);
+  }
   /// An engine refuses a request and asks its node for a cooldown.
   void on_cooldown_requested(const std::string& id, const std::string& engine, Duration duration);
   /// An engine announces its limit in requests per second over all nodes, or removes it.
@@ -136,6 +141,7 @@
   /// A node was restarted, stalled or resumed.
   void on_node_disturbed(const std::string& node) {
     this->notices.reset_node(node);
+    this->drains.on_node_disturbed(monotonic_now(), node);
     this->limits.reset_node(node);
     this->paths.on_node_disturbed(monotonic_now(), node);
     this->streams.on_node_disturbed(monotonic_now(), node);
@@ -146,9 +152,14 @@
     this->paths.on_cut(monotonic_now(), std::move(nodes));
   }
   void on_store_fault(bool failing) {
+    this->drains.on_store_fault(monotonic_now(), failing);
     this->paths.on_store_fault(monotonic_now(), failing);
     this->streams.on_store_fault(monotonic_now(), failing);
   }
+  /// The store does not answer one node, or does so again.
+  void on_store_link_fault(const std::string& node, bool failing) {
+    this->drains.on_store_link_fault(monotonic_now(), node, failing);
+  }
   void on_paths_restored() { this->paths.on_restored(monotonic_now()); }
   /// Judges the last cut, once its requests have ended.
   void check_paths() {
@@ -174,10 +185,15 @@
     this->limits.set_unaware(node, unaware);
   }
   /// The link between an engine and the nodes was faulty.
-  void on_link_disturbed(const std::string& engine) { this->notices.reset_cooldowns(engine); }
+  void on_link_disturbed(const std::string& engine) {
+    this->notices.reset_cooldowns(engine);
+    this->drains.on_link_disturbed(monotonic_now(), engine);
+  }
 
   void add_violation(const std::string& rule, const std::string& what);
 
+  std::size_t judged_after_draining() const { return this->drains.judged_requests(); }
+
   /// @return the highest utilization of a limit in any window.
   double max_limit_utilization() const { return this->limits.max_utilization(); }
 
@@ -216,6 +232,7 @@
   std::map<std::string, CrashingRequest> crashing_requests;
   std::vector<Violation> recorded_violations;
   NoticeChecker notices{kDrainingGrace};
+  DrainChecker drains{kDrainingGrace};
   LimitChecker limits;
   PathChecker paths;
   StreamVersionChecker streams;
--- a/tests/platform/support/soak_site.cpp
+++ b/tests/platform/support/soak_site.cpp
@@ -96,7 +96,9 @@
       limit_random(own_options.seed),
       quota_random(own_options.seed),
       path_random(own_options.seed),
-      release_random(own_options.seed) {
+      release_random(own_options.seed),
+      second_answer_random(own_options.seed),
+      outage_random(own_options.seed) {
   this->build_engines();
   this->put_configuration();
   if (this->options.path_cuts) this->build_engine_paths();
@@ -147,7 +149,7 @@
       if (partial && (i + j) % 2 == 0) continue;
       FaultProxy& path = *this->engine_paths[i][j];
       path.block(blockade);
-      if (kind == 0) path.set({true, true, false, 0ms});
+      if (kind == 0) path.set({true, true, false, false, 0ms});
       if (kind == 1) path.reset_all();
     }
   }
@@ -184,6 +186,76 @@
                  [this] { this->replace_engine(); });
 }
 
+/// A second refusal is late for a request that its node sends to the same engine again.
+void SoakSite::inject_second_answers() {
+  if (this->faults_cleared) return;
+  constexpr int kInterval = 4;
+  const std::string unnamed =
+      "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+  const std::chrono::milliseconds duration(2000 + this->second_answer_random() % 4000);
+  const bool copies = this->second_answer_random() % 3 != 0;
+  this->log_fault(std::string("engines lose handles, and ") +
+                  (copies ? "repeat answers" : "refuse no request") + " for " +
+                  std::to_string(duration.count()) + " ms");
+  for (const auto& engine : this->engines) {
+    engine->set_fault(EngineFault::kLosesHandles, 0.7);
+    engine->link().add_answers(kInterval, copies ? "" : unnamed);
+  }
+  this->schedule(duration, [this] {
+    for (const auto& engine : this->engines) {
+      engine->set_fault(EngineFault::kNone, 0);
+      engine->link().add_answers(0, "");
+    }
+  });
+  const std::chrono::milliseconds pause(500 + this->second_answer_random() % 1500);
+  this->schedule(duration + pause, [this] { this->inject_second_answers(); });
+}
+
+void SoakSite::inject_store_outages() {
+  if (this->faults_cleared) return;
+  const std::size_t count = this->relays.size();
+  const std::size_t lost = 2 * count / 3 + 1;
+  const std::size_t first = this->outage_random() % count;
+  const std::chrono::milliseconds duration(3500 + this->outage_random() % 2500);
+  this->log_fault("the store loses the calls of " + std::to_string(lost) + " relays from relay " +
+                  std::to_string(first + 1) + " on, then of the others, for " +
+                  std::to_string(duration.count()) + " ms each");
+  for (std::size_t i = 0; i < count; ++i) {
+    const std::size_t relay = (first + i) % count;
+    const auto start = i < lost ? 0ms : duration;
+    this->schedule(start, [this, relay, duration] { this->lose_store_calls(relay, duration); });
+  }
+  const std::size_t engine = this->outage_random() % 2;
+  const std::chrono::milliseconds offset(this->outage_random() % 1000);
+  this->schedule(300ms + offset, [this, engine] { this->drain_quietly(*this->engines[engine]); });
+  this->schedule(duration + offset,
+                 [this, engine] { this->drain_quietly(*this->engines[2 + engine]); });
+  this->schedule(2 * duration + 6s, [this] { this->inject_store_outages(); });
+}
+
+void SoakSite::lose_store_calls(std::size_t relay, std::chrono::milliseconds duration) {
+  FaultProxy& link = *this->store_links[relay];
+  const std::string node = this->relays[relay]->caller_address();
+  LinkState losing;
+  losing.losing = true;
+  link.set(losing);
+  this->ledger.on_store_link_fault(node, true);
+  this->schedule(duration, [this, &link, node] {
+    link.set({});
+    this->ledger.on_store_link_fault(node, false);
+  });
+}
+
+/// Its answers do not say that it drains.
+void SoakSite::drain_quietly(EngineStandin& engine) {
+  if (!engine.running()) return;
+  this->log_fault("an engine drains");
+  engine.drain(8s, false);
+  this->schedule(9s, [&engine] {
+    if (!engine.running()) engine.start();
+  });
+}
+
 void SoakSite::restore_paths() {
   constexpr std::chrono::milliseconds kRequestsEnd{5000};
   this->paths_cut = false;
@@ -353,6 +425,8 @@
     this->schedule(2s, [this] { this->replace_engine(); });
   }
   if (this->options.path_cuts) this->schedule(4s, [this] { this->cut_paths(); });
+  if (this->options.second_answers) this->inject_second_answers();
+  if (this->options.store_outages) this->schedule(4s, [this] { this->inject_store_outages(); });
   if (!this->options.previous_program.empty()) this->switch_next_program();
   this->wait(2s);
   const auto end = std::chrono::steady_clock::now() + this->options.fault_duration;
@@ -371,7 +445,7 @@
 void SoakSite::inject_fault() {
   const std::uint64_t kind = this->draw(24);
   // Disturbed nodes are not judged.
-  if (this->paths_cut && kind < 15) return;
+  if ((this->paths_cut || this->options.store_outages) && kind < 15) return;
   // Nor are streams while the store fails.
   const bool store_works = this->options.software_versions && this->options.seed % 2 == 1;
   if (store_works && kind >= 8 && kind < 15) return;
@@ -426,7 +500,9 @@
 void SoakSite::inject_store_fault(std::uint64_t kind) {
   const std::chrono::milliseconds duration(500 + this->draw(4000));
   const std::string length = " for " + std::to_string(duration.count()) + " ms";
-  FaultProxy& link = *this->store_links[this->draw(this->store_links.size())];
+  const std::size_t relay = this->draw(this->store_links.size());
+  const std::string node = this->relays[relay]->caller_address();
+  FaultProxy& link = *this->store_links[relay];
   const auto begin_fault = [&](StoreFault fault, const char* name) {
     this->log_fault(std::string("store ") + name + length);
     this->set_store_fault(fault);
@@ -448,15 +524,20 @@
       const bool up = this->draw(3) != 0;
       const bool down = !up || this->draw(2) == 0;
       this->log_fault("a relay cut off from the store" + length);
-      link.set({up, down, false, 0ms});
-      return this->schedule(duration, [&link] { link.set({}); });
+      link.set({up, down, false, false, 0ms});
+      break;
     }
     default:
       this->log_fault("a relay refused by the store" + length);
-      link.set({false, false, true, 0ms});
+      link.set({false, false, true, false, 0ms});
       link.reset_all();
-      return this->schedule(duration, [&link] { link.set({}); });
+      break;
   }
+  this->ledger.on_store_link_fault(node, true);
+  this->schedule(duration, [this, &link, node] {
+    link.set({});
+    this->ledger.on_store_link_fault(node, false);
+  });
 }
 
 void SoakSite::set_store_fault(StoreFault fault) {
@@ -501,14 +582,14 @@
       engine.set_slowness(6);
       engine.on_link_disturbed();
       engine.link().reset_all();
-      engine.link().set({false, false, false, kSlowLinkDelay});
+      engine.link().set({false, false, false, false, kSlowLinkDelay});
       return this->schedule(duration, [&engine] {
         engine.set_slowness(1);
         engine.link().set({});
       });
     default:
       this->log_fault(name + " silent");
-      engine.link().set({true, this->draw(2) == 0, false, 0ms});
+      engine.link().set({true, this->draw(2) == 0, false, false, 0ms});
       return this->schedule(duration, [&engine] {
         engine.on_link_disturbed();
         engine.link().set({});
@@ -681,6 +762,7 @@
     engine->set_slowness(1);
     engine->set_limit({});
     engine->link().set({});
+    engine->link().add_answers(0, "");
   }
   for (const auto& paths : this->engine_paths) {
     for (const auto& path : paths) {
--- a/tests/platform/support/soak_site.hpp
+++ b/tests/platform/support/soak_site.hpp
@@ -41,6 +41,11 @@
   bool path_cuts = false;
   /// Engines of two software versions are replaced all the while, and callers take streams up.
   bool software_versions = false;
+  /// Decode engines lose handles, and engines' answers are followed by late copies or by refusals
+  /// that name no request.
+  bool second_answers = false;
+  /// The store loses the calls of most relays, then of the others, while engines drain.
+  bool store_outages = false;
   /// Path of an earlier version for a rolling downgrade and upgrade; may be empty. Engine limits
   /// are not checked for its nodes.
   std::string previous_program;
@@ -88,6 +93,10 @@
   void build_engine_paths();
   void cut_paths();
   void replace_engine();
+  void inject_second_answers();
+  void inject_store_outages();
+  void lose_store_calls(std::size_t relay, std::chrono::milliseconds duration);
+  void drain_quietly(EngineStandin& engine);
   void restore_paths();
   void change_limit(std::size_t index, double per_second, int steps, double factor);
   void switch_next_program();
@@ -127,6 +136,8 @@
   std::mt19937_64 quota_random;
   std::mt19937_64 path_random;
   std::mt19937_64 release_random;
+  std::mt19937_64 second_answer_random;
+  std::mt19937_64 outage_random;
   double quota_per_second = kQuotaTokensPerSecond;
   std::size_t switch_count = 0;
   std::chrono::steady_clock::time_point disturbed_until{};  ///< Of relays or store.
