--- a/src/net/http1_client.cpp
+++ b/src/net/http1_client.cpp
@@ -521,7 +521,7 @@
       connections.rbegin(), connections.rend(),
       [&request](const auto& candidate) { return !candidate->has_carried_id_of(request); });
   if (newest == connections.rend()) return nullptr;
-  const auto connection = *newest;
+  std::shared_ptr<Connection> connection = *newest;
   connections.erase(std::next(newest).base());
   return connection;
 }
