Observe the first event of a stream once

What operators saw: shuntbank_relay_first_event_seconds counted each stream twice, as RelaySession::on_event observed it before and after computing the elapsed time. Quantiles were right, rates by _count and _sum were double.

Failing before (count 2), passing now (1): relay_session/observes_the_first_event_of_a_stream_once.

--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -125,7 +125,6 @@
     bind_stream();
     begin_stream();
     report_late_result();
-    context_.metrics.observe_first_event(service_name_.value(), context_.runtime.now() - arrived_);
     const Duration elapsed = context_.runtime.now() - arrived_;
     context_.metrics.observe_first_event(service_name_.value(), elapsed);
     if (prompt_) observe_expectation("first_event", to_ms(elapsed), expected_first_event_ms_);
--- a/tests/relay/relay_session_test.cpp
+++ b/tests/relay/relay_session_test.cpp
@@ -221,6 +221,17 @@
   cr_assert_eq(at_most("first_event", "1.25"), '1');
 }
 
+// Guards against a histogram that counts each stream twice.
+Test(relay_session, observes_the_first_event_of_a_stream_once) {
+  RelayFixture site;
+  site.add_engine("e1", "model", EngineStage::kDecode);
+  site.request("/stream/a", {{"tokens", "100"}});
+  site.http.answer(0, 200, RelayFixture::sealed_headers(), "id: 1\ndata: a\n\n");
+  const std::string text = site.node->metrics().to_text();
+  const std::string line = "first_event_seconds_count{service=\"model\"} 1\n";
+  cr_assert(text.find(line) != std::string::npos, "%s", text.c_str());
+}
+
 Test(relay_session, releases_an_unused_handle) {
   RelayFixture site;
   site.add_engine("p", "model", EngineStage::kPrefill);
