Move a list that awaits its confirmation instead of copying it

Comments on answers that name no request, and on surplus bytes, say what they mean. No change of behaviour.

--- a/src/net/http1_client.cpp
+++ b/src/net/http1_client.cpp
@@ -399,7 +399,7 @@
     timer_.cancel();
     ++timer_generation_;
     const bool tunnel_closing = tunnel_ && (tunnel_->closing() || tunnel_->ended());
-    // They would be taken for the beginning of the next answer.
+    // Surplus bytes would be taken for the beginning of the next answer.
     const bool surplus_bytes = !unparsed_.empty();
     if (surplus_bytes) ++client_->stats.surplus_answers;
     const bool not_reusable = !exchange->written || exchange->request.fresh_connection ||
--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -25,6 +25,7 @@
 
 }  // namespace
 
+/// @return whether the answer names this request, or none; `on_headers` tells these apart.
 bool RelaySession::is_own_answer(const HttpHeaders& headers) const {
   const std::string_view echoed = headers.get(context_.dialect.names().request_id);
   return echoed.empty() || echoed == id_;
@@ -66,8 +67,8 @@
   if (!streaming_ && !refused_) report_started();
 }
 
-/// Engines name the request in each answer. Other bytes say nothing about the request, which may
-/// still run, nor about the engine's state.
+/// Engines name the request in each answer. Bytes that do not may come before the answer, so the
+/// request may still run, and what they say of the engine is not trusted.
 void RelaySession::on_unnamed_answer() {
   context_.http.cancel(*transfer_);
   transfer_.reset();
--- a/src/store/kind_watch.cpp
+++ b/src/store/kind_watch.cpp
@@ -65,11 +65,11 @@
   void list(Freshness freshness) {
     cancel_calls();
     const std::uint64_t number = begin_call(CallKind::kList, freshness);
-    calls_.back().id = store_.list(kind_, freshness, list_timeout_,
-                                   [weak = weak_from_this(), number](const auto& list) {
-                                     if (const auto self = weak.lock())
-                                       self->on_ended(number, list, &Impl::on_list);
-                                   });
+    calls_.back().id =
+        store_.list(kind_, freshness, list_timeout_, [weak = weak_from_this(), number](auto list) {
+          if (const auto self = weak.lock())
+            self->on_ended(number, std::move(list), &Impl::on_list);
+        });
   }
 
   void stop() { stopped_ = true; }
@@ -187,9 +187,8 @@
   }
 
   /// Ends a call and passes on its result. A failure is ignored while another call is in flight.
-  template <typename Value>
-  void on_ended(std::uint64_t number, const tl::expected<Value, StoreError>& result,
-                void (Impl::*handler)(const Call&, const tl::expected<Value, StoreError>&)) {
+  template <typename Value, typename Handler>
+  void on_ended(std::uint64_t number, tl::expected<Value, StoreError> result, Handler handler) {
     const auto found = std::find_if(calls_.begin(), calls_.end(),
                                     [number](const Call& call) { return call.number == number; });
     if (stopped_ || found == calls_.end()) return;
@@ -198,7 +197,7 @@
     const bool answered = result || result.error() == StoreError::kHistoryGone;
     if (!answered && !calls_.empty()) return;
     cancel_calls();
-    (this->*handler)(call, result);
+    (this->*handler)(call, std::move(result));
   }
 
   bool watching() const { return !calls_.empty() && calls_.front().kind == CallKind::kWatch; }
@@ -230,7 +229,7 @@
     watch();
   }
 
-  void on_list(const Call& call, const tl::expected<ObjectList, StoreError>& list) {
+  void on_list(const Call& call, tl::expected<ObjectList, StoreError> list) {
     if (!list) {
       const bool timed_out = list.error() == StoreError::kUncertain;
       if (timed_out) list_timeout_ = std::min(2 * list_timeout_, settings_.max_list_timeout);
@@ -243,7 +242,7 @@
     if (confirm) {
       // The list may be older than the known state. It is applied once a watch has returned the
       // changes since.
-      unconfirmed_list_ = *list;
+      unconfirmed_list_ = std::move(*list);
       return watch();
     }
     apply_list(*list);
@@ -283,9 +282,9 @@
     const std::uint64_t revision = unconfirmed_list_ ? unconfirmed_list_->revision : revision_;
     const Duration wait = unconfirmed_list_ ? kNoWait : jittered(wait_, kWaitSpread);
     calls_.back().id = store_.watch(kind_, revision, freshness, wait, wait + settings_.wait_slack,
-                                    [weak = weak_from_this(), number](const auto& batch) {
+                                    [weak = weak_from_this(), number](auto batch) {
                                       if (const auto self = weak.lock())
-                                        self->on_ended(number, batch, &Impl::on_batch);
+                                        self->on_ended(number, std::move(batch), &Impl::on_batch);
                                     });
   }
 
