Do not judge rest that an engine asked for behind an unnamed refusal

Trace: relay-2 sends r2281-78147 at 06:34:53.910 and gets a refusal that names no request at .911, so it closes the connection; the refusal behind it, which asked for rest, never arrives. The next one (r2291-23906, .931) asks for 1,080 ms, which relay-2 keeps: nothing is sent until 06:34:55.073. The request at .139 is the third within the longer rest that it was not told of.

An engine's notice binds the node that has read it, so the ledger forgets the cooldowns of an engine whose last answer stands behind an added refusal without an id. Copies of answers are skipped by nodes and hide nothing; they are judged as before.

--- a/tests/platform/support/engine_standin.hpp
+++ b/tests/platform/support/engine_standin.hpp
@@ -73,6 +73,9 @@
     this->undisturbed = std::move(is_undisturbed);
   }
 
+  /// The node may not have read the engine's last answer.
+  void on_answer_hidden() { this->ledger.on_answer_hidden(this->id); }
+
   /// Notices of the engine may have been lost.
   void on_link_disturbed() { this->ledger.on_link_disturbed(this->id); }
 
--- a/tests/platform/support/fault_proxy.cpp
+++ b/tests/platform/support/fault_proxy.cpp
@@ -96,6 +96,8 @@
     void add_answers(std::string_view bytes, bool upward) {
       if (!upward) {
         this->down.prefix = std::exchange(this->extra_answer, {});
+        if (!this->down.prefix.empty() && this->owner->on_answer_added)
+          this->owner->on_answer_added();
         this->answer.append(bytes);
       } else if (!this->answer.empty()) {
         this->extra_answer = this->owner->next_extra_answer(std::exchange(this->answer, {}));
@@ -220,6 +222,7 @@
   LinkState state;
   int extra_interval = 0;    ///< Answers for each one that is added; 0: none is.
   std::string extra_answer;  ///< Empty: a copy of the last answer.
+  std::function<void()> on_answer_added;
   int answer_count = 0;
   std::set<std::shared_ptr<Link>> links;
 };
@@ -255,6 +258,10 @@
   this->impl->extra_answer = std::move(answer);
 }
 
+void FaultProxy::on_answer_added(std::function<void()> handler) {
+  this->impl->on_answer_added = std::move(handler);
+}
+
 void FaultProxy::set_rate_down(std::size_t bytes_per_second) {
   this->impl->rate_down = bytes_per_second;
 }
--- a/tests/platform/support/fault_proxy.hpp
+++ b/tests/platform/support/fault_proxy.hpp
@@ -5,6 +5,7 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -55,6 +56,9 @@
   /// @param answer empty: a copy of the last answer.
   void add_answers(int interval, std::string answer);
 
+  /// Sets the handler for an answer that is added.
+  void on_answer_added(std::function<void()> handler);
+
   /// Resets all open connections.
   void reset_all();
 
--- a/tests/platform/support/ledger.hpp
+++ b/tests/platform/support/ledger.hpp
@@ -190,6 +190,9 @@
     this->drains.on_link_disturbed(monotonic_now(), engine);
   }
 
+  /// A node may not have read an engine's last answer, nor a notice in it.
+  void on_answer_hidden(const std::string& engine) { this->notices.reset_cooldowns(engine); }
+
   void add_violation(const std::string& rule, const std::string& what);
 
   std::size_t judged_after_draining() const { return this->drains.judged_requests(); }
--- a/tests/platform/support/soak_site_faults.cpp
+++ b/tests/platform/support/soak_site_faults.cpp
@@ -99,6 +99,10 @@
   for (const auto& engine : this->engines) {
     engine->set_fault(EngineFault::kLosesHandles, 0.7);
     engine->link().add_answers(kInterval, copies ? "" : unnamed);
+    // A node closes the connection at a refusal that names no request.
+    engine->link().on_answer_added([&made = *engine, copies] {
+      if (!copies) made.on_answer_hidden();
+    });
   }
   this->schedule(duration, [this] {
     for (const auto& engine : this->engines) {
