Let collectors take missing engines from those of other zones

Cause: while the store answers neither collector of a zone, the zone's nodes have nothing newer to give each other. A node asks its collector and its zone five times, with pauses that double up to 0.7 s, before it asks any node; an answer that brings only a part of the changes starts the round anew.

A collector is told of changes by the collectors of other zones, so it asks these for the engines. The nodes of its zone ask it at every second attempt.

Failing before (20 of 60 nodes), passing now: engine_list_fleet/learns_of_ draining_engines_where_the_store_answers_no_node_of_a_zone.

--- a/src/relay/engine_list_exchange.cpp
+++ b/src/relay/engine_list_exchange.cpp
@@ -69,10 +69,15 @@
 }
 
 /// The collector, which reads the store, alternates with the nodes of the zone, as it may lag or be
-/// busy. The store may be unreachable from the whole zone.
+/// busy. The store may be unreachable from the whole zone, which then depends on its collector's
+/// requests to other zones.
 std::vector<std::string> EngineListExchange::candidate_addresses() const {
   const std::size_t turn = this->attempts % kAttemptsPerRound;
   if (turn == kAttemptsPerRound - 1) return this->peers.addresses();
+  if (this->zones.is_designated_collector()) {
+    auto collectors = this->zones.other_collector_addresses();
+    if (!collectors.empty()) return collectors;
+  }
   const PeerRecord* collector = this->zones.source();
   if (turn % 2 == 0 && collector != nullptr) return {collector->address};
   return this->peers.nearby_addresses();
--- a/src/relay/zone_exchange.cpp
+++ b/src/relay/zone_exchange.cpp
@@ -253,6 +253,17 @@
   return std::find(designated.begin(), designated.end(), this->self) != designated.end();
 }
 
+std::vector<std::string> ZoneExchange::other_collector_addresses() const {
+  std::vector<std::string> addresses;
+  for (const auto& [name, zone_selector] : this->zone_selectors) {
+    for (const NodeId& target : zone_selector.report_targets(this->runtime.now())) {
+      const PeerRecord* record = this->peers.find(target);
+      if (record != nullptr) addresses.push_back(record->address);
+    }
+  }
+  return addresses;
+}
+
 const PeerRecord* ZoneExchange::source() const {
   const auto& chosen = this->selector.source();
   if (!chosen || *chosen == this->self) return nullptr;
--- a/src/relay/zone_exchange.hpp
+++ b/src/relay/zone_exchange.hpp
@@ -7,8 +7,10 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "common/runtime.hpp"
 #include "core/relay/collector_selector.hpp"
@@ -64,6 +66,9 @@
   /// @return the collector that sends views to this node; null if it is this node or unknown.
   const PeerRecord* source() const;
 
+  /// @return the addresses of the collectors that other zones are expected to use.
+  std::vector<std::string> other_collector_addresses() const;
+
   /// @return the last known time at which the store confirmed its state to a store reader; the
   /// epoch of the clock if never.
   MonotonicTime readers_confirmed_at() const { return this->store_confirmed_at; }
--- a/tests/relay/engine_list_fleet_test.cpp
+++ b/tests/relay/engine_list_fleet_test.cpp
@@ -102,6 +102,23 @@
   cr_assert_eq(fleet.nodes_using(0), 0);
 }
 
+// Guards against a zone whose nodes ask only each other, though other zones know of the change.
+Test(engine_list_fleet, learns_of_draining_engines_where_the_store_answers_no_node_of_a_zone) {
+  constexpr std::size_t kZones = 3;
+  CatalogFleet fleet({60, 400, 500, 20'000'000, 20s, kZones});
+  fleet.advance(10s);
+  for (std::size_t node = 1; node < fleet.sizes.nodes; node += kZones) {
+    fleet.stores[node]->set_silent(true);
+  }
+  for (std::size_t engine = 0; engine < 10; ++engine) {
+    fleet.advance(1s);
+    fleet.write(engine, true);
+    fleet.advance(kChangeTime);
+    cr_assert_eq(fleet.nodes_using(engine), 0, "%zu nodes still use engine %zu",
+                 fleet.nodes_using(engine), engine);
+  }
+}
+
 // Guards against a node that relies on other nodes which it does not reach.
 Test(engine_list_fleet, reads_the_store_where_no_other_node_is_reached) {
   CatalogFleet fleet(kFastStore);
