Log and count what a promise that nothing ran rests on

The lines of a request did not tell the hypotheses apart: request_ended result=refused names no engine's answer, and answered status=503 looks the same whether the engine said that it did not run the request or not.

engine_answered is the head of each answer that is no success, before anything is concluded from it: whether it names the request, whether the engine says that it did not run it, and whether callers take its status for that promise. attempt_failed has the status and size of the answer, request_ended the attempts that may have run. promises_total counts such statuses by whether they are the node's own or an engine's.

The dialect says which statuses are promises; no decision uses it yet.

--- a/src/relay/engine_dialect.hpp
+++ b/src/relay/engine_dialect.hpp
@@ -92,6 +92,10 @@
   /// @return whether the engine refused the request: it did not run it and never will.
   virtual bool is_refusal(int status, const HttpHeaders& headers) const = 0;
 
+  /// @return whether callers take this status for a promise that the request has not run and never
+  /// will.
+  virtual bool promises_not_run(int status) const = 0;
+
   /// @return the value of the stage field for a remote prefill.
   virtual std::string prefill_stage_value() const = 0;
 
--- a/src/relay/relay_metrics.cpp
+++ b/src/relay/relay_metrics.cpp
@@ -36,6 +36,11 @@
           .Name("shuntbank_relay_attempt_failures_total")
           .Help("Attempts that brought no answer to pass on")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& promises =
+      prometheus::BuildCounter()
+          .Name("shuntbank_relay_promises_total")
+          .Help("Answers that promise that the request has not run, by whose status it is")
+          .Register(registry);
   prometheus::Family<prometheus::Counter>& extra_sends =
       prometheus::BuildCounter()
           .Name("shuntbank_relay_extra_sends_total")
@@ -154,6 +159,10 @@
   impl_->failures.Add({{"service", service}, {"reason", reason}}).Increment();
 }
 
+void RelayMetrics::count_promise(const std::string& service, const std::string& source) {
+  impl_->promises.Add({{"service", service}, {"source", source}}).Increment();
+}
+
 void RelayMetrics::count_extra_send(const std::string& service) {
   impl_->extra_sends.Add({{"service", service}}).Increment();
 }
--- a/src/relay/relay_metrics.hpp
+++ b/src/relay/relay_metrics.hpp
@@ -26,6 +26,10 @@
   /// An attempt failed. @param reason from a fixed set.
   void count_failure(const std::string& service, const std::string& reason);
 
+  /// A caller got a status that promises that its request has not run.
+  /// @param source `node`, or `engine` if the status is that of an engine's answer.
+  void count_promise(const std::string& service, const std::string& source);
+
   /// A send was charged to the retry budget.
   void count_extra_send(const std::string& service);
 
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -259,6 +259,7 @@
   forwarding_paused_ = false;
   streaming_ = false;
   body_.clear();
+  received_bytes_ = 0;
   overflow_ = false;
   answer_invalid_ = false;
   splitter_.clear();
@@ -382,7 +383,7 @@
   }
   if (failure_answer_) {
     HttpReply reply = std::move(*failure_answer_);
-    return respond(reply.status, reply.headers, std::move(reply.body), "engine_failure");
+    return respond(reply.status, reply.headers, std::move(reply.body), kEngineFailure);
   }
   respond(status, {}, "", "failed");
 }
@@ -442,6 +443,10 @@
   HttpReply reply{status, headers, std::move(body)};
   const std::string& id_field = context_.dialect.names().request_id;
   if (!id_.empty() && reply.headers.count(id_field) == 0) reply.headers.add(id_field, id_);
+  if (context_.dialect.promises_not_run(status)) {
+    const bool from_engine = result == kAnswered || result == kEngineFailure;
+    context_.metrics.count_promise(service_name_.value(), from_engine ? "engine" : "node");
+  }
   responder_->respond(std::move(reply));
   status_ = status;
   end(result);
@@ -477,6 +482,7 @@
              {"stream_software", origin_ ? origin_->version : std::string()},
              {"events", progress_.event_count()},
              {"sends", history_.sends},
+             {"may_have_run", history_.may_have_run},
              {"identity",
               suspect_status().is_suspect() ? to_text(causes_.front().request) : std::string()},
              {"first_ms", whole_ms(progress_.first_event_delay(arrived_))},
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -27,6 +27,9 @@
 /// Result of a request whose caller got an engine's complete answer.
 constexpr const char* kAnswered = "answered";
 
+/// Result of a request whose caller got an engine's failure, as no retry succeeded.
+constexpr const char* kEngineFailure = "engine_failure";
+
 /// Relays one request. Keeps itself alive until the request has ended.
 class RelaySession : public std::enable_shared_from_this<RelaySession> {
  public:
@@ -188,6 +191,7 @@
   void begin_stream();
   void end(const std::string& result);
   void log_attempt(const char* event, const std::string& why) const;
+  void log_engine_answer(int status, const HttpHeaders& headers) const;
   const char* step_name() const;
   std::string_view last_event_id() const;
 
@@ -258,6 +262,7 @@
   bool forwarding_paused_ = false;  ///< The caller was too slow for a while.
   bool streaming_ = false;          ///< Events are forwarded as they arrive.
   std::string body_;
+  std::uint64_t received_bytes_ = 0;  ///< Of the answer's body.
   bool overflow_ = false;
   bool answer_invalid_ = false;
   EventSplitter splitter_;
--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -33,6 +33,7 @@
 
 void RelaySession::on_headers(int status, const HttpHeaders& headers) {
   const HeaderNames& names = context_.dialect.names();
+  if (!is_success(status)) log_engine_answer(status, headers);
   if (headers.get(names.request_id) != id_) return on_unnamed_answer();
   status_ = status;
   headers_ = headers;
@@ -82,6 +83,7 @@
   last_activity_at_ = context_.runtime.now();
   if (!tunnel_) context_.paths.on_answer(engine_);
   if (!streaming_) {
+    received_bytes_ += piece.size();
     overflow_ = overflow_ || body_.size() + piece.size() > kMaxBufferedAnswer;
     if (!overflow_) body_ += piece;
     return true;
@@ -94,6 +96,7 @@
     });
     return false;
   }
+  received_bytes_ += piece.size();
   const bool usable = splitter_.feed(piece, [this](const RawEvent& event) { on_event(event); });
   answer_invalid_ = answer_invalid_ || !usable;
   return true;
--- a/src/relay/relay_session_log.cpp
+++ b/src/relay/relay_session_log.cpp
@@ -52,6 +52,8 @@
              {"load_age_ms", load_known ? whole_ms(now - view->load_at) : -1},
              {"sends", history_.sends},
              {"may_have_run", history_.may_have_run},
+             {"answer_status", status_},
+             {"answer_bytes", received_bytes_},
              {"extra", charged_to_budget_},
              {"budget", budget_left()},
              {"left_ms", whole_ms(expires_ - now)},
@@ -63,6 +65,24 @@
             LogImportance::kStep);
 }
 
+/// Logs what decides on the outcome of an attempt that brings no success: whether the answer names
+/// the request, and whether it says that the engine did not run it.
+void RelaySession::log_engine_answer(int status, const HttpHeaders& headers) const {
+  const HeaderNames& names = context_.dialect.names();
+  log_event(LogArea::kCallers, LogLevel::kInfo, "engine_answered",
+            {{"request", id_},
+             {"engine", engine_.value()},
+             {"step", step_name()},
+             {"status", status},
+             {"names_request", headers.get(names.request_id) == id_},
+             {"not_run", context_.dialect.is_refusal(status, headers)},
+             {"promises_not_run", context_.dialect.promises_not_run(status)},
+             {"sealed", !headers.get(names.seal).empty()},
+             {"after_ms", whole_ms(context_.runtime.now() - sent_at_)},
+             {"via", tunnel_ ? tunnel_->address : std::string()}},
+            LogImportance::kStep);
+}
+
 /// @return the last event that the caller has, from this request or an earlier one.
 std::string_view RelaySession::last_event_id() const {
   const std::string& forwarded = progress_.last_id_text();
--- a/tests/relay/support/fakes.hpp
+++ b/tests/relay/support/fakes.hpp
@@ -148,6 +148,9 @@
   bool is_refusal(int, const HttpHeaders& headers) const override {
     return headers.count("refused") > 0;
   }
+  bool promises_not_run(int status) const override {
+    return status == 408 || status == 421 || status == 429 || status == 503;
+  }
   std::string prefill_stage_value() const override { return "read"; }
   std::string prompt_source_value(const std::string& address,
                                   const std::string& handle) const override {
