Give a promise that nothing ran only where the history shows it

Callers saw: requests that can't be repeated got 408, 429 or 503, which promise that the request has not run and never will, after an engine had run them.

Cause: an engine that did not run a request says so by a mark of its own. A complete answer without it was passed on whatever its status, also the failure that is kept while other engines are tried, so that an engine's status became a promise of the node. The class: a promise made from a status, not from knowledge. The node knew that the request might have run (known_not_run), but two ways out did not ask.

Fix: the history knows an attempt in flight and an answer that is no refusal, and every answer to a caller passes through respond(), which gives such a status only if the history shows that nothing ran. In its place goes 502 without the engine's seal, which covers another status. The timer's own check is the same one now. A request that may be repeated is sent elsewhere after such an answer, as after any failure.

--- a/src/core/relay/attempt_outcome.hpp
+++ b/src/core/relay/attempt_outcome.hpp
@@ -19,6 +19,8 @@
 struct AttemptHistory {
   std::uint32_t sends = 0;         ///< Attempts of which a byte may have been sent.
   std::uint32_t may_have_run = 0;  ///< Attempts that ended uncertain or with an engine's failure.
+  bool run_in_flight = false;      ///< An attempt that may run the request has not ended.
+  bool answered = false;           ///< An engine has given its final answer, which is no refusal.
   bool head_forwarded = false;     ///< The response head of a stream was forwarded to the caller.
   bool prefill_sent = false;       ///< A remote prefill was attempted; there is at most one.
   /// An engine may have received the request, so that each further send is an extra dispatch. A
@@ -42,7 +44,7 @@
 
 /// @return whether the caller may be told that the request has not run.
 inline bool known_not_run(const AttemptHistory& history) {
-  return history.may_have_run == 0;
+  return history.may_have_run == 0 && !history.run_in_flight && !history.answered;
 }
 
 }  // namespace shuntbank::relay
--- a/src/relay/relay_metrics.cpp
+++ b/src/relay/relay_metrics.cpp
@@ -39,7 +39,7 @@
   prometheus::Family<prometheus::Counter>& promises =
       prometheus::BuildCounter()
           .Name("shuntbank_relay_promises_total")
-          .Help("Answers that promise that the request has not run, by whose status it is")
+          .Help("Answers that promise that the request has not run, given or withheld")
           .Register(registry);
   prometheus::Family<prometheus::Counter>& extra_sends =
       prometheus::BuildCounter()
@@ -159,8 +159,8 @@
   impl_->failures.Add({{"service", service}, {"reason", reason}}).Increment();
 }
 
-void RelayMetrics::count_promise(const std::string& service, const std::string& source) {
-  impl_->promises.Add({{"service", service}, {"source", source}}).Increment();
+void RelayMetrics::count_promise(const std::string& service, const std::string& outcome) {
+  impl_->promises.Add({{"service", service}, {"outcome", outcome}}).Increment();
 }
 
 void RelayMetrics::count_extra_send(const std::string& service) {
--- a/src/relay/relay_metrics.hpp
+++ b/src/relay/relay_metrics.hpp
@@ -26,9 +26,9 @@
   /// An attempt failed. @param reason from a fixed set.
   void count_failure(const std::string& service, const std::string& reason);
 
-  /// A caller got a status that promises that its request has not run.
-  /// @param source `node`, or `engine` if the status is that of an engine's answer.
-  void count_promise(const std::string& service, const std::string& source);
+  /// A status that promises that a request has not run. @param outcome `given`, or `withheld` as
+  /// the request may have run.
+  void count_promise(const std::string& service, const std::string& outcome);
 
   /// A send was charged to the retry budget.
   void count_extra_send(const std::string& service);
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -265,6 +265,7 @@
   splitter_.clear();
   prefill_tokens_released_ = false;
   attempt_counted_ = true;
+  history_.run_in_flight = step != Step::kPrefill;
   version_when_sent_ = view->record.stream_version();
   sent_stage_ = view->record.stage;
   sent_at_ = context_.runtime.now();
@@ -332,6 +333,7 @@
                                  : outcome == AttemptOutcome::kRefused ? "refused"
                                                                        : "uncertain");
   log_attempt("attempt_failed", why);
+  history_.run_in_flight = false;
   const bool prefill_only = step_ == Step::kPrefill;
   if (outcome != AttemptOutcome::kNotSent) {
     ++history_.sends;
@@ -391,9 +393,8 @@
 void RelaySession::on_timeout() {
   if (ended_) return;
   report_late_result();
-  const bool may_run = transfer_.has_value() && step_ != Step::kPrefill;
   cancel_transfer();
-  if (!may_run && known_not_run(history_) && !history_.head_forwarded) {
+  if (known_not_run(history_) && !history_.head_forwarded) {
     return refuse("out of time");
   }
   fail(http_status::kGatewayTimeout, "out of time");
@@ -416,6 +417,7 @@
   context_.http.cancel(*transfer_);
   transfer_.reset();
   permit_.reset();  // Not released: the request may have reached the engine.
+  if (std::exchange(history_.run_in_flight, false)) ++history_.may_have_run;
   release_engine();
 }
 
@@ -440,18 +442,31 @@
 
 void RelaySession::respond(int status, const HttpHeaders& headers, std::string body,
                            const std::string& result) {
+  if (context_.dialect.promises_not_run(status)) {
+    if (!known_not_run(history_)) return withhold_promise(status);
+    context_.metrics.count_promise(service_name_.value(), "given");
+  }
   HttpReply reply{status, headers, std::move(body)};
   const std::string& id_field = context_.dialect.names().request_id;
   if (!id_.empty() && reply.headers.count(id_field) == 0) reply.headers.add(id_field, id_);
-  if (context_.dialect.promises_not_run(status)) {
-    const bool from_engine = result == kAnswered || result == kEngineFailure;
-    context_.metrics.count_promise(service_name_.value(), from_engine ? "engine" : "node");
-  }
   responder_->respond(std::move(reply));
   status_ = status;
   end(result);
 }
 
+/// Answers with a status that promises nothing. The engine's seal covers its own status only, so
+/// nothing of its answer is passed on.
+void RelaySession::withhold_promise(int status) {
+  log_event(LogArea::kCallers, LogLevel::kWarning, "promise_withheld",
+            {{"request", id_},
+             {"status", status},
+             {"engine", engine_.value()},
+             {"may_have_run", history_.may_have_run},
+             {"answered", history_.answered}});
+  context_.metrics.count_promise(service_name_.value(), "withheld");
+  respond(http_status::kBadGateway, {}, "", kEngineFailure);
+}
+
 void RelaySession::end(const std::string& result) {
   if (std::exchange(ended_, true)) return;
   timer_.reset();
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -176,6 +176,7 @@
   void release_engine();
   void release_handle();
   void respond(int status, const HttpHeaders& headers, std::string body, const std::string& result);
+  void withhold_promise(int status);
   HttpHeaders forwarded_answer_fields() const;
   void update_prefill_model(bool exclusive);
   void report_prefill_sample();
--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -195,6 +195,7 @@
 void RelaySession::on_done(const tl::expected<void, TransferError>& result) {
   if (ended_) return;
   transfer_.reset();
+  history_.run_in_flight = false;
   release_engine();
   if (!result) return on_transfer_failed(result.error());
   permit_.reset();
@@ -287,7 +288,10 @@
 
 void RelaySession::on_complete_answer() {
   const MonotonicTime now = context_.runtime.now();
-  const bool engine_failure = status_ >= http_status::kInternalError;
+  // A status that promises that nothing ran, from an engine that does not say so.
+  const bool false_promise = context_.dialect.promises_not_run(status_);
+  const bool engine_failure = status_ >= http_status::kInternalError || false_promise;
+  history_.answered = true;
   report_health(engine_failure ? AttemptHealth::kFailed : AttemptHealth::kGood);
   context_.engines.on_latency(engine_, now - sent_at_);
   report_completed();
