Break a stream off where its continuation gets an answer of its own

Callers would see a second status line and head inside the stream that they already receive: a stream that goes on at another engine, which answers with a status below 500, was answered with that status.

--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -295,7 +295,7 @@
   report_health(engine_failure ? AttemptHealth::kFailed : AttemptHealth::kGood);
   context_.engines.on_latency(engine_, now - sent_at_);
   report_completed();
-  if (engine_failure && (route_.idempotent() || history_.head_forwarded)) {
+  if ((engine_failure && route_.idempotent()) || history_.head_forwarded) {
     save_failure_answer();
     return on_attempt_failed(AttemptOutcome::kUncertain, "status " + std::to_string(status_));
   }
--- a/tests/relay/promise_test.cpp
+++ b/tests/relay/promise_test.cpp
@@ -63,7 +63,7 @@
       return this->site.runtime.advance(*rc::gen::element(1ms, 60ms, 700ms, 3000ms));
     }
     const std::size_t index = *pending;
-    const int kind = *rc::gen::inRange(0, 9);
+    const int kind = *rc::gen::inRange(0, 10);
     if (kind < 4) this->not_run.insert(index);
     switch (kind) {
       case 0:
@@ -81,6 +81,10 @@
         return this->site.http.fail(index, TransferFailure::kUncertain);
       case 7:
         return this->site.http.answer(index, 200, {{"id", "r1"}}, "handle");
+      case 8:
+        this->site.http.begin(index, 200, RelayFixture::sealed_headers());
+        this->site.http.piece(index, "id: 1\ndata: a\n\n");
+        return this->site.http.fail(index, TransferFailure::kUncertain);
       default:
         return this->site.http.answer(index, *rc::gen::element(200, 404, 408, 421, 429, 500, 503),
                                       RelayFixture::sealed_headers(), "id: 1\n\n");
@@ -140,6 +144,21 @@
   expect_bad_gateway("/resumable/a", {{"tokens", "100"}});
 }
 
+// Guards against an answer with a head of its own inside a stream that the caller already receives.
+Test(promise, an_engines_answer_to_a_continued_stream_is_not_passed_on) {
+  for (const int status : {404, 408, 421, 429, 500, 503}) {
+    MixedSite site;
+    const auto reply = site.request("/resumable/a", {{"tokens", "100"}});
+    site.http.begin(0, 200, RelayFixture::sealed_headers());
+    site.http.piece(0, "id: 1\ndata: a\n\n");
+    site.http.fail(0, TransferFailure::kUncertain);
+    cr_assert_eq(site.http.count(), 2);
+    site.http.answer(1, status, RelayFixture::sealed_headers(), "no");
+    cr_assert_eq(reply->head_count, 1, "a second head with %d", status);
+    cr_assert(reply->aborted);
+  }
+}
+
 // Guards against a refusal, or a second head, after any order of events in which an engine may have
 // run the request.
 Test(promise, holds_after_random_events) {
