--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -291,6 +291,17 @@
   cr_assert_not(dialect.is_refusal(503, {}));
 }
 
+// Guards against taking an answer of an engine that ran the request for a refusal, as it bears the
+// mark of one beside a status that says the opposite.
+Test(platform_dialect, takes_the_mark_of_a_refusal_only_with_a_status_of_one) {
+  const PlatformDialect dialect;
+  const HttpHeaders mark = {{"X-Not-Executed", "1"}};
+  for (const int status : {400, 408, 421, 429, 503}) cr_assert(dialect.is_refusal(status, mark));
+  for (const int status : {200, 204, 404, 500, 502, 504}) {
+    cr_assert_not(dialect.is_refusal(status, mark), "%d", status);
+  }
+}
+
 // Engines that share their machines add a field to their load, and later versions may add more.
 Test(platform_dialect, parses_load_with_additional_fields) {
   const PlatformDialect dialect;
