Close connections on which surplus bytes come without end

A server in trouble may send bytes that are no answer until its caller closes. The client read on: interim heads, answers to other requests and their bodies, chunk extensions, and what fetch() would never collect, all until the whole time of the call was over. Callers waited for it, and where a read of the store has a time of silence in the place of the whole time, an answer that trickles was read for ever.

TransferError names the defect.

--- a/src/net/http1_client.cpp
+++ b/src/net/http1_client.cpp
@@ -33,6 +33,10 @@
 /// remembers.
 constexpr std::size_t kMaxAnswerIds = 1000;
 
+/// Bytes of framing that a byte of a body may take beyond `max_surplus_bytes`. A chunk of one byte
+/// takes five.
+constexpr std::size_t kMaxFramingPerByte = 8;
+
 struct Target {
   std::string address;
   std::string path;
@@ -131,6 +135,9 @@
     const auto& answer_id = exchange_->request.answer_id;
     if (answer_id) answer_id_hashes_.push_back(hash64(*answer_id));
     answer_complete_ = false;
+    received_bytes_ = 0;
+    body_bytes_ = 0;
+    answer_began_at_.reset();
     parser_.set_without_body(exchange_->request.method == "HEAD");
     started_at_ = monotonic_now();
     if (!connected_) return connect();
@@ -291,8 +298,16 @@
 
   /// Restarts the silence timeout after bytes of the answer have arrived.
   void arm_silence_timeout() {
-    const Duration silence = exchange_->request.answer_idle_timeout;
-    if (silence > Duration::zero()) arm_timer(silence, "the answer broke off");
+    const OutgoingRequest& request = exchange_->request;
+    const Duration silence = request.answer_idle_timeout;
+    if (silence <= Duration::zero()) return;
+    const MonotonicTime now = monotonic_now();
+    if (!answer_began_at_) answer_began_at_ = now;
+    const Duration left = *answer_began_at_ + request.answer_timeout - now;
+    if (request.answer_timeout > Duration::zero() && left < silence) {
+      return arm_timer(std::max(left, Duration::zero()), "no whole answer in time");
+    }
+    arm_timer(silence, "the answer broke off");
   }
 
   void arm_timer(Duration delay, const char* message) {
@@ -324,6 +339,9 @@
           self->arm_silence_timeout();
           self->parse();
           if (self->closed_) return;
+          if (self->exchange_ && self->has_surplus_bytes()) {
+            return self->fail_answer(AnswerDefect::kSurplusBytes, "too many surplus bytes");
+          }
           if (self->paused_) return;
           if (ended) return self->on_read_error(asio::error::eof);
           self->read();
@@ -333,6 +351,7 @@
   /// @return whether the peer's end of a tunneled connection was among the bytes.
   bool append_received(std::size_t size) {
     const std::string_view received(read_buffer_.data(), size);
+    received_bytes_ += size;
     if (!tunnel_) {
       unparsed_.append(received);
       return false;
@@ -341,13 +360,23 @@
     return tunnel_->ended();
   }
 
+  bool has_surplus_bytes() const {
+    const std::size_t allowed =
+        client_->settings.max_surplus_bytes + kMaxFramingPerByte * body_bytes_;
+    return received_bytes_ - body_bytes_ > allowed;
+  }
+
   void parse() {
     while (!closed_ && !paused_ && exchange_ && !answer_complete_ && !unparsed_.empty()) {
       const std::string bytes = std::exchange(unparsed_, {});
       const std::size_t consumed = parser_.feed(bytes);
       if (closed_) return;
       unparsed_ = bytes.substr(std::min(consumed, bytes.size())) + unparsed_;
-      if (parser_.failure() != HttpParseFailure::kNone) return fail("the answer is no HTTP");
+      if (parser_.failure() != HttpParseFailure::kNone) {
+        const bool large = parser_.failure() == HttpParseFailure::kHeaderTooLarge;
+        return fail_answer(large ? AnswerDefect::kHeadTooLarge : AnswerDefect::kMalformed,
+                           "the answer is no HTTP");
+      }
       if (consumed == 0) break;
     }
     if (!closed_ && exchange_ && answer_complete_) complete();
@@ -369,6 +398,7 @@
   bool on_body(std::string_view piece) {
     if (closed_) return false;
     if (skipping_) return true;
+    body_bytes_ += piece.size();
     return deliver(piece);
   }
 
@@ -437,6 +467,12 @@
     finish_with_error({failure, message, connection_refused});
   }
 
+  void fail_answer(AnswerDefect defect, const std::string& message) {
+    TransferError error{TransferFailure::kUncertain, message};
+    error.defect = defect;
+    finish_with_error(std::move(error));
+  }
+
   void withdraw() {
     finish_with_error({TransferFailure::kWithdrawn, "no longer wanted there", false});
   }
@@ -458,7 +494,10 @@
   std::array<char, kReadBufferSize> read_buffer_{};
   MonotonicTime connecting_since_{};
   std::string write_buffer_;
-  std::string unparsed_;           ///< Received, not yet parsed.
+  std::string unparsed_;                          ///< Received, not yet parsed.
+  std::size_t received_bytes_ = 0;                ///< Since the current request began.
+  std::size_t body_bytes_ = 0;                    ///< Of these, in the body of its answer.
+  std::optional<MonotonicTime> answer_began_at_;  ///< Set with `answer_idle_timeout` only.
   std::string undelivered_piece_;  ///< Parsed, but refused by `on_data` until `resume`.
   std::unique_ptr<Exchange> exchange_;
   std::vector<std::uint64_t> answer_id_hashes_;  ///< Of the requests sent here.
--- a/src/net/http1_client.hpp
+++ b/src/net/http1_client.hpp
@@ -24,6 +24,9 @@
   /// How long sent bytes may stay unacknowledged before the connection is closed.
   Duration peer_timeout = std::chrono::milliseconds(2500);
   std::size_t max_header_bytes = 64UL << 10U;
+  /// Bytes received for one request that are no part of its answer's body: heads, framing, interim
+  /// answers and answers to other requests. Beyond this, in proportion to the body.
+  std::size_t max_surplus_bytes = 1UL << 20U;
   /// Address that connections are made from; unset: chosen by the system. Nodes accept tunnels only
   /// from addresses of other nodes.
   std::optional<asio::ip::address> local_address = std::nullopt;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -334,32 +334,56 @@
   impl_->resume(id);
 }
 
+const char* to_text(AnswerDefect defect) {
+  switch (defect) {
+    case AnswerDefect::kNone:
+      return "none";
+    case AnswerDefect::kMalformed:
+      return "malformed";
+    case AnswerDefect::kHeadTooLarge:
+      return "head_too_large";
+    case AnswerDefect::kSurplusBytes:
+      return "surplus_bytes";
+    case AnswerDefect::kBodyTooLarge:
+      return "body_too_large";
+  }
+  return "none";
+}
+
 TransferId HttpClient::fetch(OutgoingRequest request, FetchHandler handler,
                              ProgressHandler on_progress) {
-  auto reply = std::make_shared<HttpReply>();
-  auto overflow = std::make_shared<bool>(false);
+  struct Fetch {
+    TransferId id = 0;
+    HttpReply reply;
+    FetchHandler handler;
+  };
+  auto fetch = std::make_shared<Fetch>();
+  fetch->handler = std::move(handler);
   TransferHandlers handlers;
-  handlers.on_headers = [reply](int status, const HttpHeaders& headers) {
-    reply->status = status;
-    reply->headers = headers;
+  handlers.on_headers = [fetch](int status, const HttpHeaders& headers) {
+    fetch->reply.status = status;
+    fetch->reply.headers = headers;
   };
-  handlers.on_data = [reply, overflow,
+  handlers.on_data = [this, fetch, max = request.max_answer_bytes,
                       on_progress = std::move(on_progress)](std::string_view piece) {
-    *overflow = *overflow || reply->body.size() + piece.size() > kMaxFetchReplySize;
-    if (!*overflow) reply->body += piece;
-    if (on_progress) on_progress(reply->body.size());
+    std::string& body = fetch->reply.body;
+    if (body.size() + piece.size() > max) {
+      cancel(fetch->id);
+      TransferError error{TransferFailure::kUncertain, "the reply is larger than the bound"};
+      error.defect = AnswerDefect::kBodyTooLarge;
+      fetch->handler(tl::make_unexpected(std::move(error)));
+      return true;
+    }
+    body += piece;
+    if (on_progress) on_progress(body.size());
     return true;
   };
-  handlers.on_done = [reply, overflow,
-                      handler = std::move(handler)](tl::expected<void, TransferError> result) {
-    if (!result) return handler(tl::make_unexpected(result.error()));
-    if (*overflow) {
-      return handler(tl::make_unexpected(
-          TransferError{TransferFailure::kUncertain, "the reply is larger than the bound"}));
-    }
-    handler(std::move(*reply));
+  handlers.on_done = [fetch](const tl::expected<void, TransferError>& result) {
+    if (!result) return fetch->handler(tl::make_unexpected(result.error()));
+    fetch->handler(std::move(fetch->reply));
   };
-  return start(std::move(request), std::move(handlers));
+  fetch->id = start(std::move(request), std::move(handlers));
+  return fetch->id;
 }
 
 }  // namespace shuntbank
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -18,6 +18,9 @@
 
 namespace shuntbank {
 
+/// Largest body that `HttpClient::fetch` collects by default, in bytes.
+constexpr std::size_t kMaxFetchReplySize = 64UL << 20U;
+
 /// A node through which a connection is made, see `tunnel_protocol.hpp`.
 struct TunnelRoute {
   std::string address;  ///< IP:PORT of the node.
@@ -40,6 +43,11 @@
   /// that a large answer on a slow link can complete. Zero: `total_timeout` covers the whole
   /// transfer. Only supported by `PooledHttpClient`.
   Duration answer_idle_timeout = Duration::zero();
+  /// Longest time from the first byte of the answer to its end, where `answer_idle_timeout` is set;
+  /// zero: no limit. Only supported by `PooledHttpClient`.
+  Duration answer_timeout = Duration::zero();
+  /// Largest body that `fetch` collects, in bytes; a larger one fails the transfer at once.
+  std::size_t max_answer_bytes = kMaxFetchReplySize;
   /// Never send on a reused connection. libcurl resends a request by itself when a reused
   /// connection turns out to be dead; a request that may run only once must not risk that.
   bool fresh_connection = false;
@@ -66,6 +74,18 @@
   kWithdrawn,    ///< Not sent because `still_wanted` returned false.
 };
 
+/// Why received bytes can't become the answer. The connection is closed at once.
+enum class AnswerDefect {
+  kNone,
+  kMalformed,     ///< Not valid HTTP/1.1.
+  kHeadTooLarge,  ///< The fields of a head or trailer are larger than allowed.
+  kSurplusBytes,  ///< Too many bytes that belong to no body of the answer.
+  kBodyTooLarge,  ///< The body is larger than allowed.
+};
+
+/// @return the name of the defect in logs and metrics.
+const char* to_text(AnswerDefect defect);
+
 /// Why a transfer ended without a complete reply.
 struct TransferError {
   TransferFailure failure = TransferFailure::kUncertain;
@@ -74,6 +94,7 @@
   bool connection_refused = false;
   /// What the relaying node answered; unset if the connection was direct, or if it did not answer.
   std::optional<TunnelStatus> tunnel_status = std::nullopt;
+  AnswerDefect defect = AnswerDefect::kNone;
 };
 
 /// Callbacks of a transfer. All are called on the loop; none after `cancel`.
@@ -105,7 +126,7 @@
   /// Resumes a paused transfer.
   virtual void resume(TransferId id) = 0;
 
-  /// Sends a request and collects the whole reply, of at most `kMaxFetchReplySize` bytes.
+  /// Sends a request and collects the whole reply, see `OutgoingRequest::max_answer_bytes`.
   /// @param on_progress called with the body's size so far whenever data arrives; may be empty.
   using FetchHandler = std::function<void(tl::expected<HttpReply, TransferError>)>;
   using ProgressHandler = std::function<void(std::size_t received)>;
@@ -129,7 +150,4 @@
   std::shared_ptr<Impl> impl_;
 };
 
-/// Largest body that `HttpClient::fetch` accepts, in bytes.
-constexpr std::size_t kMaxFetchReplySize = 64UL << 20U;
-
 }  // namespace shuntbank
--- a/src/relay/engine_call.cpp
+++ b/src/relay/engine_call.cpp
@@ -7,6 +7,7 @@
     return headers.get(id_field).empty();
   };
   call.answer_id = "";
+  call.max_answer_bytes = kMaxCallAnswerBytes;
 }
 
 }  // namespace shuntbank::relay
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -6,6 +6,7 @@
 
 #include "common/log.hpp"
 #include "net/http_status.hpp"
+#include "relay/engine_call.hpp"
 
 namespace shuntbank::relay {
 namespace {
@@ -436,6 +437,7 @@
   OutgoingRequest call =
       context_.dialect.release_handle_request(prompt_handle_address_, prompt_handle_);
   call.total_timeout = kReleaseTimeout;
+  call.max_answer_bytes = kMaxCallAnswerBytes;
   context_.http.fetch(std::move(call), [](const auto&) {});
   prompt_handle_.clear();
 }
--- a/tests/net/http1_edges_test.cpp
+++ b/tests/net/http1_edges_test.cpp
@@ -546,7 +546,8 @@
 
 /// Fetches from a `TricklingServer`. @return the body or an error message.
 tl::expected<std::string, std::string> fetch_trickling(Duration gap, int piece_count,
-                                                       Duration answer_idle_timeout) {
+                                                       Duration answer_idle_timeout,
+                                                       Duration answer_timeout = Duration::zero()) {
   asio::io_context loop;
   TricklingServer server(loop, gap, piece_count);
   PooledHttpClient client(loop, {});
@@ -554,6 +555,7 @@
   request.url = "http://" + server.address() + "/";
   request.total_timeout = 1s;
   request.answer_idle_timeout = answer_idle_timeout;
+  request.answer_timeout = answer_timeout;
   tl::expected<std::string, std::string> result;
   client.fetch(std::move(request), [&](const auto& reply) {
     if (reply) {
@@ -576,6 +578,11 @@
   cr_assert_eq(*whole, "xxxxxx");
 }
 
+// Guards against an answer that trickles in for ever where only its silence is timed.
+Test(http1_client, times_out_when_a_progressing_answer_takes_too_long) {
+  cr_assert_not(fetch_trickling(250ms, TricklingServer::kPieces, 10s, 300ms).has_value());
+}
+
 Test(http1_client, times_out_when_answer_stalls) {
   cr_assert_not(fetch_trickling(1ms, 3, 50ms).has_value());
 }
