Cut an answer off once it can't be passed on any more

Callers saw 504 at the route's timeout (4 to 6 s) where an engine sent bytes without end: a body, the body of a refusal, an event, a success without a seal. The node had noted that the answer was useless (answer_invalid_, overflow_) and looked at it when the transfer ended, which it did not; the other engine was never asked, and the event kept growing in memory. The class: what is known to be useless is still read.

The moment at which an answer can no longer be passed on is now the one at which its connection is closed and the attempt ends, with an unknown outcome: another engine is asked where the request may run again. That holds for a refusal too, whose body is bounded at 64 KiB: what does not end is no whole answer, and bytes that are none promise nothing. Answers that are cut off are counted by reason.

--- a/src/relay/relay_metrics.cpp
+++ b/src/relay/relay_metrics.cpp
@@ -36,6 +36,11 @@
           .Name("shuntbank_relay_attempt_failures_total")
           .Help("Attempts that brought no answer to pass on")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& answers_rejected =
+      prometheus::BuildCounter()
+          .Name("shuntbank_relay_answers_rejected_total")
+          .Help("Answers of engines that were cut off, by reason")
+          .Register(registry);
   prometheus::Family<prometheus::Counter>& promises =
       prometheus::BuildCounter()
           .Name("shuntbank_relay_promises_total")
@@ -159,6 +164,10 @@
   impl_->failures.Add({{"service", service}, {"reason", reason}}).Increment();
 }
 
+void RelayMetrics::count_answer_rejected(const std::string& reason) {
+  impl_->answers_rejected.Add({{"reason", reason}}).Increment();
+}
+
 void RelayMetrics::count_promise(const std::string& service, const std::string& outcome) {
   impl_->promises.Add({{"service", service}, {"outcome", outcome}}).Increment();
 }
--- a/src/relay/relay_metrics.hpp
+++ b/src/relay/relay_metrics.hpp
@@ -26,6 +26,9 @@
   /// An attempt failed. @param reason from a fixed set.
   void count_failure(const std::string& service, const std::string& reason);
 
+  /// An engine's answer was cut off, as it can't be passed on. @param reason from a fixed set.
+  void count_answer_rejected(const std::string& reason);
+
   /// A status that promises that a request has not run. @param outcome `given`, or `withheld` as
   /// the request may have run.
   void count_promise(const std::string& service, const std::string& outcome);
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -261,8 +261,7 @@
   streaming_ = false;
   body_.clear();
   received_bytes_ = 0;
-  overflow_ = false;
-  answer_invalid_ = false;
+  out_of_order_ = false;
   splitter_.clear();
   prefill_tokens_released_ = false;
   attempt_counted_ = true;
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -89,6 +89,8 @@
   bool is_own_answer(const HttpHeaders& headers) const;
   void on_headers(int status, const HttpHeaders& headers);
   void on_unnamed_answer();
+  void reject_answer(const char* reason, const std::string& why);
+  void buffer_answer(std::string_view piece);
   bool on_data(std::string_view piece);
   void on_event(const RawEvent& event);
   void on_done(const tl::expected<void, TransferError>& result);
@@ -264,8 +266,7 @@
   bool streaming_ = false;          ///< Events are forwarded as they arrive.
   std::string body_;
   std::uint64_t received_bytes_ = 0;  ///< Of the answer's body.
-  bool overflow_ = false;
-  bool answer_invalid_ = false;
+  bool out_of_order_ = false;         ///< An event repeats or precedes one that was forwarded.
   EventSplitter splitter_;
 
   // Plan for the next sends.
--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -10,6 +10,9 @@
 /// Largest answer that is buffered before it is forwarded, in bytes.
 constexpr std::size_t kMaxBufferedAnswer = 8UL << 20U;
 
+/// Largest refusal or answer to a prefill, in bytes.
+constexpr std::size_t kMaxShortAnswer = 64UL << 10U;
+
 /// Bytes pending for a slow caller above which reading from the engine pauses.
 constexpr std::size_t kHighWatermark = 256UL << 10U;
 
@@ -58,25 +61,34 @@
   }
   refused_ = context_.dialect.is_refusal(status, headers);
   const bool sealed = !headers.get(names.seal).empty();
-  if (step_ != Step::kPrefill && is_success(status) && !sealed) answer_invalid_ = true;
+  if (step_ != Step::kPrefill && is_success(status) && !sealed) {
+    return reject_answer("no_seal", "the answer is not sealed");
+  }
   // A 421 comes from another engine.
-  if (!answer_invalid_ && status != http_status::kMisdirected) {
+  if (status != http_status::kMisdirected) {
     context_.listener.on_response_head(engine_, status, headers, id_);
   }
   if (step_ == Step::kPrefill) return;
-  streaming_ = !answer_invalid_ && route_.kind == RouteKind::kStream && is_success(status);
+  streaming_ = route_.kind == RouteKind::kStream && is_success(status);
   if (!streaming_ && !refused_) report_started();
 }
 
 /// Engines name the request in each answer. Bytes that do not may come before the answer, so the
 /// request may still run, and what they say of the engine is not trusted.
 void RelaySession::on_unnamed_answer() {
+  reject_answer("no_request_id", "the answer names no request");
+}
+
+/// Closes the connection at once, as more bytes may follow without end. Whatever the head says,
+/// what is no whole answer leaves open whether the request runs.
+void RelaySession::reject_answer(const char* reason, const std::string& why) {
   context_.http.cancel(*transfer_);
   transfer_.reset();
   permit_.reset();
   release_engine();
   report_health(AttemptHealth::kFailed);
-  on_attempt_failed(AttemptOutcome::kUncertain, "the answer names no request");
+  context_.metrics.count_answer_rejected(reason);
+  on_attempt_failed(AttemptOutcome::kUncertain, why);
 }
 
 bool RelaySession::on_data(std::string_view piece) {
@@ -84,8 +96,7 @@
   if (!tunnel_) context_.paths.on_answer(engine_);
   if (!streaming_) {
     received_bytes_ += piece.size();
-    overflow_ = overflow_ || body_.size() + piece.size() > kMaxBufferedAnswer;
-    if (!overflow_) body_ += piece;
+    buffer_answer(piece);
     return true;
   }
   if (responder_->pending_bytes() > kHighWatermark) {
@@ -97,11 +108,24 @@
     return false;
   }
   received_bytes_ += piece.size();
-  const bool usable = splitter_.feed(piece, [this](const RawEvent& event) { on_event(event); });
-  answer_invalid_ = answer_invalid_ || !usable;
+  const bool event_fits = splitter_.feed(piece, [this](const RawEvent& event) { on_event(event); });
+  if (ended_) return true;
+  if (out_of_order_) {
+    reject_answer("event_order", "an event is out of order");
+  } else if (!event_fits) {
+    reject_answer("event_too_large", "an event is too large");
+  }
   return true;
 }
 
+void RelaySession::buffer_answer(std::string_view piece) {
+  const bool is_short = refused_ || step_ == Step::kPrefill;
+  if (body_.size() + piece.size() > (is_short ? kMaxShortAnswer : kMaxBufferedAnswer)) {
+    return reject_answer("body_too_large", "the answer is too large");
+  }
+  body_ += piece;
+}
+
 /// Reports the start once, however many engines run the request.
 void RelaySession::report_started() {
   if (tenant_ == nullptr || std::exchange(started_, true)) return;
@@ -109,7 +133,7 @@
 }
 
 void RelaySession::on_event(const RawEvent& event) {
-  if (answer_invalid_ || ended_) return;
+  if (out_of_order_ || ended_) return;
   report_started();
   if (!prefill_tokens_released_) {
     prefill_tokens_released_ = true;
@@ -122,7 +146,7 @@
     if (step_ == Step::kDecodeFromHandle) update_handover_model();
   }
   if (!progress_.in_order(event)) {
-    answer_invalid_ = true;
+    out_of_order_ = true;
     return;
   }
   if (!history_.head_forwarded) {
@@ -208,10 +232,6 @@
     report_health(refusal_health());
     return on_attempt_failed(AttemptOutcome::kRefused, status);
   }
-  if (answer_invalid_ || overflow_) {
-    report_health(AttemptHealth::kFailed);
-    return on_attempt_failed(AttemptOutcome::kUncertain, "the answer is invalid");
-  }
   if (step_ == Step::kPrefill) return on_prefill_answer();
   if (streaming_) return on_stream_end();
   on_complete_answer();
@@ -226,6 +246,9 @@
   permit_.reset();
   // A withdrawn send may get another permit at the same engine.
   if (withdrawn && context_.permits.limited(engine_)) return redispatch(engine_);
+  if (error.defect != AnswerDefect::kNone) {
+    context_.metrics.count_answer_rejected(to_text(error.defect));
+  }
   if (not_sent) on_engine_unreachable();
   if (withdrawn || not_sent) return on_attempt_failed(AttemptOutcome::kNotSent, error.message);
   report_health(AttemptHealth::kFailed);
