Bound the memory of all buffered answers together

The limits are settings of the node (AnswerLimits). The buffer of an event is released when its stream is left, not only emptied.

--- a/src/relay/event_splitter.hpp
+++ b/src/relay/event_splitter.hpp
@@ -24,10 +24,14 @@
   /// @return false when an event exceeds `kMaxEventSize`: the stream is unusable.
   bool feed(std::string_view piece, const std::function<void(const RawEvent&)>& handler);
 
+  /// @return the bytes that are buffered.
+  std::size_t partial_size() const { return partial_.size(); }
+
   /// @return whether an incomplete event is buffered.
   bool has_partial() const { return !partial_.empty(); }
 
-  void clear() { partial_.clear(); }
+  /// Releases the buffer.
+  void clear() { partial_ = std::string(); }
 
   /// Largest event, in bytes.
   static constexpr std::size_t kMaxEventSize = 1UL << 20U;
--- a/src/relay/relay_context.hpp
+++ b/src/relay/relay_context.hpp
@@ -51,6 +51,7 @@
   SampleBuffer<EngineId> pending_samples;                ///< Likewise.
   AdmissionControl admission = AdmissionControl(settings.admission);
   FairShares shares = {};
+  AnswerMemory answer_memory = AnswerMemory(settings.answers);
 
   /// An engine has prefilled a prompt and caches its parts.
   void on_prompt_read(const PromptRead& read);
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -263,6 +263,7 @@
   received_bytes_ = 0;
   out_of_order_ = false;
   splitter_.clear();
+  account_buffers();
   prefill_tokens_released_ = false;
   attempt_counted_ = true;
   history_.run_in_flight = step != Step::kPrefill;
@@ -476,6 +477,7 @@
   release_permit(permit_);
   release_engine();
   release_handle();
+  context_.answer_memory.resize(std::exchange(buffered_bytes_, 0), 0);
   if (held_stream_) context_.streams.release(*held_stream_);
   if (!causes_.empty() && result != kAnswered) {
     context_.quarantine.on_attempt_failed(causes_.front().request);
--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -91,6 +91,7 @@
   void on_unnamed_answer();
   void reject_answer(const char* reason, const std::string& why);
   void buffer_answer(std::string_view piece);
+  bool account_buffers();
   bool on_data(std::string_view piece);
   void on_event(const RawEvent& event);
   void on_done(const tl::expected<void, TransferError>& result);
@@ -268,6 +269,7 @@
   std::uint64_t received_bytes_ = 0;  ///< Of the answer's body.
   bool out_of_order_ = false;         ///< An event repeats or precedes one that was forwarded.
   EventSplitter splitter_;
+  std::size_t buffered_bytes_ = 0;  ///< Counted in `AnswerMemory`.
 
   // Plan for the next sends.
   Placement placement_;                ///< The last placement.
--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -7,12 +7,6 @@
 namespace shuntbank::relay {
 namespace {
 
-/// Largest answer that is buffered before it is forwarded, in bytes.
-constexpr std::size_t kMaxBufferedAnswer = 8UL << 20U;
-
-/// Largest refusal or answer to a prefill, in bytes.
-constexpr std::size_t kMaxShortAnswer = 64UL << 10U;
-
 /// Bytes pending for a slow caller above which reading from the engine pauses.
 constexpr std::size_t kHighWatermark = 256UL << 10U;
 
@@ -110,20 +104,32 @@
   received_bytes_ += piece.size();
   const bool event_fits = splitter_.feed(piece, [this](const RawEvent& event) { on_event(event); });
   if (ended_) return true;
+  const bool memory_left = account_buffers();
   if (out_of_order_) {
     reject_answer("event_order", "an event is out of order");
   } else if (!event_fits) {
     reject_answer("event_too_large", "an event is too large");
+  } else if (!memory_left) {
+    reject_answer("memory", "the memory for answers is used up");
   }
   return true;
 }
 
 void RelaySession::buffer_answer(std::string_view piece) {
+  const AnswerLimits& limits = context_.settings.answers;
   const bool is_short = refused_ || step_ == Step::kPrefill;
-  if (body_.size() + piece.size() > (is_short ? kMaxShortAnswer : kMaxBufferedAnswer)) {
+  if (body_.size() + piece.size() > (is_short ? limits.max_short_answer : limits.max_answer)) {
     return reject_answer("body_too_large", "the answer is too large");
   }
   body_ += piece;
+  if (!account_buffers()) reject_answer("memory", "the memory for answers is used up");
+}
+
+/// @return see `AnswerMemory::resize`.
+bool RelaySession::account_buffers() {
+  const std::size_t kept = failure_answer_ ? failure_answer_->body.size() : 0;
+  const std::size_t size = body_.size() + splitter_.partial_size() + kept;
+  return context_.answer_memory.resize(std::exchange(buffered_bytes_, size), size);
 }
 
 /// Reports the start once, however many engines run the request.
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -14,6 +14,7 @@
 #include "core/relay/retry_budget.hpp"
 #include "core/relay/stage_change_queue.hpp"
 #include "core/relay/stage_planner.hpp"
+#include "relay/answer_memory.hpp"
 #include "relay/capacity_settings.hpp"
 #include "relay/exchange_settings.hpp"
 #include "relay/usage_settings.hpp"
@@ -129,6 +130,7 @@
   CapacityCoordinatorSettings capacity;
   bool engine_ordering_enabled = false;
   CatalogSettings catalog;
+  AnswerLimits answers;
   double expected_nodes = 7;  ///< Divides an engine's connection limit among the nodes.
   Duration connect_timeout = std::chrono::milliseconds(600);
   Duration retry_after = std::chrono::milliseconds(250);  ///< Sent with rejections.
--- a/tests/relay/endless_answer_test.cpp
+++ b/tests/relay/endless_answer_test.cpp
@@ -110,3 +110,23 @@
   cr_assert_eq(site.http.count(), 2);
   cr_assert_eq(site.http.at(1).request.headers.get("last-event"), "2");
 }
+
+// Guards against answers that are each within the bound and together exhaust the node's memory.
+Test(endless_answer, all_buffered_answers_together_are_bounded) {
+  TwoEngines site("plain");
+  constexpr std::size_t kRequests = 60;
+  std::size_t buffered = 0;
+  for (std::size_t i = 0; i < kRequests; ++i) {
+    site.request("/once/" + std::to_string(i), {{"id", "r" + std::to_string(i)}});
+    const std::size_t index = site.http.count() - 1;
+    site.http.begin(index, 200, RelayFixture::sealed_headers("r" + std::to_string(i)));
+    const std::size_t sent = send_without_end(site, index, 4 * kMegabyte);
+    if (!site.http.at(index).cancelled) buffered += sent;
+  }
+  cr_assert_gt(buffered, 0);
+  cr_assert_leq(buffered, 64 * kMegabyte, "%zu bytes are buffered", buffered);
+  site.runtime.advance(10s);
+  const auto reply = site.request("/once/later", {{"id", "later"}});
+  site.http.answer(site.http.count() - 1, 200, RelayFixture::sealed_headers("later"), "whole");
+  cr_assert_eq(reply->status, 200, "the memory is available again");
+}
