Let each node of a small fleet read the newest state of the store

Cause: in a fleet of up to 25 nodes three read the newest state, and the others lagging answers and the hints of those three. With just the three cut off from the store, the others went on with lagging answers until no reader had been confirmed for 4.5 s, which is longer than the time in which a configuration has to be in force and an engine to be left.

A shorter span alone tells no reader from the rest (their watches wait up to 3.6 s), and shorter waits of three readers cost more calls than seven that wait 3 s. So each node of a small fleet is a reader, and depends on no other; choosing three by hash goes.

store_readers/any_three_of_seven_may_lose_the_store fails before.

--- a/src/relay/exchange_settings.hpp
+++ b/src/relay/exchange_settings.hpp
@@ -66,9 +66,6 @@
   /// rate.
   std::size_t peers_per_flush = 9;
   Duration refresh_interval = std::chrono::seconds(1);  ///< Between messages while nothing changes.
-  /// Nodes of a small fleet that read the newest store state and send hints to the others; in a
-  /// large one the collectors do. Tolerates the loss of two.
-  std::size_t store_readers = 3;
   /// A node that joins a running system pulls a snapshot of the engines' caches from a peer.
   bool join_existing = false;
   int max_pulls = 8;
--- a/src/relay/load_exchange.cpp
+++ b/src/relay/load_exchange.cpp
@@ -219,18 +219,11 @@
   return message;
 }
 
-/// In a small fleet the first few live nodes by hash; in a large one the collectors.
+/// In a small fleet every node, so that none depends on whether others reach the store; in a large
+/// one the collectors.
 bool LoadExchange::is_store_reader() const {
   if (uses_zones()) return zones_.is_designated_collector();
-  if (peers_.peer_count() == 0) return false;  // No peers, or not listed yet.
-  const std::uint64_t own_hash = hash64(self_.value());
-  const MonotonicTime now = runtime_.now();
-  const auto preceding =
-      std::count_if(peer_states_.begin(), peer_states_.end(), [&](const auto& peer) {
-        return now - peer.second.received_at <= settings_.zones.collector.member_timeout &&
-               hash64(peer.first.value()) < own_hash;
-      });
-  return static_cast<std::size_t>(preceding) < settings_.store_readers;
+  return peers_.peer_count() > 0;  // Otherwise there are no peers, or they are not listed yet.
 }
 
 StoreReaders LoadExchange::store_readers() const {
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -56,8 +56,8 @@
 /// constant; nodes that miss a change get a hint from others.
 struct CatalogSettings {
   bool join_existing = false;  ///< Joins a running system; stale reads are not accepted at start.
-  /// A node reads the newest state itself if the store has not confirmed its state to any reader
-  /// for this long. Longer than a reader's wait; with one more call, well below the drain time.
+  /// A node of a small fleet that knows no peers yet reads the newest state itself after this long.
+  /// In a large fleet see `peer_reader_timeout`.
   Duration reader_timeout = std::chrono::milliseconds(4500);
   /// Delay between a hint of a newer configuration and the first request to a peer, which gives the
   /// store time to deliver it.
