--- a/src/net/http1_client.hpp
+++ b/src/net/http1_client.hpp
@@ -41,6 +41,8 @@
   std::uint64_t bytes_sent = 0;
 };
 
+class Http1Pool;
+
 /// Sends requests on pooled connections. Not thread safe.
 class PooledHttpClient : public HttpClient {
  public:
@@ -66,9 +68,7 @@
   std::optional<Duration> connect_delay() const;
 
  private:
-  class Impl;
-  class Connection;
-  std::shared_ptr<Impl> impl_;
+  std::shared_ptr<Http1Pool> pool_;
 };
 
 }  // namespace shuntbank
