Read the store within the drain time when its readers die

The wait (2.5 s, and 2 s for a change that was hinted) was a constant, not related to the drain time of the settings.

Ruled out: a store that answers late or loses calls (the answer comes at once), a change that a node has seen but not applied (behind_ms=0), a session that keeps a drained engine (nothing is sent after engine_changed draining=true).

The waits now follow from the drain time, less the check, the call and the spread of the fleet over the store's link; with 4 s and more they are as before. A reader waits at most half as long for changes. Related: a node that became a reader kept its watch with the longer wait of a follower, or of a small fleet, and its first confirmation came after that wait.

The fleets of engine_list_fleet now have the drain time that their tests wait for, 5 s.

--- a/src/relay/catalog.cpp
+++ b/src/relay/catalog.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "common/log.hpp"
+#include "relay/fallback_timing.hpp"
 
 namespace shuntbank::relay {
 namespace {
@@ -50,7 +51,8 @@
   const auto nodes = static_cast<std::int64_t>(is_store_reader_ ? 1 : fleet.nodes);
   Duration wait =
       std::clamp(settings_.wait_per_node * nodes, settings_.min_wait, settings_.max_wait);
-  if (is_store_reader_ && engines_->uses_peers()) wait = settings_.reader_wait;
+  if (is_store_reader_ && engines_->uses_peers())
+    wait = fallback_timing(settings_, fleet).reader_wait;
   const Duration backoff = std::clamp(settings_.backoff_limit_per_node * nodes,
                                       settings_.min_backoff_limit, settings_.max_backoff_limit);
   configuration_->set_wait(wait);
@@ -66,6 +68,12 @@
           std::min(configuration_->confirmed_latest_at(), engines_->confirmed_latest_at())};
 }
 
+void Catalog::use_peers(bool use) {
+  if (engines_->uses_peers() == use) return;
+  engines_->use_peers(use);
+  update_timing(node_.fleet());
+}
+
 void Catalog::set_readers(const StoreReaders& readers) {
   // The calls that a new reader begins wait as long as a reader's.
   if (std::exchange(is_store_reader_, readers.self) != readers.self) update_timing(node_.fleet());
@@ -79,9 +87,7 @@
 
 Duration Catalog::reader_timeout() const {
   if (!engines_->uses_peers()) return settings_.reader_timeout;
-  // Readers wait for a shorter time in a large fleet. Its nodes take over one after another.
-  const auto rank = static_cast<std::int64_t>(node_.fleet().rank);
-  return settings_.peer_reader_timeout + settings_.peer_timeout_per_node * rank;
+  return fallback_timing(settings_, node_.fleet()).reader_timeout;
 }
 
 void Catalog::hint(const CatalogRevisions& revisions) {
--- a/src/relay/catalog.hpp
+++ b/src/relay/catalog.hpp
@@ -52,6 +52,9 @@
   /// @return the newest revisions that this node has seen, and when the store confirmed them.
   StoreProgress progress() const;
 
+  /// Sets whether changes of engines are taken from other nodes.
+  void use_peers(bool use);
+
   /// Sets which nodes read the newest store state. While others do, this node accepts stale reads
   /// and relies on their hints.
   void set_readers(const StoreReaders& readers);
--- a/src/relay/catalog_peers.cpp
+++ b/src/relay/catalog_peers.cpp
@@ -2,17 +2,13 @@
 
 #include <utility>
 
-namespace shuntbank::relay {
-namespace {
-
-/// Delays the detection of a silent store reader by up to this much.
-constexpr Duration kReadersCheckInterval = std::chrono::milliseconds(250);
+#include "relay/fallback_timing.hpp"
 
-}  // namespace
+namespace shuntbank::relay {
 
 CatalogPeers::CatalogPeers(Runtime& runtime, Catalog& catalog, LoadExchange& exchange)
     : readers_timer(runtime, kReadersCheckInterval, [&catalog, &exchange] {
-        catalog.engines().use_peers(exchange.uses_zones());
+        catalog.use_peers(exchange.uses_zones());
         catalog.set_readers(exchange.store_readers());
       }) {
   exchange.connect_revisions(
--- a/src/relay/engine_catalog.cpp
+++ b/src/relay/engine_catalog.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "common/log.hpp"
+#include "relay/fallback_timing.hpp"
 
 namespace shuntbank::relay {
 
@@ -125,19 +126,17 @@
 /// @return why the other nodes do not keep this one up to date; null if they do.
 const char* EngineCatalog::peer_failure() const {
   const MonotonicTime now = this->runtime.now();
-  // Nodes do not fall back at the same time, as they would load the store's link together.
-  const auto rank = static_cast<std::int64_t>(this->node.fleet().rank);
   if (this->list.revision() == 0) {
+    const auto rank = static_cast<std::int64_t>(this->node.fleet().rank);
     const Duration timeout =
         this->settings.peer_list_timeout + this->settings.peer_list_timeout_per_node * rank;
     return now - this->peers_used_since > timeout ? "no_list" : nullptr;
   }
-  const Duration spread = this->settings.peer_timeout_per_node * rank;
+  const FallbackTiming timing = fallback_timing(this->settings, this->node.fleet());
   const Duration stalled = std::min(this->behind(), now - this->last_update_at);
-  if (stalled > this->settings.peer_change_timeout + spread) return "behind";
+  if (stalled > timing.change_timeout) return "behind";
   const MonotonicTime confirmed_at = std::max(this->readers.confirmed_at, this->peers_used_since);
-  const bool readers_silent = now - confirmed_at > this->settings.peer_reader_timeout + spread;
-  return readers_silent ? "readers_silent" : nullptr;
+  return now - confirmed_at > timing.reader_timeout ? "readers_silent" : nullptr;
 }
 
 void EngineCatalog::hint(std::uint64_t revision) {
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -78,14 +78,16 @@
   Duration peer_list_timeout = std::chrono::seconds(5);
   Duration peer_list_timeout_per_node = std::chrono::milliseconds(30);
   /// A node watches the store itself if it lacks a change, and its peers have given it nothing, for
-  /// this long and the time per node for each one that ranks before it.
+  /// this long and the time per node for each one that ranks before it. Sooner if `drain_time` is
+  /// too short for that; see `fallback_timing`.
   Duration peer_change_timeout = std::chrono::seconds(2);
   /// The same if the store has not confirmed its state to any reader for this long.
   Duration peer_reader_timeout = std::chrono::milliseconds(2500);
   Duration peer_timeout_per_node = std::chrono::milliseconds(1);
   /// For how long it does so at least. Longer than a change takes to be given.
   Duration fallback_time = std::chrono::seconds(10);
-  /// Longest wait of a reader's watch where other nodes depend on it for their engines.
+  /// Longest wait of a reader's watch where other nodes depend on it for their engines; see
+  /// `fallback_timing`.
   Duration reader_wait = std::chrono::seconds(1);
   /// Size limit of a peer's answer, in bytes, while the store's is being received: enough for a
   /// change of some routes (about 5 KB), but not for a whole configuration (about 230 KB with 1,450
--- a/src/store/kind_watch.cpp
+++ b/src/store/kind_watch.cpp
@@ -149,7 +149,10 @@
                        [this](const Call& call) { return store_.received(call.id) > 0; });
   }
 
-  void set_wait(Duration wait) { wait_ = wait; }
+  void set_wait(Duration wait) {
+    const bool much_shorter = 2 * wait <= std::exchange(wait_, wait);
+    if (much_shorter && watching() && !receiving()) watch();
+  }
   void set_batch_delay(Duration batch_delay) { settings_.batch_delay = batch_delay; }
   void set_max_backoff(Duration backoff) { settings_.max_backoff = backoff; }
 
--- a/src/store/kind_watch.hpp
+++ b/src/store/kind_watch.hpp
@@ -68,8 +68,8 @@
   /// @return whether the last call failed.
   bool lost() const;
 
-  /// Sets the longest wait of later calls. Must be shorter than the time for which the
-  /// store keeps past changes.
+  /// Sets the longest wait of a call. Must be shorter than the time for which the store keeps past
+  /// changes. A call in flight is replaced if the wait is at most half of what it was.
   void set_wait(Duration wait);
 
   /// Sets the delay between a batch and the next call.
--- a/tests/relay/engine_list_fleet_test.cpp
+++ b/tests/relay/engine_list_fleet_test.cpp
@@ -18,13 +18,13 @@
     relay::engine_update_bound(relay::CatalogSettings{}, relay::LoadExchangeSettings{}) + 200ms;
 
 /// The store's link carries all lists within a second.
-const CatalogFleetSizes kFastStore = {40, 400, 500, 20'000'000, 20s, 1};
+const CatalogFleetSizes kFastStore = {40, 400, 500, 20'000'000, 20s, 1, kDrainTime};
 
 }  // namespace
 
 // Guards against a list of engines that takes longer than the store's history, again and again.
 Test(engine_list_fleet, learns_of_draining_engines_when_lists_outlast_the_store_history) {
-  CatalogFleet fleet;
+  CatalogFleet fleet({.drain_time = kDrainTime});
   fleet.advance(90s);
   cr_assert_eq(fleet.nodes_using(0), fleet.sizes.nodes, "all nodes know the engine");
   fleet.write(0, true);
@@ -105,7 +105,7 @@
 // Guards against a zone whose nodes ask only each other, though other zones know of the change.
 Test(engine_list_fleet, learns_of_draining_engines_where_the_store_answers_no_node_of_a_zone) {
   constexpr std::size_t kZones = 3;
-  CatalogFleet fleet({60, 400, 500, 20'000'000, 20s, kZones});
+  CatalogFleet fleet({60, 400, 500, 20'000'000, 20s, kZones, kDrainTime});
   fleet.advance(10s);
   for (std::size_t node = 1; node < fleet.sizes.nodes; node += kZones) {
     fleet.stores[node]->set_silent(true);
--- a/tests/relay/support/catalog_fleet.hpp
+++ b/tests/relay/support/catalog_fleet.hpp
@@ -2,6 +2,7 @@
 /// Relay nodes that read their engines from a store behind one link, and exchange load.
 #pragma once
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <vector>
@@ -20,6 +21,7 @@
   std::size_t store_bytes_per_second = 200'000;  ///< Of the store's link, shared by all nodes.
   Duration history = std::chrono::seconds(20);
   std::size_t zones = 1;
+  Duration drain_time = relay::CatalogSettings{}.drain_time;
 };
 
 struct CatalogFleet {
@@ -40,6 +42,7 @@
     this->nodes.add(exchange);
     relay::CatalogSettings catalog;
     catalog.join_existing = join_existing;
+    catalog.drain_time = this->sizes.drain_time;
     this->stores.push_back(std::make_unique<GatedStore>(this->nodes.runtime, this->nodes.store));
     this->catalogs.push_back(
         std::make_unique<relay::Catalog>(this->nodes.runtime, *this->stores.back(), this->codec,
@@ -79,6 +82,15 @@
     return found;
   }
 
+  /// Kills the store readers and those of the other nodes whose number is even.
+  void kill_readers_and_half_of_the_others() {
+    const std::vector<std::size_t> reading = this->readers();
+    for (std::size_t node = 0; node < this->catalogs.size(); ++node) {
+      const bool reads = std::count(reading.begin(), reading.end(), node) > 0;
+      if (this->catalogs[node] && (reads || node % 2 == 0)) this->kill(node);
+    }
+  }
+
   /// @return a node that is no reader.
   std::size_t follower() const {
     const std::vector<std::size_t> found = this->readers();
