Remove the records of nodes that are gone for good

Cause: a node creates a record of itself at its start, and nothing ever removed it; ObjectStore had no call for that. The list said who ever registered and was read as who lives: 8 machines of which 24 were replaced counted as 32, which is more than exchange directly. The logs show it (fleet_known nodes=32, collectors chosen among dead nodes); exchange_by_zones is a new line for the moment at which a node changes its way of working.

Now the holder of the lease probes nodes that it has not heard for 8 s and removes the record of one that leaves three probes in a row unanswered, under the record's revision. It removes none while it hears from nobody itself. A live node whose record is gone registers again, so that a wrong removal ends by itself; it is then left alone for a minute. Nodes of earlier versions do not register again; the holder probes those that it has removed for 10 minutes and restores their records. Probes compare the name, as another machine may have the address by then. In a large fleet at most five nodes a second are probed.

Related, in the same list: a list read anew only added records and never took any away; a record of the same name with another address was kept.

Weighed and not taken: deciding from what each node has heard (a part of a fleet that is cut off would take itself for the whole), records written again every few seconds (a call for each node, and a silent store would empty the fleet), removal at SIGTERM (kills are the usual case, restarts would change the owners twice).

Tests: replaced_nodes/* (9; 8 of them failed with the removal and the replacement of records switched off, the ninth checks that nothing is removed), peer_liveness/*, store_client/*.

--- a/src/protocol/load_message.hpp
+++ b/src/protocol/load_message.hpp
@@ -66,6 +66,9 @@
 /// Name of the call that requests a CacheSnapshot.
 constexpr std::string_view kSnapshotCall = "caches";
 
+/// Call that requests a node's name.
+constexpr std::string_view kNameCall = "name";
+
 std::string encode(const LoadMessage& message);
 std::string encode(const CacheSnapshot& snapshot);
 
--- a/src/relay/exchange_settings.hpp
+++ b/src/relay/exchange_settings.hpp
@@ -8,6 +8,7 @@
 #include "common/time.hpp"
 #include "core/relay/collector_selector.hpp"
 #include "core/relay/load_collector.hpp"
+#include "core/relay/peer_liveness.hpp"
 #include "core/relay/sample_buffer.hpp"
 
 namespace shuntbank::relay {
@@ -54,6 +55,7 @@
 /// Settings of the load exchange.
 struct LoadExchangeSettings {
   PeerDirectorySettings peers;
+  PeerLivenessSettings liveness;
   ZoneExchangeSettings zones;
   ConfigurationExchangeSettings configurations;
   ZoneName zone;                                         ///< Zone of this node.
--- a/src/relay/load_exchange.cpp
+++ b/src/relay/load_exchange.cpp
@@ -38,6 +38,7 @@
       boot_(random_number(runtime)),
       peers_(runtime, store, self_, own_record(transport, settings), directory_settings(settings),
              [this] { update_fleet(); }),
+      reaper_(runtime, transport, peers_, settings.liveness),
       zones_(runtime, transport, node, peers_, boot_, settings.zones),
       configurations_(runtime, transport, peers_, zones_, settings.configurations),
       engine_lists_(runtime, transport, peers_, zones_, settings.configurations.first_byte_timeout),
@@ -87,6 +88,8 @@
   node_.paths().peers().set_nodes(peers_.nodes(), self_);
   if (uses_zones()) node_.paths().peers().expect_no_messages();
   node_.set_fleet({node_count(), rank()});
+  std::erase_if(peer_states_, [this](const auto& peer) { return !peers_.is_peer(peer.first); });
+  reaper_.update_nodes();
   permits_.update_nodes();
 }
 
@@ -163,6 +166,7 @@
 
 std::string LoadExchange::answer(const std::string& call) const {
   if (call == kSnapshotCall) return cache_snapshot();
+  if (call == kNameCall) return self_.value();
   if (is_engine_list_call(call)) return engine_lists_.answer(call);
   return is_configuration_call(call) ? configurations_.answer(call) : "";
 }
@@ -273,6 +277,7 @@
   const MessageNumber number{message.boot, message.sequence};
   if (!number.follows(state.last_message)) return;
   state = {number, now};
+  reaper_.on_message(message.node);
   if (!uses_zones()) node_.paths().peers().on_heard(now, message.node);
   configurations_.record_peer_revision(message.node, message.revisions.configuration);
   if (message.store_age_ms) {
--- a/src/relay/load_exchange.hpp
+++ b/src/relay/load_exchange.hpp
@@ -17,6 +17,7 @@
 #include "relay/engine_list_exchange.hpp"
 #include "relay/exchange_settings.hpp"
 #include "relay/peer_directory.hpp"
+#include "relay/peer_reaper.hpp"
 #include "relay/permit_exchange.hpp"
 #include "relay/relay_node.hpp"
 #include "relay/zone_exchange.hpp"
@@ -70,6 +71,9 @@
   /// @return whether the fleet is so large that nodes exchange by zones rather than directly.
   bool uses_zones() const { return peers_.peer_count() > settings_.max_direct_peers; }
 
+  /// Removes the records of nodes that are gone. Called regularly at one node of the fleet.
+  void remove_gone_nodes() { reaper_.tick(); }
+
   /// @return the directory of nodes.
   const PeerDirectory& peers() const { return peers_; }
   /// @return the random ID of this process start.
@@ -106,6 +110,7 @@
   std::uint64_t boot_;
   std::uint64_t sequence_ = 0;
   PeerDirectory peers_;
+  PeerReaper reaper_;
   ZoneExchange zones_;
   ConfigurationExchange configurations_;
   EngineListExchange engine_lists_;
--- a/src/relay/peer_directory.cpp
+++ b/src/relay/peer_directory.cpp
@@ -9,6 +9,7 @@
 
 constexpr Duration kRegisterTimeout = std::chrono::milliseconds(1500);
 constexpr Duration kRegisterRetryInterval = std::chrono::seconds(2);
+constexpr Duration kRemoveTimeout = std::chrono::milliseconds(1500);
 
 /// Delayed updates only delay the discovery of new nodes. The wait must stay below the store's
 /// history, or each watch has to list again.
@@ -71,31 +72,62 @@
 }
 
 void PeerDirectory::register_self() {
+  if (std::exchange(this->registering, true)) return;
+  this->register_again = false;
   this->store.create(
       this->settings.kind, this->self.value(), to_json(this->own_record()), kRegisterTimeout,
       [this,
        living = this->alive](const tl::expected<store::StoredObject, store::StoreError>& created) {
-        // On conflict the record exists: name and address survive a restart.
-        if (!*living || created || created.error() == store::StoreError::kConflict) return;
-        this->register_timer =
-            this->runtime.after(kRegisterRetryInterval, [this] { this->register_self(); });
+        if (!*living) return;
+        this->registering = false;
+        // On conflict there is a record of an earlier start; the watch shows whether it differs.
+        const bool exists = created || created.error() == store::StoreError::kConflict;
+        if (created) this->registered_at = created->revision;
+        if (!exists) return this->register_later();
+        if (this->register_again) this->register_self();
       });
 }
 
+void PeerDirectory::register_later() {
+  this->register_timer =
+      this->runtime.after(kRegisterRetryInterval, [this] { this->register_self(); });
+}
+
+/// Replaces the record of an earlier start with another address, zone or capacity.
+void PeerDirectory::update_own_record(std::uint64_t revision) {
+  log_event(LogArea::kControl, LogLevel::kInfo, "node_record_replaced",
+            {{"node", this->self.value()}, {"revision", revision}});
+  this->store.replace(this->settings.kind, this->self.value(), revision,
+                      to_json(this->own_record()), kRegisterTimeout,
+                      [this, living = this->alive](const auto& replaced) {
+                        if (*living && !replaced) this->register_later();
+                      });
+}
+
+void PeerDirectory::remove(const NodeId& node, std::function<void(bool removed)> handler) {
+  const auto found = this->revisions.find(node);
+  if (found == this->revisions.end()) return handler(false);
+  this->store.remove(
+      this->settings.kind, node.value(), found->second, kRemoveTimeout,
+      [this, living = this->alive, node, handler = std::move(handler)](const auto& removed) {
+        if (!*living) return;
+        const bool gone = removed || removed.error() == store::StoreError::kMissing;
+        if (gone) this->forget(node);
+        handler(gone);
+      });
+}
+
+void PeerDirectory::restore(const NodeId& node, const PeerRecord& record) {
+  log_event(LogArea::kControl, LogLevel::kWarning, "node_restored", {{"node", node.value()}});
+  // On failure the node answers another probe.
+  this->store.create(this->settings.kind, node.value(), to_json(record), kRegisterTimeout,
+                     [](const auto& /*created*/) {});
+}
+
 void PeerDirectory::watch_nodes() {
   store::KindWatchHandlers handlers;
-  handlers.on_list = [this](const store::ObjectList& list) {
-    for (const store::StoredObject& object : list.objects) this->apply_record(object);
-    this->change_handler();
-  };
-  handlers.on_change = [this](const store::ObjectChange& change) {
-    if (!change.deleted) {
-      this->apply_record(change.object);
-    } else if (change.object.name != this->self.value()) {
-      this->records.erase(NodeId(change.object.name));
-    }
-    this->notify_later();
-  };
+  handlers.on_list = [this](const store::ObjectList& list) { this->apply_list(list); };
+  handlers.on_change = [this](const store::ObjectChange& change) { this->apply_change(change); };
   this->watch = std::make_unique<store::KindWatch>(this->runtime, this->store, this->settings.kind,
                                                    watch_settings(), std::move(handlers));
 }
@@ -110,12 +142,50 @@
   });
 }
 
+void PeerDirectory::apply_list(const store::ObjectList& list) {
+  const PeerRecord own = this->own_record();
+  this->records = {{this->self, own}};
+  this->revisions.clear();
+  bool listed = false;
+  for (const store::StoredObject& object : list.objects) {
+    listed = listed || object.name == this->self.value();
+    this->apply_record(object);
+  }
+  // A list that lags may be older than the record.
+  if (!listed && list.revision > this->registered_at) this->register_self();
+  this->change_handler();
+}
+
+void PeerDirectory::apply_change(const store::ObjectChange& change) {
+  if (!change.deleted) {
+    this->apply_record(change.object);
+  } else if (change.object.name == this->self.value()) {
+    log_event(LogArea::kControl, LogLevel::kWarning, "own_record_removed",
+              {{"node", this->self.value()}, {"revision", change.object.revision}});
+    this->register_again = this->registering;
+    this->register_self();
+  } else {
+    this->forget(NodeId(change.object.name));
+  }
+  this->notify_later();
+}
+
+void PeerDirectory::forget(const NodeId& node) {
+  if (this->records.erase(node) > 0) this->notify_later();
+  this->revisions.erase(node);
+}
+
 void PeerDirectory::apply_record(const store::StoredObject& object) {
-  if (!object.content.is_object() || object.name == this->self.value()) return;
+  if (!object.content.is_object()) return;
+  if (object.name == this->self.value()) {
+    if (object.content != to_json(this->own_record())) this->update_own_record(object.revision);
+    return;
+  }
   try {
     this->records[NodeId(object.name)] = {object.content.at("address").get<std::string>(),
                                           ZoneName(object.content.value("zone", "")),
                                           object.content.value("capacity", 0.0)};
+    this->revisions[NodeId(object.name)] = object.revision;
   } catch (const nlohmann::json::exception& error) {
     log_event(
         LogArea::kPlatform, LogLevel::kError, "object_malformed",
--- a/src/relay/peer_directory.hpp
+++ b/src/relay/peer_directory.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -14,8 +15,8 @@
 
 namespace shuntbank::relay {
 
-/// The relay nodes registered in the store. Dead nodes stay listed; liveness is determined by
-/// received messages.
+/// The relay nodes registered in the store. A node stays listed until its record is removed; see
+/// `PeerReaper`. A live node whose record is removed registers again.
 class PeerDirectory {
  public:
   /// All references outlive this.
@@ -51,10 +52,22 @@
   /// @return whether another node of that name is listed.
   bool is_peer(const NodeId& node) const { return node != this->self && this->find(node); }
 
+  /// Removes the record of another node from the store, unless it has registered again since.
+  /// @param handler gets whether the record is gone.
+  void remove(const NodeId& node, std::function<void(bool removed)> handler);
+
+  /// Adds the record of another node that does not register again itself.
+  void restore(const NodeId& node, const PeerRecord& record);
+
  private:
   void register_self();
+  void register_later();
+  void update_own_record(std::uint64_t revision);
   void watch_nodes();
+  void apply_list(const store::ObjectList& list);
+  void apply_change(const store::ObjectChange& change);
   void apply_record(const store::StoredObject& object);
+  void forget(const NodeId& node);
   void notify_later();
 
   Runtime& runtime;
@@ -63,6 +76,10 @@
   PeerDirectorySettings settings;
   std::function<void()> change_handler;
   PeerRecords records;
+  std::map<NodeId, std::uint64_t> revisions;  ///< Of the records in the store.
+  bool registering = false;
+  bool register_again = false;      ///< The record was removed while this node was registering.
+  std::uint64_t registered_at = 0;  ///< Revision of this node's record when it was created.
   bool notification_queued = false;
   std::unique_ptr<store::KindWatch> watch;
   std::unique_ptr<Timer> start_timer;
--- a/src/relay/relay_process.cpp
+++ b/src/relay/relay_process.cpp
@@ -176,6 +176,7 @@
     exchange_ =
         std::make_unique<LoadExchange>(runtime_, store_, *peers_, node_, settings_.node, exchange);
     catalog_peers_ = std::make_unique<CatalogPeers>(runtime_, catalog_, *exchange_);
+    lease_.on_tick([this] { exchange_->remove_gone_nodes(); });
   }
 
   void serve_tunnels(asio::io_context& loop) {
--- a/src/relay/zone_exchange.cpp
+++ b/src/relay/zone_exchange.cpp
@@ -63,6 +63,8 @@
   this->selector.set_order(collector_order(this->peers.nodes(), this->zone));
   this->update_zone_rankings();
   if (std::exchange(this->running, true)) return;
+  log_event(LogArea::kControl, LogLevel::kInfo, "exchange_by_zones",
+            {{"active", true}, {"nodes", this->peers.nodes().size()}});
   this->schedule();
   this->check_source();
 }
@@ -98,7 +100,10 @@
 }
 
 void ZoneExchange::stop() {
-  this->running = false;
+  if (std::exchange(this->running, false)) {
+    log_event(LogArea::kControl, LogLevel::kInfo, "exchange_by_zones",
+              {{"active", false}, {"nodes", this->peers.nodes().size()}});
+  }
   this->timer.reset();
   this->node.engines().set_shared_view_age(Duration::zero());
   this->selector.set_order({});
--- a/src/store/object_store.hpp
+++ b/src/store/object_store.hpp
@@ -106,6 +106,10 @@
   virtual void replace(const std::string& kind, const std::string& name, std::uint64_t revision,
                        const nlohmann::json& content, Duration timeout,
                        StoreHandler<StoredObject> handler) = 0;
+
+  /// Removes an object that must be at `revision`. Fails with `kMissing` if there is none.
+  virtual void remove(const std::string& kind, const std::string& name, std::uint64_t revision,
+                      Duration timeout, StoreHandler<void> handler) = 0;
 };
 
 }  // namespace shuntbank::store
--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -96,6 +96,10 @@
       "engines answer with bytes without end")(
       "outages", options::bool_switch(&soak_options.store_outages),
       "the store loses the calls of most relays, then of the others, while engines drain")(
+      "replaced", options::bool_switch(&soak_options.replaced_nodes),
+      "nodes are lost for good, and others come under other names and addresses")(
+      "dead-nodes", options::value(&soak_options.dead_nodes)->default_value(0),
+      "nodes that were lost before the run and are still listed")(
       "other-program", options::value(&soak_options.previous_program),
       "relay program of an earlier version, for a rolling downgrade and upgrade")(
       "relays", options::value(&soak_options.relay_count)->default_value(5),
--- a/tests/platform/support/callers.cpp
+++ b/tests/platform/support/callers.cpp
@@ -62,8 +62,9 @@
 
 void Callers::check_readiness(std::size_t index) {
   this->http.fetch(get(this->node_list[index].ready_address, "/v1/ready"),
-                   [this, index](const auto& reply) {
+                   [this, index, asked = this->node_list[index].ready_address](const auto& reply) {
                      NodeEndpoints& node = this->node_list[index];
+                     if (node.ready_address != asked) return;  // Replaced meanwhile.
                      const bool good = reply && reply->status == 200;
                      node.failed_checks = good ? 0 : node.failed_checks + 1;
                    });
--- a/tests/platform/support/callers.hpp
+++ b/tests/platform/support/callers.hpp
@@ -65,6 +65,9 @@
   /// Starts `callers` closed-loop callers.
   void start(std::size_t callers);
 
+  /// Gives a node's place to another one.
+  void replace_node(std::size_t index, const NodeEndpoints& node) { this->node_list[index] = node; }
+
   /// Sends a request that crashes each engine that runs it; not part of the counts.
   /// @param name the same for all attempts. @param retry whether to send it again on failure.
   void send_crashing_request(const std::string& name, bool retry = true);
--- a/tests/platform/support/soak_site.cpp
+++ b/tests/platform/support/soak_site.cpp
@@ -30,6 +30,9 @@
 /// that adds it. They take longer than the recovery timeout, so that probes can find the route.
 constexpr std::uint64_t kStormRouteVersions = 120;
 
+/// Kind of the objects in the store that list the relays.
+constexpr const char* kNodeKind = "shuntbank-nodes";
+
 /// Time within which a site must serve again after its faults are cleared.
 constexpr std::chrono::seconds kRecoveryTimeout{30};
 
@@ -85,7 +88,8 @@
       second_answer_random(own_options.seed),
       outage_random(own_options.seed),
       status_random(own_options.seed),
-      flood_random(own_options.seed) {
+      flood_random(own_options.seed),
+      replace_random(own_options.seed) {
   this->build_engines();
   this->put_configuration();
   if (this->options.path_cuts) this->build_engine_paths();
@@ -133,32 +137,55 @@
 }
 
 void SoakSite::build_relays() {
+  this->put_dead_nodes();
   std::vector<NodeEndpoints> entry;
   for (std::size_t i = 0; i < this->options.relay_count; ++i) {
-    const std::string relay_ip = process_network_prefix() + std::to_string(i + 1);
-    this->store_links.push_back(std::make_unique<FaultProxy>(
-        this->loop, this->store.endpoint(), FaultProxyAddresses{"127.0.0.1", relay_ip}));
-    if (this->options.storms) this->store_links.back()->set_rate_down(kStormLinkBytesPerSecond);
-    RelayConfig config;
-    config.name = "relay-" + std::to_string(i + 1);
-    config.ip = relay_ip;
-    config.zone = "z" + std::to_string(i % 3);
-    config.store_address = this->store_links.back()->address();
-    // The kernel may return the same free port twice.
-    std::set<std::uint16_t> drawn;
-    for (std::uint16_t* port :
-         {&config.caller_port, &config.ready_port, &config.control_port, &config.peer_port}) {
-      do {
-        *port = free_port(config.ip);
-      } while (!drawn.insert(*port).second);
-    }
-    this->relays.push_back(
-        std::make_unique<RelayChild>(this->options.program, config, this->options.folder));
-    entry.push_back({this->relays.back()->caller_address(), this->relays.back()->ready_address()});
+    this->add_relay(i);
+    entry.push_back({this->relays[i]->caller_address(), this->relays[i]->ready_address()});
   }
   this->callers = std::make_unique<Callers>(this->loop, this->ledger, entry, this->random());
 }
 
+/// Adds a relay with a name and an address of its own, in the place of another one if there is one.
+void SoakSite::add_relay(std::size_t index) {
+  const std::string number = std::to_string(++this->relay_number);
+  const std::string relay_ip = process_network_prefix() + number;
+  auto link = std::make_unique<FaultProxy>(this->loop, this->store.endpoint(),
+                                           FaultProxyAddresses{"127.0.0.1", relay_ip});
+  if (this->options.storms) link->set_rate_down(kStormLinkBytesPerSecond);
+  RelayConfig config;
+  config.name = "relay-" + number;
+  config.ip = relay_ip;
+  config.zone = "z" + std::to_string(index % 3);
+  config.store_address = link->address();
+  // The kernel may return the same free port twice.
+  std::set<std::uint16_t> drawn;
+  for (std::uint16_t* port :
+       {&config.caller_port, &config.ready_port, &config.control_port, &config.peer_port}) {
+    do {
+      *port = free_port(config.ip);
+    } while (!drawn.insert(*port).second);
+  }
+  auto relay = std::make_unique<RelayChild>(this->options.program, config, this->options.folder);
+  if (index == this->relays.size()) {
+    this->store_links.push_back(std::move(link));
+    this->relays.push_back(std::move(relay));
+    return;
+  }
+  this->replaced_links.push_back(std::exchange(this->store_links[index], std::move(link)));
+  this->replaced_relays.push_back(std::exchange(this->relays[index], std::move(relay)));
+}
+
+void SoakSite::put_dead_nodes() {
+  for (std::size_t i = 0; i < this->options.dead_nodes; ++i) {
+    const std::string name = "gone-" + std::to_string(i);
+    this->store.put(kNodeKind, name,
+                    {{"address", process_network_prefix() + "250:" + std::to_string(10000 + i)},
+                     {"zone", "z" + std::to_string(i % 3)},
+                     {"capacity", 0.25}});
+  }
+}
+
 void SoakSite::put_configuration() {
   ++this->configuration_version;
   json routes = json::array(
@@ -261,6 +288,7 @@
   if (this->options.unmarked_statuses) this->inject_unmarked_statuses();
   if (this->options.endless_answers) this->inject_endless_answers();
   if (this->options.store_outages) this->schedule(4s, [this] { this->inject_store_outages(); });
+  if (this->options.replaced_nodes) this->schedule(3s, [this] { this->replace_relay(); });
   if (!this->options.previous_program.empty()) this->switch_next_program();
   this->wait(2s);
   const auto end = std::chrono::steady_clock::now() + this->options.fault_duration;
@@ -323,6 +351,18 @@
     break;
   }
   this->check_configuration();
+  this->check_listed_nodes();
+}
+
+/// The list must hold the relays that live, and no others.
+void SoakSite::check_listed_nodes() {
+  std::set<std::string> live;
+  for (const auto& relay : this->relays) live.insert(relay->config().name);
+  const auto is_true = [&] { return this->store.names(kNodeKind) == live; };
+  if (this->wait_until(is_true, kRecoveryTimeout)) return;
+  this->ledger.add_violation("NODES", std::to_string(this->store.names(kNodeKind).size()) +
+                                          " nodes are listed for " + std::to_string(live.size()) +
+                                          " relays");
 }
 
 /// Waits 2 s. @return whether nearly all requests that ended in that time completed.
--- a/tests/platform/support/soak_site.hpp
+++ b/tests/platform/support/soak_site.hpp
@@ -50,6 +50,10 @@
   bool endless_answers = false;
   /// The store loses the calls of most relays, then of the others, while engines drain.
   bool store_outages = false;
+  /// Nodes are lost for good, and others come under other names and addresses.
+  bool replaced_nodes = false;
+  /// Nodes that were lost before the run and are still listed.
+  std::size_t dead_nodes = 0;
   /// Path of an earlier version for a rolling downgrade and upgrade; may be empty. Engine limits
   /// are not checked for its nodes.
   std::string previous_program;
@@ -78,6 +82,10 @@
  private:
   void build_engines();
   void build_relays();
+  void add_relay(std::size_t index);
+  void replace_relay();
+  void put_dead_nodes();
+  void check_listed_nodes();
   void put_configuration();
   void wait(std::chrono::milliseconds duration);
   bool wait_until(const std::function<bool()>& condition, std::chrono::milliseconds timeout);
@@ -132,6 +140,10 @@
   std::vector<std::vector<std::unique_ptr<FaultProxy>>> engine_paths;
   bool paths_cut = false;  ///< Of some relays to all engines.
   std::vector<std::unique_ptr<RelayChild>> relays;
+  /// Of relays that were replaced; faults under way still refer to them.
+  std::vector<std::unique_ptr<FaultProxy>> replaced_links;
+  std::vector<std::unique_ptr<RelayChild>> replaced_relays;
+  std::size_t relay_number = 0;  ///< Of the newest relay.
   std::unique_ptr<Callers> callers;
   std::vector<std::shared_ptr<asio::steady_timer>> timers;
   asio::steady_timer watchdog;
@@ -149,6 +161,7 @@
   std::mt19937_64 outage_random;
   std::mt19937_64 status_random;
   std::mt19937_64 flood_random;
+  std::mt19937_64 replace_random;
   std::size_t largest_endless_answer = 0;  ///< Bytes of it that a relay took.
   std::size_t largest_memory = 0;          ///< Of a relay, in bytes.
   double quota_per_second = kQuotaTokensPerSecond;
--- a/tests/platform/support/soak_site_faults.cpp
+++ b/tests/platform/support/soak_site_faults.cpp
@@ -115,6 +115,23 @@
                  [this] { this->replace_engine(); });
 }
 
+/// Ends a relay for good. Another one is started in its place soon.
+void SoakSite::replace_relay() {
+  if (this->faults_cleared) return;
+  const std::size_t index = this->replace_random() % this->relays.size();
+  RelayChild& relay = *this->relays[index];
+  const bool stops = this->replace_random() % 4 == 0;
+  this->log_fault(relay.config().name + (stops ? " stops" : " is killed") + " and is replaced");
+  this->ledger.on_node_disturbed(relay.caller_address());
+  relay.send_signal(SIGCONT);
+  relay.send_signal(stops ? SIGTERM : SIGKILL);
+  this->add_relay(index);
+  const RelayChild& next = *this->relays[index];
+  this->callers->replace_node(index, {next.caller_address(), next.ready_address()});
+  this->schedule(std::chrono::milliseconds(500 + this->replace_random() % 1500),
+                 [this] { this->replace_relay(); });
+}
+
 /// A second refusal is late for a request that its node sends to the same engine again.
 void SoakSite::inject_second_answers() {
   if (this->faults_cleared) return;
--- a/tests/platform/support/store_standin.cpp
+++ b/tests/platform/support/store_standin.cpp
@@ -66,6 +66,7 @@
   const json body = json::parse(request.body, nullptr, false);
   if (request.method == "POST") return this->create(kind, body, responder);
   if (request.method == "PUT") return this->replace(kind, name, body, responder);
+  if (request.method == "DELETE") return this->remove(kind, name, request, responder);
   if (!request.query_value("watch").empty()) return this->watch(kind, request, responder);
   if (name.empty()) return this->list(kind, request, responder);
   const auto object = this->kinds[kind].find(name);
@@ -197,6 +198,14 @@
   this->answer_ready_watches();
 }
 
+std::set<std::string> StoreStandin::names(const std::string& kind) const {
+  std::set<std::string> all;
+  const auto found = this->kinds.find(kind);
+  if (found == this->kinds.end()) return all;
+  for (const auto& [name, object] : found->second) all.insert(name);
+  return all;
+}
+
 void StoreStandin::create(const std::string& kind, const json& body, const Responder& responder) {
   const std::string name = body.at("meta").at("name");
   if (this->kinds[kind].count(name) > 0) return reply(responder, 409, this->kinds[kind][name]);
@@ -214,6 +223,19 @@
   this->finish_write(this->store_object(kind, name, body.at("spec")), responder);
 }
 
+void StoreStandin::remove(const std::string& kind, const std::string& name,
+                          const HttpRequest& request, const Responder& responder) {
+  const auto found = this->kinds[kind].find(name);
+  if (found == this->kinds[kind].end()) return reply(responder, 404, {});
+  const json object = found->second;
+  const std::string wanted = request.query_value("revision");
+  if (!wanted.empty() && parse_number(wanted) != object.at("meta").at("revision")) {
+    return reply(responder, 409, object);
+  }
+  this->remove(kind, name);
+  this->finish_write(object, responder);
+}
+
 json StoreStandin::as_seen_by(const std::string& caller, json object) const {
   json& spec = object["spec"];
   if (!this->address_view || !spec.is_object() || !spec.contains("addr")) return object;
--- a/tests/platform/support/store_standin.hpp
+++ b/tests/platform/support/store_standin.hpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 
 #include "net/http1_server.hpp"
@@ -41,6 +42,9 @@
   void put(const std::string& kind, const std::string& name, const nlohmann::json& spec);
   void remove(const std::string& kind, const std::string& name);
 
+  /// @return the names of all objects of a kind.
+  std::set<std::string> names(const std::string& kind) const;
+
  private:
   using Responder = std::shared_ptr<ConnectionResponder>;
   struct Event {
@@ -63,6 +67,8 @@
   void list(const std::string& kind, const HttpRequest& request, const Responder& responder);
   void watch(const std::string& kind, const HttpRequest& request, const Responder& responder);
   void create(const std::string& kind, const nlohmann::json& body, const Responder& responder);
+  void remove(const std::string& kind, const std::string& name, const HttpRequest& request,
+              const Responder& responder);
   void replace(const std::string& kind, const std::string& name, const nlohmann::json& body,
                const Responder& responder);
   nlohmann::json as_seen_by(const std::string& caller, nlohmann::json object) const;
--- a/tests/relay/support/fakes.cpp
+++ b/tests/relay/support/fakes.cpp
@@ -386,6 +386,24 @@
   reply<store::StoredObject>(std::move(handler), result);
 }
 
+void MemoryStore::remove(const std::string& kind, const std::string& name, std::uint64_t revision,
+                         Duration, store::StoreHandler<void> handler) {
+  ++writes;
+  tl::expected<void, store::StoreError> result;
+  const auto found = kinds_[kind].find(name);
+  if (down) {
+    result = tl::make_unexpected(store::StoreError::kNotDone);
+  } else if (found == kinds_[kind].end()) {
+    result = tl::make_unexpected(store::StoreError::kMissing);
+  } else if (found->second.revision != revision) {
+    result = tl::make_unexpected(store::StoreError::kConflict);
+  } else {
+    remove(kind, name);
+    if (lose_answers) result = tl::make_unexpected(store::StoreError::kUncertain);
+  }
+  runtime_.post([handler = std::move(handler), result] { handler(result); });
+}
+
 tl::expected<relay::RouteConfiguration, std::string> TestCodec::configuration(
     const nlohmann::json& content) const {
   return RelayFixture::configuration(content.at("version").get<std::uint64_t>());
--- a/tests/relay/support/fakes.hpp
+++ b/tests/relay/support/fakes.hpp
@@ -189,6 +189,8 @@
   void replace(const std::string& kind, const std::string& name, std::uint64_t revision,
                const nlohmann::json& content, Duration timeout,
                store::StoreHandler<store::StoredObject> handler) override;
+  void remove(const std::string& kind, const std::string& name, std::uint64_t revision,
+              Duration timeout, store::StoreHandler<void> handler) override;
 
   /// Writes as the operator or an engine.
   void put(const std::string& kind, const std::string& name, const nlohmann::json& content);
--- a/tests/relay/support/gated_store.hpp
+++ b/tests/relay/support/gated_store.hpp
@@ -43,6 +43,10 @@
                store::StoreHandler<store::StoredObject> handler) override {
     this->backend.replace(kind, name, revision, content, timeout, std::move(handler));
   }
+  void remove(const std::string& kind, const std::string& name, std::uint64_t revision,
+              Duration timeout, store::StoreHandler<void> handler) override {
+    this->backend.remove(kind, name, revision, timeout, std::move(handler));
+  }
 
   /// Loses the answers to lists and watches that begin or end meanwhile; they time out.
   void set_silent(bool wanted) {
