Let a node's shares grow again after the fleet has shrunk

Callers saw: fewer retries and connections than the settings allow, for as long as a process runs, once its list of nodes had been long.

Cause: the shares of the retry budgets' slack and of an engine's connections are divided by the largest fleet that the process ever knew, as the list never shrank.

The shares now follow the list.

Test: relay_node/divides_the_slack_by_the_nodes_that_are_left; with the largest fleet kept as the divisor it failed.

--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -44,6 +44,7 @@
                quarantine_, listener_, permits_,   quotas_,   paths_,   streams_, {},
                {},          {},        {},         {},        {},       {}},
       splits_(random_fraction(io.runtime)),
+      least_expected_nodes_(settings.expected_nodes),
       slack_available_from_(io.runtime.now() + charge_duration(settings.retry_budget)) {
   quarantine_.on_reports_pending([this] { context_.notify_load_changed(); });
   listener_.on_limit_changed(
@@ -177,14 +178,30 @@
 void RelayNode::set_fleet(const Fleet& fleet) {
   const bool changed = !(fleet == fleet_) || assumed_nodes_ == 0;
   fleet_ = fleet;
-  const auto nodes = static_cast<double>(fleet.nodes);
-  // Counts one more node, which may have been added without this node knowing of it yet.
-  assumed_nodes_ = std::max(assumed_nodes_, nodes + 1);
-  settings_.expected_nodes = std::max(settings_.expected_nodes, nodes);
+  update_node_shares();
   if (changed) update_slack_share();
   if (fleet_changed_handler_) fleet_changed_handler_(fleet_);
 }
 
+/// Shares grow later than the fleet shrinks: what the removed nodes sent still counts.
+void RelayNode::update_node_shares() {
+  const auto nodes = static_cast<double>(fleet_.nodes);
+  // Counts one more node, which may have been added without this node knowing of it yet.
+  if (nodes + 1 >= assumed_nodes_) return set_node_shares();
+  if (share_timer_) return;
+  share_timer_ = io_.runtime.after(charge_duration(settings_.retry_budget), [this] {
+    set_node_shares();
+    update_slack_share();
+  });
+}
+
+void RelayNode::set_node_shares() {
+  share_timer_.reset();
+  const auto nodes = static_cast<double>(fleet_.nodes);
+  assumed_nodes_ = nodes + 1;
+  settings_.expected_nodes = std::max(least_expected_nodes_, nodes);
+}
+
 void RelayNode::update_slack_share() {
   const SlackShare share{settings_.retry_budget.slack / assumed_nodes_, slack_available_from_};
   budgets_.set_slack_share(share);
--- a/src/relay/relay_node.hpp
+++ b/src/relay/relay_node.hpp
@@ -172,6 +172,8 @@
   void on_address_released(std::function<void(const std::string&)> handler);
 
  private:
+  void update_node_shares();
+  void set_node_shares();
   void update_slack_share();
   KeyVerdict admit(const Route& route, const HttpRequest& request) const;
   void report_replaced(const EngineRecord& record);
@@ -195,6 +197,8 @@
   std::shared_ptr<const RouteTable> table_;
   SplitChooser splits_;
   Fleet fleet_;
+  double least_expected_nodes_;  ///< Also while fewer nodes are known.
+  std::unique_ptr<Timer> share_timer_;
   double assumed_nodes_ = 0;  ///< Sharing the retry budgets' slack; 0: unknown yet.
   /// No slack is spent earlier: a previous run of this process may have spent it in the same
   /// window, and the list of nodes may be incomplete.
--- a/tests/relay/relay_node_test.cpp
+++ b/tests/relay/relay_node_test.cpp
@@ -118,6 +118,21 @@
   cr_assert(site.sends_retry());
 }
 
+// Guards against shares that stay as small as the fleet was large, though nodes have been removed.
+Test(relay_node, divides_the_slack_by_the_nodes_that_are_left) {
+  for (const bool in_time : {false, true}) {
+    RelayFixture site;
+    site.settings.retry_budget.slack = 12;
+    site.restart();
+    site.node->set_fleet({31, 0});
+    site.runtime.advance(charge_duration(site.settings.retry_budget));
+    site.node->set_fleet({7, 0});
+    // Until then the removed nodes may have spent their shares.
+    if (in_time) site.runtime.advance(charge_duration(site.settings.retry_budget));
+    cr_assert_eq(site.sends_retry(), in_time);
+  }
+}
+
 // A node that never sent to an engine took its cache for unlimited and counted on parts that the
 // engine had evicted long ago.
 Test(relay_node, bounds_the_cache_view_of_an_engine_that_only_other_nodes_use) {
