Record a software version as soon as an engine of it is listed

What callers could get: after all nodes were killed, a stream that began at one version is taken up at another, with 200 and to its end.

Cause: a stream that no node knows goes on if its service has had one version all the while. What all nodes have seen outlives them in one object of the store, which lacked a version in two cases: its engines came and went between two of the checks, one a second, that alone looked at the list; and no node held the lease, which alone allowed to write the object, for up to 8 s after its holder was killed. With that version's engines gone as well the object and the list agree on the other one.

Ruled out by reading and the tests that exist: a version that is still listed when the nodes come back (the observations are joined, so that there are two and the stream is refused), a store that does not answer (nothing is adopted, all unknown streams are refused), an object that is missing or malformed.

A listed engine's version now counts as seen at once, and the holder of the lease records a new one at once. Where it does not, the other nodes add what the object lacks, half a second after each other by rank; they never drop what it holds. That costs each node one read of the object for each new version.

Tests: version_store/remembers_a_version_whose_engines_left_before_all_nodes_ restarted (served for 0.1, 0.7 and 1.5 s) and remembers_a_version_that_was_ started_while_no_node_had_the_lease failed before: the stream went on at v1. adds_to_the_versions_that_another_node_recorded is new. The fixture of stream_versions gave all its nodes an engine of a third version for a moment, which now counts; it has the fleet's first version instead.

Left: a version whose engines are listed, serve and are gone within the 10 ms that the record takes. A node that is cut off from the store and the peers that know better still believes its list; it needs another such node that agrees.

--- a/src/core/relay/service_versions.cpp
+++ b/src/core/relay/service_versions.cpp
@@ -17,6 +17,13 @@
   }
 }
 
+bool ServiceVersions::on_listed(MonotonicTime now, const ServiceName& service,
+                                const std::string& version) {
+  const auto [entry, added] = this->last_seen[service].try_emplace(version, now);
+  entry->second = now;
+  return added;
+}
+
 void ServiceVersions::observe(MonotonicTime now) {
   const bool first = !this->observed_since.has_value();
   if (!first && now - this->observed_at > kMaxObservationGap) {
--- a/src/core/relay/service_versions.hpp
+++ b/src/core/relay/service_versions.hpp
@@ -45,6 +45,9 @@
   /// The list of engines has changed.
   void set_engines(const EngineDirectory& engines);
 
+  /// An engine of a version was listed. @return whether that version was not seen lately.
+  bool on_listed(MonotonicTime now, const ServiceName& service, const std::string& version);
+
   /// Call about once a second while the list of engines is known.
   void observe(MonotonicTime now);
 
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -108,7 +108,10 @@
     if (address_released_handler_) address_released_handler_(address);
   }
   streams_.on_engines_changed();
-  for (const EngineRecord& record : records) log_engine("engine_listed", record);
+  for (const EngineRecord& record : records) {
+    streams_.on_engine_listed(record);
+    log_engine("engine_listed", record);
+  }
   metrics_.set_gauge("engines", static_cast<double>(engines_.size()));
 }
 
@@ -139,6 +142,7 @@
     quarantine_.on_engine_answered(record.id, io_.runtime.now());
   }
   engines_.upsert(record);
+  streams_.on_engine_listed(record);
   if (engines_known_) streams_.on_engines_changed();
   log_engine("engine_changed", engines_.find(record.id)->record);
   metrics_.set_gauge("engines", static_cast<double>(engines_.size()));
--- a/src/relay/stream_origins.cpp
+++ b/src/relay/stream_origins.cpp
@@ -51,6 +51,12 @@
   this->refresh_held();
 }
 
+void StreamOrigins::on_engine_listed(const EngineRecord& engine) {
+  const bool is_new =
+      this->versions.on_listed(this->runtime.now(), engine.service, engine.stream_version());
+  if (is_new && this->new_version_handler) this->new_version_handler();
+}
+
 void StreamOrigins::observe_versions() {
   if (!this->engines_known) return;
   if (std::exchange(this->engines_changed, false)) this->versions.set_engines(this->engines);
--- a/src/relay/stream_origins.hpp
+++ b/src/relay/stream_origins.hpp
@@ -43,6 +43,14 @@
     this->engines_changed = true;
   }
 
+  /// An engine is listed. Its version counts as seen even if it is gone before the next check.
+  void on_engine_listed(const EngineRecord& engine);
+
+  /// Sets the handler for versions that were not seen lately.
+  void on_new_version(std::function<void()> handler) {
+    this->new_version_handler = std::move(handler);
+  }
+
   /// See `ServiceVersions::set_max_stream_age`.
   void set_max_stream_age(Duration age) { this->versions.set_max_stream_age(age); }
 
@@ -110,6 +118,7 @@
   StreamKey last_refreshed = 0;
   std::map<std::uint64_t, Lookup> lookups;
   std::uint64_t last_number = 0;
+  std::function<void()> new_version_handler;
   std::unique_ptr<Periodic> ticker;
 };
 
--- a/src/relay/version_store.cpp
+++ b/src/relay/version_store.cpp
@@ -43,13 +43,50 @@
       adopted(bootstrap) {
   this->ticker =
       std::make_unique<Periodic>(this->runtime, this->settings.interval, [this] { this->tick(); });
+  this->node.streams().on_new_version([this] { this->on_new_version(); });
   if (!this->adopted) this->read();
 }
 
+VersionStore::~VersionStore() {
+  *this->alive = false;
+  // The node outlives this object.
+  this->node.streams().on_new_version(nullptr);
+}
+
+/// Recorded at once, as all nodes may be killed before the next tick.
+void VersionStore::on_new_version() {
+  this->runtime.post([this, still_alive = this->alive] {
+    if (*still_alive) this->tick();
+  });
+}
+
 void VersionStore::tick() {
+  const bool missing = !this->missing_versions().empty();
+  if (!missing) this->missing_since.reset();
+  if (missing && !this->missing_since) this->missing_since = this->runtime.now();
   if (this->call_pending) return;
   const bool changed = this->node.streams().recent_versions() != this->known_content;
-  if (!this->adopted || (changed && this->is_writer())) this->read();
+  if (!this->adopted || (changed && this->may_write())) this->read();
+}
+
+/// @return the versions that were seen lately and that the object lacks.
+VersionStore::Versions VersionStore::missing_versions() const {
+  Versions missing;
+  for (const auto& [service, versions] : this->node.streams().recent_versions()) {
+    const auto known = this->known_content.find(service);
+    for (const std::string& version : versions) {
+      if (known == this->known_content.end() || known->second.count(version) == 0)
+        missing[service].insert(version);
+    }
+  }
+  return missing;
+}
+
+bool VersionStore::may_write() const {
+  if (this->is_writer()) return true;
+  if (!this->missing_since) return false;
+  const auto turn = static_cast<std::int64_t>(this->node.fleet().rank) + 1;
+  return this->runtime.now() - *this->missing_since >= turn * this->settings.takeover_delay;
 }
 
 void VersionStore::read() {
@@ -74,7 +111,7 @@
     }
   }
   this->adopted = true;
-  if (this->is_writer()) this->write(answer);
+  if (this->may_write()) this->write(answer);
 }
 
 void VersionStore::adopt(const Versions& stored) {
@@ -85,8 +122,16 @@
   this->node.streams().adopt_sightings(sightings);
 }
 
+/// The writer alone drops versions that were not seen lately: others may have run for less time.
+VersionStore::Versions VersionStore::content() const {
+  if (this->is_writer()) return this->node.streams().recent_versions();
+  Versions content = this->known_content;
+  for (auto& [service, versions] : this->missing_versions()) content[service].merge(versions);
+  return content;
+}
+
 void VersionStore::write(const StoreResult& answer) {
-  const Versions recent = this->node.streams().recent_versions();
+  const Versions recent = this->content();
   if (recent == this->known_content) return;
   this->call_pending = true;
   const auto handler = [this, still_alive = this->alive, recent](const StoreResult& written) {
--- a/tests/relay/stream_versions_test.cpp
+++ b/tests/relay/stream_versions_test.cpp
@@ -36,7 +36,7 @@
 /// Nodes that know the same engines: two of one version and two of another.
 struct VersionedFleet {
   explicit VersionedFleet(std::size_t nodes = 4, std::vector<std::string> served = {"v1", "v2"})
-      : fleet(nodes, 2), versions(std::move(served)) {
+      : fleet(nodes, 2, served.front()), versions(std::move(served)) {
     for (std::size_t i = 0; i < nodes; ++i) this->add_engines_at(i);
     this->advance(5s);
   }
@@ -275,8 +275,9 @@
   }
 
   void open(bool bootstrap) {
-    this->versions = std::make_unique<relay::VersionStore>(
-        this->site.runtime, this->store, *this->site.node, bootstrap, [] { return true; });
+    this->versions =
+        std::make_unique<relay::VersionStore>(this->site.runtime, this->store, *this->site.node,
+                                              bootstrap, [this] { return this->is_holder; });
   }
 
   /// Restarts the node, which finds engines of this version.
@@ -289,14 +290,30 @@
     add_engines(this->site, version, 2);
   }
 
-  std::size_t take_up() {
+  /// Forwards the first event of a stream at an engine of a version.
+  void begin_stream(const std::string& id, const std::string& version) {
+    relay::EngineDirectory& engines = this->site.node->engines();
+    for (const auto& [engine, view] : engines.all()) {
+      const bool other = view.record.software_version != version;
+      for (int i = 0; other && i < 4; ++i) engines.on_attempt_sent(engine, {1000, false});
+    }
+    const std::size_t transfer = this->site.http.count();
+    this->site.request("/resumable/a", {{"id", id}});
+    this->site.http.begin(transfer, 200, RelayFixture::sealed_headers(id));
+    this->site.http.piece(transfer, kFirstEvent);
+    cr_assert_eq(version_at(this->site, transfer), version);
+  }
+
+  /// @return the number of engines that the stream is sent to.
+  std::size_t take_up(const std::string& stream = "") {
     const std::size_t before = this->site.http.count();
-    this->site.request("/resumable/a", {{"last-event", "1"}});
+    this->site.request("/resumable/a", {{"resumes", stream}, {"last-event", "1"}});
     return this->site.http.count() - before;
   }
 
   RelayFixture site;
   MemoryStore store{site.runtime};
+  bool is_holder = true;  ///< Of the lease.
   std::unique_ptr<relay::VersionStore> versions;
 };
 
@@ -331,3 +348,45 @@
   stored.site.runtime.advance(3s);
   cr_assert_eq(stored.take_up(), 1);
 }
+// Guards against text of two versions: engines that began streams came and went between two checks
+// of the list, or before their version was recorded, and all nodes have restarted since.
+Test(version_store, remembers_a_version_whose_engines_left_before_all_nodes_restarted) {
+  for (const Duration served : {100ms, 700ms, 1500ms}) {
+    StoredSite stored("v1");
+    add_engines(stored.site, "v2", 2);
+    stored.begin_stream("first", "v2");
+    stored.site.runtime.advance(served);
+    for (const char* engine : {"v2-0", "v2-1"}) stored.site.node->remove_engine(engine);
+    stored.restart("v1");
+    cr_assert_eq(stored.take_up("first"), 0, "the stream goes on at v1");
+  }
+}
+
+// Guards against text of two versions: no node has the lease, so that nobody records versions.
+Test(version_store, remembers_a_version_that_was_started_while_no_node_had_the_lease) {
+  StoredSite stored("v1");
+  stored.is_holder = false;
+  add_engines(stored.site, "v2", 2);
+  stored.begin_stream("first", "v2");
+  stored.site.runtime.advance(3s);
+  for (const char* engine : {"v2-0", "v2-1"}) stored.site.node->remove_engine(engine);
+  stored.restart("v1");
+  cr_assert_eq(stored.take_up("first"), 0, "the stream goes on at v1");
+}
+
+// Guards against a node that has run for less time than others and drops what they recorded.
+Test(version_store, adds_to_the_versions_that_another_node_recorded) {
+  StoredSite stored("v1");
+  stored.is_holder = false;
+  stored.store.put("shuntbank-versions", "services", {{"versions", {{"model", {"v0", "v1"}}}}});
+  add_engines(stored.site, "v2", 2);
+  stored.site.runtime.advance(3s);
+  const int writes = stored.store.writes;
+  stored.site.runtime.advance(30s);
+  cr_assert_eq(stored.store.writes, writes);
+  nlohmann::json kept;
+  stored.store.read("shuntbank-versions", "services", 1s,
+                    [&kept](const auto& object) { kept = object->content; });
+  stored.site.runtime.advance(10ms);
+  cr_assert_eq(kept, (nlohmann::json{{"versions", {{"model", {"v0", "v1", "v2"}}}}}));
+}
--- a/tests/relay/support/exchanging_fleet.hpp
+++ b/tests/relay/support/exchanging_fleet.hpp
@@ -61,7 +61,9 @@
 
 /// Relay nodes that share a clock, a store and a network.
 struct ExchangingFleet {
-  explicit ExchangingFleet(std::size_t nodes, std::size_t zones = 1) {
+  /// @param software version of the engine that all nodes know.
+  explicit ExchangingFleet(std::size_t nodes, std::size_t zones = 1, std::string software = "1.0")
+      : software_version(std::move(software)) {
     for (std::size_t i = 0; i < nodes; ++i) {
       relay::LoadExchangeSettings settings;
       settings.zone = ZoneName("z" + std::to_string(i % zones));
@@ -75,6 +77,7 @@
     this->transports.push_back(std::make_unique<MockTransport>(this->network, name + ":1"));
     this->transports.back()->zone = settings.zone.value();
     RelayFixture& site = *this->sites.back();
+    site.software_version = this->software_version;
     site.add_engine("p1", "model", relay::EngineStage::kPrefill);
     this->exchanges.push_back(std::make_unique<relay::LoadExchange>(
         this->runtime, this->store, *this->transports.back(), *site.node, name, settings));
@@ -123,6 +126,7 @@
     return *this->sites[node]->node->engines().find(EngineId("p1"));
   }
 
+  std::string software_version;
   ManualRuntime runtime;
   MemoryStore store{runtime};
   MockNetwork network;
