Keep running streams in the store while several versions serve

Callers saw: after all nodes were killed while engines of two software versions served, every stream that was taken up was refused, for as long as its caller came back, though its version served on and the store had lived all the while.

Cause: which version began a stream is kept in the memory of three nodes; all of them are gone. What is not known is refused, which is right, but nothing outlived the nodes.

While a service has more than one recent version, a node now writes the origins of the streams that it forwards to an object of its own, as soon as one begins and 10 ms apart for each node of the fleet. A node that no peer can tell an origin lists these objects before it refuses. Streams that ended whole are left out, those that broke off stay for 10 s, those of the node's previous run for a minute; an object goes with the record of its node. An origin never changes, so that old objects say nothing wrong. With one version nothing is written. Fleets of more than 400 nodes do without: listing the objects would fill the store's link.

Tried first and dropped: a write every 500 ms.

The soak's callers took a stream up once and at once, while every node was dead, so that no run could show this.

Tests: stream_archive/* (5). takes_streams_up_after_all_nodes_were_killed is what was refused before; stream_versions/does_not_take_up_a_stream_of_unknown_version states that without the store.

--- a/src/relay/load_exchange.hpp
+++ b/src/relay/load_exchange.hpp
@@ -74,6 +74,11 @@
   /// Removes the records of nodes that are gone. Called regularly at one node of the fleet.
   void remove_gone_nodes() { reaper_.tick(); }
 
+  /// Sets the handler for nodes whose record this node has removed.
+  void on_node_removed(std::function<void(const NodeId&)> handler) {
+    reaper_.on_removed(std::move(handler));
+  }
+
   /// @return the directory of nodes.
   const PeerDirectory& peers() const { return peers_; }
   /// @return the random ID of this process start.
--- a/src/relay/peer_reaper.cpp
+++ b/src/relay/peer_reaper.cpp
@@ -105,6 +105,7 @@
     }
     this->liveness.on_removed(now, node);
     this->removed_nodes[node] = {record, now, now};
+    if (this->removed_handler) this->removed_handler(node);
   };
   this->peers.remove(node, handler);
 }
--- a/src/relay/peer_reaper.hpp
+++ b/src/relay/peer_reaper.hpp
@@ -29,6 +29,11 @@
   PeerReaper(const PeerReaper&) = delete;
   PeerReaper& operator=(const PeerReaper&) = delete;
 
+  /// Sets the handler for nodes whose record was removed.
+  void on_removed(std::function<void(const NodeId&)> handler) {
+    this->removed_handler = std::move(handler);
+  }
+
   /// Updates to the currently listed nodes.
   void update_nodes();
 
@@ -58,6 +63,7 @@
   std::map<NodeId, RemovedNode> removed_nodes;
   std::set<NodeId> pending_removals;
   MonotonicTime next_removal_at{};
+  std::function<void(const NodeId&)> removed_handler;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/src/relay/relay_process.cpp
+++ b/src/relay/relay_process.cpp
@@ -21,6 +21,7 @@
 #include "relay/quarantine_store.hpp"
 #include "relay/relay_node.hpp"
 #include "relay/role_coordinator.hpp"
+#include "relay/stream_archive.hpp"
 #include "relay/usage_exchange.hpp"
 #include "relay/usage_reporter.hpp"
 #include "relay/version_store.hpp"
@@ -107,6 +108,7 @@
         lease_(runtime, store_, node_, settings.node, settings.lease),
         versions_(runtime, store_, node_, settings.bootstrap,
                   [this] { return lease_.authority().has_value(); }),
+        streams_(runtime, store_, node_, settings.node),
         roles_({runtime, http_, platform.dialect}, lease_, node_, role_settings(settings),
                settings.stages) {
     if (duties_ != nullptr && settings.engine_ordering_enabled) {
@@ -177,6 +179,7 @@
         std::make_unique<LoadExchange>(runtime_, store_, *peers_, node_, settings_.node, exchange);
     catalog_peers_ = std::make_unique<CatalogPeers>(runtime_, catalog_, *exchange_);
     lease_.on_tick([this] { exchange_->remove_gone_nodes(); });
+    exchange_->on_node_removed([this](const NodeId& gone) { streams_.remove(gone); });
   }
 
   void serve_tunnels(asio::io_context& loop) {
@@ -310,6 +313,7 @@
   QuarantineStore quarantine_store_;
   LeaseKeeper lease_;
   VersionStore versions_;
+  StreamArchive streams_;
   RoleCoordinator roles_;
   std::unique_ptr<TunnelServer> tunnels_;
   std::unique_ptr<PeerTransport> peers_;
--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -478,7 +478,7 @@
   release_engine();
   release_handle();
   context_.answer_memory.resize(std::exchange(buffered_bytes_, 0), 0);
-  if (held_stream_) context_.streams.release(*held_stream_);
+  if (held_stream_) context_.streams.release(*held_stream_, result == kAnswered);
   if (!causes_.empty() && result != kAnswered) {
     context_.quarantine.on_attempt_failed(causes_.front().request);
   }
--- a/src/relay/stream_origins.cpp
+++ b/src/relay/stream_origins.cpp
@@ -24,6 +24,9 @@
 
 constexpr Duration kTickInterval = std::chrono::seconds(1);
 
+/// Callers that lost a stream take it up within some seconds.
+constexpr Duration kReleasedRetention = std::chrono::seconds(10);
+
 /// Streams whose origin is sent again in a tick: about 0.6 KB a second.
 constexpr std::size_t kMaxRefreshed = 4;
 
@@ -45,7 +48,28 @@
   this->peers = nullptr;
 }
 
+void StreamOrigins::release(StreamKey key, bool finished) {
+  const auto found = this->held.find(key);
+  if (found == this->held.end()) return;
+  if (!finished) this->released[key] = {found->second.origin, this->runtime.now()};
+  this->held.erase(found);
+}
+
+std::map<StreamKey, StreamOrigin> StreamOrigins::origins_to_keep() {
+  const MonotonicTime now = this->runtime.now();
+  std::map<StreamKey, StreamOrigin> origins;
+  const auto add = [&](StreamKey key, const StreamOrigin& origin) {
+    if (!sole_version(this->versions.recent(now, origin.service))) origins.emplace(key, origin);
+  };
+  for (const auto& [key, stream] : this->held) add(key, stream.origin);
+  for (const auto& [key, stream] : this->released) add(key, stream.origin);
+  return origins;
+}
+
 void StreamOrigins::tick() {
+  std::erase_if(this->released, [this](const auto& stream) {
+    return this->runtime.now() - stream.second.at > kReleasedRetention;
+  });
   this->table.expire(this->runtime.now());
   this->observe_versions();
   this->refresh_held();
@@ -83,6 +107,7 @@
   this->table.put(now, key, origin);
   this->held[key] = {origin, now};
   this->send_record(key, origin);
+  if (this->stream_held_handler) this->stream_held_handler();
 }
 
 void StreamOrigins::send_record(StreamKey key, const StreamOrigin& origin) {
@@ -168,11 +193,22 @@
              {"versions", lookup.recent.versions.size()},
              {"observed", lookup.recent.complete}});
   if (!lookup.service || !version || (!alone && !lookup.any_answer)) {
-    return this->finish(number, std::nullopt);
+    return this->find_in_archive(number);
   }
   this->finish(number, StreamOrigin{*lookup.service, *version});
 }
 
+void StreamOrigins::find_in_archive(std::uint64_t number) {
+  Lookup& lookup = this->lookups.at(number);
+  lookup.timer.reset();
+  if (!this->find_archived) return this->finish(number, std::nullopt);
+  if (std::exchange(lookup.archived, true)) return;
+  this->find_archived(lookup.key, [this, number](const std::optional<StreamOrigin>& origin) {
+    // A node may have answered meanwhile.
+    if (this->lookups.count(number) > 0) this->finish(number, origin);
+  });
+}
+
 bool StreamOrigins::handles(std::string_view bytes) {
   return is_stream_record(bytes) || is_stream_call(bytes) || is_stream_answer(bytes);
 }
@@ -216,7 +252,7 @@
   if (lookup.unanswered.erase(answer.node) == 0) return;
   lookup.any_answer = true;
   merge(lookup.recent, answer.recent);
-  if (lookup.unanswered.empty()) this->finish_unknown(answer.number);
+  if (lookup.unanswered.empty() && !lookup.archived) this->finish_unknown(answer.number);
 }
 
 void StreamOrigins::send(const NodeId& node, std::string_view bytes) {
--- a/src/relay/stream_origins.hpp
+++ b/src/relay/stream_origins.hpp
@@ -63,14 +63,28 @@
 
   /// This node forwards the stream's events from now on.
   void hold(StreamKey key, const StreamOrigin& origin);
-  /// It no longer does.
-  void release(StreamKey key) { this->held.erase(key); }
+  /// It no longer does. @param finished whether the caller has got the whole stream.
+  void release(StreamKey key, bool finished);
 
   /// Finds where a stream began. The handler may run before this returns.
   /// @param service the only one where it may have begun; unset: there are several. Its version
   /// counts as the origin if it has had no other since the stream can have begun.
   void find(StreamKey key, const std::optional<ServiceName>& service, Handler handler);
 
+  /// Sets the function that looks for streams which no node knows any more; null: there is none.
+  void set_archive(std::function<void(StreamKey, Handler)> find) {
+    this->find_archived = std::move(find);
+  }
+
+  /// Sets the handler for each stream whose events this node begins to forward.
+  void on_stream_held(std::function<void()> handler) {
+    this->stream_held_handler = std::move(handler);
+  }
+
+  /// @return the streams that this node forwards, and those that broke off some seconds ago, of
+  /// services with several software versions.
+  std::map<StreamKey, StreamOrigin> origins_to_keep();
+
   static bool handles(std::string_view bytes);
   void on_message(std::string_view bytes);
 
@@ -81,6 +95,10 @@
     StreamOrigin origin;
     MonotonicTime sent_at{};
   };
+  struct Released {
+    StreamOrigin origin;
+    MonotonicTime at{};
+  };
   struct Lookup {
     StreamKey key = 0;
     std::optional<ServiceName> service;
@@ -89,6 +107,7 @@
     std::set<NodeId> unanswered;  ///< Of these.
     RecentVersions recent;
     bool any_answer = false;
+    bool archived = false;  ///< Looked for in the archive.
     int calls = 0;
     std::unique_ptr<Timer> timer;
   };
@@ -101,6 +120,7 @@
   void add_nodes(Lookup& lookup) const;
   void finish(std::uint64_t number, const std::optional<StreamOrigin>& origin);
   void finish_unknown(std::uint64_t number);
+  void find_in_archive(std::uint64_t number);
   void on_call(const StreamCall& call);
   void on_answer(const StreamAnswer& answer);
   void send(const NodeId& node, std::string_view bytes);
@@ -115,10 +135,13 @@
   StreamTable table;
   ServiceVersions versions;
   std::map<StreamKey, Held> held;
+  std::map<StreamKey, Released> released;  ///< Broke off some seconds ago.
   StreamKey last_refreshed = 0;
   std::map<std::uint64_t, Lookup> lookups;
   std::uint64_t last_number = 0;
   std::function<void()> new_version_handler;
+  std::function<void(StreamKey, Handler)> find_archived;
+  std::function<void()> stream_held_handler;
   std::unique_ptr<Periodic> ticker;
 };
 
--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -98,6 +98,8 @@
       "the store loses the calls of most relays, then of the others, while engines drain")(
       "replaced", options::bool_switch(&soak_options.replaced_nodes),
       "nodes are lost for good, and others come under other names and addresses")(
+      "killed-fleet", options::bool_switch(&soak_options.killed_fleet),
+      "all nodes are killed at once, again and again")(
       "dead-nodes", options::value(&soak_options.dead_nodes)->default_value(0),
       "nodes that were lost before the run and are still listed")(
       "other-program", options::value(&soak_options.previous_program),
--- a/tests/platform/support/callers.hpp
+++ b/tests/platform/support/callers.hpp
@@ -56,7 +56,7 @@
   /// Sends every second request with a key of this tenant, from now on.
   void set_tenant(const CallerTenant& wanted) { this->tenant = wanted; }
 
-  /// Takes up streams that break off after an event, from now on.
+  /// Takes up streams that break off after an event, again and again for some seconds, from now on.
   /// @param wanted tells whether two engines of a version serve.
   void take_up_streams(std::function<bool(const std::string& version)> wanted) {
     this->version_serves = std::move(wanted);
@@ -91,15 +91,24 @@
   struct Call;
   using CallPointer = std::shared_ptr<Call>;
 
+  /// The tries to take up a stream after it has broken off once.
+  struct TakeUp {
+    MonotonicTime since{};
+    bool judged = false;  ///< At least one of them has to go on.
+  };
+
   void check_readiness();
   void check_readiness(std::size_t index);
   const NodeEndpoints* choose_node();
   void send_after(std::chrono::milliseconds delay);
   void send();
   void call(const SentRequest& request, std::function<void(bool failed)> on_finished);
+  void call(const SentRequest& request, std::function<void(bool failed)> on_finished,
+            const TakeUp& take_up);
   SentRequest make_random_request();
   /// @return whether the caller goes on with the stream in another request.
   bool take_up(const CallPointer& broken);
+  bool take_up_again(const CallPointer& failed);
   void report_stream(const CallPointer& call);
   void on_data(const CallPointer& call, std::string_view piece);
   void on_event(const CallPointer& call, const std::string& event);
--- a/tests/platform/support/soak_site.hpp
+++ b/tests/platform/support/soak_site.hpp
@@ -52,6 +52,7 @@
   bool store_outages = false;
   /// Nodes are lost for good, and others come under other names and addresses.
   bool replaced_nodes = false;
+  bool killed_fleet = false;  ///< All nodes are killed at once, again and again.
   /// Nodes that were lost before the run and are still listed.
   std::size_t dead_nodes = 0;
   /// Path of an earlier version for a rolling downgrade and upgrade; may be empty. Engine limits
@@ -84,6 +85,8 @@
   void build_relays();
   void add_relay(std::size_t index);
   void replace_relay();
+  void kill_fleet();
+  void kill_relays(std::size_t count);
   void put_dead_nodes();
   void check_listed_nodes();
   void put_configuration();
@@ -162,6 +165,7 @@
   std::mt19937_64 status_random;
   std::mt19937_64 flood_random;
   std::mt19937_64 replace_random;
+  std::mt19937_64 kill_random;
   std::size_t largest_endless_answer = 0;  ///< Bytes of it that a relay took.
   std::size_t largest_memory = 0;          ///< Of a relay, in bytes.
   double quota_per_second = kQuotaTokensPerSecond;
--- a/tests/platform/support/soak_site_faults.cpp
+++ b/tests/platform/support/soak_site_faults.cpp
@@ -132,6 +132,26 @@
                  [this] { this->replace_relay(); });
 }
 
+/// Half of the times most relays are killed first, so that few hold what all knew.
+void SoakSite::kill_fleet() {
+  if (this->faults_cleared) return;
+  const std::size_t most = this->relays.size() * 3 / 5;
+  if (this->kill_random() % 2 == 0) this->kill_relays(most);
+  this->schedule(1400ms, [this] {
+    if (!this->faults_cleared) this->kill_relays(this->relays.size());
+  });
+  this->schedule(std::chrono::milliseconds(6000 + this->kill_random() % 5000),
+                 [this] { this->kill_fleet(); });
+}
+
+void SoakSite::kill_relays(std::size_t count) {
+  this->log_fault("kill " + std::to_string(count) + " relays at once");
+  for (std::size_t i = 0; i < count; ++i) {
+    this->ledger.on_node_disturbed(this->relays[i]->caller_address());
+    this->relays[i]->send_signal(SIGKILL);
+  }
+}
+
 /// A second refusal is late for a request that its node sends to the same engine again.
 void SoakSite::inject_second_answers() {
   if (this->faults_cleared) return;
--- a/tests/relay/stream_versions_test.cpp
+++ b/tests/relay/stream_versions_test.cpp
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "common/hash.hpp"
+#include "relay/stream_archive.hpp"
 #include "relay/support/exchanging_fleet.hpp"
 #include "relay/version_store.hpp"
 
@@ -104,8 +105,28 @@
         *this->fleet.sites[node]->node, address.substr(0, address.find(':')), settings);
   }
 
+  /// Keeps the streams in the store, from now on and over restarts.
+  void open_archives() {
+    this->archives.clear();
+    for (std::size_t i = 0; i < this->fleet.sites.size(); ++i) {
+      this->archives.push_back(std::make_unique<relay::StreamArchive>(
+          this->fleet.runtime, this->fleet.store, *this->fleet.sites[i]->node,
+          "n" + std::to_string(i + 1)));
+    }
+  }
+
+  /// Kills all nodes at once and starts them again.
+  void restart_all() {
+    this->archives.clear();
+    for (std::size_t i = 0; i < this->fleet.sites.size(); ++i) this->fleet.disconnect(i);
+    for (std::size_t i = 0; i < this->fleet.sites.size(); ++i) this->restart(i);
+    this->open_archives();
+    this->advance(3s);
+  }
+
   ExchangingFleet fleet;
   std::vector<std::string> versions;
+  std::vector<std::unique_ptr<relay::StreamArchive>> archives;
 };
 
 }  // namespace
@@ -230,6 +251,74 @@
   cr_assert_eq(site.take_up(1, "second", "never-seen"), "");
 }
 
+// Guards against streams that are all lost as all nodes are killed while two versions serve.
+Test(stream_archive, takes_streams_up_after_all_nodes_were_killed) {
+  VersionedFleet site;
+  site.open_archives();
+  std::map<std::string, std::string> begun;
+  for (std::size_t i = 0; i < 12; ++i) {
+    const std::string id = "stream-" + std::to_string(i);
+    begun[id] = site.begin_stream(i % 4, id);
+  }
+  site.advance(1500ms);
+  site.restart_all();
+  site.make_busy(1, "v1");
+  for (const auto& [id, version] : begun)
+    cr_assert_eq(site.take_up(1, "next-" + id, id), version, "%s", id.c_str());
+  cr_assert_eq(site.take_up(2, "other", "never-seen"), "");
+}
+
+// Guards against streams that are lost as their node restarts twice and writes its object anew.
+Test(stream_archive, keeps_the_streams_of_the_previous_run_of_a_node) {
+  VersionedFleet site;
+  site.open_archives();
+  const std::string version = site.begin_stream(0, "first");
+  site.advance(1500ms);
+  site.restart_all();
+  for (std::size_t i = 0; i < 4; ++i) site.begin_stream(i, "second-" + std::to_string(i));
+  site.advance(1500ms);
+  site.restart_all();
+  cr_assert_eq(site.take_up(3, "third", "first"), version);
+}
+
+// Guards against callers that wait for a store which does not answer.
+Test(stream_archive, refuses_streams_while_the_store_is_down) {
+  VersionedFleet site;
+  site.open_archives();
+  site.begin_stream(0, "first");
+  site.advance(1500ms);
+  site.restart_all();
+  site.fleet.store.down = true;
+  cr_assert_eq(site.take_up(1, "second", "first"), "");
+}
+
+// Guards against calls to the store for streams that need no record.
+Test(stream_archive, writes_nothing_while_there_is_one_version) {
+  VersionedFleet site(4, {"v1"});
+  site.open_archives();
+  const int writes = site.fleet.store.writes;
+  const int lists = site.fleet.store.lists;
+  for (std::size_t i = 0; i < 12; ++i) site.begin_stream(i % 4, "stream-" + std::to_string(i));
+  site.advance(5s);
+  cr_assert_eq(site.fleet.store.writes, writes);
+  cr_assert_eq(site.fleet.store.lists, lists);
+}
+
+// Guards against objects that stay in the store once their streams have ended.
+Test(stream_archive, empties_its_objects) {
+  VersionedFleet site;
+  site.open_archives();
+  site.begin_stream(0, "first");
+  site.advance(1500ms);
+  site.fleet.sites[0]->http.answer(0, 200, RelayFixture::sealed_headers("first"), kSecondEvent);
+  site.advance(15s);
+  nlohmann::json kept;
+  site.fleet.store.read("shuntbank-streams", "n1", 1s,
+                        [&kept](const auto& object) { kept = object->content; });
+  site.advance(10ms);
+  cr_assert(kept.at("origins").empty());
+}
+
 // Guards against a version that is lost with the nodes that held it, while the stream still runs.
 Test(stream_versions, hands_the_version_on_again_while_the_stream_runs) {
   VersionedFleet site;
