Bound the time for which callers wait for a list of streams

A store that is silent held each stream of unknown origin for 1.5 s, and each one listed again. 0.6 s is well over a call of a store that works, and a list that failed is not repeated before the interval is over.

--- a/src/relay/stream_archive.cpp
+++ b/src/relay/stream_archive.cpp
@@ -180,8 +180,9 @@
   this->lookups.push_back({key, std::move(handler)});
   if (this->list_pending || this->list_timer) return;
   const MonotonicTime now = this->runtime.now();
-  const bool recent = this->listed_at && now - *this->listed_at <
-                                             this->interval(this->settings.list_interval_per_node);
+  const bool recent =
+      this->last_list_at &&
+      now - *this->last_list_at < this->interval(this->settings.list_interval_per_node);
   const bool use_last = recent || this->fleet_too_large();
   this->list_timer = this->runtime.after(Duration::zero(), [this, use_last] {
     this->list_timer.reset();
@@ -192,7 +193,7 @@
 
 void StreamArchive::list() {
   this->list_pending = true;
-  this->store.list(this->settings.kind, store::Freshness::kLatest, this->settings.call_timeout,
+  this->store.list(this->settings.kind, store::Freshness::kLatest, this->settings.list_timeout,
                    [this, living = this->alive](const auto& answer) {
                      if (*living) this->on_list(answer);
                    });
@@ -200,8 +201,8 @@
 
 void StreamArchive::on_list(const tl::expected<store::ObjectList, store::StoreError>& answer) {
   this->list_pending = false;
+  this->last_list_at = this->runtime.now();
   if (answer) {
-    this->listed_at = this->runtime.now();
     this->listed.clear();
     for (const store::StoredObject& object : answer->objects) add_origins(object, this->listed);
   }
--- a/src/relay/stream_archive.hpp
+++ b/src/relay/stream_archive.hpp
@@ -28,6 +28,8 @@
 struct StreamArchiveSettings {
   std::string kind = "shuntbank-streams";
   Duration call_timeout = std::chrono::milliseconds(1500);
+  /// Callers wait for a list.
+  Duration list_timeout = std::chrono::milliseconds(600);
   /// Between two writes of a node: 100 writes a second of the fleet.
   Duration write_interval_per_node = std::chrono::milliseconds(10);
   /// Between two lists of a node: 25 lists a second of the fleet, of about 2 KB for each node.
@@ -95,7 +97,7 @@
 
   std::vector<Lookup> lookups;  ///< Wait for the next list.
   bool list_pending = false;
-  std::optional<MonotonicTime> listed_at;
+  std::optional<MonotonicTime> last_list_at;  ///< Also of a list that failed.
   StreamOriginMap listed;
   std::unique_ptr<Timer> list_timer;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
