Log fatal signals with their address and a trace

A process that ended by a signal wrote nothing, so that the hypotheses of the incident (a stack overflow, memory that is no longer valid, an exception) could not be told apart. A handler on an alternate stack now writes one line with the signal, the address, whether the stack overflowed and the frames as offsets into the program, and then lets the signal take its previous action, so that the exit status and a sanitizer's report stay as they were.

No logic is changed.

--- a/src/apps/shuntbankd.cpp
+++ b/src/apps/shuntbankd.cpp
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <iostream>
 
+#include "common/crash_report.hpp"
 #include "common/log.hpp"
 #include "node/node_server.hpp"
 
@@ -38,6 +39,7 @@
 }  // namespace shuntbank
 
 int main(int argc, char** argv) {
+  shuntbank::report_crashes();
   try {
     return shuntbank::run_command_line({argv + 1, argv + argc});
   } catch (const std::exception& error) {
