Count relays that end by themselves in the soak

Each end that the soak did not cause now breaks FAULT, with its signal or exit status: by a signal other than the SIGKILL that was sent, or with another status than 0 after SIGTERM.

--- a/tests/platform/support/relay_child.cpp
+++ b/tests/platform/support/relay_child.cpp
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <cstring>
 #include <fstream>
 #include <stdexcept>
 #include <string_view>
@@ -63,6 +64,8 @@
 }
 
 void RelayChild::start(bool bootstrap) {
+  this->kill_sent = false;
+  this->stop_sent = false;
   this->write_settings(bootstrap);
   posix_spawn_file_actions_t files;
   posix_spawn_file_actions_init(&files);
@@ -89,14 +92,34 @@
 }
 
 void RelayChild::send_signal(int signal) {
-  if (this->process > 0) ::kill(this->process, signal);
+  if (this->process <= 0) return;
+  if (signal == SIGKILL) this->kill_sent = true;
+  if (signal == SIGTERM) this->stop_sent = true;
+  ::kill(this->process, signal);
 }
 
 bool RelayChild::running() {
   if (this->process <= 0) return false;
-  if (::waitpid(this->process, nullptr, WNOHANG) == 0) return true;
+  int status = 0;
+  if (::waitpid(this->process, &status, WNOHANG) == 0) return true;
+  this->on_ended(status);
   this->process = 0;
   return false;
 }
 
+void RelayChild::on_ended(int status) {
+  if (WIFSIGNALED(status)) {
+    const int signal = WTERMSIG(status);
+    if (signal == SIGKILL && this->kill_sent) return;
+    this->unexpected_end = std::string("signal ") + ::strsignal(signal);
+    return;
+  }
+  if (WEXITSTATUS(status) == 0 && this->stop_sent) return;
+  this->unexpected_end = "exit status " + std::to_string(WEXITSTATUS(status));
+}
+
+std::optional<std::string> RelayChild::take_unexpected_end() {
+  return std::exchange(this->unexpected_end, std::nullopt);
+}
+
 }  // namespace shuntbank::testing
--- a/tests/platform/support/relay_child.hpp
+++ b/tests/platform/support/relay_child.hpp
@@ -5,6 +5,7 @@
 #include <sys/types.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace shuntbank::testing {
@@ -46,6 +47,10 @@
   /// @return whether the process runs; reaps it after its exit.
   bool running();
 
+  /// @return how the last process ended, by which signal or exit status, unless it ended as asked:
+  /// by `SIGKILL` after that was sent, or with status 0 after `SIGTERM`. Told once.
+  std::optional<std::string> take_unexpected_end();
+
   /// @return the largest resident size of the current process, in bytes; 0 if it has ended.
   std::size_t peak_memory() const;
 
@@ -55,12 +60,16 @@
 
  private:
   void write_settings(bool bootstrap) const;
+  void on_ended(int status);
 
   std::string program;
   RelayConfig relay_config;
   std::string settings_path;
   std::string log_path;
   pid_t process = 0;
+  bool kill_sent = false;
+  bool stop_sent = false;
+  std::optional<std::string> unexpected_end;
 };
 
 }  // namespace shuntbank::testing
--- a/tests/platform/support/soak_site.cpp
+++ b/tests/platform/support/soak_site.cpp
@@ -36,6 +36,9 @@
 /// Time within which a site must serve again after its faults are cleared.
 constexpr std::chrono::seconds kRecoveryTimeout{30};
 
+/// The relays' stop grace, and 2 s.
+constexpr std::chrono::seconds kStopTimeout{10};
+
 /// @return the first three octets of the relays' addresses, derived from the process id. Ports are
 /// chosen before they are bound, so concurrent soaks on the same addresses could pick the same one.
 std::string process_network_prefix() {
@@ -240,8 +243,11 @@
 
 /// Restarts exited processes after a short delay, as the platform does.
 void SoakSite::keep_relays_running() {
+  if (this->relays_stopping) return;
+  this->check_ended_relays();
   for (const auto& relay : this->relays) {
     if (relay->running()) continue;
+    this->check_end(*relay);
     this->ledger.on_node_disturbed(relay->caller_address());
     const bool previous = relay->next_program() == this->options.previous_program;
     this->ledger.set_unaware_of_limits(relay->caller_address(), previous);
@@ -254,6 +260,38 @@
   });
 }
 
+void SoakSite::check_end(RelayChild& relay) {
+  const auto end = relay.take_unexpected_end();
+  if (end) this->ledger.add_violation("FAULT", relay.config().name + " ended by itself: " + *end);
+}
+
+/// Relays that were replaced end as well.
+void SoakSite::check_ended_relays() {
+  for (const auto& relay : this->replaced_relays) {
+    if (!relay->running()) this->check_end(*relay);
+  }
+}
+
+/// Each relay must end as asked, after the requests that it has.
+void SoakSite::stop_relays() {
+  this->relays_stopping = true;
+  for (const auto& relay : this->relays) {
+    if (relay->running()) relay->send_signal(SIGTERM);
+  }
+  const auto all_ended = [this] {
+    return std::none_of(this->relays.begin(), this->relays.end(),
+                        [](const auto& relay) { return relay->running(); });
+  };
+  this->wait_until(all_ended, kStopTimeout);
+  for (const auto& relay : this->relays) {
+    if (relay->running()) {
+      this->ledger.add_violation("FAULT", relay->config().name + " does not stop");
+    }
+    this->check_end(*relay);
+  }
+  this->check_ended_relays();
+}
+
 void SoakSite::schedule(std::chrono::milliseconds delay, std::function<void()> action) {
   auto timer = std::make_shared<asio::steady_timer>(this->loop, delay);
   timer->async_wait([timer, action = std::move(action)](const std::error_code& error) {
@@ -305,6 +343,7 @@
   this->callers->stop();
   this->wait_until([this] { return this->callers->in_flight() == 0; }, 6s);
   this->ledger.check_stream_versions();
+  this->stop_relays();
 }
 
 void SoakSite::clear_faults() {
--- a/tests/platform/support/soak_site.hpp
+++ b/tests/platform/support/soak_site.hpp
@@ -94,6 +94,9 @@
   bool wait_until(const std::function<bool()>& condition, std::chrono::milliseconds timeout);
   bool all_ready() const;
   void keep_relays_running();
+  void check_end(RelayChild& relay);
+  void check_ended_relays();
+  void stop_relays();
   void schedule(std::chrono::milliseconds delay, std::function<void()> action);
 
   void inject_fault();
@@ -150,6 +153,7 @@
   std::unique_ptr<Callers> callers;
   std::vector<std::shared_ptr<asio::steady_timer>> timers;
   asio::steady_timer watchdog;
+  bool relays_stopping = false;
   std::vector<std::string> fault_log;
   std::uint64_t configuration_version = 0;
   bool bootstrap = true;
