--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -94,6 +94,8 @@
                          "saying that they refuse")(
       "endless", options::bool_switch(&soak_options.endless_answers),
       "engines answer with bytes without end")(
+      "odd-entries", options::bool_switch(&soak_options.odd_entries),
+      "another writer puts entries that can't be read among those of the engines and nodes")(
       "outages", options::bool_switch(&soak_options.store_outages),
       "the store loses the calls of most relays, then of the others, while engines drain")(
       "replaced", options::bool_switch(&soak_options.replaced_nodes),
--- a/tests/platform/support/soak_site.hpp
+++ b/tests/platform/support/soak_site.hpp
@@ -48,6 +48,8 @@
   bool unmarked_statuses = false;
   /// Engines answer with bytes without end.
   bool endless_answers = false;
+  /// Another writer puts entries that can't be read among those of the engines and nodes.
+  bool odd_entries = false;
   /// The store loses the calls of most relays, then of the others, while engines drain.
   bool store_outages = false;
   /// Nodes are lost for good, and others come under other names and addresses.
@@ -115,6 +117,7 @@
   void replace_engine();
   void inject_second_answers();
   void inject_unmarked_statuses();
+  void inject_odd_entries();
   void inject_endless_answers();
   void check_endless_answers();
   void inject_store_outages();
@@ -168,6 +171,7 @@
   std::mt19937_64 outage_random;
   std::mt19937_64 status_random;
   std::mt19937_64 flood_random;
+  std::mt19937_64 entry_random;
   std::mt19937_64 replace_random;
   std::mt19937_64 kill_random;
   std::size_t largest_endless_answer = 0;  ///< Bytes of it that a relay took.
--- a/tests/platform/support/store_standin.cpp
+++ b/tests/platform/support/store_standin.cpp
@@ -11,14 +11,6 @@
 
 constexpr std::string_view kPrefix = "/v1/objects/";
 
-void reply(const std::shared_ptr<ConnectionResponder>& responder, int status, const json& body) {
-  HttpReply reply;
-  reply.status = status;
-  reply.headers.add("Content-Type", "application/json");
-  reply.body = body.is_null() ? "" : body.dump();
-  responder->respond(std::move(reply));
-}
-
 std::uint64_t parse_number(const std::string& text) {
   return text.empty() ? 0 : std::stoull(text);
 }
@@ -36,6 +28,20 @@
 
 StoreStandin::~StoreStandin() = default;
 
+void StoreStandin::reply(const Responder& responder, int status, const json& body) const {
+  HttpReply reply;
+  reply.status = status;
+  reply.headers.add("Content-Type", "application/json");
+  reply.body = body.is_null() ? "" : body.dump();
+  for (const auto& [placeholder, text] : this->texts) {
+    for (std::size_t at = reply.body.find(placeholder); at != std::string::npos;
+         at = reply.body.find(placeholder, at + text.size())) {
+      reply.body.replace(at, placeholder.size(), text);
+    }
+  }
+  responder->respond(std::move(reply));
+}
+
 void StoreStandin::set_fault(StoreFault wanted) {
   this->fault = wanted;
   for (const Responder& responder : std::exchange(this->unanswered, {})) responder->abort();
@@ -52,13 +58,13 @@
 }
 
 void StoreStandin::handle(const HttpRequest& request, const Responder& responder) {
-  if (this->fault == StoreFault::kBusy) return reply(responder, 503, {});
+  if (this->fault == StoreFault::kBusy) return this->reply(responder, 503, {});
   if (this->fault == StoreFault::kResetting) return responder->abort();
   if (this->fault == StoreFault::kSilent) {
     this->unanswered.push_back(responder);
     return;
   }
-  if (request.path.rfind(kPrefix, 0) != 0) return reply(responder, 404, {});
+  if (request.path.rfind(kPrefix, 0) != 0) return this->reply(responder, 404, {});
   const std::string rest = request.path.substr(kPrefix.size());
   const std::size_t slash = rest.find('/');
   const std::string kind = rest.substr(0, slash);
@@ -70,8 +76,8 @@
   if (!request.query_value("watch").empty()) return this->watch(kind, request, responder);
   if (name.empty()) return this->list(kind, request, responder);
   const auto object = this->kinds[kind].find(name);
-  if (object == this->kinds[kind].end()) return reply(responder, 404, {});
-  reply(responder, 200, object->second);
+  if (object == this->kinds[kind].end()) return this->reply(responder, 404, {});
+  this->reply(responder, 200, object->second);
 }
 
 void StoreStandin::list(const std::string& kind, const HttpRequest& request,
@@ -86,7 +92,7 @@
     if (next->second.at("meta").at("revision") <= visible)
       items.push_back(this->as_seen_by(request.caller, next->second));
   }
-  reply(responder, 200, {{"items", items}, {"more", next != objects.end()}, {"at", visible}});
+  this->reply(responder, 200, {{"items", items}, {"more", next != objects.end()}, {"at", visible}});
 }
 
 std::uint64_t StoreStandin::visible_revision(const HttpRequest& request) const {
@@ -105,7 +111,7 @@
 void StoreStandin::watch(const std::string& kind, const HttpRequest& request,
                          const Responder& responder) {
   const std::uint64_t since = parse_number(request.query_value("watch"));
-  if (since < this->oldest_watchable) return reply(responder, 410, {});
+  if (since < this->oldest_watchable) return this->reply(responder, 410, {});
   Watch& watch = this->watches.emplace_back();
   watch.kind = kind;
   watch.since = since;
@@ -130,7 +136,7 @@
   const std::uint64_t visible = watch.stale_allowed ? this->stale_revision() : this->revision;
   json events = this->visible_events(watch);
   for (json& event : events) event["object"] = this->as_seen_by(watch.caller, event["object"]);
-  reply(watch.responder, 200, {{"events", events}, {"at", std::max(visible, watch.since)}});
+  this->reply(watch.responder, 200, {{"events", events}, {"at", std::max(visible, watch.since)}});
 }
 
 json StoreStandin::visible_events(const Watch& watch) const {
@@ -189,6 +195,12 @@
   this->answer_ready_watches();
 }
 
+void StoreStandin::put_text(const std::string& kind, const std::string& name, std::string spec) {
+  const json placeholder = "text of " + kind + "/" + name;
+  this->texts[placeholder.dump()] = std::move(spec);
+  this->put(kind, name, placeholder);
+}
+
 void StoreStandin::remove(const std::string& kind, const std::string& name) {
   const auto object = this->kinds[kind].find(name);
   if (object == this->kinds[kind].end()) return;
@@ -208,29 +220,30 @@
 
 void StoreStandin::create(const std::string& kind, const json& body, const Responder& responder) {
   const std::string name = body.at("meta").at("name");
-  if (this->kinds[kind].count(name) > 0) return reply(responder, 409, this->kinds[kind][name]);
+  if (this->kinds[kind].count(name) > 0)
+    return this->reply(responder, 409, this->kinds[kind][name]);
   this->finish_write(this->store_object(kind, name, body.at("spec")), responder);
 }
 
 void StoreStandin::replace(const std::string& kind, const std::string& name, const json& body,
                            const Responder& responder) {
   const auto object = this->kinds[kind].find(name);
-  if (object == this->kinds[kind].end()) return reply(responder, 404, {});
+  if (object == this->kinds[kind].end()) return this->reply(responder, 404, {});
   const json& meta = body.at("meta");
   const bool same =
       !meta.contains("revision") || meta["revision"] == object->second.at("meta").at("revision");
-  if (!same) return reply(responder, 409, object->second);
+  if (!same) return this->reply(responder, 409, object->second);
   this->finish_write(this->store_object(kind, name, body.at("spec")), responder);
 }
 
 void StoreStandin::remove(const std::string& kind, const std::string& name,
                           const HttpRequest& request, const Responder& responder) {
   const auto found = this->kinds[kind].find(name);
-  if (found == this->kinds[kind].end()) return reply(responder, 404, {});
+  if (found == this->kinds[kind].end()) return this->reply(responder, 404, {});
   const json object = found->second;
   const std::string wanted = request.query_value("revision");
   if (!wanted.empty() && parse_number(wanted) != object.at("meta").at("revision")) {
-    return reply(responder, 409, object);
+    return this->reply(responder, 409, object);
   }
   this->remove(kind, name);
   this->finish_write(object, responder);
@@ -247,7 +260,7 @@
   const json answer = object;
   this->answer_ready_watches();
   if (this->fault == StoreFault::kLosingWrites) return responder->abort();
-  reply(responder, 200, answer);
+  this->reply(responder, 200, answer);
 }
 
 }  // namespace shuntbank::testing
--- a/tests/platform/support/store_standin.hpp
+++ b/tests/platform/support/store_standin.hpp
@@ -42,6 +42,9 @@
   void put(const std::string& kind, const std::string& name, const nlohmann::json& spec);
   void remove(const std::string& kind, const std::string& name);
 
+  /// Writes a value that is sent as this text, whatever it is.
+  void put_text(const std::string& kind, const std::string& name, std::string spec);
+
   /// @return the names of all objects of a kind.
   std::set<std::string> names(const std::string& kind) const;
 
@@ -64,6 +67,7 @@
   };
 
   void handle(const HttpRequest& request, const Responder& responder);
+  void reply(const Responder& responder, int status, const nlohmann::json& body) const;
   void list(const std::string& kind, const HttpRequest& request, const Responder& responder);
   void watch(const std::string& kind, const HttpRequest& request, const Responder& responder);
   void create(const std::string& kind, const nlohmann::json& body, const Responder& responder);
@@ -95,6 +99,7 @@
   std::unique_ptr<Http1Server> server;
   StoreFault fault = StoreFault::kNone;
   std::map<std::string, std::map<std::string, nlohmann::json>> kinds;
+  std::map<std::string, std::string> texts;  ///< By the quoted placeholder in an object's spec.
   std::deque<Event> history;
   std::list<Watch> watches;
   std::shared_ptr<bool> lifetime_token = std::make_shared<bool>(true);
