Fail a list whose next page cannot be requested

A page on which no entry had a readable name passed for the end of the list, so that the engines on the later pages were dropped from use. A store that repeats a page was asked for it again without end.

The next page follows the last name of this one. Without a new name there is none to ask for; such a list is now malformed and read again, and the known state holds.

odd_entry/fails_a_list_that_cannot_go_on before: "The expression (nameless.error()) == (store::StoreError::kMalformed) is false"; now it passes.

--- a/tests/platform/odd_entry_test.cpp
+++ b/tests/platform/odd_entry_test.cpp
@@ -254,6 +254,17 @@
   }
 }
 
+// Where no page follows, as no entry has a name or the store repeats a page, a list fails rather
+// than passing for the whole.
+Test(odd_entry, fails_a_list_that_cannot_go_on) {
+  StoreFixture store;
+  const List nameless = store.list({list_text({sound_entry("a")}, true), list_text({"{}"}, true)});
+  cr_assert_eq(nameless.error(), store::StoreError::kMalformed);
+  const List repeated =
+      store.list({list_text({sound_entry("a")}, true), list_text({sound_entry("a")}, true)});
+  cr_assert_eq(repeated.error(), store::StoreError::kMalformed);
+}
+
 Test(odd_entry, leaves_the_other_events_of_a_watch) {
   for (const OddEntry& odd : odd_entries()) {
     StoreFixture store;
