--- a/tests/platform/odd_entry_test.cpp
+++ b/tests/platform/odd_entry_test.cpp
@@ -265,6 +265,14 @@
   cr_assert_eq(repeated.error(), store::StoreError::kMalformed);
 }
 
+// Unescaped, the rest of the name would be another parameter, and the same page come for ever.
+Test(odd_entry, escapes_the_name_that_a_page_follows) {
+  StoreFixture store;
+  store.list({list_text({sound_entry("a&b c/%")}, true)});
+  const std::string& url = store.http.at(1).request.url;
+  cr_assert(url.ends_with("?after=a%26b%20c%2F%25"), "%s", url.c_str());
+}
+
 Test(odd_entry, leaves_the_other_events_of_a_watch) {
   for (const OddEntry& odd : odd_entries()) {
     StoreFixture store;
