Let a watch confirm its first list from a slow store

Cause: the first list from a lagging replica is applied once a watch has returned the changes since. That call waits for no changes, and its timeout was 1 ms + 700 ms, the same each time. Where the first byte takes longer, each such call was given up and begun anew: the list, which has a timeout that doubles up to 3 s, succeeded, its confirmation never did. The hint is not the cause: the same happens without one, but then store_lost is logged. With hints there is always a second call beside the first, begun 500 ms later, so that no call ends as the last one.

The confirming call now has the timeout of a list, which doubles after each timeout, also when another call is under way beside it. Watches that wait for changes keep their timeout, so that the bounds of an engine's update stay as they are.

--- a/src/store/kind_watch.cpp
+++ b/src/store/kind_watch.cpp
@@ -55,7 +55,7 @@
         settings_(settings),
         handlers_(std::move(handlers)),
         backoff_(settings.initial_backoff),
-        list_timeout_(settings.list_timeout),
+        answer_timeout_(settings.answer_timeout),
         wait_(settings.wait),
         freshness_(settings.freshness),
         confirm_next_list_(settings.confirm_first_list) {}
@@ -65,11 +65,11 @@
   void list(Freshness freshness) {
     cancel_calls();
     const std::uint64_t number = begin_call(CallKind::kList, freshness);
-    calls_.back().id =
-        store_.list(kind_, freshness, list_timeout_, [weak = weak_from_this(), number](auto list) {
-          if (const auto self = weak.lock())
-            self->on_ended(number, std::move(list), &Impl::on_list);
-        });
+    calls_.back().id = store_.list(kind_, freshness, answer_timeout_,
+                                   [weak = weak_from_this(), number](auto list) {
+                                     if (const auto self = weak.lock())
+                                       self->on_ended(number, std::move(list), &Impl::on_list);
+                                   });
   }
 
   void stop() { stopped_ = true; }
@@ -198,11 +198,17 @@
     const Call call = *found;
     calls_.erase(found);
     const bool answered = result || result.error() == StoreError::kHistoryGone;
+    if (!result && result.error() == StoreError::kUncertain) on_timeout(call);
     if (!answered && !calls_.empty()) return;
     cancel_calls();
     (this->*handler)(call, std::move(result));
   }
 
+  void on_timeout(const Call& call) {
+    if (call.kind == CallKind::kWatch && !unconfirmed_list_) return;
+    answer_timeout_ = std::min(2 * answer_timeout_, settings_.max_answer_timeout);
+  }
+
   bool watching() const { return !calls_.empty() && calls_.front().kind == CallKind::kWatch; }
 
   /// Cancels all calls in flight and stops the transfer of their answers.
@@ -233,11 +239,7 @@
   }
 
   void on_list(const Call& call, tl::expected<ObjectList, StoreError> list) {
-    if (!list) {
-      const bool timed_out = list.error() == StoreError::kUncertain;
-      if (timed_out) list_timeout_ = std::min(2 * list_timeout_, settings_.max_list_timeout);
-      return retry("list", list.error());
-    }
+    if (!list) return retry("list", list.error());
     on_success(call.freshness);
     const bool was_listed = std::exchange(listed_, true);
     const bool confirm = call.freshness == Freshness::kMayLag && confirm_next_list_;
@@ -284,7 +286,10 @@
     if (behind_hint() && !hint_timer_) start_hint_timer();
     const std::uint64_t revision = unconfirmed_list_ ? unconfirmed_list_->revision : revision_;
     const Duration wait = unconfirmed_list_ ? kNoWait : jittered(wait_, kWaitSpread);
-    calls_.back().id = store_.watch(kind_, revision, freshness, wait, wait + settings_.wait_slack,
+    // A call that confirms a list is repeated until it succeeds, so that it needs a timeout that
+    // adapts to the store, as a list does.
+    const Duration answer_timeout = unconfirmed_list_ ? answer_timeout_ : settings_.wait_slack;
+    calls_.back().id = store_.watch(kind_, revision, freshness, wait, wait + answer_timeout,
                                     [weak = weak_from_this(), number](auto batch) {
                                       if (const auto self = weak.lock())
                                         self->on_ended(number, std::move(batch), &Impl::on_batch);
@@ -383,7 +388,7 @@
     confirmed_at = runtime_.now();
     if (freshness == Freshness::kLatest) confirmed_latest_at = confirmed_at;
     backoff_ = settings_.initial_backoff;
-    list_timeout_ = settings_.list_timeout;
+    answer_timeout_ = settings_.answer_timeout;
     if (!std::exchange(lost, false)) return;
     log_event(LogArea::kPlatform, LogLevel::kInfo, "store_regained", {{"kind", kind_}});
   }
@@ -411,7 +416,7 @@
   KindWatchSettings settings_;
   KindWatchHandlers handlers_;
   Duration backoff_;
-  Duration list_timeout_;  ///< For the next list.
+  Duration answer_timeout_;  ///< Of the next call that does not wait for changes.
   std::unique_ptr<Timer> timer_;
   std::unique_ptr<Timer> hint_timer_;
   Duration wait_;
--- a/src/store/kind_watch.hpp
+++ b/src/store/kind_watch.hpp
@@ -29,11 +29,12 @@
   double pause_per_transfer_time = 2;
   /// Upper limit of that pause, so that changes become active in time.
   Duration max_pause = std::chrono::milliseconds(800);
-  /// Timeout until a list's answer begins. Doubled after each timeout up to the maximum, so that a
-  /// slow store does not work on lists in vain. The maximum bounds the delay after an outage in
-  /// which calls were lost.
-  Duration list_timeout = std::chrono::milliseconds(1500);
-  Duration max_list_timeout = std::chrono::seconds(3);
+  /// Timeout until the answer begins to a call that does not wait for changes: a list, or the watch
+  /// that confirms one. Doubled after each timeout up to the maximum, so that a slow store does not
+  /// work on such calls in vain. The maximum bounds the delay after an outage in which calls were
+  /// lost.
+  Duration answer_timeout = std::chrono::milliseconds(1500);
+  Duration max_answer_timeout = std::chrono::seconds(3);
   Duration initial_backoff = std::chrono::milliseconds(50);
   Duration max_backoff = std::chrono::milliseconds(800);
   Freshness freshness = Freshness::kLatest;  ///< Initial one; see `set_freshness`.
--- a/tests/store/kind_watch_test.cpp
+++ b/tests/store/kind_watch_test.cpp
@@ -152,6 +152,62 @@
   cr_assert_leq(fixture.store.watches - before, 3, "one call each hint grace beside the first");
 }
 
+// Guards against a starting watch that gives each call up before a slow store answers, with hints
+// of newer changes and without.
+Test(kind_watch, confirms_the_first_list_of_a_store_that_answers_slowly) {
+  for (const bool newest_only : {false, true}) {
+    for (const bool hinted : {false, true}) {
+      for (Duration delay = 300ms; delay < 3s; delay += 200ms) {
+        WatchFixture fixture;
+        SlowLink link(fixture.runtime, 1'000'000);
+        fixture.store.link = &link;
+        fixture.store.answer_delay = delay;
+        fixture.store.put("k", "a", {});
+        fixture.settings.freshness = store::Freshness::kMayLag;
+        fixture.settings.newest_only = newest_only;
+        fixture.start();
+        const int steps = 150;
+        for (int i = 0; i < steps && fixture.names.empty(); ++i) {
+          if (hinted) fixture.watch->hint(fixture.store.revision());
+          fixture.runtime.advance(100ms);
+        }
+        cr_assert_eq(fixture.names.count("a"), 1,
+                     "newest_only %d, hinted %d: nothing in 15 s at %lld ms an answer", newest_only,
+                     hinted, static_cast<long long>(whole_ms(delay)));
+        cr_assert_leq(fixture.store.watches, 16, "at most one call each hint grace");
+      }
+    }
+  }
+}
+
+// Guards against a watch that repeats a lost call so often that a slow store never answers it.
+Test(kind_watch, follows_a_store_that_answers_slowly_after_a_lost_call) {
+  for (const bool newest_only : {false, true}) {
+    for (Duration delay = 300ms; delay < 3s; delay += 200ms) {
+      WatchFixture fixture;
+      SlowLink link(fixture.runtime, 1'000'000);
+      fixture.store.link = &link;
+      fixture.store.put("k", "a", {});
+      fixture.settings.newest_only = newest_only;
+      fixture.start();
+      fixture.runtime.advance(1s);
+      fixture.path.set_silent(true);
+      fixture.path.set_silent(false);
+      fixture.store.answer_delay = delay;
+      fixture.store.put("k", "b", {});
+      const Duration call_timeout = fixture.settings.wait * 12 / 10 + fixture.settings.wait_slack;
+      Duration elapsed{};
+      while (fixture.names.count("b") == 0 && elapsed < call_timeout + 2 * delay) {
+        fixture.watch->hint(fixture.store.revision());
+        fixture.runtime.advance(100ms);
+        elapsed += 100ms;
+      }
+      cr_assert_eq(fixture.names.count("b"), 1, "newest_only %d, %lld ms an answer", newest_only,
+                   static_cast<long long>(whole_ms(delay)));
+    }
+  }
+}
+
 Test(kind_watch, ignores_a_hint_of_a_known_revision) {
   WatchFixture fixture;
   fixture.store.put("k", "a", {});
