Fail transfers of libcurl that end before a final head

Callers of shuntbankd and of the command line tool could see: a call that reached a peer which closed the connection within the head of its answer ended as a success, with status 0 and an empty body. A peer that answered "101 Switching Protocols" unasked got its bytes passed on as a body without a status.

Cause: `finish` reported libcurl's result alone. libcurl reports success for a connection that closes after a status line and before the blank line, and after interim answers without a final one.

The transfer now succeeds only once a final head was reported, which is the one place that all calls pass; libcurl checks the framing that this head announces. Bytes before a final head fail the transfer at once.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -203,6 +203,8 @@
   static std::size_t on_body(char* bytes, std::size_t size, std::size_t count, void* data) {
     auto& transfer = *static_cast<Transfer*>(data);
     if (transfer.cancelled) return size * count;
+    // After an interim answer such as 101 libcurl passes on whatever follows.
+    if (!transfer.headers_reported) return CURL_WRITEFUNC_ERROR;
     const bool accepted = transfer.handlers.on_data(std::string_view(bytes, size * count));
     return accepted ? size * count : CURL_WRITEFUNC_PAUSE;
   }
@@ -294,14 +296,17 @@
   }
 
   static void finish(Transfer& transfer, CURLcode code) {
-    if (code == CURLE_OK) {
+    // libcurl also reports success when the peer closes the connection within a head.
+    const bool head_incomplete = code == CURLE_OK && !transfer.headers_reported;
+    if (code == CURLE_OK && !head_incomplete) {
       transfer.handlers.on_done({});
       return;
     }
     const TransferFailure failure =
         transfer.connected ? TransferFailure::kUncertain : TransferFailure::kNothingSent;
-    transfer.handlers.on_done(
-        tl::make_unexpected(TransferError{failure, curl_easy_strerror(code)}));
+    const char* message =
+        head_incomplete ? "the peer closed the connection" : curl_easy_strerror(code);
+    transfer.handlers.on_done(tl::make_unexpected(TransferError{failure, message}));
   }
 
   asio::io_context& loop_;
