Reject answers to libcurl whose length is unusable

A caller of shuntbankd would see: an engine's or the store's answer whose Content-Length does not fit libcurl's type, has bytes after its digits, or stands twice with different values is whole at the end of the connection, or at the last of the lengths, however little of its body arrived.

Cause: libcurl ignores a length that overflows and reads until the connection ends, stops at the first byte that is no digit, and lets a second field replace the first.

The client now reads the field itself once the final head is complete, and fails the transfer as malformed unless all its values are one number that libcurl takes. Blanks after a field's value are no part of it any more.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -5,6 +5,8 @@
 
 #include <asio/posix/stream_descriptor.hpp>
 #include <asio/post.hpp>
+#include <charconv>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 
@@ -38,6 +40,7 @@
   int status = 0;
   HttpHeaders headers;
   bool headers_reported = false;
+  AnswerDefect defect = AnswerDefect::kNone;
   bool connected = false;
   bool cancelled = false;
 
@@ -47,6 +50,27 @@
   }
 };
 
+std::string_view trim(std::string_view text) {
+  constexpr std::string_view kBlanks = " \t";
+  const std::size_t begin = std::min(text.find_first_not_of(kBlanks), text.size());
+  return text.substr(begin, text.find_last_not_of(kBlanks) + 1 - begin);
+}
+
+/// @return whether the length of the body is absent or a number on which all fields agree.
+bool has_usable_length(const HttpHeaders& headers) {
+  std::optional<std::int64_t> length;
+  for (const HttpHeader& field : headers.fields()) {
+    if (!equal_ignoring_case(field.name, "Content-Length")) continue;
+    std::int64_t value = -1;
+    const char* end = field.value.data() + field.value.size();
+    const auto parsed = std::from_chars(field.value.data(), end, value);
+    if (parsed.ec != std::errc() || parsed.ptr != end || value < 0) return false;
+    if (length.value_or(value) != value) return false;
+    length = value;
+  }
+  return true;
+}
+
 }  // namespace
 
 class CurlHttpClient::Impl : public std::enable_shared_from_this<CurlHttpClient::Impl> {
@@ -182,20 +206,28 @@
       long status = 0;
       curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
       transfer.status = static_cast<int>(status);
-      if (status >= 200) report_headers(transfer);
+      if (status < 200 || transfer.headers_reported) return size * count;
+      // libcurl reads until the connection ends if it cannot read the length.
+      if (!has_usable_length(transfer.headers)) return reject(transfer);
+      report_headers(transfer);
       return size * count;
     }
     const std::size_t colon = line.find(':');
     if (colon == std::string_view::npos) return size * count;
-    std::string_view value = line.substr(colon + 1);
-    while (!value.empty() && value.front() == ' ') value.remove_prefix(1);
-    transfer.headers.add(std::string(line.substr(0, colon)), std::string(value));
+    transfer.headers.add(std::string(line.substr(0, colon)),
+                         std::string(trim(line.substr(colon + 1))));
     return size * count;
   }
 
+  /// Returned by a callback, it fails the transfer.
+  static std::size_t reject(Transfer& transfer) {
+    transfer.defect = AnswerDefect::kMalformed;
+    return CURL_WRITEFUNC_ERROR;
+  }
+
   static void report_headers(Transfer& transfer) {
-    if (transfer.headers_reported || transfer.cancelled) return;
     transfer.headers_reported = true;
+    if (transfer.cancelled) return;
     if (transfer.handlers.on_headers)
       transfer.handlers.on_headers(transfer.status, transfer.headers);
   }
@@ -204,7 +236,7 @@
     auto& transfer = *static_cast<Transfer*>(data);
     if (transfer.cancelled) return size * count;
     // After an interim answer such as 101 libcurl passes on whatever follows.
-    if (!transfer.headers_reported) return CURL_WRITEFUNC_ERROR;
+    if (!transfer.headers_reported) return reject(transfer);
     const bool accepted = transfer.handlers.on_data(std::string_view(bytes, size * count));
     return accepted ? size * count : CURL_WRITEFUNC_PAUSE;
   }
@@ -304,9 +336,11 @@
     }
     const TransferFailure failure =
         transfer.connected ? TransferFailure::kUncertain : TransferFailure::kNothingSent;
-    const char* message =
-        head_incomplete ? "the peer closed the connection" : curl_easy_strerror(code);
-    transfer.handlers.on_done(tl::make_unexpected(TransferError{failure, message}));
+    TransferError error{failure, curl_easy_strerror(code)};
+    error.defect = transfer.defect;
+    if (head_incomplete) error.message = "the peer closed the connection";
+    if (error.defect != AnswerDefect::kNone) error.message = "the answer is no HTTP";
+    transfer.handlers.on_done(tl::make_unexpected(std::move(error)));
   }
 
   asio::io_context& loop_;
--- a/tests/net/cut_answer_test.cpp
+++ b/tests/net/cut_answer_test.cpp
@@ -166,6 +166,25 @@
   }
 }
 
+// Guards against a short body that is passed on as whole since its length could not be read.
+Test(cut_answer, an_unusable_length_is_not_replaced_by_the_end_of_the_connection) {
+  for (const char* length :
+       {"Content-Length: 99999999999999999999", "Content-Length: 18446744073709551616",
+        "Content-Length: 18446744073709551615", "Content-Length: 9223372036854775808",
+        "Content-Length: -1", "Content-Length: x", "Content-Length: 5x",
+        "Content-Length:", "Content-Length: 9, 5", "Content-Length: 9\r\nContent-Length: 5",
+        "Content-Length: 5\r\nContent-Length: 9"}) {
+    const std::string answer = std::string("HTTP/1.1 200 OK\r\n") + length + "\r\n\r\nshort";
+    const auto is_whole = [&answer](const auto& client_of) {
+      asio::io_context loop;
+      CuttingServer server(loop, [&](const HttpHead&, const std::string&) { return answer; });
+      return !exchange(loop, *client_of(loop), server).error;
+    };
+    cr_expect_not(is_whole(make_client<PooledHttpClient>), "pooled: %s", length);
+    cr_expect_not(is_whole(make_client<CurlHttpClient>), "libcurl: %s", length);
+  }
+}
+
 // Guards against a command line tool that takes a cut answer for the node's.
 Test(cut_answer, a_blocking_fetch_reports_no_cut_answer_as_whole) {
   asio::io_context loop;
