Forget an earlier engine's answer before a request is sent again

Callers of shuntbankd saw, where one engine refused a request that must run once and the next one closed its connection within the head of its answer: the request went to a third engine, though the second may have run it, and the caller was told that nothing had run ("outcome": "not_run", which also releases its idempotency key).

--- a/src/node/request_session.cpp
+++ b/src/node/request_session.cpp
@@ -153,6 +153,7 @@
   step_ = step;
   current_engine_ = engine;
   status_ = 0;
+  headers_ = HttpHeaders();
   reply_body_.clear();
   reply_overflow_ = false;
   stream_invalid_ = false;
