Bound the nesting of messages between nodes

60,000 bytes from the network, each an array of one element, ended a node: the library's MessagePack parser calls itself for each level. The size of one datagram is enough. None was seen in the field; found while looking for the cause of deeply nested store entries elsewhere.

All messages now go through one reader that bounds the depth while it parses. A message that is nested too deeply is rejected as any malformed one.

--- a/src/protocol/configuration_message.cpp
+++ b/src/protocol/configuration_message.cpp
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "protocol/msgpack_document.hpp"
+
 namespace shuntbank {
 namespace {
 
@@ -283,7 +285,7 @@
 tl::expected<ConfigurationCall, std::string> decode_configuration_call(std::string_view bytes) {
   try {
     const std::string_view body = bytes.substr(std::min(kCallPrefix.size(), bytes.size()));
-    const json document = json::from_msgpack(body.begin(), body.end());
+    const json document = msgpack_document(body);
     return ConfigurationCall{summary_from_json(document.at("known")),
                              document.at("most_bytes").get<std::size_t>()};
   } catch (const json::exception& error) {
@@ -322,7 +324,7 @@
 
 tl::expected<ConfigurationMessage, std::string> decode_configuration(std::string_view bytes) {
   try {
-    const json document = json::from_msgpack(bytes.begin(), bytes.end());
+    const json document = msgpack_document(bytes);
     if (document.contains("tenants") && !document.contains(kKnowsQuotas)) {
       return tl::make_unexpected(std::string("the sender does not know the tenants' quotas"));
     }
--- a/src/protocol/engine_list_message.cpp
+++ b/src/protocol/engine_list_message.cpp
@@ -6,6 +6,8 @@
 #include <utility>
 #include <vector>
 
+#include "protocol/msgpack_document.hpp"
+
 namespace shuntbank {
 namespace {
 
@@ -127,7 +129,7 @@
 tl::expected<EngineListCall, std::string> decode_engine_list_call(std::string_view bytes) {
   try {
     const std::string_view body = bytes.substr(std::min(kCallPrefix.size(), bytes.size()));
-    const json document = json::from_msgpack(body.begin(), body.end());
+    const json document = msgpack_document(body);
     return EngineListCall{document.at("known").get<std::uint64_t>()};
   } catch (const json::exception& error) {
     return tl::make_unexpected(std::string(error.what()));
@@ -136,7 +138,7 @@
 
 tl::expected<EngineListUpdate, std::string> decode_engine_list(std::string_view bytes) {
   try {
-    return update_from_json(json::from_msgpack(bytes.begin(), bytes.end()));
+    return update_from_json(msgpack_document(bytes));
   } catch (const std::exception& error) {
     return tl::make_unexpected(std::string(error.what()));
   }
--- a/src/protocol/load_digest.cpp
+++ b/src/protocol/load_digest.cpp
@@ -8,6 +8,7 @@
 #include "protocol/engine_facts_codec.hpp"
 #include "protocol/limit_codec.hpp"
 #include "protocol/load_message.hpp"
+#include "protocol/msgpack_document.hpp"
 #include "protocol/trouble_codec.hpp"
 
 namespace shuntbank {
@@ -349,7 +350,7 @@
 
 tl::expected<LoadDigest, std::string> decode_digest(std::string_view bytes) {
   try {
-    const json document = json::from_msgpack(bytes.begin(), bytes.end());
+    const json document = msgpack_document(bytes);
     LoadDigest digest;
     digest.collector = NodeId(document.at(0).get<std::string>());
     digest.number = {document.at(1).get<std::uint64_t>(), document.at(2).get<std::uint64_t>()};
--- a/src/protocol/load_message.cpp
+++ b/src/protocol/load_message.cpp
@@ -5,6 +5,7 @@
 #include "protocol/crash_report_codec.hpp"
 #include "protocol/engine_facts_codec.hpp"
 #include "protocol/limit_codec.hpp"
+#include "protocol/msgpack_document.hpp"
 #include "protocol/trouble_codec.hpp"
 
 namespace shuntbank {
@@ -168,7 +169,7 @@
 
 tl::expected<CacheSnapshot, std::string> decode_cache_snapshot(std::string_view bytes) {
   try {
-    const json document = json::from_msgpack(bytes.begin(), bytes.end());
+    const json document = msgpack_document(bytes);
     CacheSnapshot snapshot{reads_from_json(document.at("kept")), {}};
     if (document.contains("samples")) snapshot.samples = samples_from_json(document["samples"]);
     if (document.contains("versions")) {
@@ -182,7 +183,7 @@
 
 tl::expected<LoadMessage, std::string> decode_load_message(std::string_view bytes) {
   try {
-    const json document = json::from_msgpack(bytes.begin(), bytes.end());
+    const json document = msgpack_document(bytes);
     LoadMessage message;
     message.node = NodeId(document.at("node").get<std::string>());
     message.boot = document.at("boot").get<std::uint64_t>();
--- a/src/protocol/marked_message.hpp
+++ b/src/protocol/marked_message.hpp
@@ -7,6 +7,8 @@
 #include <string>
 #include <string_view>
 
+#include "protocol/msgpack_document.hpp"
+
 namespace shuntbank {
 
 inline bool has_mark(std::string_view bytes, char mark) {
@@ -22,7 +24,7 @@
 /// @return the document after the mark. @throw nlohmann::json::exception if it is malformed.
 inline nlohmann::json decode_marked(std::string_view bytes) {
   bytes.remove_prefix(1);
-  return nlohmann::json::from_msgpack(bytes.begin(), bytes.end());
+  return msgpack_document(bytes);
 }
 
 }  // namespace shuntbank
