Handle a pipelined request only once the last reply was sent

What callers saw: on a connection with pipelined requests, a stream behind a reply that was given at once and that the caller reads slowly could be shut down in its middle, at the end of the first reply. A caller that pipelined requests answered at once (refusals, 404, 401) and read nothing made the node handle all of them: replies were kept in memory without a bound, and each head that came in put off the write timeout.

Cause: `parse` went on while no reply was pending. A reply that the handler gives before it returns is no longer pending then, but not sent either. Its end (`reply_ended_`) was later taken for that of the request behind it, so that `next_request` ran in the middle of the next reply, and with `Connection: close` in that one lingered.

Why it works: a connection has one exchange at a time again. The next request is parsed by `next_request`, from the completion of the write, and reading stops at the bound for pipelined bytes until then.

--- a/src/net/http1_server.cpp
+++ b/src/net/http1_server.cpp
@@ -16,7 +16,7 @@
 
 constexpr std::size_t kReadBufferSize = 16UL << 10U;
 
-/// Pipelined bytes buffered while a request runs; reading stops at this size.
+/// Pipelined bytes buffered until a reply has been sent; reading stops at this size.
 constexpr std::size_t kMaxPipelinedBytes = 64UL << 10U;
 
 constexpr std::string_view kLastChunk = "0\r\n\r\n";
@@ -170,12 +170,15 @@
     unparsed_ += bytes;
     parse();
     if (closed_) return;
-    if (!reply_pending_ || unparsed_.size() < kMaxPipelinedBytes) read();
+    if (!replying() || unparsed_.size() < kMaxPipelinedBytes) read();
   }
 
+  /// @return whether a request is being handled or its reply is being sent.
+  bool replying() const { return reply_pending_ || reply_ended_; }
+
   /// Parses received bytes up to the end of one request.
   void parse() {
-    while (!closed_ && !reply_pending_ && !lingering_ && !unparsed_.empty()) {
+    while (!closed_ && !replying() && !lingering_ && !unparsed_.empty()) {
       const bool message_started = parser_.inside_message();
       const std::string bytes = std::exchange(unparsed_, {});
       const std::size_t consumed = parser_.feed(bytes);
@@ -183,7 +186,7 @@
       unparsed_ = bytes.substr(std::min(consumed, bytes.size())) + unparsed_;
       if (parser_.failure() != HttpParseFailure::kNone) return reject_parse_failure();
       if (rejection_status_ != 0) return reject(rejection_status_);
-      if (reply_pending_) return;
+      if (replying()) return;
       if (!message_started && parser_.inside_message() && !head_parsed_) {
         arm_timer(server_->limits.header_timeout);
       }
--- a/tests/net/http1_edges_test.cpp
+++ b/tests/net/http1_edges_test.cpp
@@ -7,6 +7,7 @@
 #include "net/address.hpp"
 #include "net/http1_client.hpp"
 #include "net/http1_server.hpp"
+#include "support/socket_buffers.hpp"
 
 using namespace shuntbank;
 using namespace std::chrono_literals;
@@ -305,6 +306,83 @@
   cr_assert_gt(reply.size(), body.size());
 }
 
+// Guards against memory that grows with the requests of a caller that reads no answers.
+Test(http1_server, handles_no_further_request_while_an_answer_is_unread) {
+  constexpr int kRequests = 400;
+  constexpr std::size_t kBodySize = 256UL << 10U;
+  asio::io_context loop;
+  int handled = 0;
+  Http1Server server(loop, server_settings(), [&](const HttpRequest&, const auto& responder) {
+    ++handled;
+    responder->respond({200, {}, std::string(kBodySize, 'x')});
+  });
+  asio::ip::tcp::socket caller(loop);
+  caller.connect(server.local_endpoint());
+  std::string requests;
+  for (int i = 0; i + 1 < kRequests; ++i) requests += "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  requests += "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+  asio::write(caller, asio::buffer(requests));
+  while (loop.poll() > 0) {
+  }
+  const auto in_buffers = static_cast<int>(testing::max_socket_buffers() / kBodySize);
+  cr_assert_leq(handled, in_buffers + 2, "%d were handled", handled);
+  std::size_t received = 0;
+  std::vector<char> buffer(kBodySize);
+  bool done = false;
+  std::function<void()> read = [&] {
+    caller.async_read_some(asio::buffer(buffer), [&](const std::error_code& error, std::size_t n) {
+      received += n;
+      done = static_cast<bool>(error);
+      if (!done) read();
+    });
+  };
+  read();
+  while (!done) loop.run_one();
+  cr_assert_eq(handled, kRequests);
+  cr_assert_gt(received, kRequests * kBodySize);
+}
+
+// Guards against cutting a stream off behind an answer that its caller reads slowly.
+Test(http1_server, keeps_a_stream_open_behind_a_large_answer) {
+  asio::io_context loop;
+  const std::string body(2 * testing::max_socket_buffers(), 'x');
+  std::shared_ptr<ConnectionResponder> stream;
+  Http1Server server(loop, server_settings(),
+                     [&](const HttpRequest& request, const auto& responder) {
+                       if (request.target == "/1") return responder->respond({200, {}, body});
+                       stream = responder;
+                       stream->begin_stream(200, {});
+                       stream->write("first");
+                     });
+  asio::ip::tcp::socket caller(loop);
+  caller.connect(server.local_endpoint());
+  asio::write(caller, asio::buffer(std::string("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 "
+                                               "HTTP/1.1\r\nHost: h\r\nConnection: "
+                                               "close\r\n\r\n")));
+  std::string last;  // Bytes that the caller received, without the first ones.
+  std::vector<char> buffer(64UL << 10U);
+  bool done = false;
+  std::function<void()> read = [&] {
+    caller.async_read_some(asio::buffer(buffer), [&](const std::error_code& error, std::size_t n) {
+      last.append(buffer.data(), n);
+      if (last.size() > buffer.size()) last.erase(0, last.size() - buffer.size());
+      done = static_cast<bool>(error);
+      if (!done) read();
+    });
+  };
+  while (loop.poll() > 0) {
+  }
+  read();
+  while (!done && last.find("first") == std::string::npos) loop.run_one();
+  while (loop.poll() > 0) {
+  }
+  cr_assert(stream);
+  stream->write("second");
+  stream->finish();
+  while (!done) loop.run_one();
+  cr_assert(last.ends_with("second\r\n0\r\n\r\n"), "the stream was cut off");
+}
+
 Test(http1_client, reuses_connection_for_next_request) {
   asio::io_context loop;
   ScriptedPeer peer(loop, {{{sized_response("1", "one")}, {sized_response("2", "two")}}});
