Plan without nesting where permits are refused at once

What callers would see: a node with thousands of rate-limited engines ends with a segmentation fault when it has just become the owner of their limits (at its start, after a stall, or as the only one that answers) and a request comes: an owner grants nothing for the first 1.5 s.

Cause: a refusal by this node itself is given before `acquire` returns. The session plans again from inside that call, and so on for each engine, up to three times each.

Why it works: `plan_again` notes a refusal that comes while it runs and makes the next plan after the call has returned, in a loop. Everything on the way back only returns.

--- a/src/relay/relay_session.hpp
+++ b/src/relay/relay_session.hpp
@@ -152,6 +152,7 @@
   bool start_planned_decode();
   void release_permit(std::optional<SendPermit>& permit);
   void redispatch(const EngineId& engine);
+  void plan_again();
 
   // Quota of the tenant.
   bool needs_quota() const;
@@ -227,6 +228,8 @@
   std::optional<SendPermit> decode_permit_;  ///< For the decode after a remote prefill.
   Placement decode_placement_;               ///< The engine of `decode_permit_`.
   std::map<EngineId, int> permit_refusals_;  ///< Failed permit requests by engine.
+  bool planning_again_ = false;              ///< `plan_again` is on the stack.
+  bool plan_refused_ = false;                ///< The last plan got no permit.
 
   std::optional<QuotaRequest> quota_request_;  ///< Unset: the tenant has no quota.
   std::uint32_t quota_grants_ = 0;             ///< Each allows one run.
--- a/src/relay/relay_session_permit.cpp
+++ b/src/relay/relay_session_permit.cpp
@@ -123,8 +123,22 @@
   engine_ = engine;
   log_attempt("no_permit", "");
   if (++permit_refusals_[engine] >= kMaxPermitRefusals) failed_engines_.push_back(engine);
-  if (!prompt_handle_.empty()) return start_decode();
-  dispatch();
+  plan_again();
+}
+
+/// A permit may be refused at once. The plans that follow are made one after the other, as nested
+/// ones would need a stack that grows with the number of engines.
+void RelaySession::plan_again() {
+  plan_refused_ = true;
+  if (std::exchange(planning_again_, true)) return;
+  while (std::exchange(plan_refused_, false)) {
+    if (prompt_handle_.empty()) {
+      dispatch();
+    } else {
+      start_decode();
+    }
+  }
+  planning_again_ = false;
 }
 
 }  // namespace shuntbank::relay
--- a/tests/relay/engine_limit_test.cpp
+++ b/tests/relay/engine_limit_test.cpp
@@ -1,6 +1,9 @@
 // Tests that a rate limit which an engine announces holds for the sum of all nodes, not for each
 // node.
 #include <criterion/criterion.h>
+#include <pthread.h>
+
+#include <functional>
 
 #include "relay/support/limited_fleet.hpp"
 
@@ -35,6 +38,28 @@
   cr_assert_geq(utilization, kMinUtilization, "%.2f of the limit is used", utilization);
 }
 
+/// Other nodes that never answer.
+class SilentPeers : public relay::PermitPeers {
+ public:
+  void send(const NodeId&, const std::string&) override {}
+  double live_fraction() const override { return 1; }
+};
+
+/// Runs a function on a thread with a stack of this size.
+void run_on_stack(std::size_t bytes, std::function<void()> function) {
+  pthread_attr_t attributes;
+  pthread_attr_init(&attributes);
+  cr_assert_eq(pthread_attr_setstacksize(&attributes, bytes), 0);
+  const auto run = [](void* argument) -> void* {
+    (*static_cast<std::function<void()>*>(argument))();
+    return nullptr;
+  };
+  pthread_t thread{};
+  cr_assert_eq(pthread_create(&thread, &attributes, run, &function), 0);
+  pthread_join(thread, nullptr);
+  pthread_attr_destroy(&attributes);
+}
+
 /// Sends a request and answers it with a limit.
 void announce_limit(RelayFixture& site, const std::string& path, const char* per_second) {
   const std::size_t next = site.http.count();
@@ -206,3 +231,26 @@
   cr_assert_eq(site.http.count(), 3, "the decode permit was available");
   cr_assert_eq(site.http.at(2).request.headers.get("source"), "p1:80/h1");
 }
+
+// Guards against a stack that overflows where many engines refuse a permit at once.
+Test(engine_limit, needs_no_deeper_stack_for_more_engines_without_a_permit) {
+  constexpr int kEngines = 1000;
+  constexpr std::size_t kStackBytes = 512UL << 10U;
+  SilentPeers peers;
+  RelayFixture site;
+  site.node->permits().connect(NodeId("n1"), peers);
+  // An owner grants nothing until the other nodes know that it is the owner.
+  site.node->permits().set_nodes({NodeId("n1")});
+  for (int i = 0; i < kEngines; ++i) {
+    const std::string engine = "e" + std::to_string(i);
+    site.add_engine(engine, "plain");
+    site.node->on_peer_limit(EngineId(engine), {5.0, 0});
+  }
+  std::shared_ptr<RecordedReply> reply;
+  run_on_stack(kStackBytes, [&] { reply = site.request("/safe/a"); });
+  cr_assert_eq(reply->status, 503);
+  cr_assert_eq(site.http.count(), 0);
+  site.runtime.advance(2s);
+  site.request("/safe/b");
+  cr_assert_eq(site.http.count(), 1, "the owner grants permits by now");
+}
