Take a very long deadline of a caller for the route's timeout

What callers saw: 503 at once, "out of time", where the deadline in milliseconds is so large that it exceeds any duration in microseconds (from 9,223,372,036,854,776 on, as a client sends that waits without end).

Cause: the number was converted before it was compared with the route's timeout. The multiplication overflows, which is undefined and gives a time in the past here.

Deadlines in the past are refused as before, the least number included.

Why it works: only a deadline within the timeout is converted.

--- a/src/relay/relay_session.cpp
+++ b/src/relay/relay_session.cpp
@@ -64,8 +64,9 @@
   }
   expires_ = arrived_ + route_.timeout;
   const auto deadline = parse_integer(request_.headers.get(names.deadline_ms));
-  if (deadline) {
-    expires_ = std::min(expires_, arrived_ + Duration(std::chrono::milliseconds(*deadline)));
+  // A larger number may exceed any duration.
+  if (deadline && *deadline <= whole_ms(route_.timeout)) {
+    expires_ = arrived_ + std::chrono::milliseconds(std::max<std::int64_t>(*deadline, 0));
   }
   if (tenant_ != nullptr && tenant_->quota) {
     const TenantQuota& quota = *tenant_->quota;
--- a/tests/relay/relay_session_test.cpp
+++ b/tests/relay/relay_session_test.cpp
@@ -533,3 +533,23 @@
   site.http.answer(2, 200, RelayFixture::sealed_headers(), "whole");
   cr_assert_eq(reply->status, 200);
 }
+
+// Guards against refusing a request at once whose caller waits for longer than any duration.
+Test(relay_session, takes_a_deadline_beyond_the_timeout_of_the_route_for_that_timeout) {
+  for (const char* deadline : {"3001", "9223372036854776", "9223372036854775807"}) {
+    RelayFixture site;
+    site.add_engine("e1", "plain");
+    const auto reply = site.request("/safe/a", {{"deadline", deadline}});
+    cr_assert_eq(site.http.count(), 1, "%s: status %d", deadline, reply->status);
+    cr_assert_eq(site.http.at(0).request.headers.get("deadline"), "3000");
+  }
+}
+
+Test(relay_session, sends_nothing_for_a_deadline_in_the_past) {
+  for (const char* deadline : {"0", "-1", "-9223372036854775808"}) {
+    RelayFixture site;
+    site.add_engine("e1", "plain");
+    cr_assert_eq(site.request("/safe/a", {{"deadline", deadline}})->status, 503);
+    cr_assert_eq(site.http.count(), 0, "%s", deadline);
+  }
+}
