Take a reversed range of a load sum for an empty one

What callers would see: a collector of loads ends by a signal after a datagram in the name of a listed node whose range of engines ends before it begins. This software sends such ranges for messages without load, but only from 1 to 0, where both ends are the same place.

Cause: `erase` got the bounds of the range as iterators, and the first came after the last.

Evidence, takes_a_range_that_ends_before_it_begins_for_an_empty_one before the fix (release): "free(): invalid pointer", unexpected signal. It passes now, as do all tests of core_tests.

Why it works: nothing is erased unless the range begins before its end. `on_fleet_load`, the other reader of ranges, asks `covers` for each engine.

--- a/src/core/relay/load_collector.cpp
+++ b/src/core/relay/load_collector.cpp
@@ -20,8 +20,11 @@
   sum.received_at = now;
   sum.number = report.number;
   sum.nodes = report.nodes;
-  sum.load.erase(sum.load.lower_bound(report.part.first), sum.load.upper_bound(report.part.last));
-  sum.load.insert(report.part.load.begin(), report.part.load.end());
+  const LoadRange& part = report.part;
+  if (part.first <= part.last) {
+    sum.load.erase(sum.load.lower_bound(part.first), sum.load.upper_bound(part.last));
+  }
+  sum.load.insert(part.load.begin(), part.load.end());
   const SelectedSum source = this->select_sum(now, sums);
   return source && (*source)->first == report.collector;
 }
--- a/tests/core/relay/load_collector_test.cpp
+++ b/tests/core/relay/load_collector_test.cpp
@@ -78,3 +78,16 @@
   cr_assert(!collector.on_zone_load(kNow, part), "an older part");
   cr_assert_eq(collector.fleet_load(kNow).at(kEngine + 2).in_flight, 4);
 }
+
+// Guards against erasing a range from its end to its beginning, which ends the process.
+Test(load_collector, takes_a_range_that_ends_before_it_begins_for_an_empty_one) {
+  LoadCollector collector{LoadCollectorSettings{}};
+  ZoneLoad whole = zone("c1", 1, 9, 5);
+  for (EngineKey key = 10; key < 30; ++key) whole.part.load[key] = {1, 0, 0};
+  collector.on_zone_load(kNow, whole);
+  ZoneLoad reversed{ZoneName("z2"), NodeId("c1"), {8, 2}, 9, {}};
+  reversed.part.first = 25;
+  reversed.part.last = 12;
+  cr_assert(collector.on_zone_load(kNow, reversed));
+  cr_assert_eq(collector.fleet_load(kNow).size(), 21);
+}
