Drop log lines without a reader instead of ending by SIGPIPE

What callers saw: a node ends by itself, with nothing in its log, as soon as whatever reads its standard output has ended; all requests and streams under way there are lost.

Cause: `poll` reports a pipe without a reader as writable, with an error beside it. The write that followed raises SIGPIPE, which nothing handled.

Why it works: a line is written only if the pipe is writable and nothing else; otherwise it counts as dropped, as for a stalled reader.

--- a/src/apps/shuntbankd.cpp
+++ b/src/apps/shuntbankd.cpp
@@ -40,6 +40,8 @@
 
 int main(int argc, char** argv) {
   shuntbank::report_crashes();
+  // The reader of the log may end between a check and a write.
+  std::signal(SIGPIPE, SIG_IGN);
   try {
     return shuntbank::run_command_line({argv + 1, argv + argc});
   } catch (const std::exception& error) {
--- a/src/common/log_output.cpp
+++ b/src/common/log_output.cpp
@@ -32,7 +32,7 @@
   bytes += '\n';
   pollfd poll_request{descriptor_, POLLOUT, 0};
   // A writable pipe accepts up to PIPE_BUF bytes atomically and without blocking (POSIX, write).
-  if (::poll(&poll_request, 1, 0) <= 0 || (poll_request.revents & POLLOUT) == 0) return false;
+  if (::poll(&poll_request, 1, 0) <= 0 || poll_request.revents != POLLOUT) return false;
   return ::write(descriptor_, bytes.data(), bytes.size()) == static_cast<ssize_t>(bytes.size());
 }
 
--- a/tests/common/log_output_test.cpp
+++ b/tests/common/log_output_test.cpp
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <utility>
 
 using namespace shuntbank;
 using namespace std::chrono_literals;
@@ -57,3 +58,13 @@
   cr_assert(output.write(kNow + 1s, LogImportance::kStep, "s"),
             "the limit resets in the next second");
 }
+
+// Guards against the end of a process by SIGPIPE when the reader of its log has ended.
+Test(log_output, drops_lines_without_a_reader) {
+  Pipe pipe;
+  LogOutput output(pipe.ends[1]);
+  cr_assert(output.write(kNow, LogImportance::kProblem, "read"));
+  close(std::exchange(pipe.ends[0], -1));
+  for (int i = 0; i < 3; ++i) cr_assert_not(output.write(kNow, LogImportance::kProblem, "unread"));
+  cr_assert_eq(output.dropped_lines(), 3);
+}
