Reject numbers out of range in configurations and answers of engines

A negative number in an engine's report or in its answer to a prefill wrapped round (a sequence of -1 became 2^64 - 1 orders), the conversion of 1e300 is undefined, and a configuration's max_attempts of -1 became 4,294,967,295.

Integers are now read by to_integer, which throws the library's exception for what the type can't hold, so that the existing handlers reject that one answer or object. Numbers with a fraction are still truncated.

--- a/src/common/json_parsing.cpp
+++ b/src/common/json_parsing.cpp
@@ -128,6 +128,11 @@
   return parse(bytes, json::input_format_t::msgpack, "not valid MessagePack");
 }
 
+void throw_out_of_range(const char* what) {
+  constexpr int kNumberOverflow = 406;  // As for a number that the parser rejects.
+  throw json::out_of_range::create(kNumberOverflow, what, nullptr);
+}
+
 std::optional<JsonMembers> split_json_object(std::string_view text) {
   const auto parts = split(text, '{', '}');
   if (!parts) return std::nullopt;
--- a/tests/common/json_parsing_test.cpp
+++ b/tests/common/json_parsing_test.cpp
@@ -40,6 +40,26 @@
   cr_expect_not(parse_msgpack("\xdd\xff\xff\xff\xff").has_value(), "an array without its elements");
 }
 
+Test(json_parsing, converts_only_numbers_in_range) {
+  const auto fits = [](const char* text) {
+    try {
+      to_integer<std::uint32_t>(parse_json(text).value());
+      return true;
+    } catch (const json::exception&) {
+      return false;
+    }
+  };
+  for (const char* text : {"0", "4294967295", "4294967295.9", "-0.5"})
+    cr_expect(fits(text), "%s", text);
+  for (const char* text : {"-1", "4294967296", "4294967296.0", "1e300", "-1e300", "true", "\"1\"",
+                           "null", "[]", "1234567890123456789012345678901234567890"}) {
+    cr_expect_not(fits(text), "%s", text);
+  }
+  cr_assert_eq(to_integer<std::int64_t>(json(-9.3e18 / 2)), static_cast<std::int64_t>(-9.3e18 / 2));
+  cr_assert_eq(integer_or(json{{"a", 3}}, "a", 7U), 3);
+  cr_assert_eq(integer_or(json{{"a", 3}}, "b", 7U), 7);
+}
+
 Test(json_parsing, splits_without_reading_the_values) {
   const auto members = split_json_object(
       R"( {"a" : [1, {"b":"],}"}] , "n":1e400,"a\u0062":"\"", "x":nothing, 5:6, "a":2 } )");
