--- a/src/net/address.cpp
+++ b/src/net/address.cpp
@@ -15,7 +15,9 @@
 
 tl::expected<asio::ip::tcp::endpoint, std::string> parse_endpoint(std::string_view text) {
   const std::size_t colon = text.rfind(':');
-  if (colon == std::string_view::npos) return invalid_address(text);
+  // The library reads the host up to its first null byte.
+  const bool whole = text.find('\0') == std::string_view::npos;
+  if (colon == std::string_view::npos || !whole) return invalid_address(text);
   std::string_view host = text.substr(0, colon);
   if (host.size() >= 2 && host.front() == '[' && host.back() == ']') {
     host = host.substr(1, host.size() - 2);
--- a/tests/platform/odd_answer_test.cpp
+++ b/tests/platform/odd_answer_test.cpp
@@ -63,3 +63,14 @@
   cr_assert(whole.has_value());
   cr_assert_eq(whole->routes.front().max_attempts, 2);
 }
+
+// An engine listens neither on port 0 nor at an address with more bytes after the number.
+Test(odd_answer, is_an_engine_without_a_usable_address) {
+  const ObjectCodec codec;
+  for (const std::string& address : {std::string("10.1.1.1:0"), std::string("10.1.1.1\0x:80", 13),
+                                     std::string("10.1.1.1:70000"), std::string("10.1.1.1:")}) {
+    const json content = {
+        {"service", "m"}, {"addr", address}, {"zone", "z"}, {"slots", 8U}, {"state", "ready"}};
+    cr_expect_not(codec.engine({"e", 1, content}).has_value(), "%s", address.c_str());
+  }
+}
