Accept no malformed answers of the platform's store in shuntbankd

A machine of the list whose name, kind, address or state had another type, a version of another type in the answer to a write, and a list of machines that was no array raised an exception that no one caught, so that shuntbankd ended. Deeply nested values were copied recursively. A negative or fractional version in the answer to a write wrapped round.

All answers go through the bounded parser. A machine with a field of another type is left out, as one that is no object was before; any other malformed answer counts as none. So do answers of engines to control calls.

malformed_answer/* before: is_an_error_of_that_call_if_nested_deeply and leaves_the_other_machines: "Caught an unexpected exception during the test execution: [json.exception.type_error.302]"; is_an_error_of_that_call_if_a_field_has_another_type fails for -1 and 2.5, then by the same exception. 3 of 3 pass now.

--- a/src/engine/engine_client.cpp
+++ b/src/engine/engine_client.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "common/json_parsing.hpp"
 #include "engine/engine_api.hpp"
 
 namespace shuntbank {
@@ -24,11 +25,9 @@
     const tl::expected<HttpReply, TransferError>& reply) {
   if (!reply) return tl::make_unexpected(EngineCallError::kNoAnswer);
   if (reply->status == kConflict) return tl::make_unexpected(EngineCallError::kStale);
-  const auto json = nlohmann::json::parse(reply->body, nullptr, false);
-  if (reply->status != 200 || json.is_discarded()) {
-    return tl::make_unexpected(EngineCallError::kNoAnswer);
-  }
-  auto state = engine_api::state_from_json(json);
+  const auto json = parse_json(reply->body);
+  if (reply->status != 200 || !json) return tl::make_unexpected(EngineCallError::kNoAnswer);
+  auto state = engine_api::state_from_json(*json);
   if (!state) return tl::make_unexpected(EngineCallError::kNoAnswer);
   return *state;
 }
--- a/src/platform/object_client.cpp
+++ b/src/platform/object_client.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "common/json_parsing.hpp"
+
 namespace shuntbank {
 namespace {
 
@@ -12,6 +14,21 @@
 constexpr int kConflict = 409;
 constexpr int kTooManyRequests = 429;
 
+/// @return the body; null if it is malformed.
+nlohmann::json document_of(const HttpReply& reply) {
+  return parse_json(reply.body).value_or(nlohmann::json());
+}
+
+/// @return nothing if a field has another type.
+std::optional<Machine> to_machine(const nlohmann::json& item) {
+  try {
+    return Machine{item.value("name", ""), item.value("kind", ""), item.value("address", ""),
+                   item.value("state", "live") == "leaving"};
+  } catch (const nlohmann::json::exception&) {
+    return std::nullopt;
+  }
+}
+
 tl::expected<std::optional<VersionedValue>, PlatformError> parse_object_reply(
     const tl::expected<HttpReply, TransferError>& reply) {
   if (!reply) return tl::make_unexpected(PlatformError::kUnavailable);
@@ -19,7 +36,7 @@
   if (reply->status == kTooManyRequests) {
     return tl::make_unexpected(PlatformError::kTooManyReaders);
   }
-  const auto json = nlohmann::json::parse(reply->body, nullptr, false);
+  const nlohmann::json json = document_of(*reply);
   const bool usable = reply->status == 200 && json.is_object() && json.contains("value") &&
                       json.contains("version") && json["version"].is_number_unsigned();
   if (!usable) return tl::make_unexpected(PlatformError::kUnavailable);
@@ -29,22 +46,25 @@
 tl::expected<WriteResult, PlatformError> parse_write_reply(
     const tl::expected<HttpReply, TransferError>& reply) {
   if (!reply) return tl::make_unexpected(PlatformError::kUnavailable);
-  const auto json = nlohmann::json::parse(reply->body, nullptr, false);
+  const nlohmann::json json = document_of(*reply);
   const bool answered = reply->status == 200 || reply->status == kConflict;
-  if (!answered || !json.is_object()) return tl::make_unexpected(PlatformError::kUnavailable);
+  const bool usable = answered && json.is_object() &&
+                      (!json.contains("version") || json["version"].is_number_unsigned());
+  if (!usable) return tl::make_unexpected(PlatformError::kUnavailable);
   return WriteResult{reply->status == 200, json.value("version", std::uint64_t{0})};
 }
 
 tl::expected<std::vector<Machine>, PlatformError> parse_machines_reply(
     const tl::expected<HttpReply, TransferError>& reply) {
   if (!reply || reply->status != 200) return tl::make_unexpected(PlatformError::kUnavailable);
-  const auto json = nlohmann::json::parse(reply->body, nullptr, false);
+  const nlohmann::json json = document_of(*reply);
   if (!json.is_object()) return tl::make_unexpected(PlatformError::kUnavailable);
   std::vector<Machine> machines;
-  for (const auto& item : json.value("machines", nlohmann::json::array())) {
-    if (!item.is_object()) continue;
-    machines.push_back({item.value("name", ""), item.value("kind", ""), item.value("address", ""),
-                        item.value("state", "live") == "leaving"});
+  const auto items = json.find("machines");
+  if (items == json.end()) return machines;
+  if (!items->is_array()) return tl::make_unexpected(PlatformError::kUnavailable);
+  for (const nlohmann::json& item : *items) {
+    if (auto machine = to_machine(item)) machines.push_back(std::move(*machine));
   }
   return machines;
 }
