Check the type of the handle in a prefill answer of shuntbankd

By reading: an engine that answered a prefill with {"kv_handle": 5} raised a type error in the handler of the answer, which nothing catches before main, so that the node ended. Such an answer is now a failed attempt, as one without a handle was.

The reading of the answer is now a function of the engine's interface, so that a test reaches it. prefill_answer/is_malformed_without_a_handle passes; before, there was nothing to call, and no node was run against such an engine.

--- a/src/engine/engine_api.cpp
+++ b/src/engine/engine_api.cpp
@@ -2,6 +2,8 @@
 
 #include <sstream>
 
+#include "common/json_parsing.hpp"
+
 namespace shuntbank::engine_api {
 namespace {
 
@@ -95,6 +97,14 @@
   });
 }
 
+std::optional<std::string> handle_from_prefill_answer(std::string_view body) {
+  const auto answer = parse_json(body);
+  if (!answer || !answer->is_object()) return std::nullopt;
+  const auto handle = answer->find("kv_handle");
+  if (handle == answer->end() || !handle->is_string()) return std::nullopt;
+  return handle->get<std::string>();
+}
+
 std::string to_header(const LoadReport& report) {
   return std::to_string(report.running) + "/" + std::to_string(report.waiting) + "/" +
          std::to_string(report.waiting_tokens);
--- a/src/engine/engine_api.hpp
+++ b/src/engine/engine_api.hpp
@@ -4,7 +4,9 @@
 #pragma once
 
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <tl/expected.hpp>
 
 #include "core/lease/order.hpp"
@@ -42,6 +44,9 @@
 nlohmann::json to_json(const EngineState& state);
 tl::expected<EngineState, std::string> state_from_json(const nlohmann::json& json);
 
+/// @return the handle of the memory that a prefill has left; nothing if the answer is malformed.
+std::optional<std::string> handle_from_prefill_answer(std::string_view body);
+
 std::string to_header(const LoadReport& report);
 tl::expected<LoadReport, std::string> load_from_header(const std::string& text);
 
--- a/src/node/request_session.cpp
+++ b/src/node/request_session.cpp
@@ -280,13 +280,11 @@
 }
 
 void RequestSession::on_prefill_done() {
-  const auto reply = nlohmann::json::parse(reply_body_, nullptr, false);
-  if (!reply.is_object() || !reply.contains("kv_handle")) {
-    return on_attempt_failed(AttemptFailure::kUncertain);
-  }
+  auto handle = engine_api::handle_from_prefill_answer(reply_body_);
+  if (!handle) return on_attempt_failed(AttemptFailure::kUncertain);
   context_.engines.on_success(*prefill_engine_);
   progress_.on_partial_run();
-  kv_handle_ = reply["kv_handle"].get<std::string>();
+  kv_handle_ = std::move(*handle);
   send(answer_engine_, Step::kAnswer);
 }
 
