Bound the nesting of changes sent to shuntbankd's operators' interface

A change of the configuration with a specification of 500,000 levels, 1 MB, ended the node: the value was copied recursively. 100,000 levels passed with a stack of 8 MB. Operators would have seen the connection close and the node restart.

The body goes through the bounded parser; one nested too deeply is answered 422 as other bodies that are no object.

failure/a_deeply_nested_change_is_rejected (a site of real processes) before: no answer, and /healthz is not 200 afterwards; now it passes.

--- a/src/node/operator_api.cpp
+++ b/src/node/operator_api.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "common/json_parsing.hpp"
+
 namespace shuntbank {
 namespace {
 
@@ -105,7 +107,7 @@
 }
 
 void OperatorApi::change_config(const HttpRequest& request, const Responder& responder) {
-  const json body = json::parse(request.body, nullptr, false);
+  const json body = parse_json(request.body).value_or(json());
   auto edits = edits_from_json(body);
   if (!edits) {
     return responder->respond(json_reply(
--- a/tests/process/failure_test.cpp
+++ b/tests/process/failure_test.cpp
@@ -268,3 +268,16 @@
     cr_assert_eq(again.status, 409, "%s", again.body.c_str());
   }
 }
+
+// Guards against a change of the configuration that ends the node, as it is nested deeply.
+Test(failure, a_deeply_nested_change_is_rejected) {
+  Site site;
+  const std::string deep = std::string(500'000, '[') + std::string(500'000, ']');
+  for (const std::string& body :
+       {R"({"edits":[{"kind":"service","name":"m","spec":{"a":)" + deep + "}}]}", deep,
+        R"({"edits":)" + deep + "}"}) {
+    const Reply reply = send("POST", "http://" + site.operators(0) + "/v1/config/changes", body);
+    cr_expect_eq(reply.status, 422, "%d", reply.status);
+  }
+  cr_assert_eq(send("GET", "http://" + site.operators(0) + "/healthz").status, 200);
+}
