Reject stored removals of shuntbankd that are no boolean

A stored configuration with an object whose "removed" had another type raised an exception in the handler of the platform's answer; by reading, nothing catches it before main, at each node that reads the document. It is now a finding as any other malformed field, and the document is not adopted.

document/rejects_a_removal_that_is_no_boolean before: "Caught an unexpected exception during the test execution: [json.exception.type_error.302] type must be boolean, but is number"; now it passes. config_tests: 17 of 17.

--- a/src/config/document.cpp
+++ b/src/config/document.cpp
@@ -39,6 +39,13 @@
   return ObjectKey{*kind, name};
 }
 
+bool read_removed(const nlohmann::json& item, FieldReader& reader) {
+  if (!item.is_object() || !item.contains("removed")) return false;
+  if (item["removed"].is_boolean()) return item["removed"].get<bool>();
+  reader.add_finding("removed", "must be true or false");
+  return false;
+}
+
 nlohmann::json key_to_json(const ObjectKey& key) {
   return {{"kind", to_text(key.kind)}, {"name", key.name}};
 }
@@ -125,7 +132,7 @@
     const auto key = read_key(object_reader);
     StoredObject object;
     object.version = object_reader.unsigned_integer("version", 0, kMaxRevision);
-    object.removed = item.is_object() && item.value("removed", false);
+    object.removed = read_removed(item, object_reader);
     object.spec = object_reader.object("spec");
     if (key) document.objects.emplace(*key, std::move(object));
   }
--- a/tests/config/document_test.cpp
+++ b/tests/config/document_test.cpp
@@ -108,3 +108,13 @@
   cr_assert_not_null(snapshot->authenticate("b", 100));
   cr_assert_null(snapshot->authenticate("c", 0));
 }
+
+// Guards against a stored configuration that ends the nodes which read it.
+Test(document, rejects_a_removal_that_is_no_boolean) {
+  for (const char* removed : {"5", "\"true\"", "null", "[]"}) {
+    const std::string text = R"({"revision":1,"recent_writes":[],"objects":[)"
+                             R"({"kind":"Tenant","name":"t","version":1,"spec":{},"removed":)" +
+                             std::string(removed) + "}]}";
+    cr_expect_not(document_from_json(nlohmann::json::parse(text)).has_value(), "%s", removed);
+  }
+}
