Reject messages between nodes whose counts are out of range

A negative count wrapped round, and the conversion of a number such as 1e300 or NaN to an integer is undefined. Only a faulty sender would send one; none was seen.

All integers of the messages are read by to_integer, whose exception the decoders already turn into a rejected message.

malformed_message/is_rejected_if_a_count_is_out_of_range before: fails for each of 6 fields with each of -1, 1e300 and NaN, 18 of 18; now it passes. protocol_tests: 55 of 55, the messages of earlier landings among them.

--- a/src/protocol/configuration_message.cpp
+++ b/src/protocol/configuration_message.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "common/json_parsing.hpp"
 #include "protocol/msgpack_document.hpp"
 
 namespace shuntbank {
@@ -24,7 +25,7 @@
 }
 
 Duration duration_of(const json& object, const char* key) {
-  return Duration(object.at(key).get<std::int64_t>());
+  return Duration(to_integer<std::int64_t>(object.at(key)));
 }
 
 json to_json(const Route& route) {
@@ -58,15 +59,15 @@
   route.name = object.at("name").get<std::string>();
   route.host = object.at("host").get<std::string>();
   route.path_prefix = object.at("path").get<std::string>();
-  route.kind = kind_of(object.at("kind").get<int>());
+  route.kind = kind_of(to_integer<int>(object.at("kind")));
   for (const json& part : object.at("split")) {
     route.split.push_back({ServiceName(part.at(0).get<std::string>()), part.at(1).get<double>()});
   }
-  route.max_attempts = object.at("attempts").get<std::uint32_t>();
+  route.max_attempts = to_integer<std::uint32_t>(object.at("attempts"));
   route.timeout = duration_of(object, "timeout");
   route.objective = duration_of(object, "objective");
   route.gap_target = duration_of(object, "gap");
-  route.priority = object.at("priority").get<int>();
+  route.priority = to_integer<int>(object.at("priority"));
   route.affinity = object.at("affinity").get<bool>();
   route.resumable = object.at("resumable").get<bool>();
   route.allows_anonymous = object.at("open").get<bool>();
@@ -84,9 +85,9 @@
 
 ModelServing model_from_json(const json& object) {
   ModelServing model;
-  model.slots = object.at("slots").get<std::uint32_t>();
-  model.kv_tokens = object.at("kv_tokens").get<std::uint64_t>();
-  model.kv_token_bytes = object.at("token_bytes").get<std::uint64_t>();
+  model.slots = to_integer<std::uint32_t>(object.at("slots"));
+  model.kv_tokens = to_integer<std::uint64_t>(object.at("kv_tokens"));
+  model.kv_token_bytes = to_integer<std::uint64_t>(object.at("token_bytes"));
   model.link_megabits_per_second = object.at("link").get<double>();
   model.prefill_handle_lifetime = duration_of(object, "handle");
   model.role_change_time = duration_of(object, "change");
@@ -106,8 +107,8 @@
 
 capacity::EngineScale scale_from_json(const json& object) {
   capacity::EngineScale scale;
-  scale.min = object.at("least").get<std::uint32_t>();
-  scale.max = object.at("most").get<std::uint32_t>();
+  scale.min = to_integer<std::uint32_t>(object.at("least"));
+  scale.max = to_integer<std::uint32_t>(object.at("most"));
   scale.startup = duration_of(object, "startup");
   if (object.contains("spot")) scale.spot_price = object["spot"].get<double>();
   for (const auto& [zone, price] : object.at("prices").items()) {
@@ -126,7 +127,7 @@
 RelayedService service_from_json(const json& object) {
   RelayedService service;
   service.name = ServiceName(object.at("name").get<std::string>());
-  service.max_connections = object.at("connections").get<std::uint32_t>();
+  service.max_connections = to_integer<std::uint32_t>(object.at("connections"));
   if (object.contains("model")) service.model = model_from_json(object["model"]);
   if (object.contains("scale")) service.scale = scale_from_json(object["scale"]);
   return service;
@@ -144,7 +145,7 @@
   quota.per_second = object.at("per_second").get<double>();
   quota.burst = object.at("burst").get<double>();
   quota.counts_tokens = object.at("tokens").get<bool>();
-  quota.default_tokens = object.at("default_tokens").get<std::uint64_t>();
+  quota.default_tokens = to_integer<std::uint64_t>(object.at("default_tokens"));
   return quota;
 }
 
@@ -167,18 +168,18 @@
   for (const json& entry : object.at("keys")) {
     TenantKey key;
     key.sha256 = entry.at(0).get<std::string>();
-    if (entry.size() > 1) key.expires_at = entry.at(1).get<std::int64_t>();
+    if (entry.size() > 1) key.expires_at = to_integer<std::int64_t>(entry.at(1));
     tenant.keys.push_back(std::move(key));
   }
-  if (object.contains("priority")) tenant.priority = object["priority"].get<int>();
+  if (object.contains("priority")) tenant.priority = to_integer<int>(object["priority"]);
   if (object.contains("quota")) tenant.quota = quota_from_json(object["quota"]);
   return tenant;
 }
 
 RequestLimits limits_from_json(const json& object) {
   RequestLimits limits;
-  limits.max_header_bytes = object.at("header").get<std::size_t>();
-  limits.max_body_bytes = object.at("body").get<std::size_t>();
+  limits.max_header_bytes = to_integer<std::size_t>(object.at("header"));
+  limits.max_body_bytes = to_integer<std::size_t>(object.at("body"));
   limits.header_timeout = duration_of(object, "header_timeout");
   limits.idle_timeout = duration_of(object, "idle_timeout");
   return limits;
@@ -186,7 +187,7 @@
 
 RouteConfiguration configuration_from_json(const json& document) {
   RouteConfiguration configuration;
-  configuration.version = document.at("version").get<std::uint64_t>();
+  configuration.version = to_integer<std::uint64_t>(document.at("version"));
   for (const json& route : document.at("routes")) {
     configuration.routes.push_back(route_from_json(route));
   }
@@ -210,9 +211,9 @@
 
 ConfigurationSummary summary_from_json(const json& object) {
   ConfigurationSummary summary;
-  summary.revision = object.at("revision").get<std::uint64_t>();
+  summary.revision = to_integer<std::uint64_t>(object.at("revision"));
   summary.group_hashes = object.at("groups").get<decltype(summary.group_hashes)>();
-  summary.tenants_hash = object.at("tenants").get<std::uint64_t>();
+  summary.tenants_hash = to_integer<std::uint64_t>(object.at("tenants"));
   return summary;
 }
 
@@ -287,7 +288,7 @@
     const std::string_view body = bytes.substr(std::min(kCallPrefix.size(), bytes.size()));
     const json document = msgpack_document(body);
     return ConfigurationCall{summary_from_json(document.at("known")),
-                             document.at("most_bytes").get<std::size_t>()};
+                             to_integer<std::size_t>(document.at("most_bytes"))};
   } catch (const json::exception& error) {
     return tl::make_unexpected(std::string(error.what()));
   }
@@ -328,7 +329,7 @@
     if (document.contains("tenants") && !document.contains(kKnowsQuotas)) {
       return tl::make_unexpected(std::string("the sender does not know the tenants' quotas"));
     }
-    ConfigurationMessage message{document.at("revision").get<std::uint64_t>(),
+    ConfigurationMessage message{to_integer<std::uint64_t>(document.at("revision")),
                                  configuration_from_json(document)};
     if (document.contains("part")) message.delta = delta_from_json(document["part"]);
     return message;
--- a/src/protocol/crash_report_codec.cpp
+++ b/src/protocol/crash_report_codec.cpp
@@ -1,5 +1,7 @@
 #include "protocol/crash_report_codec.hpp"
 
+#include "common/json_parsing.hpp"
+
 namespace shuntbank {
 
 nlohmann::json to_json(const std::vector<relay::CrashReport>& reports) {
@@ -14,13 +16,14 @@
 std::vector<relay::CrashReport> crash_reports_from_json(const nlohmann::json& list) {
   std::vector<relay::CrashReport> reports;
   for (const nlohmann::json& entry : list) {
-    const auto event = entry.at(0).get<unsigned>();
+    const auto event = to_integer<unsigned>(entry.at(0));
     if (event > static_cast<unsigned>(relay::kLastCrashEvent)) continue;
-    reports.push_back({static_cast<relay::CrashEvent>(event),
-                       {entry.at(1).get<std::uint64_t>(), entry.at(2).get<std::uint64_t>()},
-                       entry.at(3).get<relay::EngineKey>(),
-                       entry.at(4).get<relay::CallerAddressHash>(),
-                       entry.at(5).get<std::uint32_t>()});
+    reports.push_back(
+        {static_cast<relay::CrashEvent>(event),
+         {to_integer<std::uint64_t>(entry.at(1)), to_integer<std::uint64_t>(entry.at(2))},
+         to_integer<relay::EngineKey>(entry.at(3)),
+         to_integer<relay::CallerAddressHash>(entry.at(4)),
+         to_integer<std::uint32_t>(entry.at(5))});
   }
   return reports;
 }
--- a/src/protocol/engine_facts_codec.cpp
+++ b/src/protocol/engine_facts_codec.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <chrono>
 
+#include "common/json_parsing.hpp"
+
 namespace shuntbank {
 namespace {
 
@@ -19,9 +21,9 @@
 }
 
 relay::StageNotice notice_in(const nlohmann::json& entry) {
-  const std::uint32_t ms = std::min(entry.at(3).get<std::uint32_t>(), kMaxNoticeMs);
-  return {static_cast<relay::EngineStage>(entry.at(1).get<int>()), entry.at(2).get<std::uint64_t>(),
-          std::chrono::milliseconds(ms)};
+  const std::uint32_t ms = std::min(to_integer<std::uint32_t>(entry.at(3)), kMaxNoticeMs);
+  return {static_cast<relay::EngineStage>(to_integer<int>(entry.at(1))),
+          to_integer<std::uint64_t>(entry.at(2)), std::chrono::milliseconds(ms)};
 }
 
 void append_samples(nlohmann::json& entry, const relay::EngineSamples& samples) {
@@ -35,7 +37,7 @@
 }
 
 relay::EngineSamples samples_in(const nlohmann::json& entry) {
-  const auto number = [&](std::size_t index) { return entry.at(index).get<std::uint32_t>(); };
+  const auto number = [&](std::size_t index) { return to_integer<std::uint32_t>(entry.at(index)); };
   return {number(1), number(2), number(3), number(4), number(5), number(6), number(7)};
 }
 
@@ -49,8 +51,8 @@
 relay::ServedByTenant served_from_json(const nlohmann::json& list) {
   relay::ServedByTenant served;
   for (const nlohmann::json& entry : list) {
-    relay::add_served(
-        served, {{TenantName(entry.at(0).get<std::string>()), entry.at(1).get<std::uint64_t>()}});
+    relay::add_served(served, {{TenantName(entry.at(0).get<std::string>()),
+                                to_integer<std::uint64_t>(entry.at(1))}});
   }
   return served;
 }
--- a/src/protocol/engine_list_message.cpp
+++ b/src/protocol/engine_list_message.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "common/json_parsing.hpp"
 #include "protocol/msgpack_document.hpp"
 
 namespace shuntbank {
@@ -69,20 +70,22 @@
 ListedEngine engine_from_json(const json& entry, const std::vector<std::string>& words) {
   ListedEngine engine{entry.at(0).get<std::string>(), std::nullopt};
   if (entry.size() == 1) return engine;
-  const auto word = [&](std::size_t field) { return words.at(entry.at(field).get<std::size_t>()); };
+  const auto word = [&](std::size_t field) {
+    return words.at(to_integer<std::size_t>(entry.at(field)));
+  };
   EngineRecord record;
   record.name = entry.at(1).is_null() ? engine.name : entry.at(1).get<std::string>();
-  record.started_unix_ms = entry.at(3).get<std::uint64_t>();
+  record.started_unix_ms = to_integer<std::uint64_t>(entry.at(3));
   record.id = entry.at(2).is_null() ? relay::incarnation_id(engine.name, record.started_unix_ms)
                                     : EngineId(entry.at(2).get<std::string>());
   record.service = ServiceName(word(4));
   record.address = entry.at(5).get<std::string>();
   record.zone = ZoneName(word(6));
-  record.slots = entry.at(7).get<std::uint32_t>();
-  const auto flags = entry.at(8).get<unsigned>();
+  record.slots = to_integer<std::uint32_t>(entry.at(7));
+  const auto flags = to_integer<unsigned>(entry.at(8));
   record.draining = (flags & kDrainingFlag) != 0;
   record.spot = (flags & kSpotFlag) != 0;
-  record.stage = stage_from(entry.at(9).get<int>());
+  record.stage = stage_from(to_integer<int>(entry.at(9)));
   record.software_version = word(10);
   engine.record = std::move(record);
   return engine;
@@ -91,8 +94,8 @@
 EngineListUpdate update_from_json(const json& document) {
   const auto words = document.at("words").get<std::vector<std::string>>();
   EngineListUpdate update;
-  update.revision = document.at("revision").get<std::uint64_t>();
-  update.newest_change = document.at("newest").get<std::uint64_t>();
+  update.revision = to_integer<std::uint64_t>(document.at("revision"));
+  update.newest_change = to_integer<std::uint64_t>(document.at("newest"));
   update.complete = document.at("complete").get<bool>();
   update.changed.reserve(document.at("changed").size());
   for (const json& entry : document.at("changed")) {
@@ -130,7 +133,7 @@
   try {
     const std::string_view body = bytes.substr(std::min(kCallPrefix.size(), bytes.size()));
     const json document = msgpack_document(body);
-    return EngineListCall{document.at("known").get<std::uint64_t>()};
+    return EngineListCall{to_integer<std::uint64_t>(document.at("known"))};
   } catch (const json::exception& error) {
     return tl::make_unexpected(std::string(error.what()));
   }
--- a/src/protocol/limit_codec.cpp
+++ b/src/protocol/limit_codec.cpp
@@ -1,5 +1,7 @@
 #include "protocol/limit_codec.hpp"
 
+#include "common/json_parsing.hpp"
+
 namespace shuntbank {
 
 void append_limit(nlohmann::json& entry, const relay::LimitReport& limit) {
@@ -11,7 +13,7 @@
   relay::LimitReport limit;
   const nlohmann::json& value = entry.at(index);
   if (!value.is_null()) limit.per_second = value.get<double>();
-  limit.age_ms = entry.at(index + 1).get<std::uint32_t>();
+  limit.age_ms = to_integer<std::uint32_t>(entry.at(index + 1));
   return limit;
 }
 
--- a/src/protocol/load_digest.cpp
+++ b/src/protocol/load_digest.cpp
@@ -4,6 +4,7 @@
 #include <iterator>
 #include <nlohmann/json.hpp>
 
+#include "common/json_parsing.hpp"
 #include "protocol/crash_report_codec.hpp"
 #include "protocol/engine_facts_codec.hpp"
 #include "protocol/limit_codec.hpp"
@@ -64,9 +65,9 @@
 relay::LoadByKey load_from_json(const json& numbers) {
   relay::LoadByKey load;
   for (std::size_t i = 0; i + 3 < numbers.size(); i += 4) {
-    load[numbers[i].get<relay::EngineKey>()] = {numbers[i + 1].get<std::uint32_t>(),
-                                                numbers[i + 2].get<std::uint64_t>(),
-                                                numbers[i + 3].get<std::uint64_t>()};
+    load[to_integer<relay::EngineKey>(numbers[i])] = {to_integer<std::uint32_t>(numbers[i + 1]),
+                                                      to_integer<std::uint64_t>(numbers[i + 2]),
+                                                      to_integer<std::uint64_t>(numbers[i + 3])};
   }
   return load;
 }
@@ -89,11 +90,12 @@
 std::vector<relay::KeyedRead> reads_from_json(const json& list) {
   std::vector<relay::KeyedRead> reads;
   for (const json& entry : list) {
-    relay::KeyedRead read{entry.at(0).get<relay::EngineKey>(), {}, 0};
+    relay::KeyedRead read{to_integer<relay::EngineKey>(entry.at(0)), {}, 0};
     for (std::size_t i = 1; i + 1 < entry.size(); i += 2) {
-      read.parts.push_back({entry[i].get<std::uint64_t>(), entry[i + 1].get<std::uint64_t>()});
+      read.parts.push_back(
+          {to_integer<std::uint64_t>(entry[i]), to_integer<std::uint64_t>(entry[i + 1])});
     }
-    if (entry.size() % 2 == 0) read.unshared_tokens = entry.back().get<std::uint64_t>();
+    if (entry.size() % 2 == 0) read.unshared_tokens = to_integer<std::uint64_t>(entry.back());
     reads.push_back(std::move(read));
   }
   return reads;
@@ -112,8 +114,8 @@
 std::vector<relay::KeyedTrouble> troubles_from_json(const json& list) {
   std::vector<relay::KeyedTrouble> troubles;
   for (const json& entry : list) {
-    troubles.push_back({entry.at(0).get<relay::EngineKey>(),
-                        static_cast<relay::EngineStage>(entry.at(1).get<int>()),
+    troubles.push_back({to_integer<relay::EngineKey>(entry.at(0)),
+                        static_cast<relay::EngineStage>(to_integer<int>(entry.at(1))),
                         trouble_kind(entry)});
   }
   return troubles;
@@ -132,7 +134,7 @@
 std::vector<relay::KeyedLimit> limits_from_json(const json& list) {
   std::vector<relay::KeyedLimit> limits;
   for (const json& entry : list) {
-    limits.push_back({entry.at(0).get<relay::EngineKey>(), limit_at(entry, 1)});
+    limits.push_back({to_integer<relay::EngineKey>(entry.at(0)), limit_at(entry, 1)});
   }
   return limits;
 }
@@ -150,7 +152,7 @@
 std::vector<relay::KeyedStageNotice> notices_from_json(const json& list) {
   std::vector<relay::KeyedStageNotice> notices;
   for (const json& entry : list) {
-    notices.push_back({entry.at(0).get<relay::EngineKey>(), notice_in(entry)});
+    notices.push_back({to_integer<relay::EngineKey>(entry.at(0)), notice_in(entry)});
   }
   return notices;
 }
@@ -167,7 +169,8 @@
 
 relay::SamplesByKey samples_from_json(const json& list) {
   relay::SamplesByKey samples;
-  for (const json& entry : list) samples[entry.at(0).get<relay::EngineKey>()] += samples_in(entry);
+  for (const json& entry : list)
+    samples[to_integer<relay::EngineKey>(entry.at(0))] += samples_in(entry);
   return samples;
 }
 
@@ -353,16 +356,17 @@
     const json document = msgpack_document(bytes);
     LoadDigest digest;
     digest.collector = NodeId(document.at(0).get<std::string>());
-    digest.number = {document.at(1).get<std::uint64_t>(), document.at(2).get<std::uint64_t>()};
+    digest.number = {to_integer<std::uint64_t>(document.at(1)),
+                     to_integer<std::uint64_t>(document.at(2))};
     digest.zone = ZoneName(document.at(3).get<std::string>());
-    digest.node_count = document.at(4).get<std::size_t>();
-    digest.range.first = document.at(5).at(0).get<relay::EngineKey>();
-    digest.range.last = document.at(5).at(1).get<relay::EngineKey>();
+    digest.node_count = to_integer<std::size_t>(document.at(4));
+    digest.range.first = to_integer<relay::EngineKey>(document.at(5).at(0));
+    digest.range.last = to_integer<relay::EngineKey>(document.at(5).at(1));
     digest.range.load = load_from_json(document.at(6));
     digest.updates = updates_from_json(document.at(7));
-    digest.revisions = {document.at(8).at(0).get<std::uint64_t>(),
-                        document.at(8).at(1).get<std::uint64_t>()};
-    digest.store_age_ms = document.at(9).get<std::uint32_t>();
+    digest.revisions = {to_integer<std::uint64_t>(document.at(8).at(0)),
+                        to_integer<std::uint64_t>(document.at(8).at(1))};
+    digest.store_age_ms = to_integer<std::uint32_t>(document.at(9));
     return digest;
   } catch (const json::exception& error) {
     return tl::make_unexpected(std::string(error.what()));
--- a/src/protocol/load_message.cpp
+++ b/src/protocol/load_message.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "common/json_parsing.hpp"
 #include "protocol/crash_report_codec.hpp"
 #include "protocol/engine_facts_codec.hpp"
 #include "protocol/limit_codec.hpp"
@@ -31,9 +32,10 @@
     relay::PromptRead read;
     read.engine = EngineId(item.at(0).get<std::string>());
     for (const json& part : item.at(1)) {
-      read.parts.push_back({part.at(0).get<std::uint64_t>(), part.at(1).get<std::uint64_t>()});
+      read.parts.push_back(
+          {to_integer<std::uint64_t>(part.at(0)), to_integer<std::uint64_t>(part.at(1))});
     }
-    if (item.size() > 2) read.unshared_tokens = item.at(2).get<std::uint64_t>();
+    if (item.size() > 2) read.unshared_tokens = to_integer<std::uint64_t>(item.at(2));
     reads.push_back(std::move(read));
   }
   return reads;
@@ -53,7 +55,7 @@
   std::vector<relay::EngineTrouble> troubles;
   for (const json& item : list) {
     troubles.push_back({EngineId(item.at(0).get<std::string>()),
-                        static_cast<relay::EngineStage>(item.at(1).get<int>()),
+                        static_cast<relay::EngineStage>(to_integer<int>(item.at(1))),
                         trouble_kind(item)});
   }
   return troubles;
@@ -125,7 +127,7 @@
   std::vector<relay::VersionSighting> sightings;
   for (const json& item : document) {
     sightings.push_back({ServiceName(item.at(0).get<std::string>()), item.at(1).get<std::string>(),
-                         item.at(2).get<std::uint32_t>()});
+                         to_integer<std::uint32_t>(item.at(2))});
   }
   return sightings;
 }
@@ -186,19 +188,19 @@
     const json document = msgpack_document(bytes);
     LoadMessage message;
     message.node = NodeId(document.at("node").get<std::string>());
-    message.boot = document.at("boot").get<std::uint64_t>();
-    message.sequence = document.at("seq").get<std::uint64_t>();
+    message.boot = to_integer<std::uint64_t>(document.at("boot"));
+    message.sequence = to_integer<std::uint64_t>(document.at("seq"));
     for (const json& item : document.at("load")) {
       relay::PeerLoad& work = message.load[EngineId(item.at(0).get<std::string>())];
-      work.in_flight = item.at(1).get<std::uint32_t>();
-      work.prefill_tokens = item.at(2).get<std::uint64_t>();
-      if (item.size() > 3) work.deferred_tokens = item.at(3).get<std::uint64_t>();
+      work.in_flight = to_integer<std::uint32_t>(item.at(1));
+      work.prefill_tokens = to_integer<std::uint64_t>(item.at(2));
+      if (item.size() > 3) work.deferred_tokens = to_integer<std::uint64_t>(item.at(3));
     }
     if (document.contains("seen")) {
-      message.revisions.configuration = document["seen"].at(0).get<std::uint64_t>();
-      message.revisions.engines = document["seen"].at(1).get<std::uint64_t>();
+      message.revisions.configuration = to_integer<std::uint64_t>(document["seen"].at(0));
+      message.revisions.engines = to_integer<std::uint64_t>(document["seen"].at(1));
     }
-    if (document.contains("age")) message.store_age_ms = document["age"].get<std::uint32_t>();
+    if (document.contains("age")) message.store_age_ms = to_integer<std::uint32_t>(document["age"]);
     if (document.contains("sum")) {
       message.to_collector = true;
       message.wants_view = document["sum"].get<bool>();
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "common/json_parsing.hpp"
+
 namespace shuntbank {
 namespace {
 
@@ -20,8 +22,8 @@
   const auto state = parse_member_state(item.at("state").get<std::string>());
   if (!state) throw std::invalid_argument("unknown member state");
   return {NodeId(item.at("node").get<std::string>()),
-          item.at("inc").get<std::uint64_t>(),
-          item.at("boot").get<std::uint64_t>(),
+          to_integer<std::uint64_t>(item.at("inc")),
+          to_integer<std::uint64_t>(item.at("boot")),
           *state,
           item.at("addr").get<std::string>(),
           ZoneName(item.at("zone").get<std::string>()),
@@ -40,8 +42,8 @@
   if (!role || !availability) throw std::invalid_argument("unknown role or state");
   EngineFact fact;
   fact.engine = EngineId(item.at("engine").get<std::string>());
-  fact.stamp = {item.at("fence").get<Fence>(), item.at("seq").get<Sequence>()};
-  fact.version = item.at("change").get<std::uint32_t>();
+  fact.stamp = {to_integer<Fence>(item.at("fence")), to_integer<Sequence>(item.at("seq"))};
+  fact.version = to_integer<std::uint32_t>(item.at("change"));
   fact.role = *role;
   fact.availability = *availability;
   return fact;
@@ -112,7 +114,7 @@
 ClaimEntry claim_entry_from_json(const json& item) {
   return {ClaimKey(item.at("key").get<std::string>()),
           RequestId(item.at("claimant").get<std::string>()),
-          Duration(item.at("age_us").get<std::int64_t>())};
+          Duration(to_integer<std::int64_t>(item.at("age_us")))};
 }
 
 const char* verdict_name(ClaimVerdict verdict) {
@@ -145,7 +147,8 @@
 std::vector<ClaimMember> members_from_json(const json& list) {
   return list_from_json<ClaimMember>(list, [](const json& item) {
     return ClaimMember{NodeId(item.at("node").get<std::string>()),
-                       item.at("addr").get<std::string>(), item.at("boot").get<std::uint64_t>()};
+                       item.at("addr").get<std::string>(),
+                       to_integer<std::uint64_t>(item.at("boot"))};
   });
 }
 
@@ -205,22 +208,22 @@
   Heartbeat message;
   message.from = NodeId(body.at("from").get<std::string>());
   message.is_answer = body.at("answer").get<bool>();
-  message.revision = body.at("rev").get<Revision>();
+  message.revision = to_integer<Revision>(body.at("rev"));
   message.members = list_from_json<MemberFact>(body.at("members"), member_from_json);
   message.engines = list_from_json<EngineFact>(body.at("engines"), engine_from_json);
-  message.engines_digest = body.at("digest").get<std::uint64_t>();
+  message.engines_digest = to_integer<std::uint64_t>(body.at("digest"));
   return message;
 }
 
 Message read_config_changes(const json& body) {
   auto document = document_from_json(body.at("document"));
   if (!document) throw std::invalid_argument(document.error().to_text());
-  return ConfigChanges{body.at("base").get<Revision>(), std::move(*document)};
+  return ConfigChanges{to_integer<Revision>(body.at("base")), std::move(*document)};
 }
 
 std::optional<Message> read_claim_message(const std::string& type, const json& body) {
   if (type == "claim") {
-    return ClaimRequest{body.at("view").get<ClaimView>(),
+    return ClaimRequest{to_integer<ClaimView>(body.at("view")),
                         ClaimKey(body.at("key").get<std::string>()),
                         RequestId(body.at("claimant").get<std::string>())};
   }
@@ -229,18 +232,19 @@
     return ClaimRelease{ClaimKey(body.at("key").get<std::string>()),
                         RequestId(body.at("claimant").get<std::string>())};
   }
-  if (type == "claim_seal") return ClaimSeal{body.at("view").get<ClaimView>()};
+  if (type == "claim_seal") return ClaimSeal{to_integer<ClaimView>(body.at("view"))};
   if (type == "claim_sealed") {
-    return ClaimSealed{{body.at("vouched").get<ClaimView>(),
+    return ClaimSealed{{to_integer<ClaimView>(body.at("vouched")),
                         list_from_json<ClaimEntry>(body.at("entries"), claim_entry_from_json),
-                        Duration(body.at("quiet_us").get<std::int64_t>())}};
+                        Duration(to_integer<std::int64_t>(body.at("quiet_us")))}};
   }
   if (type == "claim_install") {
-    return ClaimInstall{body.at("view").get<ClaimView>(), body.at("boot").get<std::uint64_t>(),
+    return ClaimInstall{to_integer<ClaimView>(body.at("view")),
+                        to_integer<std::uint64_t>(body.at("boot")),
                         list_from_json<ClaimEntry>(body.at("entries"), claim_entry_from_json),
-                        Duration(body.at("quiet_us").get<std::int64_t>())};
+                        Duration(to_integer<std::int64_t>(body.at("quiet_us")))};
   }
-  if (type == "claim_status") return ClaimStatus{body.at("active").get<ClaimView>()};
+  if (type == "claim_status") return ClaimStatus{to_integer<ClaimView>(body.at("active"))};
   if (type == "claim_probe") return ClaimProbe{};
   if (type == "claim_group_pull") return ClaimGroupPull{};
   if (type == "claim_group") return ClaimGroupReply{claim_group_from_json(body.at("record"))};
@@ -253,14 +257,14 @@
   if (type == "heartbeat") return read_heartbeat(body);
   if (type == "revision") {
     return RevisionNotice{NodeId(body.at("from").get<std::string>()),
-                          body.at("rev").get<Revision>()};
+                          to_integer<Revision>(body.at("rev"))};
   }
   if (type == "demand") {
     return DemandReport{NodeId(body.at("from").get<std::string>()),
                         ServiceName(body.at("service").get<std::string>()),
                         body.at("prefill").get<double>(), body.at("decode").get<double>()};
   }
-  if (type == "config_pull") return ConfigPull{body.at("have").get<Revision>()};
+  if (type == "config_pull") return ConfigPull{to_integer<Revision>(body.at("have"))};
   if (type == "config_changes") return read_config_changes(body);
   if (type == "facts_pull") return FactsPull{};
   if (type == "facts") {
@@ -281,8 +285,8 @@
 }
 
 ClaimGroupRecord claim_group_from_json(const json& item) {
-  return {item.at("view").get<ClaimView>(), members_from_json(item.at("members")),
-          item.at("stable").get<bool>(), item.at("previous_view").get<ClaimView>(),
+  return {to_integer<ClaimView>(item.at("view")), members_from_json(item.at("members")),
+          item.at("stable").get<bool>(), to_integer<ClaimView>(item.at("previous_view")),
           members_from_json(item.at("previous_members"))};
 }
 
@@ -301,7 +305,7 @@
   try {
     const json body = json::parse(text, limit_depth, true);
     if (too_deep) return tl::make_unexpected("nested too deeply");
-    if (body.at("v").get<int>() != kProtocolVersion) {
+    if (to_integer<int>(body.at("v")) != kProtocolVersion) {
       return tl::make_unexpected("another protocol version");
     }
     return read_body(body);
--- a/src/protocol/permit_message.cpp
+++ b/src/protocol/permit_message.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "common/json_parsing.hpp"
 #include "protocol/limit_codec.hpp"
 #include "protocol/marked_message.hpp"
 
@@ -56,12 +57,12 @@
     const json document = decode_marked(bytes);
     PermitCall call;
     call.node = NodeId(document.at(0).get<std::string>());
-    call.boot = document.at(1).get<std::uint64_t>();
-    call.number = document.at(2).get<std::uint64_t>();
+    call.boot = to_integer<std::uint64_t>(document.at(1));
+    call.number = to_integer<std::uint64_t>(document.at(2));
     call.engine = EngineId(document.at(3).get<std::string>());
     call.wants_permit = document.at(4).get<bool>();
-    call.earliest_send_ms = document.at(5).get<std::uint32_t>();
-    call.max_wait_ms = document.at(6).get<std::uint32_t>();
+    call.earliest_send_ms = to_integer<std::uint32_t>(document.at(5));
+    call.max_wait_ms = to_integer<std::uint32_t>(document.at(6));
     call.limit = limit_at(document, 7);
     return call;
   } catch (const json::exception& error) {
@@ -74,12 +75,12 @@
     const json document = decode_marked(bytes);
     PermitAnswer answer;
     answer.node = NodeId(document.at(0).get<std::string>());
-    answer.boot = document.at(1).get<std::uint64_t>();
-    answer.number = document.at(2).get<std::uint64_t>();
+    answer.boot = to_integer<std::uint64_t>(document.at(1));
+    answer.number = to_integer<std::uint64_t>(document.at(2));
     answer.engine = EngineId(document.at(3).get<std::string>());
-    answer.verdict = verdict_from_number(document.at(4).get<int>());
-    answer.send_in_ms = document.at(5).get<std::uint32_t>();
-    answer.next_permit_in_ms = document.at(6).get<std::uint32_t>();
+    answer.verdict = verdict_from_number(to_integer<int>(document.at(4)));
+    answer.send_in_ms = to_integer<std::uint32_t>(document.at(5));
+    answer.next_permit_in_ms = to_integer<std::uint32_t>(document.at(6));
     answer.limit = limit_at(document, 7);
     return answer;
   } catch (const json::exception& error) {
--- a/src/protocol/quota_message.cpp
+++ b/src/protocol/quota_message.cpp
@@ -3,6 +3,7 @@
 #include <cmath>
 #include <nlohmann/json.hpp>
 
+#include "common/json_parsing.hpp"
 #include "protocol/marked_message.hpp"
 
 namespace shuntbank {
@@ -52,10 +53,10 @@
     const json document = decode_marked(bytes);
     QuotaCall call;
     call.node = NodeId(document.at(0).get<std::string>());
-    call.boot = document.at(1).get<std::uint64_t>();
-    call.number = document.at(2).get<std::uint64_t>();
+    call.boot = to_integer<std::uint64_t>(document.at(1));
+    call.number = to_integer<std::uint64_t>(document.at(2));
     call.tenant = TenantName(document.at(3).get<std::string>());
-    call.terms.configuration = document.at(4).get<std::uint64_t>();
+    call.terms.configuration = to_integer<std::uint64_t>(document.at(4));
     call.terms.per_second = document.at(5).get<double>();
     call.terms.burst = document.at(6).get<double>();
     call.cost = document.at(7).get<double>();
@@ -74,12 +75,12 @@
     const json document = decode_marked(bytes);
     QuotaAnswer answer;
     answer.node = NodeId(document.at(0).get<std::string>());
-    answer.boot = document.at(1).get<std::uint64_t>();
-    answer.number = document.at(2).get<std::uint64_t>();
+    answer.boot = to_integer<std::uint64_t>(document.at(1));
+    answer.number = to_integer<std::uint64_t>(document.at(2));
     answer.tenant = TenantName(document.at(3).get<std::string>());
     answer.cost = document.at(4).get<double>();
-    answer.verdict = verdict_from_number(document.at(5).get<int>());
-    answer.retry_in_ms = document.at(6).get<std::uint32_t>();
+    answer.verdict = verdict_from_number(to_integer<int>(document.at(5)));
+    answer.retry_in_ms = to_integer<std::uint32_t>(document.at(6));
     if (!is_amount(answer.cost)) return tl::make_unexpected(std::string("the cost is negative"));
     return answer;
   } catch (const json::exception& error) {
--- a/src/protocol/stream_message.cpp
+++ b/src/protocol/stream_message.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "common/json_parsing.hpp"
 #include "protocol/marked_message.hpp"
 
 namespace shuntbank {
@@ -58,7 +59,7 @@
     const json document = decode_marked(bytes);
     StreamRecord record;
     record.node = NodeId(document.at(0).get<std::string>());
-    record.key = document.at(1).get<relay::StreamKey>();
+    record.key = to_integer<relay::StreamKey>(document.at(1));
     record.origin.service = ServiceName(document.at(2).get<std::string>());
     record.origin.version = document.at(3).get<std::string>();
     return record;
@@ -72,9 +73,9 @@
     const json document = decode_marked(bytes);
     StreamCall call;
     call.node = NodeId(document.at(0).get<std::string>());
-    call.boot = document.at(1).get<std::uint64_t>();
-    call.number = document.at(2).get<std::uint64_t>();
-    call.key = document.at(3).get<relay::StreamKey>();
+    call.boot = to_integer<std::uint64_t>(document.at(1));
+    call.number = to_integer<std::uint64_t>(document.at(2));
+    call.key = to_integer<relay::StreamKey>(document.at(3));
     call.service = ServiceName(document.at(4).get<std::string>());
     return call;
   } catch (const json::exception& error) {
@@ -87,8 +88,8 @@
     const json document = decode_marked(bytes);
     StreamAnswer answer;
     answer.node = NodeId(document.at(0).get<std::string>());
-    answer.boot = document.at(1).get<std::uint64_t>();
-    answer.number = document.at(2).get<std::uint64_t>();
+    answer.boot = to_integer<std::uint64_t>(document.at(1));
+    answer.number = to_integer<std::uint64_t>(document.at(2));
     const json& origin = document.at(3);
     if (!origin.is_null()) {
       answer.origin = StreamOrigin{ServiceName(origin.at(0).get<std::string>()),
--- a/src/protocol/usage_message.cpp
+++ b/src/protocol/usage_message.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "common/json_parsing.hpp"
 #include "protocol/marked_message.hpp"
 
 namespace shuntbank {
@@ -66,8 +67,8 @@
     const json document = decode_marked(bytes);
     UsageCall call;
     call.reporter = NodeId(document.at(0).get<std::string>());
-    call.boot = document.at(1).get<std::uint64_t>();
-    if (document.size() > 2) call.true_time = document.at(2).get<usage::UnixMs>();
+    call.boot = to_integer<std::uint64_t>(document.at(1));
+    if (document.size() > 2) call.true_time = to_integer<usage::UnixMs>(document.at(2));
     return call;
   } catch (const json::exception& error) {
     return tl::make_unexpected(std::string(error.what()));
@@ -79,17 +80,18 @@
     const json document = decode_marked(bytes);
     UsageCounts message;
     message.node = NodeId(document.at(0).get<std::string>());
-    message.boot = document.at(1).get<std::uint64_t>();
-    message.sequence = document.at(2).get<std::uint64_t>();
-    message.clock = document.at(3).get<usage::UnixMs>();
-    message.counted_until = document.at(4).get<usage::UnixMs>();
-    message.counting_since = document.at(5).get<usage::UnixMs>();
-    message.window = document.at(6).get<usage::WindowNumber>();
-    message.part = document.at(7).get<std::uint32_t>();
-    message.parts = document.at(8).get<std::uint32_t>();
+    message.boot = to_integer<std::uint64_t>(document.at(1));
+    message.sequence = to_integer<std::uint64_t>(document.at(2));
+    message.clock = to_integer<usage::UnixMs>(document.at(3));
+    message.counted_until = to_integer<usage::UnixMs>(document.at(4));
+    message.counting_since = to_integer<usage::UnixMs>(document.at(5));
+    message.window = to_integer<usage::WindowNumber>(document.at(6));
+    message.part = to_integer<std::uint32_t>(document.at(7));
+    message.parts = to_integer<std::uint32_t>(document.at(8));
     const json& counts = document.at(9);
     for (std::size_t i = 0; i + 1 < counts.size(); i += 2) {
-      message.counts[TenantName(counts[i].get<std::string>())] = counts[i + 1].get<std::uint64_t>();
+      message.counts[TenantName(counts[i].get<std::string>())] =
+          to_integer<std::uint64_t>(counts[i + 1]);
     }
     return message;
   } catch (const json::exception& error) {
--- a/tests/protocol/malformed_message_test.cpp
+++ b/tests/protocol/malformed_message_test.cpp
@@ -1,6 +1,7 @@
 // Guards against bytes from the network that end the process: messages that are nested deeply, and
 // malformed ones whose exception escapes.
 #include <functional>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -71,6 +72,27 @@
   }
 }
 
+// Without a check, such a number wraps round, or its conversion is undefined.
+Test(malformed_message, is_rejected_if_a_count_is_out_of_range) {
+  LoadMessage message;
+  message.node = NodeId("n");
+  message.load[EngineId("e")] = {3, 4000};
+  message.store_age_ms = 5;
+  const std::string bytes = encode(message);
+  const auto valid = nlohmann::json::from_msgpack(bytes.begin(), bytes.end());
+  for (const char* field : {"/boot", "/seq", "/age", "/seen/0", "/load/0/1", "/load/0/2"}) {
+    for (const nlohmann::json& number :
+         {nlohmann::json(-1), nlohmann::json(1e300),
+          nlohmann::json(std::numeric_limits<double>::quiet_NaN())}) {
+      nlohmann::json odd = valid;
+      odd[nlohmann::json::json_pointer(field)] = number;
+      std::string changed;
+      nlohmann::json::to_msgpack(odd, changed);
+      cr_expect_not(decode_load_message(changed).has_value(), "%s", field);
+    }
+  }
+}
+
 Test(malformed_message, never_throws) {
   SHUNTBANK_PROPERTY("arbitrary bytes are decoded or rejected", [] {
     const Decoder decoder = *rc::gen::elementOf(decoders());
