Test answers that are cut behind and on a tunnel

A tunnel's end is a frame, so that an answer could end early in two places: the target closes or resets within it, or the relaying node stops between any two bytes of its frames. An answer without a length is whole only with the end frame, and not after a reset of the target.

--- a/tests/net/tunnel_test.cpp
+++ b/tests/net/tunnel_test.cpp
@@ -12,8 +12,10 @@
 #include "net/http1_server.hpp"
 #include "net/peer_transport.hpp"
 #include "net/tunnel_server.hpp"
+#include "support/cutting_server.hpp"
 
 using namespace shuntbank;
+using namespace shuntbank::testing;
 using namespace std::chrono_literals;
 using Tcp = asio::ip::tcp;
 
@@ -250,6 +252,64 @@
   cr_assert(fails_as(*outcome, TransferFailure::kUncertain));
 }
 
+// The same for every byte of an answer after which the target ends its connection.
+Test(tunnel, completes_no_answer_that_the_target_cuts) {
+  for (const FramedAnswer& answer : framed_answers("id: 1\r\n", "whole")) {
+    TunnelSite site;
+    CuttingServer target(site.loop,
+                         [&answer](const HttpHead&, const std::string&) { return answer.text(); });
+    site.target = target.address();
+    for (const ConnectionEnd end : {ConnectionEnd::kClose, ConnectionEnd::kReset}) {
+      target.end = end;
+      const bool whole_last = end == ConnectionEnd::kClose || answer.ends_with_connection;
+      const std::size_t size = answer.text().size() + (whole_last ? 1 : 0);
+      for (target.cut = 0; target.cut < size; ++target.cut) {
+        const Outcome outcome = site.send();
+        const std::string body = outcome.error ? "" : outcome.body;
+        if (answer.is_whole(target.cut, end)) {
+          const std::size_t sent = target.cut - answer.head.size();
+          const bool cut_body = answer.ends_with_connection;
+          cr_assert_eq(body, cut_body ? answer.body.substr(0, sent) : answer.body);
+          cr_assert_eq(outcome.status, 200);
+        } else {
+          cr_assert(fails_as(outcome, TransferFailure::kUncertain), "%s, cut at %zu",
+                    answer.name.c_str(), target.cut);
+        }
+      }
+    }
+  }
+}
+
+// The same for every byte after which the relaying node ends its connection.
+Test(tunnel, completes_no_answer_that_the_relaying_node_cuts) {
+  for (const FramedAnswer& answer : framed_answers("id: 1\r\n", "whole")) {
+    const std::string head = encode_tunnel_frame_header(answer.head.size()) + answer.head;
+    const std::string rest = encode_tunnel_frame_header(answer.rest.size()) + answer.rest;
+    const std::string bytes = head + rest + encode_tunnel_frame_header(kTunnelEnd);
+    const std::size_t framed_size =
+        answer.ends_with_connection ? bytes.size() : (head + rest).size();
+    TunnelSite site;
+    site.target = closed_address();
+    for (std::size_t cut = 0; cut <= bytes.size(); ++cut) {
+      RawTarget node(site.loop);
+      site.other_node = node.address();
+      const auto outcome = site.start();
+      site.run_until([&] { return !node.received.empty(); });
+      node.write({static_cast<char>(TunnelStatus::kOpen)});
+      site.run_until([&] { return node.received.find("question") != std::string::npos; });
+      node.write(bytes.substr(0, cut));
+      node.socket.shutdown(Tcp::socket::shutdown_send);
+      site.run_until([&] { return outcome->done; });
+      if (cut >= framed_size) {
+        cr_assert_eq(outcome->body, "whole", "%s, cut at %zu", answer.name.c_str(), cut);
+      } else {
+        cr_assert(fails_as(*outcome, TransferFailure::kUncertain), "%s, cut at %zu",
+                  answer.name.c_str(), cut);
+      }
+    }
+  }
+}
+
 Test(tunnel, closes_the_targets_connection_when_the_request_is_cancelled) {
   TunnelSite site;
   RawTarget target(site.loop);
