Do not end a stream that an engine cut right after its head

Callers of a relay would see, of an engine that sends streams without length or chunks and closes right after its head: a 200 with an empty body, framed as whole; and where that engine had taken a broken stream up, the events so far, framed as whole.

Cause: such an answer ends with its connection, so that one without any event passed for a complete stream.

A run of a stream has events, so an attempt that brought no byte of a body and has no framing of its own has broken off: the request goes on at another engine or gets a 502, and a stream that has begun is closed without its end. An empty stream with a length or chunks is its engine's word and stays whole.

One case gets worse: an engine that takes a stream up after its last event and ends with its connection, without any event, looks the same; its caller now gets all events without the end. A plain answer that ends with its connection stays whole wherever the connection closes, as nothing tells.

--- a/src/relay/relay_session_answer.cpp
+++ b/src/relay/relay_session_answer.cpp
@@ -20,6 +20,12 @@
   return status >= 200 && status < 300;
 }
 
+/// @return whether only the end of the connection ends the body of an answer with these fields, so
+/// that one which was cut looks the same.
+bool ends_with_connection(const HttpHeaders& headers) {
+  return headers.count("Content-Length") == 0 && headers.count("Transfer-Encoding") == 0;
+}
+
 }  // namespace
 
 /// @return whether the answer names this request, or none; `on_headers` tells these apart.
@@ -301,6 +307,11 @@
     report_health(AttemptHealth::kFailed);
     return on_attempt_failed(AttemptOutcome::kUncertain, "the stream ended inside an event");
   }
+  // Each run of a stream has events. An engine that stops after its head closes the same way.
+  if (received_bytes_ == 0 && ends_with_connection(headers_)) {
+    report_health(AttemptHealth::kFailed);
+    return on_attempt_failed(AttemptOutcome::kUncertain, "the stream ended before its first event");
+  }
   report_health(AttemptHealth::kGood);
   if (service_->model)
     context_.engines.model_of(service_name_).on_stream_ended(context_.runtime.now() - sent_at_);
--- /dev/null
+++ b/tests/relay/cut_answer_test.cpp
@@ -0,0 +1,263 @@
+// Tests what a caller of a relay gets when an engine's answer breaks off, in its head too, on real
+// sockets.
+#include <criterion/criterion.h>
+
+#include <asio.hpp>
+
+#include "common/log.hpp"
+#include "net/asio_runtime.hpp"
+#include "net/http1_client.hpp"
+#include "net/http1_server.hpp"
+#include "relay/support/fakes.hpp"
+#include "support/cutting_server.hpp"
+
+using namespace shuntbank;
+using namespace shuntbank::testing;
+using relay::EngineStage;
+
+namespace {
+
+const std::string kFields = "id: r1\r\nseal: s\r\n";
+const std::string kEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+/// What the caller has received.
+struct Received {
+  int status = 0;
+  std::string body;
+  bool whole = false;
+};
+
+/// A node before engines whose answers the test cuts.
+struct CutSite {
+  explicit CutSite(std::size_t engine_count)
+      : node(relay::RelayIo{runtime, http, dialect}, settings()),
+        server(loop, server_settings(), [this](const HttpRequest& request, const auto& responder) {
+          this->node.handle(request, responder);
+        }) {
+    this->node.adopt(RelayFixture::configuration(1));
+    this->node.set_engines({});
+    for (std::size_t i = 0; i < engine_count; ++i) {
+      this->engines.push_back(std::make_unique<CuttingServer>(
+          this->loop, [this, i](const HttpHead& request, const std::string&) {
+            return this->answer(i, request);
+          }));
+      this->add_engine("p" + std::to_string(i), "plain", EngineStage::kNone, i);
+      this->add_engine("m" + std::to_string(i), "model", EngineStage::kDecode, i);
+    }
+    this->node.set_fleet({1, 0});
+  }
+
+  static relay::RelaySettings settings() {
+    cr_assert(set_log_levels("off").has_value());
+    relay::RelaySettings settings;
+    settings.node = "n1";
+    settings.zone = ZoneName("z1");
+    settings.retry_budget.ratio = 100;  // The slack is not available at once.
+    return settings;
+  }
+
+  static Http1ServerSettings server_settings() {
+    Http1ServerSettings settings;
+    settings.listen = {asio::ip::make_address("127.0.0.1"), 0};
+    return settings;
+  }
+
+  void add_engine(const std::string& id, const std::string& service, EngineStage stage,
+                  std::size_t index) {
+    relay::EngineRecord record;
+    record.id = EngineId(id);
+    record.service = ServiceName(service);
+    record.address = this->engines[index]->address();
+    record.zone = ZoneName("z1");
+    record.slots = 8;
+    record.stage = stage;
+    record.software_version = "v1";
+    this->node.set_engine(record);
+  }
+
+  /// Sends a request and waits for the end of its answer.
+  Received send(const std::string& path) {
+    OutgoingRequest request;
+    request.method = "POST";
+    request.url = "http://" + format_endpoint(this->server.local_endpoint()) + path;
+    request.headers = {{"Host", "site"}, {"id", "r1"}, {"tokens", "100"}};
+    request.body = "body";
+    Received received;
+    bool done = false;
+    TransferHandlers handlers;
+    handlers.on_headers = [&](int status, const HttpHeaders&) { received.status = status; };
+    handlers.on_data = [&](std::string_view piece) {
+      received.body += piece;
+      return true;
+    };
+    handlers.on_done = [&](const tl::expected<void, TransferError>& result) {
+      received.whole = result.has_value();
+      done = true;
+    };
+    this->client.start(std::move(request), std::move(handlers));
+    while (!done) this->loop.run_one();
+    return received;
+  }
+
+  std::size_t received_requests() const {
+    std::size_t count = 0;
+    for (const auto& engine : this->engines) count += engine->requests;
+    return count;
+  }
+
+  asio::io_context loop;
+  AsioRuntime runtime{loop};
+  PooledHttpClient http{loop, {}};
+  TestDialect dialect;
+  std::vector<std::unique_ptr<CuttingServer>> engines;
+  /// Returns the whole answer of an engine to a request.
+  std::function<std::string(std::size_t engine, const HttpHead& request)> answer;
+  relay::RelayNode node;
+  Http1Server server;
+  PooledHttpClient client{loop, {}};
+};
+
+using Judge = std::function<std::string(const FramedAnswer&, std::size_t cut, ConnectionEnd,
+                                        const Received&)>;
+
+/// Cuts each kind of answer of the only engine after each byte, by a close and by a reset.
+void expect_right_answers(const std::string& path, const std::string& body, const Judge& judge) {
+  std::size_t wrong = 0;
+  for (const FramedAnswer& answer : framed_answers(kFields, body)) {
+    for (const ConnectionEnd end : {ConnectionEnd::kClose, ConnectionEnd::kReset}) {
+      for (std::size_t cut = 0; cut <= answer.text().size(); ++cut) {
+        CutSite site(1);
+        site.answer = [&answer](std::size_t, const HttpHead&) { return answer.text(); };
+        site.engines.front()->cut = cut;
+        site.engines.front()->end = end;
+        const Received received = site.send(path);
+        std::string fault = judge(answer, cut, end, received);
+        if (site.received_requests() != 1) fault = "is sent again";
+        if (fault.empty()) continue;
+        ++wrong;
+        cr_log_error("%s cut at %zu by a %s %s: %d %s %s", answer.name.c_str(), cut,
+                     end == ConnectionEnd::kClose ? "close" : "reset", fault.c_str(),
+                     received.status, received.whole ? "whole" : "cut", received.body.c_str());
+      }
+    }
+  }
+  cr_assert_eq(wrong, 0);
+}
+
+std::string judge_plain(const FramedAnswer& answer, std::size_t cut, ConnectionEnd end,
+                        const Received& received) {
+  if (!received.whole) return "breaks the caller's connection";
+  if (!answer.is_whole(cut, end)) return received.status == 502 ? "" : "is answered otherwise";
+  if (received.status != 200) return "is lost";
+  const std::string sent = answer.body.substr(0, cut - answer.head.size());
+  return received.body == (answer.ends_with_connection ? sent : answer.body) ? ""
+                                                                             : "has another body";
+}
+
+/// @return the whole events at the beginning of a body.
+std::string whole_events(const std::string& body) {
+  const std::size_t end = body.rfind("\n\n");
+  return end == std::string::npos ? "" : body.substr(0, end + 2);
+}
+
+std::string judge_stream(const FramedAnswer& answer, std::size_t cut, ConnectionEnd end,
+                         const Received& received) {
+  if (received.whole && received.body.empty()) return received.status == 502 ? "" : "is empty";
+  if (kEvents.rfind(received.body, 0) != 0) return "has another body";
+  if (received.body != whole_events(received.body)) return "ends inside an event";
+  if (!answer.is_whole(cut, end)) return received.whole ? "is whole" : "";
+  if (!answer.ends_with_connection) {
+    return received.whole && received.body == answer.body ? "" : "is lost";
+  }
+  const std::string sent = answer.body.substr(0, cut - answer.head.size());
+  if (received.body != whole_events(sent)) return "lacks an event";
+  return received.whole == (whole_events(sent) == sent) ? "" : "is taken for the opposite";
+}
+
+}  // namespace
+
+// Guards against a caller that gets a success with an empty or a short body, framed as whole.
+Test(cut_answer, a_plain_answer_that_breaks_off_is_no_success) {
+  expect_right_answers("/once/a", "the body", judge_plain);
+}
+
+// The same for a stream, which must not look complete before its last event.
+Test(cut_answer, a_stream_that_breaks_off_is_not_whole) {
+  expect_right_answers("/stream/a", kEvents, judge_stream);
+}
+
+/// Answers with the events that the request lacks.
+std::string resumable_answer(std::size_t framing, const HttpHead& request) {
+  const std::string last(request.headers.get("last-event"));
+  const std::size_t begin =
+      last.empty() ? 0 : kEvents.find("\n\n", kEvents.find("id: " + last)) + 2;
+  return framed_answers(kFields, kEvents.substr(begin))[framing].text();
+}
+
+// Guards against a stream that goes on with lost or repeated events where an engine has cut it.
+Test(cut_answer, a_resumed_stream_holds_each_event_once) {
+  std::size_t wrong = 0;
+  for (std::size_t framing = 0; framing < framed_answers("", "").size(); ++framing) {
+    const FramedAnswer answer = framed_answers(kFields, kEvents)[framing];
+    for (const ConnectionEnd end : {ConnectionEnd::kClose, ConnectionEnd::kReset}) {
+      for (std::size_t cut = 0; cut <= answer.text().size(); ++cut) {
+        CutSite site(2);
+        site.answer = [&](std::size_t engine, const HttpHead& request) {
+          const bool first = site.received_requests() == 1;
+          site.engines[engine]->cut = first ? cut : std::string::npos;
+          site.engines[engine]->end = first ? end : ConnectionEnd::kClose;
+          return resumable_answer(framing, request);
+        };
+        const Received received = site.send("/resumable/a");
+        const std::string sent = answer.body.substr(0, cut - std::min(cut, answer.head.size()));
+        // Without framing, a close between two events is the end of the stream.
+        const bool ended = answer.ends_with_connection && end == ConnectionEnd::kClose &&
+                           !sent.empty() && sent == whole_events(sent);
+        const std::string expected = ended ? sent : kEvents;
+        // The second engine has no event left, and without framing its answer may be cut, too.
+        const bool unsure = answer.ends_with_connection && end == ConnectionEnd::kReset &&
+                            cut == answer.text().size();
+        if (received.whole != unsure && received.status == 200 && received.body == expected)
+          continue;
+        ++wrong;
+        cr_log_error("%s cut at %zu: %d %s %s", answer.name.c_str(), cut, received.status,
+                     received.whole ? "whole" : "cut", received.body.c_str());
+      }
+    }
+  }
+  cr_assert_eq(wrong, 0);
+}
+
+// Guards against a stream that looks complete though the engine that took it up has broken off.
+Test(cut_answer, a_resumed_stream_that_breaks_off_again_is_not_whole) {
+  std::size_t wrong = 0;
+  for (std::size_t framing = 0; framing < framed_answers("", "").size(); ++framing) {
+    const std::size_t first_event = whole_events(kEvents.substr(0, kEvents.size() / 2)).size();
+    const FramedAnswer rest = framed_answers(kFields, kEvents.substr(first_event))[framing];
+    for (const ConnectionEnd end : {ConnectionEnd::kClose, ConnectionEnd::kReset}) {
+      // Without framing, a close between two events is the end of the stream.
+      const bool unframed_end = rest.ends_with_connection && end == ConnectionEnd::kClose;
+      const std::size_t last = unframed_end ? rest.head.size() : rest.text().size() - 1;
+      for (std::size_t cut = 0; cut <= last; ++cut) {
+        CutSite site(2);
+        site.answer = [&](std::size_t engine, const HttpHead& request) {
+          const bool first = site.received_requests() == 1;
+          site.engines[engine]->cut = first ? std::string::npos : cut;
+          site.engines[engine]->end = end;
+          // The first engine's length covers events that it doesn't send.
+          const FramedAnswer whole = framed_answers(kFields, kEvents).front();
+          return first ? whole.head + whole.body.substr(0, first_event)
+                       : resumable_answer(framing, request);
+        };
+        const Received received = site.send("/resumable/a");
+        const bool has_events = !received.body.empty() && kEvents.rfind(received.body, 0) == 0 &&
+                                received.body == whole_events(received.body);
+        if (!received.whole && has_events) continue;
+        ++wrong;
+        cr_log_error("%s cut at %zu: %d %s %s", rest.name.c_str(), cut, received.status,
+                     received.whole ? "whole" : "cut", received.body.c_str());
+      }
+    }
+  }
+  cr_assert_eq(wrong, 0);
+}
