Handle signals from the start of a process

Cause: the signal sets were created last, after the settings were read and all addresses bound; until then the default action applied.

--- a/src/apps/shuntbankd.cpp
+++ b/src/apps/shuntbankd.cpp
@@ -14,8 +14,9 @@
 
 int run_node(const NodeSettings& settings) {
   asio::io_context loop(1);
-  NodeServer node(loop, settings, [&loop] { loop.stop(); });
+  // First of all: until then a signal ends the process.
   asio::signal_set signals(loop, SIGTERM, SIGINT);
+  NodeServer node(loop, settings, [&loop] { loop.stop(); });
   signals.async_wait([&](const std::error_code& error, int) {
     if (error) return;
     node.leave();
--- a/tests/platform/support/relay_child.cpp
+++ b/tests/platform/support/relay_child.cpp
@@ -10,6 +10,7 @@
 #include <csignal>
 #include <cstring>
 #include <fstream>
+#include <sstream>
 #include <stdexcept>
 #include <string_view>
 #include <utility>
@@ -50,10 +51,10 @@
   return this->relay_config.ip + ":" + std::to_string(this->relay_config.ready_port);
 }
 
-void RelayChild::write_settings(bool bootstrap) const {
-  std::ofstream file(this->settings_path, std::ios::trunc);
+std::string RelayChild::settings(bool bootstrap) const {
+  std::ostringstream text;
   const std::string& ip = this->relay_config.ip;
-  file << "node=" << this->relay_config.name << "\nzone=" << this->relay_config.zone
+  text << "node=" << this->relay_config.name << "\nzone=" << this->relay_config.zone
        << "\nip=" << ip << "\nlisten.front=" << this->caller_address()
        << "\nlisten.ready=" << this->ready_address() << "\nlisten.control=" << ip << ":"
        << this->relay_config.control_port << "\nport_range=" << this->relay_config.peer_port << ","
@@ -61,12 +62,17 @@
        << "\nbounds.budget_ratio=0.2\nbounds.budget_window_s=10\nbounds.budget_slack=20"
        << "\nbounds.grace_s=8\nplatform.addr=" << this->relay_config.store_address
        << "\nan.unknown.key=1\n";
+  return text.str();
 }
 
 void RelayChild::start(bool bootstrap) {
+  std::ofstream(this->settings_path, std::ios::trunc) << this->settings(bootstrap);
+  this->start_with_given_settings();
+}
+
+void RelayChild::start_with_given_settings() {
   this->kill_sent = false;
   this->stop_sent = false;
-  this->write_settings(bootstrap);
   posix_spawn_file_actions_t files;
   posix_spawn_file_actions_init(&files);
   posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, this->log_path.c_str(),
--- a/tests/platform/support/relay_child.hpp
+++ b/tests/platform/support/relay_child.hpp
@@ -42,6 +42,14 @@
 
   /// @param bootstrap whether the whole system starts for the first time.
   void start(bool bootstrap);
+
+  /// Starts a process that reads its settings from whatever stands at `settings_file`.
+  void start_with_given_settings();
+  const std::string& settings_file() const { return this->settings_path; }
+  const std::string& log_file() const { return this->log_path; }
+
+  /// @return the content of a settings file.
+  std::string settings(bool bootstrap) const;
   void send_signal(int signal);
 
   /// @return whether the process runs; reaps it after its exit.
@@ -59,7 +67,6 @@
   std::string ready_address() const;
 
  private:
-  void write_settings(bool bootstrap) const;
   void on_ended(int status);
 
   std::string program;
