Ask the store before a stream's origin follows from one listed version

Callers that took a stream up at a node which was cut off, stopped or had just started, while engines of a new software version joined, got the rest of it from an engine of another version (ORDER).

Cause: if no node knows a stream, its origin follows from the list of engines, provided that the service has had one version all the while. Nothing showed that the list was the store's: a node that lists no other node trusted its own, though the list of nodes may not be read yet, and two nodes that lack the same engines confirmed each other.

Now the store is asked for the engines listed since this node's list, by a call that begins after the request was read. An engine that has begun the stream was listed before that, so that it is in the answer. A store that does not answer leaves the origin unknown, and the stream is refused. The messages between nodes are unchanged.

It costs a call to the store for streams that no node knows, shared by all that wait, 10 ms for each node of the fleet apart. Such streams are now refused at nodes that the store does not answer.

--- a/src/relay/engine_catalog.cpp
+++ b/src/relay/engine_catalog.cpp
@@ -30,10 +30,27 @@
   watch_settings.confirm_first_list = own_settings.join_existing;
   this->watch = std::make_unique<store::KindWatch>(own_runtime, store, kind, watch_settings,
                                                    std::move(handlers));
+  this->check = this->make_check(store, kind);
+  this->node.streams().set_engine_list(this);
 }
 
 EngineCatalog::~EngineCatalog() {
   *this->alive = false;
+  // The node outlives this object.
+  this->node.streams().set_engine_list(nullptr);
+}
+
+std::unique_ptr<EngineListCheck> EngineCatalog::make_check(store::ObjectStore& store,
+                                                           const std::string& kind) {
+  EngineListCheckHandlers handlers;
+  handlers.revision = [this] { return this->list.revision(); };
+  handlers.nodes = [this] { return this->node.fleet().nodes; };
+  handlers.on_engine = [this](const store::StoredObject& object) {
+    const auto record = this->decoder(object);
+    if (record) this->node.streams().on_engine_listed(*record);
+  };
+  return std::make_unique<EngineListCheck>(this->runtime, store, kind, this->settings.list_check,
+                                           std::move(handlers));
 }
 
 ListedEngine EngineCatalog::read(const store::StoredObject& object) const {
--- a/src/relay/engine_catalog.hpp
+++ b/src/relay/engine_catalog.hpp
@@ -12,6 +12,8 @@
 #include "core/relay/catalog_revisions.hpp"
 #include "core/relay/engine_list.hpp"
 #include "protocol/engine_list_message.hpp"
+#include "relay/engine_list_check.hpp"
+#include "relay/engine_list_status.hpp"
 #include "relay/link_share.hpp"
 #include "relay/relay_node.hpp"
 #include "relay/relay_settings.hpp"
@@ -25,7 +27,7 @@
     std::function<tl::expected<EngineRecord, std::string>(const store::StoredObject&)>;
 
 /// The engines as one node reads them.
-class EngineCatalog {
+class EngineCatalog : public EngineListStatus {
  public:
   using UpdateHandler = std::function<void(const EngineListUpdate*)>;
   /// Requests an update from another node and passes it to the handler; null: none.
@@ -36,7 +38,7 @@
   EngineCatalog(Runtime& runtime, store::ObjectStore& store, const std::string& kind,
                 EngineDecoder decoder, RelayNode& node, LinkShare& large_answers,
                 const CatalogSettings& settings);
-  ~EngineCatalog();
+  ~EngineCatalog() override;
   EngineCatalog(const EngineCatalog&) = delete;
   EngineCatalog& operator=(const EngineCatalog&) = delete;
 
@@ -69,6 +71,8 @@
   /// @return how long ago the state of this node was last known to be the store's.
   Duration age() const;
 
+  void confirm(Handler handler) override { this->check->run(std::move(handler)); }
+
   /// @return for how long other nodes have reported a change that this node lacks.
   Duration behind() const { return this->watch->behind_for(); }
 
@@ -79,6 +83,7 @@
   void apply_list(const store::ObjectList& list);
   void apply_change(const store::ObjectChange& change);
   ListedEngine read(const store::StoredObject& object) const;
+  std::unique_ptr<EngineListCheck> make_check(store::ObjectStore& store, const std::string& kind);
   void on_update(const EngineListUpdate* update);
   void apply_update(const EngineListUpdate& update);
   void use_entry(const ListedEngine& engine);
@@ -102,6 +107,7 @@
   EngineList list;
   std::uint64_t newest_removal = 0;  ///< Revision of the last batch that removed engines.
   std::unique_ptr<store::KindWatch> watch;
+  std::unique_ptr<EngineListCheck> check;
   StoreReaders readers;
   bool peers_used = false;
   MonotonicTime peers_used_since{};
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -52,6 +52,16 @@
   StageChangeSettings changes;  ///< `notice_lead` is set from the exchange's settings.
 };
 
+/// Settings of the checks whether a node's list of engines is the store's.
+struct EngineListCheckSettings {
+  /// Callers wait for a check.
+  Duration call_timeout = std::chrono::milliseconds(500);
+  /// Between two calls of a node: 100 calls a second of the fleet, up to 50 nodes.
+  Duration interval_per_node = std::chrono::milliseconds(10);
+  Duration min_interval = std::chrono::milliseconds(20);
+  Duration max_interval = std::chrono::milliseconds(500);
+};
+
 /// Settings of the store watches. Waits grow with the fleet, so that its total call rate stays
 /// constant; nodes that miss a change get a hint from others.
 struct CatalogSettings {
@@ -112,6 +122,7 @@
   Duration backoff_limit_per_node = std::chrono::milliseconds(10);
   Duration min_backoff_limit = std::chrono::milliseconds(800);
   Duration max_backoff_limit = std::chrono::seconds(3);
+  EngineListCheckSettings list_check;
 };
 
 /// Settings of one node.
--- a/src/relay/stream_origins.cpp
+++ b/src/relay/stream_origins.cpp
@@ -180,11 +180,11 @@
 }
 
 /// No other node holds the origin. It is still certain if the service had one version all the
-/// while. This node's own list of engines may be out of date, so that another has to agree.
+/// while.
 void StreamOrigins::finish_unknown(std::uint64_t number) {
   const Lookup& lookup = this->lookups.at(number);
   const bool alone = this->peers == nullptr || this->peers->peer_count() == 0;
-  const auto version = sole_version(lookup.recent);
+  const bool one_version = sole_version(lookup.recent).has_value();
   log_event(LogArea::kCallers, LogLevel::kInfo, "stream_origin_missing",
             {{"stream_key", lookup.key},
              {"service", lookup.service ? lookup.service->value() : std::string()},
@@ -192,9 +192,32 @@
              {"unanswered", lookup.unanswered.size()},
              {"versions", lookup.recent.versions.size()},
              {"observed", lookup.recent.complete}});
-  if (!lookup.service || !version || (!alone && !lookup.any_answer)) {
+  if (!lookup.service || !one_version || (!alone && !lookup.any_answer)) {
     return this->find_in_archive(number);
   }
+  this->confirm_sole_version(number);
+}
+
+/// The nodes that answered may lack the same changes as this one, and a node that knows no others
+/// may not be alone. A store that answers a call which begins now includes every engine that can
+/// have begun the stream.
+void StreamOrigins::confirm_sole_version(std::uint64_t number) {
+  Lookup& lookup = this->lookups.at(number);
+  if (this->engine_list == nullptr) return this->find_in_archive(number);
+  lookup.timer.reset();
+  lookup.confirming = true;
+  this->engine_list->confirm([this, number](bool confirmed) {
+    // A node may have answered meanwhile.
+    if (this->lookups.count(number) > 0) this->on_confirmed(number, confirmed);
+  });
+}
+
+void StreamOrigins::on_confirmed(std::uint64_t number, bool confirmed) {
+  this->observe_versions();
+  Lookup& lookup = this->lookups.at(number);
+  merge(lookup.recent, this->versions.recent(this->runtime.now(), *lookup.service));
+  const auto version = sole_version(lookup.recent);
+  if (!confirmed || !version) return this->find_in_archive(number);
   this->finish(number, StreamOrigin{*lookup.service, *version});
 }
 
@@ -252,7 +275,8 @@
   if (lookup.unanswered.erase(answer.node) == 0) return;
   lookup.any_answer = true;
   merge(lookup.recent, answer.recent);
-  if (lookup.unanswered.empty() && !lookup.archived) this->finish_unknown(answer.number);
+  const bool waits = !lookup.confirming && !lookup.archived;
+  if (lookup.unanswered.empty() && waits) this->finish_unknown(answer.number);
 }
 
 void StreamOrigins::send(const NodeId& node, std::string_view bytes) {
--- a/src/relay/stream_origins.hpp
+++ b/src/relay/stream_origins.hpp
@@ -18,6 +18,7 @@
 #include "core/relay/stream_table.hpp"
 #include "net/peer_transport.hpp"
 #include "protocol/stream_message.hpp"
+#include "relay/engine_list_status.hpp"
 #include "relay/peer_directory.hpp"
 
 namespace shuntbank::relay {
@@ -37,6 +38,10 @@
   void connect(PeerTransport& own_transport, const PeerDirectory& own_peers);
   void disconnect();
 
+  /// Sets what tells whether the list of engines is current; null: nothing does, so that no origin
+  /// follows from the list.
+  void set_engine_list(EngineListStatus* status) { this->engine_list = status; }
+
   /// The list of engines is known, or has changed.
   void on_engines_changed() {
     this->engines_known = true;
@@ -68,7 +73,8 @@
 
   /// Finds where a stream began. The handler may run before this returns.
   /// @param service the only one where it may have begun; unset: there are several. Its version
-  /// counts as the origin if it has had no other since the stream can have begun.
+  /// counts as the origin if it has had no other since the stream can have begun, and the store has
+  /// confirmed this after the call.
   void find(StreamKey key, const std::optional<ServiceName>& service, Handler handler);
 
   /// Sets the function that looks for streams which no node knows any more; null: there is none.
@@ -107,7 +113,8 @@
     std::set<NodeId> unanswered;  ///< Of these.
     RecentVersions recent;
     bool any_answer = false;
-    bool archived = false;  ///< Looked for in the archive.
+    bool confirming = false;  ///< The store is asked whether the list of engines is current.
+    bool archived = false;    ///< Looked for in the archive.
     int calls = 0;
     std::unique_ptr<Timer> timer;
   };
@@ -120,6 +127,8 @@
   void add_nodes(Lookup& lookup) const;
   void finish(std::uint64_t number, const std::optional<StreamOrigin>& origin);
   void finish_unknown(std::uint64_t number);
+  void confirm_sole_version(std::uint64_t number);
+  void on_confirmed(std::uint64_t number, bool confirmed);
   void find_in_archive(std::uint64_t number);
   void on_call(const StreamCall& call);
   void on_answer(const StreamAnswer& answer);
@@ -132,6 +141,7 @@
   bool engines_changed = false;  ///< Since the versions were last observed.
   PeerTransport* transport = nullptr;
   const PeerDirectory* peers = nullptr;
+  EngineListStatus* engine_list = nullptr;
   StreamTable table;
   ServiceVersions versions;
   std::map<StreamKey, Held> held;
--- a/tests/relay/support/fakes.cpp
+++ b/tests/relay/support/fakes.cpp
@@ -413,9 +413,11 @@
     const store::StoredObject& object) const {
   relay::EngineRecord record;
   record.id = EngineId(object.name);
-  record.service = ServiceName("plain");
+  record.service = ServiceName(object.content.value("service", "plain"));
   record.address = object.content.at("address").get<std::string>();
   record.draining = object.content.value("draining", false);
+  record.software_version = object.content.value("software", "");
+  if (object.content.value("decodes", false)) record.stage = relay::EngineStage::kDecode;
   return record;
 }
 
@@ -453,6 +455,7 @@
   node =
       std::make_unique<relay::RelayNode>(relay::RelayIo{runtime, http, dialect, probe}, settings);
   node->adopt(configuration(1));
+  node->streams().set_engine_list(&engine_list);
   node->set_engines({});
 }
 
--- a/tests/relay/support/fakes.hpp
+++ b/tests/relay/support/fakes.hpp
@@ -18,6 +18,7 @@
 #include "net/http_client.hpp"
 #include "relay/catalog.hpp"
 #include "relay/engine_dialect.hpp"
+#include "relay/engine_list_status.hpp"
 #include "relay/relay_node.hpp"
 #include "relay/support/slow_link.hpp"
 #include "store/object_store.hpp"
@@ -285,6 +286,12 @@
       const store::StoredObject& object) const override;
 };
 
+/// A list of engines that is always the store's.
+class CurrentEngineList : public relay::EngineListStatus {
+ public:
+  void confirm(Handler handler) override { handler(true); }
+};
+
 /// A relay node with two services, `plain` and `model`, and its fakes.
 class RelayFixture {
  public:
@@ -315,6 +322,7 @@
   TestDialect dialect;
   relay::RelaySettings settings;
   ConnectionProbe* probe = nullptr;  ///< Used from the next `restart` on.
+  CurrentEngineList engine_list;     ///< Of a node whose engines the test registers.
   std::unique_ptr<relay::RelayNode> node;
   std::string software_version = "1.0";  ///< Of the engines that are registered next.
   std::string caller_address = "10.0.0.1";
