Assume no origin after changes of engines were missed

Callers that took a stream up at nodes which had been cut off for some seconds got the rest of it from an engine of another version (ORDER) where engines of a new version had joined and left again meanwhile and the store had lost its history.

Cause: the observation of versions went on as if nothing had been missed when a list, or an update from another node, replaced a state that was seconds old. It says which engines there are, and nothing of those that came and went before it.

Evidence, with real catalogs on the code before this change:

does_not_prove_that_no_version_was_missed: (site.take_up(1, "first")) == ("") is false.

Now the catalog notes when it adopts a state without the changes of more than 5 s before it, and confirms nothing for the 60 s in which streams can be taken up. A store that loses its history alone makes no difference, as the state before it is at most one wait of a watch old: is_complete_if_it_was_current_before_the_history_was_lost.

Not covered: a node that has just started relies on the observation of another node, which may have missed changes itself; its answer doesn't say.

--- a/src/relay/engine_catalog.cpp
+++ b/src/relay/engine_catalog.cpp
@@ -8,6 +8,13 @@
 #include "relay/fallback_timing.hpp"
 
 namespace shuntbank::relay {
+namespace {
+
+/// Longer than between two answers of the store to a watch. Engines do not join, begin streams and
+/// leave the list again within this time.
+constexpr Duration kMaxSkippedTime = std::chrono::seconds(5);
+
+}  // namespace
 
 EngineCatalog::EngineCatalog(Runtime& own_runtime, store::ObjectStore& store,
                              const std::string& kind, EngineDecoder own_decoder,
@@ -24,6 +31,7 @@
   handlers.on_change = [this](const store::ObjectChange& change) { this->apply_change(change); };
   handlers.on_revision = [this](std::uint64_t revision) {
     if (this->list.advance(revision)) this->newest_removal = revision;
+    this->current_at = std::max(this->current_at, this->watch->confirmed_latest_at());
   };
   store::KindWatchSettings watch_settings;
   watch_settings.freshness = store::Freshness::kMayLag;
@@ -45,6 +53,7 @@
   EngineListCheckHandlers handlers;
   handlers.revision = [this] { return this->list.revision(); };
   handlers.nodes = [this] { return this->node.fleet().nodes; };
+  handlers.on_changes_skipped = [this] { this->on_changes_skipped(); };
   handlers.on_engine = [this](const store::StoredObject& object) {
     const auto record = this->decoder(object);
     if (record) this->node.streams().on_engine_listed(*record);
@@ -61,7 +70,31 @@
   return {object.name, std::nullopt};
 }
 
+void EngineCatalog::confirm(Handler handler) {
+  this->check->run([this, asked_at = this->runtime.now(), handler = std::move(handler)](bool done) {
+    if (done) this->current_at = std::max(this->current_at, asked_at);
+    handler(done && !this->may_have_missed_engines());
+  });
+}
+
+/// The state is brought up to date without the changes that led to it.
+void EngineCatalog::on_changes_skipped() {
+  const Duration skipped = this->runtime.now() - this->current_at;
+  if (this->list.revision() == 0 || skipped <= kMaxSkippedTime) return;
+  this->changes_missed_at = this->runtime.now();
+  log_event(LogArea::kPlatform, LogLevel::kWarning, "engine_changes_missed",
+            {{"revision", this->list.revision()}, {"skipped_ms", whole_ms(skipped)}});
+}
+
+/// @return whether engines that this node has never seen may have begun streams which callers still
+/// take up.
+bool EngineCatalog::may_have_missed_engines() const {
+  return this->changes_missed_at &&
+         this->runtime.now() - *this->changes_missed_at <= kStreamRetention;
+}
+
 void EngineCatalog::apply_list(const store::ObjectList& objects) {
+  this->on_changes_skipped();
   std::vector<ListedEngine> engines;
   std::vector<EngineRecord> records;
   for (const store::StoredObject& object : objects.objects) {
@@ -104,6 +137,9 @@
 
 void EngineCatalog::set_readers(const StoreReaders& own_readers) {
   this->readers = own_readers;
+  if (this->peers_used && !this->needs_update()) {
+    this->current_at = std::max(this->current_at, this->readers.confirmed_at);
+  }
   this->update_source();
   this->watch->report_lag();
 }
@@ -196,7 +232,9 @@
 }
 
 void EngineCatalog::apply_update(const EngineListUpdate& update) {
+  const std::uint64_t before = this->list.revision();
   if (!this->list.apply(update)) return;
+  if (before != 0) this->on_changes_skipped();
   this->last_update_at = this->runtime.now();
   if (update.complete) {
     std::vector<EngineRecord> records;
--- a/src/relay/engine_catalog.hpp
+++ b/src/relay/engine_catalog.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <tl/expected.hpp>
 
@@ -71,7 +72,7 @@
   /// @return how long ago the state of this node was last known to be the store's.
   Duration age() const;
 
-  void confirm(Handler handler) override { this->check->run(std::move(handler)); }
+  void confirm(Handler handler) override;
 
   /// @return for how long other nodes have reported a change that this node lacks.
   Duration behind() const { return this->watch->behind_for(); }
@@ -83,6 +84,8 @@
   void apply_list(const store::ObjectList& list);
   void apply_change(const store::ObjectChange& change);
   ListedEngine read(const store::StoredObject& object) const;
+  void on_changes_skipped();
+  bool may_have_missed_engines() const;
   std::unique_ptr<EngineListCheck> make_check(store::ObjectStore& store, const std::string& kind);
   void on_update(const EngineListUpdate* update);
   void apply_update(const EngineListUpdate& update);
@@ -111,7 +114,9 @@
   StoreReaders readers;
   bool peers_used = false;
   MonotonicTime peers_used_since{};
-  MonotonicTime last_update_at{};  ///< From another node.
+  MonotonicTime last_update_at{};                  ///< From another node.
+  MonotonicTime current_at{};                      ///< Until then all changes are known.
+  std::optional<MonotonicTime> changes_missed_at;  ///< When a state without them was adopted.
   MonotonicTime fallback_until{};  ///< Until then the store is watched without being a reader.
   PeerFetch peer_fetch;
   std::unique_ptr<Timer> fetch_timer;
--- a/src/relay/engine_list_check.cpp
+++ b/src/relay/engine_list_check.cpp
@@ -80,6 +80,7 @@
 
 void EngineListCheck::on_list(const tl::expected<store::ObjectList, store::StoreError>& listed) {
   if (!listed) return this->finish(false, store::to_text(listed.error()));
+  this->handlers.on_changes_skipped();
   for (const store::StoredObject& object : listed->objects) this->handlers.on_engine(object);
   this->checked_revision = std::max(this->checked_revision, listed->revision);
   this->finish(true, "");
--- a/src/relay/engine_list_check.hpp
+++ b/src/relay/engine_list_check.hpp
@@ -18,8 +18,10 @@
 
 /// What a check needs to know of the list, and what it reports.
 struct EngineListCheckHandlers {
-  std::function<std::uint64_t()> revision;                    ///< Of the list; 0: there is none.
-  std::function<std::size_t()> nodes;                         ///< Of the fleet.
+  std::function<std::uint64_t()> revision;  ///< Of the list; 0: there is none.
+  std::function<std::size_t()> nodes;       ///< Of the fleet.
+  /// The store has no history: changes that were undone since are not reported.
+  std::function<void()> on_changes_skipped;
   std::function<void(const store::StoredObject&)> on_engine;  ///< Was listed since.
 };
 
--- a/tests/relay/stale_engine_list_test.cpp
+++ b/tests/relay/stale_engine_list_test.cpp
@@ -185,6 +185,25 @@
   }
 }
 
+// Guards against streams that go on at another version: its engines came and went while nodes were
+// cut off, and the store has no history to show them.
+Test(stale_engine_list, does_not_prove_that_no_version_was_missed) {
+  ReleasedFleet site(3);
+  site.add_engines("v1");
+  site.advance(20s);
+  for (const std::size_t node : {1, 2}) site.fleet.set_isolated(node, true);
+  site.add_engines("v2");
+  site.advance(4s);
+  site.begin_stream(0, "first", "v2");
+  site.remove_engines("v2");
+  site.advance(4s);
+  site.fleet.nodes.store.forget_history();
+  for (const std::size_t node : {1, 2}) site.fleet.set_isolated(node, false);
+  site.fleet.kill(0);
+  site.advance(1s);
+  cr_expect_eq(site.take_up(1, "first"), "");
+}
+
 // Guards against streams that are refused though the service has had one version all the while.
 Test(stale_engine_list, is_told_from_a_current_one) {
   for (const std::size_t nodes : {1, 3, 40}) {
@@ -211,6 +230,16 @@
   }
 }
 
+// Guards against streams that are refused after each loss of the store's history.
+Test(stale_engine_list, is_complete_if_it_was_current_before_the_history_was_lost) {
+  ReleasedFleet site(3);
+  site.add_engines("v1");
+  site.advance(20s);
+  site.fleet.nodes.store.forget_history();
+  site.advance(1s);
+  cr_expect_eq(site.take_up(1, "never-seen"), "v1");
+}
+
 // Guards against nodes of a large fleet that refuse streams as the store has dropped the changes
 // since their last one.
 Test(stale_engine_list, is_confirmed_after_the_history_has_gone) {
