Count a late first list of engines as missed changes

Callers that took a stream up at nodes which got their first list of engines late, at the start of the whole system, could get the rest of it from an engine of another version (ORDER): one whose engines had begun the stream and left before that list.

Cause: a node that starts with the whole system takes its observation as complete from its first list on, whenever that comes.

Evidence, with real catalogs on the code before this change:

does_not_prove_what_was_before_a_late_first_list: (site.take_up(1, "first")) == ("") is false.

Now a first list that comes more than 5 s after the start is treated like any other state without the changes before it. Nodes that join a running system are not concerned: they claim no observation of before their start.

--- a/src/relay/engine_catalog.cpp
+++ b/src/relay/engine_catalog.cpp
@@ -79,8 +79,10 @@
 
 /// The state is brought up to date without the changes that led to it.
 void EngineCatalog::on_changes_skipped() {
-  const Duration skipped = this->runtime.now() - this->current_at;
-  if (this->list.revision() == 0 || skipped <= kMaxSkippedTime) return;
+  // A node that joins a running system claims no observation of before its first list.
+  if (this->list.revision() == 0 && this->settings.join_existing) return;
+  const Duration skipped = this->runtime.now() - std::max(this->current_at, this->started_at);
+  if (skipped <= kMaxSkippedTime) return;
   this->changes_missed_at = this->runtime.now();
   log_event(LogArea::kPlatform, LogLevel::kWarning, "engine_changes_missed",
             {{"revision", this->list.revision()}, {"skipped_ms", whole_ms(skipped)}});
@@ -232,9 +234,8 @@
 }
 
 void EngineCatalog::apply_update(const EngineListUpdate& update) {
-  const std::uint64_t before = this->list.revision();
+  if (update.revision > this->list.revision()) this->on_changes_skipped();
   if (!this->list.apply(update)) return;
-  if (before != 0) this->on_changes_skipped();
   this->last_update_at = this->runtime.now();
   if (update.complete) {
     std::vector<EngineRecord> records;
--- a/tests/relay/stale_engine_list_test.cpp
+++ b/tests/relay/stale_engine_list_test.cpp
@@ -204,6 +204,24 @@
   cr_expect_eq(site.take_up(1, "first"), "");
 }
 
+// Guards against streams that go on at another version: its engines came and went before nodes that
+// start with the whole system got their first list.
+Test(stale_engine_list, does_not_prove_what_was_before_a_late_first_list) {
+  ReleasedFleet site(3);
+  for (const std::size_t node : {1, 2}) site.fleet.set_isolated(node, true);
+  site.add_engines("v1");
+  site.add_engines("v2");
+  site.advance(2s);
+  site.begin_stream(0, "first", "v2");
+  site.advance(2s);
+  site.remove_engines("v2");
+  site.advance(4s);
+  for (const std::size_t node : {1, 2}) site.fleet.set_isolated(node, false);
+  site.fleet.kill(0);
+  site.advance(1s);
+  cr_expect_eq(site.take_up(1, "first"), "");
+}
+
 // Guards against streams that are refused though the service has had one version all the while.
 Test(stale_engine_list, is_told_from_a_current_one) {
   for (const std::size_t nodes : {1, 3, 40}) {
