Test the check of the list of engines by itself

The test of calm fleets took the same stream up twice, so that the second time the node knew it; it now asks for another one.

--- a/tests/relay/stale_engine_list_test.cpp
+++ b/tests/relay/stale_engine_list_test.cpp
@@ -230,7 +230,7 @@
     site.advance(300ms);
     cr_expect_eq(site.take_up(0, "never-seen"), "v1", "%zu nodes that have just started", nodes);
     site.advance(20s);
-    cr_expect_eq(site.take_up(0, "never-seen"), "v1", "%zu nodes", nodes);
+    cr_expect_eq(site.take_up(0, "nor-this"), "v1", "%zu nodes", nodes);
   }
 }
 
