Close the longest idle connection for a new one

After another node was killed, its callers waited in the backlog until the idle time of others had passed.

Cause: the server stopped accepting at its bound and never closed a connection that rests.

Evidence, closes_the_longest_idle_connection_for_a_new_one on the code before: "a connection that rested for a shorter time is closed", after 15 s, the idle time of all. Now it passes, and keeps_connections_with_a_request_when_it_is_full, which passed before as well.

At the bound a new connection now takes the place of the one that has rested for the longest time. One with a request, or with bytes that were not read yet, is never closed for it; without a resting one the caller waits as before.

--- a/src/net/http1_server.cpp
+++ b/src/net/http1_server.cpp
@@ -1,8 +1,10 @@
 #include "net/http1_server.hpp"
 
+#include <algorithm>
 #include <array>
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
+#include <list>
 #include <optional>
 #include <unordered_set>
 #include <utility>
@@ -58,6 +60,9 @@
   }
 
   void accept();
+  /// Closes the connection that has rested for the longest time, if one rests.
+  void close_longest_resting();
+  bool full() const { return connections.size() >= settings.max_connections; }
   void on_connection_closed(const std::shared_ptr<Connection>& connection);
   void close();
   void drain();
@@ -69,6 +74,8 @@
   asio::ip::tcp::acceptor acceptor;
   MonotonicTimer accept_retry_timer;
   std::unordered_set<std::shared_ptr<Connection>> connections;
+  /// Kept open after an answer, without a byte of the next request; the longest resting first.
+  std::list<Connection*> resting;
   std::size_t buffered_bytes = 0;  ///< Total of all request bodies.
   std::function<bool()> gate;      ///< May be empty.
   bool shedding = false;
@@ -113,6 +120,7 @@
     socket_.close(ignored);
     on_first_request_ended();
     on_request_ended();
+    end_rest();
     release_body();
     drained_handler_ = nullptr;
     const auto closed_handler = std::exchange(closed_handler_, nullptr);
@@ -143,6 +151,12 @@
   void on_closed(std::function<void()> handler) { closed_handler_ = std::move(handler); }
   bool closed() const { return closed_; }
 
+  /// @return whether the kernel has bytes of the caller that were not read yet.
+  bool has_unread_bytes() const {
+    std::error_code ignored;
+    return socket_.available(ignored) > 0;
+  }
+
  private:
   HttpParserHandlers handlers() {
     HttpParserHandlers handlers;
@@ -166,6 +180,7 @@
   }
 
   void on_received(std::string_view bytes) {
+    end_rest();
     if (lingering_) return read();
     unparsed_ += bytes;
     parse();
@@ -334,7 +349,19 @@
     head_parsed_ = false;
     parser_.set_max_header_bytes(server_->limits.max_header_bytes);
     parse();
-    if (!closed_) read();
+    if (closed_) return;
+    read();
+    const bool idle = !replying() && !parser_.inside_message() && unparsed_.empty();
+    if (idle && !lingering_) begin_rest();
+  }
+
+  void begin_rest() {
+    rest_ = server_->resting.insert(server_->resting.end(), this);
+    server_->accept();
+  }
+
+  void end_rest() {
+    if (rest_) server_->resting.erase(*std::exchange(rest_, std::nullopt));
   }
 
   /// Shuts down sending, then reads until the caller closes or `linger_timeout` expires.
@@ -379,6 +406,7 @@
   int rejection_status_ = 0;  ///< Status for rejecting the request; 0 for none.
   std::function<void()> drained_handler_;
   std::function<void()> closed_handler_;
+  std::optional<std::list<Connection*>::iterator> rest_;
   bool first_request_awaited_ = true;
   bool reading_ = false;
   bool closed_ = false;
@@ -465,8 +493,15 @@
   server_->handler(std::move(request_), std::make_shared<Responder>(shared_from_this()));
 }
 
+void Http1Server::Impl::close_longest_resting() {
+  const auto found = std::find_if(resting.begin(), resting.end(), [](const Connection* connection) {
+    return !connection->has_unread_bytes();
+  });
+  if (found != resting.end()) (*found)->close();
+}
+
 void Http1Server::Impl::accept() {
-  if (accepting || !acceptor.is_open() || connections.size() >= settings.max_connections) return;
+  if (accepting || !acceptor.is_open() || (full() && resting.empty())) return;
   accepting = true;
   acceptor.async_accept(
       [self = shared_from_this()](const std::error_code& error, asio::ip::tcp::socket socket) {
@@ -478,6 +513,7 @@
           return self->accept();
         }
         if (!error) {
+          if (self->full()) self->close_longest_resting();
           auto connection = std::make_shared<Connection>(self, std::move(socket));
           self->connections.insert(connection);
           ++self->stats.connections;
--- a/src/net/http1_server.hpp
+++ b/src/net/http1_server.hpp
@@ -25,7 +25,9 @@
 /// Settings that are fixed when the server starts.
 struct Http1ServerSettings {
   asio::ip::tcp::endpoint listen;
-  std::size_t max_connections = 2000;                 ///< More wait in the listen backlog.
+  /// A further one takes the place of the connection that has been idle between two requests for
+  /// the longest time. Without such a connection it waits in the listen backlog.
+  std::size_t max_connections = 2000;
   std::size_t max_buffered_bytes = 48UL << 20U;       ///< Total of all request bodies.
   Duration write_timeout = std::chrono::seconds(20);  ///< For a caller that does not read.
   Duration linger_timeout = std::chrono::seconds(1);  ///< Reads this long before closing.
--- a/tests/net/http1_edges_test.cpp
+++ b/tests/net/http1_edges_test.cpp
@@ -383,6 +383,83 @@
   cr_assert(last.ends_with("second\r\n0\r\n\r\n"), "the stream was cut off");
 }
 
+namespace {
+
+/// Keeps its connection open between requests.
+class KeepAliveCaller {
+ public:
+  KeepAliveCaller(asio::io_context& own_loop, const asio::ip::tcp::endpoint& server)
+      : loop(own_loop), socket(own_loop) {
+    this->socket.connect(server);
+  }
+
+  /// @return the body of the answer; empty if the connection was closed.
+  std::string ask(const std::string& target) {
+    std::error_code failed;
+    asio::write(this->socket, asio::buffer("GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n"),
+                failed);
+    std::string answer;
+    bool done = false;
+    asio::async_read_until(this->socket, asio::dynamic_buffer(answer), target + " ",
+                           [&](const std::error_code& error, std::size_t) {
+                             if (error) answer.clear();
+                             done = true;
+                           });
+    while (!done) this->loop.run_one();
+    return answer.substr(std::min(answer.find("GET "), answer.size()));
+  }
+
+ private:
+  asio::io_context& loop;
+  asio::ip::tcp::socket socket;
+};
+
+}  // namespace
+
+// Guards against a server that takes no new connection while all that it has are idle.
+Test(http1_server, closes_the_longest_idle_connection_for_a_new_one) {
+  asio::io_context loop;
+  Http1ServerSettings settings = server_settings();
+  settings.max_connections = 2;
+  Http1Server server(loop, settings, [](const HttpRequest& request, const auto& responder) {
+    responder->respond({200, {}, "GET " + request.target + " "});
+  });
+  KeepAliveCaller first(loop, server.local_endpoint());
+  KeepAliveCaller second(loop, server.local_endpoint());
+  cr_assert_eq(first.ask("/1"), "GET /1 ");
+  cr_assert_eq(second.ask("/2"), "GET /2 ");
+  KeepAliveCaller third(loop, server.local_endpoint());
+  cr_assert_eq(third.ask("/3"), "GET /3 ");
+  cr_assert_eq(second.ask("/4"), "GET /4 ",
+               "a connection that rested for a shorter time is closed");
+  cr_assert_eq(first.ask("/5"), "", "the connection that rested for the longest time is kept");
+  cr_assert_eq(server.stats().open_connections, 2);
+}
+
+// Guards against a new connection that takes the place of one whose request runs.
+Test(http1_server, keeps_connections_with_a_request_when_it_is_full) {
+  asio::io_context loop;
+  Http1ServerSettings settings = server_settings();
+  settings.max_connections = 1;
+  std::shared_ptr<ConnectionResponder> running;
+  bool closed = false;
+  Http1Server server(loop, settings, [&](const HttpRequest& request, const auto& responder) {
+    if (request.target == "/later") return responder->respond({200, {}, "GET /later "});
+    running = responder;
+    running->on_closed([&] { closed = true; });
+  });
+  asio::ip::tcp::socket busy(loop);
+  busy.connect(server.local_endpoint());
+  asio::write(busy, asio::buffer(std::string("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")));
+  while (!running) loop.run_one();
+  KeepAliveCaller later(loop, server.local_endpoint());
+  loop.poll();
+  cr_assert_not(closed);
+  cr_assert_eq(server.stats().connections, 1);
+  running->respond({200, {}, ""});
+  cr_assert_eq(later.ask("/later"), "GET /later ");
+}
+
 Test(http1_client, reuses_connection_for_next_request) {
   asio::io_context loop;
   ScriptedPeer peer(loop, {{{sized_response("1", "one")}, {sized_response("2", "two")}}});
@@ -460,7 +537,8 @@
   cr_assert_eq(peer.accepted, 2, "both connections remain in use for other requests");
 }
 
-// Guards against bytes after an answer that pass for the answer to a request that is sent at once.
+// Guards against bytes after an answer that pass for the answer to a request that is sent at
+// once.
 Test(http1_client, sends_nothing_on_a_connection_with_surplus_bytes) {
   asio::io_context loop;
   ScriptedPeer peer(loop, {{{sized_response("1", "one") + sized_response("", "surplus")}},
@@ -508,8 +586,8 @@
   cr_assert(fetch(loop, client, make_request(truncated.url(), "1")).failure.has_value());
 }
 
-// Guards against a failure without a length that is taken for a broken connection, and against its
-// connection being used again.
+// Guards against a failure without a length that is taken for a broken connection, and against
+// its connection being used again.
 Test(http1_client, accepts_a_failure_until_close) {
   asio::io_context loop;
   const std::string failure = "HTTP/1.1 500 Internal Server Error\r\nid: 1\r\n\r\nwhy";
@@ -520,8 +598,8 @@
   cr_assert_eq(peer.accepted, 2);
 }
 
-// Guards against a reused connection that ends before the first byte of an answer without a length
-// and passes for an empty answer.
+// Guards against a reused connection that ends before the first byte of an answer without a
+// length and passes for an empty answer.
 Test(http1_client, fails_when_a_reused_connection_closes_before_the_answer) {
   asio::io_context loop;
   ScriptedPeer peer(loop, {{{sized_response("1", "one")}, {"", true}}});
