Log a fatal signal before its trace

Found by review: a fault of the unwinder on a damaged stack would have left no line at all, and abort() and signals that were sent printed who sent them as an address. The signal, the address of a fault and whether the stack overflowed are now written first, the trace in a line of its own after it.

--- a/src/common/crash_report.cpp
+++ b/src/common/crash_report.cpp
@@ -116,33 +116,45 @@
   return std::max(address, pointer) - std::min(address, pointer) < kMaxStackOverrun;
 }
 
-void append_trace(Line& line) {
+/// The address is that of a fault; a signal that was sent has none.
+void write_signal(std::string_view name, const siginfo_t& info, const void* context) {
+  Line line;
+  append_time(line);
+  line << " level=error area=process event=crashed signal=" << name;
+  if (info.si_code > 0) {
+    (line << " address=").hexadecimal(reinterpret_cast<std::uintptr_t>(info.si_addr));
+    line << " stack_overflow=" << (is_stack_overflow(info, context) ? "true" : "false");
+  }
+  line << "\n";
+  line.write_to(report_descriptor);
+}
+
+void write_trace() {
   std::array<void*, kMaxFrames> frames{};
   const int count = ::backtrace(frames.data(), kMaxFrames);
   const auto begin = reinterpret_cast<std::uintptr_t>(&__executable_start);
   const auto end = reinterpret_cast<std::uintptr_t>(&etext);
-  line << " trace=";
+  Line line;
+  append_time(line);
+  line << " level=error area=process event=crash_trace trace=";
   for (int i = 0; i < count; ++i) {
     const auto address = reinterpret_cast<std::uintptr_t>(frames.at(static_cast<std::size_t>(i)));
     const bool own = address >= begin && address < end;
     line << (i == 0 ? "" : ",") << (own ? "+" : "");
     line.hexadecimal(own ? address - begin : address);
   }
+  line << "\n";
+  line.write_to(report_descriptor);
 }
 
 void on_fatal_signal(int number, siginfo_t* info, void* context) {
   const auto signal =
       std::find_if(fatal_signals.begin(), fatal_signals.end(),
                    [number](const FatalSignal& known) { return known.number == number; });
-  Line line;
-  append_time(line);
-  line << " level=error area=process event=crashed signal=" << signal->name << " address=";
-  line.hexadecimal(reinterpret_cast<std::uintptr_t>(info->si_addr));
-  line << " stack_overflow=" << (is_stack_overflow(*info, context) ? "true" : "false");
-  append_trace(line);
-  line << "\n";
-  line.write_to(report_descriptor);
+  write_signal(signal->name, *info, context);
   ::sigaction(number, &signal->previous, nullptr);
+  // A fault in the unwinder, on a damaged stack, ends the process as well.
+  write_trace();
   // A fault occurs again when the handler returns; a signal that was sent does not.
   if (info->si_code <= 0) ::raise(number);
 }
--- a/tests/common/crash_report_test.cpp
+++ b/tests/common/crash_report_test.cpp
@@ -66,8 +66,9 @@
     *null = 1;
   });
   cr_assert_eq(child.signal, SIGSEGV);
-  cr_assert(has(child, "event=crashed signal=SIGSEGV address=0x0 stack_overflow=false trace="),
-            "%s", child.output.c_str());
+  cr_assert(has(child, "event=crashed signal=SIGSEGV address=0x0 stack_overflow=false\n"), "%s",
+            child.output.c_str());
+  cr_assert(has(child, "event=crash_trace trace="), "%s", child.output.c_str());
   cr_assert(has(child, "+0x"), "no frame of the program: %s", child.output.c_str());
 }
 
@@ -80,8 +81,8 @@
 Test(crash_report, covers_an_abort_and_a_signal_that_was_sent) {
   const CrashedChild aborted = run_in_child([] { std::abort(); });
   cr_assert_eq(aborted.signal, SIGABRT);
-  cr_assert(has(aborted, "event=crashed signal=SIGABRT"), "%s", aborted.output.c_str());
+  cr_assert(has(aborted, "event=crashed signal=SIGABRT\n"), "%s", aborted.output.c_str());
   const CrashedChild sent = run_in_child([] { ::kill(::getpid(), SIGBUS); });
   cr_assert_eq(sent.signal, SIGBUS);
-  cr_assert(has(sent, "event=crashed signal=SIGBUS"), "%s", sent.output.c_str());
+  cr_assert(has(sent, "event=crashed signal=SIGBUS\n"), "%s", sent.output.c_str());
 }
