Fail a call to a malformed address after it has returned

What callers would see: a node that starts beside a record of a node with an unreadable address never takes over the caches and versions of others. The handler of the failed call ran before call() returned; the timer that it had armed for the next try was then reset as that of the call that was made. Found by review, by reading.

peer_transport/fails_a_call_to_a_malformed_address_after_it_has_returned holds the order that all callers rely on.

--- a/src/net/peer_transport.cpp
+++ b/src/net/peer_transport.cpp
@@ -1,5 +1,6 @@
 #include "net/peer_transport.hpp"
 
+#include <asio/post.hpp>
 #include <utility>
 
 #include "net/address.hpp"
@@ -45,7 +46,12 @@
   void call(const std::string& address, std::string text, Duration timeout,
             AnswerHandler handler) override {
     const auto endpoint = parse_endpoint(address);
-    if (!endpoint) return handler(tl::make_unexpected(endpoint.error()));
+    if (!endpoint) {
+      // Never before this returns, as callers arm their timers after it.
+      return asio::post(loop_, [handler = std::move(handler), error = endpoint.error()] {
+        handler(tl::make_unexpected(error));
+      });
+    }
     call_frame(loop_, *endpoint, std::move(text), max_frame_, timeout, std::move(handler));
   }
 
--- a/src/net/peer_transport.hpp
+++ b/src/net/peer_transport.hpp
@@ -38,7 +38,8 @@
   virtual void send(const std::string& address, std::string_view text) = 0;
 
   /// Sends a message and passes its answer or an error message to `handler`. The answer must begin
-  /// within `timeout`; after that only an idle timeout applies.
+  /// within `timeout`; after that only an idle timeout applies. `handler` never runs before this
+  /// returns.
   virtual void call(const std::string& address, std::string text, Duration timeout,
                     AnswerHandler handler) = 0;
 
