--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -54,3 +54,13 @@
   cr_assert(site.store.names("things").empty());
   cr_assert_eq(site.remove(before).error(), store::StoreError::kMissing);
 }
+
+// Guards against an exception that ends the process: a text of another node that is no UTF-8.
+Test(store_client, writes_a_text_that_is_no_utf_8) {
+  Site site;
+  std::optional<bool> written;
+  site.client.create("things", "one", {{"text", "a\xff"}}, 1s,
+                     [&written](const auto& object) { written = object.has_value(); });
+  while (!written) site.loop.run_one();
+  cr_assert(*written);
+}
