Answer a request that was read before a drain

What callers would see (LOST): a request that was read behind an answer being sent is dropped when the node stops. Since requests are handled one after the other, the connection lingered after the answer under way and threw the next request away, though that answer had not announced the close. Found by review.

The next request is now answered, with the announcement, unless the last answer has made it. http1_server/drain_answers_a_request_that_was_read covers it.

--- a/src/net/http1_server.cpp
+++ b/src/net/http1_server.cpp
@@ -274,6 +274,7 @@
     const bool closes =
         close_after_answer_ || server_->keep_alive_disabled || server_->shedding || !keep_alive_;
     if (closes) close_after_answer_ = true;
+    close_announced_ = closes;
     std::string text = "HTTP/1.1 " + std::to_string(status) + " ";
     text += http_status::reason(status);
     text += "\r\n";
@@ -344,14 +345,16 @@
   }
 
   void next_request() {
-    if (close_after_answer_) return linger();
+    // A request that was read is answered unless the last answer has announced the close.
+    if (close_announced_) return linger();
     arm_timer(server_->limits.idle_timeout);
     head_parsed_ = false;
     parser_.set_max_header_bytes(server_->limits.max_header_bytes);
     parse();
     if (closed_) return;
-    read();
     const bool idle = !replying() && !parser_.inside_message() && unparsed_.empty();
+    if (idle && close_after_answer_) return linger();
+    read();
     if (idle && !lingering_) begin_rest();
   }
 
@@ -416,6 +419,7 @@
   bool reply_pending_ = false;  ///< The handler has a request and its reply has not ended.
   bool reply_ended_ = false;    ///< The reply has ended and is being sent.
   bool close_after_answer_ = false;
+  bool close_announced_ = false;  ///< By the head of the last reply.
   bool shutdown_when_sent_ = false;
   bool lingering_ = false;
   bool write_deadline_armed_ = false;
--- a/tests/net/http1_edges_test.cpp
+++ b/tests/net/http1_edges_test.cpp
@@ -306,6 +306,25 @@
   cr_assert_gt(reply.size(), body.size());
 }
 
+// Guards against a stop that drops a request which was read behind an answer being sent.
+Test(http1_server, drain_answers_a_request_that_was_read) {
+  asio::io_context loop;
+  const std::string body(8UL << 20U, 'x');
+  Http1Server* running = nullptr;
+  Http1Server server(loop, server_settings(),
+                     [&](const HttpRequest& request, const auto& responder) {
+                       if (request.target == "/2") return responder->respond({200, {}, "second"});
+                       responder->respond({200, {}, body});
+                       running->drain();
+                     });
+  running = &server;
+  const std::string reply =
+      exchange_raw(loop, server.local_endpoint(),
+                   "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+  cr_assert_neq(reply.find("second"), std::string::npos);
+  cr_assert_neq(reply.find("Connection: close"), std::string::npos);
+}
+
 // Guards against memory that grows with the requests of a caller that reads no answers.
 Test(http1_server, handles_no_further_request_while_an_answer_is_unread) {
   constexpr int kRequests = 400;
