Don't vouch for versions after changes of engines were missed

What callers saw (ORDER): a node that had missed changes of engines assumed no origin itself, but still told others that its observation was complete. A node that started after that took it over, its own list was confirmed by the store, and a stream went on at another version.

Evidence, on the code before: is_not_confirmed_by_a_node_that_missed_changes: (site.take_up(3, "first")) == ("") is false

Such a node now hands on no sightings and answers that its observation is incomplete, for as long as it assumes no origin itself. The messages are unchanged. Found by review.

--- a/src/relay/engine_catalog.cpp
+++ b/src/relay/engine_catalog.cpp
@@ -88,8 +88,6 @@
             {{"revision", this->list.revision()}, {"skipped_ms", whole_ms(skipped)}});
 }
 
-/// @return whether engines that this node has never seen may have begun streams which callers still
-/// take up.
 bool EngineCatalog::may_have_missed_engines() const {
   return this->changes_missed_at &&
          this->runtime.now() - *this->changes_missed_at <= kStreamRetention;
--- a/src/relay/engine_catalog.hpp
+++ b/src/relay/engine_catalog.hpp
@@ -73,6 +73,7 @@
   Duration age() const;
 
   void confirm(Handler handler) override;
+  bool may_have_missed_engines() const override;
 
   /// @return for how long other nodes have reported a change that this node lacks.
   Duration behind() const { return this->watch->behind_for(); }
@@ -85,7 +86,6 @@
   void apply_change(const store::ObjectChange& change);
   ListedEngine read(const store::StoredObject& object) const;
   void on_changes_skipped();
-  bool may_have_missed_engines() const;
   std::unique_ptr<EngineListCheck> make_check(store::ObjectStore& store, const std::string& kind);
   void on_update(const EngineListUpdate* update);
   void apply_update(const EngineListUpdate& update);
--- a/src/relay/stream_origins.cpp
+++ b/src/relay/stream_origins.cpp
@@ -89,6 +89,7 @@
 
 std::optional<std::vector<VersionSighting>> StreamOrigins::sightings() {
   this->observe_versions();
+  if (this->may_have_missed_engines()) return std::nullopt;
   return this->versions.sightings(this->runtime.now());
 }
 
@@ -264,9 +265,14 @@
   answer.number = call.number;
   answer.origin = this->table.find(call.key);
   answer.recent = this->versions.recent(this->runtime.now(), call.service);
+  if (this->may_have_missed_engines()) answer.recent.complete = false;
   this->send(call.node, encode(answer));
 }
 
+bool StreamOrigins::may_have_missed_engines() const {
+  return this->engine_list != nullptr && this->engine_list->may_have_missed_engines();
+}
+
 void StreamOrigins::on_answer(const StreamAnswer& answer) {
   const auto found = this->lookups.find(answer.number);
   if (answer.boot != this->boot_id || found == this->lookups.end()) return;
--- a/src/relay/stream_origins.hpp
+++ b/src/relay/stream_origins.hpp
@@ -127,6 +127,7 @@
   void add_nodes(Lookup& lookup) const;
   void finish(std::uint64_t number, const std::optional<StreamOrigin>& origin);
   void finish_unknown(std::uint64_t number);
+  bool may_have_missed_engines() const;
   void confirm_sole_version(std::uint64_t number);
   void on_confirmed(std::uint64_t number, bool confirmed);
   void find_in_archive(std::uint64_t number);
--- a/tests/relay/stale_engine_list_test.cpp
+++ b/tests/relay/stale_engine_list_test.cpp
@@ -204,6 +204,27 @@
   cr_expect_eq(site.take_up(1, "first"), "");
 }
 
+// Guards against streams that go on at another version: a node that starts takes over what a node
+// has observed that missed engines.
+Test(stale_engine_list, is_not_confirmed_by_a_node_that_missed_changes) {
+  ReleasedFleet site(3);
+  site.add_engines("v1");
+  site.advance(20s);
+  for (const std::size_t node : {1, 2}) site.fleet.set_isolated(node, true);
+  site.add_engines("v2");
+  site.advance(4s);
+  site.begin_stream(0, "first", "v2");
+  site.remove_engines("v2");
+  site.advance(4s);
+  site.fleet.nodes.store.forget_history();
+  for (const std::size_t node : {1, 2}) site.fleet.set_isolated(node, false);
+  site.fleet.kill(0);
+  site.advance(1s);
+  site.fleet.add(0);
+  site.advance(2s);
+  cr_expect_eq(site.take_up(3, "first"), "");
+}
+
 // Guards against streams that go on at another version: its engines came and went before nodes that
 // start with the whole system got their first list.
 Test(stale_engine_list, does_not_prove_what_was_before_a_late_first_list) {
--- a/tests/relay/support/fakes.hpp
+++ b/tests/relay/support/fakes.hpp
@@ -290,6 +290,7 @@
 class CurrentEngineList : public relay::EngineListStatus {
  public:
   void confirm(Handler handler) override { handler(true); }
+  bool may_have_missed_engines() const override { return false; }
 };
 
 /// A relay node with two services, `plain` and `model`, and its fakes.
