Bound durations that are made from a number of seconds

A duration of a configuration such as timeout_ms 1e300, and a division by a rate of zero, were converted to an integer out of range, which is undefined; on arm64 the result was the largest duration, so that the time points made with it overflowed.

from_seconds now bounds the value to 1e9 seconds either way and makes zero of NaN, for all callers.

--- a/src/common/time.hpp
+++ b/src/common/time.hpp
@@ -4,7 +4,9 @@
 
 #include <time.h>
 
+#include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <cstdint>
 
 namespace shuntbank {
@@ -52,9 +54,17 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
-/// @return `seconds` as a duration, rounded down to a microsecond.
+/// Longest duration that is made from a number of seconds. Timers count in nanoseconds, and times
+/// are added to it.
+inline constexpr Duration kMaxSecondsDuration = std::chrono::seconds(1'000'000'000);
+
+/// @return `seconds` as a duration, rounded towards zero to a microsecond, with an absolute value
+/// of at most `kMaxSecondsDuration`; zero for NaN.
 inline Duration from_seconds(double seconds) {
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+  if (std::isnan(seconds)) return Duration::zero();
+  const double limit = to_seconds(kMaxSecondsDuration);
+  const std::chrono::duration<double> bounded(std::clamp(seconds, -limit, limit));
+  return std::chrono::duration_cast<Duration>(bounded);
 }
 
 }  // namespace shuntbank
--- a/tests/platform/odd_answer_test.cpp
+++ b/tests/platform/odd_answer_test.cpp
@@ -64,6 +64,13 @@
   cr_assert_eq(whole->routes.front().max_attempts, 2);
 }
 
+Test(odd_answer, bounds_durations) {
+  const auto parsed =
+      ObjectCodec().configuration(configuration("\"timeout_ms\":1e300", "\"max_conns\":1"));
+  cr_assert(parsed.has_value());
+  cr_assert(parsed->routes.front().timeout == kMaxSecondsDuration);
+}
+
 // An engine listens neither on port 0 nor at an address with more bytes after the number.
 Test(odd_answer, is_an_engine_without_a_usable_address) {
   const ObjectCodec codec;
