Start nodes of tests that join without a bootstrap

The fixture of exchanging nodes let a node that joins believe that the whole system starts, so that it needed nobody's word for what was before it.

--- a/tests/relay/stale_engine_list_test.cpp
+++ b/tests/relay/stale_engine_list_test.cpp
@@ -220,7 +220,7 @@
   for (const std::size_t node : {1, 2}) site.fleet.set_isolated(node, false);
   site.fleet.kill(0);
   site.advance(1s);
-  site.fleet.add(0);
+  site.fleet.add(0, true);
   site.advance(2s);
   cr_expect_eq(site.take_up(3, "first"), "");
 }
--- a/tests/relay/support/exchanging_fleet.hpp
+++ b/tests/relay/support/exchanging_fleet.hpp
@@ -77,6 +77,10 @@
     this->transports.push_back(std::make_unique<MockTransport>(this->network, name + ":1"));
     this->transports.back()->zone = settings.zone.value();
     RelayFixture& site = *this->sites.back();
+    if (settings.join_existing) {
+      site.settings.bootstrap = false;
+      site.restart();
+    }
     site.software_version = this->software_version;
     site.add_engine("p1", "model", relay::EngineStage::kPrefill);
     this->exchanges.push_back(std::make_unique<relay::LoadExchange>(
