Take the program's bounds from the loader in crash reports

The linker's symbols have reserved names, which the linter rejects. The first object of dl_iterate_phdr() is the program itself.

crash_report/*: 3 of 3 pass; clang-tidy reports nothing in the file.

--- a/src/common/crash_report.cpp
+++ b/src/common/crash_report.cpp
@@ -1,6 +1,7 @@
 #include "common/crash_report.hpp"
 
 #include <execinfo.h>
+#include <link.h>
 #include <poll.h>
 #include <ucontext.h>
 
@@ -14,10 +15,6 @@
 #include <cstdint>
 #include <string_view>
 
-/// Defined by the linker: the bounds of the program's own code.
-extern "C" const char __executable_start;
-extern "C" const char etext;
-
 namespace shuntbank {
 namespace {
 
@@ -48,6 +45,27 @@
 
 int report_descriptor = STDOUT_FILENO;
 
+/// Where the program's own code is, and the address that its offsets count from.
+struct ProgramCode {
+  std::uintptr_t base = 0;
+  std::uintptr_t begin = 0;
+  std::uintptr_t end = 0;
+};
+
+ProgramCode program_code;
+
+/// The first object that the loader names is the program. @return 1, which ends the iteration.
+int find_program_code(dl_phdr_info* object, std::size_t /*size*/, void* /*data*/) {
+  program_code.base = object->dlpi_addr;
+  for (int i = 0; i < object->dlpi_phnum; ++i) {
+    const auto& segment = object->dlpi_phdr[i];
+    if (segment.p_type != PT_LOAD || (segment.p_flags & PF_X) == 0) continue;
+    program_code.begin = object->dlpi_addr + segment.p_vaddr;
+    program_code.end = program_code.begin + segment.p_memsz;
+  }
+  return 1;
+}
+
 /// A line in a fixed buffer, as memory can't be allocated in a signal handler.
 class Line {
  public:
@@ -132,16 +150,14 @@
 void write_trace() {
   std::array<void*, kMaxFrames> frames{};
   const int count = ::backtrace(frames.data(), kMaxFrames);
-  const auto begin = reinterpret_cast<std::uintptr_t>(&__executable_start);
-  const auto end = reinterpret_cast<std::uintptr_t>(&etext);
   Line line;
   append_time(line);
   line << " level=error area=process event=crash_trace trace=";
   for (int i = 0; i < count; ++i) {
     const auto address = reinterpret_cast<std::uintptr_t>(frames.at(static_cast<std::size_t>(i)));
-    const bool own = address >= begin && address < end;
+    const bool own = address >= program_code.begin && address < program_code.end;
     line << (i == 0 ? "" : ",") << (own ? "+" : "");
-    line.hexadecimal(own ? address - begin : address);
+    line.hexadecimal(own ? address - program_code.base : address);
   }
   line << "\n";
   line.write_to(report_descriptor);
@@ -175,6 +191,7 @@
 void report_crashes(int descriptor) {
   report_descriptor = descriptor;
   set_alternate_stack();
+  ::dl_iterate_phdr(&find_program_code, nullptr);
   // The first call loads the unwinder, which must not happen in a signal handler.
   std::array<void*, 1> frame{};
   ::backtrace(frame.data(), static_cast<int>(frame.size()));
