Say what two comments left out

Read again as a newcomer: the bounds of the interval between checks of the engine list, and that texts in MessagePack are not checked for UTF-8 (which is why the store client replaces invalid bytes when it writes).

--- a/src/common/json_parsing.hpp
+++ b/src/common/json_parsing.hpp
@@ -27,7 +27,7 @@
 /// Errors never quote the text.
 tl::expected<nlohmann::json, std::string> parse_json(std::string_view text);
 
-/// As `parse_json`, for MessagePack.
+/// As `parse_json`, for MessagePack, whose texts may be invalid UTF-8.
 tl::expected<nlohmann::json, std::string> parse_msgpack(std::string_view bytes);
 
 /// Throws the library's exception for numbers out of range.
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -54,9 +54,9 @@
 
 /// Settings of the checks whether a node's list of engines is the store's.
 struct EngineListCheckSettings {
-  /// Callers wait for a check.
+  /// Until the store's answer begins.
   Duration call_timeout = std::chrono::milliseconds(500);
-  /// Between two calls of a node: 100 calls a second of the fleet, up to 50 nodes.
+  /// Between two calls of a node, times the nodes of the fleet, within the bounds below.
   Duration interval_per_node = std::chrono::milliseconds(10);
   Duration min_interval = std::chrono::milliseconds(20);
   Duration max_interval = std::chrono::milliseconds(500);
